Lay out the workspace, the pure decisions and the micro-kernel

Ruled out: decisions inside async tasks, since the fuzz and the replay must drive the same code. Change: hollyhook_core (relay, rhythm, cursor, retry budget, resume gate, endpoint table, call guard, claims), hollyhook_kernel (service registry, mailboxes, timer service).

--- /dev/null
+++ b/crates/hollyhook_core/src/call/mod.rs
@@ -0,0 +1,7 @@
+//! Calls to plain services: at most once where they may not be repeated.
+
+mod call_guard;
+mod claim_ledger;
+
+pub use call_guard::{CallAction, CallEvent, CallGuard, CallOutcome};
+pub use claim_ledger::{ClaimAnswer, ClaimLedger, ClaimRecord, ClaimVerdict};
--- /dev/null
+++ b/crates/hollyhook_core/src/cursor/mod.rs
@@ -0,0 +1,7 @@
+//! The sealed cursor that lets a caller go on with a stream at any host.
+
+mod cursor_seal;
+mod stream_cursor;
+
+pub use cursor_seal::{CursorKey, CursorSeal};
+pub use stream_cursor::StreamCursor;
--- /dev/null
+++ b/crates/hollyhook_core/src/generation/generation_id.rs
@@ -0,0 +1,112 @@
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::{Error, ErrorKind};
+
+/// Identifies one generation over all hosts and endpoints: 128 bits, written as 32 hexadecimal digits.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct GenerationId(u128);
+
+impl GenerationId {
+    /// An identity from 128 random bits.
+    pub const fn from_bits(bits: u128) -> Self {
+        Self(bits)
+    }
+
+    /// The identity that a client account's idempotency key always leads to, on any host.
+    pub fn from_key(account: &str, key: &str) -> Self {
+        let mut hash = Sha256::new();
+        hash.update((account.len() as u64).to_be_bytes());
+        hash.update(account);
+        hash.update(key);
+        let digest = hash.finalize();
+        let mut bits = [0; 16];
+        bits.copy_from_slice(&digest[..16]);
+        Self(u128::from_be_bytes(bits))
+    }
+
+    /// The 128 bits.
+    pub const fn bits(self) -> u128 {
+        self.0
+    }
+}
+
+impl fmt::Display for GenerationId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for GenerationId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "GenerationId({self})")
+    }
+}
+
+impl FromStr for GenerationId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let wrong = |cause: &dyn fmt::Display| {
+            Error::new(
+                ErrorKind::InvalidRequest,
+                format!("`{text}` is not a generation id of 32 hex digits: {cause}"),
+            )
+        };
+        if text.len() != 32 {
+            return Err(wrong(&format_args!("{} characters", text.len())));
+        }
+        u128::from_str_radix(text, 16).map(Self).map_err(|error| wrong(&error))
+    }
+}
+
+impl From<GenerationId> for String {
+    fn from(id: GenerationId) -> Self {
+        id.to_string()
+    }
+}
+
+impl TryFrom<String> for GenerationId {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self, Error> {
+        text.parse()
+    }
+}
+
+/// Counts the attempts at one generation, over all hosts that ever relayed it; the first is 1.
+///
+/// The number also orders attachments: an endpoint sends the output to the newest attempt only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AttemptNumber(u32);
+
+impl AttemptNumber {
+    /// The first attempt.
+    pub const FIRST: Self = Self(1);
+
+    /// The attempt with that number.
+    pub const fn new(number: u32) -> Self {
+        Self(number)
+    }
+
+    /// The attempt after this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+
+    /// The number.
+    pub const fn get(self) -> u32 {
+        self.0
+    }
+}
+
+impl fmt::Display for AttemptNumber {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_core/src/generation/token_log.rs
@@ -0,0 +1,87 @@
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// The tokens of one generation in order, packed into one string.
+///
+/// Costs the text plus 4 bytes a token, since a long generation holds thousands of them.
+///
+/// ```
+/// use hollyhook_core::TokenLog;
+///
+/// let mut log = TokenLog::default();
+/// log.push("Dear ");
+/// log.push("parent");
+/// assert_eq!(log.iter().collect::<Vec<_>>(), ["Dear ", "parent"]);
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TokenLog {
+    text: String,
+    ends: Vec<u32>,
+}
+
+impl TokenLog {
+    /// Adds the next token.
+    pub fn push(&mut self, token: &str) {
+        self.text.push_str(token);
+        self.ends.push(self.text.len() as u32);
+    }
+
+    /// The number of tokens.
+    pub fn len(&self) -> usize {
+        self.ends.len()
+    }
+
+    /// Whether there is no token.
+    pub fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
+    /// The whole text.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// The tokens in order.
+    pub fn iter(&self) -> impl Iterator<Item = &str> {
+        let starts = std::iter::once(0).chain(self.ends.iter().copied());
+        starts
+            .zip(&self.ends)
+            .map(|(start, end)| &self.text[start as usize..*end as usize])
+    }
+
+    /// Forgets every token.
+    pub fn clear(&mut self) {
+        self.text.clear();
+        self.ends.clear();
+    }
+}
+
+/// A digest of the first tokens of a generation, carried by a cursor to prove that a replay matches them.
+///
+/// Each token is chained as `SHA-256(previous ‖ length ‖ token)`, cut to 128 bits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct PrefixDigest([u8; 16]);
+
+impl PrefixDigest {
+    /// A digest from its bytes.
+    pub const fn from_bytes(bytes: [u8; 16]) -> Self {
+        Self(bytes)
+    }
+
+    /// The bytes.
+    pub const fn bytes(self) -> [u8; 16] {
+        self.0
+    }
+
+    /// The digest after one more token.
+    #[must_use]
+    pub fn chain(self, token: &str) -> Self {
+        let mut hash = Sha256::new();
+        hash.update(self.0);
+        hash.update((token.len() as u32).to_be_bytes());
+        hash.update(token);
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hash.finalize()[..16]);
+        Self(bytes)
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_core/src/lib.rs
@@ -0,0 +1,26 @@
+//! The decisions of hollyhook, as state machines without input, output, clock or thread.
+//!
+//! Every part takes `(now, event)` and returns actions or an answer. Time is a [`TimePoint`] that the driver
+//! supplies, random numbers come from a seeded source that the driver supplies. The daemon, the fuzz tests and
+//! the trace replay drive the same code through this boundary; `docs/design/boundary.md` describes it.
+
+mod call;
+mod cursor;
+mod error;
+mod generation;
+mod name;
+mod retry;
+mod route;
+mod time;
+
+pub use call::{CallAction, CallEvent, CallGuard, CallOutcome, ClaimAnswer, ClaimLedger, ClaimRecord, ClaimVerdict};
+pub use cursor::{CursorKey, CursorSeal, StreamCursor};
+pub use error::{Answer, Error, ErrorKind, Result, RunState, answer_for};
+pub use generation::{
+    AttemptNumber, EndReason, EndpointRefusal, EndpointRhythm, GenerationId, GenerationRelay, OpenMode, Patience,
+    PrefixDigest, ProbeReport, RelayAction, RelayEvent, RelayNote, RelayPhase, RelayPolicy, TokenLog,
+};
+pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
+pub use retry::{ResumeGate, ResumeTicket, RetryBudget};
+pub use route::{EndpointRecord, EndpointState, EndpointTable, LoadReport, RouteQuery};
+pub use time::TimePoint;
--- /dev/null
+++ b/crates/hollyhook_core/src/retry/mod.rs
@@ -0,0 +1,7 @@
+//! Bounds on the work that failures cause: a budget for retries and a gate for resumes.
+
+mod resume_gate;
+mod retry_budget;
+
+pub use resume_gate::{ResumeGate, ResumeTicket};
+pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/crates/hollyhook_core/src/route/endpoint_record.rs
@@ -0,0 +1,109 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{EndpointId, EndpointRhythm, ModelBinding, Name, TimePoint, ZoneName};
+
+/// Whether an endpoint gets new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndpointState {
+    /// It gets work.
+    Live,
+    /// It finishes what it has and gets nothing new.
+    Leaving,
+}
+
+/// What an endpoint last said of its load, some time ago.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests being decoded.
+    pub running: u32,
+    /// Requests waiting for a place in the batch.
+    pub waiting: u32,
+    /// Places in the batch.
+    pub capacity: u32,
+}
+
+/// One endpoint as this host knows it.
+#[derive(Debug, Clone)]
+pub struct EndpointRecord {
+    /// Its name.
+    pub id: EndpointId,
+    /// Its service.
+    pub service: Name,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The weights that it serves; none for a plain service.
+    pub binding: Option<ModelBinding>,
+    /// Whether it gets new work.
+    pub state: EndpointState,
+    /// Its last load report and when it arrived.
+    pub load: LoadReport,
+    /// Requests that this host has open there.
+    pub open: u32,
+    /// Requests that this host opened there since the last load report.
+    pub sent_since_report: u32,
+    /// Its usual gaps, over all streams of this host.
+    pub rhythm: EndpointRhythm,
+    pub(super) failures: u32,
+    pub(super) ejected_until: TimePoint,
+}
+
+impl EndpointRecord {
+    const FIRST_EJECTION: Duration = Duration::from_millis(500);
+    const MAX_EJECTION_DOUBLINGS: u32 = 5;
+
+    /// A live endpoint of which nothing more is known yet.
+    pub fn new(id: EndpointId, service: Name, zone: ZoneName, address: SocketAddr) -> Self {
+        Self {
+            id,
+            service,
+            zone,
+            address,
+            binding: None,
+            state: EndpointState::Live,
+            load: LoadReport::default(),
+            open: 0,
+            sent_since_report: 0,
+            rhythm: EndpointRhythm::default(),
+            failures: 0,
+            ejected_until: TimePoint::ZERO,
+        }
+    }
+
+    /// The same endpoint with the weights that it serves.
+    #[must_use]
+    pub fn binding(mut self, binding: ModelBinding) -> Self {
+        self.binding = Some(binding);
+        self
+    }
+
+    /// The load to expect: what was reported, and what this host has sent since.
+    ///
+    /// In requests a place; a report without a capacity counts as one place.
+    pub fn pressure(&self) -> f64 {
+        let reported = self.load.running + self.load.waiting;
+        let expected = (reported + self.sent_since_report).max(self.open);
+        f64::from(expected) / f64::from(self.load.capacity.max(1))
+    }
+
+    /// Whether it is left out after failures.
+    pub fn is_ejected(&self, now: TimePoint) -> bool {
+        now < self.ejected_until
+    }
+
+    pub(super) fn fail(&mut self, now: TimePoint) {
+        let doublings = self.failures.min(Self::MAX_EJECTION_DOUBLINGS);
+        self.failures += 1;
+        self.ejected_until = now + Self::FIRST_EJECTION * 2_u32.pow(doublings);
+    }
+
+    pub(super) fn succeed(&mut self) {
+        self.failures = 0;
+        self.ejected_until = TimePoint::ZERO;
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -0,0 +1,212 @@
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use rand::Rng;
+use sha2::{Digest, Sha256};
+
+use super::{EndpointRecord, EndpointState, LoadReport};
+use crate::{EndpointId, ModelBinding, TimePoint, ZoneName};
+
+/// How much fuller, in requests a place, the own zone may be before another one pays.
+const ZONE_PREFERENCE: f64 = 0.25;
+
+/// What a request needs of an endpoint.
+#[derive(Debug, Clone)]
+pub struct RouteQuery<'a> {
+    service: &'a str,
+    binding: Option<&'a ModelBinding>,
+    avoid: &'a [EndpointId],
+    affinity: Option<u128>,
+}
+
+impl<'a> RouteQuery<'a> {
+    /// A query for any endpoint of a service.
+    pub fn new(service: &'a str) -> Self {
+        Self {
+            service,
+            binding: None,
+            avoid: &[],
+            affinity: None,
+        }
+    }
+
+    /// The same query for exactly those weights.
+    #[must_use]
+    pub fn binding(mut self, binding: &'a ModelBinding) -> Self {
+        self.binding = Some(binding);
+        self
+    }
+
+    /// The same query without those endpoints.
+    #[must_use]
+    pub fn avoid(mut self, avoid: &'a [EndpointId]) -> Self {
+        self.avoid = avoid;
+        self
+    }
+
+    /// The same query that prefers the few endpoints which every host ranks first for this number.
+    #[must_use]
+    pub fn affinity(mut self, number: u128) -> Self {
+        self.affinity = Some(number);
+        self
+    }
+
+    fn is_met_by(&self, record: &EndpointRecord) -> bool {
+        let is_served = &*record.service == self.service;
+        let is_bound = self
+            .binding
+            .is_none_or(|binding| record.binding.as_ref() == Some(binding));
+        is_served && is_bound && record.state == EndpointState::Live && !self.avoid.contains(&record.id)
+    }
+}
+
+/// The endpoints that this host knows, and the choice among them.
+#[derive(Debug)]
+pub struct EndpointTable {
+    zone: ZoneName,
+    records: BTreeMap<EndpointId, EndpointRecord>,
+}
+
+impl EndpointTable {
+    /// The number of endpoints that a number of affinity leads to.
+    pub const AFFINITY_CANDIDATES: usize = 3;
+
+    /// A table for a host in that availability zone.
+    pub fn new(zone: ZoneName) -> Self {
+        Self {
+            zone,
+            records: BTreeMap::new(),
+        }
+    }
+
+    /// Adds an endpoint, or updates where it is and whether it gets work; what was learnt of it stays.
+    pub fn upsert(&mut self, record: EndpointRecord) {
+        match self.records.get_mut(&record.id) {
+            Some(known) if known.address == record.address => {
+                known.state = record.state;
+                known.binding = record.binding;
+                known.service = record.service;
+            }
+            _ => {
+                self.records.insert(EndpointId::clone(&record.id), record);
+            }
+        }
+    }
+
+    /// Forgets every endpoint that is not among those.
+    pub fn retain(&mut self, is_known: impl Fn(&EndpointId) -> bool) {
+        self.records.retain(|id, _| is_known(id));
+    }
+
+    /// One endpoint.
+    pub fn get(&self, id: &str) -> Option<&EndpointRecord> {
+        self.records.get(id)
+    }
+
+    /// One endpoint, to learn something of it.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut EndpointRecord> {
+        self.records.get_mut(id)
+    }
+
+    /// All endpoints by name.
+    pub fn iter(&self) -> impl Iterator<Item = &EndpointRecord> {
+        self.records.values()
+    }
+
+    /// Takes a load report in.
+    pub fn report(&mut self, id: &str, load: LoadReport) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.load = load;
+            record.sent_since_report = 0;
+        }
+    }
+
+    /// Chooses an endpoint and counts the request as open there.
+    ///
+    /// The better of two drawn at random, so that many hosts with the same reports do not all choose the same one.
+    /// Ejected endpoints are used only if no other is left.
+    pub fn choose(&mut self, now: TimePoint, query: &RouteQuery<'_>, rng: &mut impl Rng) -> Option<EndpointId> {
+        let fit: Vec<&EndpointRecord> = self.records.values().filter(|record| query.is_met_by(record)).collect();
+        let healthy: Vec<&EndpointRecord> = fit.iter().copied().filter(|record| !record.is_ejected(now)).collect();
+        let pool = if healthy.is_empty() { fit } else { healthy };
+        let pool = match query.affinity {
+            Some(number) => ranked(pool, number),
+            None => pool,
+        };
+        let id = EndpointId::clone(&self.better_of_two(&pool, rng)?.id);
+        self.opened(&id);
+        Some(id)
+    }
+
+    /// The endpoints that a request with this affinity may be held by, best first.
+    pub fn candidates(&self, query: &RouteQuery<'_>, number: u128) -> Vec<EndpointId> {
+        let fit = self.records.values().filter(|record| query.is_met_by(record)).collect();
+        ranked(fit, number)
+            .into_iter()
+            .map(|record| EndpointId::clone(&record.id))
+            .collect()
+    }
+
+    /// Counts a request as open at an endpoint.
+    pub fn opened(&mut self, id: &str) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.open += 1;
+            record.sent_since_report += 1;
+        }
+    }
+
+    /// Counts a request as no longer open at an endpoint.
+    pub fn closed(&mut self, id: &str) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.open = record.open.saturating_sub(1);
+        }
+    }
+
+    /// Counts a failure of an endpoint, which leaves it out for a while.
+    pub fn failed(&mut self, now: TimePoint, id: &str) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.fail(now);
+        }
+    }
+
+    /// Counts a success of an endpoint.
+    pub fn succeeded(&mut self, id: &str) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.succeed();
+        }
+    }
+
+    fn better_of_two<'t>(&self, pool: &[&'t EndpointRecord], rng: &mut impl Rng) -> Option<&'t EndpointRecord> {
+        if pool.is_empty() {
+            return None;
+        }
+        let first = pool[rng.random_range(0..pool.len())];
+        let second = pool[rng.random_range(0..pool.len())];
+        Some(if self.cost(first) <= self.cost(second) {
+            first
+        } else {
+            second
+        })
+    }
+
+    fn cost(&self, record: &EndpointRecord) -> f64 {
+        let distance = if record.zone == self.zone { 0.0 } else { ZONE_PREFERENCE };
+        record.pressure() + distance
+    }
+}
+
+/// Rendezvous order (highest random weight), the same on every host that knows the same endpoints.
+fn ranked(mut pool: Vec<&EndpointRecord>, number: u128) -> Vec<&EndpointRecord> {
+    pool.sort_by_cached_key(|record| Reverse(weight(number, &record.id)));
+    pool.truncate(EndpointTable::AFFINITY_CANDIDATES);
+    pool
+}
+
+fn weight(number: u128, id: &str) -> u64 {
+    let mut hash = Sha256::new();
+    hash.update(number.to_be_bytes());
+    hash.update(id);
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.finalize()[..8]);
+    u64::from_be_bytes(bytes)
+}
--- /dev/null
+++ b/crates/hollyhook_kernel/src/timer/mod.rs
@@ -0,0 +1,7 @@
+//! Time as a service that parts subscribe to, real or virtual.
+
+mod clock;
+mod timer_service;
+
+pub use clock::{VirtualClock, WallClock};
+pub use timer_service::TimerService;
--- /dev/null
+++ b/crates/hollyhook_standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
