Add settings, wire protocols and stand-ins

Cause: the thin path needs its interfaces first. Ruled out: a pooled HTTP client, since a kept connection that died silently makes 'not sent' undecidable. Change: INI settings with located errors; HTTP server with head limits, deadlines and hang-up watch; SSE; endpoint, platform and peer protocols; engine, service and platform stand-ins with faults.

--- a/crates/hollyhook_core/src/generation/generation_relay.rs
+++ b/crates/hollyhook_core/src/generation/generation_relay.rs
@@ -74,17 +74,17 @@
 
     /// A relay that takes a generation over from another host.
     ///
-    /// The caller already holds `delivered` tokens with that digest, from `endpoint` in an attempt before `attempt`.
-    /// The generation is attached to there; if that fails, it is replayed elsewhere and checked against the digest.
+    /// The caller already holds `delivered` tokens with that digest, from attempts before `attempt`. If `endpoint`
+    /// still holds the generation, it is attached to there; else it is replayed and checked against the digest.
     #[must_use]
     pub fn taken_over(
         mut self,
-        endpoint: EndpointId,
+        endpoint: Option<EndpointId>,
         attempt: AttemptNumber,
         delivered: u64,
         digest: PrefixDigest,
     ) -> Self {
-        self.endpoint = Some(endpoint);
+        self.endpoint = endpoint;
         self.attempt = attempt;
         self.log_base = delivered;
         self.received = delivered;
--- /dev/null
+++ b/crates/hollyhook_settings/src/process/process_settings.rs
@@ -0,0 +1,172 @@
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use hollyhook_core::{CursorKey, Name, ZoneName};
+
+use crate::file::{SectionReader, SettingError, SettingErrors, SettingFile, SettingSection};
+use crate::value;
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// What a daemon is told about itself: its addresses, its availability zone and where things are.
+#[derive(Debug, Clone)]
+pub struct ProcessSettings {
+    /// The host's name.
+    pub host: Name,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it serves callers.
+    pub listen: SocketAddr,
+    /// Where it serves other daemons and the operator's command.
+    pub peer_listen: SocketAddr,
+    /// Where other daemons serve it.
+    pub peers: Vec<SocketAddr>,
+    /// The platform.
+    pub platform: Option<SocketAddr>,
+    /// The base file for all sites.
+    pub base: PathBuf,
+    /// The overlay of this site.
+    pub overlay: PathBuf,
+    /// How log lines are written.
+    pub log_format: LogFormat,
+    /// Which log lines are written, as `tracing` filters say it.
+    pub log_level: Name,
+    /// Where metrics go, as statsd datagrams.
+    pub statsd: Option<SocketAddr>,
+    /// The key that seals cursors.
+    pub cursor_key: CursorKey,
+    /// The key before that.
+    pub previous_cursor_key: Option<CursorKey>,
+}
+
+impl ProcessSettings {
+    /// Reads and checks a file; paths in it are relative to its folder.
+    ///
+    /// # Errors
+    ///
+    /// Everything that is wrong, at once.
+    pub fn load(path: &Path) -> Result<Self, SettingErrors> {
+        let mut settings = Self::parse(&SettingFile::load(path)?)?;
+        let folder = path.parent().unwrap_or(Path::new(""));
+        settings.base = folder.join(&settings.base);
+        settings.overlay = folder.join(&settings.overlay);
+        Ok(settings)
+    }
+
+    /// Checks a file that was read.
+    ///
+    /// # Errors
+    ///
+    /// Everything that is wrong, at once.
+    pub fn parse(file: &SettingFile) -> Result<Self, SettingErrors> {
+        let mut parser = ProcessParser {
+            file,
+            errors: Vec::new(),
+        };
+        let settings = parser.parse();
+        match settings {
+            Some(settings) if parser.errors.is_empty() => Ok(settings),
+            _ => Err(SettingErrors(parser.errors)),
+        }
+    }
+}
+
+const KINDS: [&str; 6] = ["host", "platform", "configuration", "log", "metrics", "keys"];
+
+struct ProcessParser<'a> {
+    file: &'a SettingFile,
+    errors: Vec<SettingError>,
+}
+
+impl ProcessParser<'_> {
+    fn parse(&mut self) -> Option<ProcessSettings> {
+        self.check_kinds();
+        let host = self.section("host");
+        let mut reader = SectionReader::new(&host, &mut self.errors);
+        let name = reader.required("name", value::name);
+        let zone = reader.required("zone", value::name);
+        let listen = reader.required("listen", value::address);
+        let peer_listen = reader.required("peer_listen", value::address);
+        let peers = reader.default("peers", Vec::new(), value::addresses);
+        reader.finish();
+
+        let section = self.section("platform");
+        let mut reader = SectionReader::new(&section, &mut self.errors);
+        let platform = reader.optional("address", value::address);
+        reader.finish();
+
+        let section = self.section("configuration");
+        let mut reader = SectionReader::new(&section, &mut self.errors);
+        let base = reader.required("base", value::file);
+        let overlay = reader.required("overlay", value::file);
+        reader.finish();
+
+        let section = self.section("log");
+        let mut reader = SectionReader::new(&section, &mut self.errors);
+        let formats = &[("text", LogFormat::Text), ("json", LogFormat::Json)];
+        let log_format = reader.default("format", LogFormat::Text, value::choice(formats));
+        let levels = &[
+            ("error", "error"),
+            ("warn", "warn"),
+            ("info", "info"),
+            ("debug", "debug"),
+        ];
+        let log_level = reader.default("level", "info", value::choice(levels));
+        reader.finish();
+
+        let section = self.section("metrics");
+        let mut reader = SectionReader::new(&section, &mut self.errors);
+        let statsd = reader.optional("statsd", value::address);
+        reader.finish();
+
+        let section = self.section("keys");
+        let mut reader = SectionReader::new(&section, &mut self.errors);
+        let cursor_key = reader.required("cursor", value::hex_32);
+        let previous = reader.optional("previous_cursor", value::hex_32);
+        reader.finish();
+
+        Some(ProcessSettings {
+            host: name?,
+            zone: zone?,
+            listen: listen?,
+            peer_listen: peer_listen?,
+            peers,
+            platform,
+            base: base?,
+            overlay: overlay?,
+            log_format,
+            log_level: log_level.into(),
+            statsd,
+            cursor_key: CursorKey::new(cursor_key?),
+            previous_cursor_key: previous.map(CursorKey::new),
+        })
+    }
+
+    fn check_kinds(&mut self) {
+        for section in &self.file.sections {
+            if !KINDS.contains(&&*section.title) {
+                let right = format!("the sections are {}", KINDS.join(", "));
+                self.errors
+                    .push(section.error(None, "there is no such section here", &right));
+            }
+        }
+    }
+
+    /// A section that is not there reads as one without keys.
+    fn section(&self, title: &str) -> SettingSection {
+        let found = self.file.sections.iter().find(|section| &*section.title == title);
+        found.cloned().unwrap_or_else(|| SettingSection {
+            file: Name::clone(&self.file.path),
+            line: 0,
+            title: title.into(),
+            entries: Vec::new(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_settings/src/value/mod.rs
@@ -0,0 +1,8 @@
+//! Parsing single values: spans with units, sizes, counts, addresses, choices.
+
+mod value_parsers;
+
+pub(crate) use value_parsers::{
+    ValueFault, address, addresses, bytes, choice, count, file, hex_32, hex_digest, name, names, path, share, span,
+    tokens,
+};
--- /dev/null
+++ b/crates/hollyhook_standin/src/engine/engine_stand_in.rs
@@ -0,0 +1,407 @@
+use std::borrow::Cow;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use async_std::task;
+use hollyhook_core::{
+    AttemptNumber, EndReason, EndpointRefusal, EndpointState, Error, ErrorKind, GenerationId, LoadReport, Name, Result,
+};
+use hollyhook_wire::{
+    ApiErrorBody, ApiStyle, BodyFeed, CallerRequest, ChunkChoice, ChunkDelta, EngineChunk, EngineExtension, EngineLoad,
+    EngineUsage, HttpServer, ServerLimits, feed_body,
+};
+use serde::Deserialize;
+use tide::{Request, Response, StatusCode};
+
+use super::engine_batch::EngineBatch;
+use super::sequence::Sequence;
+use super::{EngineCounts, EngineOptions};
+use crate::fault::{FaultKind, FaultOrder, FaultState, serve};
+
+/// Pieces that a stream may be ahead of its reader.
+const FEED_CAPACITY: usize = 64;
+
+/// A running engine stand-in.
+#[derive(Debug, Clone)]
+pub struct EngineStandIn {
+    address: SocketAddr,
+    shared: Arc<EngineShared>,
+}
+
+#[derive(Debug)]
+struct EngineShared {
+    options: EngineOptions,
+    batch: Mutex<EngineBatch>,
+    faults: Arc<FaultState>,
+    /// Grows with each fault that ends the streams that are open.
+    cut_epoch: AtomicU64,
+    silence_epoch: AtomicU64,
+    is_leaving: AtomicBool,
+    is_lying: AtomicBool,
+    reported: Mutex<LoadReport>,
+}
+
+impl EngineStandIn {
+    /// Starts an engine at `address`; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// `InvalidSetting` if the address can't be listened at.
+    pub async fn start(address: SocketAddr, options: EngineOptions) -> Result<Self> {
+        let server = HttpServer::bind(address, ServerLimits::default().idle_timeout(Duration::from_mins(10))).await?;
+        let faults = Arc::new(FaultState::new(server.gate(), options.is_own_process));
+        let address = server.address();
+        let capacity = options.capacity;
+        let shared = Arc::new(EngineShared {
+            batch: Mutex::new(EngineBatch::new(options.clone())),
+            options,
+            faults: Arc::clone(&faults),
+            cut_epoch: AtomicU64::new(0),
+            silence_epoch: AtomicU64::new(0),
+            is_leaving: AtomicBool::new(false),
+            is_lying: AtomicBool::new(false),
+            reported: Mutex::new(LoadReport {
+                capacity,
+                ..LoadReport::default()
+            }),
+        });
+        task::spawn(run_steps(Arc::clone(&shared)));
+        task::spawn(run_reports(Arc::clone(&shared)));
+        task::spawn(serve(server, routes(Arc::clone(&shared)), faults));
+        Ok(Self { address, shared })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What it has done.
+    pub fn counts(&self) -> EngineCounts {
+        self.shared.batch().total_counts()
+    }
+
+    /// Lets it suffer a fault.
+    pub fn suffer(&self, order: FaultOrder) {
+        self.shared.suffer(order);
+    }
+}
+
+impl EngineShared {
+    fn batch(&self) -> MutexGuard<'_, EngineBatch> {
+        self.batch.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn suffer(&self, order: FaultOrder) {
+        match order.kind {
+            FaultKind::Silence => {
+                self.silence_epoch.fetch_add(1, Ordering::SeqCst);
+            }
+            FaultKind::Cut => {
+                self.cut_epoch.fetch_add(1, Ordering::SeqCst);
+            }
+            FaultKind::Leave => self.is_leaving.store(true, Ordering::SeqCst),
+            FaultKind::Return => self.is_leaving.store(false, Ordering::SeqCst),
+            FaultKind::LieIdle => self.is_lying.store(true, Ordering::SeqCst),
+            _ => self.faults.apply(order),
+        }
+        self.batch().wake_all();
+    }
+
+    fn endpoint_state(&self) -> EndpointState {
+        if self.is_leaving.load(Ordering::SeqCst) {
+            EndpointState::Leaving
+        } else {
+            EndpointState::Live
+        }
+    }
+}
+
+async fn run_steps(shared: Arc<EngineShared>) {
+    let mut next = Instant::now();
+    while !shared.faults.is_dead() {
+        next += shared.options.step;
+        task::sleep(next.saturating_duration_since(Instant::now())).await;
+        if shared.faults.is_paused() {
+            shared.faults.wait_pause().await;
+            next = Instant::now();
+        }
+        shared.batch().step(Instant::now());
+    }
+}
+
+async fn run_reports(shared: Arc<EngineShared>) {
+    while !shared.faults.is_dead() {
+        let load = shared.batch().load();
+        *shared.reported.lock().unwrap_or_else(PoisonError::into_inner) = load;
+        task::sleep(shared.options.load_lag).await;
+    }
+}
+
+fn routes(shared: Arc<EngineShared>) -> tide::Server<Arc<EngineShared>> {
+    let mut app = tide::with_state(shared);
+    app.at(ApiStyle::Completion.path())
+        .post(|request| generate(request, ApiStyle::Completion));
+    app.at(ApiStyle::Chat.path())
+        .post(|request| generate(request, ApiStyle::Chat));
+    app.at("/v1/generations/:id").get(state).delete(cancel);
+    app.at("/v1/generations/:id/stream").get(attach);
+    app.at("/v1/load").get(load);
+    app.at("/health").get(|_request| async { Ok("ok") });
+    app.at("/admin/counts").get(counts);
+    app.at("/admin/fault").post(fault);
+    app
+}
+
+async fn generate(mut request: Request<Arc<EngineShared>>, style: ApiStyle) -> tide::Result {
+    let bytes = request.body_bytes().await?;
+    let shared = Arc::clone(request.state());
+    if shared.is_leaving.load(Ordering::SeqCst) {
+        return Ok(refuse(EndpointRefusal::Busy));
+    }
+    let parsed = CallerRequest::parse(style, &bytes).and_then(|caller| {
+        let extension = caller.body.get("hollyhook").cloned().unwrap_or_default();
+        let extension: EngineExtension = serde_json::from_value(extension)
+            .map_err(|error| Error::new(ErrorKind::InvalidRequest, error.to_string()).param("hollyhook"))?;
+        Ok((caller, extension))
+    });
+    let (caller, extension) = match parsed {
+        Ok(parsed) => parsed,
+        Err(error) => return Ok(ApiErrorBody::response(&error).into()),
+    };
+    let (id, attempt) = (extension.generation, extension.attempt);
+    let from = extension.resume_tokens.len();
+    let submitted = shared.batch().submit(&caller, extension);
+    match submitted {
+        Ok(wake) => Ok(stream(shared, id, attempt, from, wake)),
+        Err(refusal) => Ok(refuse(refusal)),
+    }
+}
+
+async fn attach(request: Request<Arc<EngineShared>>) -> tide::Result {
+    #[derive(Deserialize)]
+    struct AttachQuery {
+        attempt: AttemptNumber,
+        from: usize,
+    }
+    let shared = Arc::clone(request.state());
+    let Ok(id) = GenerationId::from_str(request.param("id")?) else {
+        return Ok(refuse(EndpointRefusal::NotHeld));
+    };
+    let query: AttachQuery = request.query()?;
+    let attached = shared.batch().attach(id, query.attempt);
+    match attached {
+        Ok(wake) => Ok(stream(shared, id, query.attempt, query.from, wake)),
+        Err(refusal) => Ok(refuse(refusal)),
+    }
+}
+
+async fn state(request: Request<Arc<EngineShared>>) -> tide::Result {
+    let Ok(id) = GenerationId::from_str(request.param("id")?) else {
+        return Ok(refuse(EndpointRefusal::NotHeld));
+    };
+    let state = request.state().batch().state(id);
+    match state {
+        Some(state) => json(&state),
+        None => Ok(refuse(EndpointRefusal::NotHeld)),
+    }
+}
+
+async fn cancel(request: Request<Arc<EngineShared>>) -> tide::Result {
+    #[derive(Deserialize)]
+    struct CancelQuery {
+        attempt: AttemptNumber,
+    }
+    let Ok(id) = GenerationId::from_str(request.param("id")?) else {
+        return Ok(refuse(EndpointRefusal::NotHeld));
+    };
+    let query: CancelQuery = request.query()?;
+    let was_held = request.state().batch().cancel(id, query.attempt);
+    Ok(if was_held {
+        Response::new(StatusCode::Ok)
+    } else {
+        refuse(EndpointRefusal::NotHeld)
+    })
+}
+
+async fn load(request: Request<Arc<EngineShared>>) -> tide::Result {
+    let shared = request.state();
+    let reported = *shared.reported.lock().unwrap_or_else(PoisonError::into_inner);
+    let is_lying = shared.is_lying.load(Ordering::SeqCst);
+    let load = if is_lying {
+        LoadReport {
+            running: 0,
+            waiting: 0,
+            ..reported
+        }
+    } else {
+        reported
+    };
+    json(&EngineLoad {
+        binding: shared.options.binding.clone(),
+        state: shared.endpoint_state(),
+        load,
+    })
+}
+
+async fn counts(request: Request<Arc<EngineShared>>) -> tide::Result {
+    let counts = request.state().batch().total_counts();
+    json(&counts)
+}
+
+async fn fault(mut request: Request<Arc<EngineShared>>) -> tide::Result {
+    let order: FaultOrder = request.body_json().await?;
+    request.state().suffer(order);
+    Ok(Response::new(StatusCode::Ok))
+}
+
+fn refuse(refusal: EndpointRefusal) -> Response {
+    Response::new(match refusal {
+        EndpointRefusal::Busy => StatusCode::ServiceUnavailable,
+        EndpointRefusal::Unable => StatusCode::UnprocessableEntity,
+        EndpointRefusal::NotHeld => StatusCode::NotFound,
+        EndpointRefusal::Superseded => StatusCode::Conflict,
+        EndpointRefusal::Invalid => StatusCode::BadRequest,
+    })
+}
+
+fn json(value: &impl serde::Serialize) -> tide::Result {
+    Ok(Response::builder(StatusCode::Ok)
+        .body(tide::Body::from_json(value)?)
+        .build())
+}
+
+fn stream(
+    shared: Arc<EngineShared>,
+    id: GenerationId,
+    attempt: AttemptNumber,
+    from: usize,
+    wake: Receiver<()>,
+) -> Response {
+    let (feed, body) = feed_body(FEED_CAPACITY);
+    let pump = StreamPump {
+        cut_epoch: shared.cut_epoch.load(Ordering::SeqCst),
+        silence_epoch: shared.silence_epoch.load(Ordering::SeqCst),
+        shared,
+        id,
+        attempt,
+        position: from,
+    };
+    task::spawn(pump.run(feed, wake));
+    Response::builder(StatusCode::Ok)
+        .content_type("text/event-stream")
+        .body(body)
+        .build()
+}
+
+/// Moves the tokens of one sequence to one attachment.
+struct StreamPump {
+    shared: Arc<EngineShared>,
+    id: GenerationId,
+    attempt: AttemptNumber,
+    position: usize,
+    cut_epoch: u64,
+    silence_epoch: u64,
+}
+
+impl StreamPump {
+    async fn run(mut self, feed: BodyFeed, wake: Receiver<()>) {
+        self.pump(&feed, &wake).await;
+        self.shared.batch().detach(self.id, self.attempt);
+    }
+
+    async fn pump(&mut self, feed: &BodyFeed, wake: &Receiver<()>) {
+        loop {
+            let woken = std::pin::pin!(wake.recv());
+            let closed = std::pin::pin!(feed.closed());
+            match futures::future::select(woken, closed).await {
+                futures::future::Either::Left((Ok(()), _)) => {}
+                _ => return,
+            }
+            self.shared.faults.wait_pause().await;
+            if self.shared.faults.is_dead() || self.cut_epoch != self.shared.cut_epoch.load(Ordering::SeqCst) {
+                return;
+            }
+            if self.silence_epoch != self.shared.silence_epoch.load(Ordering::SeqCst) {
+                // Neither data nor an end ever comes out of it again.
+                feed.closed().await;
+                return;
+            }
+            let (events, is_end) = self.render();
+            if !events.is_empty() && !feed.send(events).await {
+                return;
+            }
+            if is_end {
+                return;
+            }
+        }
+    }
+
+    /// The events that are due, and whether the end is among them.
+    fn render(&mut self) -> (Vec<u8>, bool) {
+        let batch = self.shared.batch();
+        let Some(sequence) = batch.get(self.id) else {
+            return (Vec::new(), true);
+        };
+        let mut events = String::new();
+        for (index, token) in sequence.tokens.iter().enumerate().skip(self.position) {
+            push_event(&mut events, index, &token_chunk(sequence.style, token));
+        }
+        self.position = self.position.max(sequence.tokens.len());
+        let is_end = sequence.is_finished() && sequence.tokens.len() as u64 >= sequence.max_tokens;
+        if is_end {
+            push_event(&mut events, sequence.tokens.len(), &end_chunk(sequence));
+            events.push_str("data: [DONE]\n\n");
+        }
+        (events.into_bytes(), is_end)
+    }
+}
+
+fn push_event(events: &mut String, position: usize, chunk: &EngineChunk<'_>) {
+    let data = serde_json::to_string(chunk).unwrap_or_default();
+    let _infallible = write!(events, "id: {position}\ndata: {data}\n\n");
+}
+
+fn token_chunk(style: ApiStyle, token: &Name) -> EngineChunk<'_> {
+    let text = Some(Cow::Borrowed(&**token));
+    let (text, delta) = match style {
+        ApiStyle::Completion => (text, None),
+        ApiStyle::Chat => (None, Some(ChunkDelta { content: text })),
+    };
+    let choice = ChunkChoice {
+        index: 0,
+        text,
+        delta,
+        finish_reason: None,
+    };
+    EngineChunk {
+        choices: vec![choice],
+        usage: None,
+        work: None,
+    }
+}
+
+fn end_chunk(sequence: &Sequence) -> EngineChunk<'static> {
+    let choice = ChunkChoice {
+        index: 0,
+        text: None,
+        delta: None,
+        finish_reason: Some(EndReason::Length),
+    };
+    let output = sequence.tokens.len() as u64;
+    let usage = EngineUsage {
+        prompt_tokens: sequence.prompt_tokens,
+        completion_tokens: output,
+        total_tokens: sequence.prompt_tokens + output,
+    };
+    EngineChunk {
+        choices: vec![choice],
+        usage: Some(usage),
+        work: Some(sequence.work),
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_standin/src/platform/platform_stand_in.rs
@@ -0,0 +1,221 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_std::task;
+use hollyhook_core::Result;
+use hollyhook_wire::{HttpServer, ObjectList, ObjectVersion, ServerLimits};
+use serde::{Deserialize, Serialize};
+use tide::{Request, Response, StatusCode};
+
+use super::object_store::{MAX_VALUE_BYTES, ObjectStore};
+use crate::fault::{FaultOrder, FaultState, cut_connection, serve};
+
+/// The longest that a watch waits, whatever it asks for.
+const MAX_WATCH: Duration = Duration::from_mins(1);
+
+/// How a platform stand-in behaves. A builder.
+#[derive(Debug, Clone, Default)]
+pub struct PlatformOptions {
+    is_own_process: bool,
+}
+
+impl PlatformOptions {
+    /// The stand-in is a process of its own, which ends when it is told to die.
+    #[must_use]
+    pub fn own_process(mut self) -> Self {
+        self.is_own_process = true;
+        self
+    }
+}
+
+/// The calls that a platform stand-in has counted: `GET /admin/counts`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformCounts {
+    /// Reads of one object or a list.
+    pub reads: u64,
+    /// Writes, refused ones included.
+    pub writes: u64,
+    /// Watches.
+    pub watches: u64,
+    /// Writes whose condition did not hold.
+    pub conflicts: u64,
+}
+
+/// A running platform stand-in.
+#[derive(Debug, Clone)]
+pub struct PlatformStandIn {
+    address: SocketAddr,
+    shared: Arc<PlatformShared>,
+}
+
+#[derive(Debug)]
+struct PlatformShared {
+    store: Mutex<ObjectStore>,
+    counts: Mutex<PlatformCounts>,
+    faults: Arc<FaultState>,
+}
+
+impl PlatformShared {
+    fn store(&self) -> MutexGuard<'_, ObjectStore> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn counts(&self) -> MutexGuard<'_, PlatformCounts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl PlatformStandIn {
+    /// Starts a platform at `address`; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// `InvalidSetting` if the address can't be listened at.
+    pub async fn start(address: SocketAddr, options: PlatformOptions) -> Result<Self> {
+        let server = HttpServer::bind(address, ServerLimits::default()).await?;
+        let faults = Arc::new(FaultState::new(server.gate(), options.is_own_process));
+        let address = server.address();
+        let shared = Arc::new(PlatformShared {
+            store: Mutex::default(),
+            counts: Mutex::default(),
+            faults: Arc::clone(&faults),
+        });
+        let mut app = tide::with_state(Arc::clone(&shared));
+        app.at("/objects/:kind").get(list);
+        app.at("/objects/:kind/:name").get(get).put(put);
+        app.at("/admin/counts").get(counts);
+        app.at("/admin/fault").post(fault);
+        task::spawn(serve(server, app, faults));
+        Ok(Self { address, shared })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The calls counted.
+    pub fn counts(&self) -> PlatformCounts {
+        *self.shared.counts()
+    }
+
+    /// Lets it suffer a fault.
+    pub fn suffer(&self, order: FaultOrder) {
+        self.shared.faults.apply(order);
+    }
+}
+
+async fn get(request: Request<Arc<PlatformShared>>) -> tide::Result {
+    let shared = request.state();
+    shared.counts().reads += 1;
+    if shared.faults.is_out() {
+        return Ok(unavailable());
+    }
+    let object = shared
+        .store()
+        .get(request.param("kind")?, request.param("name")?)
+        .cloned();
+    match object {
+        Some(object) => json(&object),
+        None => Ok(Response::new(StatusCode::NotFound)),
+    }
+}
+
+async fn list(request: Request<Arc<PlatformShared>>) -> tide::Result {
+    #[derive(Deserialize)]
+    struct ListQuery {
+        after: Option<ObjectVersion>,
+        #[serde(default)]
+        wait_ms: u64,
+    }
+    let shared = Arc::clone(request.state());
+    let query: ListQuery = request.query()?;
+    let kind = request.param("kind")?;
+    match query.after {
+        None => shared.counts().reads += 1,
+        Some(_) => shared.counts().watches += 1,
+    }
+    if shared.faults.is_out() {
+        return Ok(unavailable());
+    }
+    let Some(after) = query.after else {
+        let list = shared.store().list(kind);
+        return json(&list);
+    };
+    let wait = Duration::from_millis(query.wait_ms).min(MAX_WATCH);
+    let found = async_std::future::timeout(wait, wait_for_changes(&shared, kind, after)).await;
+    match found {
+        Ok(list) => json(&list),
+        Err(_) => json(&ObjectList {
+            revision: after,
+            changes: Vec::new(),
+        }),
+    }
+}
+
+async fn wait_for_changes(shared: &PlatformShared, kind: &str, after: ObjectVersion) -> ObjectList {
+    loop {
+        let (list, changed) = {
+            let store = shared.store();
+            (store.changes(kind, after), store.changed())
+        };
+        if !list.changes.is_empty() {
+            return list;
+        }
+        let _closed = changed.recv().await;
+    }
+}
+
+async fn put(mut request: Request<Arc<PlatformShared>>) -> tide::Result {
+    let bytes = request.body_bytes().await?;
+    let shared = Arc::clone(request.state());
+    shared.counts().writes += 1;
+    if shared.faults.is_out() {
+        return Ok(unavailable());
+    }
+    if bytes.len() > MAX_VALUE_BYTES {
+        return Ok(Response::new(StatusCode::PayloadTooLarge));
+    }
+    let value = serde_json::from_slice(&bytes)?;
+    let header = |name: &str| request.header(name).map(|values| values.as_str().to_owned());
+    let expected = match (header("if-match"), header("if-none-match").as_deref()) {
+        (Some(version), None) => Some(ObjectVersion(version.parse()?)),
+        (None, Some("*")) => None,
+        _ => return Ok(Response::new(StatusCode::PreconditionRequired)),
+    };
+    let written = shared
+        .store()
+        .put(request.param("kind")?, request.param("name")?, expected, value);
+    if written.is_ok() && shared.faults.loses_reply() {
+        return Ok(cut_connection());
+    }
+    match written {
+        Ok(version) => json(&version),
+        Err(_condition) => {
+            shared.counts().conflicts += 1;
+            Ok(Response::new(StatusCode::PreconditionFailed))
+        }
+    }
+}
+
+async fn counts(request: Request<Arc<PlatformShared>>) -> tide::Result {
+    let counts = *request.state().counts();
+    json(&counts)
+}
+
+async fn fault(mut request: Request<Arc<PlatformShared>>) -> tide::Result {
+    let order: FaultOrder = request.body_json().await?;
+    request.state().faults.apply(order);
+    Ok(Response::new(StatusCode::Ok))
+}
+
+fn unavailable() -> Response {
+    Response::new(StatusCode::ServiceUnavailable)
+}
+
+fn json(value: &impl Serialize) -> tide::Result {
+    Ok(Response::builder(StatusCode::Ok)
+        .body(tide::Body::from_json(value)?)
+        .build())
+}
--- /dev/null
+++ b/crates/hollyhook_wire/src/api/caller_request.rs
@@ -0,0 +1,246 @@
+use hollyhook_core::{Error, ErrorKind, Name, Result};
+use serde_json::{Map, Value};
+use sha2::{Digest, Sha256};
+
+/// The most tokens that a request gets if it does not say.
+const DEFAULT_MAX_TOKENS: u64 = 256;
+
+/// Which of the two generation calls a request came by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ApiStyle {
+    /// `/v1/completions`, with a prompt.
+    Completion,
+    /// `/v1/chat/completions`, with messages.
+    Chat,
+}
+
+impl ApiStyle {
+    /// The path of the call.
+    pub const fn path(self) -> &'static str {
+        match self {
+            Self::Completion => "/v1/completions",
+            Self::Chat => "/v1/chat/completions",
+        }
+    }
+}
+
+/// What a request may ask for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestLimits {
+    /// Tokens of prompt and output together.
+    pub context: u64,
+}
+
+/// A generation request that was checked; the body goes on to the endpoint as the caller wrote it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CallerRequest {
+    /// The call.
+    pub style: ApiStyle,
+    /// The model's name.
+    pub model: Name,
+    /// Whether the answer streams.
+    pub is_stream: bool,
+    /// Whether a stream ends with the usage.
+    pub has_usage: bool,
+    /// The most tokens of output.
+    pub max_tokens: u64,
+    /// The prompt, or all messages, as one text.
+    pub prompt: String,
+    /// The label of a franchise or clerk, for reports: the API's `user` field.
+    pub user: Option<Name>,
+    /// The body as it came.
+    pub body: Map<String, Value>,
+}
+
+impl CallerRequest {
+    /// Checks a body.
+    ///
+    /// # Errors
+    ///
+    /// `InvalidJson` or `InvalidRequest`, naming the field and what would be right.
+    pub fn parse(style: ApiStyle, bytes: &[u8]) -> Result<Self> {
+        let body: Value = serde_json::from_slice(bytes).map_err(|error| {
+            Error::new(ErrorKind::InvalidJson, format!("the body is not JSON: {error}")).param("body")
+        })?;
+        let Value::Object(body) = body else {
+            return Err(invalid("body", "the body must be a JSON object"));
+        };
+        let reader = FieldReader { body: &body };
+        reader.refuse_unsupported()?;
+        let max_tokens = match reader.count("max_completion_tokens")? {
+            Some(number) => number,
+            None => reader.count("max_tokens")?.unwrap_or(DEFAULT_MAX_TOKENS),
+        };
+        if max_tokens == 0 {
+            return Err(invalid("max_tokens", "`max_tokens` must be at least 1"));
+        }
+        Ok(Self {
+            style,
+            model: reader
+                .text("model")?
+                .ok_or_else(|| invalid("model", "`model` is missing: give a string"))?
+                .into(),
+            is_stream: reader.flag("stream")?,
+            has_usage: reader.has_usage()?,
+            max_tokens,
+            prompt: match style {
+                ApiStyle::Completion => reader.prompt()?,
+                ApiStyle::Chat => reader.messages()?,
+            },
+            user: reader.text("user")?.map(Name::from),
+            body,
+        })
+    }
+
+    /// Tokens of the prompt, as the endpoints of this system count them: words.
+    ///
+    /// An estimate at the door; the endpoint has the last word.
+    pub fn prompt_tokens(&self) -> u64 {
+        self.prompt.split_whitespace().count() as u64
+    }
+
+    /// Checks the request against the limits of its model.
+    ///
+    /// # Errors
+    ///
+    /// `ContextTooLong` if prompt and output do not fit.
+    pub fn check(&self, limits: RequestLimits) -> Result<()> {
+        let prompt = self.prompt_tokens();
+        if prompt + self.max_tokens <= limits.context {
+            return Ok(());
+        }
+        let message = format!(
+            "the prompt has {prompt} tokens and asks for {} more, but the model `{}` has a context of {}; shorten the \
+             prompt or lower `max_tokens`",
+            self.max_tokens, self.model, limits.context
+        );
+        Err(Error::new(ErrorKind::ContextTooLong, message).param("max_tokens"))
+    }
+
+    /// A digest of what the request asks for, so that a cursor or a key can't be used with another request.
+    pub fn digest(&self) -> u64 {
+        let mut hash = Sha256::new();
+        hash.update(self.style.path());
+        hash.update(&*self.model);
+        hash.update(self.max_tokens.to_be_bytes());
+        hash.update(&self.prompt);
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&hash.finalize()[..8]);
+        u64::from_be_bytes(bytes)
+    }
+}
+
+struct FieldReader<'a> {
+    body: &'a Map<String, Value>,
+}
+
+impl FieldReader<'_> {
+    fn get(&self, name: &str) -> Option<&Value> {
+        self.body.get(name).filter(|value| !value.is_null())
+    }
+
+    fn text(&self, name: &str) -> Result<Option<&str>> {
+        let text = |value: &'_ Value| value.as_str().is_some();
+        match self.get(name) {
+            None => Ok(None),
+            Some(value) if text(value) => Ok(value.as_str()),
+            Some(_) => Err(invalid(name, &format!("`{name}` must be a string"))),
+        }
+    }
+
+    fn flag(&self, name: &str) -> Result<bool> {
+        match self.get(name) {
+            None => Ok(false),
+            Some(Value::Bool(flag)) => Ok(*flag),
+            Some(_) => Err(invalid(name, &format!("`{name}` must be true or false"))),
+        }
+    }
+
+    fn count(&self, name: &str) -> Result<Option<u64>> {
+        match self.get(name) {
+            None => Ok(None),
+            Some(value) => {
+                let wrong = || invalid(name, &format!("`{name}` must be a whole number, not negative"));
+                value.as_u64().map(Some).ok_or_else(wrong)
+            }
+        }
+    }
+
+    fn has_usage(&self) -> Result<bool> {
+        match self.get("stream_options") {
+            None => Ok(false),
+            Some(Value::Object(options)) => FieldReader { body: options }.flag("include_usage"),
+            Some(_) => Err(invalid("stream_options", "`stream_options` must be an object")),
+        }
+    }
+
+    /// What an answer of one resumable stream of tokens can't give is refused, not ignored.
+    fn refuse_unsupported(&self) -> Result<()> {
+        for name in ["n", "best_of"] {
+            if self.count(name)?.is_some_and(|number| number != 1) {
+                return Err(invalid(
+                    name,
+                    &format!("`{name}` must be 1: a request is one generation"),
+                ));
+            }
+        }
+        for name in ["logprobs", "echo", "suffix", "tools", "functions"] {
+            let is_asked = match self.get(name) {
+                None | Some(Value::Bool(false)) => false,
+                Some(Value::Array(items)) => !items.is_empty(),
+                Some(_) => true,
+            };
+            if is_asked {
+                return Err(invalid(name, &format!("`{name}` is not supported; leave it out")));
+            }
+        }
+        Ok(())
+    }
+
+    fn prompt(&self) -> Result<String> {
+        let prompt = self
+            .text("prompt")?
+            .ok_or_else(|| invalid("prompt", "`prompt` is missing: give a string"))?;
+        Ok(prompt.to_owned())
+    }
+
+    fn messages(&self) -> Result<String> {
+        let wrong = |what: &str| invalid("messages", what);
+        let Some(Value::Array(messages)) = self.get("messages") else {
+            return Err(wrong(
+                "`messages` is missing: give an array of objects with `role` and `content`",
+            ));
+        };
+        if messages.is_empty() {
+            return Err(wrong("`messages` must not be empty"));
+        }
+        let mut text = String::new();
+        for message in messages {
+            let role = message.get("role").and_then(Value::as_str);
+            let role = role.ok_or_else(|| wrong("each message needs a `role` string"))?;
+            let content = message
+                .get("content")
+                .ok_or_else(|| wrong("each message needs `content`"))?;
+            text.push_str(role);
+            text.push_str(": ");
+            text.push_str(&content_text(content).ok_or_else(|| wrong("`content` must be a string or text parts"))?);
+            text.push('\n');
+        }
+        Ok(text)
+    }
+}
+
+fn content_text(content: &Value) -> Option<String> {
+    match content {
+        Value::String(text) => Some(text.clone()),
+        Value::Array(parts) => parts
+            .iter()
+            .map(|part| part.get("text").and_then(Value::as_str))
+            .collect(),
+        _ => None,
+    }
+}
+
+fn invalid(param: &str, message: &str) -> Error {
+    Error::new(ErrorKind::InvalidRequest, message).param(param)
+}
--- a/crates/hollyhook_wire/src/lib.rs
+++ b/crates/hollyhook_wire/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! The protocols of hollyhook: HTTP with limits, server-sent events, the callers' and the endpoints' API, the
+//! platform's objects, and the calls between daemons.
+
+mod api;
+mod http;
+mod peer;
+mod platform;
+mod sse;
+
+pub use api::{
+    ApiError, ApiErrorBody, ApiStyle, CallerRequest, ChunkChoice, ChunkDelta, EngineChunk, EngineClient,
+    EngineExtension, EngineLoad, EngineStream, EngineUsage, EngineWork, GenerationState, RequestLimits, StreamItem,
+    StreamWriter, WholeAnswer,
+};
+pub use http::{BodyFeed, ClientAnswer, ConnectionGate, HttpClient, HttpServer, ServerLimits, feed_body, read_body};
+pub use peer::{
+    CounterRow, EndpointRow, HistogramRow, HostReport, PeerCallsClient, PeerServer, StatusReport, connect_peer,
+    serve_peers,
+};
+pub use platform::{
+    ObjectChange, ObjectList, ObjectVersion, PlatformClient, PlatformError, StoredObject, WriteCondition,
+};
+pub use sse::{SseEvent, SseParser};
