Run the thin path end to end: daemon, operator's command, demo

Ruled out: a relay that keeps its own retry loop in async code; the pure relay decides, the driver only carries out. Change: hollyhook_daemon (front, relay driver, plain calls with claims in the platform, cancels, metrics, status), hollyhook_command (demo, check, key, status, stand-in), the two binaries. Conclusion: the thin path stands; nothing is proved under process kills yet.

--- a/crates/hollyhook/src/lib.rs
+++ b/crates/hollyhook/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder.
+//! hollyhook serves long language-model generations on engines that fail.
+//!
+//! The two binaries are `hollyhookd`, the daemon of an entry host, and `hollyhook`, the operator's command. This
+//! package joins them; the work is in the packages below it.
+
+pub use hollyhook_command::{CommandArgs, run_command};
+pub use hollyhook_daemon::Daemon;
+pub use hollyhook_settings::{ProcessSettings, SiteSettings};
--- a/crates/hollyhook_command/src/lib.rs
+++ b/crates/hollyhook_command/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! The operator's command: checks settings, shows a daemon's state, runs stand-ins, the demo and the load tool.
+
+mod args;
+mod demo;
+mod fixture;
+mod settings;
+mod stand_in;
+mod view;
+
+pub use args::{CommandArgs, run_command};
--- /dev/null
+++ b/crates/hollyhook_command/src/view/status_view.rs
@@ -0,0 +1,93 @@
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Args;
+use comfy_table::{Table, presets};
+use eyre::{Result, WrapErr};
+use hollyhook_wire::{StatusReport, connect_peer};
+
+/// Which daemon to ask, and how to show its answer.
+#[derive(Debug, Args)]
+pub(crate) struct StatusArgs {
+    /// Where the daemon serves other daemons (`peer_listen` in its settings).
+    address: SocketAddr,
+    /// Print one JSON object.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Asks a daemon for its status and prints it.
+pub(crate) async fn run_status(args: StatusArgs) -> Result<ExitCode> {
+    const LIMIT: Duration = Duration::from_secs(2);
+    let client = connect_peer(args.address, LIMIT).await?;
+    let status = client
+        .status(tarpc::context::current())
+        .await
+        .wrap_err("the daemon did not answer")?;
+    if args.json {
+        println!("{}", serde_json::to_string(&status)?);
+    } else {
+        print_status(&status);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_status(status: &StatusReport) {
+    const MEBIBYTE: u64 = 1 << 20;
+    println!(
+        "host {} in {}: configuration {} ({}), up {} s, {} generations, {} connections, {} MiB, {} ms of processor{}",
+        status.host.host,
+        status.host.zone,
+        status.host.config_version,
+        &status.host.config_digest[..status.host.config_digest.len().min(12)],
+        status.uptime_secs,
+        status.host.generations,
+        status.connections,
+        status.memory_bytes / MEBIBYTE,
+        status.cpu_ms,
+        if status.host.is_draining { ", stopping" } else { "" }
+    );
+    let mut table = new_table(&["endpoint", "service", "zone", "state", "ejected", "open", "pressure"]);
+    for row in &status.endpoints {
+        let state = format!("{:?}", row.state).to_lowercase();
+        table.add_row([
+            row.endpoint.to_string(),
+            row.service.to_string(),
+            row.zone.to_string(),
+            state,
+            row.is_ejected.to_string(),
+            row.open.to_string(),
+            format!("{:.2}", row.pressure),
+        ]);
+    }
+    println!("{table}");
+    let mut table = new_table(&["measure", "of", "name", "count", "p50 ms", "p95 ms", "p99 ms", "max ms"]);
+    for row in &status.histograms {
+        let millis = |micros: u64| format!("{:.1}", micros as f64 / 1_000.0);
+        table.add_row([
+            row.measure.to_string(),
+            row.scope.to_string(),
+            row.name.to_string(),
+            row.count.to_string(),
+            millis(row.p50_us),
+            millis(row.p95_us),
+            millis(row.p99_us),
+            millis(row.max_us),
+        ]);
+    }
+    println!("{table}");
+    let mut table = new_table(&["counter", "value"]);
+    for row in &status.counters {
+        table.add_row([row.counter.to_string(), row.value.to_string()]);
+    }
+    println!("{table}");
+}
+
+fn new_table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table
+        .load_preset(presets::ASCII_BORDERS_ONLY_CONDENSED)
+        .set_header(header.iter().copied());
+    table
+}
--- a/crates/hollyhook_core/src/call/claim_ledger.rs
+++ b/crates/hollyhook_core/src/call/claim_ledger.rs
@@ -81,6 +81,13 @@
         self.records.retain(|record| record.made_at >= before);
     }
 
+    /// Forgets the answers of claims made before that time, in Unix seconds, but not the claims.
+    pub fn forget_answers(&mut self, before: u64) {
+        for record in self.records.iter_mut().filter(|record| record.made_at < before) {
+            record.answer = None;
+        }
+    }
+
     /// The number of claims.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/hollyhook_core/src/error/error_kind.rs
+++ b/crates/hollyhook_core/src/error/error_kind.rs
@@ -102,6 +102,11 @@
         Self::Conflict,
         Self::Internal,
     ];
+
+    /// Whether its answer says when to come back.
+    pub const fn has_retry(self) -> bool {
+        crate::answer_for(self).has_retry
+    }
 }
 
 impl fmt::Display for ErrorKind {
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -121,11 +121,11 @@
         }
     }
 
-    /// Chooses an endpoint and counts the request as open there.
+    /// Chooses an endpoint; count the request with [`opened`](Self::opened) when it is sent there.
     ///
     /// The better of two drawn at random, so that many hosts with the same reports do not all choose the same one.
     /// Ejected endpoints are used only if no other is left.
-    pub fn choose(&mut self, now: TimePoint, query: &RouteQuery<'_>, rng: &mut impl Rng) -> Option<EndpointId> {
+    pub fn choose(&self, now: TimePoint, query: &RouteQuery<'_>, rng: &mut impl Rng) -> Option<EndpointId> {
         let fit: Vec<&EndpointRecord> = self.records.values().filter(|record| query.is_met_by(record)).collect();
         let healthy: Vec<&EndpointRecord> = fit.iter().copied().filter(|record| !record.is_ejected(now)).collect();
         let pool = if healthy.is_empty() { fit } else { healthy };
@@ -133,9 +133,7 @@
             Some(number) => ranked(pool, number),
             None => pool,
         };
-        let id = EndpointId::clone(&self.better_of_two(&pool, rng)?.id);
-        self.opened(&id);
-        Some(id)
+        Some(EndpointId::clone(&self.better_of_two(&pool, rng)?.id))
     }
 
     /// The endpoints that a request with this affinity may be held by, best first.
--- /dev/null
+++ b/crates/hollyhook_daemon/src/daemon/mod.rs
@@ -0,0 +1,6 @@
+//! Putting the services of a daemon together.
+
+mod assembly;
+mod status;
+
+pub use assembly::Daemon;
--- /dev/null
+++ b/crates/hollyhook_daemon/src/daemon/status.rs
@@ -0,0 +1,51 @@
+use std::sync::Arc;
+
+use hollyhook_core::{EndpointId, Name};
+use hollyhook_wire::{ConnectionGate, EndpointRow, HostReport, StatusReport};
+
+use crate::fleet::HostContext;
+use crate::metric::ProcessUsage;
+
+/// The version of a configuration that comes from files; the platform's begin at 1.
+const FILE_VERSION: u64 = 0;
+
+/// What a daemon says of itself to others.
+pub(super) fn host_report(context: &Arc<HostContext>, gate: &ConnectionGate) -> HostReport {
+    HostReport {
+        host: Name::clone(&context.host),
+        zone: Name::clone(&context.zone),
+        config_version: FILE_VERSION,
+        config_digest: Name::clone(&context.site.digest),
+        is_draining: gate.is_draining(),
+        generations: gate.requests() as u32,
+    }
+}
+
+/// What a daemon shows an operator.
+pub(super) fn status_report(context: &Arc<HostContext>, gate: &ConnectionGate) -> StatusReport {
+    let usage = ProcessUsage::read();
+    let now = context.timer.now();
+    let endpoints = {
+        let table = context.fleet.lock();
+        let rows = table.iter().map(|record| EndpointRow {
+            endpoint: EndpointId::clone(&record.id),
+            service: Name::clone(&record.service),
+            zone: Name::clone(&record.zone),
+            state: record.state,
+            is_ejected: record.is_ejected(now),
+            open: record.open,
+            pressure: record.pressure(),
+        });
+        rows.collect()
+    };
+    StatusReport {
+        host: host_report(context, gate),
+        uptime_secs: now.as_micros() / 1_000_000,
+        connections: gate.connections() as u64,
+        cpu_ms: usage.cpu_ms,
+        memory_bytes: usage.memory_bytes,
+        endpoints,
+        counters: context.board.counter_rows(),
+        histograms: context.board.histogram_rows(),
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_daemon/src/relay/mod.rs
@@ -0,0 +1,11 @@
+//! Drives one generation: feeds its relay with what happens and carries out what it decides.
+
+mod attempt_task;
+mod caller_link;
+mod latency_tape;
+mod relay_driver;
+mod takeover;
+
+pub(crate) use caller_link::{CallerLink, RelayReply};
+pub(crate) use relay_driver::{RelayDriver, RelayTask};
+pub(crate) use takeover::{GenerationStart, resolve_start};
--- /dev/null
+++ b/crates/hollyhook_daemon/src/relay/relay_driver.rs
@@ -0,0 +1,363 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use async_std::task;
+use futures::future::{BoxFuture, FutureExt, pending};
+use hollyhook_core::{
+    AccountName, AttemptNumber, EndReason, EndpointId, Error, ErrorKind, GenerationId, GenerationRelay, OpenMode,
+    RelayAction, RelayEvent, RelayNote, RelayPhase, RouteQuery, StreamCursor, TimePoint, TokenLog,
+};
+use hollyhook_settings::{GenerationSettings, RequestClass};
+use hollyhook_wire::{CallerRequest, EngineExtension, EngineUsage, EngineWork};
+
+use super::GenerationStart;
+use super::attempt_task::{AttemptOrder, AttemptTask, DriverEvent};
+use super::caller_link::{CallerLink, WholeText};
+use super::latency_tape::LatencyTape;
+use crate::fleet::{CancelOrder, HostContext, ResumePass};
+
+/// Events that may wait for a driver whose caller is slow.
+const INBOX: usize = 32;
+/// When a refused caller may come back, before a spread of as much again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What one request for a generation is about.
+#[derive(Debug)]
+pub(crate) struct RelayTask {
+    pub(crate) request: Arc<CallerRequest>,
+    pub(crate) account: AccountName,
+    pub(crate) service: Arc<str>,
+    pub(crate) class: RequestClass,
+    pub(crate) settings: GenerationSettings,
+    pub(crate) arrived: TimePoint,
+}
+
+/// Runs one generation to its final answer.
+pub(crate) struct RelayDriver {
+    context: Arc<HostContext>,
+    task: RelayTask,
+    generation: GenerationId,
+    has_affinity: bool,
+    is_continued: bool,
+    relay: GenerationRelay,
+    link: CallerLink,
+    inbox: Receiver<DriverEvent>,
+    sender: Sender<DriverEvent>,
+    wake: BoxFuture<'static, ()>,
+    gone: BoxFuture<'static, ()>,
+    attempt: Option<AttemptTask>,
+    pass: Receiver<ResumePass>,
+    pass_sender: Sender<ResumePass>,
+    tape: LatencyTape,
+    usage: Option<EngineUsage>,
+    work: Option<EngineWork>,
+    request_digest: u64,
+    opened_at: Option<TimePoint>,
+}
+
+impl RelayDriver {
+    pub(crate) fn new(context: Arc<HostContext>, task: RelayTask, start: GenerationStart, link: CallerLink) -> Self {
+        let (sender, inbox) = async_channel::bounded(INBOX);
+        let (pass_sender, pass) = async_channel::bounded(1);
+        let board = Arc::clone(&context.board);
+        let tape = LatencyTape::new(
+            board,
+            AccountName::clone(&task.account),
+            task.class.label(),
+            task.arrived,
+        );
+        Self {
+            request_digest: task.request.digest(),
+            opened_at: None,
+            gone: link.closed().boxed(),
+            context,
+            task,
+            generation: start.generation,
+            has_affinity: start.has_affinity,
+            is_continued: start.is_continued,
+            relay: start.relay,
+            link,
+            inbox,
+            sender,
+            wake: pending().boxed(),
+            attempt: None,
+            pass,
+            pass_sender,
+            tape,
+            usage: None,
+            work: None,
+        }
+    }
+
+    pub(crate) async fn run(mut self) {
+        self.context.board.count("generation_started");
+        self.handle(RelayEvent::Started).await;
+        while self.relay.phase() != RelayPhase::Done {
+            match self.next_event().await {
+                DriverEvent::Relay(event) => self.handle(event).await,
+                DriverEvent::Totals(usage, work) => {
+                    self.usage = usage;
+                    self.work = work;
+                }
+            }
+        }
+    }
+
+    /// What has arrived goes before a timer, so that a driver that was held up does not take its own delay for a
+    /// silence of the endpoint.
+    async fn next_event(&mut self) -> DriverEvent {
+        if let Ok(event) = self.inbox.try_recv() {
+            return event;
+        }
+        if !self.link.flush().await {
+            return RelayEvent::CallerLeft.into();
+        }
+        let policy = &self.task.settings.policy;
+        let woken = {
+            let mut arrived = std::pin::pin!(self.inbox.recv().fuse());
+            futures::select_biased! {
+                event = arrived => return event.unwrap_or(RelayEvent::CallerLeft.into()),
+                () = (&mut self.gone).fuse() => return RelayEvent::CallerLeft.into(),
+                () = (&mut self.wake).fuse() => self.context.fleet.patience(self.relay.endpoint(), policy),
+            }
+        };
+        self.wake = pending().boxed();
+        RelayEvent::TimerFired { patience: woken }.into()
+    }
+
+    async fn handle(&mut self, event: RelayEvent) {
+        let now = self.context.timer.now();
+        if matches!(event, RelayEvent::Opened { .. }) {
+            self.link.begin(self.is_continued);
+            if self.relay.delivered() == 0 {
+                self.tape.accepted(now);
+            }
+        }
+        for action in self.relay.on(now, event) {
+            self.perform(now, action).await;
+        }
+    }
+
+    async fn perform(&mut self, now: TimePoint, action: RelayAction) {
+        match action {
+            RelayAction::Assign {
+                attempt,
+                avoid,
+                is_resume,
+            } => self.assign(attempt, avoid, is_resume),
+            RelayAction::Open {
+                attempt,
+                endpoint,
+                mode,
+            } => self.open(attempt, endpoint, mode),
+            RelayAction::Probe { attempt, endpoint } => self.probe(attempt, endpoint),
+            RelayAction::Cancel { attempt, endpoint } => self.cancel(attempt, endpoint),
+            RelayAction::Close { .. } => self.attempt = None,
+            RelayAction::Deliver { text, .. } => self.deliver(now, &text).await,
+            RelayAction::Wake { at } => self.set_wake(at),
+            RelayAction::Complete { reason, tokens } => self.complete(reason, tokens).await,
+            RelayAction::Fail { kind, delivered } => self.fail(kind, delivered).await,
+            RelayAction::Note(note) => self.note(note),
+        }
+    }
+
+    fn set_wake(&mut self, at: TimePoint) {
+        let timer = Arc::clone(&self.context.timer);
+        self.wake = async move { timer.wait_until(at).await }.boxed();
+    }
+
+    fn assign(&mut self, attempt: AttemptNumber, avoid: Vec<EndpointId>, is_resume: bool) {
+        let search = EndpointSearch {
+            context: Arc::clone(&self.context),
+            service: Arc::clone(&self.task.service),
+            settings: self.task.settings.clone(),
+            affinity: self.has_affinity.then(|| self.generation.bits()),
+        };
+        let urgency = self.task.class.priority();
+        let sender = self.sender.clone();
+        let passes = self.pass_sender.clone();
+        let _released = self.pass.try_recv();
+        task::spawn(async move {
+            let pass = if is_resume {
+                Some(search.context.resumes.enter(urgency).await)
+            } else {
+                None
+            };
+            let event = search.run(attempt, &avoid);
+            if let Some(pass) = pass {
+                let _gone = passes.try_send(pass);
+            }
+            let _gone = sender.send(event.into()).await;
+        });
+    }
+
+    fn open(&mut self, attempt: AttemptNumber, endpoint: EndpointId, mode: OpenMode) {
+        self.context.fleet.lock().opened(&endpoint);
+        self.opened_at = Some(self.context.timer.now());
+        let extension = EngineExtension {
+            generation: self.generation,
+            attempt,
+            binding: self.task.settings.binding.clone(),
+            priority: self.task.class.priority(),
+            resume_tokens: Vec::new(),
+        };
+        let log = if mode == OpenMode::Resume {
+            self.relay.log().clone()
+        } else {
+            TokenLog::default()
+        };
+        let order = AttemptOrder {
+            request: Arc::clone(&self.task.request),
+            extension,
+            mode,
+            log,
+        };
+        self.attempt = Some(AttemptTask::spawn(&self.context, endpoint, order, self.sender.clone()));
+    }
+
+    fn probe(&self, attempt: AttemptNumber, endpoint: EndpointId) {
+        let context = Arc::clone(&self.context);
+        let generation = self.generation;
+        let limit = self.task.settings.policy.probe_timeout;
+        let sender = self.sender.clone();
+        context.board.count("probe_sent");
+        task::spawn(async move {
+            let report = match context.fleet.address(&endpoint) {
+                Some(address) => context.engine.probe(address, generation, limit).await,
+                None => hollyhook_core::ProbeReport::Dead,
+            };
+            let _gone = sender.send(RelayEvent::Probed { attempt, report }.into()).await;
+        });
+    }
+
+    fn cancel(&mut self, attempt: AttemptNumber, endpoint: EndpointId) {
+        self.attempt = None;
+        let order = CancelOrder {
+            endpoint,
+            generation: self.generation,
+            attempt,
+        };
+        if self.context.cancels.post(order).is_err() {
+            self.context.board.count("cancel_dropped");
+        }
+    }
+
+    async fn deliver(&mut self, now: TimePoint, text: &str) {
+        let _released = self.pass.try_recv();
+        let gap = self.tape.token(now);
+        let first = self.opened_at.take().map(|opened| now - opened);
+        if let Some(endpoint) = self.relay.endpoint()
+            && let Some(record) = self.context.fleet.lock().get_mut(endpoint)
+        {
+            match (first, gap) {
+                (Some(first), _) => record.rhythm.observe_first(first),
+                (None, Some(gap)) => record.rhythm.observe_gap(gap),
+                (None, None) => {}
+            }
+        }
+        if !self.link.is_streaming() {
+            return;
+        }
+        let cursor = self.cursor();
+        if self.link.token(text, &cursor) {
+            self.link.flush().await;
+        }
+    }
+
+    fn cursor(&self) -> String {
+        let cursor = StreamCursor {
+            generation: self.generation,
+            position: self.relay.delivered(),
+            attempt: self.relay.attempt(),
+            endpoint: self.relay.endpoint().map(EndpointId::clone).unwrap_or_default(),
+            digest: self.relay.digest(),
+            request: self.request_digest,
+            made_at: self.context.timer.unix_secs(),
+        };
+        self.context.seal.seal(&self.task.account, &cursor, &mut rand::rng())
+    }
+
+    async fn complete(&mut self, reason: EndReason, tokens: u64) {
+        self.attempt = None;
+        self.context.board.count("generation_completed");
+        self.context.board.count_by("tokens_delivered", tokens);
+        let prompt = self
+            .usage
+            .map_or_else(|| self.task.request.prompt_tokens(), |usage| usage.prompt_tokens);
+        let usage = EngineUsage {
+            prompt_tokens: prompt,
+            completion_tokens: tokens,
+            total_tokens: prompt + tokens,
+        };
+        let text = if self.link.is_streaming() {
+            String::new()
+        } else {
+            self.relay.log().text().to_owned()
+        };
+        let has_usage = self.task.request.has_usage;
+        self.link.complete(WholeText { text, reason, usage }, has_usage).await;
+    }
+
+    async fn fail(&mut self, kind: ErrorKind, delivered: u64) {
+        self.attempt = None;
+        self.context.board.count("generation_failed");
+        let mut error = Error::new(kind, failure_text(kind, delivered, &self.task));
+        if kind.has_retry() {
+            error = error.retry_after(RETRY_AFTER + RETRY_AFTER.mul_f64(rand::random()));
+        }
+        self.link.refuse(error).await;
+    }
+
+    fn note(&mut self, note: RelayNote) {
+        self.context.board.count(note.label());
+        match note {
+            RelayNote::Resumed | RelayNote::Reattached | RelayNote::Replayed => self.tape.lost(),
+            _ => {}
+        }
+    }
+}
+
+struct EndpointSearch {
+    context: Arc<HostContext>,
+    service: Arc<str>,
+    settings: GenerationSettings,
+    affinity: Option<u128>,
+}
+
+impl EndpointSearch {
+    fn run(&self, attempt: AttemptNumber, avoid: &[EndpointId]) -> RelayEvent {
+        let mut query = RouteQuery::new(&self.service)
+            .binding(&self.settings.binding)
+            .avoid(avoid);
+        if let Some(number) = self.affinity {
+            query = query.affinity(number);
+        }
+        let now = self.context.timer.now();
+        match self.context.fleet.lock().choose(now, &query, &mut rand::rng()) {
+            Some(endpoint) => RelayEvent::Assigned { attempt, endpoint },
+            None => RelayEvent::Unassigned {
+                attempt,
+                retry_after: RETRY_AFTER,
+            },
+        }
+    }
+}
+
+fn failure_text(kind: ErrorKind, delivered: u64, task: &RelayTask) -> String {
+    let model = &task.request.model;
+    match kind {
+        ErrorKind::NoEndpoint => format!("no endpoint of `{model}` takes requests now"),
+        ErrorKind::GenerationLost => format!(
+            "the generation was cut after {delivered} tokens and no endpoint of `{model}` could continue it in time; \
+             what was delivered is right, and the rest can be asked for with Last-Event-ID"
+        ),
+        ErrorKind::GenerationDiverged => format!(
+            "the generation was cut after {delivered} tokens and can't be continued, since a new one would differ; \
+             start again without Last-Event-ID"
+        ),
+        ErrorKind::Superseded => "a newer connection has taken this generation over".to_owned(),
+        ErrorKind::EndpointRefused => format!("the endpoint of `{model}` refused the request as invalid"),
+        _ => format!("the generation ended after {delivered} tokens"),
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_daemon/src/relay/takeover.rs
@@ -0,0 +1,106 @@
+use std::time::Duration;
+
+use futures::future::join_all;
+use hollyhook_core::{
+    AttemptNumber, EndpointId, GenerationId, GenerationRelay, PrefixDigest, RouteQuery, StreamCursor,
+};
+use hollyhook_settings::GenerationSettings;
+use hollyhook_wire::GenerationState;
+
+use crate::fleet::HostContext;
+
+/// How long the endpoints that may hold a generation are asked.
+const FIND_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Where a generation begins on this host.
+#[derive(Debug)]
+pub(crate) struct GenerationStart {
+    pub(crate) generation: GenerationId,
+    pub(crate) relay: GenerationRelay,
+    /// Whether every host would place it on the same few endpoints.
+    pub(crate) has_affinity: bool,
+    /// Whether the caller has had a part of it.
+    pub(crate) is_continued: bool,
+}
+
+/// Takes a generation over by its cursor or by the key that names it, or starts a new one.
+///
+/// A generation that nobody holds is started, or replayed if the caller has had a part of it.
+pub(crate) async fn resolve_start(
+    context: &HostContext,
+    service: &str,
+    settings: &GenerationSettings,
+    cursor: Option<StreamCursor>,
+    keyed: Option<GenerationId>,
+) -> GenerationStart {
+    let relay = GenerationRelay::new(settings.policy.clone());
+    if let Some(cursor) = cursor {
+        return continue_stream(context, relay, cursor).await;
+    }
+    let Some(generation) = keyed else {
+        let generation = GenerationId::from_bits(rand::random());
+        return GenerationStart {
+            generation,
+            relay,
+            has_affinity: false,
+            is_continued: false,
+        };
+    };
+    let relay = match find_keyed(context, service, settings, generation).await {
+        Some((endpoint, held)) => {
+            context.board.count("takeover_by_key");
+            relay.taken_over(Some(endpoint), held.attempt.next(), 0, PrefixDigest::default())
+        }
+        None => relay,
+    };
+    GenerationStart {
+        generation,
+        relay,
+        has_affinity: true,
+        is_continued: false,
+    }
+}
+
+async fn continue_stream(context: &HostContext, relay: GenerationRelay, cursor: StreamCursor) -> GenerationStart {
+    let held = match context.fleet.address(&cursor.endpoint) {
+        Some(address) => context
+            .engine
+            .find(address, cursor.generation, FIND_TIMEOUT)
+            .await
+            .ok()
+            .flatten(),
+        None => None,
+    };
+    context.board.count(if held.is_some() {
+        "takeover_by_cursor"
+    } else {
+        "takeover_by_replay"
+    });
+    let newest = held
+        .map_or(AttemptNumber::FIRST, |held| held.attempt)
+        .max(cursor.attempt);
+    let endpoint = held.map(|_| EndpointId::clone(&cursor.endpoint));
+    GenerationStart {
+        generation: cursor.generation,
+        relay: relay.taken_over(endpoint, newest.next(), cursor.position, cursor.digest),
+        has_affinity: false,
+        is_continued: true,
+    }
+}
+
+async fn find_keyed(
+    context: &HostContext,
+    service: &str,
+    settings: &GenerationSettings,
+    generation: GenerationId,
+) -> Option<(EndpointId, GenerationState)> {
+    let query = RouteQuery::new(service).binding(&settings.binding);
+    let candidates = context.fleet.lock().candidates(&query, generation.bits());
+    let asks = candidates.into_iter().map(|id| async move {
+        let address = context.fleet.address(&id)?;
+        let held = context.engine.find(address, generation, FIND_TIMEOUT).await.ok()??;
+        Some((id, held))
+    });
+    let found = join_all(asks).await;
+    found.into_iter().flatten().max_by_key(|(_, held)| held.attempt)
+}
--- a/crates/hollyhook_wire/src/api/mod.rs
+++ b/crates/hollyhook_wire/src/api/mod.rs
@@ -1,12 +1,14 @@
 //! The OpenAI-style API as callers meet it, and the endpoint API that extends it.
 
 mod api_error;
+mod caller_client;
 mod caller_request;
 mod engine_api;
 mod engine_client;
 mod stream_writer;
 
 pub use api_error::{ApiError, ApiErrorBody};
+pub use caller_client::{CallerAnswer, CallerClient, CallerItem, CallerStream, completion_body};
 pub use caller_request::{ApiStyle, CallerRequest, RequestLimits};
 pub use engine_api::{
     ChunkChoice, ChunkDelta, EngineChunk, EngineExtension, EngineLoad, EngineUsage, EngineWork, GenerationState,
--- a/crates/hollyhook_wire/src/http/http_client.rs
+++ b/crates/hollyhook_wire/src/http/http_client.rs
@@ -73,6 +73,34 @@
     }
 }
 
+impl HttpClient {
+    /// Sends a request on a connection that is open, and waits for the whole answer within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// `OutcomeUnknown` if the connection broke or the time is over: the request may have been acted on.
+    pub async fn exchange(&self, stream: TcpStream, request: Request, limit: Duration) -> Result<Response> {
+        let exchange = async {
+            let mut answer = send_on(stream, request).await?;
+            let body = answer.response.body_bytes().await.map_err(|error| broken(&error))?;
+            let mut response = Response::new(answer.response.status());
+            for (name, values) in &answer.response {
+                response.insert_header(name, values);
+            }
+            response.set_body(body);
+            Ok(response)
+        };
+        let expiry = std::pin::pin!(Timer::after(limit));
+        match select(std::pin::pin!(exchange), expiry).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right(_) => {
+                let message = format!("no whole answer within {} ms", limit.as_millis());
+                Err(Error::new(ErrorKind::OutcomeUnknown, message))
+            }
+        }
+    }
+}
+
 /// The head of an answer, whose body streams, on a connection that is cut when this is dropped.
 #[derive(Debug)]
 pub struct ClientAnswer {
--- a/crates/hollyhook_wire/src/lib.rs
+++ b/crates/hollyhook_wire/src/lib.rs
@@ -8,9 +8,9 @@
 mod sse;
 
 pub use api::{
-    ApiError, ApiErrorBody, ApiStyle, CallerRequest, ChunkChoice, ChunkDelta, EngineChunk, EngineClient,
-    EngineExtension, EngineLoad, EngineStream, EngineUsage, EngineWork, GenerationState, RequestLimits, StreamItem,
-    StreamWriter, WholeAnswer,
+    ApiError, ApiErrorBody, ApiStyle, CallerAnswer, CallerClient, CallerItem, CallerRequest, CallerStream, ChunkChoice,
+    ChunkDelta, EngineChunk, EngineClient, EngineExtension, EngineLoad, EngineStream, EngineUsage, EngineWork,
+    GenerationState, RequestLimits, StreamItem, StreamWriter, WholeAnswer, completion_body,
 };
 pub use http::{BodyFeed, ClientAnswer, ConnectionGate, HttpClient, HttpServer, ServerLimits, feed_body, read_body};
 pub use peer::{
