Prove the thin path with the real processes, and check settings by cases

Cause: nothing showed that the path holds when processes are killed. Ruled out: sleeping in tests; they wait on tokens and on what the stand-ins counted. Found by the tests, failing first: with every engine dead a new request was answered 502 generation_lost although nothing had been sent, since a refused connection was reported as a lost one; now the relay is told Unreachable and answers 503 no_endpoint, not run, at once. An endpoint of a service with a wrong key was called unknown; now only the key is reported.

--- /dev/null
+++ b/crates/hollyhook/tests/processes/main.rs
@@ -0,0 +1,10 @@
+//! The real processes on one machine: a platform, engines, a plain service and daemons in two zones.
+
+mod bad_input;
+mod fleet;
+mod generations;
+mod plain_calls;
+mod settings;
+mod status;
+mod stock_client;
+mod stopping;
--- /dev/null
+++ b/crates/hollyhook/tests/processes/plain_calls.rs
@@ -0,0 +1,164 @@
+use async_std::task::block_on;
+use hollyhook_standin::FaultKind;
+use hollyhook_wire::CallerAnswer;
+use http_types::Method;
+use serde_json::json;
+
+use crate::fleet::{Fleet, FleetPlan};
+
+async fn book(fleet: &Fleet, daemon: usize, key: &str, lesson: u32) -> CallerAnswer {
+    let fields = [("idempotency-key", key)];
+    let body = json!({"lesson": lesson});
+    fleet
+        .client(daemon)
+        .call(Method::Post, "/booking/confirm", Some(&body), &fields)
+        .await
+        .unwrap()
+}
+
+fn code(answer: &CallerAnswer) -> (u16, &str, &str) {
+    let error = &answer.value["error"];
+    (
+        answer.status,
+        error["code"].as_str().unwrap_or_default(),
+        error["run"].as_str().unwrap_or_default(),
+    )
+}
+
+async fn executions(fleet: &Fleet, key: &str) -> u64 {
+    let mut executions = 0;
+    for number in 0..fleet.services.len() {
+        executions += fleet
+            .service_counts(number)
+            .await
+            .by_key
+            .get(key)
+            .copied()
+            .unwrap_or_default();
+    }
+    executions
+}
+
+#[test]
+fn plain_call_passed_through() {
+    let fleet = Fleet::start(&FleetPlan::default());
+    block_on(async {
+        let body = json!({"lesson": 4});
+        let answer = fleet
+            .client(0)
+            .call(Method::Put, "/booking/lessons/4", Some(&body), &[])
+            .await
+            .unwrap();
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.value["method"], "PUT");
+        assert_eq!(answer.value["path"], "/booking/lessons/4");
+        assert_eq!(answer.value["body"], body.to_string());
+    });
+}
+
+#[test]
+fn booking_repeated_at_another_host() {
+    let fleet = Fleet::start(&FleetPlan {
+        services: 2,
+        ..FleetPlan::default()
+    });
+    block_on(async {
+        let first = book(&fleet, 0, "lesson-1", 1).await;
+        assert_eq!(first.status, 200);
+        let again = crate::fleet::until(
+            || book(&fleet, 1, "lesson-1", 1),
+            // The answer is kept a moment after it was given.
+            |answer| answer.status != 409,
+        )
+        .await;
+        assert_eq!((again.status, &again.value), (200, &first.value));
+        assert_eq!(executions(&fleet, "lesson-1").await, 1);
+        let reused = book(&fleet, 1, "lesson-1", 2).await;
+        assert_eq!(code(&reused), (422, "idempotency_key_reused", "not_run"));
+    });
+}
+
+#[test]
+fn booking_reply_lost() {
+    let fleet = Fleet::start(&FleetPlan {
+        services: 2,
+        ..FleetPlan::default()
+    });
+    block_on(async {
+        for service in &fleet.services {
+            fleet.fault(service, FaultKind::LoseReply, 1).await;
+        }
+        let answer = book(&fleet, 0, "lesson-2", 2).await;
+        assert_eq!(code(&answer), (502, "outcome_unknown", "unknown"));
+        let again = book(&fleet, 1, "lesson-2", 2).await;
+        assert_ne!(again.status, 200);
+        assert_eq!(executions(&fleet, "lesson-2").await, 1, "it is never sent again");
+    });
+}
+
+#[test]
+fn booking_no_endpoint() {
+    let mut fleet = Fleet::start(&FleetPlan::default());
+    block_on(async {
+        fleet.services[0].kill();
+        let answer = book(&fleet, 0, "lesson-3", 3).await;
+        assert_eq!(code(&answer), (503, "not_run", "not_run"));
+        assert!(answer.retry_after.is_some());
+    });
+}
+
+#[test]
+fn booking_platform_down() {
+    let fleet = Fleet::start(&FleetPlan::default());
+    block_on(async {
+        fleet.fault(&fleet.platform, FaultKind::Outage, 0).await;
+        let refused = book(&fleet, 0, "lesson-4", 4).await;
+        assert_eq!(code(&refused), (503, "platform_down", "not_run"));
+        assert!(refused.retry_after.is_some());
+        assert_eq!(executions(&fleet, "lesson-4").await, 0);
+        // What needs no claim goes on.
+        let read = fleet
+            .client(0)
+            .call(Method::Get, "/booking/lessons", None, &[])
+            .await
+            .unwrap();
+        assert_eq!(read.status, 200);
+        fleet.fault(&fleet.platform, FaultKind::Recover, 0).await;
+        assert_eq!(book(&fleet, 1, "lesson-4", 4).await.status, 200);
+        assert_eq!(executions(&fleet, "lesson-4").await, 1);
+    });
+}
+
+#[test]
+fn booking_claim_reply_lost() {
+    let fleet = Fleet::start(&FleetPlan::default());
+    block_on(async {
+        fleet.fault(&fleet.platform, FaultKind::LoseReply, 1).await;
+        assert_eq!(
+            book(&fleet, 0, "lesson-5", 5).await.status,
+            200,
+            "the claim is found by its own name"
+        );
+        assert_eq!(executions(&fleet, "lesson-5").await, 1);
+        assert!(fleet.platform_counts().await.writes >= 1);
+    });
+}
+
+#[test]
+fn read_retried_elsewhere() {
+    let mut fleet = Fleet::start(&FleetPlan {
+        services: 2,
+        ..FleetPlan::default()
+    });
+    block_on(async {
+        fleet.services[0].kill();
+        for _ in 0..10 {
+            let answer = fleet
+                .client(0)
+                .call(Method::Get, "/booking/lessons", None, &[])
+                .await
+                .unwrap();
+            assert_eq!(answer.status, 200);
+        }
+    });
+}
--- a/crates/hollyhook_core/src/generation/generation_relay.rs
+++ b/crates/hollyhook_core/src/generation/generation_relay.rs
@@ -159,6 +159,12 @@
                     self.reset(now);
                 }
             }
+            RelayEvent::Unreachable { attempt } => {
+                if self.is_current(attempt) && self.phase == RelayPhase::Streaming {
+                    self.note(RelayNote::ConnectFailed);
+                    self.leave(now, false);
+                }
+            }
             RelayEvent::Refused { attempt, refusal } => self.refused(now, attempt, refusal),
             RelayEvent::Probed { attempt, report } => self.probed(now, attempt, report),
         }
@@ -400,7 +406,7 @@
         );
     }
 
-    /// A refusal before the first token is no loss: with no other endpoint, the caller is told so at once.
+    /// A refusal before anything was lost is no loss: with no other endpoint, the caller is told so at once.
     fn leave(&mut self, now: TimePoint, must_cancel: bool) {
         if must_cancel || self.delivered > 0 {
             self.mark_lost(now);
--- a/crates/hollyhook_core/src/generation/relay_action.rs
+++ b/crates/hollyhook_core/src/generation/relay_action.rs
@@ -95,6 +95,8 @@
     DuplicateDropped,
     /// A position was skipped; the connection was given up.
     GapFound,
+    /// No connection to the endpoint could be made.
+    ConnectFailed,
     /// A connection ended or broke before the end mark.
     ResetSeen,
     /// A stream was silent for longer than the endpoint's patience.
@@ -122,6 +124,7 @@
             Self::StaleDropped => "stale_dropped",
             Self::DuplicateDropped => "duplicate_dropped",
             Self::GapFound => "gap_found",
+            Self::ConnectFailed => "connect_failed",
             Self::ResetSeen => "reset_seen",
             Self::SilenceSuspected => "silence_suspected",
             Self::ProbeWaited => "probe_waited",
--- a/crates/hollyhook_core/src/generation/relay_event.rs
+++ b/crates/hollyhook_core/src/generation/relay_event.rs
@@ -47,7 +47,12 @@
         /// Why the engine ended.
         reason: EndReason,
     },
-    /// The connection ended or broke before the end mark, or could not be made.
+    /// No connection could be made: nothing was sent.
+    Unreachable {
+        /// The attempt that it was for.
+        attempt: AttemptNumber,
+    },
+    /// The connection ended or broke before the end mark.
     ConnectionLost {
         /// The attempt whose connection it was.
         attempt: AttemptNumber,
--- a/crates/hollyhook_daemon/src/relay/attempt_task.rs
+++ b/crates/hollyhook_daemon/src/relay/attempt_task.rs
@@ -4,7 +4,7 @@
 use async_channel::Sender;
 use async_std::task;
 use futures::future::{AbortHandle, abortable};
-use hollyhook_core::{AttemptNumber, EndpointId, EndpointRefusal, OpenMode, RelayEvent, TokenLog};
+use hollyhook_core::{AttemptNumber, EndpointId, EndpointRefusal, ErrorKind, OpenMode, RelayEvent, TokenLog};
 use hollyhook_wire::{CallerRequest, EngineExtension, EngineStream, EngineUsage, EngineWork, StreamItem};
 
 use crate::fleet::HostContext;
@@ -100,6 +100,13 @@
                 }
                 self.report(RelayEvent::Refused { attempt, refusal }).await;
             }
+            Err(error) if error.kind() == ErrorKind::NotRun => {
+                self.context
+                    .fleet
+                    .lock()
+                    .failed(self.context.timer.now(), &self.endpoint);
+                self.report(RelayEvent::Unreachable { attempt }).await;
+            }
             Err(_) => self.lose().await,
         }
     }
--- a/crates/hollyhook_settings/src/site/account_settings.rs
+++ b/crates/hollyhook_settings/src/site/account_settings.rs
@@ -20,7 +20,7 @@
 /// The digest of an API key as the settings hold it: SHA-256 in lower-case hexadecimal.
 ///
 /// ```
-/// assert!(hollyhook_settings::key_digest("hh-example").starts_with("fc"));
+/// assert!(hollyhook_settings::key_digest("hh-example").starts_with("d49387b8"));
 /// ```
 pub fn key_digest(key: &str) -> Name {
     let mut text = String::with_capacity(64);
--- a/crates/hollyhook_settings/src/site/site_parser.rs
+++ b/crates/hollyhook_settings/src/site/site_parser.rs
@@ -30,7 +30,9 @@
         let services = self.read_all(&sections, "service", ServiceSettings::read);
         let accounts = self.read_all(&sections, "account", AccountSettings::read);
         let zones = site.as_ref().map(|(_, zones)| zones.clone()).unwrap_or_default();
-        let names: Vec<Name> = services.iter().map(|service| Name::clone(&service.name)).collect();
+        // A service with a wrong key exists all the same; its endpoints are not wrong for that.
+        let titles = sections.iter().filter(|section| section.kind() == "service");
+        let names: Vec<Name> = titles.map(|section| section.name().into()).collect();
         let endpoints = self.read_all(&sections, "endpoint", |reader| {
             EndpointSettings::read(reader, &names, &zones)
         });
@@ -52,10 +54,17 @@
                     digest,
                 })
             }
-            _ => Err(SettingErrors(self.errors)),
+            _ => Err(SettingErrors(self.sorted_errors())),
         }
     }
 
+    /// The errors as a person reads the files: the base first, each from top to bottom.
+    fn sorted_errors(mut self) -> Vec<SettingError> {
+        let base = Name::clone(&self.base.path);
+        self.errors.sort_by_key(|error| (error.file != base, error.line));
+        self.errors
+    }
+
     /// The base's sections with the overlay's values over them, and the sections that only an overlay has.
     fn merge_sections(&mut self) -> Vec<SettingSection> {
         let mut sections = Vec::new();
