--- a/crates/hollyhook/src/bin/hollyhookd.rs
+++ b/crates/hollyhook/src/bin/hollyhookd.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use async_global_executor::GlobalExecutorConfig;
 use async_signal::{Signal, Signals};
 use clap::Parser;
 use futures::StreamExt;
@@ -27,8 +28,7 @@
     check: bool,
 }
 
-#[async_std::main]
-async fn main() -> eyre::Result<ExitCode> {
+fn main() -> eyre::Result<ExitCode> {
     let args = DaemonArgs::parse();
     let (process, site) = match load(&args) {
         Ok(settings) => settings,
@@ -42,6 +42,13 @@
         return Ok(ExitCode::SUCCESS);
     }
     init_log(process.log_format, &process.log_level)?;
+    // async-std takes the executor that is there when it starts.
+    let threads = GlobalExecutorConfig::default().with_min_threads(process.threads).with_max_threads(process.threads);
+    async_global_executor::init_with_config(threads);
+    async_std::task::block_on(serve(process, site))
+}
+
+async fn serve(process: ProcessSettings, site: SiteSettings) -> eyre::Result<ExitCode> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let daemon = Daemon::start(process, site).await?;
     println!("listening={}", daemon.address());
--- a/crates/hollyhook/tests/processes/bad_input.rs
+++ b/crates/hollyhook/tests/processes/bad_input.rs
@@ -22,9 +22,7 @@
 
 #[track_caller]
 fn assert_refused(answer: &str, status: u16, code: &str) {
-    let (head, body) = answer
-        .split_once("\r\n\r\n")
-        .unwrap_or_else(|| panic!("no answer: {answer:?}"));
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap_or_else(|| panic!("no answer: {answer:?}"));
     assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{head}");
     let body: Value = serde_json::from_str(body).unwrap_or_else(|error| panic!("{error}: {body}"));
     assert_eq!(body["error"]["code"], code);
@@ -32,9 +30,7 @@
 }
 
 fn post(path: &str, key: Option<&str>, body: &str) -> Vec<u8> {
-    let auth = key
-        .map(|key| format!("authorization: Bearer {key}\r\n"))
-        .unwrap_or_default();
+    let auth = key.map(|key| format!("authorization: Bearer {key}\r\n")).unwrap_or_default();
     let length = body.len();
     format!("POST {path} HTTP/1.1\r\nhost: h\r\n{auth}connection: close\r\ncontent-length: {length}\r\n\r\n{body}")
         .into()
@@ -42,10 +38,7 @@
 
 #[test]
 fn bad_input_refused_and_nobody_notices() {
-    let fleet = Fleet::start(&FleetPlan {
-        limits: "read_timeout = 300 ms\nbody = 8 KiB",
-        ..FleetPlan::default()
-    });
+    let fleet = Fleet::start(&FleetPlan { limits: "read_timeout = 300 ms\nbody = 8 KiB", ..FleetPlan::default() });
     let address = fleet.daemons[0].address;
     let path = "/v1/completions";
     let other = std::thread::spawn({
@@ -64,41 +57,17 @@
         (post(path, Some(KEY), "[]"), 400, "invalid_request"),
         (post(path, None, &valid), 401, "missing_api_key"),
         (post(path, Some("hh-nobody"), &valid), 401, "invalid_api_key"),
-        (
-            post(path, Some(KEY), &valid.replace(MODEL, "tutr")),
-            404,
-            "model_not_found",
-        ),
-        (
-            post(path, Some(KEY), &valid.replace('1', "5000")),
-            400,
-            "context_length_exceeded",
-        ),
+        (post(path, Some(KEY), &valid.replace(MODEL, "tutr")), 404, "model_not_found"),
+        (post(path, Some(KEY), &valid.replace('1', "5000")), 400, "context_length_exceeded"),
         (post(path, Some(KEY), &valid.replace('1', "0")), 400, "invalid_request"),
-        (
-            post(path, Some(KEY), &format!("{{\"prompt\":\"{}\"}}", "x".repeat(9_000))),
-            413,
-            "body_too_large",
-        ),
+        (post(path, Some(KEY), &format!("{{\"prompt\":\"{}\"}}", "x".repeat(9_000))), 413, "body_too_large"),
         (post("/nowhere", Some(KEY), ""), 404, "unknown_path"),
         (post("/v1/models", Some(KEY), ""), 405, "wrong_method"),
         (b"no http at all\r\n\r\n".to_vec(), 400, "malformed_head"),
         (b"GET / HTTP/1.1\r\n\r\n".to_vec(), 400, "malformed_head"),
-        (
-            format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(20_000)).into(),
-            431,
-            "head_too_large",
-        ),
-        (
-            format!("GET / HTTP/1.1\r\nhost: h\r\n{}\r\n", "a: b\r\n".repeat(200)).into(),
-            431,
-            "head_too_large",
-        ),
-        (
-            b"POST /v1/completions HTTP/1.1\r\nhost: h\r\ncont".to_vec(),
-            408,
-            "request_timeout",
-        ),
+        (format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(20_000)).into(), 431, "head_too_large"),
+        (format!("GET / HTTP/1.1\r\nhost: h\r\n{}\r\n", "a: b\r\n".repeat(200)).into(), 431, "head_too_large"),
+        (b"POST /v1/completions HTTP/1.1\r\nhost: h\r\ncont".to_vec(), 408, "request_timeout"),
         (
             b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\n".to_vec(),
             400,
@@ -120,23 +89,12 @@
 fn unsupported_fields_refused() {
     let fleet = Fleet::start(&FleetPlan::default());
     block_on(async {
-        for (name, value) in [
-            ("n", json!(2)),
-            ("tools", json!([{}])),
-            ("logprobs", json!(true)),
-            ("stream", json!(1)),
-        ] {
+        for (name, value) in [("n", json!(2)), ("tools", json!([{}])), ("logprobs", json!(true)), ("stream", json!(1))]
+        {
             let mut body = json!({"model": MODEL, "messages": [{"role": "user", "content": "x"}]});
             body[name] = value;
-            let answer = fleet
-                .client(0)
-                .call(Method::Post, "/v1/chat/completions", Some(&body), &[])
-                .await
-                .unwrap();
-            assert_eq!(
-                (answer.status, answer.value["error"]["param"].as_str()),
-                (400, Some(name))
-            );
+            let answer = fleet.client(0).call(Method::Post, "/v1/chat/completions", Some(&body), &[]).await.unwrap();
+            assert_eq!((answer.status, answer.value["error"]["param"].as_str()), (400, Some(name)));
         }
     });
 }
@@ -145,16 +103,9 @@
 fn models_listed() {
     let fleet = Fleet::start(&FleetPlan::default());
     block_on(async {
-        let answer = fleet
-            .client(0)
-            .call(Method::Get, "/v1/models", None, &[])
-            .await
-            .unwrap();
+        let answer = fleet.client(0).call(Method::Get, "/v1/models", None, &[]).await.unwrap();
         assert_eq!(answer.value["data"][0]["id"], MODEL);
         let nobody = CallerClient::new(fleet.daemons[0].address, "hh-nobody");
-        assert_eq!(
-            nobody.call(Method::Get, "/v1/models", None, &[]).await.unwrap().status,
-            401
-        );
+        assert_eq!(nobody.call(Method::Get, "/v1/models", None, &[]).await.unwrap().status, 401);
     });
 }
--- a/crates/hollyhook/tests/processes/fleet.rs
+++ b/crates/hollyhook/tests/processes/fleet.rs
@@ -38,19 +38,12 @@
         let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
         let mut address = |name: &str| -> SocketAddr {
             let line = lines.next().expect("the process says where it listens").unwrap();
-            line.strip_prefix(name)
-                .unwrap_or_else(|| panic!("{line}"))
-                .parse()
-                .unwrap()
+            line.strip_prefix(name).unwrap_or_else(|| panic!("{line}")).parse().unwrap()
         };
         let listening = address("listening=");
         let is_daemon = binary.ends_with("hollyhookd");
         let peer_address = is_daemon.then(|| address("peer_listening="));
-        Self {
-            child,
-            address: listening,
-            peer_address,
-        }
+        Self { child, address: listening, peer_address }
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -94,13 +87,7 @@
 
 impl Default for FleetPlan {
     fn default() -> Self {
-        Self {
-            engines: 3,
-            services: 1,
-            step_ms: 10,
-            limits: "",
-            service: "",
-        }
+        Self { engines: 3, services: 1, step_ms: 10, limits: "", service: "" }
     }
 }
 
@@ -121,30 +108,13 @@
         let step = plan.step_ms.to_string();
         let engine = |number: usize| {
             let salt = (number + 1).to_string();
-            command(&[
-                "stand-in",
-                "engine",
-                "--step-ms",
-                &step,
-                "--salt",
-                &salt,
-                "--model",
-                MODEL,
-            ])
+            command(&["stand-in", "engine", "--step-ms", &step, "--salt", &salt, "--model", MODEL])
         };
         let engines: Vec<Process> = (0..plan.engines).map(engine).collect();
         let services: Vec<Process> = (0..plan.services).map(|_| command(&["stand-in", "service"])).collect();
         write_site(folder.path(), plan, &engines, &services);
-        let daemons = (0..2)
-            .map(|number| start_daemon(folder.path(), number, platform.address))
-            .collect();
-        Self {
-            platform,
-            engines,
-            services,
-            daemons,
-            _folder: folder,
-        }
+        let daemons = (0..2).map(|number| start_daemon(folder.path(), number, platform.address)).collect();
+        Self { platform, engines, services, daemons, _folder: folder }
     }
 
     pub fn client(&self, daemon: usize) -> CallerClient {
@@ -203,19 +173,13 @@
     let mut overlay = String::from("[site]\nname = test\nzones = zone-0, zone-1\n");
     for (number, engine) in engines.iter().enumerate() {
         let (zone, address) = (number % 2, engine.address);
-        writeln!(
-            overlay,
-            "[endpoint engine-{number}]\nservice = tutor\nzone = zone-{zone}\naddress = {address}"
-        )
-        .unwrap();
+        writeln!(overlay, "[endpoint engine-{number}]\nservice = tutor\nzone = zone-{zone}\naddress = {address}")
+            .unwrap();
     }
     for (number, service) in services.iter().enumerate() {
         let address = service.address;
-        writeln!(
-            overlay,
-            "[endpoint booking-{number}]\nservice = booking\nzone = zone-0\naddress = {address}"
-        )
-        .unwrap();
+        writeln!(overlay, "[endpoint booking-{number}]\nservice = booking\nzone = zone-0\naddress = {address}")
+            .unwrap();
     }
     write(folder, "base.ini", &base);
     write(folder, "site.ini", &overlay);
@@ -230,10 +194,7 @@
         "5a".repeat(32)
     );
     let path = write(folder, &format!("host-{number}.ini"), &text);
-    Process::start(
-        env!("CARGO_BIN_EXE_hollyhookd"),
-        &["--settings", path.to_str().unwrap()],
-    )
+    Process::start(env!("CARGO_BIN_EXE_hollyhookd"), &["--settings", path.to_str().unwrap()])
 }
 
 /// A stream that is being read, with all that it brought.
@@ -248,18 +209,8 @@
 impl Reading {
     pub async fn open(client: &CallerClient, prompt: &str, max_tokens: u64, fields: &[(&str, &str)]) -> Self {
         let body = completion_body(MODEL, prompt, max_tokens, true);
-        let stream = client
-            .stream(ApiStyle::Completion, &body, fields)
-            .await
-            .unwrap()
-            .unwrap();
-        Self {
-            stream,
-            tokens: Vec::new(),
-            cursor: String::new(),
-            is_done: false,
-            failure: None,
-        }
+        let stream = client.stream(ApiStyle::Completion, &body, fields).await.unwrap().unwrap();
+        Self { stream, tokens: Vec::new(), cursor: String::new(), is_done: false, failure: None }
     }
 
     /// Reads until there are that many tokens, or the stream has ended.
@@ -285,11 +236,7 @@
 /// Asserts that the tokens are one whole generation, compared token for token with its chain.
 pub fn assert_whole(prompt: &str, tokens: &[String], expected: usize) {
     let chain = TokenChain::new(prompt, &ModelBinding::new(MODEL, "1"));
-    assert_eq!(
-        chain.first_break(tokens.iter().map(String::as_str)),
-        None,
-        "a token does not follow"
-    );
+    assert_eq!(chain.first_break(tokens.iter().map(String::as_str)), None, "a token does not follow");
     assert_eq!(tokens.len(), expected);
 }
 
--- a/crates/hollyhook/tests/processes/generations.rs
+++ b/crates/hollyhook/tests/processes/generations.rs
@@ -30,19 +30,13 @@
 
 #[test]
 fn kill_engine_twice_in_a_row() {
-    let mut fleet = Fleet::start(&FleetPlan {
-        engines: 4,
-        ..FleetPlan::default()
-    });
+    let mut fleet = Fleet::start(&FleetPlan { engines: 4, ..FleetPlan::default() });
     block_on(kill_midway(&mut fleet, 2));
 }
 
 #[test]
 fn kill_all_engines() {
-    let mut fleet = Fleet::start(&FleetPlan {
-        service: "resume_window = 300 ms",
-        ..FleetPlan::default()
-    });
+    let mut fleet = Fleet::start(&FleetPlan { service: "resume_window = 300 ms", ..FleetPlan::default() });
     block_on(async {
         let mut reading = Reading::open(&fleet.client(0), PROMPT, 200, &[]).await;
         reading.read_to(20).await;
@@ -52,15 +46,8 @@
         assert_whole(PROMPT, &reading.tokens, reading.tokens.len());
         // A new request is refused at once, truthfully, with when to come back.
         let body = hollyhook_wire::completion_body(MODEL, PROMPT, 5, false);
-        let answer = fleet
-            .client(0)
-            .call(Method::Post, "/v1/completions", Some(&body), &[])
-            .await
-            .unwrap();
-        assert_eq!(
-            (answer.status, answer.value["error"]["code"].as_str()),
-            (503, Some("no_endpoint"))
-        );
+        let answer = fleet.client(0).call(Method::Post, "/v1/completions", Some(&body), &[]).await.unwrap();
+        assert_eq!((answer.status, answer.value["error"]["code"].as_str()), (503, Some("no_endpoint")));
         assert_eq!(answer.value["error"]["run"].as_str(), Some("not_run"));
         assert!(answer.retry_after.is_some());
     });
@@ -95,11 +82,7 @@
         reading.read_all().await;
         assert_whole(PROMPT, &reading.tokens, 120);
         let counts = fleet.engine_counts(busy).await;
-        assert_eq!(
-            (counts.attached, counts.work.decode),
-            (1, 120),
-            "attached again at no cost"
-        );
+        assert_eq!((counts.attached, counts.work.decode), (1, 120), "attached again at no cost");
     });
 }
 
@@ -114,11 +97,7 @@
         reading.read_all().await;
         assert_whole(PROMPT, &reading.tokens, 120);
         let counts = fleet.engine_counts(busy).await;
-        assert_eq!(
-            (counts.attached, counts.work.decode),
-            (1, 120),
-            "attached again at no cost"
-        );
+        assert_eq!((counts.attached, counts.work.decode), (1, 120), "attached again at no cost");
     });
 }
 
@@ -133,11 +112,7 @@
         let counts = until(|| fleet.engine_counts(busy), |counts| counts.running == 0).await;
         assert_eq!((counts.cancelled, counts.orphaned), (1, 0));
         // In the engine's own time: a second is 100 steps of 10 ms.
-        assert!(
-            counts.work.decode < 20 + 100,
-            "{} tokens were decoded",
-            counts.work.decode
-        );
+        assert!(counts.work.decode < 20 + 100, "{} tokens were decoded", counts.work.decode);
     });
 }
 
@@ -176,10 +151,7 @@
         let mut rest = Reading::open(&fleet.client(1), PROMPT, 120, &cursor).await;
         rest.read_all().await;
         // The engines sample differently, so a replay can't match, and nothing of another generation is delivered.
-        assert_eq!(
-            (rest.failure.as_deref(), rest.tokens.len()),
-            (Some("generation_diverged"), 0)
-        );
+        assert_eq!((rest.failure.as_deref(), rest.tokens.len()), (Some("generation_diverged"), 0));
     });
 }
 
@@ -192,14 +164,7 @@
         let client = fleet.client(0);
         let (first, first_body) = (client.clone(), body.clone());
         let first = async_std::task::spawn(async move {
-            first
-                .call(
-                    Method::Post,
-                    "/v1/completions",
-                    Some(&first_body),
-                    &[("idempotency-key", "report-17")],
-                )
-                .await
+            first.call(Method::Post, "/v1/completions", Some(&first_body), &[("idempotency-key", "report-17")]).await
         });
         let started = async |fleet: &Fleet| {
             let mut started = 0;
@@ -211,11 +176,7 @@
         until(|| started(&fleet), |decoded| *decoded > 30).await;
         fleet.daemons[0].kill();
         first.await.unwrap_err();
-        let answer = fleet
-            .client(1)
-            .call(Method::Post, "/v1/completions", Some(&body), &key)
-            .await
-            .unwrap();
+        let answer = fleet.client(1).call(Method::Post, "/v1/completions", Some(&body), &key).await.unwrap();
         let text = answer.value["choices"][0]["text"].as_str().unwrap();
         let tokens: Vec<String> = text.split_inclusive(' ').map(str::to_owned).collect();
         assert_whole(PROMPT, &tokens, 120);
@@ -233,9 +194,7 @@
             let body = hollyhook_wire::completion_body(MODEL, prompt, 40, true);
             let fields = [("last-event-id", cursor)];
             let answer = client.stream(ApiStyle::Completion, &body, &fields).await.unwrap();
-            answer
-                .err()
-                .map(|body| (body.error.code.to_string(), body.error.message.to_string()))
+            answer.err().map(|body| (body.error.code.to_string(), body.error.message.to_string()))
         };
         let own = fleet.client(1);
         let foreign = CallerClient::new(fleet.daemons[1].address, OTHER_KEY);
@@ -244,16 +203,9 @@
         let last = if altered.pop() == Some('A') { 'B' } else { 'A' };
         altered.insert(60, last);
         assert_eq!(refused(&own, PROMPT, &altered).await.as_ref(), Some(&forged));
-        assert_eq!(
-            refused(&foreign, PROMPT, &reading.cursor).await.as_ref(),
-            Some(&forged),
-            "nothing leaks"
-        );
+        assert_eq!(refused(&foreign, PROMPT, &reading.cursor).await.as_ref(), Some(&forged), "nothing leaks");
         assert_eq!(forged.0, "cursor_invalid");
-        assert_eq!(
-            refused(&own, "another prompt", &reading.cursor).await.unwrap().0,
-            "cursor_invalid"
-        );
+        assert_eq!(refused(&own, "another prompt", &reading.cursor).await.unwrap().0, "cursor_invalid");
         assert_eq!(refused(&own, PROMPT, &reading.cursor).await, None);
     });
 }
--- a/crates/hollyhook/tests/processes/plain_calls.rs
+++ b/crates/hollyhook/tests/processes/plain_calls.rs
@@ -9,32 +9,18 @@
 async fn book(fleet: &Fleet, daemon: usize, key: &str, lesson: u32) -> CallerAnswer {
     let fields = [("idempotency-key", key)];
     let body = json!({"lesson": lesson});
-    fleet
-        .client(daemon)
-        .call(Method::Post, "/booking/confirm", Some(&body), &fields)
-        .await
-        .unwrap()
+    fleet.client(daemon).call(Method::Post, "/booking/confirm", Some(&body), &fields).await.unwrap()
 }
 
 fn code(answer: &CallerAnswer) -> (u16, &str, &str) {
     let error = &answer.value["error"];
-    (
-        answer.status,
-        error["code"].as_str().unwrap_or_default(),
-        error["run"].as_str().unwrap_or_default(),
-    )
+    (answer.status, error["code"].as_str().unwrap_or_default(), error["run"].as_str().unwrap_or_default())
 }
 
 async fn executions(fleet: &Fleet, key: &str) -> u64 {
     let mut executions = 0;
     for number in 0..fleet.services.len() {
-        executions += fleet
-            .service_counts(number)
-            .await
-            .by_key
-            .get(key)
-            .copied()
-            .unwrap_or_default();
+        executions += fleet.service_counts(number).await.by_key.get(key).copied().unwrap_or_default();
     }
     executions
 }
@@ -44,11 +30,7 @@
     let fleet = Fleet::start(&FleetPlan::default());
     block_on(async {
         let body = json!({"lesson": 4});
-        let answer = fleet
-            .client(0)
-            .call(Method::Put, "/booking/lessons/4", Some(&body), &[])
-            .await
-            .unwrap();
+        let answer = fleet.client(0).call(Method::Put, "/booking/lessons/4", Some(&body), &[]).await.unwrap();
         assert_eq!(answer.status, 200);
         assert_eq!(answer.value["method"], "PUT");
         assert_eq!(answer.value["path"], "/booking/lessons/4");
@@ -58,10 +40,7 @@
 
 #[test]
 fn booking_repeated_at_another_host() {
-    let fleet = Fleet::start(&FleetPlan {
-        services: 2,
-        ..FleetPlan::default()
-    });
+    let fleet = Fleet::start(&FleetPlan { services: 2, ..FleetPlan::default() });
     block_on(async {
         let first = book(&fleet, 0, "lesson-1", 1).await;
         assert_eq!(first.status, 200);
@@ -80,10 +59,7 @@
 
 #[test]
 fn booking_reply_lost() {
-    let fleet = Fleet::start(&FleetPlan {
-        services: 2,
-        ..FleetPlan::default()
-    });
+    let fleet = Fleet::start(&FleetPlan { services: 2, ..FleetPlan::default() });
     block_on(async {
         for service in &fleet.services {
             fleet.fault(service, FaultKind::LoseReply, 1).await;
@@ -117,11 +93,7 @@
         assert!(refused.retry_after.is_some());
         assert_eq!(executions(&fleet, "lesson-4").await, 0);
         // What needs no claim goes on.
-        let read = fleet
-            .client(0)
-            .call(Method::Get, "/booking/lessons", None, &[])
-            .await
-            .unwrap();
+        let read = fleet.client(0).call(Method::Get, "/booking/lessons", None, &[]).await.unwrap();
         assert_eq!(read.status, 200);
         fleet.fault(&fleet.platform, FaultKind::Recover, 0).await;
         assert_eq!(book(&fleet, 1, "lesson-4", 4).await.status, 200);
@@ -134,11 +106,7 @@
     let fleet = Fleet::start(&FleetPlan::default());
     block_on(async {
         fleet.fault(&fleet.platform, FaultKind::LoseReply, 1).await;
-        assert_eq!(
-            book(&fleet, 0, "lesson-5", 5).await.status,
-            200,
-            "the claim is found by its own name"
-        );
+        assert_eq!(book(&fleet, 0, "lesson-5", 5).await.status, 200, "the claim is found by its own name");
         assert_eq!(executions(&fleet, "lesson-5").await, 1);
         assert!(fleet.platform_counts().await.writes >= 1);
     });
@@ -146,18 +114,11 @@
 
 #[test]
 fn read_retried_elsewhere() {
-    let mut fleet = Fleet::start(&FleetPlan {
-        services: 2,
-        ..FleetPlan::default()
-    });
+    let mut fleet = Fleet::start(&FleetPlan { services: 2, ..FleetPlan::default() });
     block_on(async {
         fleet.services[0].kill();
         for _ in 0..10 {
-            let answer = fleet
-                .client(0)
-                .call(Method::Get, "/booking/lessons", None, &[])
-                .await
-                .unwrap();
+            let answer = fleet.client(0).call(Method::Get, "/booking/lessons", None, &[]).await.unwrap();
             assert_eq!(answer.status, 200);
         }
     });
--- a/crates/hollyhook/tests/processes/stock_client.rs
+++ b/crates/hollyhook/tests/processes/stock_client.rs
@@ -24,15 +24,9 @@
     let runtime = tokio::runtime::Runtime::new().unwrap();
     runtime.block_on(async {
         let client = client(&fleet);
-        let message = ChatCompletionRequestUserMessageArgs::default()
-            .content(PROMPT)
-            .build()
-            .unwrap();
+        let message = ChatCompletionRequestUserMessageArgs::default().content(PROMPT).build().unwrap();
         let mut request = CreateChatCompletionRequestArgs::default();
-        request
-            .model(MODEL)
-            .max_completion_tokens(50_u32)
-            .messages([message.into()]);
+        request.model(MODEL).max_completion_tokens(50_u32).messages([message.into()]);
 
         let whole = client.chat().create(request.build().unwrap()).await.unwrap();
         let text = whole.choices[0].message.content.clone().unwrap();
--- a/crates/hollyhook/tests/processes/stopping.rs
+++ b/crates/hollyhook/tests/processes/stopping.rs
@@ -29,11 +29,7 @@
         fleet.daemons[0].signal(Signal::SIGTERM);
         // The first signal has been taken when nothing is accepted any more.
         let address = fleet.daemons[0].address;
-        until(
-            || async { std::net::TcpStream::connect(address).is_err() },
-            |is_refused| *is_refused,
-        )
-        .await;
+        until(|| async { std::net::TcpStream::connect(address).is_err() }, |is_refused| *is_refused).await;
         fleet.daemons[0].signal(Signal::SIGTERM);
         reading
     });
@@ -42,10 +38,7 @@
 
 #[test]
 fn leaving_engine_gets_nothing_new() {
-    let fleet = Fleet::start(&FleetPlan {
-        engines: 2,
-        ..FleetPlan::default()
-    });
+    let fleet = Fleet::start(&FleetPlan { engines: 2, ..FleetPlan::default() });
     block_on(async {
         let mut reading = Reading::open(&fleet.client(0), PROMPT, 150, &[]).await;
         reading.read_to(20).await;
--- a/crates/hollyhook_command/src/args/command_args.rs
+++ b/crates/hollyhook_command/src/args/command_args.rs
@@ -5,6 +5,7 @@
 use eyre::Result;
 
 use crate::demo::{DemoArgs, run_demo};
+use crate::load::{LoadArgs, run_load};
 use crate::settings::{check_settings, print_key};
 use crate::stand_in::{StandInArgs, run_stand_in};
 use crate::view::{StatusArgs, run_status};
@@ -37,6 +38,8 @@
     },
     /// Show what a running daemon does.
     Status(StatusArgs),
+    /// Measure what the daemon costs and how it does through failures.
+    Load(LoadArgs),
     /// Run a stand-in of an outside system as this process.
     StandIn(StandInArgs),
 }
@@ -55,6 +58,7 @@
             Ok(ExitCode::SUCCESS)
         }
         CommandKind::Status(args) => run_status(args).await,
+        CommandKind::Load(args) => run_load(args).await,
         CommandKind::StandIn(args) => run_stand_in(args).await,
     }
 }
--- a/crates/hollyhook_command/src/demo/demo_run.rs
+++ b/crates/hollyhook_command/src/demo/demo_run.rs
@@ -57,10 +57,7 @@
     let engines = args.kills as usize + SPARE_ENGINES;
     let fleet = LocalFleet::start(&FleetOptions::new(engines).step(STEP)).await?;
     println!("A fleet in this process: {engines} engines, a plain service, a platform, 2 daemons in 2 zones.");
-    println!(
-        "A generation of {} tokens; {} engine(s) will be killed while it streams.\n",
-        args.tokens, args.kills
-    );
+    println!("A generation of {} tokens; {} engine(s) will be killed while it streams.\n", args.tokens, args.kills);
     let prompt = prompt(args.seed);
     let (received, latencies) = stream_with_kills(&fleet, &args, &prompt).await?;
     let outcome = judge(&fleet, &args, &prompt, &received, &latencies);
@@ -73,11 +70,7 @@
         print_flow(&fleet, &prompt);
         return pending().await;
     }
-    Ok(if outcome.whole {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
-    })
+    Ok(if outcome.whole { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 fn prompt(seed: u64) -> String {
@@ -110,11 +103,7 @@
 
 fn kill_busy(fleet: &LocalFleet) -> Option<Instant> {
     let number = fleet.busy_engine()?;
-    fleet.engines[number].suffer(FaultOrder {
-        kind: FaultKind::Die,
-        millis: 0,
-        count: 0,
-    });
+    fleet.engines[number].suffer(FaultOrder { kind: FaultKind::Die, millis: 0, count: 0 });
     print!("\n[engine-{number} killed]\n");
     Some(Instant::now())
 }
@@ -153,15 +142,8 @@
 }
 
 fn print_summary(outcome: &DemoOutcome) {
-    let verdict = if outcome.whole {
-        "whole: every token once, in order"
-    } else {
-        "NOT WHOLE"
-    };
-    println!(
-        "{} tokens, {} kill(s): the answer is {verdict}.",
-        outcome.tokens, outcome.kills
-    );
+    let verdict = if outcome.whole { "whole: every token once, in order" } else { "NOT WHOLE" };
+    println!("{} tokens, {} kill(s): the answer is {verdict}.", outcome.tokens, outcome.kills);
     println!(
         "The longest wait after a kill was {:.0} ms; the engines did {:.1} % more work than undisturbed.",
         outcome.resume_latency_ms,
--- a/crates/hollyhook_command/src/lib.rs
+++ b/crates/hollyhook_command/src/lib.rs
@@ -3,6 +3,7 @@
 mod args;
 mod demo;
 mod fixture;
+mod load;
 mod settings;
 mod stand_in;
 mod view;
--- /dev/null
+++ b/crates/hollyhook_command/src/load/mod.rs
@@ -0,0 +1,7 @@
+//! Load and experiments: what the daemon costs, and how it does through failures.
+
+mod load_args;
+mod overhead;
+mod sample_set;
+
+pub(crate) use load_args::{LoadArgs, run_load};
--- /dev/null
+++ b/crates/hollyhook_command/src/load/sample_set.rs
@@ -0,0 +1,34 @@
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// The longest time that is told apart, in microseconds.
+const MAX_MICROS: u64 = 600_000_000;
+
+/// Times of one kind, for their quantiles.
+#[derive(Debug, Clone)]
+pub(crate) struct SampleSet {
+    histogram: Histogram<u64>,
+}
+
+impl Default for SampleSet {
+    fn default() -> Self {
+        let histogram = Histogram::new_with_bounds(1, MAX_MICROS, 3).expect("the bounds are constant and valid");
+        Self { histogram }
+    }
+}
+
+impl SampleSet {
+    pub(crate) fn add(&mut self, span: Duration) {
+        self.histogram.saturating_record((span.as_micros() as u64).max(1));
+    }
+
+    pub(crate) fn join(&mut self, other: &Self) {
+        self.histogram += &other.histogram;
+    }
+
+    /// The quantile in milliseconds.
+    pub(crate) fn millis(&self, quantile: f64) -> f64 {
+        self.histogram.value_at_quantile(quantile) as f64 / 1_000.0
+    }
+}
--- a/crates/hollyhook_command/src/stand_in.rs
+++ b/crates/hollyhook_command/src/stand_in.rs
@@ -68,13 +68,13 @@
 /// Runs the stand-in until the process is ended; prints `listening=ADDRESS` when it serves.
 pub(crate) async fn run_stand_in(args: StandInArgs) -> Result<ExitCode> {
     let address = match args.kind {
-        StandInKind::Engine(args) => EngineStandIn::start(args.listen, args.options()).await?.address(),
-        StandInKind::Service { listen } => ServiceStandIn::start(listen, ServiceOptions::default().own_process())
-            .await?
-            .address(),
-        StandInKind::Platform { listen } => PlatformStandIn::start(listen, PlatformOptions::default().own_process())
-            .await?
-            .address(),
+        StandInKind::Engine(args) => EngineStandIn::start(args.listen, args.options())?.address(),
+        StandInKind::Service { listen } => {
+            ServiceStandIn::start(listen, ServiceOptions::default().own_process())?.address()
+        }
+        StandInKind::Platform { listen } => {
+            PlatformStandIn::start(listen, PlatformOptions::default().own_process())?.address()
+        }
     };
     println!("listening={address}");
     pending().await
--- a/crates/hollyhook_command/src/view/status_view.rs
+++ b/crates/hollyhook_command/src/view/status_view.rs
@@ -21,10 +21,7 @@
 pub(crate) async fn run_status(args: StatusArgs) -> Result<ExitCode> {
     const LIMIT: Duration = Duration::from_secs(2);
     let client = connect_peer(args.address, LIMIT).await?;
-    let status = client
-        .status(tarpc::context::current())
-        .await
-        .wrap_err("the daemon did not answer")?;
+    let status = client.status(tarpc::context::current()).await.wrap_err("the daemon did not answer")?;
     if args.json {
         println!("{}", serde_json::to_string(&status)?);
     } else {
@@ -86,8 +83,6 @@
 
 fn new_table(header: &[&str]) -> Table {
     let mut table = Table::new();
-    table
-        .load_preset(presets::ASCII_BORDERS_ONLY_CONDENSED)
-        .set_header(header.iter().copied());
+    table.load_preset(presets::ASCII_BORDERS_ONLY_CONDENSED).set_header(header.iter().copied());
     table
 }
--- a/crates/hollyhook_core/src/call/call_guard.rs
+++ b/crates/hollyhook_core/src/call/call_guard.rs
@@ -112,10 +112,7 @@
 
     fn assign(&mut self, is_retry: bool) -> CallAction {
         self.tries_left -= 1;
-        CallAction::Assign {
-            avoid: self.avoid.clone(),
-            is_retry,
-        }
+        CallAction::Assign { avoid: self.avoid.clone(), is_retry }
     }
 
     fn send(&mut self, endpoint: EndpointId) -> CallAction {
@@ -139,11 +136,7 @@
     }
 
     fn give_up(&mut self) -> CallAction {
-        let outcome = if self.was_sent {
-            CallOutcome::Unknown
-        } else {
-            CallOutcome::NotRun
-        };
+        let outcome = if self.was_sent { CallOutcome::Unknown } else { CallOutcome::NotRun };
         self.finish(outcome)
     }
 
--- a/crates/hollyhook_core/src/cursor/cursor_seal.rs
+++ b/crates/hollyhook_core/src/cursor/cursor_seal.rs
@@ -43,11 +43,7 @@
 impl CursorSeal {
     /// A seal with the current key; cursors older than `max_age` are refused as stale.
     pub fn new(key: &CursorKey, max_age: Duration) -> Self {
-        Self {
-            current: XChaCha20Poly1305::new(&key.0.into()),
-            previous: Vec::new(),
-            max_age,
-        }
+        Self { current: XChaCha20Poly1305::new(&key.0.into()), previous: Vec::new(), max_age }
     }
 
     /// The same seal that also opens cursors of an earlier key.
@@ -66,14 +62,8 @@
         let mut nonce = [0; NONCE_LEN];
         rng.fill_bytes(&mut nonce);
         let plain = cursor.encode();
-        let payload = Payload {
-            msg: &plain,
-            aad: account.as_bytes(),
-        };
-        let sealed = self
-            .current
-            .encrypt(XNonce::from_slice(&nonce), payload)
-            .expect("a short message is sealed");
+        let payload = Payload { msg: &plain, aad: account.as_bytes() };
+        let sealed = self.current.encrypt(XNonce::from_slice(&nonce), payload).expect("a short message is sealed");
         let mut bytes = Vec::with_capacity(1 + NONCE_LEN + sealed.len());
         bytes.push(FORMAT);
         bytes.extend_from_slice(&nonce);
@@ -109,16 +99,7 @@
         }
         let nonce = XNonce::from_slice(nonce);
         let mut keys = std::iter::once(&self.current).chain(&self.previous);
-        let open = |key: &XChaCha20Poly1305| {
-            key.decrypt(
-                nonce,
-                Payload {
-                    msg: sealed,
-                    aad: account.as_bytes(),
-                },
-            )
-            .ok()
-        };
+        let open = |key: &XChaCha20Poly1305| key.decrypt(nonce, Payload { msg: sealed, aad: account.as_bytes() }).ok();
         let plain = keys.find_map(open)?;
         StreamCursor::decode(&plain)
     }
@@ -126,9 +107,7 @@
 
 impl fmt::Debug for CursorSeal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("CursorSeal")
-            .field("max_age", &self.max_age)
-            .finish_non_exhaustive()
+        f.debug_struct("CursorSeal").field("max_age", &self.max_age).finish_non_exhaustive()
     }
 }
 
--- a/crates/hollyhook_core/src/cursor/stream_cursor.rs
+++ b/crates/hollyhook_core/src/cursor/stream_cursor.rs
@@ -43,15 +43,7 @@
         let request = u64::from_be_bytes(take(&mut rest)?);
         let made_at = u64::from_be_bytes(take(&mut rest)?);
         let endpoint = EndpointId::from(std::str::from_utf8(rest).ok()?);
-        Some(Self {
-            generation,
-            position,
-            attempt,
-            endpoint,
-            digest,
-            request,
-            made_at,
-        })
+        Some(Self { generation, position, attempt, endpoint, digest, request, made_at })
     }
 }
 
--- a/crates/hollyhook_core/src/error/answer_table.rs
+++ b/crates/hollyhook_core/src/error/answer_table.rs
@@ -21,13 +21,7 @@
 }
 
 const fn answer(status: u16, class: &'static str, code: &'static str, run: RunState, has_retry: bool) -> Answer {
-    Answer {
-        status,
-        class,
-        code,
-        run,
-        has_retry,
-    }
+    Answer { status, class, code, run, has_retry }
 }
 
 /// The answer for each kind of error.
--- a/crates/hollyhook_core/src/error/failure.rs
+++ b/crates/hollyhook_core/src/error/failure.rs
@@ -25,13 +25,7 @@
 impl Error {
     /// An error of `kind`; `message` says what was wrong and what would be right.
     pub fn new(kind: ErrorKind, message: impl Into<Name>) -> Self {
-        Self {
-            kind,
-            message: message.into(),
-            param: None,
-            retry_after: None,
-            run: answer_for(kind).run,
-        }
+        Self { kind, message: message.into(), param: None, retry_after: None, run: answer_for(kind).run }
     }
 
     /// The same error with the name of the field, header or setting that it is about.
--- a/crates/hollyhook_core/src/generation/endpoint_rhythm.rs
+++ b/crates/hollyhook_core/src/generation/endpoint_rhythm.rs
@@ -37,12 +37,8 @@
     /// With nothing learnt yet, the policy's ceilings hold.
     pub fn patience(&self, policy: &RelayPolicy) -> Patience {
         Patience {
-            first_token: self
-                .first
-                .bound(policy.silence_factor, policy.first_floor, policy.first_ceiling),
-            between_tokens: self
-                .between
-                .bound(policy.silence_factor, policy.silence_floor, policy.silence_ceiling),
+            first_token: self.first.bound(policy.silence_factor, policy.first_floor, policy.first_ceiling),
+            between_tokens: self.between.bound(policy.silence_factor, policy.silence_floor, policy.silence_ceiling),
         }
     }
 }
--- a/crates/hollyhook_core/src/generation/generation_id.rs
+++ b/crates/hollyhook_core/src/generation/generation_id.rs
@@ -52,10 +52,7 @@
 
     fn from_str(text: &str) -> Result<Self, Error> {
         let wrong = |cause: &dyn fmt::Display| {
-            Error::new(
-                ErrorKind::InvalidRequest,
-                format!("`{text}` is not a generation id of 32 hex digits: {cause}"),
-            )
+            Error::new(ErrorKind::InvalidRequest, format!("`{text}` is not a generation id of 32 hex digits: {cause}"))
         };
         if text.len() != 32 {
             return Err(wrong(&format_args!("{} characters", text.len())));
--- a/crates/hollyhook_core/src/generation/generation_relay.rs
+++ b/crates/hollyhook_core/src/generation/generation_relay.rs
@@ -143,16 +143,8 @@
                     self.last_heard = now;
                 }
             }
-            RelayEvent::TokenArrived {
-                attempt,
-                position,
-                text,
-            } => self.token(now, attempt, position, text),
-            RelayEvent::EndArrived {
-                attempt,
-                position,
-                reason,
-            } => self.end(now, attempt, position, reason),
+            RelayEvent::TokenArrived { attempt, position, text } => self.token(now, attempt, position, text),
+            RelayEvent::EndArrived { attempt, position, reason } => self.end(now, attempt, position, reason),
             RelayEvent::ConnectionLost { attempt } => {
                 if self.is_current(attempt) && self.phase == RelayPhase::Streaming {
                     self.note(RelayNote::ResetSeen);
@@ -176,13 +168,7 @@
         }
         self.attempts = 1;
         match self.endpoint.clone() {
-            Some(endpoint) => self.open(
-                now,
-                endpoint,
-                OpenMode::Attach {
-                    position: self.received,
-                },
-            ),
+            Some(endpoint) => self.open(now, endpoint, OpenMode::Attach { position: self.received }),
             None => self.assign(),
         }
     }
@@ -190,11 +176,7 @@
     fn assign(&mut self) {
         self.phase = RelayPhase::Assigning;
         let is_resume = self.lost_at.is_some();
-        self.actions.push(RelayAction::Assign {
-            attempt: self.attempt,
-            avoid: self.avoid.clone(),
-            is_resume,
-        });
+        self.actions.push(RelayAction::Assign { attempt: self.attempt, avoid: self.avoid.clone(), is_resume });
     }
 
     fn assigned(&mut self, now: TimePoint, attempt: AttemptNumber, endpoint: EndpointId) {
@@ -231,14 +213,8 @@
         self.last_heard = now;
         self.last_progress = now;
         self.endpoint = Some(EndpointId::clone(&endpoint));
-        self.actions.push(RelayAction::Open {
-            attempt: self.attempt,
-            endpoint,
-            mode,
-        });
-        self.actions.push(RelayAction::Wake {
-            at: now + self.policy.first_floor,
-        });
+        self.actions.push(RelayAction::Open { attempt: self.attempt, endpoint, mode });
+        self.actions.push(RelayAction::Wake { at: now + self.policy.first_floor });
     }
 
     fn unassigned(&mut self, now: TimePoint, attempt: AttemptNumber) {
@@ -255,9 +231,7 @@
         // An endpoint that was left may have come back, and is better than none.
         self.avoid.clear();
         self.phase = RelayPhase::Searching;
-        self.actions.push(RelayAction::Wake {
-            at: now + self.policy.search_interval,
-        });
+        self.actions.push(RelayAction::Wake { at: now + self.policy.search_interval });
     }
 
     fn token(&mut self, now: TimePoint, attempt: AttemptNumber, position: u64, text: String) {
@@ -290,9 +264,7 @@
         self.lost_at = None;
         if !self.has_token {
             self.has_token = true;
-            self.actions.push(RelayAction::Wake {
-                at: now + self.policy.silence_floor,
-            });
+            self.actions.push(RelayAction::Wake { at: now + self.policy.silence_floor });
         }
     }
 
@@ -327,10 +299,7 @@
             return self.fail(ErrorKind::GenerationDiverged);
         }
         self.phase = RelayPhase::Done;
-        self.actions.push(RelayAction::Complete {
-            reason,
-            tokens: self.delivered,
-        });
+        self.actions.push(RelayAction::Complete { reason, tokens: self.delivered });
     }
 
     fn refused(&mut self, now: TimePoint, attempt: AttemptNumber, refusal: EndpointRefusal) {
@@ -356,10 +325,7 @@
             return self.fail(ErrorKind::Internal);
         };
         self.phase = RelayPhase::Probing;
-        self.actions.push(RelayAction::Probe {
-            attempt: self.attempt,
-            endpoint,
-        });
+        self.actions.push(RelayAction::Probe { attempt: self.attempt, endpoint });
         self.actions.push(RelayAction::Wake { at: now + timeout });
     }
 
@@ -382,9 +348,7 @@
         self.note(RelayNote::ProbeWaited);
         self.phase = RelayPhase::Streaming;
         self.last_heard = now;
-        self.actions.push(RelayAction::Wake {
-            at: now + self.policy.silence_floor,
-        });
+        self.actions.push(RelayAction::Wake { at: now + self.policy.silence_floor });
     }
 
     fn reattach(&mut self, now: TimePoint) {
@@ -397,13 +361,7 @@
             return;
         }
         self.note(RelayNote::Reattached);
-        self.open(
-            now,
-            endpoint,
-            OpenMode::Attach {
-                position: self.received,
-            },
-        );
+        self.open(now, endpoint, OpenMode::Attach { position: self.received });
     }
 
     /// A refusal before anything was lost is no loss: with no other endpoint, the caller is told so at once.
@@ -444,11 +402,7 @@
     }
 
     fn judge_silence(&mut self, now: TimePoint, patience: Patience) {
-        let limit = if self.has_token {
-            patience.between_tokens
-        } else {
-            patience.first_token
-        };
+        let limit = if self.has_token { patience.between_tokens } else { patience.first_token };
         let suspect_at = self.last_heard + limit;
         if now < suspect_at {
             return self.actions.push(RelayAction::Wake { at: suspect_at });
@@ -464,19 +418,13 @@
 
     fn cancel_current(&mut self) {
         if let Some(endpoint) = self.endpoint.clone() {
-            self.actions.push(RelayAction::Cancel {
-                attempt: self.attempt,
-                endpoint,
-            });
+            self.actions.push(RelayAction::Cancel { attempt: self.attempt, endpoint });
         }
     }
 
     fn fail(&mut self, kind: ErrorKind) {
         self.phase = RelayPhase::Done;
-        self.actions.push(RelayAction::Fail {
-            kind,
-            delivered: self.delivered,
-        });
+        self.actions.push(RelayAction::Fail { kind, delivered: self.delivered });
     }
 
     fn mark_lost(&mut self, now: TimePoint) {
--- a/crates/hollyhook_core/src/generation/token_log.rs
+++ b/crates/hollyhook_core/src/generation/token_log.rs
@@ -44,9 +44,7 @@
     /// The tokens in order.
     pub fn iter(&self) -> impl Iterator<Item = &str> {
         let starts = std::iter::once(0).chain(self.ends.iter().copied());
-        starts
-            .zip(&self.ends)
-            .map(|(start, end)| &self.text[start as usize..*end as usize])
+        starts.zip(&self.ends).map(|(start, end)| &self.text[start as usize..*end as usize])
     }
 
     /// Forgets every token.
--- a/crates/hollyhook_core/src/name/model_binding.rs
+++ b/crates/hollyhook_core/src/name/model_binding.rs
@@ -21,11 +21,7 @@
 impl ModelBinding {
     /// A binding without an adapter.
     pub fn new(model: impl Into<Name>, version: impl Into<Name>) -> Self {
-        Self {
-            model: model.into(),
-            version: version.into(),
-            adapter: None,
-        }
+        Self { model: model.into(), version: version.into(), adapter: None }
     }
 
     /// The same binding with an adapter.
--- a/crates/hollyhook_core/src/retry/resume_gate.rs
+++ b/crates/hollyhook_core/src/retry/resume_gate.rs
@@ -24,12 +24,7 @@
 impl ResumeGate {
     /// A gate that lets `limit` resumes open at a time.
     pub fn new(limit: usize) -> Self {
-        Self {
-            limit,
-            open: BTreeSet::new(),
-            waiting: BTreeSet::new(),
-            last_number: 0,
-        }
+        Self { limit, open: BTreeSet::new(), waiting: BTreeSet::new(), last_number: 0 }
     }
 
     /// Another limit, as the fleet grows or shrinks.
@@ -40,10 +35,7 @@
     /// Asks for a place; the ticket may be open at once, see [`is_open`](Self::is_open).
     pub fn enter(&mut self, urgency: u8) -> ResumeTicket {
         self.last_number += 1;
-        let ticket = ResumeTicket {
-            urgency,
-            number: self.last_number,
-        };
+        let ticket = ResumeTicket { urgency, number: self.last_number };
         self.waiting.insert(ticket);
         self.admit();
         ticket
--- a/crates/hollyhook_core/src/retry/retry_budget.rs
+++ b/crates/hollyhook_core/src/retry/retry_budget.rs
@@ -22,12 +22,7 @@
 impl RetryBudget {
     /// A budget of `share` retries a first try, starting with and saving up to `reserve` retries.
     pub fn new(share: f64, reserve: f64) -> Self {
-        Self {
-            share,
-            reserve,
-            balance: reserve,
-            refused: 0,
-        }
+        Self { share, reserve, balance: reserve, refused: 0 }
     }
 
     /// Counts a first try.
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -22,12 +22,7 @@
 impl<'a> RouteQuery<'a> {
     /// A query for any endpoint of a service.
     pub fn new(service: &'a str) -> Self {
-        Self {
-            service,
-            binding: None,
-            avoid: &[],
-            affinity: None,
-        }
+        Self { service, binding: None, avoid: &[], affinity: None }
     }
 
     /// The same query for exactly those weights.
@@ -53,9 +48,7 @@
 
     fn is_met_by(&self, record: &EndpointRecord) -> bool {
         let is_served = &*record.service == self.service;
-        let is_bound = self
-            .binding
-            .is_none_or(|binding| record.binding.as_ref() == Some(binding));
+        let is_bound = self.binding.is_none_or(|binding| record.binding.as_ref() == Some(binding));
         is_served && is_bound && record.state == EndpointState::Live && !self.avoid.contains(&record.id)
     }
 }
@@ -73,10 +66,7 @@
 
     /// A table for a host in that availability zone.
     pub fn new(zone: ZoneName) -> Self {
-        Self {
-            zone,
-            records: BTreeMap::new(),
-        }
+        Self { zone, records: BTreeMap::new() }
     }
 
     /// Adds an endpoint, or updates where it is and whether it gets work; what was learnt of it stays.
@@ -139,10 +129,7 @@
     /// The endpoints that a request with this affinity may be held by, best first.
     pub fn candidates(&self, query: &RouteQuery<'_>, number: u128) -> Vec<EndpointId> {
         let fit = self.records.values().filter(|record| query.is_met_by(record)).collect();
-        ranked(fit, number)
-            .into_iter()
-            .map(|record| EndpointId::clone(&record.id))
-            .collect()
+        ranked(fit, number).into_iter().map(|record| EndpointId::clone(&record.id)).collect()
     }
 
     /// Counts a request as open at an endpoint.
@@ -180,11 +167,7 @@
         }
         let first = pool[rng.random_range(0..pool.len())];
         let second = pool[rng.random_range(0..pool.len())];
-        Some(if self.cost(first) <= self.cost(second) {
-            first
-        } else {
-            second
-        })
+        Some(if self.cost(first) <= self.cost(second) { first } else { second })
     }
 
     fn cost(&self, record: &EndpointRecord) -> f64 {
--- a/crates/hollyhook_daemon/src/call/call_driver.rs
+++ b/crates/hollyhook_daemon/src/call/call_driver.rs
@@ -58,14 +58,7 @@
         let deadline = context.timer.now() + call.settings.timeout;
         let is_repeatable = call.settings.is_repeatable(call.head.method().as_ref());
         let guard = CallGuard::new(is_repeatable, deadline);
-        Self {
-            context,
-            call,
-            guard,
-            deadline,
-            response: None,
-            endpoint: None,
-        }
+        Self { context, call, guard, deadline, response: None, endpoint: None }
     }
 
     pub(crate) async fn run(mut self) -> Result<Response> {
@@ -77,19 +70,14 @@
         };
         let span = self.context.timer.now() - start;
         let class = self.call.class.label();
-        self.context
-            .board
-            .record(MetricMeasure::PlainCall, &self.call.account, class, &[span]);
+        self.context.board.record(MetricMeasure::PlainCall, &self.call.account, class, &[span]);
         outcome
     }
 
     async fn run_claimed(&mut self, key: &str) -> Result<Response> {
         let context = Arc::clone(&self.context);
         let request = self.fingerprint();
-        let claim = context
-            .claims
-            .claim(&self.call.account, &self.call.service, key, &request)
-            .await?;
+        let claim = context.claims.claim(&self.call.account, &self.call.service, key, &request).await?;
         let record = match claim {
             ClaimGrant::Granted(record) => record,
             ClaimGrant::Answered(answer) => {
@@ -108,10 +96,7 @@
             (CallOutcome::Answered, Ok(response)) => {
                 let body = response.body_bytes().await.unwrap_or_default();
                 let status = response.status().into();
-                let content_type = response
-                    .header("content-type")
-                    .map_or("", |values| values.as_str())
-                    .to_owned();
+                let content_type = response.header("content-type").map_or("", |values| values.as_str()).to_owned();
                 context.claims.answer(record, status, &content_type, &body);
                 response.set_body(body);
                 if !content_type.is_empty() {
@@ -220,12 +205,7 @@
 
     fn fingerprint(&self) -> Vec<u8> {
         let head = &self.call.head;
-        let mut bytes = format!(
-            "{} {}?{}\n",
-            head.method(),
-            head.url().path(),
-            head.url().query().unwrap_or_default()
-        );
+        let mut bytes = format!("{} {}?{}\n", head.method(), head.url().path(), head.url().query().unwrap_or_default());
         bytes.push('\n');
         let mut bytes = bytes.into_bytes();
         bytes.extend_from_slice(&self.call.body);
@@ -241,10 +221,7 @@
             }
             (CallOutcome::NotRun, _) => {
                 board.count("call_not_run");
-                let message = format!(
-                    "the call was not run: no endpoint of `{}` takes calls now",
-                    self.call.service
-                );
+                let message = format!("the call was not run: no endpoint of `{}` takes calls now", self.call.service);
                 let span = RETRY_AFTER + RETRY_AFTER.mul_f64(rand::random());
                 Err(Error::new(ErrorKind::NotRun, message).retry_after(span))
             }
@@ -261,10 +238,7 @@
 }
 
 fn unknown(what: &str) -> Error {
-    Error::new(
-        ErrorKind::OutcomeUnknown,
-        format!("{what}: it may or may not have run, and is not sent again"),
-    )
+    Error::new(ErrorKind::OutcomeUnknown, format!("{what}: it may or may not have run, and is not sent again"))
 }
 
 /// The answer without the fields of the endpoint's connection.
--- a/crates/hollyhook_daemon/src/call/claim_service.rs
+++ b/crates/hollyhook_daemon/src/call/claim_service.rs
@@ -84,10 +84,7 @@
             task::spawn(worker.run(orders));
             sender
         });
-        Self {
-            shards: shards.collect(),
-            timer: timer.clone(),
-        }
+        Self { shards: shards.collect(), timer: timer.clone() }
     }
 
     /// Claims a key for a call.
@@ -106,9 +103,7 @@
         };
         let (sender, reply) = async_channel::bounded(1);
         let shard = self.shard(&record);
-        shard
-            .try_send(ClaimOrder::Claim(record, sender))
-            .map_err(|_full| busy("too many claims wait"))?;
+        shard.try_send(ClaimOrder::Claim(record, sender)).map_err(|_full| busy("too many claims wait"))?;
         reply.recv().await.map_err(|_closed| busy("the host is stopping"))?
     }
 
@@ -120,11 +115,7 @@
         let Ok(body) = std::str::from_utf8(body) else {
             return;
         };
-        record.answer = Some(ClaimAnswer {
-            status,
-            content_type: content_type.into(),
-            body: body.into(),
-        });
+        record.answer = Some(ClaimAnswer { status, content_type: content_type.into(), body: body.into() });
         let _dropped = self.shard(&record).try_send(ClaimOrder::Answer(record));
     }
 
--- a/crates/hollyhook_daemon/src/daemon/assembly.rs
+++ b/crates/hollyhook_daemon/src/daemon/assembly.rs
@@ -40,7 +40,7 @@
     ///
     /// `InvalidSetting` if an address can't be listened at or sent to.
     pub async fn start(settings: ProcessSettings, site: SiteSettings) -> Result<Self> {
-        let server = HttpServer::bind(settings.listen, server_limits(&site.limits)).await?;
+        let server = HttpServer::bind(settings.listen, server_limits(&site.limits))?;
         let peers = TcpListener::bind(settings.peer_listen).await.map_err(|error| {
             let message = format!("can't listen at {}: {error}", settings.peer_listen);
             Error::new(ErrorKind::InvalidSetting, message).param("peer_listen")
@@ -53,20 +53,12 @@
         let registry = register(&settings, site, mailbox)?;
         let engine = EngineClient::new(CONNECT_TIMEOUT);
         let context = Arc::new(HostContext::find(&registry, &settings, engine)?);
-        let mut daemon = Self {
-            address,
-            peer_address,
-            gate: gate.clone(),
-            context: Arc::clone(&context),
-            tasks: Vec::new(),
-        };
+        let mut daemon =
+            Self { address, peer_address, gate: gate.clone(), context: Arc::clone(&context), tasks: Vec::new() };
         daemon.spawn(run_cancels(Arc::clone(&context), orders));
         daemon.spawn(run_load_polls(Arc::clone(&context)));
         daemon.spawn(serve_peers(peers, daemon.peer_server()));
-        let state = FrontState {
-            context: Arc::clone(&context),
-            gate,
-        };
+        let state = FrontState { context: Arc::clone(&context), gate };
         task::spawn(serve_front(server, state));
         tracing::info!(host = %context.host, zone = %context.zone, address = %address, peers = %peer_address,
             config = %context.site.digest, "daemon.started");
@@ -104,10 +96,7 @@
     fn peer_server(&self) -> PeerServer {
         let (context, gate) = (Arc::clone(&self.context), self.gate.clone());
         let (status_context, status_gate) = (Arc::clone(&self.context), self.gate.clone());
-        PeerServer::new(
-            move || host_report(&context, &gate),
-            move || status_report(&status_context, &status_gate),
-        )
+        PeerServer::new(move || host_report(&context, &gate), move || status_report(&status_context, &status_gate))
     }
 
     fn spawn(&mut self, work: impl Future<Output = ()> + Send + 'static) {
@@ -135,10 +124,7 @@
         None => MetricBoard::default(),
     };
     let board = registry.register(MetricBoard::NAME, board)?;
-    registry.register(
-        FleetTable::NAME,
-        FleetTable::new(ZoneName::clone(&settings.zone), &site),
-    )?;
+    registry.register(FleetTable::NAME, FleetTable::new(ZoneName::clone(&settings.zone), &site))?;
     let mut seal = CursorSeal::new(&settings.cursor_key, limits.cursor_age);
     if let Some(previous) = &settings.previous_cursor_key {
         seal = seal.previous(previous);
@@ -146,15 +132,9 @@
     registry.register(HostContext::SEAL, seal)?;
     registry.register(CancelOrder::SERVICE, cancels)?;
     registry.register(ResumeService::NAME, ResumeService::new(limits.resumes))?;
-    registry.register(
-        HostContext::RETRIES,
-        Mutex::new(RetryBudget::new(limits.retry_share, RETRY_RESERVE)),
-    )?;
+    registry.register(HostContext::RETRIES, Mutex::new(RetryBudget::new(limits.retry_share, RETRY_RESERVE)))?;
     let platform = settings.platform.map(PlatformClient::new);
-    registry.register(
-        ClaimService::NAME,
-        ClaimService::start(platform.as_ref(), &board, &timer, limits.key_age),
-    )?;
+    registry.register(ClaimService::NAME, ClaimService::start(platform.as_ref(), &board, &timer, limits.key_age))?;
     Ok(registry)
 }
 
--- a/crates/hollyhook_daemon/src/fleet/cancel_service.rs
+++ b/crates/hollyhook_daemon/src/fleet/cancel_service.rs
@@ -67,9 +67,7 @@
         let Some(address) = context.fleet.address(&order.endpoint) else {
             return true;
         };
-        let call = context
-            .engine
-            .cancel(address, order.generation, order.attempt, CALL_TIMEOUT);
+        let call = context.engine.cancel(address, order.generation, order.attempt, CALL_TIMEOUT);
         if call.await.is_ok() {
             context.board.count("cancel_confirmed");
             return true;
--- a/crates/hollyhook_daemon/src/fleet/fleet_table.rs
+++ b/crates/hollyhook_daemon/src/fleet/fleet_table.rs
@@ -29,9 +29,7 @@
             }
             table.upsert(record);
         }
-        Self {
-            table: Mutex::new(table),
-        }
+        Self { table: Mutex::new(table) }
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, EndpointTable> {
--- a/crates/hollyhook_daemon/src/fleet/load_poller.rs
+++ b/crates/hollyhook_daemon/src/fleet/load_poller.rs
@@ -19,16 +19,11 @@
         let targets: Vec<(EndpointId, SocketAddr)> = {
             let table = context.fleet.lock();
             let engines = table.iter().filter(|record| record.binding.is_some());
-            engines
-                .map(|record| (EndpointId::clone(&record.id), record.address))
-                .collect()
+            engines.map(|record| (EndpointId::clone(&record.id), record.address)).collect()
         };
         let context = &context;
         stream::iter(targets)
-            .for_each_concurrent(
-                PARALLEL,
-                |(id, address)| async move { poll(context, &id, address).await },
-            )
+            .for_each_concurrent(PARALLEL, |(id, address)| async move { poll(context, &id, address).await })
             .await;
         context.timer.wait(INTERVAL).await;
     }
--- a/crates/hollyhook_daemon/src/fleet/resume_service.rs
+++ b/crates/hollyhook_daemon/src/fleet/resume_service.rs
@@ -21,13 +21,8 @@
     pub(crate) const NAME: &'static str = "resumes";
 
     pub(crate) fn new(limit: usize) -> Self {
-        let state = GateState {
-            gate: ResumeGate::new(limit),
-            waiters: BTreeMap::new(),
-        };
-        Self {
-            state: Arc::new(Mutex::new(state)),
-        }
+        let state = GateState { gate: ResumeGate::new(limit), waiters: BTreeMap::new() };
+        Self { state: Arc::new(Mutex::new(state)) }
     }
 
     /// Waits for a place; the more urgent go first.
@@ -35,10 +30,7 @@
         let (pass, wait) = {
             let mut state = self.lock();
             let ticket = state.gate.enter(urgency);
-            let pass = ResumePass {
-                service: self.clone(),
-                ticket,
-            };
+            let pass = ResumePass { service: self.clone(), ticket };
             if state.gate.is_open(ticket) {
                 (pass, None)
             } else {
--- a/crates/hollyhook_daemon/src/front/generate.rs
+++ b/crates/hollyhook_daemon/src/front/generate.rs
@@ -25,9 +25,7 @@
     let bytes = read_body(request.take_body(), context.site.limits.body).await?;
     let caller = CallerRequest::parse(style, &bytes)?;
     let (service, settings) = find_service(&context, &caller)?;
-    caller.check(RequestLimits {
-        context: settings.context,
-    })?;
+    caller.check(RequestLimits { context: settings.context })?;
     let cursor = read_cursor(&context, &request, account, &caller)?;
     let keyed = read_key(&request)?.map(|key| {
         // The request is part of the identity, so that a key used twice never leads to another request's answer.
@@ -56,18 +54,14 @@
         (CallerLink::whole(reply_sender), None)
     };
     task::spawn(RelayDriver::new(context, relay_task, start, link).run());
-    let reply = reply
-        .recv()
-        .await
-        .map_err(|_gone| Error::new(ErrorKind::Internal, "the relay ended without a word"))?;
+    let reply =
+        reply.recv().await.map_err(|_gone| Error::new(ErrorKind::Internal, "the relay ended without a word"))?;
     let response = Response::builder(StatusCode::Ok).header("x-request-id", generation.to_string());
     match (reply, body) {
         (RelayReply::Refused(error), _) => Err(error),
-        (RelayReply::Streaming, Some(body)) => Ok(response
-            .body(body)
-            .content_type("text/event-stream")
-            .header("cache-control", "no-cache")
-            .build()),
+        (RelayReply::Streaming, Some(body)) => {
+            Ok(response.body(body).content_type("text/event-stream").header("cache-control", "no-cache").build())
+        }
         (RelayReply::Whole(whole), _) => {
             let answer = WholeAnswer {
                 style,
@@ -78,10 +72,7 @@
                 reason: whole.reason,
                 usage: whole.usage,
             };
-            Ok(response
-                .body(answer.to_json())
-                .content_type(tide::http::mime::JSON)
-                .build())
+            Ok(response.body(answer.to_json()).content_type(tide::http::mime::JSON).build())
         }
         (RelayReply::Streaming, None) => Err(Error::new(ErrorKind::Internal, "a whole answer began to stream")),
     }
--- a/crates/hollyhook_daemon/src/front/plain.rs
+++ b/crates/hollyhook_daemon/src/front/plain.rs
@@ -22,10 +22,7 @@
     }
     let account = state.account(&request)?;
     let Some(service) = context.site.service_of_path(&path) else {
-        return Err(Error::new(
-            ErrorKind::UnknownPath,
-            format!("nothing is served under `{path}`"),
-        ));
+        return Err(Error::new(ErrorKind::UnknownPath, format!("nothing is served under `{path}`")));
     };
     let ServiceKind::Plain(settings) = &service.kind else {
         return Err(Error::new(ErrorKind::Internal, "a path leads to a service of engines"));
--- a/crates/hollyhook_daemon/src/front/routes.rs
+++ b/crates/hollyhook_daemon/src/front/routes.rs
@@ -40,10 +40,7 @@
         if !scheme.eq_ignore_ascii_case("bearer") {
             return Err(unknown());
         }
-        self.context
-            .site
-            .account_of_key(&key_digest(key.trim()))
-            .ok_or_else(unknown)
+        self.context.site.account_of_key(&key_digest(key.trim())).ok_or_else(unknown)
     }
 }
 
@@ -51,14 +48,10 @@
 pub(crate) async fn serve_front(server: HttpServer, state: FrontState) {
     let board = Arc::clone(&state.context.board);
     let mut app = tide::with_state(state);
-    app.at(ApiStyle::Completion.path())
-        .post(|request| answer(generate::handle(request, ApiStyle::Completion)));
-    app.at(ApiStyle::Chat.path())
-        .post(|request| answer(generate::handle(request, ApiStyle::Chat)));
-    app.at("/v1/models")
-        .get(|request| answer(async move { list_models(&request) }));
-    app.at("/-/health")
-        .get(|request| answer(async move { health(&request) }));
+    app.at(ApiStyle::Completion.path()).post(|request| answer(generate::handle(request, ApiStyle::Completion)));
+    app.at(ApiStyle::Chat.path()).post(|request| answer(generate::handle(request, ApiStyle::Chat)));
+    app.at("/v1/models").get(|request| answer(async move { list_models(&request) }));
+    app.at("/-/health").get(|request| answer(async move { health(&request) }));
     app.at("/").all(|request| answer(plain::handle(request)));
     app.at("/*").all(|request| answer(plain::handle(request)));
     let handler = move |request: http_types::Request| {
@@ -105,8 +98,5 @@
 
 fn json_response(value: &serde_json::Value) -> Result<Response> {
     let body = serde_json::to_vec(value).map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))?;
-    Ok(Response::builder(StatusCode::Ok)
-        .content_type(tide::http::mime::JSON)
-        .body(body)
-        .build())
+    Ok(Response::builder(StatusCode::Ok).content_type(tide::http::mime::JSON).body(body).build())
 }
--- a/crates/hollyhook_daemon/src/metric/metric_board.rs
+++ b/crates/hollyhook_daemon/src/metric/metric_board.rs
@@ -92,27 +92,16 @@
     /// `InvalidSetting` if no datagram can be sent there.
     pub fn with_statsd(address: SocketAddr, host: &str) -> Result<Self> {
         let wrong = |error: &dyn std::fmt::Display| {
-            Error::new(
-                ErrorKind::InvalidSetting,
-                format!("can't send to statsd at {address}: {error}"),
-            )
-            .param("statsd")
-        };
-        let local: SocketAddr = if address.is_ipv4() {
-            ([0, 0, 0, 0], 0).into()
-        } else {
-            ([0_u16; 8], 0).into()
+            Error::new(ErrorKind::InvalidSetting, format!("can't send to statsd at {address}: {error}")).param("statsd")
         };
+        let local: SocketAddr = if address.is_ipv4() { ([0, 0, 0, 0], 0).into() } else { ([0_u16; 8], 0).into() };
         let socket = UdpSocket::bind(local).map_err(|error| wrong(&error))?;
         socket.set_nonblocking(true).map_err(|error| wrong(&error))?;
         let sink = BufferedUdpMetricSink::from(address, socket).map_err(|error| wrong(&error))?;
         // Sending happens on the sink's own thread, so that no request waits for it.
         let sink = QueuingMetricSink::builder().with_capacity(16_384).build(sink);
         let client = StatsdClient::builder("hollyhook", sink).with_tag("host", host).build();
-        Ok(Self {
-            statsd: Some(client),
-            ..Self::default()
-        })
+        Ok(Self { statsd: Some(client), ..Self::default() })
     }
 
     /// Adds one to a counter.
@@ -136,16 +125,8 @@
     /// Records times of one client account and class.
     pub fn record(&self, measure: MetricMeasure, account: &Name, class: &'static str, spans: &[Duration]) {
         let mut histograms = lock(&self.histograms);
-        let account_key = HistogramKey {
-            measure,
-            scope: MetricScope::Account,
-            name: Name::clone(account),
-        };
-        let class_key = HistogramKey {
-            measure,
-            scope: MetricScope::Class,
-            name: class.into(),
-        };
+        let account_key = HistogramKey { measure, scope: MetricScope::Account, name: Name::clone(account) };
+        let class_key = HistogramKey { measure, scope: MetricScope::Class, name: class.into() };
         for key in [account_key, class_key] {
             let digits = key.scope.digits();
             let histogram = histograms.entry(key).or_insert_with(|| new_histogram(digits));
@@ -156,10 +137,7 @@
         drop(histograms);
         if let Some(statsd) = &self.statsd {
             for span in spans {
-                let _dropped = statsd
-                    .time_with_tags(measure.label(), *span)
-                    .with_tag("class", class)
-                    .try_send();
+                let _dropped = statsd.time_with_tags(measure.label(), *span).with_tag("class", class).try_send();
             }
         }
     }
@@ -167,13 +145,7 @@
     /// All counters.
     pub fn counter_rows(&self) -> Vec<CounterRow> {
         let counters = lock(&self.counters);
-        counters
-            .iter()
-            .map(|(name, value)| CounterRow {
-                counter: (*name).into(),
-                value: *value,
-            })
-            .collect()
+        counters.iter().map(|(name, value)| CounterRow { counter: (*name).into(), value: *value }).collect()
     }
 
     /// All histograms.
--- a/crates/hollyhook_daemon/src/metric/process_usage.rs
+++ b/crates/hollyhook_daemon/src/metric/process_usage.rs
@@ -12,10 +12,7 @@
 impl ProcessUsage {
     /// Zero where the machine does not say.
     pub(crate) fn read() -> Self {
-        Self {
-            cpu_ms: read_cpu().unwrap_or_default(),
-            memory_bytes: read_memory().unwrap_or_default(),
-        }
+        Self { cpu_ms: read_cpu().unwrap_or_default(), memory_bytes: read_memory().unwrap_or_default() }
     }
 }
 
--- a/crates/hollyhook_daemon/src/relay/caller_link.rs
+++ b/crates/hollyhook_daemon/src/relay/caller_link.rs
@@ -45,16 +45,8 @@
     }
 
     pub(crate) fn streaming(reply: Sender<RelayReply>, feed: BodyFeed, writer: StreamWriter) -> Self {
-        let stream = StreamLink {
-            feed,
-            writer,
-            gathered: String::new(),
-            has_begun: false,
-        };
-        Self {
-            reply,
-            stream: Some(stream),
-        }
+        let stream = StreamLink { feed, writer, gathered: String::new(), has_begun: false };
+        Self { reply, stream: Some(stream) }
     }
 
     pub(crate) fn is_streaming(&self) -> bool {
--- a/crates/hollyhook_daemon/src/relay/latency_tape.rs
+++ b/crates/hollyhook_daemon/src/relay/latency_tape.rs
@@ -22,15 +22,7 @@
 
 impl LatencyTape {
     pub(super) fn new(board: Arc<MetricBoard>, account: Name, class: &'static str, arrived: TimePoint) -> Self {
-        Self {
-            board,
-            account,
-            class,
-            arrived,
-            last_token: None,
-            is_resuming: false,
-            gaps: Vec::new(),
-        }
+        Self { board, account, class, arrived, last_token: None, is_resuming: false, gaps: Vec::new() }
     }
 
     pub(super) fn accepted(&self, now: TimePoint) {
--- a/crates/hollyhook_daemon/src/relay/mod.rs
+++ b/crates/hollyhook_daemon/src/relay/mod.rs
@@ -1,6 +1,6 @@
 //! Drives one generation: feeds its relay with what happens and carries out what it decides.
 
-mod attempt_task;
+mod attempt_link;
 mod caller_link;
 mod latency_tape;
 mod relay_driver;
--- a/crates/hollyhook_daemon/src/relay/relay_driver.rs
+++ b/crates/hollyhook_daemon/src/relay/relay_driver.rs
@@ -9,16 +9,16 @@
     RelayAction, RelayEvent, RelayNote, RelayPhase, RouteQuery, StreamCursor, TimePoint, TokenLog,
 };
 use hollyhook_settings::{GenerationSettings, RequestClass};
-use hollyhook_wire::{CallerRequest, EngineExtension, EngineUsage, EngineWork};
+use hollyhook_wire::{CallerRequest, EngineExtension, EngineUsage};
 
 use super::GenerationStart;
-use super::attempt_task::{AttemptOrder, AttemptTask, DriverEvent};
+use super::attempt_link::{AttemptLink, AttemptOrder};
 use super::caller_link::{CallerLink, WholeText};
 use super::latency_tape::LatencyTape;
 use crate::fleet::{CancelOrder, HostContext, ResumePass};
 
-/// Events that may wait for a driver whose caller is slow.
-const INBOX: usize = 32;
+/// Outcomes of searches and probes that may wait.
+const INBOX: usize = 4;
 /// When a refused caller may come back, before a spread of as much again.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -42,16 +42,14 @@
     is_continued: bool,
     relay: GenerationRelay,
     link: CallerLink,
-    inbox: Receiver<DriverEvent>,
-    sender: Sender<DriverEvent>,
+    inbox: Receiver<RelayEvent>,
+    sender: Sender<RelayEvent>,
     wake: BoxFuture<'static, ()>,
     gone: BoxFuture<'static, ()>,
-    attempt: Option<AttemptTask>,
+    attempt: Option<AttemptLink>,
     pass: Receiver<ResumePass>,
     pass_sender: Sender<ResumePass>,
     tape: LatencyTape,
-    usage: Option<EngineUsage>,
-    work: Option<EngineWork>,
     request_digest: u64,
     opened_at: Option<TimePoint>,
 }
@@ -61,12 +59,7 @@
         let (sender, inbox) = async_channel::bounded(INBOX);
         let (pass_sender, pass) = async_channel::bounded(1);
         let board = Arc::clone(&context.board);
-        let tape = LatencyTape::new(
-            board,
-            AccountName::clone(&task.account),
-            task.class.label(),
-            task.arrived,
-        );
+        let tape = LatencyTape::new(board, AccountName::clone(&task.account), task.class.label(), task.arrived);
         Self {
             request_digest: task.request.digest(),
             opened_at: None,
@@ -85,8 +78,6 @@
             pass,
             pass_sender,
             tape,
-            usage: None,
-            work: None,
         }
     }
 
@@ -94,36 +85,40 @@
         self.context.board.count("generation_started");
         self.handle(RelayEvent::Started).await;
         while self.relay.phase() != RelayPhase::Done {
-            match self.next_event().await {
-                DriverEvent::Relay(event) => self.handle(event).await,
-                DriverEvent::Totals(usage, work) => {
-                    self.usage = usage;
-                    self.work = work;
-                }
-            }
+            let event = self.next_event().await;
+            self.handle(event).await;
         }
     }
 
     /// What has arrived goes before a timer, so that a driver that was held up does not take its own delay for a
     /// silence of the endpoint.
-    async fn next_event(&mut self) -> DriverEvent {
-        if let Ok(event) = self.inbox.try_recv() {
+    async fn next_event(&mut self) -> RelayEvent {
+        if let Some(event) = self.attempt.as_mut().and_then(AttemptLink::ready) {
             return event;
         }
         if !self.link.flush().await {
-            return RelayEvent::CallerLeft.into();
+            return RelayEvent::CallerLeft;
         }
-        let policy = &self.task.settings.policy;
-        let woken = {
+        {
+            let attempt = self.attempt.as_mut();
+            let streamed = async move {
+                match attempt {
+                    Some(attempt) => attempt.next().await,
+                    None => pending().await,
+                }
+            };
+            let mut streamed = std::pin::pin!(streamed.fuse());
             let mut arrived = std::pin::pin!(self.inbox.recv().fuse());
             futures::select_biased! {
-                event = arrived => return event.unwrap_or(RelayEvent::CallerLeft.into()),
-                () = (&mut self.gone).fuse() => return RelayEvent::CallerLeft.into(),
-                () = (&mut self.wake).fuse() => self.context.fleet.patience(self.relay.endpoint(), policy),
+                event = streamed => return event,
+                event = arrived => return event.unwrap_or(RelayEvent::CallerLeft),
+                () = (&mut self.gone).fuse() => return RelayEvent::CallerLeft,
+                () = (&mut self.wake).fuse() => {}
             }
-        };
+        }
         self.wake = pending().boxed();
-        RelayEvent::TimerFired { patience: woken }.into()
+        let patience = self.context.fleet.patience(self.relay.endpoint(), &self.task.settings.policy);
+        RelayEvent::TimerFired { patience }
     }
 
     async fn handle(&mut self, event: RelayEvent) {
@@ -141,16 +136,8 @@
 
     async fn perform(&mut self, now: TimePoint, action: RelayAction) {
         match action {
-            RelayAction::Assign {
-                attempt,
-                avoid,
-                is_resume,
-            } => self.assign(attempt, avoid, is_resume),
-            RelayAction::Open {
-                attempt,
-                endpoint,
-                mode,
-            } => self.open(attempt, endpoint, mode),
+            RelayAction::Assign { attempt, avoid, is_resume } => self.assign(attempt, avoid, is_resume),
+            RelayAction::Open { attempt, endpoint, mode } => self.open(attempt, endpoint, mode),
             RelayAction::Probe { attempt, endpoint } => self.probe(attempt, endpoint),
             RelayAction::Cancel { attempt, endpoint } => self.cancel(attempt, endpoint),
             RelayAction::Close { .. } => self.attempt = None,
@@ -179,16 +166,12 @@
         let passes = self.pass_sender.clone();
         let _released = self.pass.try_recv();
         task::spawn(async move {
-            let pass = if is_resume {
-                Some(search.context.resumes.enter(urgency).await)
-            } else {
-                None
-            };
+            let pass = if is_resume { Some(search.context.resumes.enter(urgency).await) } else { None };
             let event = search.run(attempt, &avoid);
             if let Some(pass) = pass {
                 let _gone = passes.try_send(pass);
             }
-            let _gone = sender.send(event.into()).await;
+            let _gone = sender.send(event).await;
         });
     }
 
@@ -202,18 +185,9 @@
             priority: self.task.class.priority(),
             resume_tokens: Vec::new(),
         };
-        let log = if mode == OpenMode::Resume {
-            self.relay.log().clone()
-        } else {
-            TokenLog::default()
-        };
-        let order = AttemptOrder {
-            request: Arc::clone(&self.task.request),
-            extension,
-            mode,
-            log,
-        };
-        self.attempt = Some(AttemptTask::spawn(&self.context, endpoint, order, self.sender.clone()));
+        let log = if mode == OpenMode::Resume { self.relay.log().clone() } else { TokenLog::default() };
+        let order = AttemptOrder { request: Arc::clone(&self.task.request), extension, mode, log };
+        self.attempt = Some(AttemptLink::open(&self.context, endpoint, order));
     }
 
     fn probe(&self, attempt: AttemptNumber, endpoint: EndpointId) {
@@ -227,17 +201,13 @@
                 Some(address) => context.engine.probe(address, generation, limit).await,
                 None => hollyhook_core::ProbeReport::Dead,
             };
-            let _gone = sender.send(RelayEvent::Probed { attempt, report }.into()).await;
+            let _gone = sender.send(RelayEvent::Probed { attempt, report }).await;
         });
     }
 
     fn cancel(&mut self, attempt: AttemptNumber, endpoint: EndpointId) {
         self.attempt = None;
-        let order = CancelOrder {
-            endpoint,
-            generation: self.generation,
-            attempt,
-        };
+        let order = CancelOrder { endpoint, generation: self.generation, attempt };
         if self.context.cancels.post(order).is_err() {
             self.context.board.count("cancel_dropped");
         }
@@ -279,22 +249,12 @@
     }
 
     async fn complete(&mut self, reason: EndReason, tokens: u64) {
-        self.attempt = None;
+        let usage = self.attempt.take().and_then(|attempt| attempt.usage());
         self.context.board.count("generation_completed");
         self.context.board.count_by("tokens_delivered", tokens);
-        let prompt = self
-            .usage
-            .map_or_else(|| self.task.request.prompt_tokens(), |usage| usage.prompt_tokens);
-        let usage = EngineUsage {
-            prompt_tokens: prompt,
-            completion_tokens: tokens,
-            total_tokens: prompt + tokens,
-        };
-        let text = if self.link.is_streaming() {
-            String::new()
-        } else {
-            self.relay.log().text().to_owned()
-        };
+        let prompt = usage.map_or_else(|| self.task.request.prompt_tokens(), |usage| usage.prompt_tokens);
+        let usage = EngineUsage { prompt_tokens: prompt, completion_tokens: tokens, total_tokens: prompt + tokens };
+        let text = if self.link.is_streaming() { String::new() } else { self.relay.log().text().to_owned() };
         let has_usage = self.task.request.has_usage;
         self.link.complete(WholeText { text, reason, usage }, has_usage).await;
     }
@@ -327,19 +287,14 @@
 
 impl EndpointSearch {
     fn run(&self, attempt: AttemptNumber, avoid: &[EndpointId]) -> RelayEvent {
-        let mut query = RouteQuery::new(&self.service)
-            .binding(&self.settings.binding)
-            .avoid(avoid);
+        let mut query = RouteQuery::new(&self.service).binding(&self.settings.binding).avoid(avoid);
         if let Some(number) = self.affinity {
             query = query.affinity(number);
         }
         let now = self.context.timer.now();
         match self.context.fleet.lock().choose(now, &query, &mut rand::rng()) {
             Some(endpoint) => RelayEvent::Assigned { attempt, endpoint },
-            None => RelayEvent::Unassigned {
-                attempt,
-                retry_after: RETRY_AFTER,
-            },
+            None => RelayEvent::Unassigned { attempt, retry_after: RETRY_AFTER },
         }
     }
 }
--- a/crates/hollyhook_daemon/src/relay/takeover.rs
+++ b/crates/hollyhook_daemon/src/relay/takeover.rs
@@ -39,12 +39,7 @@
     }
     let Some(generation) = keyed else {
         let generation = GenerationId::from_bits(rand::random());
-        return GenerationStart {
-            generation,
-            relay,
-            has_affinity: false,
-            is_continued: false,
-        };
+        return GenerationStart { generation, relay, has_affinity: false, is_continued: false };
     };
     let relay = match find_keyed(context, service, settings, generation).await {
         Some((endpoint, held)) => {
@@ -53,32 +48,16 @@
         }
         None => relay,
     };
-    GenerationStart {
-        generation,
-        relay,
-        has_affinity: true,
-        is_continued: false,
-    }
+    GenerationStart { generation, relay, has_affinity: true, is_continued: false }
 }
 
 async fn continue_stream(context: &HostContext, relay: GenerationRelay, cursor: StreamCursor) -> GenerationStart {
     let held = match context.fleet.address(&cursor.endpoint) {
-        Some(address) => context
-            .engine
-            .find(address, cursor.generation, FIND_TIMEOUT)
-            .await
-            .ok()
-            .flatten(),
+        Some(address) => context.engine.find(address, cursor.generation, FIND_TIMEOUT).await.ok().flatten(),
         None => None,
     };
-    context.board.count(if held.is_some() {
-        "takeover_by_cursor"
-    } else {
-        "takeover_by_replay"
-    });
-    let newest = held
-        .map_or(AttemptNumber::FIRST, |held| held.attempt)
-        .max(cursor.attempt);
+    context.board.count(if held.is_some() { "takeover_by_cursor" } else { "takeover_by_replay" });
+    let newest = held.map_or(AttemptNumber::FIRST, |held| held.attempt).max(cursor.attempt);
     let endpoint = held.map(|_| EndpointId::clone(&cursor.endpoint));
     GenerationStart {
         generation: cursor.generation,
--- a/crates/hollyhook_kernel/src/registry/mailbox.rs
+++ b/crates/hollyhook_kernel/src/registry/mailbox.rs
@@ -12,13 +12,7 @@
     /// A mailbox for the service of that name that holds up to `capacity` messages, and the service's end of it.
     pub fn bounded(name: impl Into<Name>, capacity: usize) -> (Self, Receiver<M>) {
         let (sender, receiver) = async_channel::bounded(capacity);
-        (
-            Self {
-                name: name.into(),
-                sender,
-            },
-            receiver,
-        )
+        (Self { name: name.into(), sender }, receiver)
     }
 
     /// Sends without waiting.
@@ -39,9 +33,6 @@
 
 impl<M> Clone for Mailbox<M> {
     fn clone(&self) -> Self {
-        Self {
-            name: Name::clone(&self.name),
-            sender: self.sender.clone(),
-        }
+        Self { name: Name::clone(&self.name), sender: self.sender.clone() }
     }
 }
--- a/crates/hollyhook_kernel/src/registry/service_registry.rs
+++ b/crates/hollyhook_kernel/src/registry/service_registry.rs
@@ -35,10 +35,7 @@
         let service = Arc::new(service);
         let mut services = self.services.write().unwrap_or_else(PoisonError::into_inner);
         if services.contains_key(&name) {
-            return Err(Error::new(
-                ErrorKind::Conflict,
-                format!("a service named `{name}` is registered already"),
-            ));
+            return Err(Error::new(ErrorKind::Conflict, format!("a service named `{name}` is registered already")));
         }
         let handle = Arc::<S>::clone(&service);
         services.insert(name, handle);
--- a/crates/hollyhook_kernel/src/timer/clock.rs
+++ b/crates/hollyhook_kernel/src/timer/clock.rs
@@ -26,10 +26,7 @@
     }
 
     pub(super) fn unix_secs() -> u64 {
-        SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default()
-            .as_secs()
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs()
     }
 }
 
--- a/crates/hollyhook_kernel/src/timer/timer_service.rs
+++ b/crates/hollyhook_kernel/src/timer/timer_service.rs
@@ -73,16 +73,12 @@
 
 impl From<WallClock> for TimerService {
     fn from(clock: WallClock) -> Self {
-        Self {
-            source: ClockSource::Wall(clock),
-        }
+        Self { source: ClockSource::Wall(clock) }
     }
 }
 
 impl From<VirtualClock> for TimerService {
     fn from(clock: VirtualClock) -> Self {
-        Self {
-            source: ClockSource::Virtual(clock),
-        }
+        Self { source: ClockSource::Virtual(clock) }
     }
 }
--- a/crates/hollyhook_settings/src/file/section_reader.rs
+++ b/crates/hollyhook_settings/src/file/section_reader.rs
@@ -15,11 +15,7 @@
 
 impl<'a> SectionReader<'a> {
     pub(crate) fn new(section: &'a SettingSection, errors: &'a mut Vec<SettingError>) -> Self {
-        Self {
-            section,
-            known: Vec::new(),
-            errors,
-        }
+        Self { section, known: Vec::new(), errors }
     }
 
     /// The value of a key, if it is there and right.
@@ -33,8 +29,7 @@
         match parse(&entry.value) {
             Ok(value) => Some(value),
             Err(fault) => {
-                self.errors
-                    .push(self.section.error(Some(entry), &fault.wrong, &fault.right));
+                self.errors.push(self.section.error(Some(entry), &fault.wrong, &fault.right));
                 None
             }
         }
@@ -58,8 +53,7 @@
     ) -> Option<T> {
         if self.entry(key).is_none() {
             let right = format!("add `{key} = …`");
-            self.errors
-                .push(self.section.error(None, &format!("`{key}` is missing"), &right));
+            self.errors.push(self.section.error(None, &format!("`{key}` is missing"), &right));
         }
         self.optional(key, parse)
     }
@@ -74,8 +68,7 @@
     pub(crate) fn name(&mut self) -> Name {
         if self.section.name().is_empty() {
             let right = format!("write `[{} NAME]`", self.section.kind());
-            self.errors
-                .push(self.section.error(None, "the section has no name", &right));
+            self.errors.push(self.section.error(None, "the section has no name", &right));
         }
         self.section.name().into()
     }
@@ -87,8 +80,7 @@
                 continue;
             }
             let right = suggest(&entry.key, &self.known);
-            self.errors
-                .push(self.section.error(Some(entry), "there is no such key here", &right));
+            self.errors.push(self.section.error(Some(entry), "there is no such key here", &right));
         }
     }
 
--- a/crates/hollyhook_settings/src/file/setting_error.rs
+++ b/crates/hollyhook_settings/src/file/setting_error.rs
@@ -43,11 +43,7 @@
             writeln!(f, "{error}")?;
         }
         let count = self.0.len();
-        write!(
-            f,
-            "{count} {} in the settings",
-            if count == 1 { "error" } else { "errors" }
-        )
+        write!(f, "{count} {} in the settings", if count == 1 { "error" } else { "errors" })
     }
 }
 
--- a/crates/hollyhook_settings/src/file/setting_file.rs
+++ b/crates/hollyhook_settings/src/file/setting_file.rs
@@ -31,9 +31,7 @@
 
     /// The rest of the title.
     pub(crate) fn name(&self) -> &str {
-        self.title
-            .split_once(char::is_whitespace)
-            .map_or("", |(_, name)| name.trim())
+        self.title.split_once(char::is_whitespace).map_or("", |(_, name)| name.trim())
     }
 
     pub(crate) fn error(&self, key: Option<&SettingEntry>, wrong: &str, right: &str) -> SettingError {
@@ -77,10 +75,7 @@
     /// As for [`load`](Self::load).
     pub fn parse(path: &str, text: &str) -> Result<Self, SettingErrors> {
         let name = Name::from(path);
-        let option = ParseOption {
-            enabled_escape: false,
-            ..ParseOption::default()
-        };
+        let option = ParseOption { enabled_escape: false, ..ParseOption::default() };
         let parsed = Ini::load_from_str_opt(text, option).map_err(|error| {
             let right = "write `[kind name]` sections with one `key = value` a line";
             SettingErrors(vec![file_error(&name, error.line, &error.msg, right)])
@@ -88,23 +83,15 @@
         let places = find_places(text);
         let mut sections = Vec::new();
         let mut errors = Vec::new();
-        let titled = parsed
-            .iter()
-            .filter_map(|(title, properties)| Some((title?, properties)));
+        let titled = parsed.iter().filter_map(|(title, properties)| Some((title?, properties)));
         for (index, (title, properties)) in titled.enumerate() {
             let place = places.get(index);
-            let entries = properties
-                .iter()
-                .enumerate()
-                .map(|(number, (key, value))| SettingEntry {
-                    file: Name::clone(&name),
-                    line: place
-                        .and_then(|place| place.keys.get(number))
-                        .copied()
-                        .unwrap_or_default(),
-                    key: key.into(),
-                    value: value.into(),
-                });
+            let entries = properties.iter().enumerate().map(|(number, (key, value))| SettingEntry {
+                file: Name::clone(&name),
+                line: place.and_then(|place| place.keys.get(number)).copied().unwrap_or_default(),
+                key: key.into(),
+                value: value.into(),
+            });
             let section = SettingSection {
                 file: Name::clone(&name),
                 line: place.map_or(0, |place| place.line),
@@ -112,10 +99,7 @@
                 entries: entries.collect(),
             };
             find_duplicates(&section, &mut errors);
-            if sections
-                .iter()
-                .any(|earlier: &SettingSection| earlier.title == section.title)
-            {
+            if sections.iter().any(|earlier: &SettingSection| earlier.title == section.title) {
                 errors.push(section.error(None, "the section stands twice", "join the two"));
             }
             sections.push(section);
@@ -124,11 +108,7 @@
             let wrong = format!("`{}` stands before the first section", loose.0);
             errors.push(file_error(&name, 1, &wrong, "put it under a `[kind name]` section"));
         }
-        if errors.is_empty() {
-            Ok(Self { path: name, sections })
-        } else {
-            Err(SettingErrors(errors))
-        }
+        if errors.is_empty() { Ok(Self { path: name, sections }) } else { Err(SettingErrors(errors)) }
     }
 
     /// The file, as it was named.
@@ -168,10 +148,7 @@
     for (index, line) in text.lines().enumerate() {
         let line = line.trim();
         if line.starts_with('[') {
-            places.push(SectionPlace {
-                line: index + 1,
-                keys: Vec::new(),
-            });
+            places.push(SectionPlace { line: index + 1, keys: Vec::new() });
         } else if !line.starts_with([';', '#'])
             && line.contains(['=', ':'])
             && let Some(place) = places.last_mut()
--- a/crates/hollyhook_settings/src/process/process_settings.rs
+++ b/crates/hollyhook_settings/src/process/process_settings.rs
@@ -26,6 +26,8 @@
     pub listen: SocketAddr,
     /// Where it serves other daemons and the operator's command.
     pub peer_listen: SocketAddr,
+    /// Threads that run its work.
+    pub threads: usize,
     /// Where other daemons serve it.
     pub peers: Vec<SocketAddr>,
     /// The platform.
@@ -66,10 +68,7 @@
     ///
     /// Everything that is wrong, at once.
     pub fn parse(file: &SettingFile) -> Result<Self, SettingErrors> {
-        let mut parser = ProcessParser {
-            file,
-            errors: Vec::new(),
-        };
+        let mut parser = ProcessParser { file, errors: Vec::new() };
         let settings = parser.parse();
         match settings {
             Some(settings) if parser.errors.is_empty() => Ok(settings),
@@ -78,6 +77,9 @@
     }
 }
 
+/// More threads than the work needs only wake each other; docs/design/relay.md has the figures.
+const DEFAULT_THREADS: u64 = 4;
+
 const KINDS: [&str; 6] = ["host", "platform", "configuration", "log", "metrics", "keys"];
 
 struct ProcessParser<'a> {
@@ -95,6 +97,7 @@
         let listen = reader.required("listen", value::address);
         let peer_listen = reader.required("peer_listen", value::address);
         let peers = reader.default("peers", Vec::new(), value::addresses);
+        let threads = reader.default("threads", DEFAULT_THREADS, value::count(1, 64));
         reader.finish();
 
         let section = self.section("platform");
@@ -112,12 +115,7 @@
         let mut reader = SectionReader::new(&section, &mut self.errors);
         let formats = &[("text", LogFormat::Text), ("json", LogFormat::Json)];
         let log_format = reader.default("format", LogFormat::Text, value::choice(formats));
-        let levels = &[
-            ("error", "error"),
-            ("warn", "warn"),
-            ("info", "info"),
-            ("debug", "debug"),
-        ];
+        let levels = &[("error", "error"), ("warn", "warn"), ("info", "info"), ("debug", "debug")];
         let log_level = reader.default("level", "info", value::choice(levels));
         reader.finish();
 
@@ -137,6 +135,7 @@
             zone: zone?,
             listen: listen?,
             peer_listen: peer_listen?,
+            threads: threads as usize,
             peers,
             platform,
             base: base?,
@@ -153,8 +152,7 @@
         for section in &self.file.sections {
             if !KINDS.contains(&&*section.title) {
                 let right = format!("the sections are {}", KINDS.join(", "));
-                self.errors
-                    .push(section.error(None, "there is no such section here", &right));
+                self.errors.push(section.error(None, "there is no such section here", &right));
             }
         }
     }
--- a/crates/hollyhook_settings/src/site/account_settings.rs
+++ b/crates/hollyhook_settings/src/site/account_settings.rs
@@ -37,10 +37,6 @@
         let previous = reader.optional("previous_key_sha256", value::hex_digest);
         let weight = reader.default("weight", 1, value::count(1, 1_000));
         reader.finish();
-        Some(Self {
-            name,
-            keys: std::iter::once(key?).chain(previous).collect(),
-            weight,
-        })
+        Some(Self { name, keys: std::iter::once(key?).chain(previous).collect(), weight })
     }
 }
--- a/crates/hollyhook_settings/src/site/endpoint_settings.rs
+++ b/crates/hollyhook_settings/src/site/endpoint_settings.rs
@@ -33,11 +33,6 @@
             reader.fault("zone", &format!("there is no availability zone `{zone}`"), &right);
         }
         reader.finish();
-        Some(Self {
-            id,
-            service: service?,
-            zone: zone?,
-            address: address?,
-        })
+        Some(Self { id, service: service?, zone: zone?, address: address? })
     }
 }
--- a/crates/hollyhook_settings/src/site/service_settings.rs
+++ b/crates/hollyhook_settings/src/site/service_settings.rs
@@ -77,9 +77,7 @@
 impl PlainSettings {
     /// Whether calls by that method may be repeated.
     pub fn is_repeatable(&self, method: &str) -> bool {
-        self.repeatable
-            .iter()
-            .any(|repeatable| repeatable.eq_ignore_ascii_case(method))
+        self.repeatable.iter().any(|repeatable| repeatable.eq_ignore_ascii_case(method))
     }
 }
 
@@ -101,11 +99,7 @@
             None => return None,
         };
         reader.finish();
-        Some(Self {
-            name,
-            class: class?,
-            kind: kind?,
-        })
+        Some(Self { name, class: class?, kind: kind? })
     }
 }
 
@@ -119,11 +113,7 @@
     let context = reader.required("context", value::tokens(16, 1 << 24));
     let policies = &[("favour-latency", true), ("favour-work", false)];
     let is_hasty = reader.default("policy", true, value::choice(policies));
-    let mut policy = if is_hasty {
-        RelayPolicy::favour_latency()
-    } else {
-        RelayPolicy::favour_work()
-    };
+    let mut policy = if is_hasty { RelayPolicy::favour_latency() } else { RelayPolicy::favour_work() };
     policy.silence_floor = reader.default("silence_floor", policy.silence_floor, span());
     policy.silence_ceiling = reader.default("silence_ceiling", policy.silence_ceiling, span());
     policy.first_floor = reader.default("first_floor", policy.first_floor, span());
@@ -133,26 +123,14 @@
     policy.stall_limit = reader.default("stall_limit", policy.stall_limit, span());
     policy.resume_window = reader.default("resume_window", policy.resume_window, span());
     if policy.silence_floor > policy.silence_ceiling {
-        reader.fault(
-            "silence_floor",
-            "it is above `silence_ceiling`",
-            "give a floor up to the ceiling",
-        );
+        reader.fault("silence_floor", "it is above `silence_ceiling`", "give a floor up to the ceiling");
     }
     if policy.first_floor > policy.first_ceiling {
-        reader.fault(
-            "first_floor",
-            "it is above `first_ceiling`",
-            "give a floor up to the ceiling",
-        );
+        reader.fault("first_floor", "it is above `first_ceiling`", "give a floor up to the ceiling");
     }
     let mut binding = ModelBinding::new(model?, version?);
     binding.adapter = adapter;
-    Some(GenerationSettings {
-        binding,
-        context: context?,
-        policy,
-    })
+    Some(GenerationSettings { binding, context: context?, policy })
 }
 
 fn read_plain(reader: &mut SectionReader<'_>) -> Option<PlainSettings> {
@@ -161,9 +139,5 @@
     let prefix = reader.required("prefix", value::path);
     let repeatable = reader.default("repeatable", vec!["GET".into(), "HEAD".into()], value::names);
     let timeout = reader.default("timeout", Duration::from_secs(10), value::span(LEAST, MOST));
-    Some(PlainSettings {
-        prefix: prefix?,
-        repeatable,
-        timeout,
-    })
+    Some(PlainSettings { prefix: prefix?, repeatable, timeout })
 }
--- a/crates/hollyhook_settings/src/site/site_parser.rs
+++ b/crates/hollyhook_settings/src/site/site_parser.rs
@@ -17,11 +17,7 @@
 
 impl<'a> SiteParser<'a> {
     pub(super) fn new(base: &'a SettingFile, overlay: &'a SettingFile) -> Self {
-        Self {
-            base,
-            overlay,
-            errors: Vec::new(),
-        }
+        Self { base, overlay, errors: Vec::new() }
     }
 
     pub(super) fn parse(mut self) -> Result<SiteSettings, SettingErrors> {
@@ -33,9 +29,7 @@
         // A service with a wrong key exists all the same; its endpoints are not wrong for that.
         let titles = sections.iter().filter(|section| section.kind() == "service");
         let names: Vec<Name> = titles.map(|section| section.name().into()).collect();
-        let endpoints = self.read_all(&sections, "endpoint", |reader| {
-            EndpointSettings::read(reader, &names, &zones)
-        });
+        let endpoints = self.read_all(&sections, "endpoint", |reader| EndpointSettings::read(reader, &names, &zones));
         let limits = match sections.iter().find(|section| section.kind() == "limits") {
             Some(section) => LimitSettings::read(SectionReader::new(section, &mut self.errors)),
             None => LimitSettings::default(),
@@ -44,15 +38,7 @@
         match site {
             Some((name, zones)) if self.errors.is_empty() => {
                 let digest = digest_of(&sections);
-                Ok(SiteSettings {
-                    name,
-                    zones,
-                    services,
-                    accounts,
-                    endpoints,
-                    limits,
-                    digest,
-                })
+                Ok(SiteSettings { name, zones, services, accounts, endpoints, limits, digest })
             }
             _ => Err(SettingErrors(self.sorted_errors())),
         }
@@ -72,8 +58,7 @@
             if BASE_KINDS.contains(&section.kind()) {
                 sections.push(section.clone());
             } else if SITE_KINDS.contains(&section.kind()) {
-                self.errors
-                    .push(section.error(None, "this belongs to one site", "move it to the site's overlay"));
+                self.errors.push(section.error(None, "this belongs to one site", "move it to the site's overlay"));
             } else {
                 self.refuse_kind(section);
             }
@@ -93,16 +78,14 @@
     fn overlay_section(&mut self, sections: &mut [SettingSection], over: &SettingSection) {
         let Some(under) = sections.iter_mut().find(|section| section.title == over.title) else {
             let wrong = format!("the overlay invents `{}`", over.title);
-            self.errors
-                .push(over.error(None, &wrong, "add it to the base, for all sites"));
+            self.errors.push(over.error(None, &wrong, "add it to the base, for all sites"));
             return;
         };
         for entry in &over.entries {
             match under.entries.iter_mut().find(|old| old.key == entry.key) {
                 Some(old) if old.value == entry.value => {
                     let right = "an overlay names only what differs; leave it out";
-                    self.errors
-                        .push(over.error(Some(entry), "the base has the same value", right));
+                    self.errors.push(over.error(Some(entry), "the base has the same value", right));
                 }
                 Some(old) => *old = entry.clone(),
                 None => under.entries.push(entry.clone()),
@@ -113,8 +96,7 @@
     fn refuse_kind(&mut self, section: &SettingSection) {
         let kinds = [&BASE_KINDS[..], &SITE_KINDS[..]].concat().join(", ");
         let right = format!("the kinds of section are {kinds}");
-        self.errors
-            .push(section.error(None, "there is no such kind of section", &right));
+        self.errors.push(section.error(None, "there is no such kind of section", &right));
     }
 
     fn read_site(&mut self, sections: &[SettingSection]) -> Option<(Name, Vec<ZoneName>)> {
@@ -125,8 +107,7 @@
                 title: "site".into(),
                 entries: Vec::new(),
             };
-            self.errors
-                .push(section.error(None, "the overlay has no `[site]`", "add it with `name` and `zones`"));
+            self.errors.push(section.error(None, "the overlay has no `[site]`", "add it with `name` and `zones`"));
             return None;
         };
         let mut reader = SectionReader::new(section, &mut self.errors);
@@ -165,12 +146,7 @@
             };
             if let Some(first) = taken.insert(Name::clone(word), &service.name) {
                 let wrong = format!("the {what} `{word}` is that of the service `{first}` too");
-                self.fault(
-                    sections,
-                    &format!("service {}", service.name),
-                    &wrong,
-                    "give each service its own",
-                );
+                self.fault(sections, &format!("service {}", service.name), &wrong, "give each service its own");
             }
         }
         let mut keys = BTreeMap::new();
@@ -178,12 +154,7 @@
             for key in &account.keys {
                 if let Some(first) = keys.insert(key, &account.name) {
                     let wrong = format!("the key is that of the account `{first}` too");
-                    self.fault(
-                        sections,
-                        &format!("account {}", account.name),
-                        &wrong,
-                        "give each account its own",
-                    );
+                    self.fault(sections, &format!("account {}", account.name), &wrong, "give each account its own");
                 }
             }
         }
@@ -191,12 +162,7 @@
         for endpoint in endpoints {
             if let Some(first) = addresses.insert(endpoint.address, &endpoint.id) {
                 let wrong = format!("the address is that of the endpoint `{first}` too");
-                self.fault(
-                    sections,
-                    &format!("endpoint {}", endpoint.id),
-                    &wrong,
-                    "give each endpoint its own",
-                );
+                self.fault(sections, &format!("endpoint {}", endpoint.id), &wrong, "give each endpoint its own");
             }
         }
     }
--- a/crates/hollyhook_settings/src/site/site_settings.rs
+++ b/crates/hollyhook_settings/src/site/site_settings.rs
@@ -36,9 +36,7 @@
             (Ok(base), Ok(overlay)) => Self::merge(&base, &overlay),
             (base, overlay) => {
                 let errors = [base.err(), overlay.err()];
-                Err(SettingErrors(
-                    errors.into_iter().flatten().flat_map(|errors| errors.0).collect(),
-                ))
+                Err(SettingErrors(errors.into_iter().flatten().flat_map(|errors| errors.0).collect()))
             }
         }
     }
@@ -64,16 +62,14 @@
     pub fn service_of_path(&self, path: &str) -> Option<&ServiceSettings> {
         self.services.iter().find(|service| match &service.kind {
             ServiceKind::Generation(_) => false,
-            ServiceKind::Plain(plain) => path
-                .strip_prefix(&*plain.prefix)
-                .is_some_and(|rest| rest.is_empty() || rest.starts_with('/')),
+            ServiceKind::Plain(plain) => {
+                path.strip_prefix(&*plain.prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+            }
         })
     }
 
     /// The client account of an API key.
     pub fn account_of_key(&self, digest: &str) -> Option<&AccountSettings> {
-        self.accounts
-            .iter()
-            .find(|account| account.keys.iter().any(|key| **key == *digest))
+        self.accounts.iter().find(|account| account.keys.iter().any(|key| **key == *digest))
     }
 }
--- a/crates/hollyhook_settings/src/value/value_parsers.rs
+++ b/crates/hollyhook_settings/src/value/value_parsers.rs
@@ -14,10 +14,7 @@
 type Parsed<T> = Result<T, ValueFault>;
 
 fn fault<T>(wrong: impl Into<String>, right: impl Into<String>) -> Parsed<T> {
-    Err(ValueFault {
-        wrong: wrong.into(),
-        right: right.into(),
-    })
+    Err(ValueFault { wrong: wrong.into(), right: right.into() })
 }
 
 /// A span between `least` and `most`, such as `250 ms`, `4 s` or `2 min`.
@@ -62,10 +59,7 @@
         };
         let size = number.saturating_mul(factor);
         if size < least || size > most {
-            return fault(
-                format!("`{text}` is out of range"),
-                format!("give a size from {least} B to {most} B"),
-            );
+            return fault(format!("`{text}` is out of range"), format!("give a size from {least} B to {most} B"));
         }
         Ok(size)
     }
@@ -76,10 +70,7 @@
     move |text| {
         let (number, unit) = split_unit(text);
         if unit != "tokens" {
-            return fault(
-                format!("`{text}` has no unit"),
-                "give a number and `tokens`, such as `32768 tokens`",
-            );
+            return fault(format!("`{text}` has no unit"), "give a number and `tokens`, such as `32768 tokens`");
         }
         count(least, most)(number)
     }
@@ -89,14 +80,8 @@
 pub(crate) fn count(least: u64, most: u64) -> impl Fn(&str) -> Parsed<u64> {
     move |text| match text.parse() {
         Ok(number) if (least..=most).contains(&number) => Ok(number),
-        Ok(_) => fault(
-            format!("`{text}` is out of range"),
-            format!("give a number from {least} to {most}"),
-        ),
-        Err(_) => fault(
-            format!("`{text}` is not a whole number"),
-            format!("give a number from {least} to {most}"),
-        ),
+        Ok(_) => fault(format!("`{text}` is out of range"), format!("give a number from {least} to {most}")),
+        Err(_) => fault(format!("`{text}` is not a whole number"), format!("give a number from {least} to {most}")),
     }
 }
 
@@ -118,10 +103,7 @@
             return Ok(*value);
         }
         let words: Vec<&str> = options.iter().map(|(word, _)| *word).collect();
-        fault(
-            format!("`{text}` is not one of the choices"),
-            format!("give one of: {}", words.join(", ")),
-        )
+        fault(format!("`{text}` is not one of the choices"), format!("give one of: {}", words.join(", ")))
     }
 }
 
@@ -129,20 +111,13 @@
 pub(crate) fn address(text: &str) -> Parsed<SocketAddr> {
     match text.parse() {
         Ok(address) => Ok(address),
-        Err(_) => fault(
-            format!("`{text}` is not an address"),
-            "give an IP number and a port, such as `10.0.1.7:8080`",
-        ),
+        Err(_) => fault(format!("`{text}` is not an address"), "give an IP number and a port, such as `10.0.1.7:8080`"),
     }
 }
 
 /// Addresses, parted by commas.
 pub(crate) fn addresses(text: &str) -> Parsed<Vec<SocketAddr>> {
-    text.split(',')
-        .map(str::trim)
-        .filter(|part| !part.is_empty())
-        .map(address)
-        .collect()
+    text.split(',').map(str::trim).filter(|part| !part.is_empty()).map(address).collect()
 }
 
 /// A name of letters, digits, dots, underscores and hyphens.
@@ -158,38 +133,24 @@
 
 /// Names, parted by commas.
 pub(crate) fn names(text: &str) -> Parsed<Vec<Name>> {
-    text.split(',')
-        .map(str::trim)
-        .filter(|part| !part.is_empty())
-        .map(name)
-        .collect()
+    text.split(',').map(str::trim).filter(|part| !part.is_empty()).map(name).collect()
 }
 
 /// A path prefix such as `/booking`.
 pub(crate) fn path(text: &str) -> Parsed<Name> {
     let is_fit = text.starts_with('/') && text.len() > 1 && !text.ends_with('/') && !text.contains(['?', '#', ' ']);
     if !is_fit {
-        return fault(
-            format!("`{text}` is not a path prefix"),
-            "begin with `/` and end without, such as `/booking`",
-        );
+        return fault(format!("`{text}` is not a path prefix"), "begin with `/` and end without, such as `/booking`");
     }
     if text == "/v1" || text.starts_with("/v1/") || text.starts_with("/-/") {
-        return fault(
-            format!("`{text}` is hollyhook's own"),
-            "choose a prefix other than `/v1` and `/-`",
-        );
+        return fault(format!("`{text}` is hollyhook's own"), "choose a prefix other than `/v1` and `/-`");
     }
     Ok(text.into())
 }
 
 /// The path of a file.
 pub(crate) fn file(text: &str) -> Parsed<PathBuf> {
-    if text.is_empty() {
-        fault("the path is empty", "give the path of a file")
-    } else {
-        Ok(text.into())
-    }
+    if text.is_empty() { fault("the path is empty", "give the path of a file") } else { Ok(text.into()) }
 }
 
 /// 32 bytes as 64 hexadecimal digits.
@@ -197,10 +158,7 @@
     let mut bytes = [0; 32];
     let is_hex = text.len() == 64 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
     if !is_hex {
-        return fault(
-            "the value is not 64 hexadecimal digits",
-            "run `hollyhook key` to make one",
-        );
+        return fault("the value is not 64 hexadecimal digits", "run `hollyhook key` to make one");
     }
     for (byte, pair) in bytes.iter_mut().zip(text.as_bytes().chunks_exact(2)) {
         let digit = |byte: u8| char::from(byte).to_digit(16).unwrap_or_default() as u8;
@@ -215,8 +173,6 @@
 }
 
 fn split_unit(text: &str) -> (&str, &str) {
-    let end = text
-        .find(|c: char| !c.is_ascii_digit() && c != '.')
-        .unwrap_or(text.len());
+    let end = text.find(|c: char| !c.is_ascii_digit() && c != '.').unwrap_or(text.len());
     (&text[..end], text[end..].trim())
 }
--- a/crates/hollyhook_settings/tests/cases.rs
+++ b/crates/hollyhook_settings/tests/cases.rs
@@ -10,9 +10,7 @@
     let text = std::fs::read_to_string(path)?;
     let part = |name: &str| {
         let parts = text.split("--- ").find(|part| part.lines().next() == Some(name));
-        parts
-            .and_then(|part| part.split_once('\n'))
-            .map_or("", |(_, body)| body)
+        parts.and_then(|part| part.split_once('\n')).map_or("", |(_, body)| body)
     };
     let expected: Vec<&str> = part("errors").lines().filter(|line| !line.is_empty()).collect();
     let errors = match merge(part("base"), part("overlay")) {
@@ -25,10 +23,7 @@
 }
 
 fn merge(base: &str, overlay: &str) -> Result<SiteSettings, SettingErrors> {
-    SiteSettings::merge(
-        &SettingFile::parse("base", base)?,
-        &SettingFile::parse("overlay", overlay)?,
-    )
+    SiteSettings::merge(&SettingFile::parse("base", base)?, &SettingFile::parse("overlay", overlay)?)
 }
 
 datatest_stable::harness! {
--- a/crates/hollyhook_standin/src/engine/engine_batch.rs
+++ b/crates/hollyhook_standin/src/engine/engine_batch.rs
@@ -119,11 +119,7 @@
         let all = prompt.chain(resumed.iter().map(|token| &**token));
         let total = request.prompt_tokens() + resumed.len() as u64;
         let cached = self.cache.read(all) as u64;
-        EngineWork {
-            prefill: total - cached,
-            cached,
-            decode: 0,
-        }
+        EngineWork { prefill: total - cached, cached, decode: 0 }
     }
 
     pub(super) fn attach(&mut self, id: GenerationId, attempt: AttemptNumber) -> Result<Receiver<()>, EndpointRefusal> {
@@ -153,10 +149,7 @@
 
     /// Stops the work for a generation, unless a newer attempt holds it; returns whether there was any.
     pub(super) fn cancel(&mut self, id: GenerationId, attempt: AttemptNumber) -> bool {
-        let is_held = self
-            .sequences
-            .get(&id)
-            .is_some_and(|sequence| sequence.attempt <= attempt);
+        let is_held = self.sequences.get(&id).is_some_and(|sequence| sequence.attempt <= attempt);
         if is_held && let Some(sequence) = self.sequences.remove(&id) {
             self.account(&sequence);
             self.counts.cancelled += 1;
@@ -193,11 +186,8 @@
     fn fill_places(&mut self, now: Instant) {
         let running = self.sequences.values().filter(|sequence| is_running(sequence)).count();
         let places = (self.options.capacity as usize).saturating_sub(running);
-        let mut waiting: Vec<&mut Sequence> = self
-            .sequences
-            .values_mut()
-            .filter(|sequence| sequence.state == SequenceState::Waiting)
-            .collect();
+        let mut waiting: Vec<&mut Sequence> =
+            self.sequences.values_mut().filter(|sequence| sequence.state == SequenceState::Waiting).collect();
         waiting.sort_by_key(|sequence| (sequence.priority, sequence.arrival));
         for sequence in waiting.into_iter().take(places) {
             let cost = self.options.prefill_per_token * sequence.work.prefill as u32;
@@ -209,12 +199,8 @@
     fn drop_orphans(&mut self, now: Instant) {
         let grace = self.options.orphan_grace;
         let is_lost = |sequence: &Sequence| is_past(sequence.orphan_since, now, grace);
-        let lost: Vec<GenerationId> = self
-            .sequences
-            .iter()
-            .filter(|(_, sequence)| is_lost(sequence))
-            .map(|(id, _)| *id)
-            .collect();
+        let lost: Vec<GenerationId> =
+            self.sequences.iter().filter(|(_, sequence)| is_lost(sequence)).map(|(id, _)| *id).collect();
         for id in lost {
             if let Some(sequence) = self.sequences.remove(&id) {
                 self.counts.orphaned += u64::from(!sequence.is_finished());
--- a/crates/hollyhook_standin/src/engine/engine_stand_in.rs
+++ b/crates/hollyhook_standin/src/engine/engine_stand_in.rs
@@ -52,8 +52,8 @@
     /// # Errors
     ///
     /// `InvalidSetting` if the address can't be listened at.
-    pub async fn start(address: SocketAddr, options: EngineOptions) -> Result<Self> {
-        let server = HttpServer::bind(address, ServerLimits::default().idle_timeout(Duration::from_mins(10))).await?;
+    pub fn start(address: SocketAddr, options: EngineOptions) -> Result<Self> {
+        let server = HttpServer::bind(address, ServerLimits::default().idle_timeout(Duration::from_mins(10)))?;
         let faults = Arc::new(FaultState::new(server.gate(), options.is_own_process));
         let address = server.address();
         let capacity = options.capacity;
@@ -65,10 +65,7 @@
             silence_epoch: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             is_lying: AtomicBool::new(false),
-            reported: Mutex::new(LoadReport {
-                capacity,
-                ..LoadReport::default()
-            }),
+            reported: Mutex::new(LoadReport { capacity, ..LoadReport::default() }),
         });
         task::spawn(run_steps(Arc::clone(&shared)));
         task::spawn(run_reports(Arc::clone(&shared)));
@@ -114,11 +111,7 @@
     }
 
     fn endpoint_state(&self) -> EndpointState {
-        if self.is_leaving.load(Ordering::SeqCst) {
-            EndpointState::Leaving
-        } else {
-            EndpointState::Live
-        }
+        if self.is_leaving.load(Ordering::SeqCst) { EndpointState::Leaving } else { EndpointState::Live }
     }
 }
 
@@ -145,10 +138,8 @@
 
 fn routes(shared: Arc<EngineShared>) -> tide::Server<Arc<EngineShared>> {
     let mut app = tide::with_state(shared);
-    app.at(ApiStyle::Completion.path())
-        .post(|request| generate(request, ApiStyle::Completion));
-    app.at(ApiStyle::Chat.path())
-        .post(|request| generate(request, ApiStyle::Chat));
+    app.at(ApiStyle::Completion.path()).post(|request| generate(request, ApiStyle::Completion));
+    app.at(ApiStyle::Chat.path()).post(|request| generate(request, ApiStyle::Chat));
     app.at("/v1/generations/:id").get(state).delete(cancel);
     app.at("/v1/generations/:id/stream").get(attach);
     app.at("/v1/load").get(load);
@@ -222,31 +213,15 @@
     };
     let query: CancelQuery = request.query()?;
     let was_held = request.state().batch().cancel(id, query.attempt);
-    Ok(if was_held {
-        Response::new(StatusCode::Ok)
-    } else {
-        refuse(EndpointRefusal::NotHeld)
-    })
+    Ok(if was_held { Response::new(StatusCode::Ok) } else { refuse(EndpointRefusal::NotHeld) })
 }
 
 async fn load(request: Request<Arc<EngineShared>>) -> tide::Result {
     let shared = request.state();
     let reported = *shared.reported.lock().unwrap_or_else(PoisonError::into_inner);
     let is_lying = shared.is_lying.load(Ordering::SeqCst);
-    let load = if is_lying {
-        LoadReport {
-            running: 0,
-            waiting: 0,
-            ..reported
-        }
-    } else {
-        reported
-    };
-    json(&EngineLoad {
-        binding: shared.options.binding.clone(),
-        state: shared.endpoint_state(),
-        load,
-    })
+    let load = if is_lying { LoadReport { running: 0, waiting: 0, ..reported } } else { reported };
+    json(&EngineLoad { binding: shared.options.binding.clone(), state: shared.endpoint_state(), load })
 }
 
 async fn counts(request: Request<Arc<EngineShared>>) -> tide::Result {
@@ -271,9 +246,7 @@
 }
 
 fn json(value: &impl serde::Serialize) -> tide::Result {
-    Ok(Response::builder(StatusCode::Ok)
-        .body(tide::Body::from_json(value)?)
-        .build())
+    Ok(Response::builder(StatusCode::Ok).body(tide::Body::from_json(value)?).build())
 }
 
 fn stream(
@@ -293,10 +266,7 @@
         position: from,
     };
     task::spawn(pump.run(feed, wake));
-    Response::builder(StatusCode::Ok)
-        .content_type("text/event-stream")
-        .body(body)
-        .build()
+    Response::builder(StatusCode::Ok).content_type("text/event-stream").body(body).build()
 }
 
 /// Moves the tokens of one sequence to one attachment.
@@ -373,35 +343,17 @@
         ApiStyle::Completion => (text, None),
         ApiStyle::Chat => (None, Some(ChunkDelta { content: text })),
     };
-    let choice = ChunkChoice {
-        index: 0,
-        text,
-        delta,
-        finish_reason: None,
-    };
-    EngineChunk {
-        choices: vec![choice],
-        usage: None,
-        work: None,
-    }
+    let choice = ChunkChoice { index: 0, text, delta, finish_reason: None };
+    EngineChunk { choices: vec![choice], usage: None, work: None }
 }
 
 fn end_chunk(sequence: &Sequence) -> EngineChunk<'static> {
-    let choice = ChunkChoice {
-        index: 0,
-        text: None,
-        delta: None,
-        finish_reason: Some(EndReason::Length),
-    };
+    let choice = ChunkChoice { index: 0, text: None, delta: None, finish_reason: Some(EndReason::Length) };
     let output = sequence.tokens.len() as u64;
     let usage = EngineUsage {
         prompt_tokens: sequence.prompt_tokens,
         completion_tokens: output,
         total_tokens: sequence.prompt_tokens + output,
     };
-    EngineChunk {
-        choices: vec![choice],
-        usage: Some(usage),
-        work: Some(sequence.work),
-    }
+    EngineChunk { choices: vec![choice], usage: Some(usage), work: Some(sequence.work) }
 }
--- a/crates/hollyhook_standin/src/engine/prefix_cache.rs
+++ b/crates/hollyhook_standin/src/engine/prefix_cache.rs
@@ -14,11 +14,7 @@
 
 impl PrefixCache {
     pub(super) fn new(tokens: usize) -> Self {
-        Self {
-            limit: tokens / BLOCK,
-            blocks: HashSet::new(),
-            order: VecDeque::new(),
-        }
+        Self { limit: tokens / BLOCK, blocks: HashSet::new(), order: VecDeque::new() }
     }
 
     /// The number of leading tokens that are cached; all of them are, afterwards.
--- a/crates/hollyhook_standin/src/fault/fault_state.rs
+++ b/crates/hollyhook_standin/src/fault/fault_state.rs
@@ -74,9 +74,7 @@
     /// Whether this reply is one to lose.
     pub(crate) fn loses_reply(&self) -> bool {
         let less = |left: u64| left.checked_sub(1);
-        self.replies_to_lose
-            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, less)
-            .is_ok()
+        self.replies_to_lose.fetch_update(Ordering::SeqCst, Ordering::SeqCst, less).is_ok()
     }
 
     /// Waits out a pause and the delay.
--- a/crates/hollyhook_standin/src/platform/object_store.rs
+++ b/crates/hollyhook_standin/src/platform/object_store.rs
@@ -27,13 +27,7 @@
 impl Default for ObjectStore {
     fn default() -> Self {
         let (changed_sender, changed) = async_channel::bounded(1);
-        Self {
-            revision: 0,
-            kinds: BTreeMap::new(),
-            history: Vec::new(),
-            changed_sender,
-            changed,
-        }
+        Self { revision: 0, kinds: BTreeMap::new(), history: Vec::new(), changed_sender, changed }
     }
 }
 
@@ -49,30 +43,18 @@
             version: object.version,
             value: Some(object.value.clone()),
         });
-        ObjectList {
-            revision: ObjectVersion(self.revision),
-            changes: changes.collect(),
-        }
+        ObjectList { revision: ObjectVersion(self.revision), changes: changes.collect() }
     }
 
     /// The changes of a kind after a revision; the whole list if that is too long ago.
     pub(super) fn changes(&self, kind: &str, after: ObjectVersion) -> ObjectList {
-        let oldest = self
-            .history
-            .first()
-            .map_or(self.revision, |(_, change)| change.version.0);
+        let oldest = self.history.first().map_or(self.revision, |(_, change)| change.version.0);
         if after.0 + 1 < oldest {
             return self.list(kind);
         }
-        let recent = self
-            .history
-            .iter()
-            .filter(|(of, change)| **of == *kind && change.version > after);
+        let recent = self.history.iter().filter(|(of, change)| **of == *kind && change.version > after);
         let changes = recent.map(|(_, change)| change.clone()).collect();
-        ObjectList {
-            revision: ObjectVersion(self.revision),
-            changes,
-        }
+        ObjectList { revision: ObjectVersion(self.revision), changes }
     }
 
     /// Ends when the store changes after this call.
@@ -93,23 +75,9 @@
         self.revision += 1;
         let version = ObjectVersion(self.revision);
         let name = Name::from(name);
-        let object = StoredObject {
-            name: Name::clone(&name),
-            version,
-            value: value.clone(),
-        };
-        self.kinds
-            .entry(kind.into())
-            .or_default()
-            .insert(Name::clone(&name), object);
-        self.record(
-            kind,
-            ObjectChange {
-                name,
-                version,
-                value: Some(value),
-            },
-        );
+        let object = StoredObject { name: Name::clone(&name), version, value: value.clone() };
+        self.kinds.entry(kind.into()).or_default().insert(Name::clone(&name), object);
+        self.record(kind, ObjectChange { name, version, value: Some(value) });
         Ok(version)
     }
 
--- a/crates/hollyhook_standin/src/platform/platform_stand_in.rs
+++ b/crates/hollyhook_standin/src/platform/platform_stand_in.rs
@@ -15,7 +15,7 @@
 const MAX_WATCH: Duration = Duration::from_mins(1);
 
 /// How a platform stand-in behaves. A builder.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct PlatformOptions {
     is_own_process: bool,
 }
@@ -72,15 +72,12 @@
     /// # Errors
     ///
     /// `InvalidSetting` if the address can't be listened at.
-    pub async fn start(address: SocketAddr, options: PlatformOptions) -> Result<Self> {
-        let server = HttpServer::bind(address, ServerLimits::default()).await?;
+    pub fn start(address: SocketAddr, options: PlatformOptions) -> Result<Self> {
+        let server = HttpServer::bind(address, ServerLimits::default())?;
         let faults = Arc::new(FaultState::new(server.gate(), options.is_own_process));
         let address = server.address();
-        let shared = Arc::new(PlatformShared {
-            store: Mutex::default(),
-            counts: Mutex::default(),
-            faults: Arc::clone(&faults),
-        });
+        let shared =
+            Arc::new(PlatformShared { store: Mutex::default(), counts: Mutex::default(), faults: Arc::clone(&faults) });
         let mut app = tide::with_state(Arc::clone(&shared));
         app.at("/objects/:kind").get(list);
         app.at("/objects/:kind/:name").get(get).put(put);
@@ -112,10 +109,7 @@
     if shared.faults.is_out() {
         return Ok(unavailable());
     }
-    let object = shared
-        .store()
-        .get(request.param("kind")?, request.param("name")?)
-        .cloned();
+    let object = shared.store().get(request.param("kind")?, request.param("name")?).cloned();
     match object {
         Some(object) => json(&object),
         None => Ok(Response::new(StatusCode::NotFound)),
@@ -147,10 +141,7 @@
     let found = async_std::future::timeout(wait, wait_for_changes(&shared, kind, after)).await;
     match found {
         Ok(list) => json(&list),
-        Err(_) => json(&ObjectList {
-            revision: after,
-            changes: Vec::new(),
-        }),
+        Err(_) => json(&ObjectList { revision: after, changes: Vec::new() }),
     }
 }
 
@@ -184,9 +175,7 @@
         (None, Some("*")) => None,
         _ => return Ok(Response::new(StatusCode::PreconditionRequired)),
     };
-    let written = shared
-        .store()
-        .put(request.param("kind")?, request.param("name")?, expected, value);
+    let written = shared.store().put(request.param("kind")?, request.param("name")?, expected, value);
     if written.is_ok() && shared.faults.loses_reply() {
         return Ok(cut_connection());
     }
@@ -215,7 +204,5 @@
 }
 
 fn json(value: &impl Serialize) -> tide::Result {
-    Ok(Response::builder(StatusCode::Ok)
-        .body(tide::Body::from_json(value)?)
-        .build())
+    Ok(Response::builder(StatusCode::Ok).body(tide::Body::from_json(value)?).build())
 }
--- a/crates/hollyhook_standin/src/service/service_stand_in.rs
+++ b/crates/hollyhook_standin/src/service/service_stand_in.rs
@@ -12,7 +12,7 @@
 use crate::fault::{FaultOrder, FaultState, cut_connection, serve};
 
 /// How a service stand-in behaves. A builder.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct ServiceOptions {
     is_own_process: bool,
 }
@@ -60,14 +60,11 @@
     /// # Errors
     ///
     /// `InvalidSetting` if the address can't be listened at.
-    pub async fn start(address: SocketAddr, options: ServiceOptions) -> Result<Self> {
-        let server = HttpServer::bind(address, ServerLimits::default()).await?;
+    pub fn start(address: SocketAddr, options: ServiceOptions) -> Result<Self> {
+        let server = HttpServer::bind(address, ServerLimits::default())?;
         let faults = Arc::new(FaultState::new(server.gate(), options.is_own_process));
         let address = server.address();
-        let shared = Arc::new(ServiceShared {
-            counts: Mutex::default(),
-            faults: Arc::clone(&faults),
-        });
+        let shared = Arc::new(ServiceShared { counts: Mutex::default(), faults: Arc::clone(&faults) });
         let mut app = tide::with_state(Arc::clone(&shared));
         app.at("/admin/counts").get(counts);
         app.at("/admin/fault").post(fault);
@@ -99,9 +96,7 @@
     if shared.faults.is_out() {
         return Ok(Response::new(StatusCode::ServiceUnavailable));
     }
-    let key = request
-        .header("idempotency-key")
-        .map(|values| Name::from(values.as_str()));
+    let key = request.header("idempotency-key").map(|values| Name::from(values.as_str()));
     let execution = {
         let mut counts = shared.counts();
         counts.executions += 1;
@@ -115,16 +110,12 @@
     }
     let method = request.method().to_string();
     let answer = json!({"execution": execution, "method": method, "path": request.url().path(), "body": body});
-    Ok(Response::builder(StatusCode::Ok)
-        .body(tide::Body::from_json(&answer)?)
-        .build())
+    Ok(Response::builder(StatusCode::Ok).body(tide::Body::from_json(&answer)?).build())
 }
 
 async fn counts(request: Request<Arc<ServiceShared>>) -> tide::Result {
     let counts = request.state().counts().clone();
-    Ok(Response::builder(StatusCode::Ok)
-        .body(tide::Body::from_json(&counts)?)
-        .build())
+    Ok(Response::builder(StatusCode::Ok).body(tide::Body::from_json(&counts)?).build())
 }
 
 async fn fault(mut request: Request<Arc<ServiceShared>>) -> tide::Result {
--- a/crates/hollyhook_wire/src/api/caller_client.rs
+++ b/crates/hollyhook_wire/src/api/caller_client.rs
@@ -45,11 +45,7 @@
 impl CallerClient {
     /// A client of the daemon at that address, with an API key.
     pub fn new(address: SocketAddr, key: impl Into<Name>) -> Self {
-        Self {
-            http: HttpClient::new(Duration::from_secs(2)),
-            address,
-            key: key.into(),
-        }
+        Self { http: HttpClient::new(Duration::from_secs(2)), address, key: key.into() }
     }
 
     /// The same client at another host.
@@ -72,10 +68,7 @@
     ) -> Result<std::result::Result<CallerStream, ApiErrorBody>> {
         let mut answer = self.send(Method::Post, style.path(), Some(body), fields).await?;
         if answer.response.status().is_success() {
-            return Ok(Ok(CallerStream {
-                answer,
-                parser: SseParser::default(),
-            }));
+            return Ok(Ok(CallerStream { answer, parser: SseParser::default() }));
         }
         let bytes = answer.response.body_bytes().await.map_err(|error| broken(&error))?;
         serde_json::from_slice(&bytes).map(Err).map_err(|error| broken(&error))
@@ -97,11 +90,7 @@
         let bytes = answer.response.body_bytes().await.map_err(|error| broken(&error))?;
         let retry_after = header(&answer.response, "retry-after").and_then(|text| text.parse().ok());
         let value = serde_json::from_slice(&bytes).unwrap_or_default();
-        Ok(CallerAnswer {
-            status: answer.response.status().into(),
-            retry_after,
-            value,
-        })
+        Ok(CallerAnswer { status: answer.response.status().into(), retry_after, value })
     }
 
     async fn send(
@@ -187,10 +176,7 @@
     }
     let text = choice["text"].as_str().or_else(|| choice["delta"]["content"].as_str());
     Ok(match (id, text) {
-        (Some(cursor), Some(text)) => Some(CallerItem::Token {
-            cursor,
-            text: text.to_owned(),
-        }),
+        (Some(cursor), Some(text)) => Some(CallerItem::Token { cursor, text: text.to_owned() }),
         _ => None,
     })
 }
--- a/crates/hollyhook_wire/src/api/caller_request.rs
+++ b/crates/hollyhook_wire/src/api/caller_request.rs
@@ -76,10 +76,7 @@
         }
         Ok(Self {
             style,
-            model: reader
-                .text("model")?
-                .ok_or_else(|| invalid("model", "`model` is missing: give a string"))?
-                .into(),
+            model: reader.text("model")?.ok_or_else(|| invalid("model", "`model` is missing: give a string"))?.into(),
             is_stream: reader.flag("stream")?,
             has_usage: reader.has_usage()?,
             max_tokens,
@@ -178,10 +175,7 @@
     fn refuse_unsupported(&self) -> Result<()> {
         for name in ["n", "best_of"] {
             if self.count(name)?.is_some_and(|number| number != 1) {
-                return Err(invalid(
-                    name,
-                    &format!("`{name}` must be 1: a request is one generation"),
-                ));
+                return Err(invalid(name, &format!("`{name}` must be 1: a request is one generation")));
             }
         }
         for name in ["logprobs", "echo", "suffix", "tools", "functions"] {
@@ -198,18 +192,14 @@
     }
 
     fn prompt(&self) -> Result<String> {
-        let prompt = self
-            .text("prompt")?
-            .ok_or_else(|| invalid("prompt", "`prompt` is missing: give a string"))?;
+        let prompt = self.text("prompt")?.ok_or_else(|| invalid("prompt", "`prompt` is missing: give a string"))?;
         Ok(prompt.to_owned())
     }
 
     fn messages(&self) -> Result<String> {
         let wrong = |what: &str| invalid("messages", what);
         let Some(Value::Array(messages)) = self.get("messages") else {
-            return Err(wrong(
-                "`messages` is missing: give an array of objects with `role` and `content`",
-            ));
+            return Err(wrong("`messages` is missing: give an array of objects with `role` and `content`"));
         };
         if messages.is_empty() {
             return Err(wrong("`messages` must not be empty"));
@@ -218,9 +208,7 @@
         for message in messages {
             let role = message.get("role").and_then(Value::as_str);
             let role = role.ok_or_else(|| wrong("each message needs a `role` string"))?;
-            let content = message
-                .get("content")
-                .ok_or_else(|| wrong("each message needs `content`"))?;
+            let content = message.get("content").ok_or_else(|| wrong("each message needs `content`"))?;
             text.push_str(role);
             text.push_str(": ");
             text.push_str(&content_text(content).ok_or_else(|| wrong("`content` must be a string or text parts"))?);
@@ -233,10 +221,7 @@
 fn content_text(content: &Value) -> Option<String> {
     match content {
         Value::String(text) => Some(text.clone()),
-        Value::Array(parts) => parts
-            .iter()
-            .map(|part| part.get("text").and_then(Value::as_str))
-            .collect(),
+        Value::Array(parts) => parts.iter().map(|part| part.get("text").and_then(Value::as_str)).collect(),
         _ => None,
     }
 }
--- a/crates/hollyhook_wire/src/api/engine_client.rs
+++ b/crates/hollyhook_wire/src/api/engine_client.rs
@@ -44,9 +44,7 @@
 impl EngineClient {
     /// A client that waits that long for a connection.
     pub const fn new(connect_timeout: Duration) -> Self {
-        Self {
-            http: HttpClient::new(connect_timeout),
-        }
+        Self { http: HttpClient::new(connect_timeout) }
     }
 
     /// Opens an attempt. The inner error is the endpoint's own refusal.
@@ -63,9 +61,7 @@
         log: &TokenLog,
     ) -> Result<std::result::Result<EngineStream, EndpointRefusal>> {
         if let OpenMode::Attach { position } = mode {
-            return self
-                .attach(address, extension.generation, extension.attempt, position)
-                .await;
+            return self.attach(address, extension.generation, extension.attempt, position).await;
         }
         if mode == OpenMode::Resume {
             extension.resume_tokens = log.iter().map(Into::into).collect();
@@ -73,10 +69,7 @@
         let mut body = request.body.clone();
         body.insert("stream".to_owned(), true.into());
         body.remove("stream_options");
-        body.insert(
-            "hollyhook".to_owned(),
-            serde_json::to_value(extension).map_err(|error| internal(&error))?,
-        );
+        body.insert("hollyhook".to_owned(), serde_json::to_value(extension).map_err(|error| internal(&error))?);
         let mut post = request_to(Method::Post, address, request.style.path())?;
         post.set_body(serde_json::to_vec(&body).map_err(|error| internal(&error))?);
         post.set_content_type(http_types::mime::JSON);
@@ -103,10 +96,7 @@
     /// Asks, on a new connection and for up to `limit`, what the endpoint holds of a generation.
     pub async fn probe(&self, address: SocketAddr, generation: GenerationId, limit: Duration) -> ProbeReport {
         match self.find(address, generation, limit).await {
-            Ok(Some(state)) => ProbeReport::Holds {
-                produced: state.produced,
-                is_finished: state.is_finished,
-            },
+            Ok(Some(state)) => ProbeReport::Holds { produced: state.produced, is_finished: state.is_finished },
             Ok(None) => ProbeReport::Lives,
             Err(_) => ProbeReport::Dead,
         }
@@ -184,14 +174,24 @@
 
 impl EngineStream {
     fn new(answer: ClientAnswer) -> Self {
-        Self {
-            answer,
-            parser: SseParser::default(),
-            position: 0,
+        Self { answer, parser: SseParser::default(), position: 0 }
+    }
+
+    /// An item that has arrived already, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// As for [`next`](Self::next).
+    pub fn ready(&mut self) -> Option<Result<StreamItem>> {
+        while let Some(event) = self.parser.next_event() {
+            if let Some(item) = self.take(&event).transpose() {
+                return Some(item);
+            }
         }
+        None
     }
 
-    /// Waits for the next item.
+    /// Waits for the next item; may be dropped and called again without losing one.
     ///
     /// # Errors
     ///
@@ -199,10 +199,8 @@
     pub async fn next(&mut self) -> Result<StreamItem> {
         const PIECE: usize = 2_048;
         loop {
-            while let Some(event) = self.parser.next_event() {
-                if let Some(item) = self.take(&event)? {
-                    return Ok(item);
-                }
+            if let Some(item) = self.ready() {
+                return item;
             }
             if self.parser.is_overfull() {
                 return Err(broken("an event is longer than any endpoint sends"));
@@ -230,21 +228,13 @@
             return Ok(None);
         };
         if let Some(reason) = choice.finish_reason {
-            return Ok(Some(StreamItem::End {
-                position,
-                reason,
-                usage: chunk.usage,
-                work: chunk.work,
-            }));
+            return Ok(Some(StreamItem::End { position, reason, usage: chunk.usage, work: chunk.work }));
         }
         let Some(text) = choice.content() else {
             return Ok(None);
         };
         self.position = position + 1;
-        Ok(Some(StreamItem::Token {
-            position,
-            text: text.to_owned(),
-        }))
+        Ok(Some(StreamItem::Token { position, text: text.to_owned() }))
     }
 }
 
--- a/crates/hollyhook_wire/src/api/stream_writer.rs
+++ b/crates/hollyhook_wire/src/api/stream_writer.rs
@@ -112,21 +112,9 @@
         };
         let (text, message) = match self.style {
             ApiStyle::Completion => (Some(self.text), None),
-            ApiStyle::Chat => (
-                None,
-                Some(AnswerMessage {
-                    role: "assistant",
-                    content: self.text,
-                }),
-            ),
-        };
-        let choice = AnswerChoice {
-            index: 0,
-            text,
-            message,
-            logprobs: None,
-            finish_reason: self.reason,
+            ApiStyle::Chat => (None, Some(AnswerMessage { role: "assistant", content: self.text })),
         };
+        let choice = AnswerChoice { index: 0, text, message, logprobs: None, finish_reason: self.reason };
         let body = AnswerBody {
             id: format!("{prefix}-{}", self.generation),
             object,
--- a/crates/hollyhook_wire/src/http/body_feed.rs
+++ b/crates/hollyhook_wire/src/http/body_feed.rs
@@ -36,11 +36,7 @@
 /// A body of unknown length and the feed that fills it, with room for `capacity` pieces.
 pub fn feed_body(capacity: usize) -> (BodyFeed, Body) {
     let (sender, receiver) = async_channel::bounded(capacity);
-    let reader = FeedReader {
-        pieces: Box::pin(receiver),
-        piece: Vec::new(),
-        used: 0,
-    };
+    let reader = FeedReader { pieces: Box::pin(receiver), piece: Vec::new(), used: 0 };
     (BodyFeed { sender }, Body::from_reader(reader, None))
 }
 
@@ -58,14 +54,10 @@
     }
     match outcome {
         Ok(_) => Ok(bytes),
-        Err(error) if error.kind() == io::ErrorKind::TimedOut => Err(Error::new(
-            ErrorKind::RequestTimeout,
-            "the body did not arrive whole in time",
-        )),
-        Err(error) => Err(Error::new(
-            ErrorKind::InvalidRequest,
-            format!("the body broke off: {error}"),
-        )),
+        Err(error) if error.kind() == io::ErrorKind::TimedOut => {
+            Err(Error::new(ErrorKind::RequestTimeout, "the body did not arrive whole in time"))
+        }
+        Err(error) => Err(Error::new(ErrorKind::InvalidRequest, format!("the body broke off: {error}"))),
     }
 }
 
--- a/crates/hollyhook_wire/src/http/guarded_stream.rs
+++ b/crates/hollyhook_wire/src/http/guarded_stream.rs
@@ -52,20 +52,13 @@
             read_limit: None,
             write_limit: None,
         };
-        Self {
-            stream,
-            state: Arc::new(Mutex::new(state)),
-        }
+        Self { stream, state: Arc::new(Mutex::new(state)) }
     }
 
     /// Waits for the next head of up to `limit` bytes, up to `idle` for its first byte and the read timeout for all.
     pub(super) async fn next_head(&self, limit: usize, idle: Duration) -> Result<HeadOutcome> {
         let mut bytes = self.take_ahead();
-        let mut deadline = Timer::after(if bytes.is_empty() {
-            idle
-        } else {
-            self.lock().read_timeout
-        });
+        let mut deadline = Timer::after(if bytes.is_empty() { idle } else { self.lock().read_timeout });
         let mut piece = [0; 2_048];
         loop {
             if let Some(end) = head_end(&bytes) {
--- a/crates/hollyhook_wire/src/http/http_client.rs
+++ b/crates/hollyhook_wire/src/http/http_client.rs
@@ -118,9 +118,7 @@
 /// Sends a request on an open connection and waits for the head of the answer.
 pub(crate) async fn send_on(stream: TcpStream, request: Request) -> Result<ClientAnswer> {
     let guard = ShutdownGuard(Some(stream.clone()));
-    let response = async_h1::connect(stream.clone(), request)
-        .await
-        .map_err(|error| broken(&error))?;
+    let response = async_h1::connect(stream.clone(), request).await.map_err(|error| broken(&error))?;
     guard.disarm();
     Ok(ClientAnswer { response, stream })
 }
@@ -143,8 +141,5 @@
 }
 
 fn broken(error: &http_types::Error) -> Error {
-    Error::new(
-        ErrorKind::OutcomeUnknown,
-        format!("the connection broke before the whole answer: {error}"),
-    )
+    Error::new(ErrorKind::OutcomeUnknown, format!("the connection broke before the whole answer: {error}"))
 }
--- a/crates/hollyhook_wire/src/http/http_server.rs
+++ b/crates/hollyhook_wire/src/http/http_server.rs
@@ -6,9 +6,10 @@
 use async_std::io::WriteExt;
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use futures::future::{Either, select};
+use futures::future::{AbortHandle, Either, FutureExt, abortable, select};
 use hollyhook_core::{Error, ErrorKind};
 use http_types::{Request, Response};
+use socket2::{Domain, Protocol, Socket, Type};
 
 use super::ConnectionGate;
 use super::guarded_stream::{GuardedStream, HeadOutcome};
@@ -89,18 +90,13 @@
     /// # Errors
     ///
     /// `InvalidSetting` if the address can't be listened at.
-    pub async fn bind(address: SocketAddr, limits: ServerLimits) -> Result<Self, Error> {
+    pub fn bind(address: SocketAddr, limits: ServerLimits) -> Result<Self, Error> {
         let wrong = |error: std::io::Error| {
             Error::new(ErrorKind::InvalidSetting, format!("can't listen at {address}: {error}")).param("listen")
         };
-        let listener = TcpListener::bind(address).await.map_err(wrong)?;
+        let listener = listen(address).map_err(wrong)?;
         let address = listener.local_addr().map_err(wrong)?;
-        Ok(Self {
-            listener,
-            address,
-            limits,
-            gate: ConnectionGate::new(),
-        })
+        Ok(Self { listener, address, limits, gate: ConnectionGate::new() })
     }
 
     /// Where it listens.
@@ -155,6 +151,18 @@
     }
 }
 
+/// Listens with a longer queue than the standard library's 128, which a thousand callers at once overflow; the
+/// kernel then drops the connections that are being made, and each costs its caller a second.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    const BACKLOG: i32 = 4_096;
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(std::net::TcpListener::from(socket).into())
+}
+
 async fn serve_connection<F, Fut>(stream: TcpStream, limits: ServerLimits, gate: ConnectionGate, handler: Arc<F>)
 where
     F: Fn(Request) -> Fut + Send + Sync + 'static,
@@ -179,26 +187,51 @@
             async move { handler(request).await }
         };
         let mut server = Server::new(guard.clone(), endpoint);
-        let serve = std::pin::pin!(server.accept_one());
-        let hang_up = std::pin::pin!(guard.hung_up());
-        let outcome = select(serve, hang_up).await;
+        let (serve, abort) = abortable(async move { server.accept_one().await });
+        let watch = HangUpWatch::start(guard.clone(), abort);
+        let outcome = serve.await;
+        drop(watch);
         drop(pass);
         match outcome {
-            Either::Left((Ok(ConnectionStatus::KeepAlive), _)) if !gate.is_draining() => {}
+            Ok(Ok(ConnectionStatus::KeepAlive)) if !gate.is_draining() => {}
             _ => return,
         }
     }
 }
 
+/// Ends the work for a request when its caller hangs up.
+///
+/// A task of its own: polled together with the work, it would ask the kernel again for each piece sent.
+struct HangUpWatch {
+    task: Option<task::JoinHandle<()>>,
+}
+
+impl HangUpWatch {
+    fn start(guard: GuardedStream, abort: AbortHandle) -> Self {
+        let task = task::spawn(async move {
+            guard.hung_up().await;
+            abort.abort();
+        });
+        Self { task: Some(task) }
+    }
+}
+
+impl Drop for HangUpWatch {
+    fn drop(&mut self) {
+        if let Some(watch) = self.task.take() {
+            // Cancelling takes effect when the handle is polled, which needs a task of its own here.
+            let _ended = watch.cancel().now_or_never();
+        }
+    }
+}
+
 /// Writes an answer by hand, where the HTTP library would end the connection without one.
 async fn refuse(stream: &TcpStream, error: &Error) {
     const LINGER: Duration = Duration::from_millis(200);
     let body = ApiErrorBody::from(error).to_json();
     let status =
         http_types::StatusCode::try_from(error.answer().status).unwrap_or(http_types::StatusCode::InternalServerError);
-    let retry = error
-        .get_retry_after()
-        .map(|span| format!("retry-after: {}\r\n", span.as_secs().max(1)));
+    let retry = error.get_retry_after().map(|span| format!("retry-after: {}\r\n", span.as_secs().max(1)));
     let text = format!(
         "HTTP/1.1 {} {}\r\ncontent-type: application/json\r\n{}content-length: {}\r\nconnection: close\r\n\r\n{body}",
         u16::from(status),
--- a/crates/hollyhook_wire/src/http/request_head.rs
+++ b/crates/hollyhook_wire/src/http/request_head.rs
@@ -12,10 +12,7 @@
 
 /// The length of the head with its empty line, if it is there whole.
 pub(super) fn head_end(bytes: &[u8]) -> Option<usize> {
-    bytes
-        .windows(4)
-        .position(|window| window == b"\r\n\r\n")
-        .map(|start| start + 4)
+    bytes.windows(4).position(|window| window == b"\r\n\r\n").map(|start| start + 4)
 }
 
 impl RequestHead {
@@ -44,22 +41,15 @@
         }
         match (lengths.as_slice(), is_chunked) {
             ([], true) => Ok(Self { content_length: None }),
-            ([], false) => Ok(Self {
-                content_length: Some(0),
-            }),
-            ([length], false) => Ok(Self {
-                content_length: Some(parse_length(length)?),
-            }),
+            ([], false) => Ok(Self { content_length: Some(0) }),
+            ([length], false) => Ok(Self { content_length: Some(parse_length(length)?) }),
             _ => Err(malformed("the length of the body is given more than once")),
         }
     }
 }
 
 fn values<'h>(headers: &'h [httparse::Header<'h>], name: &'h str) -> impl Iterator<Item = &'h [u8]> {
-    headers
-        .iter()
-        .filter(move |header| header.name.eq_ignore_ascii_case(name))
-        .map(|header| header.value)
+    headers.iter().filter(move |header| header.name.eq_ignore_ascii_case(name)).map(|header| header.value)
 }
 
 fn parse_length(bytes: &[u8]) -> Result<u64> {
@@ -70,9 +60,5 @@
 }
 
 fn malformed(what: &str) -> Error {
-    Error::new(
-        ErrorKind::MalformedHead,
-        format!("the request is not valid HTTP/1.1: {what}"),
-    )
-    .param("head")
+    Error::new(ErrorKind::MalformedHead, format!("the request is not valid HTTP/1.1: {what}")).param("head")
 }
--- a/crates/hollyhook_wire/src/peer/peer_calls.rs
+++ b/crates/hollyhook_wire/src/peer/peer_calls.rs
@@ -65,10 +65,7 @@
         report: impl Fn() -> HostReport + Send + Sync + 'static,
         status: impl Fn() -> StatusReport + Send + Sync + 'static,
     ) -> Self {
-        Self {
-            status: Arc::new(status),
-            report: Arc::new(report),
-        }
+        Self { status: Arc::new(status), report: Arc::new(report) }
     }
 }
 
@@ -114,9 +111,8 @@
 pub async fn connect_peer(address: SocketAddr, limit: Duration) -> Result<PeerCallsClient> {
     let unreachable = |what: &str| Error::new(ErrorKind::NoEndpoint, format!("no daemon answers at {address}: {what}"));
     let connected = async_std::future::timeout(limit, TcpStream::connect(address)).await;
-    let stream = connected
-        .map_err(|_late| unreachable("timed out"))?
-        .map_err(|error| unreachable(&error.to_string()))?;
+    let stream =
+        connected.map_err(|_late| unreachable("timed out"))?.map_err(|error| unreachable(&error.to_string()))?;
     let client = PeerCallsClient::new(tarpc::client::Config::default(), transport(stream));
     task::spawn(async move {
         let _closed = client.dispatch.await;
--- a/crates/hollyhook_wire/src/platform/platform_client.rs
+++ b/crates/hollyhook_wire/src/platform/platform_client.rs
@@ -81,11 +81,7 @@
 impl PlatformClient {
     /// A client for the platform at that address.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            http: HttpClient::new(Duration::from_millis(500)),
-            calls: Arc::default(),
-        }
+        Self { address, http: HttpClient::new(Duration::from_millis(500)), calls: Arc::default() }
     }
 
     /// Reads made so far.
