Prove the decisions by stateful fuzzing and by replay of traces

Change: tests/fuzz (relays of several hosts with engines, connections and a caller who checks; claims of several hosts on one platform; cursors; gates; retry budget) with fixed seeds, tallies that must not be zero, and longer runs by one command; RelayTrace, recorded by the daemon ([log] traces = on), shown by 'hollyhook explain', replayed by 'hollyhook replay' and by datatest-stable; claims, probes and their bounds are pure parts now (ClaimShard, ProbeGate). Found by the fuzz, each failing first: (1) a claim and the release that frees its key in one batch: the claim was told there was no room; releases come first now. (2) A caller who came back with tokens when no endpoint was left was told 'not run'; it is 'lost' now. (3) A host that was paused could act under the attempt number of its successor; a takeover now steps past any number its predecessor can use. Found by a recorded trace: with every engine gone the search ended after 100 ms, since refused connections used up the attempts; now only time bounds them (window 4 s), in rounds of three with growing pauses. Ruled out: no bound at all, which is a storm of connections (outage tests count them). Conclusion: the relay and the claims hold under these faults alone, together and twice; the daemon's shell is only covered by the process tests.

--- a/crates/hollyhook/tests/processes/fleet.rs
+++ b/crates/hollyhook/tests/processes/fleet.rs
@@ -189,6 +189,7 @@
     let text = format!(
         "[host]\nname = host-{number}\nzone = zone-{}\nlisten = 127.0.0.1:0\npeer_listen = 127.0.0.1:0\n\
          [platform]\naddress = {platform}\n[configuration]\nbase = base.ini\noverlay = site.ini\n\
+         [log]\ntraces = on\n\
          [keys]\ncursor = {}\n",
         number % 2,
         "5a".repeat(32)
--- a/crates/hollyhook/tests/processes/status.rs
+++ b/crates/hollyhook/tests/processes/status.rs
@@ -31,3 +31,35 @@
     assert_eq!(status["endpoints"].as_array().unwrap().len(), 4);
     assert!(run(&[]).contains("between_tokens"));
 }
+
+#[test]
+fn explain_and_replay_a_kill() {
+    let mut fleet = Fleet::start(&FleetPlan::default());
+    let request = block_on(async {
+        let mut reading = Reading::open(&fleet.client(0), "a report", 50, &[]).await;
+        reading.read_to(10).await;
+        let busy = fleet.busy_engine().await;
+        fleet.engines[busy].kill();
+        reading.read_all().await;
+        reading.stream.request_id().unwrap().to_owned()
+    });
+    let peer = fleet.daemons[0].peer_address.unwrap().to_string();
+    let run = |args: &[&str]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_hollyhook")).args(args).output().unwrap();
+        (output.status.success(), String::from_utf8(output.stdout).unwrap())
+    };
+    let (_, words) = run(&["explain", &request, "--daemon", &peer]);
+    assert!(
+        words.contains("from the prompt and the tokens so far") && words.contains("50 tokens in all; Whole"),
+        "{words}"
+    );
+
+    let (_, trace) = run(&["explain", &request, "--daemon", &peer, "--raw"]);
+    let folder = tempfile::tempdir().unwrap();
+    let (right, wrong) = (folder.path().join("right"), folder.path().join("wrong"));
+    std::fs::write(&right, &trace).unwrap();
+    std::fs::write(&wrong, trace.replace("\"delivered\":50", "\"delivered\":51")).unwrap();
+    assert!(run(&["replay", right.to_str().unwrap()]).0);
+    assert!(!run(&["replay", wrong.to_str().unwrap()]).0);
+    assert!(!run(&["explain", &"0".repeat(32), "--daemon", &peer]).0);
+}
--- a/crates/hollyhook_command/src/args/command_args.rs
+++ b/crates/hollyhook_command/src/args/command_args.rs
@@ -8,7 +8,7 @@
 use crate::load::{LoadArgs, run_load};
 use crate::settings::{check_settings, print_key};
 use crate::stand_in::{StandInArgs, run_stand_in};
-use crate::view::{StatusArgs, run_status};
+use crate::view::{ExplainArgs, ReplayArgs, StatusArgs, run_explain, run_replay, run_status};
 
 /// Operates hollyhook, a serving system for long generations on engines that fail.
 #[derive(Debug, Parser)]
@@ -38,6 +38,10 @@
     },
     /// Show what a running daemon does.
     Status(StatusArgs),
+    /// Tell what happened to one request, step by step, from the daemon's trace of it.
+    Explain(ExplainArgs),
+    /// Replay recorded traces and compare with the outcomes that they state.
+    Replay(ReplayArgs),
     /// Measure what the daemon costs and how it does through failures.
     Load(LoadArgs),
     /// Run a stand-in of an outside system as this process.
@@ -58,6 +62,8 @@
             Ok(ExitCode::SUCCESS)
         }
         CommandKind::Status(args) => run_status(args).await,
+        CommandKind::Explain(args) => run_explain(args).await,
+        CommandKind::Replay(args) => run_replay(&args),
         CommandKind::Load(args) => run_load(args).await,
         CommandKind::StandIn(args) => run_stand_in(args).await,
     }
--- a/crates/hollyhook_command/src/load/overhead.rs
+++ b/crates/hollyhook_command/src/load/overhead.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use clap::Args;
-use eyre::{Result, bail};
+use eyre::{OptionExt, Result, bail};
 use futures::future::join_all;
 use hollyhook_core::{AttemptNumber, GenerationId, ModelBinding};
 use hollyhook_wire::{
@@ -177,7 +177,7 @@
 
 async fn status(peer: SocketAddr) -> Result<StatusReport> {
     let client = connect_peer(peer, Duration::from_secs(2)).await?;
-    Ok(client.status(tarpc::context::current()).await?)
+    client.status(tarpc::context::current()).await?.ok_or_eyre("the daemon has no status to show")
 }
 
 fn body(args: &OverheadArgs, is_daemon: bool, number: usize) -> Value {
--- a/crates/hollyhook_command/src/view/status_view.rs
+++ b/crates/hollyhook_command/src/view/status_view.rs
@@ -4,7 +4,7 @@
 
 use clap::Args;
 use comfy_table::{Table, presets};
-use eyre::{Result, WrapErr};
+use eyre::{OptionExt, Result, WrapErr};
 use hollyhook_wire::{StatusReport, connect_peer};
 
 /// Which daemon to ask, and how to show its answer.
@@ -22,6 +22,7 @@
     const LIMIT: Duration = Duration::from_secs(2);
     let client = connect_peer(args.address, LIMIT).await?;
     let status = client.status(tarpc::context::current()).await.wrap_err("the daemon did not answer")?;
+    let status = status.ok_or_eyre("the daemon has no status to show")?;
     if args.json {
         println!("{}", serde_json::to_string(&status)?);
     } else {
--- a/crates/hollyhook_core/src/call/mod.rs
+++ b/crates/hollyhook_core/src/call/mod.rs
@@ -2,6 +2,8 @@
 
 mod call_guard;
 mod claim_ledger;
+mod claim_shard;
 
 pub use call_guard::{CallAction, CallEvent, CallGuard, CallOutcome};
 pub use claim_ledger::{ClaimAnswer, ClaimLedger, ClaimRecord, ClaimVerdict};
+pub use claim_shard::{ClaimAction, ClaimEvent, ClaimOrder, ClaimPolicy, ClaimRefusal, ClaimShard};
--- a/crates/hollyhook_core/src/generation/endpoint_rhythm.rs
+++ b/crates/hollyhook_core/src/generation/endpoint_rhythm.rs
@@ -1,13 +1,18 @@
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::RelayPolicy;
+use crate::time::span_millis;
 
 /// How long to hear nothing from a stream before it is suspected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Patience {
     /// Before the attempt's first token.
+    #[serde(with = "span_millis")]
     pub first_token: Duration,
     /// Between two tokens.
+    #[serde(with = "span_millis")]
     pub between_tokens: Duration,
 }
 
--- a/crates/hollyhook_core/src/generation/generation_id.rs
+++ b/crates/hollyhook_core/src/generation/generation_id.rs
@@ -96,6 +96,16 @@
         Self(self.0 + 1)
     }
 
+    /// The first attempt of a host that takes the generation over from the one that made this attempt.
+    ///
+    /// The step is larger than the attempts of one host, so that a host which was paused and comes back can't make
+    /// one with the same number, and its cancel can't reach its successor's work.
+    #[must_use]
+    pub const fn takeover(self) -> Self {
+        const STEP: u32 = 64;
+        Self(self.0 + STEP)
+    }
+
     /// The number.
     pub const fn get(self) -> u32 {
         self.0
--- a/crates/hollyhook_core/src/generation/generation_relay.rs
+++ b/crates/hollyhook_core/src/generation/generation_relay.rs
@@ -6,6 +6,11 @@
 };
 use crate::{EndpointId, ErrorKind, TimePoint};
 
+/// Attempts that no endpoint takes before the search pauses, so that an outage is no storm of connections.
+const MISSES_IN_ROUND: u32 = 3;
+/// Doublings of the pause between searches.
+const MAX_PAUSE_DOUBLINGS: u32 = 3;
+
 /// Where a generation stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum RelayPhase {
@@ -33,6 +38,9 @@
     phase: RelayPhase,
     attempt: AttemptNumber,
     attempts: u32,
+    /// Attempts that no endpoint took, and searches that were put off, since the last token.
+    misses: u32,
+    rounds: u32,
     endpoint: Option<EndpointId>,
     avoid: Vec<EndpointId>,
     log: TokenLog,
@@ -56,6 +64,8 @@
             phase: RelayPhase::Idle,
             attempt: AttemptNumber::FIRST,
             attempts: 0,
+            misses: 0,
+            rounds: 0,
             endpoint: None,
             avoid: Vec::new(),
             log: TokenLog::default(),
@@ -167,10 +177,14 @@
             return;
         }
         self.attempts = 1;
-        match self.endpoint.clone() {
-            Some(endpoint) => self.open(now, endpoint, OpenMode::Attach { position: self.received }),
-            None => self.assign(),
+        if let Some(endpoint) = self.endpoint.clone() {
+            return self.open(now, endpoint, OpenMode::Attach { position: self.received });
+        }
+        if self.delivered > 0 {
+            // The caller holds a part of it: with no endpoint left, it is lost rather than not run.
+            self.mark_lost(now);
         }
+        self.assign();
     }
 
     fn assign(&mut self) {
@@ -225,13 +239,20 @@
         let Some(lost_at) = self.lost_at else {
             return self.fail(ErrorKind::NoEndpoint);
         };
+        self.search_later(now, lost_at);
+    }
+
+    /// Searches again after a pause that grows, until the window is over.
+    fn search_later(&mut self, now: TimePoint, lost_at: TimePoint) {
         if now.since(lost_at) >= self.policy.resume_window {
             return self.fail(ErrorKind::GenerationLost);
         }
         // An endpoint that was left may have come back, and is better than none.
         self.avoid.clear();
         self.phase = RelayPhase::Searching;
-        self.actions.push(RelayAction::Wake { at: now + self.policy.search_interval });
+        let pause = self.policy.search_interval * 2_u32.pow(self.rounds.min(MAX_PAUSE_DOUBLINGS));
+        self.rounds += 1;
+        self.actions.push(RelayAction::Wake { at: now + pause });
     }
 
     fn token(&mut self, now: TimePoint, attempt: AttemptNumber, position: u64, text: String) {
@@ -262,6 +283,8 @@
         self.last_heard = now;
         self.last_progress = now;
         self.lost_at = None;
+        self.misses = 0;
+        self.rounds = 0;
         if !self.has_token {
             self.has_token = true;
             self.actions.push(RelayAction::Wake { at: now + self.policy.silence_floor });
@@ -377,11 +400,25 @@
         if let Some(endpoint) = self.endpoint.take() {
             self.avoid.push(endpoint);
         }
+        if !must_cancel {
+            return self.miss(now);
+        }
         if self.take_attempt() {
             self.assign();
         }
     }
 
+    /// An attempt that no endpoint took costs no work, so only the time for the search bounds these.
+    fn miss(&mut self, now: TimePoint) {
+        self.attempt = self.attempt.next();
+        self.misses += 1;
+        match self.lost_at {
+            None if self.misses >= self.policy.max_attempts => self.fail(ErrorKind::NoEndpoint),
+            Some(lost_at) if self.misses.is_multiple_of(MISSES_IN_ROUND) => self.search_later(now, lost_at),
+            _ => self.assign(),
+        }
+    }
+
     fn take_attempt(&mut self) -> bool {
         if self.attempts >= self.policy.max_attempts {
             self.fail(ErrorKind::GenerationLost);
@@ -394,13 +431,18 @@
 
     fn wake(&mut self, now: TimePoint, patience: Patience) {
         match self.phase {
-            RelayPhase::Searching => self.assign(),
+            RelayPhase::Searching => self.search_again(now),
             RelayPhase::Probing => self.leave(now, true),
             RelayPhase::Streaming => self.judge_silence(now, patience),
             RelayPhase::Idle | RelayPhase::Assigning | RelayPhase::Done => {}
         }
     }
 
+    fn search_again(&mut self, now: TimePoint) {
+        let is_over = self.lost_at.is_some_and(|lost_at| now.since(lost_at) >= self.policy.resume_window);
+        if is_over { self.fail(ErrorKind::GenerationLost) } else { self.assign() }
+    }
+
     fn judge_silence(&mut self, now: TimePoint, patience: Patience) {
         let limit = if self.has_token { patience.between_tokens } else { patience.first_token };
         let suspect_at = self.last_heard + limit;
--- a/crates/hollyhook_core/src/generation/relay_event.rs
+++ b/crates/hollyhook_core/src/generation/relay_event.rs
@@ -4,9 +4,11 @@
 
 use super::{AttemptNumber, EndReason, Patience};
 use crate::EndpointId;
+use crate::time::span_millis;
 
 /// What the driver reports to a [`GenerationRelay`](super::GenerationRelay).
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RelayEvent {
     /// The request was admitted.
     Started,
@@ -21,7 +23,8 @@
     Unassigned {
         /// The attempt that the search was for.
         attempt: AttemptNumber,
-        /// When a new request may find one.
+        /// When a new request may find one, in milliseconds.
+        #[serde(with = "span_millis")]
         retry_after: Duration,
     },
     /// The endpoint accepted the attempt.
@@ -98,6 +101,7 @@
 
 /// What a probe on a new connection found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum ProbeReport {
     /// The endpoint holds the generation.
     Holds {
--- a/crates/hollyhook_core/src/generation/relay_policy.rs
+++ b/crates/hollyhook_core/src/generation/relay_policy.rs
@@ -1,5 +1,9 @@
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
+use crate::time::span_millis;
+
 /// How a generation is guarded, between resume latency and extra resource use.
 ///
 /// A builder: start from one of the constructors and change what differs.
@@ -11,27 +15,36 @@
 /// let policy = RelayPolicy::favour_latency().probe_timeout(Duration::from_millis(100));
 /// assert!(policy.silence_floor < RelayPolicy::favour_work().silence_floor);
 /// ```
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RelayPolicy {
     /// Deviations beyond the mean gap that make a silence suspect.
     pub silence_factor: f64,
     /// The least silence between tokens that is suspect.
+    #[serde(with = "span_millis")]
     pub silence_floor: Duration,
     /// The silence between tokens that is always suspect.
+    #[serde(with = "span_millis")]
     pub silence_ceiling: Duration,
     /// The least silence before the first token that is suspect.
+    #[serde(with = "span_millis")]
     pub first_floor: Duration,
     /// The silence before the first token that is always suspect.
+    #[serde(with = "span_millis")]
     pub first_ceiling: Duration,
     /// How long a probe on a new connection may take after a silence.
+    #[serde(with = "span_millis")]
     pub probe_timeout: Duration,
     /// How long a probe on a new connection may take after a reset.
+    #[serde(with = "span_millis")]
     pub reset_probe_timeout: Duration,
     /// How long a live endpoint may make no progress in mid-stream before it is left.
+    #[serde(with = "span_millis")]
     pub stall_limit: Duration,
     /// How long after a loss the search for an endpoint goes on.
+    #[serde(with = "span_millis")]
     pub resume_window: Duration,
     /// The pause between two searches for an endpoint within the window.
+    #[serde(with = "span_millis")]
     pub search_interval: Duration,
     /// The most attempts at one generation on this host.
     pub max_attempts: u32,
--- a/crates/hollyhook_core/src/generation/token_log.rs
+++ b/crates/hollyhook_core/src/generation/token_log.rs
@@ -58,6 +58,7 @@
 ///
 /// Each token is chained as `SHA-256(previous ‖ length ‖ token)`, cut to 128 bits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct PrefixDigest([u8; 16]);
 
 impl PrefixDigest {
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -12,8 +12,12 @@
 mod retry;
 mod route;
 mod time;
+mod trace;
 
-pub use call::{CallAction, CallEvent, CallGuard, CallOutcome, ClaimAnswer, ClaimLedger, ClaimRecord, ClaimVerdict};
+pub use call::{
+    CallAction, CallEvent, CallGuard, CallOutcome, ClaimAction, ClaimAnswer, ClaimEvent, ClaimLedger, ClaimOrder,
+    ClaimPolicy, ClaimRecord, ClaimRefusal, ClaimShard, ClaimVerdict,
+};
 pub use cursor::{CursorKey, CursorSeal, StreamCursor};
 pub use error::{Answer, Error, ErrorKind, Result, RunState, answer_for};
 pub use generation::{
@@ -21,6 +25,7 @@
     PrefixDigest, ProbeReport, RelayAction, RelayEvent, RelayNote, RelayPhase, RelayPolicy, TokenLog,
 };
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
-pub use retry::{ResumeGate, ResumeTicket, RetryBudget};
+pub use retry::{ProbeGate, ProbePlace, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget};
 pub use route::{EndpointRecord, EndpointState, EndpointTable, LoadReport, RouteQuery};
 pub use time::TimePoint;
+pub use trace::{RelayTrace, TraceEnd, TraceLine, TraceOutcome, TraceRun, TraceStart};
--- a/crates/hollyhook_core/src/retry/mod.rs
+++ b/crates/hollyhook_core/src/retry/mod.rs
@@ -1,7 +1,9 @@
 //! Bounds on the work that failures cause: a budget for retries and a gate for resumes.
 
+mod probe_gate;
 mod resume_gate;
 mod retry_budget;
 
+pub use probe_gate::{ProbeGate, ProbePlace, ProbeRelease};
 pub use resume_gate::{ResumeGate, ResumeTicket};
 pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/crates/hollyhook_core/src/trace/mod.rs
@@ -0,0 +1,7 @@
+//! Recorded traces of one generation's events, and their replay against a stated outcome.
+
+mod relay_trace;
+mod trace_line;
+
+pub use relay_trace::{RelayTrace, TraceRun};
+pub use trace_line::{TraceEnd, TraceLine, TraceOutcome, TraceStart};
--- /dev/null
+++ b/crates/hollyhook_core/tests/fuzz/main.rs
@@ -0,0 +1,12 @@
+//! Stateful fuzzing of the decisions against simple oracles that share no code with them.
+//!
+//! CI runs fixed seeds. A longer run with another seed, which is printed for replay:
+//! `HOLLYHOOK_FUZZ_CASES=100000 HOLLYHOOK_FUZZ_SEED=7 cargo test --release -p hollyhook_core --test fuzz -- --nocapture`
+
+mod call_fuzz;
+mod cursor_fuzz;
+mod gate_fuzz;
+mod harness;
+mod relay_cases;
+mod relay_fuzz;
+mod relay_world;
--- a/crates/hollyhook_daemon/src/call/call_driver.rs
+++ b/crates/hollyhook_daemon/src/call/call_driver.rs
@@ -77,9 +77,9 @@
     async fn run_claimed(&mut self, key: &str) -> Result<Response> {
         let context = Arc::clone(&self.context);
         let request = self.fingerprint();
-        let claim = context.claims.claim(&self.call.account, &self.call.service, key, &request).await?;
-        let record = match claim {
-            ClaimGrant::Granted(record) => record,
+        let record = context.claims.record(&self.call.account, &self.call.service, key, &request);
+        match context.claims.claim(record.clone()).await? {
+            ClaimGrant::Granted => {}
             ClaimGrant::Answered(answer) => {
                 context.board.count("call_replayed");
                 let mut response = Response::new(answer.status);
@@ -89,7 +89,7 @@
                 return Ok(response);
             }
             ClaimGrant::Held(held) => return Err(self.held_error(held.made_at)),
-        };
+        }
         let (outcome, mut response) = self.run_guarded().await;
         match (outcome, &mut response) {
             (CallOutcome::NotRun, _) => context.claims.release(record),
--- a/crates/hollyhook_daemon/src/call/claim_service.rs
+++ b/crates/hollyhook_daemon/src/call/claim_service.rs
@@ -1,9 +1,13 @@
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use async_std::task;
-use hollyhook_core::{ClaimAnswer, ClaimLedger, ClaimRecord, ClaimVerdict, Error, ErrorKind, Name, Result};
+use hollyhook_core::{
+    ClaimAction, ClaimAnswer, ClaimEvent, ClaimLedger, ClaimOrder, ClaimPolicy, ClaimRecord, ClaimRefusal, ClaimShard,
+    ClaimVerdict, Error, ErrorKind, Name, Result, TimePoint,
+};
 use hollyhook_kernel::TimerService;
 use hollyhook_wire::{ObjectVersion, PlatformClient, PlatformError, WriteCondition};
 use sha2::{Digest, Sha256};
@@ -14,27 +18,18 @@
 const KIND: &str = "claims";
 /// Objects that the keys are spread over; each takes one write at a time from each host.
 const SHARDS: u8 = 16;
-/// Claims in one object, which keeps it well under a megabyte.
-const MAX_CLAIMS: usize = 4_000;
-/// Operations that may wait for a shard.
+/// Orders that may wait for a shard.
 const QUEUE: usize = 1_024;
-/// Operations in one write.
-const BATCH: usize = 128;
-/// Writes that may lose against another host before the callers are told to come back.
-const MAX_CONFLICTS: u32 = 8;
-/// How long an answer is kept for a repeat.
-const ANSWER_AGE_SECS: u64 = 600;
 /// The largest answer that is kept.
-const MAX_ANSWER: usize = 1_024;
+const MAX_ANSWER: usize = 256;
 /// When to come back while the platform is down, before a spread of as much again.
 const RETRY_AFTER: Duration = Duration::from_secs(2);
-const RELEASE_PAUSE: Duration = Duration::from_millis(500);
 
 /// What a claim led to.
 #[derive(Debug)]
 pub(crate) enum ClaimGrant {
     /// The call is this host's to send.
-    Granted(ClaimRecord),
+    Granted,
     /// The call was answered before.
     Answered(ClaimAnswer),
     /// The call was taken by someone and not answered so far.
@@ -42,10 +37,9 @@
 }
 
 #[derive(Debug)]
-enum ClaimOrder {
-    Claim(ClaimRecord, Sender<Result<ClaimGrant>>),
-    Answer(ClaimRecord),
-    Release(ClaimRecord),
+struct ShardOrder {
+    order: ClaimOrder,
+    reply: Option<Sender<Result<ClaimGrant>>>,
 }
 
 /// Claims idempotency keys in the platform, so that a key is recognised on every host.
@@ -54,7 +48,7 @@
 /// one write (group commit), on the condition that nobody else has written it since.
 #[derive(Debug)]
 pub(crate) struct ClaimService {
-    shards: Vec<Sender<ClaimOrder>>,
+    shards: Vec<Sender<ShardOrder>>,
     timer: TimerService,
 }
 
@@ -75,11 +69,10 @@
                 platform: platform.cloned(),
                 board: Arc::clone(board),
                 timer: timer.clone(),
-                key_age,
                 name: format!("shard-{shard:02}"),
-                ledger: ClaimLedger::default(),
-                version: None,
-                releases: Vec::new(),
+                shard: ClaimShard::new(ClaimPolicy { key_age, ..ClaimPolicy::default() }),
+                replies: BTreeMap::new(),
+                wake_at: None,
             };
             task::spawn(worker.run(orders));
             sender
@@ -93,18 +86,23 @@
     ///
     /// `KeyReused` if the key came with another request; `PlatformDown` or `Overloaded` if the claim could not be
     /// made, with when to come back. In each case this host has not sent the call.
-    pub(crate) async fn claim(&self, account: &str, service: &str, key: &str, request: &[u8]) -> Result<ClaimGrant> {
-        let record = ClaimRecord {
+    pub(crate) async fn claim(&self, record: ClaimRecord) -> Result<ClaimGrant> {
+        let (sender, reply) = async_channel::bounded(1);
+        let shard = self.shard(&record);
+        let order = ShardOrder { order: ClaimOrder::Claim(record), reply: Some(sender) };
+        shard.try_send(order).map_err(|_full| busy("too many claims wait"))?;
+        reply.recv().await.map_err(|_closed| busy("the host is stopping"))?
+    }
+
+    /// The claim that a call would make on its key.
+    pub(crate) fn record(&self, account: &str, service: &str, key: &str, request: &[u8]) -> ClaimRecord {
+        ClaimRecord {
             key: hex_digest(&[account.as_bytes(), service.as_bytes(), key.as_bytes()]),
             request: hex_digest(&[request]),
             claim: format!("{:032x}", rand::random::<u128>()).into(),
             made_at: self.timer.unix_secs(),
             answer: None,
-        };
-        let (sender, reply) = async_channel::bounded(1);
-        let shard = self.shard(&record);
-        shard.try_send(ClaimOrder::Claim(record, sender)).map_err(|_full| busy("too many claims wait"))?;
-        reply.recv().await.map_err(|_closed| busy("the host is stopping"))?
+        }
     }
 
     /// Keeps the answer for a repeat of the call.
@@ -116,167 +114,151 @@
             return;
         };
         record.answer = Some(ClaimAnswer { status, content_type: content_type.into(), body: body.into() });
-        let _dropped = self.shard(&record).try_send(ClaimOrder::Answer(record));
+        let _dropped = self.shard(&record).try_send(ShardOrder { order: ClaimOrder::Answer(record), reply: None });
     }
 
     /// Gives a key back whose call was certainly not sent.
     pub(crate) fn release(&self, record: ClaimRecord) {
-        let _dropped = self.shard(&record).try_send(ClaimOrder::Release(record));
+        let _dropped = self.shard(&record).try_send(ShardOrder { order: ClaimOrder::Release(record), reply: None });
     }
 
-    fn shard(&self, record: &ClaimRecord) -> &Sender<ClaimOrder> {
+    fn shard(&self, record: &ClaimRecord) -> &Sender<ShardOrder> {
         let first = record.key.bytes().next().unwrap_or_default();
         let digit = char::from(first).to_digit(16).unwrap_or_default();
         &self.shards[digit as usize % self.shards.len()]
     }
 }
 
+/// Drives one shard: carries its reads and writes to the platform and its verdicts to the callers.
 struct ShardWorker {
     platform: Option<PlatformClient>,
     board: Arc<MetricBoard>,
     timer: TimerService,
-    key_age: Duration,
     name: String,
-    ledger: ClaimLedger,
-    version: Option<ObjectVersion>,
-    /// Claims that may stand in the platform though their callers were told "not run".
-    releases: Vec<ClaimRecord>,
+    shard: ClaimShard,
+    replies: BTreeMap<Name, Sender<Result<ClaimGrant>>>,
+    wake_at: Option<TimePoint>,
 }
 
 impl ShardWorker {
-    async fn run(mut self, orders: Receiver<ClaimOrder>) {
+    async fn run(mut self, orders: Receiver<ShardOrder>) {
         loop {
-            let first = if self.releases.is_empty() {
-                orders.recv().await.ok()
-            } else {
-                match self.timer.within(RELEASE_PAUSE, orders.recv()).await {
-                    Some(order) => order.ok(),
-                    None => Some(ClaimOrder::Release(self.releases.remove(0))),
-                }
-            };
-            let Some(first) = first else {
+            let event = self.next_event(&orders).await;
+            let Some(event) = event else {
                 return;
             };
-            let mut batch = vec![first];
-            while batch.len() < BATCH
-                && let Ok(order) = orders.try_recv()
-            {
-                batch.push(order);
-            }
-            self.commit(batch).await;
-        }
-    }
-
-    async fn commit(&mut self, batch: Vec<ClaimOrder>) {
-        let Some(platform) = self.platform.clone() else {
-            return refuse_all(batch, &down("no platform is set"));
-        };
-        for _ in 0..MAX_CONFLICTS {
-            let ledger = self.apply(&batch);
-            if ledger == self.ledger {
-                return self.settle(batch);
-            }
-            let condition = self.version.map_or(WriteCondition::Absent, WriteCondition::Version);
-            match platform.put(KIND, &self.name, condition, &ledger).await {
-                Ok(version) => {
-                    self.ledger = ledger;
-                    self.version = Some(version);
-                    return self.settle(batch);
-                }
-                Err(PlatformError::Unavailable) => return self.give_up(batch, "the platform is down", false),
-                Err(error) => {
-                    if error == PlatformError::Conflict {
-                        self.board.count("claim_conflict");
-                    }
-                    // After a lost reply the object tells whether the claims are in it.
-                    if self.reload(&platform).await.is_err() {
-                        return self.give_up(batch, "the platform does not answer", true);
+            let mut events = VecDeque::from([event]);
+            while let Some(event) = events.pop_front() {
+                let is_writing = self.handle(event, &mut events).await;
+                if is_writing {
+                    // What came during the write joins the next one.
+                    while let Ok(order) = orders.try_recv() {
+                        let event = self.ordered(order);
+                        events.push_front(event);
                     }
                 }
             }
         }
-        self.give_up(batch, "too many hosts write claims at once", false);
     }
 
-    async fn reload(&mut self, platform: &PlatformClient) -> std::result::Result<(), PlatformError> {
-        let object = match platform.get(KIND, &self.name).await {
-            Ok(object) => object,
-            Err(PlatformError::Missing) => {
-                self.ledger = ClaimLedger::default();
-                self.version = None;
-                return Ok(());
+    async fn next_event(&mut self, orders: &Receiver<ShardOrder>) -> Option<ClaimEvent> {
+        let order = match self.wake_at {
+            None => orders.recv().await,
+            Some(at) => {
+                let Some(order) = self.timer.within(at - self.timer.now(), orders.recv()).await else {
+                    self.wake_at = None;
+                    return Some(ClaimEvent::TimerFired);
+                };
+                order
             }
-            Err(error) => return Err(error),
         };
-        self.ledger = serde_json::from_value(object.value).map_err(|_error| PlatformError::Unknown)?;
-        self.version = Some(object.version);
-        Ok(())
+        order.ok().map(|order| self.ordered(order))
     }
 
-    /// The ledger with the orders of a batch in it, as far as they hold.
-    fn apply(&self, batch: &[ClaimOrder]) -> ClaimLedger {
-        let mut ledger = self.ledger.clone();
-        for order in batch {
-            match order {
-                ClaimOrder::Claim(record, _) => {
-                    if ledger.judge(record) == ClaimVerdict::Free && ledger.len() < MAX_CLAIMS {
-                        ledger.put(record.clone());
-                    }
+    fn ordered(&mut self, order: ShardOrder) -> ClaimEvent {
+        if let (ClaimOrder::Claim(record), Some(reply)) = (&order.order, order.reply) {
+            self.replies.insert(Name::clone(&record.claim), reply);
+        }
+        ClaimEvent::Ordered(order.order)
+    }
+
+    /// Returns whether it called the platform.
+    async fn handle(&mut self, event: ClaimEvent, events: &mut VecDeque<ClaimEvent>) -> bool {
+        let mut is_writing = false;
+        for action in self.shard.on(self.timer.unix_secs(), event) {
+            match action {
+                ClaimAction::Put { ledger, version } => {
+                    is_writing = true;
+                    events.push_back(self.put(&ledger, version).await);
                 }
-                ClaimOrder::Answer(record) => {
-                    if ledger.judge(record) == ClaimVerdict::Own {
-                        ledger.put(record.clone());
-                    }
+                ClaimAction::Load => {
+                    is_writing = true;
+                    events.push_back(self.load().await);
                 }
-                ClaimOrder::Release(record) => ledger.release(&record.claim),
+                ClaimAction::Settle { claim, verdict } => self.reply(&claim, grant(verdict)),
+                ClaimAction::Refuse { claim, refusal } => self.reply(&claim, Err(self.refusal(refusal))),
+                ClaimAction::Wake { after } => self.wake_at = Some(self.timer.now() + after),
             }
         }
-        if ledger != self.ledger {
-            let now = self.timer.unix_secs();
-            ledger.expire(now.saturating_sub(self.key_age.as_secs()));
-            ledger.forget_answers(now.saturating_sub(ANSWER_AGE_SECS));
+        is_writing
+    }
+
+    async fn put(&self, ledger: &ClaimLedger, version: Option<u64>) -> ClaimEvent {
+        let Some(platform) = &self.platform else {
+            return ClaimEvent::Unavailable;
+        };
+        let condition =
+            version.map_or(WriteCondition::Absent, |version| WriteCondition::Version(ObjectVersion(version)));
+        match platform.put(KIND, &self.name, condition, ledger).await {
+            Ok(ObjectVersion(version)) => ClaimEvent::Written { version },
+            Err(PlatformError::Conflict) => {
+                self.board.count("claim_conflict");
+                ClaimEvent::Conflicted
+            }
+            Err(PlatformError::Unavailable) => ClaimEvent::Unavailable,
+            Err(PlatformError::Missing | PlatformError::Unknown) => ClaimEvent::Unanswered,
         }
-        ledger
     }
 
-    /// Tells the callers what the ledger, as the platform holds it, says of their claims.
-    fn settle(&self, batch: Vec<ClaimOrder>) {
-        for order in batch {
-            let ClaimOrder::Claim(record, reply) = order else {
-                continue;
-            };
-            let grant = match self.ledger.judge(&record) {
-                ClaimVerdict::Own => Ok(ClaimGrant::Granted(record)),
-                ClaimVerdict::Held(held) => Ok(match held.answer {
-                    Some(answer) => ClaimGrant::Answered(answer),
-                    None => ClaimGrant::Held(held),
-                }),
-                ClaimVerdict::Reused => Err(reused()),
-                ClaimVerdict::Free => Err(busy("too many claims are remembered")),
-            };
-            let _gone = reply.try_send(grant);
+    async fn load(&self) -> ClaimEvent {
+        let Some(platform) = &self.platform else {
+            return ClaimEvent::LoadFailed;
+        };
+        match platform.get(KIND, &self.name).await {
+            Ok(object) => match serde_json::from_value(object.value) {
+                Ok(ledger) => ClaimEvent::Loaded { ledger, version: Some(object.version.0) },
+                Err(_) => ClaimEvent::LoadFailed,
+            },
+            Err(PlatformError::Missing) => ClaimEvent::Loaded { ledger: ClaimLedger::default(), version: None },
+            Err(_) => ClaimEvent::LoadFailed,
         }
     }
 
-    /// Refuses the claims; what may have been written is released when the platform is back.
-    fn give_up(&mut self, batch: Vec<ClaimOrder>, why: &str, may_be_written: bool) {
-        for order in &batch {
-            match order {
-                ClaimOrder::Claim(record, _) if may_be_written => self.releases.push(record.clone()),
-                ClaimOrder::Release(record) => self.releases.push(record.clone()),
-                ClaimOrder::Claim(..) | ClaimOrder::Answer(_) => {}
-            }
+    fn reply(&mut self, claim: &str, outcome: Result<ClaimGrant>) {
+        if let Some(reply) = self.replies.remove(claim) {
+            let _gone = reply.try_send(outcome);
         }
+    }
+
+    fn refusal(&self, refusal: ClaimRefusal) -> Error {
         self.board.count("claim_refused");
-        refuse_all(batch, &down(why));
+        match refusal {
+            ClaimRefusal::Unavailable => down("the platform is down"),
+            ClaimRefusal::Unanswered => down("the platform does not answer"),
+            ClaimRefusal::Contended => busy("too many hosts write claims at once"),
+        }
     }
 }
 
-fn refuse_all(batch: Vec<ClaimOrder>, error: &Error) {
-    for order in batch {
-        if let ClaimOrder::Claim(_, reply) = order {
-            let _gone = reply.try_send(Err(error.clone()));
-        }
+fn grant(verdict: ClaimVerdict) -> Result<ClaimGrant> {
+    match verdict {
+        ClaimVerdict::Own => Ok(ClaimGrant::Granted),
+        ClaimVerdict::Held(held) => Ok(match held.answer {
+            Some(answer) => ClaimGrant::Answered(answer),
+            None => ClaimGrant::Held(held),
+        }),
+        ClaimVerdict::Reused => Err(reused()),
+        ClaimVerdict::Free => Err(busy("too many claims are remembered")),
     }
 }
 
--- a/crates/hollyhook_daemon/src/daemon/assembly.rs
+++ b/crates/hollyhook_daemon/src/daemon/assembly.rs
@@ -14,9 +14,10 @@
 
 use super::status::{host_report, status_report};
 use crate::call::ClaimService;
-use crate::fleet::{CancelOrder, FleetTable, HostContext, ResumeService, run_cancels, run_load_polls};
+use crate::fleet::{CancelOrder, FleetTable, HostContext, ProbeService, ResumeService, run_cancels, run_load_polls};
 use crate::front::{FrontState, serve_front};
 use crate::metric::MetricBoard;
+use crate::relay::TraceStore;
 
 /// How long a connection to an endpoint may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -96,7 +97,10 @@
     fn peer_server(&self) -> PeerServer {
         let (context, gate) = (Arc::clone(&self.context), self.gate.clone());
         let (status_context, status_gate) = (Arc::clone(&self.context), self.gate.clone());
-        PeerServer::new(move || host_report(&context, &gate), move || status_report(&status_context, &status_gate))
+        let traces = Arc::clone(&self.context.traces);
+        PeerServer::new(move || host_report(&context, &gate))
+            .status(move || status_report(&status_context, &status_gate))
+            .trace(move |generation| traces.find(generation))
     }
 
     fn spawn(&mut self, work: impl Future<Output = ()> + Send + 'static) {
@@ -132,6 +136,8 @@
     registry.register(HostContext::SEAL, seal)?;
     registry.register(CancelOrder::SERVICE, cancels)?;
     registry.register(ResumeService::NAME, ResumeService::new(limits.resumes))?;
+    registry.register(TraceStore::NAME, TraceStore::default())?;
+    registry.register(ProbeService::NAME, ProbeService::new())?;
     registry.register(HostContext::RETRIES, Mutex::new(RetryBudget::new(limits.retry_share, RETRY_RESERVE)))?;
     let platform = settings.platform.map(PlatformClient::new);
     registry.register(ClaimService::NAME, ClaimService::start(platform.as_ref(), &board, &timer, limits.key_age))?;
--- a/crates/hollyhook_daemon/src/fleet/host_context.rs
+++ b/crates/hollyhook_daemon/src/fleet/host_context.rs
@@ -5,9 +5,10 @@
 use hollyhook_settings::{ProcessSettings, SiteSettings};
 use hollyhook_wire::EngineClient;
 
-use super::{CancelOrder, FleetTable, ResumeService};
+use super::{CancelOrder, FleetTable, ProbeService, ResumeService};
 use crate::call::ClaimService;
 use crate::metric::MetricBoard;
+use crate::relay::TraceStore;
 
 /// The services that a request needs, found by name once.
 #[derive(Debug)]
@@ -21,8 +22,11 @@
     pub(crate) seal: Arc<CursorSeal>,
     pub(crate) cancels: Arc<Mailbox<CancelOrder>>,
     pub(crate) resumes: Arc<ResumeService>,
+    pub(crate) probes: Arc<ProbeService>,
     pub(crate) retries: Arc<Mutex<RetryBudget>>,
     pub(crate) claims: Arc<ClaimService>,
+    pub(crate) traces: Arc<TraceStore>,
+    pub(crate) keeps_traces: bool,
     pub(crate) engine: EngineClient,
 }
 
@@ -45,8 +49,11 @@
             seal: registry.find(Self::SEAL)?,
             cancels: registry.find(CancelOrder::SERVICE)?,
             resumes: registry.find(ResumeService::NAME)?,
+            probes: registry.find(ProbeService::NAME)?,
             retries: registry.find(Self::RETRIES)?,
             claims: registry.find(ClaimService::NAME)?,
+            traces: registry.find(TraceStore::NAME)?,
+            keeps_traces: settings.keeps_traces,
             engine,
         })
     }
--- a/crates/hollyhook_daemon/src/relay/mod.rs
+++ b/crates/hollyhook_daemon/src/relay/mod.rs
@@ -5,7 +5,9 @@
 mod latency_tape;
 mod relay_driver;
 mod takeover;
+mod trace_store;
 
 pub(crate) use caller_link::{CallerLink, RelayReply};
 pub(crate) use relay_driver::{RelayDriver, RelayTask};
 pub(crate) use takeover::{GenerationStart, resolve_start};
+pub(crate) use trace_store::TraceStore;
--- a/crates/hollyhook_daemon/src/relay/relay_driver.rs
+++ b/crates/hollyhook_daemon/src/relay/relay_driver.rs
@@ -6,7 +6,8 @@
 use futures::future::{BoxFuture, FutureExt, pending};
 use hollyhook_core::{
     AccountName, AttemptNumber, EndReason, EndpointId, Error, ErrorKind, GenerationId, GenerationRelay, OpenMode,
-    RelayAction, RelayEvent, RelayNote, RelayPhase, RouteQuery, StreamCursor, TimePoint, TokenLog,
+    RelayAction, RelayEvent, RelayNote, RelayPhase, RelayTrace, RouteQuery, StreamCursor, TimePoint, TokenLog,
+    TraceStart,
 };
 use hollyhook_settings::{GenerationSettings, RequestClass};
 use hollyhook_wire::{CallerRequest, EngineExtension, EngineUsage};
@@ -50,6 +51,7 @@
     pass: Receiver<ResumePass>,
     pass_sender: Sender<ResumePass>,
     tape: LatencyTape,
+    trace: Option<RelayTrace>,
     request_digest: u64,
     opened_at: Option<TimePoint>,
 }
@@ -62,6 +64,7 @@
         let tape = LatencyTape::new(board, AccountName::clone(&task.account), task.class.label(), task.arrived);
         Self {
             request_digest: task.request.digest(),
+            trace: context.keeps_traces.then(|| begin_trace(&task, &start.relay)),
             opened_at: None,
             gone: link.closed().boxed(),
             context,
@@ -88,6 +91,9 @@
             let event = self.next_event().await;
             self.handle(event).await;
         }
+        if let Some(trace) = self.trace.take() {
+            self.context.traces.keep(self.generation, trace);
+        }
     }
 
     /// What has arrived goes before a timer, so that a driver that was held up does not take its own delay for a
@@ -129,6 +135,9 @@
                 self.tape.accepted(now);
             }
         }
+        if let Some(trace) = &mut self.trace {
+            trace.push(now, event.clone());
+        }
         for action in self.relay.on(now, event) {
             self.perform(now, action).await;
         }
@@ -195,12 +204,8 @@
         let generation = self.generation;
         let limit = self.task.settings.policy.probe_timeout;
         let sender = self.sender.clone();
-        context.board.count("probe_sent");
         task::spawn(async move {
-            let report = match context.fleet.address(&endpoint) {
-                Some(address) => context.engine.probe(address, generation, limit).await,
-                None => hollyhook_core::ProbeReport::Dead,
-            };
+            let report = context.probes.probe(&context, &endpoint, generation, limit).await;
             let _gone = sender.send(RelayEvent::Probed { attempt, report }).await;
         });
     }
@@ -278,6 +283,16 @@
     }
 }
 
+fn begin_trace(task: &RelayTask, relay: &GenerationRelay) -> RelayTrace {
+    RelayTrace::new(TraceStart {
+        policy: task.settings.policy.clone(),
+        endpoint: relay.endpoint().map(EndpointId::clone),
+        attempt: relay.attempt(),
+        delivered: relay.delivered(),
+        digest: relay.digest(),
+    })
+}
+
 struct EndpointSearch {
     context: Arc<HostContext>,
     service: Arc<str>,
--- a/crates/hollyhook_daemon/src/relay/takeover.rs
+++ b/crates/hollyhook_daemon/src/relay/takeover.rs
@@ -44,7 +44,7 @@
     let relay = match find_keyed(context, service, settings, generation).await {
         Some((endpoint, held)) => {
             context.board.count("takeover_by_key");
-            relay.taken_over(Some(endpoint), held.attempt.next(), 0, PrefixDigest::default())
+            relay.taken_over(Some(endpoint), held.attempt.takeover(), 0, PrefixDigest::default())
         }
         None => relay,
     };
@@ -61,7 +61,7 @@
     let endpoint = held.map(|_| EndpointId::clone(&cursor.endpoint));
     GenerationStart {
         generation: cursor.generation,
-        relay: relay.taken_over(endpoint, newest.next(), cursor.position, cursor.digest),
+        relay: relay.taken_over(endpoint, newest.takeover(), cursor.position, cursor.digest),
         has_affinity: false,
         is_continued: true,
     }
--- a/crates/hollyhook_settings/src/process/process_settings.rs
+++ b/crates/hollyhook_settings/src/process/process_settings.rs
@@ -40,6 +40,8 @@
     pub log_format: LogFormat,
     /// Which log lines are written, as `tracing` filters say it.
     pub log_level: Name,
+    /// Whether the traces of the last generations are kept in memory.
+    pub keeps_traces: bool,
     /// Where metrics go, as statsd datagrams.
     pub statsd: Option<SocketAddr>,
     /// The key that seals cursors.
@@ -117,6 +119,8 @@
         let log_format = reader.default("format", LogFormat::Text, value::choice(formats));
         let levels = &[("error", "error"), ("warn", "warn"), ("info", "info"), ("debug", "debug")];
         let log_level = reader.default("level", "info", value::choice(levels));
+        let switches = &[("on", true), ("off", false)];
+        let keeps_traces = reader.default("traces", false, value::choice(switches));
         reader.finish();
 
         let section = self.section("metrics");
@@ -142,6 +146,7 @@
             overlay: overlay?,
             log_format,
             log_level: log_level.into(),
+            keeps_traces,
             statsd,
             cursor_key: CursorKey::new(cursor_key?),
             previous_cursor_key: previous.map(CursorKey::new),
--- a/crates/hollyhook_wire/src/peer/peer_calls.rs
+++ b/crates/hollyhook_wire/src/peer/peer_calls.rs
@@ -6,7 +6,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::StreamExt;
-use hollyhook_core::{Error, ErrorKind, Name, Result};
+use hollyhook_core::{Error, ErrorKind, GenerationId, Name, Result};
 use serde::{Deserialize, Serialize};
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
@@ -16,7 +16,7 @@
 use super::StatusReport;
 
 /// The largest message between daemons, in bytes.
-const MAX_FRAME: usize = 1 << 20;
+const MAX_FRAME: usize = 20 << 20;
 
 /// What a daemon says of itself to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +37,8 @@
 
 /// The calls that a daemon answers to others.
 mod service {
+    use hollyhook_core::{GenerationId, Name};
+
     use super::{HostReport, StatusReport};
 
     /// The calls that a daemon answers to others.
@@ -45,27 +47,41 @@
         /// What the daemon says of itself.
         async fn report() -> HostReport;
         /// What the daemon shows an operator.
-        async fn status() -> StatusReport;
+        async fn status() -> Option<StatusReport>;
+        /// The trace of a generation, one JSON object a line, if the daemon has kept it.
+        async fn trace(generation: GenerationId) -> Option<Name>;
     }
 }
 
 use service::PeerCalls;
 pub use service::PeerCallsClient;
 
-/// Answers the calls of other daemons with what a closure reports.
+/// Answers the calls of other daemons and of the operator's command with what closures say. A builder.
 #[derive(Clone)]
 pub struct PeerServer {
-    status: Arc<dyn Fn() -> StatusReport + Send + Sync>,
     report: Arc<dyn Fn() -> HostReport + Send + Sync>,
+    status: Arc<dyn Fn() -> Option<StatusReport> + Send + Sync>,
+    trace: Arc<dyn Fn(GenerationId) -> Option<Name> + Send + Sync>,
 }
 
 impl PeerServer {
-    /// A server that calls one of the closures for each request.
-    pub fn new(
-        report: impl Fn() -> HostReport + Send + Sync + 'static,
-        status: impl Fn() -> StatusReport + Send + Sync + 'static,
-    ) -> Self {
-        Self { status: Arc::new(status), report: Arc::new(report) }
+    /// A server that calls `report` for each request for a host's report, and knows nothing else.
+    pub fn new(report: impl Fn() -> HostReport + Send + Sync + 'static) -> Self {
+        Self { report: Arc::new(report), status: Arc::new(|| None), trace: Arc::new(|_generation| None) }
+    }
+
+    /// The same server with a status.
+    #[must_use]
+    pub fn status(mut self, status: impl Fn() -> StatusReport + Send + Sync + 'static) -> Self {
+        self.status = Arc::new(move || Some(status()));
+        self
+    }
+
+    /// The same server with traces.
+    #[must_use]
+    pub fn trace(mut self, trace: impl Fn(GenerationId) -> Option<Name> + Send + Sync + 'static) -> Self {
+        self.trace = Arc::new(trace);
+        self
     }
 }
 
@@ -80,9 +96,13 @@
         (self.report)()
     }
 
-    async fn status(self, _context: tarpc::context::Context) -> StatusReport {
+    async fn status(self, _context: tarpc::context::Context) -> Option<StatusReport> {
         (self.status)()
     }
+
+    async fn trace(self, _context: tarpc::context::Context, generation: GenerationId) -> Option<Name> {
+        (self.trace)(generation)
+    }
 }
 
 /// Answers other daemons at a listener until the task is dropped.
