--- a/crates/hollyhook/tests/processes/main.rs
+++ b/crates/hollyhook/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! The real processes on one machine: a platform, engines, a plain service and daemons in two zones.
 
 mod bad_input;
+mod demo;
 mod fleet;
 mod generations;
 mod plain_calls;
--- a/crates/hollyhook_core/src/generation/generation_relay.rs
+++ b/crates/hollyhook_core/src/generation/generation_relay.rs
@@ -51,6 +51,7 @@
     replay: Option<PrefixDigest>,
     last_heard: TimePoint,
     last_progress: TimePoint,
+    is_accepted: bool,
     has_token: bool,
     lost_at: Option<TimePoint>,
     actions: Vec<RelayAction>,
@@ -76,6 +77,7 @@
             replay: None,
             last_heard: TimePoint::ZERO,
             last_progress: TimePoint::ZERO,
+            is_accepted: false,
             has_token: false,
             lost_at: None,
             actions: Vec::new(),
@@ -150,6 +152,7 @@
             RelayEvent::Unassigned { attempt, .. } => self.unassigned(now, attempt),
             RelayEvent::Opened { attempt } => {
                 if self.is_current(attempt) {
+                    self.is_accepted = true;
                     self.last_heard = now;
                 }
             }
@@ -224,11 +227,12 @@
     fn open(&mut self, now: TimePoint, endpoint: EndpointId, mode: OpenMode) {
         self.phase = RelayPhase::Streaming;
         self.has_token = false;
+        self.is_accepted = false;
         self.last_heard = now;
         self.last_progress = now;
         self.endpoint = Some(EndpointId::clone(&endpoint));
         self.actions.push(RelayAction::Open { attempt: self.attempt, endpoint, mode });
-        self.actions.push(RelayAction::Wake { at: now + self.policy.first_floor });
+        self.actions.push(RelayAction::Wake { at: now + self.policy.open_timeout });
     }
 
     fn unassigned(&mut self, now: TimePoint, attempt: AttemptNumber) {
@@ -280,6 +284,7 @@
 
     fn hear(&mut self, now: TimePoint) {
         self.phase = RelayPhase::Streaming;
+        self.is_accepted = true;
         self.last_heard = now;
         self.last_progress = now;
         self.lost_at = None;
@@ -444,11 +449,20 @@
     }
 
     fn judge_silence(&mut self, now: TimePoint, patience: Patience) {
-        let limit = if self.has_token { patience.between_tokens } else { patience.first_token };
+        let limit = match (self.is_accepted, self.has_token) {
+            (false, _) => self.policy.open_timeout,
+            (true, false) => patience.first_token,
+            (true, true) => patience.between_tokens,
+        };
         let suspect_at = self.last_heard + limit;
         if now < suspect_at {
             return self.actions.push(RelayAction::Wake { at: suspect_at });
         }
+        if !self.is_accepted {
+            // There is nothing at this endpoint that a probe could save.
+            self.note(RelayNote::OpenTimedOut);
+            return self.leave(now, true);
+        }
         self.note(RelayNote::SilenceSuspected);
         self.probe(now, self.policy.probe_timeout);
     }
--- a/crates/hollyhook_core/src/generation/relay_action.rs
+++ b/crates/hollyhook_core/src/generation/relay_action.rs
@@ -97,6 +97,8 @@
     GapFound,
     /// No connection to the endpoint could be made.
     ConnectFailed,
+    /// An endpoint did not accept the attempt in time.
+    OpenTimedOut,
     /// A connection ended or broke before the end mark.
     ResetSeen,
     /// A stream was silent for longer than the endpoint's patience.
@@ -125,6 +127,7 @@
             Self::DuplicateDropped => "duplicate_dropped",
             Self::GapFound => "gap_found",
             Self::ConnectFailed => "connect_failed",
+            Self::OpenTimedOut => "open_timed_out",
             Self::ResetSeen => "reset_seen",
             Self::SilenceSuspected => "silence_suspected",
             Self::ProbeWaited => "probe_waited",
--- a/crates/hollyhook_core/src/generation/relay_policy.rs
+++ b/crates/hollyhook_core/src/generation/relay_policy.rs
@@ -31,6 +31,9 @@
     /// The silence before the first token that is always suspect.
     #[serde(with = "span_millis")]
     pub first_ceiling: Duration,
+    /// How long an endpoint may take to accept an attempt, which it does before it reads the prompt.
+    #[serde(with = "span_millis")]
+    pub open_timeout: Duration,
     /// How long a probe on a new connection may take after a silence.
     #[serde(with = "span_millis")]
     pub probe_timeout: Duration,
@@ -59,6 +62,7 @@
             silence_ceiling: Duration::from_secs(1),
             first_floor: Duration::from_millis(800),
             first_ceiling: Duration::from_secs(2),
+            open_timeout: Duration::from_millis(300),
             probe_timeout: Duration::from_millis(200),
             reset_probe_timeout: Duration::from_millis(50),
             stall_limit: Duration::from_millis(2_500),
@@ -76,6 +80,7 @@
             silence_ceiling: Duration::from_millis(1_500),
             first_floor: Duration::from_secs(2),
             first_ceiling: Duration::from_secs(4),
+            open_timeout: Duration::from_millis(800),
             probe_timeout: Duration::from_secs(1),
             reset_probe_timeout: Duration::from_millis(200),
             stall_limit: Duration::from_secs(10),
@@ -106,6 +111,13 @@
         self
     }
 
+    /// Another time for an endpoint to accept an attempt.
+    #[must_use]
+    pub const fn open_timeout(mut self, span: Duration) -> Self {
+        self.open_timeout = span;
+        self
+    }
+
     /// Another time for a probe after a silence.
     #[must_use]
     pub const fn probe_timeout(mut self, span: Duration) -> Self {
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -2,6 +2,7 @@
 use std::collections::BTreeMap;
 
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use sha2::{Digest, Sha256};
 
 use super::{EndpointRecord, EndpointState, LoadReport};
@@ -9,6 +10,13 @@
 
 /// How much fuller, in requests a place, the own zone may be before another one pays.
 const ZONE_PREFERENCE: f64 = 0.25;
+/// What an endpoint without a free place costs, in requests a place: more than any distance.
+const FULL_COST: f64 = 1.0;
+/// What an endpoint in the zone of one that was just left costs, in requests a place: a zone often goes as a whole.
+const SUSPECT_ZONE_COST: f64 = 0.75;
+/// Endpoints drawn at random, of which the best is taken. Two leave some full while others have places; all of them
+/// would send every host that has the same reports to the same one.
+const DRAWS: usize = 4;
 
 /// What a request needs of an endpoint.
 #[derive(Debug, Clone)]
@@ -113,7 +121,7 @@
 
     /// Chooses an endpoint; count the request with [`opened`](Self::opened) when it is sent there.
     ///
-    /// The better of two drawn at random, so that many hosts with the same reports do not all choose the same one.
+    /// The best of a few drawn at random, so that many hosts with the same reports do not all choose the same one.
     /// Ejected endpoints are used only if no other is left.
     pub fn choose(&self, now: TimePoint, query: &RouteQuery<'_>, rng: &mut impl Rng) -> Option<EndpointId> {
         let fit: Vec<&EndpointRecord> = self.records.values().filter(|record| query.is_met_by(record)).collect();
@@ -123,7 +131,7 @@
             Some(number) => ranked(pool, number),
             None => pool,
         };
-        Some(EndpointId::clone(&self.better_of_two(&pool, rng)?.id))
+        Some(EndpointId::clone(&self.best_of_draws(&pool, &self.suspect_zones(query), rng)?.id))
     }
 
     /// The endpoints that a request with this affinity may be held by, best first.
@@ -144,6 +152,8 @@
     pub fn closed(&mut self, id: &str) {
         if let Some(record) = self.records.get_mut(id) {
             record.open = record.open.saturating_sub(1);
+            // Most of what ends was sent since the report; else a burst of quick requests would look like a load.
+            record.sent_since_report = record.sent_since_report.saturating_sub(1);
         }
     }
 
@@ -161,18 +171,27 @@
         }
     }
 
-    fn better_of_two<'t>(&self, pool: &[&'t EndpointRecord], rng: &mut impl Rng) -> Option<&'t EndpointRecord> {
-        if pool.is_empty() {
-            return None;
-        }
-        let first = pool[rng.random_range(0..pool.len())];
-        let second = pool[rng.random_range(0..pool.len())];
-        Some(if self.cost(first) <= self.cost(second) { first } else { second })
+    /// The zones of the endpoints that the request has left.
+    fn suspect_zones(&self, query: &RouteQuery<'_>) -> Vec<&ZoneName> {
+        query.avoid.iter().filter_map(|id| self.records.get(id)).map(|record| &record.zone).collect()
+    }
+
+    fn best_of_draws<'t>(
+        &self,
+        pool: &[&'t EndpointRecord],
+        suspect: &[&ZoneName],
+        rng: &mut impl Rng,
+    ) -> Option<&'t EndpointRecord> {
+        let drawn = pool.choose_multiple(rng, DRAWS).copied();
+        drawn.min_by(|a, b| self.cost(a, suspect).total_cmp(&self.cost(b, suspect)))
     }
 
-    fn cost(&self, record: &EndpointRecord) -> f64 {
+    fn cost(&self, record: &EndpointRecord, suspect: &[&ZoneName]) -> f64 {
+        let pressure = record.pressure();
         let distance = if record.zone == self.zone { 0.0 } else { ZONE_PREFERENCE };
-        record.pressure() + distance
+        let full = if pressure >= 1.0 { FULL_COST } else { 0.0 };
+        let suspicion = if suspect.contains(&&record.zone) { SUSPECT_ZONE_COST } else { 0.0 };
+        pressure + distance + full + suspicion
     }
 }
 
--- a/crates/hollyhook_core/tests/fuzz/main.rs
+++ b/crates/hollyhook_core/tests/fuzz/main.rs
@@ -10,3 +10,4 @@
 mod relay_cases;
 mod relay_fuzz;
 mod relay_world;
+mod route_fuzz;
--- /dev/null
+++ b/crates/hollyhook_core/tests/fuzz/route_fuzz.rs
@@ -0,0 +1,135 @@
+use std::collections::BTreeMap;
+
+use hollyhook_core::{
+    EndpointId, EndpointRecord, EndpointState, EndpointTable, LoadReport, ModelBinding, RouteQuery, TimePoint,
+};
+use proptest::prelude::*;
+use rand_pcg::Pcg64;
+use rand_pcg::rand_core::SeedableRng;
+
+use crate::harness::fuzz;
+
+const COUNT: usize = 6;
+const PLACES: u32 = 4;
+
+/// What the oracle keeps of an endpoint, in its own words.
+#[derive(Debug, Clone, Copy, Default)]
+struct Fact {
+    is_leaving: bool,
+    is_other_version: bool,
+    has_failed: bool,
+    open: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Choose(u64),
+    Avoid(u64, usize),
+    Close(usize),
+    Fail(usize),
+    Succeed(usize),
+    Leave(usize),
+    Return(usize),
+}
+
+fn steps() -> impl Strategy<Value = (u64, Vec<Step>)> {
+    let endpoint = || 0..COUNT;
+    let step = prop_oneof![
+        6 => any::<u64>().prop_map(Step::Choose),
+        2 => (any::<u64>(), endpoint()).prop_map(|(seed, endpoint)| Step::Avoid(seed, endpoint)),
+        3 => endpoint().prop_map(Step::Close),
+        1 => endpoint().prop_map(Step::Fail),
+        1 => endpoint().prop_map(Step::Succeed),
+        1 => endpoint().prop_map(Step::Leave),
+        1 => endpoint().prop_map(Step::Return),
+    ];
+    (0..4_u64, proptest::collection::vec(step, 1..50))
+}
+
+fn name(number: usize) -> EndpointId {
+    EndpointId::from(format!("e{number}"))
+}
+
+fn table(others: u64) -> (EndpointTable, BTreeMap<usize, Fact>) {
+    let mut table = EndpointTable::new("zone-0".into());
+    let mut facts = BTreeMap::new();
+    for number in 0..COUNT {
+        let is_other_version = (number as u64) < others;
+        let version = if is_other_version { "2" } else { "1" };
+        let address = ([10, 0, 0, number as u8], 80).into();
+        let zone = format!("zone-{}", number % 2).into();
+        let record = EndpointRecord::new(name(number), "tutor".into(), zone, address);
+        table.upsert(record.binding(ModelBinding::new("t", version)));
+        table.report(&name(number), LoadReport { running: 0, waiting: 0, capacity: PLACES });
+        facts.insert(number, Fact { is_other_version, ..Fact::default() });
+    }
+    (table, facts)
+}
+
+/// Only endpoints that serve the same version, do not leave and are not avoided; the failing only if no other is left;
+/// a full one only if every drawn one is full; and none while one fits is never the answer.
+#[test]
+fn route_only_where_allowed() {
+    fuzz("route", 2_000, &steps(), |(others, steps)| {
+        let (mut table, mut facts) = table(others);
+        let binding = ModelBinding::new("t", "1");
+        for step in steps {
+            match step {
+                Step::Choose(seed) => check_choice(&mut table, &mut facts, &binding, seed, None),
+                Step::Avoid(seed, endpoint) => check_choice(&mut table, &mut facts, &binding, seed, Some(endpoint)),
+                Step::Close(number) => {
+                    table.closed(&name(number));
+                    let fact = facts.get_mut(&number).unwrap();
+                    fact.open = fact.open.saturating_sub(1);
+                }
+                Step::Fail(number) => {
+                    table.failed(TimePoint::ZERO, &name(number));
+                    facts.get_mut(&number).unwrap().has_failed = true;
+                }
+                Step::Succeed(number) => {
+                    table.succeeded(&name(number));
+                    facts.get_mut(&number).unwrap().has_failed = false;
+                }
+                Step::Leave(number) | Step::Return(number) => {
+                    let is_leaving = matches!(step, Step::Leave(_));
+                    let state = if is_leaving { EndpointState::Leaving } else { EndpointState::Live };
+                    table.get_mut(&name(number)).unwrap().state = state;
+                    facts.get_mut(&number).unwrap().is_leaving = is_leaving;
+                }
+            }
+        }
+    });
+}
+
+fn check_choice(
+    table: &mut EndpointTable,
+    facts: &mut BTreeMap<usize, Fact>,
+    binding: &ModelBinding,
+    seed: u64,
+    avoided: Option<usize>,
+) {
+    let avoid: Vec<EndpointId> = avoided.map(name).into_iter().collect();
+    let query = RouteQuery::new("tutor").binding(binding).avoid(&avoid);
+    let chosen = table.choose(TimePoint::ZERO, &query, &mut Pcg64::seed_from_u64(seed));
+    let fits = |(number, fact): (&usize, &Fact)| {
+        let is_allowed = !fact.is_leaving && !fact.is_other_version && Some(*number) != avoided;
+        is_allowed.then_some(*number)
+    };
+    let allowed: Vec<usize> = facts.iter().filter_map(fits).collect();
+    let Some(chosen) = chosen else {
+        assert!(allowed.is_empty(), "nothing was chosen though {allowed:?} are allowed");
+        return;
+    };
+    let number: usize = chosen[1..].parse().unwrap();
+    assert!(allowed.contains(&number), "{number} was chosen, allowed are {allowed:?}");
+    let is_healthy_left = allowed.iter().any(|other| !facts[other].has_failed);
+    assert!(!facts[&number].has_failed || !is_healthy_left, "a failing endpoint was chosen before a healthy one");
+    // With so few endpoints that all are drawn, a free one is never passed over for a full one.
+    let pool: Vec<&usize> =
+        allowed.iter().filter(|other| facts[other].has_failed == facts[&number].has_failed).collect();
+    if pool.len() <= 4 && facts[&number].open >= PLACES {
+        assert!(pool.iter().all(|other| facts[other].open >= PLACES), "a full endpoint was chosen before a free one");
+    }
+    table.opened(&chosen);
+    facts.get_mut(&number).unwrap().open += 1;
+}
--- a/crates/hollyhook_daemon/src/daemon/assembly.rs
+++ b/crates/hollyhook_daemon/src/daemon/assembly.rs
@@ -58,6 +58,7 @@
             Self { address, peer_address, gate: gate.clone(), context: Arc::clone(&context), tasks: Vec::new() };
         daemon.spawn(run_cancels(Arc::clone(&context), orders));
         daemon.spawn(run_load_polls(Arc::clone(&context)));
+        daemon.spawn(run_flushes(Arc::clone(&context)));
         daemon.spawn(serve_peers(peers, daemon.peer_server()));
         let state = FrontState { context: Arc::clone(&context), gate };
         task::spawn(serve_front(server, state));
@@ -144,6 +145,15 @@
     Ok(registry)
 }
 
+/// Keeps metrics no older than a second.
+async fn run_flushes(context: Arc<HostContext>) {
+    const INTERVAL: Duration = Duration::from_secs(1);
+    loop {
+        context.timer.wait(INTERVAL).await;
+        context.board.flush();
+    }
+}
+
 fn server_limits(limits: &LimitSettings) -> ServerLimits {
     ServerLimits::default()
         .connections(limits.connections)
--- a/crates/hollyhook_daemon/src/fleet/load_poller.rs
+++ b/crates/hollyhook_daemon/src/fleet/load_poller.rs
@@ -32,6 +32,7 @@
 async fn poll(context: &HostContext, id: &EndpointId, address: SocketAddr) {
     let Ok(answer) = context.engine.load(address, TIMEOUT).await else {
         context.board.count("load_poll_failed");
+        context.fleet.lock().failed(context.timer.now(), id);
         return;
     };
     let mut table = context.fleet.lock();
--- a/crates/hollyhook_daemon/src/fleet/probe_service.rs
+++ b/crates/hollyhook_daemon/src/fleet/probe_service.rs
@@ -55,6 +55,9 @@
             Some(address) => context.engine.probe(address, generation, limit).await,
             None => ProbeReport::Dead,
         };
+        if report == ProbeReport::Dead {
+            context.fleet.lock().failed(context.timer.now(), endpoint);
+        }
         self.release(endpoint, report == ProbeReport::Dead);
         report
     }
--- a/crates/hollyhook_daemon/src/metric/metric_board.rs
+++ b/crates/hollyhook_daemon/src/metric/metric_board.rs
@@ -117,6 +117,13 @@
         }
     }
 
+    /// Sends what is buffered for statsd, which otherwise waits for a full datagram.
+    pub fn flush(&self) {
+        if let Some(statsd) = &self.statsd {
+            let _dropped = statsd.flush();
+        }
+    }
+
     /// The value of a counter.
     pub fn counter(&self, counter: &str) -> u64 {
         lock(&self.counters).get(counter).copied().unwrap_or_default()
--- /dev/null
+++ b/crates/hollyhook_daemon/tests/metrics.rs
@@ -0,0 +1,36 @@
+//! Metrics as statsd receives them.
+
+use std::net::UdpSocket;
+use std::time::Duration;
+
+use hollyhook_daemon::{MetricBoard, MetricMeasure};
+
+#[test]
+fn statsd_receives_after_flush() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let board = MetricBoard::with_statsd(socket.local_addr().unwrap(), "host-1").unwrap();
+    board.count("request");
+    board.record(MetricMeasure::FirstToken, &"office".into(), "long", &[Duration::from_millis(7)]);
+    board.flush();
+    let mut received = String::new();
+    while !(received.contains("hollyhook.request:1|c") && received.contains("hollyhook.first_token:7|ms")) {
+        let mut datagram = [0; 2_048];
+        let count = socket.recv(&mut datagram).unwrap();
+        received.push_str(std::str::from_utf8(&datagram[..count]).unwrap());
+    }
+    assert!(received.contains("host:host-1") && received.contains("class:long"), "{received}");
+}
+
+#[test]
+fn histograms_by_account_and_class() {
+    let board = MetricBoard::default();
+    let spans: Vec<Duration> = (1..=100).map(Duration::from_millis).collect();
+    board.record(MetricMeasure::BetweenTokens, &"office".into(), "long", &spans);
+    board.record(MetricMeasure::BetweenTokens, &"clerk".into(), "long", &spans[..10]);
+    let rows = board.histogram_rows();
+    let row = |name: &str| rows.iter().find(|row| &*row.name == name).unwrap();
+    assert_eq!((row("office").count, row("clerk").count, row("long").count), (100, 10, 110));
+    // Three digits for a class, one for an account.
+    assert!(row("long").p99_us.abs_diff(99_000) < 100);
+    assert!(row("office").p50_us.abs_diff(50_000) < 5_000);
+}
--- a/crates/hollyhook_settings/src/site/service_settings.rs
+++ b/crates/hollyhook_settings/src/site/service_settings.rs
@@ -118,6 +118,7 @@
     policy.silence_ceiling = reader.default("silence_ceiling", policy.silence_ceiling, span());
     policy.first_floor = reader.default("first_floor", policy.first_floor, span());
     policy.first_ceiling = reader.default("first_ceiling", policy.first_ceiling, span());
+    policy.open_timeout = reader.default("open_timeout", policy.open_timeout, span());
     policy.probe_timeout = reader.default("probe_timeout", policy.probe_timeout, span());
     policy.reset_probe_timeout = reader.default("reset_probe_timeout", policy.reset_probe_timeout, span());
     policy.stall_limit = reader.default("stall_limit", policy.stall_limit, span());
--- a/crates/hollyhook_settings/src/site/site_parser.rs
+++ b/crates/hollyhook_settings/src/site/site_parser.rs
@@ -38,7 +38,8 @@
         match site {
             Some((name, zones)) if self.errors.is_empty() => {
                 let digest = digest_of(&sections);
-                Ok(SiteSettings { name, zones, services, accounts, endpoints, limits, digest })
+                let key_index = index_keys(&accounts);
+                Ok(SiteSettings { name, zones, services, accounts, endpoints, limits, digest, key_index })
             }
             _ => Err(SettingErrors(self.sorted_errors())),
         }
@@ -174,6 +175,11 @@
     }
 }
 
+fn index_keys(accounts: &[AccountSettings]) -> BTreeMap<Name, usize> {
+    let places = accounts.iter().enumerate();
+    places.flat_map(|(place, account)| account.keys.iter().map(move |key| (Name::clone(key), place))).collect()
+}
+
 fn digest_of(sections: &[SettingSection]) -> Name {
     let mut text = String::new();
     for section in sections {
--- a/crates/hollyhook_settings/src/site/site_settings.rs
+++ b/crates/hollyhook_settings/src/site/site_settings.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::path::Path;
 
 use hollyhook_core::{Name, ZoneName};
@@ -23,6 +24,8 @@
     pub limits: LimitSettings,
     /// A digest of both files, in hexadecimal.
     pub digest: Name,
+    /// The place of each account by the digests of its keys.
+    pub(super) key_index: BTreeMap<Name, usize>,
 }
 
 impl SiteSettings {
@@ -70,6 +73,6 @@
 
     /// The client account of an API key.
     pub fn account_of_key(&self, digest: &str) -> Option<&AccountSettings> {
-        self.accounts.iter().find(|account| account.keys.iter().any(|key| **key == *digest))
+        self.key_index.get(digest).and_then(|place| self.accounts.get(*place))
     }
 }
