--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -26,6 +26,6 @@
 };
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
 pub use retry::{ProbeGate, ProbePlace, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget};
-pub use route::{EndpointRecord, EndpointState, EndpointTable, LoadReport, RouteQuery};
+pub use route::{EndpointRecord, EndpointState, EndpointSubset, EndpointTable, LoadReport, RouteQuery};
 pub use time::TimePoint;
 pub use trace::{RelayTrace, TraceEnd, TraceLine, TraceOutcome, TraceRun, TraceStart};
--- /dev/null
+++ b/crates/hollyhook_core/src/route/endpoint_subset.rs
@@ -0,0 +1,87 @@
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use super::rendezvous::weight;
+use crate::{EndpointId, ZoneName};
+
+/// The endpoints of one service that a host keeps to, so that its cost does not grow with the fleet.
+///
+/// Half are of the host's own zone and half of the others, in equal parts, so that the loss of any zone leaves it some.
+/// Within a zone the host takes those that rendezvous hashing ranks first for its name: every host another few, always
+/// the same ones while the fleet stays, and few other ones when it changes.
+///
+/// ```
+/// use hollyhook_core::EndpointSubset;
+///
+/// let fleet = (0..100).map(|number| (format!("e{number}").into(), "zone-a".into()));
+/// let subset = EndpointSubset::new("host-1", "zone-a").limit(10).choose(fleet);
+/// assert_eq!(subset.len(), 10);
+/// ```
+#[derive(Debug, Clone)]
+pub struct EndpointSubset<'a> {
+    host: &'a str,
+    zone: &'a str,
+    limit: usize,
+}
+
+impl<'a> EndpointSubset<'a> {
+    /// Endpoints of one service that a host keeps to unless told otherwise.
+    ///
+    /// With 1,000 hosts before 10,000 endpoints each endpoint is then in the subsets of about 13 hosts.
+    pub const LIMIT: usize = 128;
+
+    /// The subset for a host in a zone.
+    pub fn new(host: &'a str, zone: &'a str) -> Self {
+        Self { host, zone, limit: Self::LIMIT }
+    }
+
+    /// Another limit.
+    #[must_use]
+    pub fn limit(mut self, endpoints: usize) -> Self {
+        self.limit = endpoints;
+        self
+    }
+
+    /// Chooses among the endpoints of one service; all of them if they are no more than the limit.
+    pub fn choose(&self, fleet: impl IntoIterator<Item = (EndpointId, ZoneName)>) -> Vec<EndpointId> {
+        let mut zones: BTreeMap<ZoneName, Vec<EndpointId>> = BTreeMap::new();
+        for (endpoint, zone) in fleet {
+            zones.entry(zone).or_default().push(endpoint);
+        }
+        for endpoints in zones.values_mut() {
+            endpoints.sort_by_cached_key(|endpoint| Reverse(weight(self.host.as_bytes(), endpoint)));
+        }
+        self.deal(zones)
+    }
+
+    /// Deals places to the own zone and the others in turn, until the limit or the fleet is reached.
+    fn deal(&self, zones: BTreeMap<ZoneName, Vec<EndpointId>>) -> Vec<EndpointId> {
+        let (own, others): (Vec<_>, Vec<_>) = zones.into_iter().partition(|(zone, _)| **zone == *self.zone);
+        let mut own = own.into_iter().flat_map(|(_, endpoints)| endpoints);
+        let mut others = interleave(others.into_iter().map(|(_, endpoints)| endpoints).collect()).into_iter();
+        let mut chosen = Vec::new();
+        loop {
+            let before = chosen.len();
+            for next in [own.next(), others.next()].into_iter().flatten() {
+                if chosen.len() < self.limit {
+                    chosen.push(next);
+                }
+            }
+            if chosen.len() == before {
+                return chosen;
+            }
+        }
+    }
+}
+
+fn interleave(lists: Vec<Vec<EndpointId>>) -> Vec<EndpointId> {
+    let mut lists: Vec<_> = lists.into_iter().map(Vec::into_iter).collect();
+    let mut joined = Vec::new();
+    loop {
+        let before = joined.len();
+        joined.extend(lists.iter_mut().filter_map(Iterator::next));
+        if joined.len() == before {
+            return joined;
+        }
+    }
+}
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -3,8 +3,8 @@
 
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use sha2::{Digest, Sha256};
 
+use super::rendezvous::weight;
 use super::{EndpointRecord, EndpointState, LoadReport};
 use crate::{EndpointId, ModelBinding, TimePoint, ZoneName};
 
@@ -197,16 +197,7 @@
 
 /// Rendezvous order (highest random weight), the same on every host that knows the same endpoints.
 fn ranked(mut pool: Vec<&EndpointRecord>, number: u128) -> Vec<&EndpointRecord> {
-    pool.sort_by_cached_key(|record| Reverse(weight(number, &record.id)));
+    pool.sort_by_cached_key(|record| Reverse(weight(&number.to_be_bytes(), &record.id)));
     pool.truncate(EndpointTable::AFFINITY_CANDIDATES);
     pool
 }
-
-fn weight(number: u128, id: &str) -> u64 {
-    let mut hash = Sha256::new();
-    hash.update(number.to_be_bytes());
-    hash.update(id);
-    let mut bytes = [0; 8];
-    bytes.copy_from_slice(&hash.finalize()[..8]);
-    u64::from_be_bytes(bytes)
-}
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -1,7 +1,10 @@
 //! Choosing an endpoint from what this host knows.
 
 mod endpoint_record;
+mod endpoint_subset;
 mod endpoint_table;
+mod rendezvous;
 
 pub use endpoint_record::{EndpointRecord, EndpointState, LoadReport};
+pub use endpoint_subset::EndpointSubset;
 pub use endpoint_table::{EndpointTable, RouteQuery};
--- a/crates/hollyhook_core/tests/fuzz/route_fuzz.rs
+++ b/crates/hollyhook_core/tests/fuzz/route_fuzz.rs
@@ -1,7 +1,8 @@
 use std::collections::BTreeMap;
 
 use hollyhook_core::{
-    EndpointId, EndpointRecord, EndpointState, EndpointTable, LoadReport, ModelBinding, RouteQuery, TimePoint,
+    EndpointId, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, LoadReport, ModelBinding, RouteQuery,
+    TimePoint,
 };
 use proptest::prelude::*;
 use rand_pcg::Pcg64;
@@ -133,3 +134,38 @@
     table.opened(&chosen);
     facts.get_mut(&number).unwrap().open += 1;
 }
+
+/// Coverage of a large fleet by the subsets of many hosts: bounded, each zone in it, no endpoint without a host, and
+/// little changed by the loss of one endpoint.
+#[test]
+fn subset_of_a_large_fleet() {
+    const HOSTS: usize = 200;
+    const ENDPOINTS: usize = 2_000;
+    const ZONES: usize = 7;
+    let fleet = |without: usize| {
+        let numbers = (0..ENDPOINTS).filter(move |number| *number != without);
+        numbers.map(|number| (name(number), format!("zone-{}", number % ZONES).into()))
+    };
+    let mut covered = vec![0; ENDPOINTS];
+    for host in 0..HOSTS {
+        let (host_name, zone) = (format!("host-{host}"), format!("zone-{}", host % ZONES));
+        let subset = EndpointSubset::new(&host_name, &zone);
+        let chosen = subset.choose(fleet(ENDPOINTS));
+        assert_eq!(chosen.len(), EndpointSubset::LIMIT);
+        let number_of = |endpoint: &EndpointId| -> usize { endpoint[1..].parse().unwrap() };
+        let mut of_zone = [0; ZONES];
+        for number in chosen.iter().map(number_of) {
+            covered[number] += 1;
+            of_zone[number % ZONES] += 1;
+        }
+        assert_eq!(of_zone[host % ZONES], EndpointSubset::LIMIT / 2, "half are of the own zone");
+        assert!(of_zone.iter().all(|count| *count >= 10), "every zone is there: {of_zone:?}");
+        let lost = number_of(&chosen[0]);
+        let after = subset.choose(fleet(lost));
+        let kept = chosen.iter().filter(|endpoint| after.contains(endpoint)).count();
+        assert!(kept >= EndpointSubset::LIMIT - 2, "the loss of one endpoint changed {} others", chosen.len() - kept);
+    }
+    let (least, most) = (covered.iter().min().unwrap(), covered.iter().max().unwrap());
+    assert!(*least >= 1, "an endpoint is in no host's subset");
+    assert!(*most <= 40, "an endpoint is in {most} hosts' subsets; the mean is 12.8");
+}
--- a/crates/hollyhook_daemon/src/daemon/assembly.rs
+++ b/crates/hollyhook_daemon/src/daemon/assembly.rs
@@ -5,7 +5,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use futures::future::{AbortHandle, abortable};
-use hollyhook_core::{CursorSeal, Error, ErrorKind, Result, RetryBudget, ZoneName};
+use hollyhook_core::{CursorSeal, Error, ErrorKind, Result, RetryBudget};
 use hollyhook_kernel::{Mailbox, ServiceRegistry, TimerService, WallClock};
 use hollyhook_settings::{LimitSettings, ProcessSettings, SiteSettings};
 use hollyhook_wire::{
@@ -129,7 +129,7 @@
         None => MetricBoard::default(),
     };
     let board = registry.register(MetricBoard::NAME, board)?;
-    registry.register(FleetTable::NAME, FleetTable::new(ZoneName::clone(&settings.zone), &site))?;
+    registry.register(FleetTable::NAME, FleetTable::new(&settings.host, &settings.zone, &site))?;
     let mut seal = CursorSeal::new(&settings.cursor_key, limits.cursor_age);
     if let Some(previous) = &settings.previous_cursor_key {
         seal = seal.previous(previous);
--- a/crates/hollyhook_daemon/src/fleet/fleet_table.rs
+++ b/crates/hollyhook_daemon/src/fleet/fleet_table.rs
@@ -1,8 +1,11 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use hollyhook_core::{EndpointId, EndpointRecord, EndpointTable, Name, Patience, RelayPolicy, ZoneName};
-use hollyhook_settings::{ServiceKind, SiteSettings};
+use hollyhook_core::{
+    EndpointId, EndpointRecord, EndpointSubset, EndpointTable, Name, Patience, RelayPolicy, ZoneName,
+};
+use hollyhook_settings::{EndpointSettings, ServiceKind, ServiceSettings, SiteSettings};
 
 /// The endpoint table behind a lock that is only held for one step.
 #[derive(Debug)]
@@ -14,20 +17,16 @@
     /// The name that the service is registered under.
     pub(crate) const NAME: &'static str = "endpoints";
 
-    pub(crate) fn new(zone: ZoneName, site: &SiteSettings) -> Self {
-        let mut table = EndpointTable::new(zone);
-        for endpoint in &site.endpoints {
-            let mut record = EndpointRecord::new(
-                EndpointId::clone(&endpoint.id),
-                Name::clone(&endpoint.service),
-                ZoneName::clone(&endpoint.zone),
-                endpoint.address,
-            );
-            let service = site.services.iter().find(|service| service.name == endpoint.service);
-            if let Some(ServiceKind::Generation(generation)) = service.map(|service| &service.kind) {
-                record = record.binding(generation.binding.clone());
+    /// A table of the endpoints that the host keeps to.
+    pub(crate) fn new(host: &str, zone: &ZoneName, site: &SiteSettings) -> Self {
+        let mut table = EndpointTable::new(ZoneName::clone(zone));
+        for service in &site.services {
+            let of_service = || site.endpoints.iter().filter(|endpoint| endpoint.service == service.name);
+            let fleet = of_service().map(|endpoint| (EndpointId::clone(&endpoint.id), ZoneName::clone(&endpoint.zone)));
+            let subset: BTreeSet<EndpointId> = EndpointSubset::new(host, zone).choose(fleet).into_iter().collect();
+            for endpoint in of_service().filter(|endpoint| subset.contains(&endpoint.id)) {
+                table.upsert(record(endpoint, service));
             }
-            table.upsert(record);
         }
         Self { table: Mutex::new(table) }
     }
@@ -49,3 +48,12 @@
         )
     }
 }
+
+fn record(endpoint: &EndpointSettings, service: &ServiceSettings) -> EndpointRecord {
+    let id = EndpointId::clone(&endpoint.id);
+    let record = EndpointRecord::new(id, Name::clone(&service.name), ZoneName::clone(&endpoint.zone), endpoint.address);
+    match &service.kind {
+        ServiceKind::Generation(generation) => record.binding(generation.binding.clone()),
+        ServiceKind::Plain(_) => record,
+    }
+}
--- a/crates/hollyhook_daemon/src/relay/attempt_link.rs
+++ b/crates/hollyhook_daemon/src/relay/attempt_link.rs
@@ -4,7 +4,7 @@
 use hollyhook_core::{AttemptNumber, EndpointId, EndpointRefusal, ErrorKind, OpenMode, RelayEvent, Result, TokenLog};
 use hollyhook_wire::{CallerRequest, EngineExtension, EngineStream, EngineUsage, StreamItem};
 
-use crate::fleet::HostContext;
+use crate::fleet::{HostContext, take_report};
 
 /// One attempt's connection; dropping it closes the connection and counts it as closed.
 ///
@@ -82,6 +82,9 @@
         self.phase = LinkPhase::Ended;
         match outcome {
             Ok(Ok(stream)) => {
+                if let Some(load) = stream.load() {
+                    take_report(&self.context, &self.endpoint, &load);
+                }
                 self.phase = LinkPhase::Reading(Box::new(stream));
                 RelayEvent::Opened { attempt }
             }
--- a/crates/hollyhook_standin/src/engine/engine_stand_in.rs
+++ b/crates/hollyhook_standin/src/engine/engine_stand_in.rs
@@ -13,7 +13,7 @@
 };
 use hollyhook_wire::{
     ApiErrorBody, ApiStyle, BodyFeed, CallerRequest, ChunkChoice, ChunkDelta, EngineChunk, EngineExtension, EngineLoad,
-    EngineUsage, HttpServer, ServerLimits, feed_body,
+    EngineUsage, HttpServer, LOAD_FIELD, ServerLimits, feed_body,
 };
 use serde::Deserialize;
 use tide::{Request, Response, StatusCode};
@@ -110,6 +110,14 @@
         self.batch().wake_all();
     }
 
+    /// What it says of itself: as old as the lag, or a lie.
+    fn load(&self) -> EngineLoad {
+        let reported = *self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_lying = self.is_lying.load(Ordering::SeqCst);
+        let load = if is_lying { LoadReport { running: 0, waiting: 0, ..reported } } else { reported };
+        EngineLoad { binding: self.options.binding.clone(), state: self.endpoint_state(), load }
+    }
+
     fn endpoint_state(&self) -> EndpointState {
         if self.is_leaving.load(Ordering::SeqCst) { EndpointState::Leaving } else { EndpointState::Live }
     }
@@ -217,11 +225,7 @@
 }
 
 async fn load(request: Request<Arc<EngineShared>>) -> tide::Result {
-    let shared = request.state();
-    let reported = *shared.reported.lock().unwrap_or_else(PoisonError::into_inner);
-    let is_lying = shared.is_lying.load(Ordering::SeqCst);
-    let load = if is_lying { LoadReport { running: 0, waiting: 0, ..reported } } else { reported };
-    json(&EngineLoad { binding: shared.options.binding.clone(), state: shared.endpoint_state(), load })
+    json(&request.state().load())
 }
 
 async fn counts(request: Request<Arc<EngineShared>>) -> tide::Result {
@@ -257,6 +261,7 @@
     wake: Receiver<()>,
 ) -> Response {
     let (feed, body) = feed_body(FEED_CAPACITY);
+    let load = serde_json::to_string(&shared.load()).unwrap_or_default();
     let pump = StreamPump {
         cut_epoch: shared.cut_epoch.load(Ordering::SeqCst),
         silence_epoch: shared.silence_epoch.load(Ordering::SeqCst),
@@ -266,7 +271,7 @@
         position: from,
     };
     task::spawn(pump.run(feed, wake));
-    Response::builder(StatusCode::Ok).content_type("text/event-stream").body(body).build()
+    Response::builder(StatusCode::Ok).content_type("text/event-stream").header(LOAD_FIELD, load).body(body).build()
 }
 
 /// Moves the tokens of one sequence to one attachment.
--- a/crates/hollyhook_wire/src/api/engine_client.rs
+++ b/crates/hollyhook_wire/src/api/engine_client.rs
@@ -172,7 +172,16 @@
     position: u64,
 }
 
+/// The field of a stream's head that carries an engine's load, as JSON.
+pub const LOAD_FIELD: &str = "x-engine-load";
+
 impl EngineStream {
+    /// What the endpoint said of itself with the stream, if it did.
+    pub fn load(&self) -> Option<EngineLoad> {
+        let field = self.answer.response.header(LOAD_FIELD)?;
+        serde_json::from_str(field.as_str()).ok()
+    }
+
     fn new(answer: ClientAnswer) -> Self {
         Self { answer, parser: SseParser::default(), position: 0 }
     }
--- a/crates/hollyhook_wire/src/api/mod.rs
+++ b/crates/hollyhook_wire/src/api/mod.rs
@@ -13,6 +13,6 @@
 pub use engine_api::{
     ChunkChoice, ChunkDelta, EngineChunk, EngineExtension, EngineLoad, EngineUsage, EngineWork, GenerationState,
 };
-pub use engine_client::{EngineClient, EngineStream, StreamItem};
+pub use engine_client::{EngineClient, EngineStream, LOAD_FIELD, StreamItem};
 pub(crate) use engine_client::{decode, request_to};
 pub use stream_writer::{StreamWriter, WholeAnswer};
--- a/crates/hollyhook_wire/src/lib.rs
+++ b/crates/hollyhook_wire/src/lib.rs
@@ -10,7 +10,7 @@
 pub use api::{
     ApiError, ApiErrorBody, ApiStyle, CallerAnswer, CallerClient, CallerItem, CallerRequest, CallerStream, ChunkChoice,
     ChunkDelta, EngineChunk, EngineClient, EngineExtension, EngineLoad, EngineStream, EngineUsage, EngineWork,
-    GenerationState, RequestLimits, StreamItem, StreamWriter, WholeAnswer, completion_body,
+    GenerationState, LOAD_FIELD, RequestLimits, StreamItem, StreamWriter, WholeAnswer, completion_body,
 };
 pub use http::{BodyFeed, ClientAnswer, ConnectionGate, HttpClient, HttpServer, ServerLimits, feed_body, read_body};
 pub use peer::{
