--- a/crates/hollyhook/tests/processes/main.rs
+++ b/crates/hollyhook/tests/processes/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod demo;
+mod docs;
 mod fleet;
 mod generations;
 mod plain_calls;
--- a/crates/hollyhook_core/src/generation/mod.rs
+++ b/crates/hollyhook_core/src/generation/mod.rs
@@ -6,14 +6,16 @@
 mod generation_relay;
 mod relay_action;
 mod relay_event;
+mod relay_phase;
 mod relay_policy;
 mod token_log;
 
 pub use end_reason::EndReason;
 pub use endpoint_rhythm::{EndpointRhythm, Patience};
 pub use generation_id::{AttemptNumber, GenerationId};
-pub use generation_relay::{GenerationRelay, RelayPhase};
+pub use generation_relay::GenerationRelay;
 pub use relay_action::{OpenMode, RelayAction, RelayNote};
 pub use relay_event::{EndpointRefusal, ProbeReport, RelayEvent};
+pub use relay_phase::RelayPhase;
 pub use relay_policy::RelayPolicy;
 pub use token_log::{PrefixDigest, TokenLog};
--- a/crates/hollyhook_core/src/generation/relay_action.rs
+++ b/crates/hollyhook_core/src/generation/relay_action.rs
@@ -120,6 +120,24 @@
 }
 
 impl RelayNote {
+    /// Every note, for documentation.
+    pub const ALL: [Self; 14] = [
+        Self::StaleDropped,
+        Self::DuplicateDropped,
+        Self::GapFound,
+        Self::ConnectFailed,
+        Self::OpenTimedOut,
+        Self::ResetSeen,
+        Self::SilenceSuspected,
+        Self::ProbeWaited,
+        Self::Reattached,
+        Self::Resumed,
+        Self::Replayed,
+        Self::StallLeft,
+        Self::RefusalSeen,
+        Self::SearchFailed,
+    ];
+
     /// The counter's name.
     pub const fn label(self) -> &'static str {
         match self {
--- a/crates/hollyhook_daemon/src/call/call_driver.rs
+++ b/crates/hollyhook_daemon/src/call/call_driver.rs
@@ -159,6 +159,7 @@
         context.fleet.lock().opened(&endpoint);
         let event = match client.connect(address).await {
             Err(_) => CallEvent::ConnectFailed,
+            Ok(_) if context.timer.now() >= self.deadline => CallEvent::DeadlinePassed,
             Ok(stream) => {
                 self.guard.on(context.timer.now(), CallEvent::Sending);
                 let limit = self.deadline - context.timer.now();
--- a/crates/hollyhook_standin/src/engine/engine_stand_in.rs
+++ b/crates/hollyhook_standin/src/engine/engine_stand_in.rs
@@ -1,5 +1,3 @@
-use std::borrow::Cow;
-use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -9,17 +7,16 @@
 use async_channel::Receiver;
 use async_std::task;
 use hollyhook_core::{
-    AttemptNumber, EndReason, EndpointRefusal, EndpointState, Error, ErrorKind, GenerationId, LoadReport, Name, Result,
+    AttemptNumber, EndpointRefusal, EndpointState, Error, ErrorKind, GenerationId, LoadReport, Result,
 };
 use hollyhook_wire::{
-    ApiErrorBody, ApiStyle, BodyFeed, CallerRequest, ChunkChoice, ChunkDelta, EngineChunk, EngineExtension, EngineLoad,
-    EngineUsage, HttpServer, LOAD_FIELD, ServerLimits, feed_body,
+    ApiErrorBody, ApiStyle, CallerRequest, EngineExtension, EngineLoad, HttpServer, LOAD_FIELD, ServerLimits, feed_body,
 };
 use serde::Deserialize;
 use tide::{Request, Response, StatusCode};
 
 use super::engine_batch::EngineBatch;
-use super::sequence::Sequence;
+use super::stream_pump::StreamPump;
 use super::{EngineCounts, EngineOptions};
 use crate::fault::{FaultKind, FaultOrder, FaultState, serve};
 
@@ -34,16 +31,16 @@
 }
 
 #[derive(Debug)]
-struct EngineShared {
-    options: EngineOptions,
-    batch: Mutex<EngineBatch>,
-    faults: Arc<FaultState>,
+pub(super) struct EngineShared {
+    pub(super) options: EngineOptions,
+    pub(super) batch: Mutex<EngineBatch>,
+    pub(super) faults: Arc<FaultState>,
     /// Grows with each fault that ends the streams that are open.
-    cut_epoch: AtomicU64,
-    silence_epoch: AtomicU64,
-    is_leaving: AtomicBool,
-    is_lying: AtomicBool,
-    reported: Mutex<LoadReport>,
+    pub(super) cut_epoch: AtomicU64,
+    pub(super) silence_epoch: AtomicU64,
+    pub(super) is_leaving: AtomicBool,
+    pub(super) is_lying: AtomicBool,
+    pub(super) reported: Mutex<LoadReport>,
 }
 
 impl EngineStandIn {
@@ -90,7 +87,7 @@
 }
 
 impl EngineShared {
-    fn batch(&self) -> MutexGuard<'_, EngineBatch> {
+    pub(super) fn batch(&self) -> MutexGuard<'_, EngineBatch> {
         self.batch.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -262,103 +259,7 @@
 ) -> Response {
     let (feed, body) = feed_body(FEED_CAPACITY);
     let load = serde_json::to_string(&shared.load()).unwrap_or_default();
-    let pump = StreamPump {
-        cut_epoch: shared.cut_epoch.load(Ordering::SeqCst),
-        silence_epoch: shared.silence_epoch.load(Ordering::SeqCst),
-        shared,
-        id,
-        attempt,
-        position: from,
-    };
+    let pump = StreamPump::new(shared, id, attempt, from);
     task::spawn(pump.run(feed, wake));
     Response::builder(StatusCode::Ok).content_type("text/event-stream").header(LOAD_FIELD, load).body(body).build()
 }
-
-/// Moves the tokens of one sequence to one attachment.
-struct StreamPump {
-    shared: Arc<EngineShared>,
-    id: GenerationId,
-    attempt: AttemptNumber,
-    position: usize,
-    cut_epoch: u64,
-    silence_epoch: u64,
-}
-
-impl StreamPump {
-    async fn run(mut self, feed: BodyFeed, wake: Receiver<()>) {
-        self.pump(&feed, &wake).await;
-        self.shared.batch().detach(self.id, self.attempt);
-    }
-
-    async fn pump(&mut self, feed: &BodyFeed, wake: &Receiver<()>) {
-        loop {
-            let woken = std::pin::pin!(wake.recv());
-            let closed = std::pin::pin!(feed.closed());
-            match futures::future::select(woken, closed).await {
-                futures::future::Either::Left((Ok(()), _)) => {}
-                _ => return,
-            }
-            self.shared.faults.wait_pause().await;
-            if self.shared.faults.is_dead() || self.cut_epoch != self.shared.cut_epoch.load(Ordering::SeqCst) {
-                return;
-            }
-            if self.silence_epoch != self.shared.silence_epoch.load(Ordering::SeqCst) {
-                // Neither data nor an end ever comes out of it again.
-                feed.closed().await;
-                return;
-            }
-            let (events, is_end) = self.render();
-            if !events.is_empty() && !feed.send(events).await {
-                return;
-            }
-            if is_end {
-                return;
-            }
-        }
-    }
-
-    /// The events that are due, and whether the end is among them.
-    fn render(&mut self) -> (Vec<u8>, bool) {
-        let batch = self.shared.batch();
-        let Some(sequence) = batch.get(self.id) else {
-            return (Vec::new(), true);
-        };
-        let mut events = String::new();
-        for (index, token) in sequence.tokens.iter().enumerate().skip(self.position) {
-            push_event(&mut events, index, &token_chunk(sequence.style, token));
-        }
-        self.position = self.position.max(sequence.tokens.len());
-        let is_end = sequence.is_finished() && sequence.tokens.len() as u64 >= sequence.max_tokens;
-        if is_end {
-            push_event(&mut events, sequence.tokens.len(), &end_chunk(sequence));
-            events.push_str("data: [DONE]\n\n");
-        }
-        (events.into_bytes(), is_end)
-    }
-}
-
-fn push_event(events: &mut String, position: usize, chunk: &EngineChunk<'_>) {
-    let data = serde_json::to_string(chunk).unwrap_or_default();
-    let _infallible = write!(events, "id: {position}\ndata: {data}\n\n");
-}
-
-fn token_chunk(style: ApiStyle, token: &Name) -> EngineChunk<'_> {
-    let text = Some(Cow::Borrowed(&**token));
-    let (text, delta) = match style {
-        ApiStyle::Completion => (text, None),
-        ApiStyle::Chat => (None, Some(ChunkDelta { content: text })),
-    };
-    let choice = ChunkChoice { index: 0, text, delta, finish_reason: None };
-    EngineChunk { choices: vec![choice], usage: None, work: None }
-}
-
-fn end_chunk(sequence: &Sequence) -> EngineChunk<'static> {
-    let choice = ChunkChoice { index: 0, text: None, delta: None, finish_reason: Some(EndReason::Length) };
-    let output = sequence.tokens.len() as u64;
-    let usage = EngineUsage {
-        prompt_tokens: sequence.prompt_tokens,
-        completion_tokens: output,
-        total_tokens: sequence.prompt_tokens + output,
-    };
-    EngineChunk { choices: vec![choice], usage: Some(usage), work: Some(sequence.work) }
-}
--- a/crates/hollyhook_standin/src/engine/mod.rs
+++ b/crates/hollyhook_standin/src/engine/mod.rs
@@ -5,6 +5,7 @@
 mod engine_stand_in;
 mod prefix_cache;
 mod sequence;
+mod stream_pump;
 mod token_chain;
 
 pub use engine_batch::EngineCounts;
