Let a reader of 'hollyhook status' go away

Cause: found while following the README in a fresh clone: 'hollyhook status ... | head' panicked on a broken pipe. Ruled out: restoring SIGPIPE, which needs unsafe code. Change: the status is one text, written once; a broken pipe is no error. Figures: status_reader_gone failed before and passes after.

--- a/crates/hollyhook/tests/processes/status.rs
+++ b/crates/hollyhook/tests/processes/status.rs
@@ -1,4 +1,4 @@
-use std::process::Command;
+use std::process::{Command, Stdio};
 
 use async_std::task::block_on;
 use serde_json::Value;
@@ -63,3 +63,16 @@
     assert!(!run(&["replay", wrong.to_str().unwrap()]).0);
     assert!(!run(&["explain", &"0".repeat(32), "--daemon", &peer]).0);
 }
+
+#[test]
+fn status_reader_gone() {
+    let fleet = Fleet::start(&FleetPlan::default());
+    let peer = fleet.daemons[0].peer_address.unwrap().to_string();
+    for more in [&[][..], &["--json"]] {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hollyhook"));
+        let command = command.arg("status").arg(&peer).args(more).stdout(Stdio::piped()).stderr(Stdio::null());
+        let mut child = command.spawn().unwrap();
+        drop(child.stdout.take());
+        assert!(child.wait().unwrap().success());
+    }
+}
--- a/crates/hollyhook_command/src/view/status_view.rs
+++ b/crates/hollyhook_command/src/view/status_view.rs
@@ -1,3 +1,4 @@
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -7,6 +8,8 @@
 use eyre::{OptionExt, Result, WrapErr};
 use hollyhook_wire::{StatusReport, connect_peer};
 
+use super::print_text;
+
 /// Which daemon to ask, and how to show its answer.
 #[derive(Debug, Args)]
 pub(crate) struct StatusArgs {
@@ -24,16 +27,18 @@
     let status = client.status(tarpc::context::current()).await.wrap_err("the daemon did not answer")?;
     let status = status.ok_or_eyre("the daemon has no status to show")?;
     if args.json {
-        println!("{}", serde_json::to_string(&status)?);
+        print_text(&format!("{}\n", serde_json::to_string(&status)?))?;
     } else {
-        print_status(&status);
+        print_text(&status_text(&status)?)?;
     }
     Ok(ExitCode::SUCCESS)
 }
 
-fn print_status(status: &StatusReport) {
+fn status_text(status: &StatusReport) -> Result<String> {
     const MEBIBYTE: u64 = 1 << 20;
-    println!(
+    let mut text = String::new();
+    writeln!(
+        text,
         "host {} in {}: configuration {} ({}), up {} s, {} generations, {} connections, {} MiB, {} ms of processor{}",
         status.host.host,
         status.host.zone,
@@ -45,7 +50,7 @@
         status.memory_bytes / MEBIBYTE,
         status.cpu_ms,
         if status.host.is_draining { ", stopping" } else { "" }
-    );
+    )?;
     let mut table = new_table(&["endpoint", "service", "zone", "state", "ejected", "open", "pressure"]);
     for row in &status.endpoints {
         let state = format!("{:?}", row.state).to_lowercase();
@@ -59,7 +64,7 @@
             format!("{:.2}", row.pressure),
         ]);
     }
-    println!("{table}");
+    writeln!(text, "{table}")?;
     let mut table = new_table(&["measure", "of", "name", "count", "p50 ms", "p95 ms", "p99 ms", "max ms"]);
     for row in &status.histograms {
         let millis = |micros: u64| format!("{:.1}", micros as f64 / 1_000.0);
@@ -74,12 +79,13 @@
             millis(row.max_us),
         ]);
     }
-    println!("{table}");
+    writeln!(text, "{table}")?;
     let mut table = new_table(&["counter", "value"]);
     for row in &status.counters {
         table.add_row([row.counter.to_string(), row.value.to_string()]);
     }
-    println!("{table}");
+    writeln!(text, "{table}")?;
+    Ok(text)
 }
 
 fn new_table(header: &[&str]) -> Table {
