Send a cancel order once a try, without a count of tries that was always one

Cause: read in the whole change: try_order looped over a number of tries that every caller gave as 1; keep_trying is the loop that repeats. Ruled out: joining the two loops, since a first order holds a worker's permit and a repeated one must not. Change: try_order makes one call; no change of behaviour.

--- a/crates/hollyhook_daemon/src/fleet/cancel_service.rs
+++ b/crates/hollyhook_daemon/src/fleet/cancel_service.rs
@@ -39,7 +39,7 @@
         let context = Arc::clone(&context);
         let permits = permits.clone();
         task::spawn(async move {
-            let is_confirmed = try_order(&context, &order, 1).await;
+            let is_confirmed = try_order(&context, &order).await;
             let _freed = permits.try_recv();
             if !is_confirmed {
                 // An endpoint that does not answer must not hold up the orders for others.
@@ -55,23 +55,21 @@
     while context.timer.now() - start < GIVE_UP_AFTER {
         context.timer.wait(pause).await;
         pause *= 2;
-        if try_order(context, order, 1).await {
+        if try_order(context, order).await {
             return;
         }
     }
     context.board.count("cancel_given_up");
 }
 
-async fn try_order(context: &HostContext, order: &CancelOrder, tries: u32) -> bool {
-    for _ in 0..tries {
-        let Some(address) = context.fleet.address(&order.endpoint) else {
-            return true;
-        };
-        let call = context.engine.cancel(address, order.generation, order.attempt, CALL_TIMEOUT);
-        if call.await.is_ok() {
-            context.board.count("cancel_confirmed");
-            return true;
-        }
+async fn try_order(context: &HostContext, order: &CancelOrder) -> bool {
+    let Some(address) = context.fleet.address(&order.endpoint) else {
+        return true;
+    };
+    let call = context.engine.cancel(address, order.generation, order.attempt, CALL_TIMEOUT);
+    let is_confirmed = call.await.is_ok();
+    if is_confirmed {
+        context.board.count("cancel_confirmed");
     }
-    false
+    is_confirmed
 }
