--- a/crates/hollyhook/src/bin/hollyhookd.rs
+++ b/crates/hollyhook/src/bin/hollyhookd.rs
@@ -8,9 +8,9 @@
 use clap::Parser;
 use futures::StreamExt;
 use futures::future::{Either, select};
-use hollyhook::{Daemon, ProcessSettings, SiteSettings};
+use hollyhook::{Daemon, Gateway, GatewaySettings, ProcessSettings, SiteSettings};
 use hollyhook_daemon::init_log;
-use hollyhook_settings::SettingErrors;
+use hollyhook_settings::{SettingErrors, SettingFile};
 use mimalloc::MiMalloc;
 
 #[global_allocator]
@@ -28,24 +28,63 @@
     check: bool,
 }
 
+/// Threads of a gateway: its hosts have one core at most.
+const GATEWAY_THREADS: usize = 1;
+
+/// What the settings make of this process.
+enum DaemonRole {
+    /// A daemon with a site of its own.
+    Daemon(Box<ProcessSettings>, Box<SiteSettings>),
+    /// A daemon whose site lies in the platform's store.
+    Gateway(Box<GatewaySettings>),
+}
+
 fn main() -> eyre::Result<ExitCode> {
     let args = DaemonArgs::parse();
-    let (process, site) = match load(&args) {
-        Ok(settings) => settings,
+    let role = match load(&args) {
+        Ok(role) => role,
         Err(errors) => {
             eprintln!("{errors}");
             return Ok(ExitCode::FAILURE);
         }
     };
-    if args.check {
-        println!("host {} of site {}: the settings are right", process.host, site.name);
-        return Ok(ExitCode::SUCCESS);
+    match role {
+        DaemonRole::Daemon(process, site) if args.check => {
+            println!("host {} of site {}: the settings are right", process.host, site.name);
+            Ok(ExitCode::SUCCESS)
+        }
+        DaemonRole::Gateway(settings) if args.check => {
+            println!("host {}, a gateway of the store at {}: the settings are right", settings.host, settings.store);
+            Ok(ExitCode::SUCCESS)
+        }
+        DaemonRole::Daemon(process, site) => {
+            init_log(process.log_format, &process.log_level)?;
+            run(process.threads, serve(*process, *site))
+        }
+        DaemonRole::Gateway(settings) => {
+            init_log(settings.log_format, &settings.log_level)?;
+            run(GATEWAY_THREADS, serve_gateway(*settings))
+        }
     }
-    init_log(process.log_format, &process.log_level)?;
+}
+
+fn run(threads: usize, work: impl Future<Output = eyre::Result<ExitCode>>) -> eyre::Result<ExitCode> {
     // async-std takes the executor that is there when it starts.
-    let threads = GlobalExecutorConfig::default().with_min_threads(process.threads).with_max_threads(process.threads);
-    async_global_executor::init_with_config(threads);
-    async_std::task::block_on(serve(process, site))
+    let config = GlobalExecutorConfig::default().with_min_threads(threads).with_max_threads(threads);
+    async_global_executor::init_with_config(config);
+    async_std::task::block_on(work)
+}
+
+async fn serve_gateway(settings: GatewaySettings) -> eyre::Result<ExitCode> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let gateway = Gateway::start(&settings)?;
+    while let Some(Ok(Signal::Hup)) = signals.next().await {
+        tracing::info!("settings.reload_ordered");
+    }
+    let is_whole = gateway.drain().await;
+    // What could not end in time is cut off as the bounds allow; the process itself ended in order.
+    tracing::info!(is_whole, "process.ended");
+    Ok(ExitCode::SUCCESS)
 }
 
 async fn serve(process: ProcessSettings, site: SiteSettings) -> eyre::Result<ExitCode> {
@@ -62,8 +101,12 @@
     }
 }
 
-fn load(args: &DaemonArgs) -> Result<(ProcessSettings, SiteSettings), SettingErrors> {
+fn load(args: &DaemonArgs) -> Result<DaemonRole, SettingErrors> {
+    let file = SettingFile::load(&args.settings)?;
+    if GatewaySettings::is_for(&file) {
+        return GatewaySettings::parse(&file).map(|settings| DaemonRole::Gateway(Box::new(settings)));
+    }
     let process = ProcessSettings::load(&args.settings)?;
     let site = SiteSettings::load(&process.base, &process.overlay)?;
-    Ok((process, site))
+    Ok(DaemonRole::Daemon(Box::new(process), Box::new(site)))
 }
--- a/crates/hollyhook/src/lib.rs
+++ b/crates/hollyhook/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub use hollyhook_command::{CommandArgs, run_command};
 pub use hollyhook_daemon::Daemon;
-pub use hollyhook_settings::{ProcessSettings, SiteSettings};
+pub use hollyhook_gateway::Gateway;
+pub use hollyhook_settings::{GatewaySettings, ProcessSettings, SiteSettings};
--- /dev/null
+++ b/crates/hollyhook_core/src/forward/mod.rs
@@ -0,0 +1,7 @@
+//! Forwarding of opaque requests: what callers sent, what endpoints answered, and what that means.
+
+mod answer_verdict;
+mod caller_head;
+
+pub use answer_verdict::{AnswerHead, AnswerVerdict, AttemptFailure, judge_answer};
+pub use caller_head::{CallerHead, PromptSize};
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -7,10 +7,13 @@
 mod call;
 mod cursor;
 mod error;
+mod forward;
 mod generation;
 mod name;
 mod retry;
 mod route;
+mod site;
+mod stream;
 mod time;
 mod trace;
 
@@ -20,12 +23,20 @@
 };
 pub use cursor::{CursorKey, CursorSeal, StreamCursor};
 pub use error::{Answer, Error, ErrorKind, Result, RunState, answer_for};
+pub use forward::{AnswerHead, AnswerVerdict, AttemptFailure, CallerHead, PromptSize, judge_answer};
 pub use generation::{
     AttemptNumber, EndReason, EndpointRefusal, EndpointRhythm, GenerationId, GenerationRelay, OpenMode, Patience,
     PrefixDigest, ProbeReport, RelayAction, RelayEvent, RelayNote, RelayPhase, RelayPolicy, TokenLog,
 };
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
-pub use retry::{ProbeGate, ProbePlace, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget};
-pub use route::{EndpointRecord, EndpointState, EndpointSubset, EndpointTable, LoadReport, RouteQuery};
+pub use retry::{ProbeGate, ProbePlace, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
+pub use route::{
+    EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, LoadReport, RouteQuery,
+};
+pub use site::{
+    AccountPlan, CallerLimits, EngineMemory, PlanAdoption, RequestKind, RoutePlan, ServicePlan, ServiceShare,
+    SiteIndex, SiteLedger, SitePlan,
+};
+pub use stream::{EventCutter, EventPiece, EventRelay, PieceVerdict};
 pub use time::TimePoint;
 pub use trace::{RelayTrace, TraceEnd, TraceLine, TraceOutcome, TraceRun, TraceStart};
--- /dev/null
+++ b/crates/hollyhook_core/src/route/endpoint_membership.rs
@@ -0,0 +1,62 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::{EndpointId, TimePoint};
+
+/// How long after the platform's return an entry that lapsed meanwhile may take to come back.
+///
+/// The platform states about two seconds; the quarter more is for the read that shows it.
+const RETURN_GRACE: Duration = Duration::from_millis(2_250);
+
+/// Which endpoints are members, as far as the platform's list can be believed.
+///
+/// Entries may lapse while the platform is away, although their endpoints live. What is missing just after its return
+/// is therefore kept for a grace time and forgotten only then. Otherwise a missing entry is gone at once.
+///
+/// ```
+/// use hollyhook_core::{EndpointMembership, TimePoint};
+/// use std::time::Duration;
+///
+/// let mut membership = EndpointMembership::default();
+/// membership.platform_back(TimePoint::ZERO);
+/// assert!(!membership.is_gone(TimePoint::from_millis(10), &"engine-1".into()));
+/// assert_eq!(membership.lapsed(TimePoint::from_millis(5_000)).len(), 1);
+/// assert!(membership.is_gone(TimePoint::from_millis(5_000), &"engine-2".into()));
+/// ```
+#[derive(Debug, Default)]
+pub struct EndpointMembership {
+    back_at: Option<TimePoint>,
+    /// Missing entries and when they are taken as gone.
+    missing: BTreeMap<EndpointId, TimePoint>,
+}
+
+impl EndpointMembership {
+    /// Notes that the platform answers again after it did not.
+    pub fn platform_back(&mut self, now: TimePoint) {
+        self.back_at = Some(now);
+    }
+
+    /// Whether an endpoint whose entry is missing is to be forgotten now; if not, [`lapsed`](Self::lapsed) tells when.
+    pub fn is_gone(&mut self, now: TimePoint, id: &EndpointId) -> bool {
+        let Some(back_at) = self.back_at.filter(|at| now.since(*at) < RETURN_GRACE) else {
+            return true;
+        };
+        self.missing.entry(EndpointId::clone(id)).or_insert(back_at + RETURN_GRACE);
+        false
+    }
+
+    /// Notes that an entry is there.
+    pub fn present(&mut self, id: &EndpointId) {
+        self.missing.remove(id);
+    }
+
+    /// The endpoints whose grace time is over; each is returned once.
+    pub fn lapsed(&mut self, now: TimePoint) -> Vec<EndpointId> {
+        let due = self.missing.iter().filter(|(_, at)| **at <= now).map(|(id, _)| EndpointId::clone(id));
+        let due: Vec<EndpointId> = due.collect();
+        for id in &due {
+            self.missing.remove(id);
+        }
+        due
+    }
+}
--- a/crates/hollyhook_core/src/route/endpoint_record.rs
+++ b/crates/hollyhook_core/src/route/endpoint_record.rs
@@ -49,6 +49,8 @@
     pub sent_since_report: u32,
     /// Its usual gaps, over all streams of this host.
     pub rhythm: EndpointRhythm,
+    /// The share of its answers that were failures of its own, smoothed; from 0 to 1.
+    pub(super) error_share: f64,
     pub(super) failures: u32,
     pub(super) ejected_until: TimePoint,
 }
@@ -56,6 +58,8 @@
 impl EndpointRecord {
     const FIRST_EJECTION: Duration = Duration::from_millis(500);
     const MAX_EJECTION_DOUBLINGS: u32 = 5;
+    /// Weight of one answer in the smoothed share of failures; about the last ten answers count.
+    const ERROR_GAIN: f64 = 0.1;
 
     /// A live endpoint of which nothing more is known yet.
     pub fn new(id: EndpointId, service: Name, zone: ZoneName, address: SocketAddr) -> Self {
@@ -70,6 +74,7 @@
             open: 0,
             sent_since_report: 0,
             rhythm: EndpointRhythm::default(),
+            error_share: 0.0,
             failures: 0,
             ejected_until: TimePoint::ZERO,
         }
@@ -82,6 +87,13 @@
         self
     }
 
+    /// The same endpoint with room for that many typical requests at a time.
+    #[must_use]
+    pub fn capacity(mut self, places: u32) -> Self {
+        self.load.capacity = places;
+        self
+    }
+
     /// The load to expect: what was reported, and what this host has sent since.
     ///
     /// In requests a place; a report without a capacity counts as one place.
@@ -102,6 +114,11 @@
         self.ejected_until = now + Self::FIRST_EJECTION * 2_u32.pow(doublings);
     }
 
+    pub(super) fn answer(&mut self, is_failure: bool) {
+        let sample = if is_failure { 1.0 } else { 0.0 };
+        self.error_share += Self::ERROR_GAIN * (sample - self.error_share);
+    }
+
     pub(super) fn succeed(&mut self) {
         self.failures = 0;
         self.ejected_until = TimePoint::ZERO;
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -5,6 +5,7 @@
 use rand::seq::IndexedRandom;
 
 use super::rendezvous::weight;
+use super::zone_trouble::ZoneTrouble;
 use super::{EndpointRecord, EndpointState, LoadReport};
 use crate::{EndpointId, ModelBinding, TimePoint, ZoneName};
 
@@ -14,6 +15,8 @@
 const FULL_COST: f64 = 1.0;
 /// What an endpoint in the zone of one that was just left costs, in requests a place: a zone often goes as a whole.
 const SUSPECT_ZONE_COST: f64 = 0.75;
+/// What an endpoint costs that answers only with failures, in requests a place: more than a full one.
+const ERROR_COST: f64 = 4.0;
 /// Endpoints drawn at random, of which the best is taken. Two leave some full while others have places; all of them
 /// would send every host that has the same reports to the same one.
 const DRAWS: usize = 4;
@@ -24,13 +27,14 @@
     service: &'a str,
     binding: Option<&'a ModelBinding>,
     avoid: &'a [EndpointId],
+    avoid_zone: Option<&'a ZoneName>,
     affinity: Option<u128>,
 }
 
 impl<'a> RouteQuery<'a> {
     /// A query for any endpoint of a service.
     pub fn new(service: &'a str) -> Self {
-        Self { service, binding: None, avoid: &[], affinity: None }
+        Self { service, binding: None, avoid: &[], avoid_zone: None, affinity: None }
     }
 
     /// The same query for exactly those weights.
@@ -47,6 +51,13 @@
         self
     }
 
+    /// The same query without the endpoints of that zone.
+    #[must_use]
+    pub fn avoid_zone(mut self, zone: &'a ZoneName) -> Self {
+        self.avoid_zone = Some(zone);
+        self
+    }
+
     /// The same query that prefers the few endpoints which every host ranks first for this number.
     #[must_use]
     pub fn affinity(mut self, number: u128) -> Self {
@@ -57,7 +68,8 @@
     fn is_met_by(&self, record: &EndpointRecord) -> bool {
         let is_served = &*record.service == self.service;
         let is_bound = self.binding.is_none_or(|binding| record.binding.as_ref() == Some(binding));
-        is_served && is_bound && record.state == EndpointState::Live && !self.avoid.contains(&record.id)
+        let is_far = self.avoid_zone.is_none_or(|zone| record.zone != *zone);
+        is_served && is_bound && is_far && record.state == EndpointState::Live && !self.avoid.contains(&record.id)
     }
 }
 
@@ -65,7 +77,9 @@
 #[derive(Debug)]
 pub struct EndpointTable {
     zone: ZoneName,
+    zone_preference: f64,
     records: BTreeMap<EndpointId, EndpointRecord>,
+    troubles: BTreeMap<ZoneName, ZoneTrouble>,
 }
 
 impl EndpointTable {
@@ -74,7 +88,14 @@
 
     /// A table for a host in that availability zone.
     pub fn new(zone: ZoneName) -> Self {
-        Self { zone, records: BTreeMap::new() }
+        Self { zone, zone_preference: ZONE_PREFERENCE, records: BTreeMap::new(), troubles: BTreeMap::new() }
+    }
+
+    /// The same table with how much fuller, in requests a place, the own zone may be before another one pays.
+    #[must_use]
+    pub fn zone_preference(mut self, preference: f64) -> Self {
+        self.zone_preference = preference;
+        self
     }
 
     /// Adds an endpoint, or updates where it is and whether it gets work; what was learnt of it stays.
@@ -91,6 +112,11 @@
         }
     }
 
+    /// Forgets one endpoint.
+    pub fn remove(&mut self, id: &str) {
+        self.records.remove(id);
+    }
+
     /// Forgets every endpoint that is not among those.
     pub fn retain(&mut self, is_known: impl Fn(&EndpointId) -> bool) {
         self.records.retain(|id, _| is_known(id));
@@ -131,7 +157,7 @@
             Some(number) => ranked(pool, number),
             None => pool,
         };
-        Some(EndpointId::clone(&self.best_of_draws(&pool, &self.suspect_zones(query), rng)?.id))
+        Some(EndpointId::clone(&self.best_of_draws(&pool, &self.suspect_zones(now, query), rng)?.id))
     }
 
     /// The endpoints that a request with this affinity may be held by, best first.
@@ -159,8 +185,17 @@
 
     /// Counts a failure of an endpoint, which leaves it out for a while.
     pub fn failed(&mut self, now: TimePoint, id: &str) {
+        let Some(record) = self.records.get_mut(id) else {
+            return;
+        };
+        record.fail(now);
+        self.troubles.entry(ZoneName::clone(&record.zone)).or_default().add(now, &record.id);
+    }
+
+    /// Takes in whether an endpoint's answer was a failure of its own.
+    pub fn answered(&mut self, id: &str, is_failure: bool) {
         if let Some(record) = self.records.get_mut(id) {
-            record.fail(now);
+            record.answer(is_failure);
         }
     }
 
@@ -171,9 +206,11 @@
         }
     }
 
-    /// The zones of the endpoints that the request has left.
-    fn suspect_zones(&self, query: &RouteQuery<'_>) -> Vec<&ZoneName> {
-        query.avoid.iter().filter_map(|id| self.records.get(id)).map(|record| &record.zone).collect()
+    /// The zones of the endpoints that the request has left, and those that lost several endpoints just now.
+    fn suspect_zones(&self, now: TimePoint, query: &RouteQuery<'_>) -> Vec<&ZoneName> {
+        let left = query.avoid.iter().filter_map(|id| self.records.get(id)).map(|record| &record.zone);
+        let troubled = self.troubles.iter().filter(|(_, trouble)| trouble.is_suspect(now)).map(|(zone, _)| zone);
+        left.chain(troubled).collect()
     }
 
     fn best_of_draws<'t>(
@@ -188,10 +225,10 @@
 
     fn cost(&self, record: &EndpointRecord, suspect: &[&ZoneName]) -> f64 {
         let pressure = record.pressure();
-        let distance = if record.zone == self.zone { 0.0 } else { ZONE_PREFERENCE };
+        let distance = if record.zone == self.zone { 0.0 } else { self.zone_preference };
         let full = if pressure >= 1.0 { FULL_COST } else { 0.0 };
         let suspicion = if suspect.contains(&&record.zone) { SUSPECT_ZONE_COST } else { 0.0 };
-        pressure + distance + full + suspicion
+        pressure + distance + full + suspicion + ERROR_COST * record.error_share
     }
 }
 
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -1,10 +1,13 @@
 //! Choosing an endpoint from what this host knows.
 
+mod endpoint_membership;
 mod endpoint_record;
 mod endpoint_subset;
 mod endpoint_table;
 mod rendezvous;
+mod zone_trouble;
 
+pub use endpoint_membership::EndpointMembership;
 pub use endpoint_record::{EndpointRecord, EndpointState, LoadReport};
 pub use endpoint_subset::EndpointSubset;
 pub use endpoint_table::{EndpointTable, RouteQuery};
--- /dev/null
+++ b/crates/hollyhook_core/src/site/account_plan.rs
@@ -0,0 +1,12 @@
+use crate::{AccountName, Name};
+
+/// A client account and the API keys that name it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AccountPlan {
+    /// The account's name, which endpoints are told.
+    pub name: AccountName,
+    /// Its API keys, which endpoints are never told.
+    pub keys: Vec<Name>,
+    /// The rank of all its requests, 0 first; none leaves the rank to the route.
+    pub rank: Option<u8>,
+}
--- /dev/null
+++ b/crates/hollyhook_core/src/site/site_index.rs
@@ -0,0 +1,107 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::{AccountPlan, CallerLimits, RoutePlan, ServicePlan, SitePlan};
+use crate::{Error, ErrorKind, Name, Result};
+
+/// One version of the configuration, arranged for lookups.
+#[derive(Debug)]
+pub struct SiteIndex {
+    version: u64,
+    limits: CallerLimits,
+    /// Routes by host, longest prefix first.
+    routes: HashMap<Name, Vec<Arc<RoutePlan>>>,
+    services: HashMap<Name, ServicePlan>,
+    /// Accounts by key; none if the site has no keys at all.
+    accounts: Option<HashMap<Name, Arc<AccountPlan>>>,
+}
+
+impl SiteIndex {
+    /// The number that orders versions.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// What callers may send.
+    pub fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// The number of routes.
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+
+    /// The service of that name.
+    pub fn service(&self, name: &str) -> Option<&ServicePlan> {
+        self.services.get(name)
+    }
+
+    /// The route with the longest prefix of the path among those of the host.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownPath` if the host has no route for the path.
+    pub fn route(&self, host: &str, path: &str) -> Result<Arc<RoutePlan>> {
+        let host = plain_host(host);
+        let routes = self.routes.get(host.as_str());
+        let found = routes.into_iter().flatten().find(|route| path.starts_with(&*route.prefix));
+        found.map(Arc::clone).ok_or_else(|| {
+            Error::new(ErrorKind::UnknownPath, format!("no route of `{host}` takes the path `{path}`")).param("path")
+        })
+    }
+
+    /// The account that a key names, where the route asks for one; none on a public route without accounts.
+    ///
+    /// # Errors
+    ///
+    /// `MissingKey` or `UnknownKey`.
+    pub fn account(&self, route: &RoutePlan, key: Option<&str>) -> Result<Option<Arc<AccountPlan>>> {
+        let Some(accounts) = &self.accounts else {
+            return Ok(None);
+        };
+        if route.is_public {
+            return Ok(None);
+        }
+        let Some(key) = key else {
+            return Err(Error::new(ErrorKind::MissingKey, "the route asks for an API key and none came"));
+        };
+        let account = accounts.get(key).map(Arc::clone);
+        account.map(Some).ok_or_else(|| Error::new(ErrorKind::UnknownKey, "no client account holds this API key"))
+    }
+}
+
+impl From<SitePlan> for SiteIndex {
+    fn from(plan: SitePlan) -> Self {
+        let mut routes: HashMap<Name, Vec<Arc<RoutePlan>>> = HashMap::new();
+        for route in plan.routes {
+            routes.entry(Name::clone(&route.host)).or_default().push(Arc::new(route));
+        }
+        for routes in routes.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = plan.services.into_iter().map(|service| (Name::clone(&service.name), service)).collect();
+        let accounts = plan.accounts.map(index_accounts);
+        Self { version: plan.version, limits: plan.limits, routes, services, accounts }
+    }
+}
+
+fn index_accounts(accounts: Vec<AccountPlan>) -> HashMap<Name, Arc<AccountPlan>> {
+    let mut index = HashMap::new();
+    for account in accounts {
+        let account = Arc::new(account);
+        for key in &account.keys {
+            index.insert(Name::clone(key), Arc::clone(&account));
+        }
+    }
+    index
+}
+
+/// A host as routes name it: lower case, without a port.
+fn plain_host(host: &str) -> String {
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    };
+    name.to_ascii_lowercase()
+}
--- /dev/null
+++ b/crates/hollyhook_core/src/stream/mod.rs
@@ -0,0 +1,7 @@
+//! Event streams whose events hollyhook passes on without reading them.
+
+mod event_cutter;
+mod event_relay;
+
+pub use event_cutter::{EventCutter, EventPiece};
+pub use event_relay::{EventRelay, PieceVerdict};
--- /dev/null
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -0,0 +1,138 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollyhook_core::{AnswerHead, AttemptFailure, EndpointId, EndpointRecord, ZoneName};
+use hollyhook_platform::AttemptHeaders;
+use http::response::Parts;
+use http::{Method, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::front::{AnswerBody, CallerRequest, whole_body};
+use crate::gateway::GatewayContext;
+use crate::pool::{PooledConnection, SendFault, keep_time};
+
+/// How long a connection to an endpoint may take. Endpoints accept within a few milliseconds; a partition or a dead
+/// machine says nothing.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A place taken at an endpoint; given back when dropped.
+#[derive(Debug)]
+pub(super) struct EndpointPlace {
+    context: Arc<GatewayContext>,
+    pub(super) id: EndpointId,
+    pub(super) address: SocketAddr,
+    pub(super) zone: ZoneName,
+}
+
+impl EndpointPlace {
+    /// A place that [`GatewayContext::place`] has counted.
+    pub(super) fn taken(context: &Arc<GatewayContext>, record: &EndpointRecord) -> Self {
+        Self {
+            context: Arc::clone(context),
+            id: EndpointId::clone(&record.id),
+            address: record.address,
+            zone: ZoneName::clone(&record.zone),
+        }
+    }
+}
+
+impl Drop for EndpointPlace {
+    fn drop(&mut self) {
+        self.context.endpoints().closed(&self.id);
+    }
+}
+
+/// An endpoint's answer whose head has arrived.
+#[derive(Debug)]
+pub(super) struct OpenAnswer {
+    pub(super) head: AnswerHead,
+    pub(super) parts: Parts,
+    pub(super) body: Incoming,
+    connection: PooledConnection,
+}
+
+impl OpenAnswer {
+    /// Keeps the connection for the next request; only after the body was read to its end.
+    pub(super) fn release(self, context: &GatewayContext, id: &EndpointId) {
+        let keep = keep_time(&self.parts.headers);
+        context.pool.put(id, self.connection, keep);
+    }
+}
+
+/// An endpoint's answer that was read whole.
+#[derive(Debug)]
+pub(super) struct WholeAnswer {
+    pub(super) parts: Parts,
+    pub(super) body: Bytes,
+}
+
+impl WholeAnswer {
+    /// The answer as the caller gets it: status, body and signature unchanged.
+    pub(super) fn into_response(self) -> Response<AnswerBody> {
+        let mut parts = self.parts;
+        hollyhook_platform::remove_hop_headers(&mut parts.headers);
+        Response::from_parts(parts, whole_body(self.body))
+    }
+}
+
+/// Sends a caller's request to an endpoint and waits for the head of the answer.
+pub(super) async fn send_attempt(
+    context: &GatewayContext,
+    caller: &CallerRequest,
+    place: &EndpointPlace,
+    headers: &AttemptHeaders,
+) -> Result<OpenAnswer, AttemptFailure> {
+    let mut request = Request::new(Full::new(caller.body.clone()));
+    *request.method_mut() = caller.method.clone();
+    *request.uri_mut() = origin_form(caller);
+    *request.headers_mut() = caller.headers.clone();
+    hollyhook_platform::set_attempt_headers(request.headers_mut(), headers);
+    if caller.body.is_empty() && caller.method == Method::GET {
+        request.headers_mut().remove(http::header::CONTENT_LENGTH);
+    }
+    send(context, place, request).await
+}
+
+/// Sends any request to an endpoint: on a kept connection, or on a new one if there is none or it was closed.
+pub(super) async fn send(
+    context: &GatewayContext,
+    place: &EndpointPlace,
+    mut request: Request<Full<Bytes>>,
+) -> Result<OpenAnswer, AttemptFailure> {
+    loop {
+        let kept = context.pool.take(&place.id);
+        let is_kept = kept.is_some();
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => connect(context, place).await?,
+        };
+        match connection.send(request).await {
+            Ok(response) => {
+                let (parts, body) = response.into_parts();
+                let head = hollyhook_platform::answer_head(&parts);
+                return Ok(OpenAnswer { head, parts, body, connection });
+            }
+            Err(SendFault::Unsent(unsent)) if is_kept => request = *unsent,
+            Err(SendFault::Unsent(_)) => return Err(AttemptFailure::NotConnected),
+            Err(SendFault::Garbled) => return Err(AttemptFailure::Garbled),
+            Err(SendFault::Broken) => return Err(AttemptFailure::Broken),
+        }
+    }
+}
+
+async fn connect(context: &GatewayContext, place: &EndpointPlace) -> Result<PooledConnection, AttemptFailure> {
+    let connected = context.pool.connect(place.address, CONNECT_TIMEOUT).await;
+    connected.map_err(|error| {
+        tracing::debug!(endpoint = %place.id, address = %place.address, %error, "endpoint.not_connected");
+        AttemptFailure::NotConnected
+    })
+}
+
+/// The path and query as the caller wrote them.
+fn origin_form(caller: &CallerRequest) -> http::Uri {
+    let path = caller.uri.path_and_query().cloned();
+    path.map_or_else(|| caller.uri.clone(), http::Uri::from)
+}
--- /dev/null
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -0,0 +1,25 @@
+//! Carrying a request to endpoints and the answer back.
+
+mod attempt;
+mod endpoint_probe;
+mod event_stream;
+mod plain_call;
+mod request_log;
+
+use std::sync::Arc;
+
+use http::Response;
+
+use crate::front::{AnswerBody, CallerRequest, own_answer};
+use crate::gateway::GatewayContext;
+
+/// Serves an admitted request.
+pub(crate) async fn forward(context: &Arc<GatewayContext>, caller: CallerRequest) -> Response<AnswerBody> {
+    context.count_first_send(&caller.service);
+    let outcome = if caller.route.kind.is_stream() {
+        event_stream::forward_stream(context, caller).await
+    } else {
+        plain_call::forward_call(context, &caller).await
+    };
+    outcome.unwrap_or_else(|error| own_answer(&error))
+}
--- /dev/null
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -0,0 +1,173 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyhook_core::{
+    AnswerVerdict, AttemptFailure, EndpointId, Error, ErrorKind, RequestKind, Result, RouteQuery, judge_answer,
+};
+use hollyhook_platform::AttemptHeaders;
+use http::Response;
+use http_body_util::BodyExt;
+
+use super::attempt::{EndpointPlace, WholeAnswer, send_attempt};
+use super::request_log;
+use crate::front::{AnswerBody, CallerRequest};
+use crate::gateway::GatewayContext;
+
+/// Attempts that endpoints may turn away, or that find no connection, before a caller is told to come back.
+const MOST_TURNED_AWAY: u32 = 3;
+/// When to come back after every endpoint turned a call away.
+const BUSY_RETRY: Duration = Duration::from_millis(120);
+/// An idempotent call is sent to a second endpoint after this many times its objective. Within the objective almost
+/// all calls are answered; twice it is past the slowest that were seen.
+const SILENCE_FACTOR: f64 = 1.6;
+
+enum CallEnd {
+    /// To be passed on.
+    Answer(WholeAnswer),
+    /// A failure of the endpoint's own, passed on unless another attempt succeeds.
+    Fallback(WholeAnswer),
+    Failure(AttemptFailure),
+}
+
+/// Forwards a plain call and returns the endpoint's answer.
+pub(super) async fn forward_call(
+    context: &Arc<GatewayContext>,
+    caller: &CallerRequest,
+) -> Result<Response<AnswerBody>> {
+    let mut run = CallRun { context, caller, tried: Vec::new(), runs: 0, turned_away: 0, fallback: None };
+    let outcome = run.run().await;
+    let attempts = run.runs + run.turned_away;
+    match &outcome {
+        Ok(response) => request_log::answered(context, caller, response.status().as_u16(), attempts),
+        Err(error) => request_log::ended(context, caller, error, attempts),
+    }
+    outcome
+}
+
+struct CallRun<'a> {
+    context: &'a Arc<GatewayContext>,
+    caller: &'a CallerRequest,
+    tried: Vec<EndpointId>,
+    /// Attempts that may have run.
+    runs: u32,
+    /// Attempts that certainly did not run.
+    turned_away: u32,
+    fallback: Option<WholeAnswer>,
+}
+
+impl CallRun<'_> {
+    async fn run(&mut self) -> Result<Response<AnswerBody>> {
+        loop {
+            let Some(place) = self.place() else {
+                return self.give_up("no endpoint of the service is left");
+            };
+            let end = self.attempt(&place).await;
+            let failure = match end {
+                CallEnd::Answer(answer) => return Ok(answer.into_response()),
+                CallEnd::Fallback(answer) => {
+                    self.fallback = Some(answer);
+                    AttemptFailure::Failed
+                }
+                CallEnd::Failure(failure) => failure,
+            };
+            request_log::attempt_failed(self.context, self.caller, &place.id, failure, None);
+            self.tried.push(EndpointId::clone(&place.id));
+            if failure.is_not_run() {
+                self.turned_away += 1;
+            } else {
+                self.runs += 1;
+            }
+            if let Some(why) = self.reason_to_stop() {
+                return self.give_up(why);
+            }
+        }
+    }
+
+    fn reason_to_stop(&self) -> Option<&'static str> {
+        let is_repeatable = self.caller.route.kind == RequestKind::Idempotent;
+        if self.runs > 0 && !is_repeatable {
+            return Some("the call was sent, and what became of it is not known");
+        }
+        if self.runs >= self.caller.route.most_attempts {
+            return Some("the call ran at as many endpoints as its route allows");
+        }
+        if self.turned_away >= MOST_TURNED_AWAY {
+            return Some("every endpoint that was asked turned the call away");
+        }
+        if self.caller.time_left(self.context.timer.now()).is_zero() {
+            return Some("the caller's time is up");
+        }
+        (!self.context.try_retry(&self.caller.service)).then_some("the retry budget of the service is spent")
+    }
+
+    fn give_up(&mut self, why: &'static str) -> Result<Response<AnswerBody>> {
+        if let Some(answer) = self.fallback.take() {
+            return Ok(answer.into_response());
+        }
+        if self.runs > 0 {
+            return Err(Error::new(ErrorKind::OutcomeUnknown, why));
+        }
+        let kind = if self.turned_away > 0 { ErrorKind::NotRun } else { ErrorKind::NoEndpoint };
+        Err(Error::new(kind, why).retry_after(BUSY_RETRY))
+    }
+
+    fn place(&self) -> Option<EndpointPlace> {
+        let query = RouteQuery::new(&self.caller.service).avoid(&self.tried);
+        self.context.place(&query).map(|record| EndpointPlace::taken(self.context, &record))
+    }
+
+    async fn attempt(&self, place: &EndpointPlace) -> CallEnd {
+        let limit = self.attempt_limit();
+        let end = self.context.timer.within(limit, self.exchange(place)).await;
+        let end = end.unwrap_or(CallEnd::Failure(AttemptFailure::Silent));
+        let failure = match &end {
+            CallEnd::Answer(_) => None,
+            CallEnd::Fallback(_) => Some(AttemptFailure::Failed),
+            CallEnd::Failure(failure) => Some(*failure),
+        };
+        self.context.note_outcome(&place.id, failure);
+        end
+    }
+
+    /// How long this attempt may take: all that is left, unless another endpoint may be tried after it.
+    fn attempt_limit(&self) -> Duration {
+        let left = self.caller.time_left(self.context.timer.now());
+        let is_last = self.runs + 1 >= self.caller.route.most_attempts;
+        if self.caller.route.kind != RequestKind::Idempotent || is_last {
+            return left;
+        }
+        left.min(self.caller.route.objective.mul_f64(SILENCE_FACTOR))
+    }
+
+    async fn exchange(&self, place: &EndpointPlace) -> CallEnd {
+        let caller = self.caller;
+        let headers = AttemptHeaders {
+            endpoint: Some(EndpointId::clone(&place.id)),
+            account: caller.account.as_ref().map(|account| Arc::clone(&account.name)),
+            time_left: caller.time_left(self.context.timer.now()),
+            ..AttemptHeaders::default()
+        };
+        let mut answer = match send_attempt(self.context, caller, place, &headers).await {
+            Ok(answer) => answer,
+            Err(failure) => return CallEnd::Failure(failure),
+        };
+        if let Some(load) = answer.head.load {
+            self.context.note_load(&place.id, load);
+        }
+        let verdict = judge_answer(caller.route.kind, &caller.head.attempt_id, &answer.head);
+        if verdict == AnswerVerdict::Fail(AttemptFailure::Garbled) {
+            return CallEnd::Failure(AttemptFailure::Garbled);
+        }
+        let Ok(body) = (&mut answer.body).collect().await else {
+            return CallEnd::Failure(AttemptFailure::Broken);
+        };
+        let parts = answer.parts.clone();
+        answer.release(self.context, &place.id);
+        let whole = WholeAnswer { parts, body: body.to_bytes() };
+        match verdict {
+            AnswerVerdict::Pass => CallEnd::Answer(whole),
+            AnswerVerdict::PassOrRetry => CallEnd::Fallback(whole),
+            AnswerVerdict::Fail(failure) => CallEnd::Failure(failure),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_gateway/src/front/caller_request.rs
@@ -0,0 +1,41 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollyhook_core::{AccountPlan, CallerHead, EngineMemory, Name, RoutePlan, TimePoint};
+use http::{HeaderMap, Method, Uri};
+
+use crate::gateway::{BodyClaim, RequestGuard};
+
+/// A caller's request, read whole and admitted.
+#[derive(Debug)]
+pub(crate) struct CallerRequest {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) head: CallerHead,
+    pub(crate) route: Arc<RoutePlan>,
+    pub(crate) account: Option<Arc<AccountPlan>>,
+    pub(crate) service: Name,
+    /// The memory of the service's engines; none for a plain service.
+    pub(crate) engine: Option<EngineMemory>,
+    /// When the head had arrived.
+    pub(crate) arrived: TimePoint,
+    /// When the caller or the route gives up.
+    pub(crate) deadline: TimePoint,
+    pub(crate) _claim: BodyClaim,
+    pub(crate) _guard: RequestGuard,
+}
+
+impl CallerRequest {
+    /// How long the caller and the route still wait.
+    pub(crate) fn time_left(&self, now: TimePoint) -> Duration {
+        self.deadline.since(now)
+    }
+
+    /// The rank that goes before the route's is the account's.
+    pub(crate) fn rank(&self) -> u8 {
+        self.account.as_ref().and_then(|account| account.rank).unwrap_or(self.route.rank)
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_gateway/src/front/front_server.rs
@@ -0,0 +1,89 @@
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures::FutureExt;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+
+use super::idle_watch::IdleWatch;
+use super::request_handler::handle;
+use crate::gateway::{GatewayContext, StopPhase};
+use crate::net::wire_stream;
+
+/// The pause after a connection could not be taken, most likely for want of descriptors.
+pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Callers' connections at a time. A process has 4,100 descriptors on the smallest hosts; the rest are for endpoints.
+const MOST_CONNECTIONS: usize = 2_500;
+/// How often a connection looks whether it was idle too long or the gateway stops.
+const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Takes callers' connections.
+#[derive(Debug)]
+pub(crate) struct FrontServer {
+    context: Arc<GatewayContext>,
+}
+
+impl FrontServer {
+    pub(crate) fn start(listener: TcpListener, context: Arc<GatewayContext>) -> Self {
+        task::spawn(accept(listener, Arc::clone(&context)));
+        Self { context }
+    }
+
+    /// Closes the connections that have no request under way; each notices by the phase of the stop.
+    pub(crate) fn close_idle(&self) {
+        debug_assert!(self.context.phase() >= StopPhase::Closing);
+    }
+}
+
+async fn accept(listener: TcpListener, context: Arc<GatewayContext>) {
+    let connections = Arc::new(AtomicUsize::new(0));
+    loop {
+        let Ok((stream, _peer)) = listener.accept().await else {
+            context.timer.wait(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if connections.load(Ordering::Relaxed) >= MOST_CONNECTIONS {
+            tracing::warn!(connections = MOST_CONNECTIONS, "caller.connection_refused");
+            continue;
+        }
+        connections.fetch_add(1, Ordering::Relaxed);
+        let (context, connections) = (Arc::clone(&context), Arc::clone(&connections));
+        task::spawn(async move {
+            serve(stream, context).await;
+            connections.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+async fn serve(stream: TcpStream, context: Arc<GatewayContext>) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let watch = Arc::new(IdleWatch::new(context.timer.now()));
+    let service = service_fn(|request| {
+        let (context, watch) = (Arc::clone(&context), Arc::clone(&watch));
+        async move { Ok::<_, Infallible>(handle(request, &context, watch).await) }
+    });
+    let limits = context.site().map(|site| site.limits()).unwrap_or_default();
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(limits.head_bytes.max(8_192)).pipeline_flush(false);
+    let mut connection = pin!(builder.serve_connection(wire_stream(stream), service));
+    loop {
+        let tick = pin!(context.timer.wait(WATCH_INTERVAL).fuse());
+        match futures::future::select(connection.as_mut(), tick).await {
+            futures::future::Either::Left((_outcome, _)) => return,
+            futures::future::Either::Right(((), _)) => {}
+        }
+        let now = context.timer.now();
+        let is_idle_too_long = now >= watch.expires(now, limits.idle_timeout);
+        if is_idle_too_long || context.phase() >= StopPhase::Closing {
+            // Ends at once if no request is under way, else after its answer.
+            connection.as_mut().graceful_shutdown();
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_gateway/src/front/mod.rs
@@ -0,0 +1,13 @@
+//! What faces callers and the platform's balancer.
+
+mod caller_request;
+mod front_server;
+mod idle_watch;
+mod own_answer;
+mod ready_server;
+mod request_handler;
+
+pub(crate) use caller_request::CallerRequest;
+pub(crate) use front_server::FrontServer;
+pub(crate) use own_answer::{AnswerBody, own_answer, whole_body};
+pub(crate) use ready_server::serve_ready;
--- /dev/null
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -0,0 +1,244 @@
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hollyhook_core::{
+    AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, LoadReport, Name, PlanAdoption,
+    RetryWindow, RouteQuery, SiteIndex, SiteLedger, SitePlan, TimePoint, ZoneName,
+};
+use hollyhook_kernel::TimerService;
+use hollyhook_platform::ObjectKind;
+use hollyhook_settings::{GatewayBounds, GatewaySettings};
+
+use super::{StopPhase, StopState};
+use crate::pool::ConnectionPool;
+use crate::store::StoreError;
+
+/// How long watches may hear nothing of changes while the store drops its history, and what the way to it and back
+/// may take; both shorten the time for which keys are honoured without confirmation.
+const CONFIRMATION_MARGIN: Duration = Duration::from_millis(1_250);
+/// How much fuller, in requests a place, the own zone may be before another one pays. Zones of a region are a
+/// millisecond apart, so that distance only decides between equals.
+const ZONE_PREFERENCE: f64 = 0.02;
+/// The part of the allowed retries that this host spends, so that clocks and windows that differ do not add up to
+/// more than is allowed.
+const RETRY_SHARE: f64 = 0.75;
+/// Hosts among which the fixed part of the retry allowance is divided. A site has 7 or 8 today; docs/CAPACITY.md says
+/// what this becomes at a thousand.
+const RETRY_HOSTS: u64 = 16;
+
+/// What the parts of a gateway share.
+#[derive(Debug)]
+pub(crate) struct GatewayContext {
+    pub(crate) host: Name,
+    pub(crate) zone: ZoneName,
+    pub(crate) timer: TimerService,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) stop: StopState,
+    bounds: GatewayBounds,
+    body_limit: usize,
+    body_bytes: AtomicUsize,
+    requests: AtomicUsize,
+    site: Mutex<SiteLedger>,
+    endpoints: Mutex<EndpointTable>,
+    retries: Mutex<HashMap<Name, RetryWindow>>,
+    has_endpoints: AtomicBool,
+    away: Mutex<HashMap<ObjectKind, bool>>,
+}
+
+impl GatewayContext {
+    pub(crate) fn new(settings: &GatewaySettings, timer: TimerService) -> Self {
+        let table = EndpointTable::new(ZoneName::clone(&settings.zone)).zone_preference(ZONE_PREFERENCE);
+        Self {
+            host: Name::clone(&settings.host),
+            zone: ZoneName::clone(&settings.zone),
+            pool: ConnectionPool::new(timer.clone()),
+            stop: StopState::new(settings.bounds.grace),
+            bounds: settings.bounds.clone(),
+            // Bodies may take a quarter of the memory; the rest is for connections and what is being sent.
+            body_limit: settings.memory_bytes / 4,
+            body_bytes: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
+            site: Mutex::default(),
+            endpoints: Mutex::new(table),
+            retries: Mutex::default(),
+            has_endpoints: AtomicBool::new(false),
+            away: Mutex::default(),
+            timer,
+        }
+    }
+
+    pub(crate) fn phase(&self) -> StopPhase {
+        self.stop.phase(self.timer.now())
+    }
+
+    /// The configuration in force.
+    pub(crate) fn site(&self) -> Option<Arc<SiteIndex>> {
+        lock(&self.site).site()
+    }
+
+    /// Whether no key can have been taken away for longer than keys may outlive it.
+    pub(crate) fn is_site_current(&self) -> bool {
+        let bound = self.bounds.revoke.saturating_sub(CONFIRMATION_MARGIN);
+        lock(&self.site).is_current(self.timer.now(), bound)
+    }
+
+    pub(crate) fn adopt_site(&self, plan: SitePlan, read_at: TimePoint) -> PlanAdoption {
+        lock(&self.site).adopt(plan, read_at)
+    }
+
+    pub(crate) fn confirm_site(&self, at: TimePoint) {
+        lock(&self.site).confirm(at);
+    }
+
+    /// Whether callers are wanted.
+    pub(crate) fn is_ready(&self) -> bool {
+        let is_serving = self.phase() == StopPhase::Serving;
+        is_serving && self.has_endpoints.load(Ordering::Relaxed) && self.is_site_current()
+    }
+
+    pub(crate) fn note_endpoints_listed(&self) {
+        self.has_endpoints.store(true, Ordering::Relaxed);
+    }
+
+    /// Logs a change between a store that answers and one that does not.
+    pub(crate) fn note_store(&self, kind: ObjectKind, error: Option<&StoreError>) {
+        let is_away = error.is_some_and(|error| !matches!(error, StoreError::HistoryGone));
+        let was_away = lock(&self.away).insert(kind, is_away).unwrap_or(false);
+        match error {
+            Some(error) if is_away && !was_away => tracing::warn!(kind = kind.as_str(), %error, "store.lost"),
+            None if was_away => tracing::info!(kind = kind.as_str(), "store.regained"),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn endpoints(&self) -> MutexGuard<'_, EndpointTable> {
+        lock(&self.endpoints)
+    }
+
+    pub(crate) fn upsert_endpoint(&self, record: EndpointRecord) {
+        let mut table = self.endpoints();
+        let known = table.get(&record.id).map(|known| known.state);
+        if known != Some(record.state) {
+            tracing::info!(endpoint = %record.id, service = %record.service, zone = %record.zone,
+                address = %record.address, state = ?record.state, "endpoint.state");
+        }
+        if record.state == EndpointState::Leaving {
+            self.pool.forget(&record.id);
+        }
+        table.upsert(record);
+    }
+
+    pub(crate) fn forget_endpoint(&self, id: &EndpointId) {
+        self.endpoints().remove(id);
+        self.pool.forget(id);
+        tracing::info!(endpoint = %id, "endpoint.gone");
+    }
+
+    /// Chooses an endpoint and counts the request as open there.
+    pub(crate) fn place(&self, query: &RouteQuery<'_>) -> Option<EndpointRecord> {
+        let mut table = self.endpoints();
+        let id = table.choose(self.timer.now(), query, &mut rand::rng())?;
+        let record = table.get(&id).cloned();
+        table.opened(&id);
+        record
+    }
+
+    /// Chooses an endpoint without counting anything there.
+    pub(crate) fn look_up(&self, query: &RouteQuery<'_>) -> Option<EndpointRecord> {
+        let table = self.endpoints();
+        let id = table.choose(self.timer.now(), query, &mut rand::rng())?;
+        table.get(&id).cloned()
+    }
+
+    pub(crate) fn note_load(&self, id: &str, load: LoadReport) {
+        self.endpoints().report(id, load);
+    }
+
+    /// Takes in what became of an attempt.
+    pub(crate) fn note_outcome(&self, id: &EndpointId, failure: Option<AttemptFailure>) {
+        let mut table = self.endpoints();
+        match failure {
+            None => {
+                table.succeeded(id);
+                table.answered(id, false);
+            }
+            Some(AttemptFailure::WrongIncarnation) => {
+                table.remove(id);
+                self.pool.forget(id);
+            }
+            Some(failure) if failure.is_loss() => {
+                table.failed(self.timer.now(), id);
+                self.pool.forget(id);
+            }
+            Some(AttemptFailure::Rejected | AttemptFailure::Failed | AttemptFailure::Garbled) => {
+                table.answered(id, true);
+            }
+            Some(_) => {}
+        }
+    }
+
+    pub(crate) fn count_first_send(&self, service: &Name) {
+        self.retry_window(service, RetryWindow::earn);
+    }
+
+    pub(crate) fn try_retry(&self, service: &Name) -> bool {
+        self.retry_window(service, RetryWindow::try_spend)
+    }
+
+    fn retry_window<T>(&self, service: &Name, act: impl FnOnce(&mut RetryWindow, TimePoint) -> T) -> T {
+        let mut windows = lock(&self.retries);
+        let window = windows.entry(Name::clone(service)).or_insert_with(|| {
+            let reserve = (self.bounds.retry_extra / RETRY_HOSTS) as u32;
+            RetryWindow::new(self.bounds.retry_window, self.bounds.retry_ratio * RETRY_SHARE, reserve)
+        });
+        act(window, self.timer.now())
+    }
+
+    /// Claims memory for a body; none if bodies take too much already.
+    pub(crate) fn claim_body(self: &Arc<Self>, bytes: usize) -> Option<BodyClaim> {
+        let taken = self.body_bytes.fetch_add(bytes, Ordering::Relaxed);
+        let claim = BodyClaim { context: Arc::clone(self), bytes };
+        (taken + bytes <= self.body_limit).then_some(claim)
+    }
+
+    /// Counts a request as under way until the guard goes.
+    pub(crate) fn begin_request(self: &Arc<Self>) -> RequestGuard {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        RequestGuard { context: Arc::clone(self) }
+    }
+
+    pub(crate) fn open_requests(&self) -> usize {
+        self.requests.load(Ordering::Relaxed)
+    }
+}
+
+/// Memory that a body takes.
+#[derive(Debug)]
+pub(crate) struct BodyClaim {
+    context: Arc<GatewayContext>,
+    bytes: usize,
+}
+
+impl Drop for BodyClaim {
+    fn drop(&mut self) {
+        self.context.body_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// A request under way.
+#[derive(Debug)]
+pub(crate) struct RequestGuard {
+    context: Arc<GatewayContext>,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.context.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -0,0 +1,81 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use hollyhook_core::{Error, ErrorKind, Result};
+use hollyhook_kernel::{TimerService, WallClock};
+use hollyhook_settings::GatewaySettings;
+use hollyhook_wire::listen;
+
+use super::GatewayContext;
+use crate::front::{FrontServer, serve_ready};
+use crate::store::{EndpointWatch, SiteWatch, StoreClient};
+
+/// How often idle connections are looked through.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
+/// How often a stopping gateway looks whether all requests have ended.
+const STOP_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    context: Arc<GatewayContext>,
+    front: FrontServer,
+}
+
+impl Gateway {
+    /// Starts a gateway; it answers callers when this returns, and serves them once it knows the configuration.
+    ///
+    /// # Errors
+    ///
+    /// `InvalidSetting` if an address can't be listened at.
+    pub fn start(settings: &GatewaySettings) -> Result<Self> {
+        let timer = TimerService::from(WallClock::start());
+        let context = Arc::new(GatewayContext::new(settings, timer.clone()));
+        let front = FrontServer::start(bind(settings.listen, "listen")?, Arc::clone(&context));
+        let ready = bind(settings.ready_listen, "ready_listen")?;
+        task::spawn(serve_ready(ready, Arc::clone(&context)));
+        let store = || StoreClient::new(timer.clone(), settings.store);
+        task::spawn(SiteWatch::new(Arc::clone(&context), store()).run());
+        task::spawn(EndpointWatch::new(Arc::clone(&context), store()).run());
+        task::spawn(prune_pool(Arc::clone(&context)));
+        tracing::info!(host = %context.host, zone = %context.zone, listen = %settings.listen, store = %settings.store,
+            "gateway.started");
+        Ok(Self { context, front })
+    }
+
+    /// Stops: tells the balancer, serves what still comes, lets what runs end within the grace time.
+    ///
+    /// Returns whether everything ended.
+    pub async fn drain(self) -> bool {
+        let timer = &self.context.timer;
+        let ordered_at = timer.now();
+        self.context.stop.order(ordered_at);
+        tracing::info!(requests = self.context.open_requests(), "gateway.stopping");
+        timer.wait(self.context.stop.caller_intake()).await;
+        self.front.close_idle();
+        while timer.now().since(ordered_at) < self.context.stop.usable_grace() {
+            if self.context.open_requests() == 0 {
+                tracing::info!("gateway.stopped");
+                return true;
+            }
+            timer.wait(STOP_INTERVAL).await;
+        }
+        tracing::warn!(requests = self.context.open_requests(), "gateway.cut_off");
+        false
+    }
+}
+
+fn bind(address: SocketAddr, key: &'static str) -> Result<async_std::net::TcpListener> {
+    listen(address).map_err(|error| {
+        Error::new(ErrorKind::InvalidSetting, format!("can't listen at {address}: {error}")).param(key)
+    })
+}
+
+async fn prune_pool(context: Arc<GatewayContext>) {
+    loop {
+        context.timer.wait(PRUNE_INTERVAL).await;
+        context.pool.prune();
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_gateway/src/pool/connection_pool.rs
@@ -0,0 +1,97 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hollyhook_core::EndpointId;
+use hollyhook_kernel::TimerService;
+use http::HeaderMap;
+use http::header::HeaderName;
+
+use super::PooledConnection;
+use crate::net::dial;
+
+/// How long a connection is kept whose peer does not say how long it keeps it.
+const DEFAULT_KEEP: Duration = Duration::from_secs(4);
+/// How much earlier than its peer a connection is given up, so that no request crosses its closing.
+const KEEP_MARGIN: Duration = Duration::from_millis(900);
+/// Idle connections kept for one endpoint.
+const MOST_IDLE: usize = 16;
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Idle connections by the incarnation of the endpoint that they lead to.
+#[derive(Debug)]
+pub(crate) struct ConnectionPool {
+    timer: TimerService,
+    idle: Mutex<HashMap<EndpointId, Vec<PooledConnection>>>,
+}
+
+impl ConnectionPool {
+    pub(crate) fn new(timer: TimerService) -> Self {
+        Self { timer, idle: Mutex::default() }
+    }
+
+    /// A kept connection to an endpoint, the most recently used first.
+    pub(crate) fn take(&self, id: &EndpointId) -> Option<PooledConnection> {
+        let now = self.timer.now();
+        let mut idle = self.lock();
+        let connections = idle.get_mut(id)?;
+        while let Some(connection) = connections.pop() {
+            if connection.is_ready() && now < connection.usable_until {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// A new connection.
+    ///
+    /// # Errors
+    ///
+    /// If none could be made within `limit`.
+    pub(crate) async fn connect(&self, address: SocketAddr, limit: Duration) -> std::io::Result<PooledConnection> {
+        let stream = dial(&self.timer, address, limit).await?;
+        PooledConnection::start(stream).await.map_err(std::io::Error::other)
+    }
+
+    /// Keeps a connection whose answer was read to its end, as long as the answer's headers say.
+    pub(crate) fn put(&self, id: &EndpointId, mut connection: PooledConnection, keep: Duration) {
+        connection.usable_until = self.timer.now() + keep;
+        let mut idle = self.lock();
+        let connections = idle.entry(EndpointId::clone(id)).or_default();
+        if connections.len() < MOST_IDLE {
+            connections.push(connection);
+        }
+    }
+
+    /// Closes the idle connections to an endpoint that is gone or silent.
+    pub(crate) fn forget(&self, id: &str) {
+        self.lock().remove(id);
+    }
+
+    /// Closes what its peer will close soon.
+    pub(crate) fn prune(&self) {
+        let now = self.timer.now();
+        let mut idle = self.lock();
+        for connections in idle.values_mut() {
+            connections.retain(|connection| now < connection.usable_until && connection.is_ready());
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<EndpointId, Vec<PooledConnection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// How long an idle connection may be used again, after an answer with these headers.
+pub(crate) fn keep_time(headers: &HeaderMap) -> Duration {
+    let stated = headers.get(KEEP_ALIVE).and_then(|value| value.to_str().ok()).and_then(stated_timeout);
+    stated.map_or(DEFAULT_KEEP, |stated| stated.saturating_sub(KEEP_MARGIN))
+}
+
+fn stated_timeout(text: &str) -> Option<Duration> {
+    let parts = text.split(',').map(str::trim);
+    let mut timeouts = parts.filter_map(|part| part.strip_prefix("timeout="));
+    timeouts.next()?.parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -0,0 +1,134 @@
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollyhook_kernel::TimerService;
+use hollyhook_platform::{ObjectKind, StoreChange, StoreFault, StoreObject, StorePage};
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+
+use crate::net::dial;
+use crate::pool::PooledConnection;
+
+/// How long a connection to the store may take; it answers within milliseconds from within the region.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a call other than a watch may take: a slow store was seen to take 0.3 s.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How much longer than asked for a watch may take.
+const WATCH_SLACK: Duration = Duration::from_millis(800);
+/// The most bytes of one answer; the store states about 1 MB a page.
+const MOST_BYTES: usize = 4 << 20;
+
+/// Why a call to the store gave nothing.
+#[derive(Debug)]
+pub(crate) enum StoreError {
+    /// No answer, or one that says that nothing was done.
+    Away(&'static str),
+    /// The history that a watch asks for is gone: list again.
+    HistoryGone,
+    /// Too many calls.
+    Throttled,
+    /// The answer can't be understood.
+    Malformed(StoreFault),
+}
+
+impl fmt::Display for StoreError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Away(why) => write!(f, "the store is away: {why}"),
+            Self::HistoryGone => f.write_str("the history after the watched revision is gone"),
+            Self::Throttled => f.write_str("the store takes no more calls for now"),
+            Self::Malformed(fault) => fault.fmt(f),
+        }
+    }
+}
+
+/// Calls the platform's store over one kept connection.
+#[derive(Debug)]
+pub(crate) struct StoreClient {
+    timer: TimerService,
+    address: SocketAddr,
+    connection: Option<PooledConnection>,
+}
+
+impl StoreClient {
+    pub(crate) fn new(timer: TimerService, address: SocketAddr) -> Self {
+        Self { timer, address, connection: None }
+    }
+
+    /// All objects of a kind, and the revision to watch from.
+    pub(crate) async fn list(&mut self, kind: ObjectKind) -> Result<(Vec<StoreObject>, u64), StoreError> {
+        let mut objects = Vec::new();
+        let mut first_revision = None;
+        let mut after = None;
+        loop {
+            let path = hollyhook_platform::list_path(kind, after.as_deref());
+            let body = self.call(&path, CALL_TIMEOUT).await?;
+            let page: StorePage = hollyhook_platform::decode_page(&body).map_err(StoreError::Malformed)?;
+            objects.extend(page.objects);
+            // Changes between two pages are seen again by a watch from the first page's revision.
+            let revision = *first_revision.get_or_insert(page.revision);
+            match page.next_after {
+                Some(name) => after = Some(name),
+                None => return Ok((objects, revision)),
+            }
+        }
+    }
+
+    /// Waits up to `wait` for changes of a kind after a revision.
+    pub(crate) async fn watch(
+        &mut self,
+        kind: ObjectKind,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<(Vec<StoreChange>, u64), StoreError> {
+        let path = hollyhook_platform::watch_path(kind, revision, wait);
+        let body = self.call(&path, wait + WATCH_SLACK).await?;
+        hollyhook_platform::decode_change(&body).map_err(StoreError::Malformed)
+    }
+
+    async fn call(&mut self, path: &str, limit: Duration) -> Result<Bytes, StoreError> {
+        let timer = self.timer.clone();
+        let outcome = timer.within(limit, self.exchange(path)).await;
+        match outcome {
+            Some(Ok(body)) => Ok(body),
+            Some(Err(error)) => Err(error),
+            None => {
+                // A connection on which an answer was lost returns nothing further.
+                self.connection = None;
+                Err(StoreError::Away("no answer in time"))
+            }
+        }
+    }
+
+    async fn exchange(&mut self, path: &str) -> Result<Bytes, StoreError> {
+        let mut connection = match self.connection.take().filter(PooledConnection::is_ready) {
+            Some(connection) => connection,
+            None => self.connect().await?,
+        };
+        let response = connection.send(self.request(path)?).await;
+        let response = response.map_err(|_fault| StoreError::Away("the connection broke"))?;
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::GONE => return Err(StoreError::HistoryGone),
+            StatusCode::TOO_MANY_REQUESTS => return Err(StoreError::Throttled),
+            _ => return Err(StoreError::Away("it turned the call away")),
+        }
+        let body = Limited::new(response.into_body(), MOST_BYTES).collect().await;
+        let body = body.map_err(|_error| StoreError::Away("the answer was cut off"))?.to_bytes();
+        self.connection = Some(connection);
+        Ok(body)
+    }
+
+    async fn connect(&self) -> Result<PooledConnection, StoreError> {
+        let stream = dial(&self.timer, self.address, CONNECT_TIMEOUT).await;
+        let stream = stream.map_err(|_error| StoreError::Away("no connection"))?;
+        PooledConnection::start(stream).await.map_err(|_error| StoreError::Away("no connection"))
+    }
+
+    fn request(&self, path: &str) -> Result<Request<Full<Bytes>>, StoreError> {
+        let request = Request::get(path).header(header::HOST, self.address.to_string()).body(Full::default());
+        request.map_err(|_error| StoreError::Away("the path is not valid"))
+    }
+}
--- a/crates/hollyhook_kernel/src/timer/clock.rs
+++ b/crates/hollyhook_kernel/src/timer/clock.rs
@@ -1,24 +1,28 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use async_channel::{Receiver, Sender};
 use hollyhook_core::TimePoint;
+use rustix::time::{ClockId, clock_gettime};
 
 /// The clock of the machine.
+///
+/// It goes on while the machine is suspended, unlike the standard library's `Instant`: a host that wakes must know
+/// that its deadlines and what it believed of others are old.
 #[derive(Debug, Clone, Copy)]
 pub struct WallClock {
-    start: Instant,
+    start: Duration,
 }
 
 impl WallClock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self { start: since_boot() }
     }
 
     pub(super) fn now(self) -> TimePoint {
-        TimePoint::from_micros(self.start.elapsed().as_micros() as u64)
+        TimePoint::from_micros(since_boot().saturating_sub(self.start).as_micros() as u64)
     }
 
     pub(super) async fn wait_until(self, at: TimePoint) {
@@ -30,6 +34,11 @@
     }
 }
 
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs() as u32)
+}
+
 /// A clock that moves only when told to.
 #[derive(Debug, Clone, Default)]
 pub struct VirtualClock {
--- a/crates/hollyhook_settings/src/file/setting_file.rs
+++ b/crates/hollyhook_settings/src/file/setting_file.rs
@@ -54,6 +54,29 @@
 }
 
 impl SettingFile {
+    /// Whether there is a section of that title.
+    pub fn has_section(&self, title: &str) -> bool {
+        self.sections.iter().any(|section| &*section.title == title)
+    }
+
+    /// The section of that title; one that is not there reads as one without keys.
+    pub(crate) fn section(&self, title: &str) -> SettingSection {
+        let found = self.sections.iter().find(|section| &*section.title == title);
+        found.cloned().unwrap_or_else(|| SettingSection {
+            file: Name::clone(&self.path),
+            line: 0,
+            title: title.into(),
+            entries: Vec::new(),
+        })
+    }
+
+    /// An error for each section whose title is none of `titles`.
+    pub(crate) fn unknown_titles(&self, titles: &[&str]) -> Vec<SettingError> {
+        let unknown = self.sections.iter().filter(|section| !titles.contains(&&*section.title));
+        let right = format!("the sections are {}", titles.join(", "));
+        unknown.map(|section| section.error(None, "there is no such section here", &right)).collect()
+    }
+
     /// Reads a file.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/hollyhook_settings/src/gateway/mod.rs
@@ -0,0 +1,7 @@
+//! The settings of a daemon that takes its configuration and its endpoints from the platform.
+
+mod gateway_bounds;
+mod gateway_settings;
+
+pub use gateway_bounds::GatewayBounds;
+pub use gateway_settings::GatewaySettings;
--- a/crates/hollyhook_settings/src/lib.rs
+++ b/crates/hollyhook_settings/src/lib.rs
@@ -4,11 +4,13 @@
 //! and what would be right.
 
 mod file;
+mod gateway;
 mod process;
 mod site;
 mod value;
 
 pub use file::{SettingError, SettingErrors, SettingFile};
+pub use gateway::{GatewayBounds, GatewaySettings};
 pub use process::{LogFormat, ProcessSettings};
 pub use site::{
     AccountSettings, EndpointSettings, GenerationSettings, LimitSettings, PlainSettings, RequestClass, ServiceKind,
--- a/crates/hollyhook_settings/src/process/process_settings.rs
+++ b/crates/hollyhook_settings/src/process/process_settings.rs
@@ -3,7 +3,7 @@
 
 use hollyhook_core::{CursorKey, Name, ZoneName};
 
-use crate::file::{SectionReader, SettingError, SettingErrors, SettingFile, SettingSection};
+use crate::file::{SectionReader, SettingError, SettingErrors, SettingFile};
 use crate::value;
 
 /// How log lines are written.
@@ -15,6 +15,12 @@
     Json,
 }
 
+impl LogFormat {
+    pub(crate) const CHOICES: &'static [(&'static str, Self)] = &[("text", Self::Text), ("json", Self::Json)];
+    pub(crate) const LEVELS: &'static [(&'static str, &'static str)] =
+        &[("error", "error"), ("warn", "warn"), ("info", "info"), ("debug", "debug")];
+}
+
 /// What a daemon is told about itself: its addresses, its availability zone and where things are.
 #[derive(Debug, Clone)]
 pub struct ProcessSettings {
@@ -91,8 +97,8 @@
 
 impl ProcessParser<'_> {
     fn parse(&mut self) -> Option<ProcessSettings> {
-        self.check_kinds();
-        let host = self.section("host");
+        self.errors.extend(self.file.unknown_titles(&KINDS));
+        let host = self.file.section("host");
         let mut reader = SectionReader::new(&host, &mut self.errors);
         let name = reader.required("name", value::name);
         let zone = reader.required("zone", value::name);
@@ -102,33 +108,31 @@
         let threads = reader.default("threads", DEFAULT_THREADS, value::count(1, 64));
         reader.finish();
 
-        let section = self.section("platform");
+        let section = self.file.section("platform");
         let mut reader = SectionReader::new(&section, &mut self.errors);
         let platform = reader.optional("address", value::address);
         reader.finish();
 
-        let section = self.section("configuration");
+        let section = self.file.section("configuration");
         let mut reader = SectionReader::new(&section, &mut self.errors);
         let base = reader.required("base", value::file);
         let overlay = reader.required("overlay", value::file);
         reader.finish();
 
-        let section = self.section("log");
+        let section = self.file.section("log");
         let mut reader = SectionReader::new(&section, &mut self.errors);
-        let formats = &[("text", LogFormat::Text), ("json", LogFormat::Json)];
-        let log_format = reader.default("format", LogFormat::Text, value::choice(formats));
-        let levels = &[("error", "error"), ("warn", "warn"), ("info", "info"), ("debug", "debug")];
-        let log_level = reader.default("level", "info", value::choice(levels));
+        let log_format = reader.default("format", LogFormat::Text, value::choice(LogFormat::CHOICES));
+        let log_level = reader.default("level", "info", value::choice(LogFormat::LEVELS));
         let switches = &[("on", true), ("off", false)];
         let keeps_traces = reader.default("traces", false, value::choice(switches));
         reader.finish();
 
-        let section = self.section("metrics");
+        let section = self.file.section("metrics");
         let mut reader = SectionReader::new(&section, &mut self.errors);
         let statsd = reader.optional("statsd", value::address);
         reader.finish();
 
-        let section = self.section("keys");
+        let section = self.file.section("keys");
         let mut reader = SectionReader::new(&section, &mut self.errors);
         let cursor_key = reader.required("cursor", value::hex_32);
         let previous = reader.optional("previous_cursor", value::hex_32);
@@ -152,24 +156,4 @@
             previous_cursor_key: previous.map(CursorKey::new),
         })
     }
-
-    fn check_kinds(&mut self) {
-        for section in &self.file.sections {
-            if !KINDS.contains(&&*section.title) {
-                let right = format!("the sections are {}", KINDS.join(", "));
-                self.errors.push(section.error(None, "there is no such section here", &right));
-            }
-        }
-    }
-
-    /// A section that is not there reads as one without keys.
-    fn section(&self, title: &str) -> SettingSection {
-        let found = self.file.sections.iter().find(|section| &*section.title == title);
-        found.cloned().unwrap_or_else(|| SettingSection {
-            file: Name::clone(&self.file.path),
-            line: 0,
-            title: title.into(),
-            entries: Vec::new(),
-        })
-    }
 }
--- a/crates/hollyhook_settings/src/value/value_parsers.rs
+++ b/crates/hollyhook_settings/src/value/value_parsers.rs
@@ -22,18 +22,18 @@
     move |text| {
         let (number, unit) = split_unit(text);
         let right = "give a number and `ms`, `s`, `min` or `h`, such as `250 ms`";
-        let Ok(number) = number.parse::<u64>() else {
+        let Some(number) = number.parse::<f64>().ok().filter(|number| number.is_finite()) else {
             return fault(format!("`{text}` is not a time"), right);
         };
         let millis = match unit {
-            "ms" => 1,
-            "s" => 1_000,
-            "min" => 60_000,
-            "h" => 3_600_000,
+            "ms" => 1.0,
+            "s" => 1e3,
+            "min" => 60e3,
+            "h" => 3_600e3,
             "" => return fault(format!("`{text}` has no unit"), right),
             _ => return fault(format!("`{unit}` is not a unit of time"), right),
         };
-        let span = Duration::from_millis(number.saturating_mul(millis));
+        let span = Duration::from_micros((number * millis * 1e3).round() as u64);
         if span < least || span > most {
             let right = format!("give a time from {} ms to {} ms", least.as_millis(), most.as_millis());
             return fault(format!("`{text}` is out of range"), right);
@@ -96,6 +96,15 @@
     }
 }
 
+/// A number of things for each thing, such as `0.8`.
+pub(crate) fn ratio(text: &str) -> Parsed<f64> {
+    const MOST: f64 = 100.0;
+    match text.parse::<f64>() {
+        Ok(number) if (0.0..=MOST).contains(&number) => Ok(number),
+        _ => fault(format!("`{text}` is not a ratio"), "give a number from 0 to 100, such as `0.8`"),
+    }
+}
+
 /// One of several words.
 pub(crate) fn choice<T: Copy>(options: &'static [(&'static str, T)]) -> impl Fn(&str) -> Parsed<T> {
     move |text| {
--- a/crates/hollyhook_wire/src/http/http_server.rs
+++ b/crates/hollyhook_wire/src/http/http_server.rs
@@ -153,7 +153,11 @@
 
 /// Listens with a longer queue than the standard library's 128, which a thousand callers at once overflow; the
 /// kernel then drops the connections that are being made, and each costs its caller a second.
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+///
+/// # Errors
+///
+/// Whatever the kernel has against the address.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     const BACKLOG: i32 = 4_096;
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
--- a/crates/hollyhook_wire/src/http/mod.rs
+++ b/crates/hollyhook_wire/src/http/mod.rs
@@ -10,4 +10,4 @@
 pub use body_feed::{BodyFeed, feed_body, read_body};
 pub use connection_gate::ConnectionGate;
 pub use http_client::{ClientAnswer, HttpClient};
-pub use http_server::{HttpServer, ServerLimits};
+pub use http_server::{HttpServer, ServerLimits, listen};
--- a/crates/hollyhook_wire/src/lib.rs
+++ b/crates/hollyhook_wire/src/lib.rs
@@ -12,7 +12,9 @@
     ChunkDelta, EngineChunk, EngineClient, EngineExtension, EngineLoad, EngineStream, EngineUsage, EngineWork,
     GenerationState, LOAD_FIELD, RequestLimits, StreamItem, StreamWriter, WholeAnswer, completion_body,
 };
-pub use http::{BodyFeed, ClientAnswer, ConnectionGate, HttpClient, HttpServer, ServerLimits, feed_body, read_body};
+pub use http::{
+    BodyFeed, ClientAnswer, ConnectionGate, HttpClient, HttpServer, ServerLimits, feed_body, listen, read_body,
+};
 pub use peer::{
     CounterRow, EndpointRow, HistogramRow, HostReport, PeerCallsClient, PeerServer, StatusReport, connect_peer,
     serve_peers,
