Close connections to endpoints by a reset; a deadline speaks against no endpoint

And probes of the configuration whose route times out after 400 ms ejected sound endpoints.

Change: SO_LINGER 0 on connections to servers; AttemptFailure::Expired, which is no loss.

--- a/crates/hollyhook_core/src/forward/answer_verdict.rs
+++ b/crates/hollyhook_core/src/forward/answer_verdict.rs
@@ -30,6 +30,8 @@
     Broken,
     /// Nothing came for too long.
     Silent,
+    /// The caller's or the route's time was up; nothing speaks against the endpoint.
+    Expired,
     /// What came can't be the endpoint's answer to this request.
     Garbled,
     /// The endpoint ran the request and failed.
@@ -55,6 +57,7 @@
             Self::WrongIncarnation => "wrong_incarnation",
             Self::Broken => "broken",
             Self::Silent => "silent",
+            Self::Expired => "expired",
             Self::Garbled => "garbled",
             Self::Failed => "failed",
         }
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -333,9 +333,7 @@
             if let Some(outcome) = self.context.timer.within(limit, sent.as_mut()).await {
                 return outcome;
             }
-            if !self.is_worth_waiting(place, &mut watch).await {
-                return Err(AttemptFailure::Silent);
-            }
+            self.check_silence(place, &mut watch).await?;
         }
     }
 
@@ -347,11 +345,19 @@
         FIRST_SILENCE + Duration::from_millis(tokens / PROMPT_TOKENS_PER_MS)
     }
 
-    async fn is_worth_waiting(&self, place: &EndpointPlace, watch: &mut SilenceWatch) -> bool {
-        if self.caller.time_left(self.context.timer.now()).is_zero() || !watch.try_probe() {
-            return false;
+    /// Decides whether to go on waiting for a silent engine; an error if not.
+    async fn check_silence(
+        &self,
+        place: &EndpointPlace,
+        watch: &mut SilenceWatch,
+    ) -> std::result::Result<(), AttemptFailure> {
+        if self.caller.time_left(self.context.timer.now()).is_zero() {
+            return Err(AttemptFailure::Expired);
+        }
+        if watch.try_probe() && is_alive(&self.context, place).await {
+            return Ok(());
         }
-        is_alive(&self.context, place).await
+        Err(AttemptFailure::Silent)
     }
 
     /// The next whole events of the current attempt.
@@ -383,8 +389,8 @@
                     let Some(live) = self.live.as_ref() else {
                         return PieceEnd::Failure(AttemptFailure::Broken);
                     };
-                    if !self.is_worth_waiting(&live.place, &mut watch).await {
-                        return PieceEnd::Failure(AttemptFailure::Silent);
+                    if let Err(failure) = self.check_silence(&live.place, &mut watch).await {
+                        return PieceEnd::Failure(failure);
                     }
                 }
             }
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -117,9 +117,11 @@
     }
 
     async fn attempt(&self, place: &EndpointPlace) -> CallEnd {
-        let limit = self.attempt_limit();
+        let left = self.caller.time_left(self.context.timer.now());
+        let limit = self.attempt_limit(left);
+        let late = if limit < left { AttemptFailure::Silent } else { AttemptFailure::Expired };
         let end = self.context.timer.within(limit, self.exchange(place)).await;
-        let end = end.unwrap_or(CallEnd::Failure(AttemptFailure::Silent));
+        let end = end.unwrap_or(CallEnd::Failure(late));
         let failure = match &end {
             CallEnd::Answer(_) => None,
             CallEnd::Fallback(_) => Some(AttemptFailure::Failed),
@@ -130,8 +132,7 @@
     }
 
     /// How long this attempt may take: all that is left, unless another endpoint may be tried after it.
-    fn attempt_limit(&self) -> Duration {
-        let left = self.caller.time_left(self.context.timer.now());
+    fn attempt_limit(&self, left: Duration) -> Duration {
         let is_last = self.runs + 1 >= self.caller.route.most_attempts;
         if self.caller.route.kind != RequestKind::Idempotent || is_last {
             return left;
--- a/crates/hollyhook_gateway/src/net/dial.rs
+++ b/crates/hollyhook_gateway/src/net/dial.rs
@@ -18,6 +18,9 @@
     // An event is a small write; waiting to join it with the next one would delay it.
     let socket = SockRef::from(stream.get_ref());
     socket.set_tcp_nodelay(true)?;
+    // A connection is only closed to stop what was sent on it, or when nothing is under way. A reset makes the peer
+    // stop at once, and takes back what a partition holds up: it must not run long after its caller has left.
+    socket.set_linger(Some(Duration::ZERO))?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     Ok(stream)
 }
