Prefer the own zone, and count an engine's places by tokens of memory

Cause: the table took an engine's 64 slots for its places, though 88,000 tokens hold about ten generations; so load decided little, and what ran in other zones was lost when zones were cut from each other.

--- a/crates/hollyhook_core/src/route/endpoint_record.rs
+++ b/crates/hollyhook_core/src/route/endpoint_record.rs
@@ -96,11 +96,12 @@
 
     /// The load to expect: what was reported, and what this host has sent since.
     ///
-    /// In requests a place; a report without a capacity counts as one place.
-    pub fn pressure(&self) -> f64 {
+    /// In requests a place; the number of places is that of its last report unless `places` gives another, and a
+    /// report without a capacity counts as one place.
+    pub fn pressure(&self, places: Option<u32>) -> f64 {
         let reported = self.load.running + self.load.waiting;
         let expected = (reported + self.sent_since_report).max(self.open);
-        f64::from(expected) / f64::from(self.load.capacity.max(1))
+        f64::from(expected) / f64::from(places.unwrap_or(self.load.capacity).max(1))
     }
 
     /// Whether it is left out after failures.
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -29,12 +29,13 @@
     avoid: &'a [EndpointId],
     avoid_zone: Option<&'a ZoneName>,
     affinity: Option<u128>,
+    places: Option<u32>,
 }
 
 impl<'a> RouteQuery<'a> {
     /// A query for any endpoint of a service.
     pub fn new(service: &'a str) -> Self {
-        Self { service, binding: None, avoid: &[], avoid_zone: None, affinity: None }
+        Self { service, binding: None, avoid: &[], avoid_zone: None, affinity: None, places: None }
     }
 
     /// The same query for exactly those weights.
@@ -65,6 +66,13 @@
         self
     }
 
+    /// The same query for a request of which an endpoint holds that many at a time.
+    #[must_use]
+    pub fn places(mut self, places: u32) -> Self {
+        self.places = Some(places);
+        self
+    }
+
     fn is_met_by(&self, record: &EndpointRecord) -> bool {
         let is_served = &*record.service == self.service;
         let is_bound = self.binding.is_none_or(|binding| record.binding.as_ref() == Some(binding));
@@ -157,7 +165,7 @@
             Some(number) => ranked(pool, number),
             None => pool,
         };
-        Some(EndpointId::clone(&self.best_of_draws(&pool, &self.suspect_zones(now, query), rng)?.id))
+        Some(EndpointId::clone(&self.best_of_draws(&pool, query, &self.suspect_zones(now, query), rng)?.id))
     }
 
     /// The endpoints that a request with this affinity may be held by, best first.
@@ -216,15 +224,16 @@
     fn best_of_draws<'t>(
         &self,
         pool: &[&'t EndpointRecord],
+        query: &RouteQuery<'_>,
         suspect: &[&ZoneName],
         rng: &mut impl Rng,
     ) -> Option<&'t EndpointRecord> {
         let drawn = pool.choose_multiple(rng, DRAWS).copied();
-        drawn.min_by(|a, b| self.cost(a, suspect).total_cmp(&self.cost(b, suspect)))
+        drawn.min_by(|a, b| self.cost(a, query, suspect).total_cmp(&self.cost(b, query, suspect)))
     }
 
-    fn cost(&self, record: &EndpointRecord, suspect: &[&ZoneName]) -> f64 {
-        let pressure = record.pressure();
+    fn cost(&self, record: &EndpointRecord, query: &RouteQuery<'_>, suspect: &[&ZoneName]) -> f64 {
+        let pressure = record.pressure(query.places);
         let distance = if record.zone == self.zone { 0.0 } else { self.zone_preference };
         let full = if pressure >= 1.0 { FULL_COST } else { 0.0 };
         let suspicion = if suspect.contains(&&record.zone) { SUSPECT_ZONE_COST } else { 0.0 };
--- a/crates/hollyhook_daemon/src/daemon/status.rs
+++ b/crates/hollyhook_daemon/src/daemon/status.rs
@@ -34,7 +34,7 @@
             state: record.state,
             is_ejected: record.is_ejected(now),
             open: record.open,
-            pressure: record.pressure(),
+            pressure: record.pressure(None),
         });
         rows.collect()
     };
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -248,10 +248,20 @@
     }
 
     fn place(&self) -> Option<EndpointPlace> {
-        let query = RouteQuery::new(&self.caller.service).avoid(&self.tried);
+        let query = self.query(&self.tried);
         self.context.place(&query).map(|record| EndpointPlace::taken(&self.context, &record))
     }
 
+    /// A query for an engine, whose memory binds before its slots do.
+    fn query<'a>(&'a self, avoid: &'a [EndpointId]) -> RouteQuery<'a> {
+        let query = RouteQuery::new(&self.caller.service).avoid(avoid);
+        let tokens = self.caller.head.prompt.unwrap_or_default().memory_tokens().max(1);
+        match self.caller.engine {
+            Some(engine) => query.places((engine.capacity_tokens / tokens).max(1) as u32),
+            None => query,
+        }
+    }
+
     /// The engine that holds a copy of the run's memory, if it is still fit; each copy is used once.
     fn usable_backup(&mut self) -> Option<(hollyhook_core::EndpointRecord, BackupSource)> {
         let backup = self.backup.take()?;
@@ -273,7 +283,7 @@
         }
         let mut avoid = self.tried.clone();
         avoid.push(EndpointId::clone(&place.id));
-        let query = RouteQuery::new(&self.caller.service).avoid(&avoid).avoid_zone(&place.zone);
+        let query = self.query(&avoid).avoid_zone(&place.zone);
         let record = self.context.look_up(&query)?;
         let source = BackupSource { address: record.address, attempt_id: Name::clone(&self.caller.head.attempt_id) };
         Some(BackupPlace { id: record.id, source })
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -18,9 +18,9 @@
 /// How long watches may hear nothing of changes while the store drops its history, and what the way to it and back
 /// may take; both shorten the time for which keys are honoured without confirmation.
 const CONFIRMATION_MARGIN: Duration = Duration::from_millis(1_250);
-/// How much fuller, in requests a place, the own zone may be before another one pays. Zones of a region are a
-/// millisecond apart, so that distance only decides between equals.
-const ZONE_PREFERENCE: f64 = 0.02;
+/// How much fuller, in requests a place, the own zone may be before another one pays. Another zone costs little time,
+/// but what runs there is lost when the zones are cut from each other.
+const ZONE_PREFERENCE: f64 = 0.25;
 /// The part of the allowed retries that this host spends, so that clocks and windows that differ do not add up to
 /// more than is allowed.
 const RETRY_SHARE: f64 = 0.75;
