Send a generation where every host would send it, if that costs about the same

Cause: a caller whose host was lost comes back through another host, which read the whole prompt again at another engine although the first one still cached it.

Change: PromptSize::own_part and RouteQuery::home: rendezvous order among the endpoints that cost within one generation of the cheapest.

--- a/crates/hollyhook_core/src/forward/caller_head.rs
+++ b/crates/hollyhook_core/src/forward/caller_head.rs
@@ -9,6 +9,8 @@
     pub prompt_tokens: u64,
     /// Tokens of output, at most.
     pub output_tokens: u64,
+    /// Names the part of the prompt that is the request's or its session's own; engines cache prompts by their parts.
+    pub own_part: Option<u64>,
 }
 
 impl PromptSize {
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -17,6 +17,9 @@
 const SUSPECT_ZONE_COST: f64 = 0.75;
 /// What an endpoint costs that answers only with failures, in requests a place: more than a full one.
 const ERROR_COST: f64 = 4.0;
+/// How much more, in requests a place, the endpoint that may hold a prompt may cost than the cheapest: about one
+/// generation more, whose prompt delays the first event by less than reading this one again would.
+const HOME_SLACK: f64 = 0.12;
 /// Endpoints drawn at random, of which the best is taken. Two leave some full while others have places; all of them
 /// would send every host that has the same reports to the same one.
 const DRAWS: usize = 4;
@@ -30,12 +33,13 @@
     avoid_zone: Option<&'a ZoneName>,
     affinity: Option<u128>,
     places: Option<u32>,
+    home: Option<u64>,
 }
 
 impl<'a> RouteQuery<'a> {
     /// A query for any endpoint of a service.
     pub fn new(service: &'a str) -> Self {
-        Self { service, binding: None, avoid: &[], avoid_zone: None, affinity: None, places: None }
+        Self { service, binding: None, avoid: &[], avoid_zone: None, affinity: None, places: None, home: None }
     }
 
     /// The same query for exactly those weights.
@@ -73,6 +77,14 @@
         self
     }
 
+    /// The same query that prefers, among endpoints of about the same cost, the one that every host prefers for this
+    /// number: a request that comes back finds the endpoint that may still hold its prompt.
+    #[must_use]
+    pub fn home(mut self, number: u64) -> Self {
+        self.home = Some(number);
+        self
+    }
+
     fn is_met_by(&self, record: &EndpointRecord) -> bool {
         let is_served = &*record.service == self.service;
         let is_bound = self.binding.is_none_or(|binding| record.binding.as_ref() == Some(binding));
@@ -165,7 +177,12 @@
             Some(number) => ranked(pool, number),
             None => pool,
         };
-        Some(EndpointId::clone(&self.best_of_draws(&pool, query, &self.suspect_zones(now, query), rng)?.id))
+        let suspect = self.suspect_zones(now, query);
+        let best = match query.home {
+            Some(number) => self.nearest_home(&pool, query, &suspect, number),
+            None => self.best_of_draws(&pool, query, &suspect, rng),
+        };
+        best.map(|record| EndpointId::clone(&record.id))
     }
 
     /// The endpoints that a request with this affinity may be held by, best first.
@@ -221,6 +238,19 @@
         left.chain(troubled).collect()
     }
 
+    fn nearest_home<'t>(
+        &self,
+        pool: &[&'t EndpointRecord],
+        query: &RouteQuery<'_>,
+        suspect: &[&ZoneName],
+        number: u64,
+    ) -> Option<&'t EndpointRecord> {
+        let costs: Vec<f64> = pool.iter().map(|record| self.cost(record, query, suspect)).collect();
+        let least = costs.iter().copied().min_by(f64::total_cmp)?;
+        let near = pool.iter().zip(costs).filter(|(_, cost)| *cost <= least + HOME_SLACK);
+        near.map(|(record, _)| *record).max_by_key(|record| weight(&number.to_be_bytes(), &record.id))
+    }
+
     fn best_of_draws<'t>(
         &self,
         pool: &[&'t EndpointRecord],
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -255,7 +255,9 @@
     /// A query for an engine, whose memory binds before its slots do.
     fn query<'a>(&'a self, avoid: &'a [EndpointId]) -> RouteQuery<'a> {
         let query = RouteQuery::new(&self.caller.service).avoid(avoid);
-        let tokens = self.caller.head.prompt.unwrap_or_default().memory_tokens().max(1);
+        let prompt = self.caller.head.prompt.unwrap_or_default();
+        let query = prompt.own_part.map_or(query.clone(), |part| query.home(part));
+        let tokens = prompt.memory_tokens().max(1);
         match self.caller.engine {
             Some(engine) => query.places((engine.capacity_tokens / tokens).max(1) as u32),
             None => query,
