Ask engines before placing a generation; believe a later registration of an address at once

Its new incarnation answered at the same address, while the old entry lapses only after three heartbeats. And hosts that do not know of each other sent up to four prompts at once to one engine, which reads them one after another.

Ruled out: no room at the backup (used tokens were half of the total); silent connections.

Change: a shortlist of two engines, and two in other zones for the backup, are asked for their reports; choose_engine decides. A later registration of an address displaces the earlier one. Ejections and lost backups are logged.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -31,7 +31,8 @@
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
 pub use retry::{ProbeGate, ProbePlace, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
 pub use route::{
-    EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, LoadReport, RouteQuery,
+    EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
+    LoadReport, REPORT_AGE, RouteQuery, choose_engine,
 };
 pub use site::{
     AccountPlan, CallerLimits, EngineMemory, PlanAdoption, RequestKind, RoutePlan, ServicePlan, ServiceShare,
--- a/crates/hollyhook_core/src/route/endpoint_record.rs
+++ b/crates/hollyhook_core/src/route/endpoint_record.rs
@@ -1,8 +1,10 @@
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use super::REPORT_AGE;
 use crate::{EndpointId, EndpointRhythm, ModelBinding, Name, TimePoint, ZoneName};
 
 /// Whether an endpoint gets new work.
@@ -37,6 +39,8 @@
     pub zone: ZoneName,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Orders registrations: of two with one address, the later one is there.
+    pub registered: u64,
     /// The weights that it serves; none for a plain service.
     pub binding: Option<ModelBinding>,
     /// Whether it gets new work.
@@ -47,10 +51,13 @@
     pub open: u32,
     /// Requests that this host opened there since the last load report.
     pub sent_since_report: u32,
+    /// Requests that this host sent there within the last [`REPORT_AGE`](super::REPORT_AGE), as of when it was chosen.
+    pub sent_lately: u32,
     /// Its usual gaps, over all streams of this host.
     pub rhythm: EndpointRhythm,
     /// The share of its answers that were failures of its own, smoothed; from 0 to 1.
     pub(super) error_share: f64,
+    pub(super) sends: VecDeque<TimePoint>,
     pub(super) failures: u32,
     pub(super) ejected_until: TimePoint,
 }
@@ -68,11 +75,14 @@
             service,
             zone,
             address,
+            registered: 0,
             binding: None,
             state: EndpointState::Live,
             load: LoadReport::default(),
             open: 0,
             sent_since_report: 0,
+            sent_lately: 0,
+            sends: VecDeque::new(),
             rhythm: EndpointRhythm::default(),
             error_share: 0.0,
             failures: 0,
@@ -115,6 +125,25 @@
         self.ejected_until = now + Self::FIRST_EJECTION * 2_u32.pow(doublings);
     }
 
+    pub(super) fn send(&mut self, now: TimePoint) {
+        self.forget_sends(now);
+        self.sends.push_back(now);
+    }
+
+    /// The record with the sends that no report of it can show yet.
+    pub(super) fn as_of(&self, now: TimePoint) -> Self {
+        let mut record = self.clone();
+        record.forget_sends(now);
+        record.sent_lately = record.sends.len() as u32;
+        record
+    }
+
+    fn forget_sends(&mut self, now: TimePoint) {
+        while self.sends.front().is_some_and(|sent| now.since(*sent) > REPORT_AGE) {
+            self.sends.pop_front();
+        }
+    }
+
     pub(super) fn answer(&mut self, is_failure: bool) {
         let sample = if is_failure { 1.0 } else { 0.0 };
         self.error_share += Self::ERROR_GAIN * (sample - self.error_share);
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -17,8 +17,8 @@
 const SUSPECT_ZONE_COST: f64 = 0.75;
 /// What an endpoint costs that answers only with failures, in requests a place: more than a full one.
 const ERROR_COST: f64 = 4.0;
-/// How much more, in requests a place, the endpoint that may hold a prompt may cost than the cheapest: about one
-/// generation more, whose prompt delays the first event by less than reading this one again would.
+/// Differences of cost below this, in requests a place, do not go before the order that all hosts share: about one
+/// generation, whose prompt delays the first event by less than reading this one again would.
 const HOME_SLACK: f64 = 0.12;
 /// Endpoints drawn at random, of which the best is taken. Two leave some full while others have places; all of them
 /// would send every host that has the same reports to the same one.
@@ -33,13 +33,12 @@
     avoid_zone: Option<&'a ZoneName>,
     affinity: Option<u128>,
     places: Option<u32>,
-    home: Option<u64>,
 }
 
 impl<'a> RouteQuery<'a> {
     /// A query for any endpoint of a service.
     pub fn new(service: &'a str) -> Self {
-        Self { service, binding: None, avoid: &[], avoid_zone: None, affinity: None, places: None, home: None }
+        Self { service, binding: None, avoid: &[], avoid_zone: None, affinity: None, places: None }
     }
 
     /// The same query for exactly those weights.
@@ -77,14 +76,6 @@
         self
     }
 
-    /// The same query that prefers, among endpoints of about the same cost, the one that every host prefers for this
-    /// number: a request that comes back finds the endpoint that may still hold its prompt.
-    #[must_use]
-    pub fn home(mut self, number: u64) -> Self {
-        self.home = Some(number);
-        self
-    }
-
     fn is_met_by(&self, record: &EndpointRecord) -> bool {
         let is_served = &*record.service == self.service;
         let is_bound = self.binding.is_none_or(|binding| record.binding.as_ref() == Some(binding));
@@ -132,6 +123,21 @@
         }
     }
 
+    /// The endpoints that a registration shows to be gone: those that registered the same address earlier.
+    ///
+    /// Their entries lapse only seconds later, and until then whoever is at the address answers in their place.
+    pub fn displaced_by(&self, record: &EndpointRecord) -> Vec<EndpointId> {
+        let earlier = self.records.values().filter(|known| {
+            known.address == record.address && known.id != record.id && known.registered < record.registered
+        });
+        earlier.map(|known| EndpointId::clone(&known.id)).collect()
+    }
+
+    /// Whether a later registration has the address of this one.
+    pub fn is_displaced(&self, record: &EndpointRecord) -> bool {
+        self.records.values().any(|known| known.address == record.address && known.registered > record.registered)
+    }
+
     /// Forgets one endpoint.
     pub fn remove(&mut self, id: &str) {
         self.records.remove(id);
@@ -147,6 +153,11 @@
         self.records.get(id)
     }
 
+    /// One endpoint, with the sends that no report of it can show yet.
+    pub fn as_of(&self, now: TimePoint, id: &str) -> Option<EndpointRecord> {
+        self.records.get(id).map(|record| record.as_of(now))
+    }
+
     /// One endpoint, to learn something of it.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut EndpointRecord> {
         self.records.get_mut(id)
@@ -177,12 +188,26 @@
             Some(number) => ranked(pool, number),
             None => pool,
         };
+        let best = self.best_of_draws(&pool, query, &self.suspect_zones(now, query), rng)?;
+        Some(EndpointId::clone(&best.id))
+    }
+
+    /// Up to `most` endpoints that are worth asking, best first: those that cost about as little as the cheapest, in
+    /// the order that all hosts share for `number`, then the others by cost.
+    ///
+    /// A request that comes back through another host finds the endpoint that may still hold its prompt.
+    pub fn shortlist(&self, now: TimePoint, query: &RouteQuery<'_>, number: u64, most: usize) -> Vec<EndpointRecord> {
+        let fit = self.records.values().filter(|record| query.is_met_by(record) && !record.is_ejected(now));
         let suspect = self.suspect_zones(now, query);
-        let best = match query.home {
-            Some(number) => self.nearest_home(&pool, query, &suspect, number),
-            None => self.best_of_draws(&pool, query, &suspect, rng),
+        let mut costs: Vec<(f64, &EndpointRecord)> =
+            fit.map(|record| (self.cost(record, query, &suspect), record)).collect();
+        let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp).unwrap_or_default();
+        let rank = |cost: f64, record: &EndpointRecord| {
+            let steps = ((cost - least) / HOME_SLACK) as u64;
+            (steps, Reverse(weight(&number.to_be_bytes(), &record.id)))
         };
-        best.map(|record| EndpointId::clone(&record.id))
+        costs.sort_by_cached_key(|(cost, record)| rank(*cost, record));
+        costs.into_iter().take(most).map(|(_, record)| record.as_of(now)).collect()
     }
 
     /// The endpoints that a request with this affinity may be held by, best first.
@@ -192,8 +217,9 @@
     }
 
     /// Counts a request as open at an endpoint.
-    pub fn opened(&mut self, id: &str) {
+    pub fn opened(&mut self, now: TimePoint, id: &str) {
         if let Some(record) = self.records.get_mut(id) {
+            record.send(now);
             record.open += 1;
             record.sent_since_report += 1;
         }
@@ -238,19 +264,6 @@
         left.chain(troubled).collect()
     }
 
-    fn nearest_home<'t>(
-        &self,
-        pool: &[&'t EndpointRecord],
-        query: &RouteQuery<'_>,
-        suspect: &[&ZoneName],
-        number: u64,
-    ) -> Option<&'t EndpointRecord> {
-        let costs: Vec<f64> = pool.iter().map(|record| self.cost(record, query, suspect)).collect();
-        let least = costs.iter().copied().min_by(f64::total_cmp)?;
-        let near = pool.iter().zip(costs).filter(|(_, cost)| *cost <= least + HOME_SLACK);
-        near.map(|(record, _)| *record).max_by_key(|record| weight(&number.to_be_bytes(), &record.id))
-    }
-
     fn best_of_draws<'t>(
         &self,
         pool: &[&'t EndpointRecord],
--- /dev/null
+++ b/crates/hollyhook_core/src/route/engine_report.rs
@@ -0,0 +1,54 @@
+use std::time::Duration;
+
+use super::{EndpointRecord, LoadReport};
+
+/// What a model engine says of itself when asked; a few hundred milliseconds old.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct EngineReport {
+    /// Requests that run, and that wait for their prompt to be read.
+    pub load: LoadReport,
+    /// Tokens of memory that can't be freed.
+    pub used_tokens: u64,
+    /// Tokens of memory in all.
+    pub total_tokens: u64,
+}
+
+/// How old a report may be: what this host sent since then is not in it.
+pub const REPORT_AGE: Duration = Duration::from_millis(300);
+
+/// What a running request costs, against one whose prompt waits to be read: it slows each step a little, while a
+/// waiting prompt delays everything behind it by its whole reading.
+const RUNNING_COST: f64 = 0.2;
+/// What an engine costs whose memory does not hold the request: it would have to wait for others to end.
+const FULL_COST: f64 = 10.0;
+/// What each rank costs in the order that all hosts share; less than a waiting prompt, so that the order decides only
+/// between engines that are about equally free.
+const RANK_COST: f64 = 0.5;
+
+/// An engine that may take a request, with what it said of itself.
+#[derive(Debug, Clone)]
+pub struct EngineCandidate {
+    /// The engine as this host knows it.
+    pub record: EndpointRecord,
+    /// Its report; none if it did not answer.
+    pub report: Option<EngineReport>,
+}
+
+/// Chooses among engines that were asked, given in the order that all hosts share; none if no engine answered.
+///
+/// Answers the load of prompts of thousands of tokens: an engine reads them one after another, so a request behind
+/// three others waits for seconds, wherever else there is room.
+pub fn choose_engine(candidates: &[EngineCandidate], needed_tokens: u64) -> Option<&EngineCandidate> {
+    let answered = candidates.iter().enumerate().filter_map(|(rank, candidate)| {
+        let report = candidate.report?;
+        Some((cost(candidate, report, needed_tokens) + RANK_COST * rank as f64, candidate))
+    });
+    answered.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, candidate)| candidate)
+}
+
+fn cost(candidate: &EngineCandidate, report: EngineReport, needed_tokens: u64) -> f64 {
+    let waiting = f64::from(report.load.waiting) + f64::from(candidate.record.sent_lately);
+    let running = f64::from(report.load.running);
+    let is_full = report.used_tokens + needed_tokens > report.total_tokens;
+    waiting + RUNNING_COST * running + if is_full { FULL_COST } else { 0.0 }
+}
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -4,6 +4,7 @@
 mod endpoint_record;
 mod endpoint_subset;
 mod endpoint_table;
+mod engine_report;
 mod rendezvous;
 mod zone_trouble;
 
@@ -11,3 +12,4 @@
 pub use endpoint_record::{EndpointRecord, EndpointState, LoadReport};
 pub use endpoint_subset::EndpointSubset;
 pub use endpoint_table::{EndpointTable, RouteQuery};
+pub use engine_report::{EngineCandidate, EngineReport, REPORT_AGE, choose_engine};
--- a/crates/hollyhook_core/tests/fuzz/route_fuzz.rs
+++ b/crates/hollyhook_core/tests/fuzz/route_fuzz.rs
@@ -131,7 +131,7 @@
     if pool.len() <= 4 && facts[&number].open >= PLACES {
         assert!(pool.iter().all(|other| facts[other].open >= PLACES), "a full endpoint was chosen before a free one");
     }
-    table.opened(&chosen);
+    table.opened(TimePoint::ZERO, &chosen);
     facts.get_mut(&number).unwrap().open += 1;
 }
 
--- a/crates/hollyhook_daemon/src/call/call_driver.rs
+++ b/crates/hollyhook_daemon/src/call/call_driver.rs
@@ -156,7 +156,7 @@
         };
         self.endpoint = Some(EndpointId::clone(&endpoint));
         let client = HttpClient::new(CONNECT_TIMEOUT);
-        context.fleet.lock().opened(&endpoint);
+        context.fleet.lock().opened(context.timer.now(), &endpoint);
         let event = match client.connect(address).await {
             Err(_) => CallEvent::ConnectFailed,
             Ok(_) if context.timer.now() >= self.deadline => CallEvent::DeadlinePassed,
--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -18,30 +18,44 @@
 /// machine says nothing.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Where an endpoint is.
+#[derive(Debug, Clone)]
+pub(super) struct EndpointTarget {
+    pub(super) id: EndpointId,
+    pub(super) address: SocketAddr,
+    pub(super) zone: ZoneName,
+}
+
+impl From<&EndpointRecord> for EndpointTarget {
+    fn from(record: &EndpointRecord) -> Self {
+        Self { id: EndpointId::clone(&record.id), address: record.address, zone: ZoneName::clone(&record.zone) }
+    }
+}
+
 /// A place taken at an endpoint; given back when dropped.
 #[derive(Debug)]
 pub(super) struct EndpointPlace {
     context: Arc<GatewayContext>,
-    pub(super) id: EndpointId,
-    pub(super) address: SocketAddr,
-    pub(super) zone: ZoneName,
+    pub(super) target: EndpointTarget,
+    /// Requests of this host that were open there when it was chosen.
+    pub(super) open: u32,
 }
 
 impl EndpointPlace {
-    /// A place that [`GatewayContext::place`] has counted.
-    pub(super) fn taken(context: &Arc<GatewayContext>, record: &EndpointRecord) -> Self {
-        Self {
-            context: Arc::clone(context),
-            id: EndpointId::clone(&record.id),
-            address: record.address,
-            zone: ZoneName::clone(&record.zone),
-        }
+    /// Takes a place.
+    pub(super) fn take(context: &Arc<GatewayContext>, record: &EndpointRecord) -> Self {
+        context.count_open(&record.id);
+        Self { context: Arc::clone(context), target: EndpointTarget::from(record), open: record.open }
+    }
+
+    pub(super) fn id(&self) -> &EndpointId {
+        &self.target.id
     }
 }
 
 impl Drop for EndpointPlace {
     fn drop(&mut self) {
-        self.context.endpoints().closed(&self.id);
+        self.context.endpoints().closed(&self.target.id);
     }
 }
 
@@ -82,7 +96,7 @@
 pub(super) async fn send_attempt(
     context: &GatewayContext,
     caller: &CallerRequest,
-    place: &EndpointPlace,
+    target: &EndpointTarget,
     headers: &AttemptHeaders,
 ) -> Result<OpenAnswer, AttemptFailure> {
     let mut request = Request::new(Full::new(caller.body.clone()));
@@ -93,21 +107,21 @@
     if caller.body.is_empty() && caller.method == Method::GET {
         request.headers_mut().remove(http::header::CONTENT_LENGTH);
     }
-    send(context, place, request).await
+    send(context, target, request).await
 }
 
 /// Sends any request to an endpoint: on a kept connection, or on a new one if there is none or it was closed.
 pub(super) async fn send(
     context: &GatewayContext,
-    place: &EndpointPlace,
+    target: &EndpointTarget,
     mut request: Request<Full<Bytes>>,
 ) -> Result<OpenAnswer, AttemptFailure> {
     loop {
-        let kept = context.pool.take(&place.id);
+        let kept = context.pool.take(&target.id);
         let is_kept = kept.is_some();
         let mut connection = match kept {
             Some(connection) => connection,
-            None => connect(context, place).await?,
+            None => connect(context, target).await?,
         };
         match connection.send(request).await {
             Ok(response) => {
@@ -123,10 +137,10 @@
     }
 }
 
-async fn connect(context: &GatewayContext, place: &EndpointPlace) -> Result<PooledConnection, AttemptFailure> {
-    let connected = context.pool.connect(place.address, CONNECT_TIMEOUT).await;
+async fn connect(context: &GatewayContext, target: &EndpointTarget) -> Result<PooledConnection, AttemptFailure> {
+    let connected = context.pool.connect(target.address, CONNECT_TIMEOUT).await;
     connected.map_err(|error| {
-        tracing::debug!(endpoint = %place.id, address = %place.address, %error, "endpoint.not_connected");
+        tracing::debug!(endpoint = %target.id, address = %target.address, %error, "endpoint.not_connected");
         AttemptFailure::NotConnected
     })
 }
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -1,28 +1,61 @@
 use std::time::Duration;
 
+use futures::future::join_all;
+use hollyhook_core::{AttemptFailure, EndpointRecord, EngineCandidate, EngineReport};
 use http::{Request, header};
 use http_body_util::{BodyExt, Full};
 
-use super::attempt::{EndpointPlace, send};
+use super::attempt::{EndpointTarget, send};
 use crate::gateway::GatewayContext;
 
-/// How long an engine may take to report; it answers within milliseconds and needs no slot for it.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long a silent engine may take to report before it is taken for lost; it answers within milliseconds and needs
+/// no slot for it.
+const LIFE_TIMEOUT: Duration = Duration::from_millis(150);
+/// How long a request waits for the reports of the engines that it may go to; within it, an engine of another zone
+/// answers on a new connection.
+const CHOICE_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Whether a model engine that is silent on a stream still answers.
-pub(super) async fn is_alive(context: &GatewayContext, place: &EndpointPlace) -> bool {
+pub(super) async fn is_alive(context: &GatewayContext, target: &EndpointTarget) -> bool {
+    let report = ask(context, target, LIFE_TIMEOUT).await;
+    tracing::info!(endpoint = %target.id, is_alive = report.is_some(), report = ?report, "endpoint.probed");
+    report.is_some()
+}
+
+/// Asks all of a shortlist at once; one that does not answer counts as failed.
+pub(super) async fn ask_all(context: &GatewayContext, shortlist: Vec<EndpointRecord>) -> Vec<EngineCandidate> {
+    let asks = shortlist.into_iter().map(|record| async move {
+        let target = EndpointTarget::from(&record);
+        let report = ask(context, &target, CHOICE_TIMEOUT).await;
+        if report.is_none() {
+            context.note_outcome(&target.id, Some(AttemptFailure::NotConnected));
+        }
+        EngineCandidate { record, report }
+    });
+    let mut candidates = join_all(asks).await;
+    // What this host sent there meanwhile is in no report.
+    for candidate in &mut candidates {
+        context.refresh(&mut candidate.record);
+    }
+    candidates
+}
+
+async fn ask(context: &GatewayContext, target: &EndpointTarget, limit: Duration) -> Option<EngineReport> {
     let exchange = async {
-        let request = Request::get(hollyhook_platform::report_path())
-            .header(header::HOST, place.address.to_string())
+        let mut request = Request::get(hollyhook_platform::report_path())
+            .header(header::HOST, target.address.to_string())
             .body(Full::default())
             .ok()?;
-        let mut answer = send(context, place, request).await.ok()?;
+        hollyhook_platform::set_expected_endpoint(request.headers_mut(), &target.id);
+        let mut answer = send(context, target, request).await.ok()?;
+        if !answer.parts.status.is_success() {
+            tracing::info!(endpoint = %target.id, status = answer.parts.status.as_u16(), "endpoint.probe_refused");
+            return None;
+        }
         let body = (&mut answer.body).collect().await.ok()?.to_bytes();
         let report = hollyhook_platform::decode_report(&body).ok()?;
-        answer.release(context, &place.id);
+        answer.release(context, &target.id);
         Some(report)
     };
-    let report = context.timer.within(PROBE_TIMEOUT, exchange).await.flatten();
-    tracing::info!(endpoint = %place.id, is_alive = report.is_some(), report = ?report, "endpoint.probed");
-    report.is_some()
+    context.timer.within(limit, exchange).await.flatten()
 }
--- /dev/null
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -0,0 +1,123 @@
+use std::sync::Arc;
+
+use futures::future::join;
+use hollyhook_core::{EndpointId, EndpointRecord, EndpointState, EngineCandidate, Name, RouteQuery, choose_engine};
+use hollyhook_platform::BackupSource;
+use rand::Rng;
+
+use super::attempt::EndpointPlace;
+use super::endpoint_probe::ask_all;
+use crate::front::CallerRequest;
+use crate::gateway::GatewayContext;
+
+/// Engines that are asked before a generation is placed. Two that are asked are nearly as good as all: the second
+/// choice removes most of the waiting behind other prompts, a third little more.
+const ASKED: usize = 2;
+
+/// Where the memory of a run is copied to as it grows.
+#[derive(Debug, Clone)]
+pub(super) struct BackupPlace {
+    pub(super) id: EndpointId,
+    pub(super) source: BackupSource,
+}
+
+/// Where an attempt goes, where its memory comes from, and where it is copied to.
+#[derive(Debug)]
+pub(super) struct EngineChoice {
+    pub(super) place: EndpointPlace,
+    pub(super) from: Option<BackupSource>,
+    pub(super) backup: Option<BackupPlace>,
+}
+
+/// Chooses the engine for one attempt of a caller's stream.
+pub(super) struct EngineChooser<'a> {
+    pub(super) context: &'a Arc<GatewayContext>,
+    pub(super) caller: &'a CallerRequest,
+    /// Engines that were tried already.
+    pub(super) tried: &'a [EndpointId],
+}
+
+impl EngineChooser<'_> {
+    /// Chooses; `held` is where a copy of the memory of the attempt before lies.
+    pub(super) async fn choose(&self, held: Option<BackupPlace>) -> Option<EngineChoice> {
+        if self.caller.engine.is_none() {
+            let record = self.context.choose(&self.query(self.tried))?;
+            return Some(self.choice(&record, None, None));
+        }
+        let usable = held.as_ref().and_then(|held| self.usable(held));
+        if let (Some(held), None) = (&held, &usable) {
+            tracing::info!(request = %self.caller.head.attempt_id, endpoint = %held.id, "backup.lost");
+        }
+        if let Some((record, source)) = usable {
+            let backups = ask_all(self.context, self.backup_list(&record)).await;
+            let backup = self.best_backup(&record, &backups);
+            return Some(self.choice(&record, Some(source), backup));
+        }
+        self.choose_new().await
+    }
+
+    async fn choose_new(&self) -> Option<EngineChoice> {
+        let first = self.context.shortlist(&self.query(self.tried), self.home(), ASKED);
+        let second = first.first().map(|record| self.backup_list(record)).unwrap_or_default();
+        let (first, second) = join(ask_all(self.context, first), ask_all(self.context, second)).await;
+        let tokens = self.needed_tokens();
+        let best = choose_engine(&first, tokens).or_else(|| choose_engine(&second, tokens));
+        let record = match best {
+            Some(candidate) => candidate.record.clone(),
+            // None of those that were asked answered; any that is left may be better.
+            None => self.context.choose(&self.query(self.tried))?,
+        };
+        let backup = self.best_backup(&record, &second);
+        Some(self.choice(&record, None, backup))
+    }
+
+    fn choice(&self, record: &EndpointRecord, from: Option<BackupSource>, backup: Option<BackupPlace>) -> EngineChoice {
+        EngineChoice { place: EndpointPlace::take(self.context, record), from, backup }
+    }
+
+    /// The engine that holds the copy, if it still takes work.
+    fn usable(&self, held: &BackupPlace) -> Option<(EndpointRecord, BackupSource)> {
+        let now = self.context.timer.now();
+        let record = self.context.endpoints().get(&held.id).cloned()?;
+        let is_fit = record.state == EndpointState::Live && !record.is_ejected(now);
+        is_fit.then(|| (record, held.source.clone()))
+    }
+
+    /// Engines for the copy of a run: in other zones, since a zone often goes as a whole.
+    fn backup_list(&self, record: &EndpointRecord) -> Vec<EndpointRecord> {
+        let has_backups = self.caller.engine.is_some_and(|engine| engine.has_backups);
+        if !has_backups || !self.caller.route.kind.is_repeatable() {
+            return Vec::new();
+        }
+        let query = self.query(self.tried).avoid_zone(&record.zone);
+        self.context.shortlist(&query, self.home(), ASKED)
+    }
+
+    fn best_backup(&self, record: &EndpointRecord, candidates: &[EngineCandidate]) -> Option<BackupPlace> {
+        let elsewhere = candidates.iter().filter(|candidate| candidate.record.zone != record.zone).cloned();
+        let elsewhere: Vec<EngineCandidate> = elsewhere.collect();
+        let best = choose_engine(&elsewhere, self.needed_tokens())?;
+        let attempt_id = Name::clone(&self.caller.head.attempt_id);
+        let source = BackupSource { address: best.record.address, attempt_id };
+        Some(BackupPlace { id: EndpointId::clone(&best.record.id), source })
+    }
+
+    /// A query for an engine, whose memory binds before its slots do.
+    fn query<'q>(&'q self, avoid: &'q [EndpointId]) -> RouteQuery<'q> {
+        let query = RouteQuery::new(&self.caller.service).avoid(avoid);
+        match self.caller.engine {
+            Some(engine) => query.places((engine.capacity_tokens / self.needed_tokens()).max(1) as u32),
+            None => query,
+        }
+    }
+
+    fn needed_tokens(&self) -> u64 {
+        self.caller.head.prompt.unwrap_or_default().memory_tokens().max(1)
+    }
+
+    /// The number by which all hosts order engines for this request.
+    fn home(&self) -> u64 {
+        let own_part = self.caller.head.prompt.and_then(|prompt| prompt.own_part);
+        own_part.unwrap_or_else(|| rand::rng().random())
+    }
+}
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -5,10 +5,10 @@
 use bytes::{Bytes, BytesMut};
 use futures::stream;
 use hollyhook_core::{
-    AnswerVerdict, AttemptFailure, EndpointId, Error, ErrorKind, EventCutter, EventRelay, Name, PieceVerdict, Result,
-    RouteQuery, judge_answer,
+    AnswerVerdict, AttemptFailure, EndpointId, Error, ErrorKind, EventCutter, EventRelay, PieceVerdict, Result,
+    judge_answer,
 };
-use hollyhook_platform::{AttemptHeaders, BackupSource, remove_hop_headers};
+use hollyhook_platform::{AttemptHeaders, remove_hop_headers};
 use http::Response;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
@@ -17,7 +17,9 @@
 
 use super::attempt::{EndpointPlace, OpenAnswer, WholeAnswer, send_attempt};
 use super::endpoint_probe::is_alive;
+use super::engine_choice::{BackupPlace, EngineChoice, EngineChooser};
 use super::request_log;
+use super::stream_pace::StreamPace;
 use crate::front::{AnswerBody, CallerRequest};
 use crate::gateway::GatewayContext;
 
@@ -89,6 +91,7 @@
     context: Arc<GatewayContext>,
     caller: CallerRequest,
     relay: EventRelay,
+    pace: StreamPace,
     live: Option<LiveAttempt>,
     /// Where the memory of the run is copied to, and the attempt that it is copied from.
     backup: Option<BackupPlace>,
@@ -101,12 +104,6 @@
     is_over: bool,
 }
 
-#[derive(Debug, Clone)]
-struct BackupPlace {
-    id: EndpointId,
-    source: BackupSource,
-}
-
 enum PieceEnd {
     Bytes(Bytes),
     Complete,
@@ -120,6 +117,7 @@
             context,
             caller,
             relay,
+            pace: StreamPace::default(),
             live: None,
             backup: None,
             first_head: None,
@@ -145,7 +143,10 @@
                 return None;
             }
             match self.next_piece().await {
-                PieceEnd::Bytes(bytes) => return Some(Ok(bytes)),
+                PieceEnd::Bytes(bytes) => {
+                    self.pace.note(self.context.timer.now());
+                    return Some(Ok(bytes));
+                }
                 PieceEnd::Complete => {
                     self.complete();
                     return None;
@@ -162,10 +163,10 @@
     fn complete(&mut self) {
         self.is_over = true;
         if let Some(live) = self.live.take() {
-            self.context.note_outcome(&live.place.id, None);
-            live.answer.release(&self.context, &live.place.id);
+            self.context.note_outcome(live.place.id(), None);
+            live.answer.release(&self.context, live.place.id());
         }
-        request_log::answered(&self.context, &self.caller, 200, self.runs + self.turned_away + 1);
+        request_log::streamed(&self.context, &self.caller, &self.pace, self.runs + self.turned_away + 1);
     }
 
     fn end(&mut self, error: Error) -> Error {
@@ -181,7 +182,7 @@
             return Ok(());
         };
         // Dropping the attempt closes its connection, which stops the old run.
-        let id = EndpointId::clone(&live.place.id);
+        let id = EndpointId::clone(live.place.id());
         drop(live);
         self.fail(&id, failure)
     }
@@ -222,17 +223,14 @@
     /// Opens an attempt if there is none.
     async fn ensure_live(&mut self) -> Result<()> {
         while self.live.is_none() && self.refusal.is_none() {
-            let source = self.usable_backup();
-            let place = match &source {
-                Some((place, _)) => Some(EndpointPlace::taken(&self.context, place)),
-                None => self.place(),
-            };
-            let Some(place) = place else {
+            let held = self.backup.take();
+            let chooser = EngineChooser { context: &self.context, caller: &self.caller, tried: &self.tried };
+            let Some(choice) = chooser.choose(held).await else {
                 return Err(self.no_place());
             };
-            let from = source.map(|(_, source)| source);
-            if let Err(failure) = self.open(place, from).await {
-                self.fail(&failure.id, failure.failure)?;
+            let id = EndpointId::clone(choice.place.id());
+            if let Err(failure) = self.open(choice).await {
+                self.fail(&id, failure)?;
             }
         }
         Ok(())
@@ -247,54 +245,10 @@
         }
     }
 
-    fn place(&self) -> Option<EndpointPlace> {
-        let query = self.query(&self.tried);
-        self.context.place(&query).map(|record| EndpointPlace::taken(&self.context, &record))
-    }
-
-    /// A query for an engine, whose memory binds before its slots do.
-    fn query<'a>(&'a self, avoid: &'a [EndpointId]) -> RouteQuery<'a> {
-        let query = RouteQuery::new(&self.caller.service).avoid(avoid);
-        let prompt = self.caller.head.prompt.unwrap_or_default();
-        let query = prompt.own_part.map_or(query.clone(), |part| query.home(part));
-        let tokens = prompt.memory_tokens().max(1);
-        match self.caller.engine {
-            Some(engine) => query.places((engine.capacity_tokens / tokens).max(1) as u32),
-            None => query,
-        }
-    }
-
-    /// The engine that holds a copy of the run's memory, if it is still fit; each copy is used once.
-    fn usable_backup(&mut self) -> Option<(hollyhook_core::EndpointRecord, BackupSource)> {
-        let backup = self.backup.take()?;
-        let now = self.context.timer.now();
-        let mut table = self.context.endpoints();
-        let record = table.get(&backup.id).cloned()?;
-        let is_fit = record.state == hollyhook_core::EndpointState::Live && !record.is_ejected(now);
-        if !is_fit {
-            return None;
-        }
-        table.opened(&backup.id);
-        Some((record, backup.source))
-    }
-
-    /// An engine to copy the run's memory to: in another zone, since a zone often goes as a whole.
-    fn choose_backup(&self, place: &EndpointPlace) -> Option<BackupPlace> {
-        if !self.caller.engine.is_some_and(|engine| engine.has_backups) || !self.caller.route.kind.is_repeatable() {
-            return None;
-        }
-        let mut avoid = self.tried.clone();
-        avoid.push(EndpointId::clone(&place.id));
-        let query = self.query(&avoid).avoid_zone(&place.zone);
-        let record = self.context.look_up(&query)?;
-        let source = BackupSource { address: record.address, attempt_id: Name::clone(&self.caller.head.attempt_id) };
-        Some(BackupPlace { id: record.id, source })
-    }
-
-    async fn open(&mut self, place: EndpointPlace, from: Option<BackupSource>) -> std::result::Result<(), OpenFailure> {
-        let backup = self.choose_backup(&place);
+    async fn open(&mut self, choice: EngineChoice) -> std::result::Result<(), AttemptFailure> {
+        let EngineChoice { place, from, backup } = choice;
         let headers = AttemptHeaders {
-            endpoint: Some(EndpointId::clone(&place.id)),
+            endpoint: Some(EndpointId::clone(place.id())),
             account: self.caller.account.as_ref().map(|account| Arc::clone(&account.name)),
             time_left: self.caller.time_left(self.context.timer.now()),
             rank: Some(self.caller.rank()),
@@ -302,10 +256,10 @@
             backup_at: backup.as_ref().map(|backup| backup.source.address),
             backup_from: from,
         };
-        let opened = self.open_head(&place, &headers).await;
-        let answer = opened.map_err(|failure| OpenFailure { id: EndpointId::clone(&place.id), failure })?;
+        request_log::attempt_placed(&self.context, &self.caller, &place, &headers);
+        let answer = self.open_head(&place, &headers).await?;
         if let Some(load) = answer.head.load {
-            self.context.note_load(&place.id, load);
+            self.context.note_load(place.id(), load);
         }
         match judge_answer(self.caller.route.kind, &self.caller.head.attempt_id, &answer.head) {
             AnswerVerdict::Pass if answer.parts.status.is_success() => {
@@ -314,21 +268,23 @@
                 self.live = Some(LiveAttempt { place, answer, cutter: EventCutter::default(), has_event: false });
                 Ok(())
             }
-            AnswerVerdict::Pass if self.relay.delivered() == 0 => self.pass_on(place, answer).await,
-            AnswerVerdict::Pass | AnswerVerdict::PassOrRetry => {
-                Err(OpenFailure { id: EndpointId::clone(&place.id), failure: AttemptFailure::Failed })
-            }
-            AnswerVerdict::Fail(failure) => Err(OpenFailure { id: EndpointId::clone(&place.id), failure }),
+            AnswerVerdict::Pass if self.relay.delivered() == 0 => self.pass_on(&place, answer).await,
+            AnswerVerdict::Pass | AnswerVerdict::PassOrRetry => Err(AttemptFailure::Failed),
+            AnswerVerdict::Fail(failure) => Err(failure),
         }
     }
 
     /// Passes an answer on that is no stream.
-    async fn pass_on(&mut self, place: EndpointPlace, mut answer: OpenAnswer) -> std::result::Result<(), OpenFailure> {
+    async fn pass_on(
+        &mut self,
+        place: &EndpointPlace,
+        mut answer: OpenAnswer,
+    ) -> std::result::Result<(), AttemptFailure> {
         let Ok(body) = (&mut answer.body).collect().await else {
-            return Err(OpenFailure { id: EndpointId::clone(&place.id), failure: AttemptFailure::Broken });
+            return Err(AttemptFailure::Broken);
         };
         let parts = answer.parts.clone();
-        answer.release(&self.context, &place.id);
+        answer.release(&self.context, place.id());
         self.refusal = Some(WholeAnswer { parts, body: body.to_bytes() });
         Ok(())
     }
@@ -339,7 +295,7 @@
         headers: &AttemptHeaders,
     ) -> std::result::Result<OpenAnswer, AttemptFailure> {
         let mut watch = SilenceWatch::new(self.first_silence(headers), MOST_PROBES_FIRST);
-        let mut sent = std::pin::pin!(send_attempt(&self.context, &self.caller, place, headers));
+        let mut sent = std::pin::pin!(send_attempt(&self.context, &self.caller, &place.target, headers));
         loop {
             let limit = watch.limit(self.caller.time_left(self.context.timer.now()));
             if let Some(outcome) = self.context.timer.within(limit, sent.as_mut()).await {
@@ -366,7 +322,7 @@
         if self.caller.time_left(self.context.timer.now()).is_zero() {
             return Err(AttemptFailure::Expired);
         }
-        if watch.try_probe() && is_alive(&self.context, place).await {
+        if watch.try_probe() && is_alive(&self.context, &place.target).await {
             return Ok(());
         }
         Err(AttemptFailure::Silent)
@@ -430,11 +386,6 @@
     }
 }
 
-struct OpenFailure {
-    id: EndpointId,
-    failure: AttemptFailure,
-}
-
 /// How long to hear nothing, and how often an engine that says it lives is believed.
 struct SilenceWatch {
     silence: Duration,
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -2,9 +2,11 @@
 
 mod attempt;
 mod endpoint_probe;
+mod engine_choice;
 mod event_stream;
 mod plain_call;
 mod request_log;
+mod stream_pace;
 
 use std::sync::Arc;
 
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -70,8 +70,8 @@
                 }
                 CallEnd::Failure(failure) => failure,
             };
-            request_log::attempt_failed(self.context, self.caller, &place.id, failure, None);
-            self.tried.push(EndpointId::clone(&place.id));
+            request_log::attempt_failed(self.context, self.caller, place.id(), failure, None);
+            self.tried.push(EndpointId::clone(place.id()));
             if failure.is_not_run() {
                 self.turned_away += 1;
             } else {
@@ -113,7 +113,7 @@
 
     fn place(&self) -> Option<EndpointPlace> {
         let query = RouteQuery::new(&self.caller.service).avoid(&self.tried);
-        self.context.place(&query).map(|record| EndpointPlace::taken(self.context, &record))
+        self.context.choose(&query).map(|record| EndpointPlace::take(self.context, &record))
     }
 
     async fn attempt(&self, place: &EndpointPlace) -> CallEnd {
@@ -127,7 +127,7 @@
             CallEnd::Fallback(_) => Some(AttemptFailure::Failed),
             CallEnd::Failure(failure) => Some(*failure),
         };
-        self.context.note_outcome(&place.id, failure);
+        self.context.note_outcome(place.id(), failure);
         end
     }
 
@@ -143,17 +143,17 @@
     async fn exchange(&self, place: &EndpointPlace) -> CallEnd {
         let caller = self.caller;
         let headers = AttemptHeaders {
-            endpoint: Some(EndpointId::clone(&place.id)),
+            endpoint: Some(EndpointId::clone(place.id())),
             account: caller.account.as_ref().map(|account| Arc::clone(&account.name)),
             time_left: caller.time_left(self.context.timer.now()),
             ..AttemptHeaders::default()
         };
-        let mut answer = match send_attempt(self.context, caller, place, &headers).await {
+        let mut answer = match send_attempt(self.context, caller, &place.target, &headers).await {
             Ok(answer) => answer,
             Err(failure) => return CallEnd::Failure(failure),
         };
         if let Some(load) = answer.head.load {
-            self.context.note_load(&place.id, load);
+            self.context.note_load(place.id(), load);
         }
         let verdict = judge_answer(caller.route.kind, &caller.head.attempt_id, &answer.head);
         if verdict == AnswerVerdict::Fail(AttemptFailure::Garbled) {
@@ -163,7 +163,7 @@
             return CallEnd::Failure(AttemptFailure::Broken);
         };
         let parts = answer.parts.clone();
-        answer.release(self.context, &place.id);
+        answer.release(self.context, place.id());
         let whole = WholeAnswer { parts, body: body.to_bytes() };
         match verdict {
             AnswerVerdict::Pass => CallEnd::Answer(whole),
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -1,10 +1,27 @@
 //! Log lines for what is decided about a request, in one form.
 
 use hollyhook_core::{AttemptFailure, EndpointId, Error};
+use hollyhook_platform::AttemptHeaders;
 
+use super::attempt::EndpointPlace;
+use super::stream_pace::StreamPace;
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
 
+/// An attempt is sent to an endpoint.
+pub(super) fn attempt_placed(
+    context: &GatewayContext,
+    caller: &CallerRequest,
+    place: &EndpointPlace,
+    headers: &AttemptHeaders,
+) {
+    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let backup_at = headers.backup_at.map(|address| address.to_string());
+    tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %place.target.id,
+        zone = %place.target.zone, open = place.open, left_ms = headers.time_left.as_millis() as u64, cursor = headers.cursor,
+        is_from_backup = headers.backup_from.is_some(), backup_at, age_ms, "attempt.placed");
+}
+
 /// An attempt at an endpoint was of no use.
 pub(super) fn attempt_failed(
     context: &GatewayContext,
@@ -25,6 +42,15 @@
         status, attempts, age_ms, "request.answered");
 }
 
+/// A stream reached its end.
+pub(super) fn streamed(context: &GatewayContext, caller: &CallerRequest, pace: &StreamPace, attempts: u32) {
+    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let first_ms = pace.first().map(|first| first.since(caller.arrived).as_millis() as u64);
+    let longest_gap_ms = pace.longest_gap().as_millis() as u64;
+    tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, service = %caller.service,
+        status = 200, attempts, age_ms, first_ms, longest_gap_ms, cursor = caller.head.cursor, "request.streamed");
+}
+
 /// A request was refused, or its outcome is not known.
 pub(super) fn ended(context: &GatewayContext, caller: &CallerRequest, error: &Error, attempts: u32) {
     let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -119,6 +119,14 @@
 
     pub(crate) fn upsert_endpoint(&self, record: EndpointRecord) {
         let mut table = self.endpoints();
+        if table.is_displaced(&record) {
+            return;
+        }
+        for id in table.displaced_by(&record) {
+            table.remove(&id);
+            self.pool.forget(&id);
+            tracing::info!(endpoint = %id, by = %record.id, address = %record.address, "endpoint.displaced");
+        }
         let known = table.get(&record.id).map(|known| known.state);
         if known != Some(record.state) {
             tracing::info!(endpoint = %record.id, service = %record.service, zone = %record.zone,
@@ -136,22 +144,30 @@
         tracing::info!(endpoint = %id, "endpoint.gone");
     }
 
-    /// Chooses an endpoint and counts the request as open there.
-    pub(crate) fn place(&self, query: &RouteQuery<'_>) -> Option<EndpointRecord> {
-        let mut table = self.endpoints();
-        let id = table.choose(self.timer.now(), query, &mut rand::rng())?;
-        let record = table.get(&id).cloned();
-        table.opened(&id);
-        record
-    }
-
-    /// Chooses an endpoint without counting anything there.
-    pub(crate) fn look_up(&self, query: &RouteQuery<'_>) -> Option<EndpointRecord> {
+    /// Chooses an endpoint by what this host knows.
+    pub(crate) fn choose(&self, query: &RouteQuery<'_>) -> Option<EndpointRecord> {
         let table = self.endpoints();
         let id = table.choose(self.timer.now(), query, &mut rand::rng())?;
         table.get(&id).cloned()
     }
 
+    /// Up to `most` endpoints worth asking for their load, in the order that all hosts share for `number`.
+    pub(crate) fn shortlist(&self, query: &RouteQuery<'_>, number: u64, most: usize) -> Vec<EndpointRecord> {
+        self.endpoints().shortlist(self.timer.now(), query, number, most)
+    }
+
+    /// Brings what is known of an endpoint up to date.
+    pub(crate) fn refresh(&self, record: &mut EndpointRecord) {
+        if let Some(known) = self.endpoints().as_of(self.timer.now(), &record.id) {
+            *record = known;
+        }
+    }
+
+    /// Counts a request as open at an endpoint that was chosen from a shortlist.
+    pub(crate) fn count_open(&self, id: &str) {
+        self.endpoints().opened(self.timer.now(), id);
+    }
+
     pub(crate) fn note_load(&self, id: &str, load: LoadReport) {
         self.endpoints().report(id, load);
     }
@@ -170,6 +186,7 @@
             }
             Some(failure) if failure.is_loss() => {
                 table.failed(self.timer.now(), id);
+                tracing::info!(endpoint = %id, failure = failure.as_str(), "endpoint.ejected");
                 self.pool.forget(id);
             }
             Some(AttemptFailure::Rejected | AttemptFailure::Failed | AttemptFailure::Garbled) => {
