Decide on an engine with what was sent while asking; ask for backups in two zones

Cause: two streams of one host that asked at the same time chose the same engine; and when both engines asked for a backup lay in the zone that had just gone dark, a stream ran without one.

--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -32,12 +32,7 @@
         }
         EngineCandidate { record, report }
     });
-    let mut candidates = join_all(asks).await;
-    // What this host sent there meanwhile is in no report.
-    for candidate in &mut candidates {
-        context.refresh(&mut candidate.record);
-    }
-    candidates
+    join_all(asks).await
 }
 
 async fn ask(context: &GatewayContext, target: &EndpointTarget, limit: Duration) -> Option<EngineReport> {
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -1,7 +1,10 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use futures::future::join;
-use hollyhook_core::{EndpointId, EndpointRecord, EndpointState, EngineCandidate, Name, RouteQuery, choose_engine};
+use hollyhook_core::{
+    EndpointId, EndpointRecord, EndpointState, EngineCandidate, Name, RouteQuery, ZoneName, choose_engine,
+};
 use hollyhook_platform::BackupSource;
 use rand::Rng;
 
@@ -59,7 +62,11 @@
     async fn choose_new(&self) -> Option<EngineChoice> {
         let first = self.context.shortlist(&self.query(self.tried), self.home(), ASKED);
         let second = first.first().map(|record| self.backup_list(record)).unwrap_or_default();
-        let (first, second) = join(ask_all(self.context, first), ask_all(self.context, second)).await;
+        let (mut first, mut second) = join(ask_all(self.context, first), ask_all(self.context, second)).await;
+        // What this host sent there while it asked is in no report.
+        for candidate in first.iter_mut().chain(&mut second) {
+            self.context.refresh(&mut candidate.record);
+        }
         let tokens = self.needed_tokens();
         let best = choose_engine(&first, tokens).or_else(|| choose_engine(&second, tokens));
         let record = match best {
@@ -83,14 +90,19 @@
         is_fit.then(|| (record, held.source.clone()))
     }
 
-    /// Engines for the copy of a run: in other zones, since a zone often goes as a whole.
+    /// Engines for the copy of a run: in other zones, since a zone often goes as a whole, and each in a zone of its
+    /// own, since another one may just be gone.
     fn backup_list(&self, record: &EndpointRecord) -> Vec<EndpointRecord> {
         let has_backups = self.caller.engine.is_some_and(|engine| engine.has_backups);
         if !has_backups || !self.caller.route.kind.is_repeatable() {
             return Vec::new();
         }
         let query = self.query(self.tried).avoid_zone(&record.zone);
-        self.context.shortlist(&query, self.home(), ASKED)
+        let mut list = self.context.shortlist(&query, self.home(), usize::MAX);
+        let mut zones = BTreeSet::new();
+        list.retain(|record| zones.insert(ZoneName::clone(&record.zone)));
+        list.truncate(ASKED);
+        list
     }
 
     fn best_backup(&self, record: &EndpointRecord, candidates: &[EngineCandidate]) -> Option<BackupPlace> {
