Tell callers of plain calls to come back at once when a host is not certain of its configuration

Cause: a host that the store turns away refuses with 'not run', and the 150 ms that it asked for made each call late; its callers' next connection goes to another host.

--- a/crates/hollyhook_gateway/src/front/request_handler.rs
+++ b/crates/hollyhook_gateway/src/front/request_handler.rs
@@ -15,9 +15,11 @@
 use crate::forward::forward;
 use crate::gateway::{GatewayContext, StopPhase};
 
-/// When a caller should come back whose host does not know the configuration, or not for certain: another host most
-/// likely does.
-const UNCERTAIN_RETRY: Duration = Duration::from_millis(150);
+/// When the caller of a plain call should come back whose host does not know the configuration, or not for certain:
+/// another host most likely does, and a call waits for a second at most.
+const UNCERTAIN_CALL_RETRY: Duration = Duration::from_millis(10);
+/// The same for a stream. 2.5 s, to outlast an outage of the store for all hosts, was tried and served fewer.
+const UNCERTAIN_STREAM_RETRY: Duration = Duration::from_millis(150);
 /// When a caller should come back whose host is stopping; the next connection goes to another one.
 const STOPPING_RETRY: Duration = Duration::from_millis(20);
 /// When a caller should come back for whom there is no memory.
@@ -58,10 +60,7 @@
 async fn admit(parts: Parts, body: Incoming, context: &Arc<GatewayContext>) -> Result<CallerRequest> {
     let arrived = context.timer.now();
     let guard = context.begin_request();
-    let site = context.site().ok_or_else(|| {
-        Error::new(ErrorKind::PlatformDown, "this host does not know the configuration yet")
-            .retry_after(UNCERTAIN_RETRY)
-    })?;
+    let site = context.site().ok_or_else(|| uncertain(None))?;
     let head = hollyhook_platform::caller_head(&parts.headers)?;
     let route = find_route(&site, &parts).map_err(|error| certain(error, context))?;
     let account = find_account(&site, &route, head.key.as_ref(), context)?;
@@ -106,12 +105,14 @@
 
 /// Refuses for what the configuration says only while it is known to be the newest.
 fn certain(error: Error, context: &GatewayContext) -> Error {
-    if context.is_site_current() { error } else { uncertain() }
+    if context.is_site_current() { error } else { uncertain(None) }
 }
 
-fn uncertain() -> Error {
+fn uncertain(route: Option<&RoutePlan>) -> Error {
     let why = "the platform has not confirmed this host's configuration for too long";
-    Error::new(ErrorKind::PlatformDown, why).retry_after(UNCERTAIN_RETRY)
+    let is_stream = route.is_some_and(|route| route.kind.is_stream());
+    let retry = if is_stream { UNCERTAIN_STREAM_RETRY } else { UNCERTAIN_CALL_RETRY };
+    Error::new(ErrorKind::PlatformDown, why).retry_after(retry)
 }
 
 fn find_account(
@@ -121,7 +122,7 @@
     context: &GatewayContext,
 ) -> Result<Option<Arc<hollyhook_core::AccountPlan>>> {
     if !route.is_public && !context.is_site_current() {
-        return Err(uncertain());
+        return Err(uncertain(Some(route)));
     }
     site.account(route, key.map(|key| &**key))
 }
