Make fewer calls to the store; move the plan of a stop to the decisions

Cause: each watch that returns is a call that is charged; changes came one by one.

Change: watches wait 1.2 s (site) and 3.5 s (endpoints), changes are gathered for 200 and 400 ms; StopPlan is a value of hollyhook_core; a stopping host begins streams for 0.7 s and uses 0.94 of its grace time.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -13,6 +13,7 @@
 mod retry;
 mod route;
 mod site;
+mod stop;
 mod stream;
 mod time;
 mod trace;
@@ -38,6 +39,7 @@
     AccountPlan, CallerLimits, EngineMemory, PlanAdoption, RequestKind, RoutePlan, ServicePlan, ServiceShare,
     SiteIndex, SiteLedger, SitePlan,
 };
+pub use stop::{StopPhase, StopPlan};
 pub use stream::{EventCutter, EventPiece, EventRelay, PieceVerdict};
 pub use time::TimePoint;
 pub use trace::{RelayTrace, TraceEnd, TraceLine, TraceOutcome, TraceRun, TraceStart};
--- /dev/null
+++ b/crates/hollyhook_core/src/stop/mod.rs
@@ -0,0 +1,5 @@
+//! The graceful stop of a host.
+
+mod stop_plan;
+
+pub use stop_plan::{StopPhase, StopPlan};
--- a/crates/hollyhook_gateway/src/gateway/stop_phase.rs
+++ b/crates/hollyhook_core/src/stop/stop_plan.rs
@@ -1,19 +1,18 @@
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
-use hollyhook_core::{RequestKind, TimePoint};
+use crate::RequestKind;
 
-/// How long after the order to stop streams are still begun: one takes several seconds and could not end in time.
-const STREAM_INTAKE: Duration = Duration::from_millis(600);
-/// How long the balancer may go on to send callers: it asks once a second and counts two misses.
+/// How long after the order to stop streams are still begun: one that takes its usual five or six seconds still ends
+/// within the grace time.
+const STREAM_INTAKE: Duration = Duration::from_millis(700);
+/// How long the balancer may go on to send callers: it asks once a second, and two misses take a host out.
 const CALLER_INTAKE: Duration = Duration::from_secs(3);
-/// The part of the grace time that requests may use; the rest is for the process to end.
-const USABLE_GRACE: f64 = 5.0 / 6.0;
+/// The part of the grace time that requests may use; the rest is for the process to end before it is killed.
+const USABLE_GRACE: f64 = 0.94;
 
 /// How far a graceful stop is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum StopPhase {
+pub enum StopPhase {
     /// No stop was ordered.
     Serving,
     /// Not ready any more; what comes is served.
@@ -28,7 +27,7 @@
 
 impl StopPhase {
     /// Whether a request of that kind is still begun; it must be sure to end within the grace time.
-    pub(crate) fn is_taking(self, kind: RequestKind) -> bool {
+    pub fn is_taking(self, kind: RequestKind) -> bool {
         match self {
             Self::Serving | Self::Leaving => true,
             Self::Finishing => !kind.is_stream(),
@@ -37,27 +36,30 @@
     }
 }
 
-/// When a stop was ordered, and the phases that follow from it.
-#[derive(Debug)]
-pub(crate) struct StopState {
+/// The phases of a graceful stop that has to be over within a grace time.
+///
+/// ```
+/// use hollyhook_core::{StopPhase, StopPlan};
+/// use std::time::Duration;
+///
+/// let plan = StopPlan::new(Duration::from_secs(8));
+/// assert_eq!(plan.phase(Duration::from_millis(500)), StopPhase::Leaving);
+/// assert_eq!(plan.phase(Duration::from_secs(4)), StopPhase::Closing);
+/// assert_eq!(plan.phase(Duration::from_secs(8)), StopPhase::Over);
+/// ```
+#[derive(Debug, Clone, Copy)]
+pub struct StopPlan {
     grace: Duration,
-    ordered_at: Mutex<Option<TimePoint>>,
 }
 
-impl StopState {
-    pub(crate) fn new(grace: Duration) -> Self {
-        Self { grace, ordered_at: Mutex::default() }
+impl StopPlan {
+    /// A plan for a process that is killed `grace` after the order.
+    pub fn new(grace: Duration) -> Self {
+        Self { grace }
     }
 
-    pub(crate) fn order(&self, now: TimePoint) {
-        self.ordered_at.lock().unwrap_or_else(PoisonError::into_inner).get_or_insert(now);
-    }
-
-    pub(crate) fn phase(&self, now: TimePoint) -> StopPhase {
-        let Some(ordered_at) = *self.ordered_at.lock().unwrap_or_else(PoisonError::into_inner) else {
-            return StopPhase::Serving;
-        };
-        let passed = now.since(ordered_at);
+    /// The phase that long after the order.
+    pub fn phase(self, passed: Duration) -> StopPhase {
         if passed >= self.usable_grace() {
             StopPhase::Over
         } else if passed >= CALLER_INTAKE {
@@ -70,12 +72,12 @@
     }
 
     /// How long after the order callers may still come.
-    pub(crate) fn caller_intake(&self) -> Duration {
+    pub fn caller_intake(self) -> Duration {
         CALLER_INTAKE.min(self.usable_grace())
     }
 
     /// How long after the order requests may still run.
-    pub(crate) fn usable_grace(&self) -> Duration {
+    pub fn usable_grace(self) -> Duration {
         self.grace.mul_f64(USABLE_GRACE)
     }
 }
--- a/crates/hollyhook_gateway/src/front/front_server.rs
+++ b/crates/hollyhook_gateway/src/front/front_server.rs
@@ -7,12 +7,13 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::FutureExt;
+use hollyhook_core::StopPhase;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 
 use super::idle_watch::IdleWatch;
 use super::request_handler::handle;
-use crate::gateway::{GatewayContext, StopPhase};
+use crate::gateway::GatewayContext;
 use crate::net::wire_stream;
 
 /// The pause after a connection could not be taken, most likely for want of descriptors.
--- a/crates/hollyhook_gateway/src/front/request_handler.rs
+++ b/crates/hollyhook_gateway/src/front/request_handler.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollyhook_core::{Error, ErrorKind, Name, Result, RoutePlan, SiteIndex, TimePoint};
+use hollyhook_core::{Error, ErrorKind, Name, Result, RoutePlan, SiteIndex, StopPhase, TimePoint};
 use http::header::{CONNECTION, HOST, HeaderValue};
 use http::request::Parts;
 use http::{Request, Response};
@@ -13,7 +13,7 @@
 use super::idle_watch::IdleWatch;
 use super::{AnswerBody, CallerRequest, own_answer};
 use crate::forward::forward;
-use crate::gateway::{GatewayContext, StopPhase};
+use crate::gateway::GatewayContext;
 
 /// When the caller of a plain call should come back whose host does not know the configuration, or not for certain:
 /// another host most likely does, and a call waits for a second at most.
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -5,13 +5,12 @@
 
 use hollyhook_core::{
     AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, LoadReport, Name, PlanAdoption,
-    RetryWindow, RouteQuery, SiteIndex, SiteLedger, SitePlan, TimePoint, ZoneName,
+    RetryWindow, RouteQuery, SiteIndex, SiteLedger, SitePlan, StopPhase, StopPlan, TimePoint, ZoneName,
 };
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::ObjectKind;
 use hollyhook_settings::{GatewayBounds, GatewaySettings};
 
-use super::{StopPhase, StopState};
 use crate::pool::ConnectionPool;
 use crate::store::StoreError;
 
@@ -35,7 +34,8 @@
     pub(crate) zone: ZoneName,
     pub(crate) timer: TimerService,
     pub(crate) pool: ConnectionPool,
-    pub(crate) stop: StopState,
+    pub(crate) stop: StopPlan,
+    stop_ordered: Mutex<Option<TimePoint>>,
     bounds: GatewayBounds,
     body_limit: usize,
     body_bytes: AtomicUsize,
@@ -54,7 +54,8 @@
             host: Name::clone(&settings.host),
             zone: ZoneName::clone(&settings.zone),
             pool: ConnectionPool::new(timer.clone()),
-            stop: StopState::new(settings.bounds.grace),
+            stop: StopPlan::new(settings.bounds.grace),
+            stop_ordered: Mutex::default(),
             bounds: settings.bounds.clone(),
             // Bodies may take a quarter of the memory; the rest is for connections and what is being sent.
             body_limit: settings.memory_bytes / 4,
@@ -70,7 +71,13 @@
     }
 
     pub(crate) fn phase(&self) -> StopPhase {
-        self.stop.phase(self.timer.now())
+        let ordered_at = *lock(&self.stop_ordered);
+        ordered_at.map_or(StopPhase::Serving, |at| self.stop.phase(self.timer.now().since(at)))
+    }
+
+    /// Begins the stop.
+    pub(crate) fn order_stop(&self) {
+        lock(&self.stop_ordered).get_or_insert(self.timer.now());
     }
 
     /// The configuration in force.
--- a/crates/hollyhook_gateway/src/gateway/gateway_process.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -51,7 +51,7 @@
     pub async fn drain(self) -> bool {
         let timer = &self.context.timer;
         let ordered_at = timer.now();
-        self.context.stop.order(ordered_at);
+        self.context.order_stop();
         tracing::info!(requests = self.context.open_requests(), "gateway.stopping");
         timer.wait(self.context.stop.caller_intake()).await;
         self.front.close_idle();
--- a/crates/hollyhook_gateway/src/gateway/mod.rs
+++ b/crates/hollyhook_gateway/src/gateway/mod.rs
@@ -2,8 +2,6 @@
 
 mod gateway_context;
 mod gateway_process;
-mod stop_phase;
 
 pub(crate) use gateway_context::{BodyClaim, GatewayContext, RequestGuard};
 pub use gateway_process::Gateway;
-pub(crate) use stop_phase::{StopPhase, StopState};
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -8,13 +8,15 @@
 use super::{StoreClient, StoreError};
 use crate::gateway::GatewayContext;
 
-/// How long one watch waits. A silent connection has to be noticed before leaving endpoints get new work too long;
-/// a longer wait costs fewer calls.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// How long one watch waits. A longer one costs fewer calls; with the slack of a watch, a connection that went silent
+/// has to be noticed within 5 s, which is when a host counts as in touch again (3 s) and has to know of a leaving
+/// endpoint (2 s).
+const WATCH_WAIT: Duration = Duration::from_millis(3_500);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// The pause after changes, so that the many changes of one event come with one call.
-const GATHER_PAUSE: Duration = Duration::from_millis(200);
+/// The pause after changes, so that the many changes of one event come with one call; a fifth of the time within which
+/// a leaving endpoint has to be known.
+const GATHER_PAUSE: Duration = Duration::from_millis(400);
 
 /// Follows the endpoints that register themselves.
 #[derive(Debug)]
--- a/crates/hollyhook_gateway/src/store/site_watch.rs
+++ b/crates/hollyhook_gateway/src/store/site_watch.rs
@@ -9,7 +9,10 @@
 
 /// How long one watch waits. Each return confirms that no key was taken away, so it has to be well under the time
 /// for which a key is honoured without confirmation; a longer one costs fewer calls.
-const WATCH_WAIT: Duration = Duration::from_secs(1);
+const WATCH_WAIT: Duration = Duration::from_millis(1_200);
+/// The pause after a change, so that a series of them comes with few calls; a tenth of the time within which a version
+/// has to be in force.
+const GATHER_PAUSE: Duration = Duration::from_millis(200);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -57,12 +60,14 @@
         for change in changes.iter().filter(|change| !change.is_gone) {
             self.adopt(&change.object, asked_at);
         }
+        self.revision = Some(revision);
         if changes.is_empty() {
             // It waited its full time and saw nothing up to then.
             let heard_until = (asked_at + WATCH_WAIT).min(self.context.timer.now());
             self.context.confirm_site(heard_until);
+        } else {
+            self.context.timer.wait(GATHER_PAUSE).await;
         }
-        self.revision = Some(revision);
         Ok(())
     }
 
