--- a/crates/hollyhook/src/bin/hollyhookd.rs
+++ b/crates/hollyhook/src/bin/hollyhookd.rs
@@ -1,7 +1,8 @@
 //! The daemon of an entry host.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use async_global_executor::GlobalExecutorConfig;
 use async_signal::{Signal, Signals};
@@ -31,6 +32,9 @@
 /// Threads of a gateway: its hosts have one core at most.
 const GATEWAY_THREADS: usize = 1;
 
+/// How often the settings are read again: they may change without a signal.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+
 /// What the settings make of this process.
 enum DaemonRole {
     /// A daemon with a site of its own.
@@ -63,7 +67,7 @@
         }
         DaemonRole::Gateway(settings) => {
             init_log(settings.log_format, &settings.log_level)?;
-            run(GATEWAY_THREADS, serve_gateway(*settings))
+            run(GATEWAY_THREADS, serve_gateway(args.settings, *settings))
         }
     }
 }
@@ -75,11 +79,15 @@
     async_std::task::block_on(work)
 }
 
-async fn serve_gateway(settings: GatewaySettings) -> eyre::Result<ExitCode> {
+async fn serve_gateway(path: PathBuf, mut settings: GatewaySettings) -> eyre::Result<ExitCode> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let gateway = Gateway::start(&settings)?;
-    while let Some(Ok(Signal::Hup)) = signals.next().await {
-        tracing::info!("settings.reload_ordered");
+    loop {
+        let pause = std::pin::pin!(async_std::task::sleep(RELOAD_INTERVAL));
+        match select(signals.next(), pause).await {
+            Either::Left((Some(Ok(Signal::Hup)), _)) | Either::Right(_) => reload(&gateway, &path, &mut settings),
+            Either::Left(_) => break,
+        }
     }
     let is_whole = gateway.drain().await;
     // What could not end in time is cut off as the bounds allow; the process itself ended in order.
@@ -87,6 +95,18 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Reads the settings again and takes them in if they changed and are right; else the old ones stay.
+fn reload(gateway: &Gateway, path: &Path, settings: &mut GatewaySettings) {
+    match GatewaySettings::load(path) {
+        Ok(new) if new == *settings => {}
+        Ok(new) => {
+            gateway.reload(&new);
+            *settings = new;
+        }
+        Err(errors) => tracing::error!(%errors, "settings.not_taken"),
+    }
+}
+
 async fn serve(process: ProcessSettings, site: SiteSettings) -> eyre::Result<ExitCode> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let daemon = Daemon::start(process, site).await?;
--- a/crates/hollyhook_core/src/forward/answer_verdict.rs
+++ b/crates/hollyhook_core/src/forward/answer_verdict.rs
@@ -1,4 +1,4 @@
-use crate::{LoadReport, Name, RequestKind};
+use crate::{EndpointId, LoadReport, Name, RequestKind};
 
 /// What hollyhook reads of an endpoint's answer head.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -7,6 +7,10 @@
     pub status: u16,
     /// The id of the request that it answers, as the endpoint echoed it.
     pub attempt_id: Option<Name>,
+    /// The incarnation that answers, if it says so.
+    pub endpoint: Option<EndpointId>,
+    /// The version of the weights that a generation comes from.
+    pub weights: Option<u64>,
     /// Whether the endpoint signed it.
     pub is_signed: bool,
     /// Whether the endpoint says that it has not run the request and never will.
@@ -83,13 +87,16 @@
 ///
 /// A status that promises "not run" is passed on from no endpoint: where the endpoint does not state that it did not
 /// run the request, the promise would be false.
-pub fn judge_answer(kind: RequestKind, attempt_id: &str, head: &AnswerHead) -> AnswerVerdict {
+pub fn judge_answer(kind: RequestKind, attempt_id: &str, endpoint: &str, head: &AnswerHead) -> AnswerVerdict {
     let is_foreign = head.attempt_id.as_deref().is_some_and(|id| id != attempt_id);
     if is_foreign || head.is_encoded {
         return AnswerVerdict::Fail(AttemptFailure::Garbled);
     }
     if head.status == MISDIRECTED {
-        return AnswerVerdict::Fail(AttemptFailure::WrongIncarnation);
+        // The incarnation that was meant may turn a request away for its weights; any other has only its address.
+        let is_meant = head.endpoint.as_deref() == Some(endpoint);
+        let failure = if is_meant { AttemptFailure::Rejected } else { AttemptFailure::WrongIncarnation };
+        return AnswerVerdict::Fail(failure);
     }
     if head.is_not_run {
         return AnswerVerdict::Fail(AttemptFailure::Rejected);
--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use hollyhook_core::{AnswerHead, AttemptFailure, EndpointId, EndpointRecord, ZoneName};
 use hollyhook_platform::AttemptHeaders;
+use http::header::CONTENT_LENGTH;
 use http::response::Parts;
-use http::{Method, Request, Response};
+use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -88,6 +89,10 @@
     pub(super) fn into_response(self) -> Response<AnswerBody> {
         let mut parts = self.parts;
         hollyhook_platform::remove_hop_headers(&mut parts.headers);
+        if !self.body.is_empty() {
+            // The body is framed anew, by its real length. Without one, the header tells what HEAD asks for.
+            parts.headers.remove(CONTENT_LENGTH);
+        }
         Response::from_parts(parts, whole_body(self.body))
     }
 }
@@ -104,9 +109,6 @@
     *request.uri_mut() = origin_form(caller);
     *request.headers_mut() = caller.headers.clone();
     hollyhook_platform::set_attempt_headers(request.headers_mut(), headers);
-    if caller.body.is_empty() && caller.method == Method::GET {
-        request.headers_mut().remove(http::header::CONTENT_LENGTH);
-    }
     send(context, target, request).await
 }
 
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -96,6 +96,8 @@
     /// Where the memory of the run is copied to, and the attempt that it is copied from.
     backup: Option<BackupPlace>,
     first_head: Option<Parts>,
+    /// The weights that generated what the caller has; other ones would not continue it.
+    weights: Option<u64>,
     /// An answer that is no stream, to be passed on as it is.
     refusal: Option<WholeAnswer>,
     tried: Vec<EndpointId>,
@@ -121,6 +123,7 @@
             live: None,
             backup: None,
             first_head: None,
+            weights: None,
             refusal: None,
             tried: Vec::new(),
             runs: 0,
@@ -252,6 +255,7 @@
             account: self.caller.account.as_ref().map(|account| Arc::clone(&account.name)),
             time_left: self.caller.time_left(self.context.timer.now()),
             rank: Some(self.caller.rank()),
+            weights: self.weights,
             cursor: self.relay.last(),
             backup_at: backup.as_ref().map(|backup| backup.source.address),
             backup_from: from,
@@ -261,9 +265,10 @@
         if let Some(load) = answer.head.load {
             self.context.note_load(place.id(), load);
         }
-        match judge_answer(self.caller.route.kind, &self.caller.head.attempt_id, &answer.head) {
+        match judge_answer(self.caller.route.kind, &self.caller.head.attempt_id, place.id(), &answer.head) {
             AnswerVerdict::Pass if answer.parts.status.is_success() => {
                 self.first_head.get_or_insert_with(|| answer.parts.clone());
+                self.weights = self.weights.or(answer.head.weights);
                 self.backup = backup;
                 self.live = Some(LiveAttempt { place, answer, cutter: EventCutter::default(), has_event: false });
                 Ok(())
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -155,7 +155,7 @@
         if let Some(load) = answer.head.load {
             self.context.note_load(place.id(), load);
         }
-        let verdict = judge_answer(caller.route.kind, &caller.head.attempt_id, &answer.head);
+        let verdict = judge_answer(caller.route.kind, &caller.head.attempt_id, place.id(), &answer.head);
         if verdict == AnswerVerdict::Fail(AttemptFailure::Garbled) {
             return CallEnd::Failure(AttemptFailure::Garbled);
         }
--- a/crates/hollyhook_gateway/src/front/mod.rs
+++ b/crates/hollyhook_gateway/src/front/mod.rs
@@ -1,5 +1,7 @@
 //! What faces callers and the platform's balancer.
 
+mod admission;
+mod body_reader;
 mod caller_request;
 mod front_server;
 mod idle_watch;
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -9,7 +10,9 @@
 };
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::ObjectKind;
-use hollyhook_settings::{GatewayBounds, GatewaySettings};
+use hollyhook_settings::GatewaySettings;
+
+use super::live_settings::LiveSettings;
 
 use crate::pool::ConnectionPool;
 use crate::store::StoreError;
@@ -34,9 +37,7 @@
     pub(crate) zone: ZoneName,
     pub(crate) timer: TimerService,
     pub(crate) pool: ConnectionPool,
-    pub(crate) stop: StopPlan,
-    stop_ordered: Mutex<Option<TimePoint>>,
-    bounds: GatewayBounds,
+    live: Mutex<LiveSettings>,
     body_limit: usize,
     body_bytes: AtomicUsize,
     requests: AtomicUsize,
@@ -54,9 +55,7 @@
             host: Name::clone(&settings.host),
             zone: ZoneName::clone(&settings.zone),
             pool: ConnectionPool::new(timer.clone()),
-            stop: StopPlan::new(settings.bounds.grace),
-            stop_ordered: Mutex::default(),
-            bounds: settings.bounds.clone(),
+            live: Mutex::new(LiveSettings::from(settings)),
             // Bodies may take a quarter of the memory; the rest is for connections and what is being sent.
             body_limit: settings.memory_bytes / 4,
             body_bytes: AtomicUsize::new(0),
@@ -71,13 +70,33 @@
     }
 
     pub(crate) fn phase(&self) -> StopPhase {
-        let ordered_at = *lock(&self.stop_ordered);
-        ordered_at.map_or(StopPhase::Serving, |at| self.stop.phase(self.timer.now().since(at)))
+        let live = lock(&self.live);
+        live.stop_ordered.map_or(StopPhase::Serving, |at| live.stop().phase(self.timer.now().since(at)))
+    }
+
+    /// The plan of a stop.
+    pub(crate) fn stop(&self) -> StopPlan {
+        lock(&self.live).stop()
+    }
+
+    /// Where the platform's store is.
+    pub(crate) fn store_address(&self) -> SocketAddr {
+        lock(&self.live).store
+    }
+
+    /// Takes in settings that changed while the process runs.
+    pub(crate) fn reload(&self, settings: &GatewaySettings) {
+        let mut live = lock(&self.live);
+        if live.bounds.retry != settings.bounds.retry {
+            lock(&self.retries).clear();
+        }
+        live.bounds = settings.bounds.clone();
+        live.store = settings.store;
     }
 
     /// Begins the stop.
     pub(crate) fn order_stop(&self) {
-        lock(&self.stop_ordered).get_or_insert(self.timer.now());
+        lock(&self.live).stop_ordered.get_or_insert(self.timer.now());
     }
 
     /// The configuration in force.
@@ -87,7 +106,7 @@
 
     /// Whether no key can have been taken away for longer than keys may outlive it.
     pub(crate) fn is_site_current(&self) -> bool {
-        let bound = self.bounds.revoke.saturating_sub(CONFIRMATION_MARGIN);
+        let bound = lock(&self.live).bounds.revoke.saturating_sub(CONFIRMATION_MARGIN);
         lock(&self.site).is_current(self.timer.now(), bound)
     }
 
@@ -212,19 +231,18 @@
     }
 
     fn retry_window<T>(&self, service: &Name, act: impl FnOnce(&mut RetryWindow, TimePoint) -> T) -> T {
+        let bounds = lock(&self.live).bounds.retry;
         let mut windows = lock(&self.retries);
         let window = windows.entry(Name::clone(service)).or_insert_with(|| {
-            let reserve = (self.bounds.retry_extra / RETRY_HOSTS) as u32;
-            RetryWindow::new(self.bounds.retry_window, self.bounds.retry_ratio * RETRY_SHARE, reserve)
+            let reserve = (bounds.extra / RETRY_HOSTS) as u32;
+            RetryWindow::new(bounds.window, bounds.ratio * RETRY_SHARE, reserve)
         });
         act(window, self.timer.now())
     }
 
-    /// Claims memory for a body; none if bodies take too much already.
-    pub(crate) fn claim_body(self: &Arc<Self>, bytes: usize) -> Option<BodyClaim> {
-        let taken = self.body_bytes.fetch_add(bytes, Ordering::Relaxed);
-        let claim = BodyClaim { context: Arc::clone(self), bytes };
-        (taken + bytes <= self.body_limit).then_some(claim)
+    /// A claim on memory for a body that is about to be read.
+    pub(crate) fn claim_body(self: &Arc<Self>) -> BodyClaim {
+        BodyClaim { context: Arc::clone(self), bytes: 0 }
     }
 
     /// Counts a request as under way until the guard goes.
@@ -245,6 +263,15 @@
     bytes: usize,
 }
 
+impl BodyClaim {
+    /// Claims more; false if bodies take too much already.
+    pub(crate) fn grow(&mut self, bytes: usize) -> bool {
+        let taken = self.context.body_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.bytes += bytes;
+        taken + bytes <= self.context.body_limit
+    }
+}
+
 impl Drop for BodyClaim {
     fn drop(&mut self) {
         self.context.body_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
--- a/crates/hollyhook_gateway/src/gateway/gateway_process.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -36,7 +36,10 @@
         let front = FrontServer::start(bind(settings.listen, "listen")?, Arc::clone(&context));
         let ready = bind(settings.ready_listen, "ready_listen")?;
         task::spawn(serve_ready(ready, Arc::clone(&context)));
-        let store = || StoreClient::new(timer.clone(), settings.store);
+        let store = || {
+            let context = Arc::clone(&context);
+            StoreClient::new(timer.clone(), move || context.store_address())
+        };
         task::spawn(SiteWatch::new(Arc::clone(&context), store()).run());
         task::spawn(EndpointWatch::new(Arc::clone(&context), store()).run());
         task::spawn(prune_pool(Arc::clone(&context)));
@@ -45,6 +48,12 @@
         Ok(Self { context, front })
     }
 
+    /// Takes in settings that changed: the bounds and where the store is. What else changed needs a restart.
+    pub fn reload(&self, settings: &GatewaySettings) {
+        self.context.reload(settings);
+        tracing::info!(store = %settings.store, "gateway.reloaded");
+    }
+
     /// Stops: tells the balancer, serves what still comes, lets what runs end within the grace time.
     ///
     /// Returns whether everything ended.
@@ -53,9 +62,9 @@
         let ordered_at = timer.now();
         self.context.order_stop();
         tracing::info!(requests = self.context.open_requests(), "gateway.stopping");
-        timer.wait(self.context.stop.caller_intake()).await;
+        timer.wait(self.context.stop().caller_intake()).await;
         self.front.close_idle();
-        while timer.now().since(ordered_at) < self.context.stop.usable_grace() {
+        while timer.now().since(ordered_at) < self.context.stop().usable_grace() {
             if self.context.open_requests() == 0 {
                 tracing::info!("gateway.stopped");
                 return true;
--- a/crates/hollyhook_gateway/src/gateway/mod.rs
+++ b/crates/hollyhook_gateway/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod gateway_context;
 mod gateway_process;
+mod live_settings;
 
 pub(crate) use gateway_context::{BodyClaim, GatewayContext, RequestGuard};
 pub use gateway_process::Gateway;
--- a/crates/hollyhook_gateway/src/pool/connection_pool.rs
+++ b/crates/hollyhook_gateway/src/pool/connection_pool.rs
@@ -15,8 +15,8 @@
 const DEFAULT_KEEP: Duration = Duration::from_secs(4);
 /// How much earlier than its peer a connection is given up, so that no request crosses its closing.
 const KEEP_MARGIN: Duration = Duration::from_millis(900);
-/// Idle connections kept for one endpoint.
-const MOST_IDLE: usize = 16;
+/// Idle connections kept for one endpoint. The smallest services take about a hundred from all hosts together.
+const MOST_IDLE: usize = 6;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Idle connections by the incarnation of the endpoint that they lead to.
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -45,16 +45,21 @@
 }
 
 /// Calls the platform's store over one kept connection.
-#[derive(Debug)]
 pub(crate) struct StoreClient {
     timer: TimerService,
+    /// Where the store is now.
+    address: Box<dyn Fn() -> SocketAddr + Send + Sync>,
+    connection: Option<StoreConnection>,
+}
+
+struct StoreConnection {
     address: SocketAddr,
-    connection: Option<PooledConnection>,
+    inner: PooledConnection,
 }
 
 impl StoreClient {
-    pub(crate) fn new(timer: TimerService, address: SocketAddr) -> Self {
-        Self { timer, address, connection: None }
+    pub(crate) fn new(timer: TimerService, address: impl Fn() -> SocketAddr + Send + Sync + 'static) -> Self {
+        Self { timer, address: Box::new(address), connection: None }
     }
 
     /// All objects of a kind, and the revision to watch from.
@@ -103,11 +108,13 @@
     }
 
     async fn exchange(&mut self, path: &str) -> Result<Bytes, StoreError> {
-        let mut connection = match self.connection.take().filter(PooledConnection::is_ready) {
+        let address = (self.address)();
+        let kept = self.connection.take().filter(|kept| kept.address == address && kept.inner.is_ready());
+        let mut connection = match kept {
             Some(connection) => connection,
-            None => self.connect().await?,
+            None => self.connect(address).await?,
         };
-        let response = connection.send(self.request(path)?).await;
+        let response = connection.inner.send(request(address, path)?).await;
         let response = response.map_err(|_fault| StoreError::Away("the connection broke"))?;
         match response.status() {
             StatusCode::OK => {}
@@ -121,14 +128,21 @@
         Ok(body)
     }
 
-    async fn connect(&self) -> Result<PooledConnection, StoreError> {
-        let stream = dial(&self.timer, self.address, CONNECT_TIMEOUT).await;
+    async fn connect(&self, address: SocketAddr) -> Result<StoreConnection, StoreError> {
+        let stream = dial(&self.timer, address, CONNECT_TIMEOUT).await;
         let stream = stream.map_err(|_error| StoreError::Away("no connection"))?;
-        PooledConnection::start(stream).await.map_err(|_error| StoreError::Away("no connection"))
+        let inner = PooledConnection::start(stream).await.map_err(|_error| StoreError::Away("no connection"))?;
+        Ok(StoreConnection { address, inner })
     }
+}
 
-    fn request(&self, path: &str) -> Result<Request<Full<Bytes>>, StoreError> {
-        let request = Request::get(path).header(header::HOST, self.address.to_string()).body(Full::default());
-        request.map_err(|_error| StoreError::Away("the path is not valid"))
+impl fmt::Debug for StoreClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StoreClient").field("address", &(self.address)()).finish_non_exhaustive()
     }
 }
+
+fn request(address: SocketAddr, path: &str) -> Result<Request<Full<Bytes>>, StoreError> {
+    let request = Request::get(path).header(header::HOST, address.to_string()).body(Full::default());
+    request.map_err(|_error| StoreError::Away("the path is not valid"))
+}
--- a/crates/hollyhook_settings/src/gateway/gateway_bounds.rs
+++ b/crates/hollyhook_settings/src/gateway/gateway_bounds.rs
@@ -13,12 +13,19 @@
     pub revoke: Duration,
     /// How long after SIGTERM the process may live.
     pub grace: Duration,
-    /// Sends beyond the first of each request, for each request, over all hosts.
-    pub retry_ratio: f64,
+    /// What all hosts together may send again.
+    pub retry: RetryBounds,
+}
+
+/// What all hosts together may send beyond the first send of each request to one service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBounds {
+    /// Such sends for each request.
+    pub ratio: f64,
     /// The window in which they are counted.
-    pub retry_window: Duration,
-    /// Sends beyond the first that are allowed besides, over all hosts.
-    pub retry_extra: u64,
+    pub window: Duration,
+    /// Such sends that are allowed besides.
+    pub extra: u64,
 }
 
 impl Default for GatewayBounds {
@@ -27,9 +34,7 @@
         Self {
             revoke: Duration::from_secs(5),
             grace: Duration::from_secs(8),
-            retry_ratio: 0.2,
-            retry_window: Duration::from_secs(10),
-            retry_extra: 20,
+            retry: RetryBounds { ratio: 0.2, window: Duration::from_secs(10), extra: 20 },
         }
     }
 }
@@ -40,9 +45,11 @@
         Self {
             revoke: reader.default("revoke", default.revoke, value::span(MILLISECOND, HOUR)),
             grace: reader.default("grace", default.grace, value::span(MILLISECOND, HOUR)),
-            retry_ratio: reader.default("retry_ratio", default.retry_ratio, value::ratio),
-            retry_window: reader.default("retry_window", default.retry_window, value::span(MILLISECOND, HOUR)),
-            retry_extra: reader.default("retry_extra", default.retry_extra, value::count(0, 1_000_000)),
+            retry: RetryBounds {
+                ratio: reader.default("retry_ratio", default.retry.ratio, value::ratio),
+                window: reader.default("retry_window", default.retry.window, value::span(MILLISECOND, HOUR)),
+                extra: reader.default("retry_extra", default.retry.extra, value::count(0, 1_000_000)),
+            },
         }
     }
 }
--- a/crates/hollyhook_settings/src/gateway/mod.rs
+++ b/crates/hollyhook_settings/src/gateway/mod.rs
@@ -3,5 +3,5 @@
 mod gateway_bounds;
 mod gateway_settings;
 
-pub use gateway_bounds::GatewayBounds;
+pub use gateway_bounds::{GatewayBounds, RetryBounds};
 pub use gateway_settings::GatewaySettings;
