--- a/crates/hollyhook_gateway/src/front/admission.rs
+++ b/crates/hollyhook_gateway/src/front/admission.rs
@@ -3,7 +3,7 @@
 
 use hollyhook_core::{AccountPlan, Error, ErrorKind, Name, Result, RoutePlan, SiteIndex};
 use http::Method;
-use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::header::HOST;
 use http::request::Parts;
 use hyper::body::Incoming;
 use rand::Rng;
@@ -31,7 +31,7 @@
     let arrived = context.timer.now();
     let guard = context.begin_request();
     let site = context.site().ok_or_else(|| uncertain(None))?;
-    check_framing(&parts)?;
+    check_method(&parts)?;
     let head = hollyhook_platform::caller_head(&parts.headers)?;
     let route = find_route(&site, &parts).map_err(|error| certain(error, context))?;
     let account = find_account(&site, &route, head.key.as_ref(), context)?;
@@ -58,15 +58,11 @@
     })
 }
 
-/// Refuses what two parsers might frame differently, and what is not meant for a server.
-fn check_framing(parts: &Parts) -> Result<()> {
+/// Refuses what is not meant for a server.
+fn check_method(parts: &Parts) -> Result<()> {
     if parts.method == Method::CONNECT {
         return Err(Error::new(ErrorKind::MalformedHead, "this host opens no tunnels").param("method"));
     }
-    if parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING) {
-        let wrong = "the body has both a length and a transfer coding";
-        return Err(Error::new(ErrorKind::MalformedHead, wrong).param("transfer-encoding"));
-    }
     Ok(())
 }
 
--- a/crates/hollyhook_gateway/src/front/request_handler.rs
+++ b/crates/hollyhook_gateway/src/front/request_handler.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use hollyhook_core::StopPhase;
-use http::header::{CONNECTION, HeaderValue};
+use http::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -21,6 +21,9 @@
     watch.begin();
     let active = ActiveMark { context: Arc::clone(context), watch };
     let (parts, body) = request.into_parts();
+    // The parser drops a length that stands beside chunks (RFC 9112, 6.3), so that it can't be seen here; who framed the
+    // body by that length takes the rest of it for the next request. Nothing is read after a chunked body.
+    let is_chunked = parts.headers.contains_key(TRANSFER_ENCODING);
     let id = hollyhook_platform::attempt_id(&parts.headers).map(str::to_owned);
     let mut response = match admit(parts, body, context).await {
         Ok(caller) => forward(context, caller).await,
@@ -29,7 +32,7 @@
             own_answer(&error)
         }
     };
-    if context.phase() != StopPhase::Serving {
+    if is_chunked || context.phase() != StopPhase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response.map(|body| {
--- a/crates/hollyhook_gateway/src/gateway/gateway_process.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -22,6 +22,8 @@
 pub struct Gateway {
     context: Arc<GatewayContext>,
     front: FrontServer,
+    address: SocketAddr,
+    ready_address: SocketAddr,
 }
 
 impl Gateway {
@@ -33,8 +35,11 @@
     pub fn start(settings: &GatewaySettings) -> Result<Self> {
         let timer = TimerService::from(WallClock::start());
         let context = Arc::new(GatewayContext::new(settings, timer.clone()));
-        let front = FrontServer::start(bind(settings.listen, "listen")?, Arc::clone(&context));
+        let front = bind(settings.listen, "listen")?;
         let ready = bind(settings.ready_listen, "ready_listen")?;
+        let address = front.local_addr().unwrap_or(settings.listen);
+        let ready_address = ready.local_addr().unwrap_or(settings.ready_listen);
+        let front = FrontServer::start(front, Arc::clone(&context));
         task::spawn(serve_ready(ready, Arc::clone(&context)));
         let store = || {
             let context = Arc::clone(&context);
@@ -45,7 +50,17 @@
         task::spawn(prune_pool(Arc::clone(&context)));
         tracing::info!(host = %context.host, zone = %context.zone, listen = %settings.listen, store = %settings.store,
             "gateway.started");
-        Ok(Self { context, front })
+        Ok(Self { context, front, address, ready_address })
+    }
+
+    /// Where it serves callers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where it answers whether it is ready.
+    pub fn ready_address(&self) -> SocketAddr {
+        self.ready_address
     }
 
     /// Takes in settings that changed: the bounds and where the store is. What else changed needs a restart.
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -50,6 +50,8 @@
     /// Where the store is now.
     address: Box<dyn Fn() -> SocketAddr + Send + Sync>,
     connection: Option<StoreConnection>,
+    /// The store whose revisions the last list gave.
+    listed_at: Option<SocketAddr>,
 }
 
 struct StoreConnection {
@@ -59,11 +61,12 @@
 
 impl StoreClient {
     pub(crate) fn new(timer: TimerService, address: impl Fn() -> SocketAddr + Send + Sync + 'static) -> Self {
-        Self { timer, address: Box::new(address), connection: None }
+        Self { timer, address: Box::new(address), connection: None, listed_at: None }
     }
 
     /// All objects of a kind, and the revision to watch from.
     pub(crate) async fn list(&mut self, kind: ObjectKind) -> Result<(Vec<StoreObject>, u64), StoreError> {
+        self.listed_at = Some((self.address)());
         let mut objects = Vec::new();
         let mut first_revision = None;
         let mut after = None;
@@ -88,6 +91,10 @@
         revision: u64,
         wait: Duration,
     ) -> Result<(Vec<StoreChange>, u64), StoreError> {
+        if self.listed_at != Some((self.address)()) {
+            // The store has moved; the revisions of another one mean nothing there.
+            return Err(StoreError::HistoryGone);
+        }
         let path = hollyhook_platform::watch_path(kind, revision, wait);
         let body = self.call(&path, wait + WATCH_SLACK).await?;
         hollyhook_platform::decode_change(&body).map_err(StoreError::Malformed)
