--- /dev/null
+++ b/crates/hollyhook_core/tests/gateway/answers.rs
@@ -0,0 +1,81 @@
+use hollyhook_core::{AnswerHead, AnswerVerdict, AttemptFailure, RequestKind, judge_answer};
+
+const KINDS: [RequestKind; 4] = [
+    RequestKind::Idempotent,
+    RequestKind::NonIdempotent,
+    RequestKind::Stream { is_resumable: true },
+    RequestKind::Stream { is_resumable: false },
+];
+
+fn head(status: u16) -> AnswerHead {
+    AnswerHead { status, attempt_id: Some("r1".into()), is_signed: true, ..AnswerHead::default() }
+}
+
+fn judge(kind: RequestKind, head: &AnswerHead) -> AnswerVerdict {
+    judge_answer(kind, "r1", "i-1", head)
+}
+
+#[test]
+fn judge_success() {
+    for kind in KINDS {
+        assert_eq!(judge(kind, &head(200)), AnswerVerdict::Pass);
+        let unsigned = AnswerHead { is_signed: false, ..head(200) };
+        assert_eq!(judge(kind, &unsigned), AnswerVerdict::Fail(AttemptFailure::Garbled));
+    }
+}
+
+/// No status that promises "not run" is passed on from an endpoint: only its own statement makes the promise true.
+#[test]
+fn judge_promise_without_statement() {
+    for kind in KINDS {
+        for status in [408, 429, 503] {
+            assert_eq!(judge(kind, &head(status)), AnswerVerdict::Fail(AttemptFailure::Failed), "{status}");
+            let stated = AnswerHead { is_not_run: true, ..head(status) };
+            assert_eq!(judge(kind, &stated), AnswerVerdict::Fail(AttemptFailure::Rejected), "{status}");
+        }
+    }
+    assert!(AttemptFailure::Rejected.is_not_run());
+    assert!(!AttemptFailure::Failed.is_not_run());
+}
+
+#[test]
+fn judge_foreign_answer() {
+    for kind in KINDS {
+        let foreign = AnswerHead { attempt_id: Some("r2".into()), ..head(200) };
+        assert_eq!(judge(kind, &foreign), AnswerVerdict::Fail(AttemptFailure::Garbled));
+        let encoded = AnswerHead { is_encoded: true, ..head(200) };
+        assert_eq!(judge(kind, &encoded), AnswerVerdict::Fail(AttemptFailure::Garbled));
+    }
+}
+
+#[test]
+fn judge_misdirected() {
+    let other = AnswerHead { endpoint: Some("i-2".into()), ..head(421) };
+    assert_eq!(judge(KINDS[0], &other), AnswerVerdict::Fail(AttemptFailure::WrongIncarnation));
+    assert_eq!(judge(KINDS[0], &head(421)), AnswerVerdict::Fail(AttemptFailure::WrongIncarnation));
+    // The engine that was meant turns away what asks for other weights; it is not gone.
+    let meant = AnswerHead { endpoint: Some("i-1".into()), ..head(421) };
+    assert_eq!(judge(KINDS[2], &meant), AnswerVerdict::Fail(AttemptFailure::Rejected));
+}
+
+#[test]
+fn judge_failure() {
+    assert_eq!(judge(RequestKind::Idempotent, &head(500)), AnswerVerdict::PassOrRetry);
+    assert_eq!(judge(RequestKind::NonIdempotent, &head(500)), AnswerVerdict::Pass);
+    assert_eq!(judge(RequestKind::Idempotent, &head(404)), AnswerVerdict::Pass);
+    assert_eq!(judge(RequestKind::Idempotent, &head(101)), AnswerVerdict::Fail(AttemptFailure::Garbled));
+}
+
+/// What certainly did not run may be said to be "not run"; all else may not.
+#[test]
+fn failures_that_did_not_run() {
+    use AttemptFailure::{Broken, Expired, Failed, Garbled, NotConnected, Rejected, Silent, WrongIncarnation};
+    for failure in [NotConnected, Rejected, WrongIncarnation] {
+        assert!(failure.is_not_run(), "{failure:?}");
+    }
+    for failure in [Broken, Silent, Expired, Garbled, Failed] {
+        assert!(!failure.is_not_run(), "{failure:?}");
+    }
+    // A caller's own deadline says nothing about the endpoint.
+    assert!(!Expired.is_loss());
+}
--- /dev/null
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -0,0 +1,184 @@
+use std::time::Duration;
+
+use hollyhook_core::{
+    EndpointId, EndpointRecord, EndpointTable, EngineCandidate, EngineReport, LoadReport, RouteQuery, TimePoint,
+    choose_engine,
+};
+use rand_pcg::Pcg64;
+use rand_pcg::rand_core::SeedableRng;
+
+fn record(id: &str, zone: &str, port: u16, registered: u64) -> EndpointRecord {
+    let mut record = EndpointRecord::new(id.into(), "model".into(), zone.into(), ([10, 0, 0, 1], port).into());
+    record.registered = registered;
+    record.capacity(64)
+}
+
+fn table(zones: &[&str], each: u16) -> EndpointTable {
+    let mut table = EndpointTable::new("z0".into());
+    for (number, zone) in zones.iter().enumerate() {
+        for engine in 0..each {
+            let port = 1_000 * (number as u16 + 1) + engine;
+            table.upsert(record(&format!("{zone}-{engine}"), zone, port, 1));
+        }
+    }
+    table
+}
+
+fn ids(records: &[EndpointRecord]) -> Vec<&str> {
+    records.iter().map(|record| &*record.id).collect()
+}
+
+fn home(table: &EndpointTable, number: u64) -> EndpointId {
+    EndpointId::clone(&table.shortlist(NOW, &query(), number, 1)[0].id)
+}
+
+fn query() -> RouteQuery<'static> {
+    RouteQuery::new("model").places(10)
+}
+
+const NOW: TimePoint = TimePoint::from_millis(10_000);
+
+fn after(millis: u64) -> TimePoint {
+    NOW + Duration::from_millis(millis)
+}
+
+/// Two hosts that know different loads of other engines agree on where a prompt is at home.
+#[test]
+fn shortlist_same_on_all_hosts() {
+    let (one, mut two) = (table(&["z0", "z1"], 8), table(&["z0", "z1"], 8));
+    let list = one.shortlist(NOW, &query(), 77, 2);
+    let other = two.shortlist(NOW, &query(), 78, 8);
+    let other = other.iter().find(|record| !ids(&list).contains(&&*record.id)).unwrap();
+    two.opened(NOW, &other.id);
+    two.opened(NOW, &other.id);
+    assert_eq!(ids(&list), ids(&two.shortlist(NOW, &query(), 77, 2)));
+    assert!(list.iter().all(|record| &*record.zone == "z0"), "the own zone goes first");
+}
+
+/// Home is left when it is clearly fuller than others.
+#[test]
+fn shortlist_leaves_full_home() {
+    let mut table = table(&["z0"], 8);
+    let home = home(&table, 77);
+    for _ in 0..3 {
+        table.opened(NOW, &home);
+    }
+    assert_ne!(table.shortlist(NOW, &query(), 77, 1)[0].id, home);
+}
+
+/// Many prompts at home everywhere: no engine gets far more than its share.
+#[test]
+fn shortlist_spreads() {
+    let table = table(&["z0"], 8);
+    let mut counts = std::collections::BTreeMap::new();
+    for number in 0..8_000_u64 {
+        let home = home(&table, number);
+        *counts.entry(home).or_insert(0) += 1;
+    }
+    assert_eq!(counts.len(), 8);
+    assert!(counts.values().all(|count| (850..1_150).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn shortlist_leaves_out_ejected_and_zone() {
+    let mut table = table(&["z0", "z1"], 2);
+    table.failed(NOW, "z0-0");
+    let list = table.shortlist(after(100), &query(), 77, 9);
+    assert!(!ids(&list).contains(&"z0-0"));
+    let zone = "z0".into();
+    let elsewhere = table.shortlist(after(100), &query().avoid_zone(&zone), 77, 9);
+    assert!(elsewhere.iter().all(|record| &*record.zone == "z1"));
+}
+
+/// Two engines of a zone that fail together make the zone suspect: what is left of it is not trusted for a while.
+#[test]
+fn zone_suspect_after_two_losses() {
+    let mut table = table(&["z0", "z1"], 4);
+    let mut rng = Pcg64::seed_from_u64(1);
+    table.failed(NOW, "z0-0");
+    assert_eq!(&*table.shortlist(after(10), &query(), 77, 1)[0].zone, "z0", "one loss is its own");
+    table.failed(after(20), "z0-1");
+    assert_eq!(&*table.shortlist(after(30), &query(), 77, 1)[0].zone, "z1");
+    let chosen = table.choose(after(30), &query(), &mut rng).unwrap();
+    assert!(chosen.starts_with("z1"));
+    assert_eq!(&*table.shortlist(after(1_600), &query(), 77, 1)[0].zone, "z0", "suspicion ends");
+}
+
+/// The same engine failing twice is no reason to suspect its zone.
+#[test]
+fn zone_not_suspect_after_one_engine() {
+    let mut table = table(&["z0", "z1"], 4);
+    table.failed(NOW, "z0-0");
+    table.failed(after(10), "z0-0");
+    assert_eq!(&*table.shortlist(after(30), &query(), 77, 1)[0].zone, "z0");
+}
+
+/// An endpoint that fails most of its requests gets few; how it fails does not matter.
+#[test]
+fn grey_endpoint_avoided() {
+    let mut table = table(&["z0"], 2);
+    for _ in 0..10 {
+        table.answered("z0-0", true);
+        table.answered("z0-1", false);
+    }
+    let mut rng = Pcg64::seed_from_u64(1);
+    let chosen = (0..50).filter(|_| &*table.choose(NOW, &query(), &mut rng).unwrap() == "z0-0").count();
+    assert_eq!(chosen, 0);
+}
+
+/// A later registration has the address; the earlier one only still stands in the list.
+#[test]
+fn displaced_by_later_registration() {
+    let mut table = table(&["z0"], 1);
+    let later = record("next", "z0", 1_000, 2);
+    assert_eq!(table.displaced_by(&later), ["z0-0".into()]);
+    table.remove("z0-0");
+    table.upsert(later);
+    let earlier = record("z0-0", "z0", 1_000, 1);
+    assert!(table.is_displaced(&earlier));
+    assert!(!table.is_displaced(&record("elsewhere", "z0", 1_001, 1)));
+}
+
+fn candidate(id: &str, running: u32, waiting: u32, used_tokens: u64) -> EngineCandidate {
+    let load = LoadReport { running, waiting, capacity: 0 };
+    let report = EngineReport { load, used_tokens, total_tokens: 88_000 };
+    EngineCandidate { record: record(id, "z0", 1, 1), report: Some(report) }
+}
+
+fn chosen(candidates: &[EngineCandidate]) -> Option<&str> {
+    choose_engine(candidates, 9_000).map(|candidate| &*candidate.record.id)
+}
+
+/// Load: prompts of 8,000 tokens, a second each, read one after another.
+#[test]
+fn engine_without_waiting_prompts() {
+    assert_eq!(chosen(&[candidate("a", 1, 2, 0), candidate("b", 6, 0, 0)]), Some("b"));
+    // About equally free: the order that all hosts share decides, so that a prompt finds its cache.
+    assert_eq!(chosen(&[candidate("a", 2, 0, 0), candidate("b", 0, 0, 0)]), Some("a"));
+}
+
+#[test]
+fn engine_with_memory() {
+    assert_eq!(chosen(&[candidate("a", 1, 0, 80_000), candidate("b", 5, 2, 40_000)]), Some("b"));
+}
+
+#[test]
+fn engine_that_answered() {
+    let silent = EngineCandidate { report: None, ..candidate("a", 0, 0, 0) };
+    assert_eq!(chosen(&[silent.clone(), candidate("b", 9, 9, 0)]), Some("b"));
+    assert_eq!(chosen(&[silent]), None);
+}
+
+/// Reports are older than what this host sent just now.
+#[test]
+fn engine_counts_what_was_sent_since() {
+    let mut table = table(&["z0"], 2);
+    table.opened(NOW, "z0-0");
+    let report = candidate("", 0, 0, 0).report;
+    let as_of = |millis| {
+        let known = |id| EngineCandidate { record: table.as_of(after(millis), id).unwrap(), report };
+        [known("z0-0"), known("z0-1")]
+    };
+    assert_eq!(chosen(&as_of(100)), Some("z0-1"));
+    assert_eq!(chosen(&as_of(400)), Some("z0-0"), "by then the report shows it");
+}
--- /dev/null
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -0,0 +1,9 @@
+//! The decisions of the gateway, without a network: which load each answers, and what it decides.
+
+mod answers;
+mod choosing;
+mod membership;
+mod retries;
+mod site;
+mod stopping;
+mod streams;
--- /dev/null
+++ b/crates/hollyhook_core/tests/gateway/retries.rs
@@ -0,0 +1,47 @@
+use std::time::Duration;
+
+use hollyhook_core::{RetryWindow, TimePoint};
+use proptest::prelude::*;
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(millis)
+}
+
+#[test]
+fn window_forgets() {
+    let mut window = RetryWindow::new(Duration::from_secs(10), 1.0, 1);
+    window.earn(at(0));
+    assert!(window.try_spend(at(0)));
+    assert!(window.try_spend(at(0)));
+    assert!(!window.try_spend(at(9_000)));
+    assert!(window.try_spend(at(11_000)), "what was spent is out of the window, and so is what was earned");
+    assert!(!window.try_spend(at(11_000)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whenever a retry is granted, those of the window's length before it stay within the share of the requests of that
+    /// span and the part before it, and the reserve.
+    #[test]
+    fn window_never_exceeded(steps in proptest::collection::vec((0_u64..400, any::<bool>()), 1..300)) {
+        const WINDOW: u64 = 10_000;
+        let mut window = RetryWindow::new(Duration::from_millis(WINDOW), 0.5, 3);
+        let (mut now, mut earned, mut spent) = (0, Vec::new(), Vec::new());
+        for (gap, is_retry) in steps {
+            now += gap;
+            if !is_retry {
+                window.earn(at(now));
+                earned.push(now);
+                continue;
+            }
+            if !window.try_spend(at(now)) {
+                continue;
+            }
+            spent.push(now);
+            let since = |times: &[u64], span: u64| times.iter().filter(|time| **time + span > now).count() as f64;
+            let requests = since(&earned, WINDOW + WINDOW / 20 + 1);
+            prop_assert!(since(&spent, WINDOW) <= requests * 0.5 + 3.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_core/tests/gateway/site.rs
@@ -0,0 +1,101 @@
+use std::time::Duration;
+
+use hollyhook_core::{
+    AccountPlan, CallerLimits, ErrorKind, PlanAdoption, RequestKind, RoutePlan, ServiceShare, SiteIndex, SiteLedger,
+    SitePlan, TimePoint,
+};
+use proptest::prelude::*;
+
+fn route(host: &str, prefix: &str) -> RoutePlan {
+    RoutePlan {
+        name: prefix.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RequestKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(150),
+        gap_objective: None,
+        most_attempts: 2,
+        rank: 1,
+        is_public: prefix.starts_with("/open/"),
+        shares: vec![ServiceShare { service: "desk".into(), weight: 1 }],
+    }
+}
+
+fn plan(version: u64, keys: &[&str]) -> SitePlan {
+    let keys = keys.iter().map(|key| (*key).into()).collect();
+    SitePlan {
+        version,
+        routes: vec![
+            route("a.example", "/x/"),
+            route("a.example", "/x/y/"),
+            route("b.example", "/"),
+            route("a.example", "/open/"),
+        ],
+        services: Vec::new(),
+        accounts: Some(vec![AccountPlan { name: "office".into(), keys, rank: None }]),
+        limits: CallerLimits::default(),
+    }
+}
+
+fn prefix(site: &SiteIndex, host: &str, path: &str) -> Option<String> {
+    site.route(host, path).ok().map(|route| route.prefix.to_string())
+}
+
+#[test]
+fn route_by_host_and_longest_prefix() {
+    let site = SiteIndex::from(plan(1, &[]));
+    assert_eq!(prefix(&site, "a.example", "/x/1").as_deref(), Some("/x/"));
+    assert_eq!(prefix(&site, "A.EXAMPLE:8080", "/x/y/1").as_deref(), Some("/x/y/"));
+    assert_eq!(prefix(&site, "a.example", "/x/yy").as_deref(), Some("/x/"));
+    assert_eq!(prefix(&site, "b.example", "/anything").as_deref(), Some("/"));
+    for (host, path) in [("a.example", "/x"), ("a.example", "/"), ("c.example", "/x/1"), ("a.example", "/X/1")] {
+        assert_eq!(site.route(host, path).unwrap_err().kind(), ErrorKind::UnknownPath, "{host} {path}");
+    }
+}
+
+#[test]
+fn account_by_key() {
+    let site = SiteIndex::from(plan(1, &["k1", "k2"]));
+    let closed = site.route("a.example", "/x/1").unwrap();
+    assert_eq!(&*site.account(&closed, Some("k2")).unwrap().unwrap().name, "office");
+    assert_eq!(site.account(&closed, Some("k3")).unwrap_err().kind(), ErrorKind::UnknownKey);
+    assert_eq!(site.account(&closed, None).unwrap_err().kind(), ErrorKind::MissingKey);
+    let open = site.route("a.example", "/open/1").unwrap();
+    assert!(site.account(&open, None).unwrap().is_none());
+    let keyless = SiteIndex::from(SitePlan { accounts: None, ..plan(1, &[]) });
+    assert!(keyless.account(&closed, None).unwrap().is_none());
+}
+
+#[test]
+fn ledger_honours_keys_for_a_bounded_time() {
+    let bound = Duration::from_secs(3);
+    let mut ledger = SiteLedger::default();
+    assert!(!ledger.is_current(TimePoint::ZERO, bound));
+    ledger.adopt(plan(4, &[]), TimePoint::from_millis(1_000));
+    assert!(ledger.is_current(TimePoint::from_millis(3_999), bound));
+    assert!(!ledger.is_current(TimePoint::from_millis(4_000), bound));
+    ledger.confirm(TimePoint::from_millis(2_000));
+    // A confirmation that comes late is of an earlier time.
+    ledger.confirm(TimePoint::from_millis(500));
+    assert!(ledger.is_current(TimePoint::from_millis(4_500), bound));
+    // A late read of an older version confirms nothing.
+    assert_eq!(ledger.adopt(plan(3, &[]), TimePoint::from_millis(9_000)), PlanAdoption::Older);
+    assert!(!ledger.is_current(TimePoint::from_millis(9_000), bound));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever order versions are read in, the newest read so far is in force, and it never goes back.
+    #[test]
+    fn ledger_never_goes_back(versions in proptest::collection::vec(0_u64..20, 1..40)) {
+        let mut ledger = SiteLedger::default();
+        let mut newest = None;
+        for (step, version) in versions.into_iter().enumerate() {
+            ledger.adopt(plan(version, &[]), TimePoint::from_millis(step as u64));
+            newest = newest.max(Some(version));
+            prop_assert_eq!(ledger.site().map(|site| site.version()), newest);
+        }
+    }
+}
