--- a/crates/hollyhook_core/tests/gateway/retries.rs
+++ b/crates/hollyhook_core/tests/gateway/retries.rs
@@ -2,6 +2,7 @@
 
 use hollyhook_core::{RetryWindow, TimePoint};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::from_millis(millis)
@@ -19,7 +20,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
 
     /// Whenever a retry is granted, those of the window's length before it stay within the share of the requests of that
     /// span and the part before it, and the reserve.
--- a/crates/hollyhook_core/tests/gateway/site.rs
+++ b/crates/hollyhook_core/tests/gateway/site.rs
@@ -5,6 +5,7 @@
     SitePlan, TimePoint,
 };
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn route(host: &str, prefix: &str) -> RoutePlan {
     RoutePlan {
@@ -85,7 +86,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
 
     /// Whatever order versions are read in, the newest read so far is in force, and it never goes back.
     #[test]
--- a/crates/hollyhook_core/tests/gateway/streams.rs
+++ b/crates/hollyhook_core/tests/gateway/streams.rs
@@ -1,6 +1,7 @@
 use bytes::Bytes;
 use hollyhook_core::{EventCutter, EventPiece, EventRelay, PieceVerdict};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn event(id: u64) -> String {
     format!("id: {id}\ndata: t{id}\n\n")
@@ -28,7 +29,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
 
     /// However the bytes are parted, the same events come out, and a part of one is never among them.
     #[test]
