Let engines of other zones take a generation when prompts wait in the own zone

Change: the engines that are asked for a backup come last in the order in which the attempt's own engine is chosen.

--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -52,7 +52,7 @@
             tracing::info!(request = %self.caller.head.attempt_id, endpoint = %held.id, "backup.lost");
         }
         if let Some((record, source)) = usable {
-            let backups = ask_all(self.context, self.backup_list(&record)).await;
+            let backups = ask_all(self.context, self.list_elsewhere(&record)).await;
             let backup = self.best_backup(&record, &backups);
             return Some(self.choice(&record, Some(source), backup));
         }
@@ -61,20 +61,20 @@
 
     async fn choose_new(&self) -> Option<EngineChoice> {
         let first = self.context.shortlist(&self.query(self.tried), self.home(), ASKED);
-        let second = first.first().map(|record| self.backup_list(record)).unwrap_or_default();
-        let (mut first, mut second) = join(ask_all(self.context, first), ask_all(self.context, second)).await;
+        let second = first.first().map(|record| self.list_elsewhere(record)).unwrap_or_default();
+        let (mut asked, elsewhere) = join(ask_all(self.context, first), ask_all(self.context, second)).await;
+        // Engines of other zones come last in the order, so that they are taken only if prompts wait in this one.
+        asked.extend(elsewhere);
         // What this host sent there while it asked is in no report.
-        for candidate in first.iter_mut().chain(&mut second) {
+        for candidate in &mut asked {
             self.context.refresh(&mut candidate.record);
         }
-        let tokens = self.needed_tokens();
-        let best = choose_engine(&first, tokens).or_else(|| choose_engine(&second, tokens));
-        let record = match best {
+        let record = match choose_engine(&asked, self.needed_tokens()) {
             Some(candidate) => candidate.record.clone(),
             // None of those that were asked answered; any that is left may be better.
             None => self.context.choose(&self.query(self.tried))?,
         };
-        let backup = self.best_backup(&record, &second);
+        let backup = self.best_backup(&record, &asked);
         Some(self.choice(&record, None, backup))
     }
 
@@ -90,13 +90,9 @@
         is_fit.then(|| (record, held.source.clone()))
     }
 
-    /// Engines for the copy of a run: in other zones, since a zone often goes as a whole, and each in a zone of its
-    /// own, since another one may just be gone.
-    fn backup_list(&self, record: &EndpointRecord) -> Vec<EndpointRecord> {
-        let has_backups = self.caller.engine.is_some_and(|engine| engine.has_backups);
-        if !has_backups || !self.caller.route.kind.is_repeatable() {
-            return Vec::new();
-        }
+    /// Engines of other zones, above all for the copy of a run, since a zone often goes as a whole; each in a zone of
+    /// its own, since another one may just be gone.
+    fn list_elsewhere(&self, record: &EndpointRecord) -> Vec<EndpointRecord> {
         let query = self.query(self.tried).avoid_zone(&record.zone);
         let mut list = self.context.shortlist(&query, self.home(), usize::MAX);
         let mut zones = BTreeSet::new();
@@ -105,7 +101,15 @@
         list
     }
 
+    fn has_backups(&self) -> bool {
+        let is_kept = self.caller.engine.is_some_and(|engine| engine.has_backups);
+        is_kept && self.caller.route.kind.is_repeatable()
+    }
+
     fn best_backup(&self, record: &EndpointRecord, candidates: &[EngineCandidate]) -> Option<BackupPlace> {
+        if !self.has_backups() {
+            return None;
+        }
         let elsewhere = candidates.iter().filter(|candidate| candidate.record.zone != record.zone).cloned();
         let elsewhere: Vec<EngineCandidate> = elsewhere.collect();
         let best = choose_engine(&elsewhere, self.needed_tokens())?;
