Serve counters and histograms, and log to the standard output in bounded volume

Cause: the operators have only logs and metrics. Logs went to the standard error and could block; the gateway had no metrics.

--- a/crates/hollyhook/src/bin/hollyhookd.rs
+++ b/crates/hollyhook/src/bin/hollyhookd.rs
@@ -10,8 +10,8 @@
 use futures::StreamExt;
 use futures::future::{Either, select};
 use hollyhook::{Daemon, Gateway, GatewaySettings, ProcessSettings, SiteSettings};
-use hollyhook_daemon::init_log;
 use hollyhook_settings::{SettingErrors, SettingFile};
+use hollyhook_telemetry::{LogGuard, LogTarget, init_log};
 use mimalloc::MiMalloc;
 
 #[global_allocator]
@@ -62,12 +62,13 @@
             Ok(ExitCode::SUCCESS)
         }
         DaemonRole::Daemon(process, site) => {
-            init_log(process.log_format, &process.log_level)?;
+            // The standard output tells the addresses that port 0 became.
+            let _log = init_log(LogTarget::Stderr, process.log_format, &process.log_level)?;
             run(process.threads, serve(*process, *site))
         }
         DaemonRole::Gateway(settings) => {
-            init_log(settings.log_format, &settings.log_level)?;
-            run(GATEWAY_THREADS, serve_gateway(args.settings, *settings))
+            let log = init_log(LogTarget::Stdout, settings.log_format, &settings.log_level)?;
+            run(GATEWAY_THREADS, serve_gateway(args.settings, *settings, log))
         }
     }
 }
@@ -79,13 +80,16 @@
     async_std::task::block_on(work)
 }
 
-async fn serve_gateway(path: PathBuf, mut settings: GatewaySettings) -> eyre::Result<ExitCode> {
+async fn serve_gateway(path: PathBuf, mut settings: GatewaySettings, log: LogGuard) -> eyre::Result<ExitCode> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let gateway = Gateway::start(&settings)?;
     loop {
         let pause = std::pin::pin!(async_std::task::sleep(RELOAD_INTERVAL));
         match select(signals.next(), pause).await {
-            Either::Left((Some(Ok(Signal::Hup)), _)) | Either::Right(_) => reload(&gateway, &path, &mut settings),
+            Either::Left((Some(Ok(Signal::Hup)), _)) | Either::Right(_) => {
+                reload(&gateway, &path, &mut settings);
+                tell_left_out(&log);
+            }
             Either::Left(_) => break,
         }
     }
@@ -95,6 +99,16 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Tells which log lines were not written since the last time.
+fn tell_left_out(log: &LogGuard) {
+    for (kind, lines) in log.volume.take_left_out() {
+        tracing::warn!(kind = %kind, lines, "log.left_out");
+    }
+    if log.dropped() > 0 {
+        tracing::warn!(lines = log.dropped(), "log.dropped");
+    }
+}
+
 /// Reads the settings again and takes them in if they changed and are right; else the old ones stay.
 fn reload(gateway: &Gateway, path: &Path, settings: &mut GatewaySettings) {
     match GatewaySettings::load(path) {
--- a/crates/hollyhook_command/src/load/slopes.rs
+++ b/crates/hollyhook_command/src/load/slopes.rs
@@ -11,8 +11,8 @@
     EndpointRecord, EndpointTable, GenerationId, GenerationRelay, ModelBinding, Name, PrefixDigest, RelayEvent,
     RelayPolicy, RouteQuery, StreamCursor, TimePoint, ZoneName,
 };
-use hollyhook_daemon::{MetricBoard, MetricMeasure};
 use hollyhook_settings::{SettingFile, SiteSettings, key_digest};
+use hollyhook_telemetry::{MetricBoard, MetricMeasure};
 use hollyhook_wire::{ApiStyle, EngineClient, SseParser, StreamWriter, connect_peer};
 use serde::Serialize;
 
--- a/crates/hollyhook_daemon/src/call/call_driver.rs
+++ b/crates/hollyhook_daemon/src/call/call_driver.rs
@@ -11,7 +11,7 @@
 
 use super::claim_service::ClaimGrant;
 use crate::fleet::HostContext;
-use crate::metric::MetricMeasure;
+use hollyhook_telemetry::MetricMeasure;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// When a refused caller may come back, before a spread of as much again.
--- a/crates/hollyhook_daemon/src/call/claim_service.rs
+++ b/crates/hollyhook_daemon/src/call/claim_service.rs
@@ -12,7 +12,7 @@
 use hollyhook_wire::{ObjectVersion, PlatformClient, PlatformError, WriteCondition};
 use sha2::{Digest, Sha256};
 
-use crate::metric::MetricBoard;
+use hollyhook_telemetry::MetricBoard;
 
 /// The kind of the platform's objects that hold claims.
 const KIND: &str = "claims";
--- a/crates/hollyhook_daemon/src/daemon/assembly.rs
+++ b/crates/hollyhook_daemon/src/daemon/assembly.rs
@@ -16,8 +16,8 @@
 use crate::call::ClaimService;
 use crate::fleet::{CancelOrder, FleetTable, HostContext, ProbeService, ResumeService, run_cancels, run_load_polls};
 use crate::front::{FrontState, serve_front};
-use crate::metric::MetricBoard;
 use crate::relay::TraceStore;
+use hollyhook_telemetry::MetricBoard;
 
 /// How long a connection to an endpoint may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/hollyhook_daemon/src/daemon/status.rs
+++ b/crates/hollyhook_daemon/src/daemon/status.rs
@@ -4,7 +4,7 @@
 use hollyhook_wire::{ConnectionGate, EndpointRow, HostReport, StatusReport};
 
 use crate::fleet::HostContext;
-use crate::metric::ProcessUsage;
+use hollyhook_telemetry::ProcessUsage;
 
 /// The version of a configuration that comes from files; the platform's begin at 1.
 const FILE_VERSION: u64 = 0;
--- a/crates/hollyhook_daemon/src/fleet/host_context.rs
+++ b/crates/hollyhook_daemon/src/fleet/host_context.rs
@@ -7,8 +7,8 @@
 
 use super::{CancelOrder, FleetTable, ProbeService, ResumeService};
 use crate::call::ClaimService;
-use crate::metric::MetricBoard;
 use crate::relay::TraceStore;
+use hollyhook_telemetry::MetricBoard;
 
 /// The services that a request needs, found by name once.
 #[derive(Debug)]
--- a/crates/hollyhook_daemon/src/lib.rs
+++ b/crates/hollyhook_daemon/src/lib.rs
@@ -7,10 +7,6 @@
 mod daemon;
 mod fleet;
 mod front;
-mod log;
-mod metric;
 mod relay;
 
 pub use daemon::Daemon;
-pub use log::init_log;
-pub use metric::{MetricBoard, MetricMeasure, MetricScope};
--- a/crates/hollyhook_daemon/src/relay/latency_tape.rs
+++ b/crates/hollyhook_daemon/src/relay/latency_tape.rs
@@ -3,7 +3,7 @@
 
 use hollyhook_core::{Name, TimePoint};
 
-use crate::metric::{MetricBoard, MetricMeasure};
+use hollyhook_telemetry::{MetricBoard, MetricMeasure};
 
 /// Samples gathered before the board's lock is taken.
 const GATHER: usize = 64;
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -184,6 +184,7 @@
         let Some(live) = self.live.take() else {
             return Ok(());
         };
+        self.pace.note_loss();
         // Dropping the attempt closes its connection, which stops the old run.
         let id = EndpointId::clone(live.place.id());
         drop(live);
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -1,7 +1,8 @@
 //! Log lines for what is decided about a request, in one form.
 
-use hollyhook_core::{AttemptFailure, EndpointId, Error};
+use hollyhook_core::{AccountName, AttemptFailure, EndpointId, Error, RunState};
 use hollyhook_platform::AttemptHeaders;
+use hollyhook_telemetry::MetricMeasure;
 
 use super::attempt::EndpointPlace;
 use super::stream_pace::StreamPace;
@@ -37,7 +38,10 @@
 
 /// A request got its last answer.
 pub(super) fn answered(context: &GatewayContext, caller: &CallerRequest, status: u16, attempts: u32) {
-    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let age = context.timer.now().since(caller.arrived);
+    context.board.count("requests_answered");
+    context.board.record(MetricMeasure::PlainCall, &account_label(caller), &caller.route.name, &[age]);
+    let age_ms = age.as_millis() as u64;
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, service = %caller.service,
         status, attempts, age_ms, "request.answered");
 }
@@ -45,6 +49,16 @@
 /// A stream reached its end.
 pub(super) fn streamed(context: &GatewayContext, caller: &CallerRequest, pace: &StreamPace, attempts: u32) {
     let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let account = account_label(caller);
+    context.board.count("requests_streamed");
+    if let Some(first) = pace.first() {
+        let first = first.since(caller.arrived);
+        context.board.record(MetricMeasure::FirstToken, &account, &caller.route.name, &[first]);
+    }
+    context.board.record(MetricMeasure::LongestGap, &account, &caller.route.name, &[pace.longest_gap()]);
+    if !pace.resumes().is_empty() {
+        context.board.record(MetricMeasure::ResumeLatency, &account, &caller.route.name, pace.resumes());
+    }
     let first_ms = pace.first().map(|first| first.since(caller.arrived).as_millis() as u64);
     let longest_gap_ms = pace.longest_gap().as_millis() as u64;
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, service = %caller.service,
@@ -53,7 +67,22 @@
 
 /// A request was refused, or its outcome is not known.
 pub(super) fn ended(context: &GatewayContext, caller: &CallerRequest, error: &Error, attempts: u32) {
+    context.board.count(ended_counter(error));
     let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, service = %caller.service,
         kind = %error.kind(), attempts, age_ms, reason = %error.message(), "request.ended");
 }
+
+/// Whom a request's times are counted for.
+fn account_label(caller: &CallerRequest) -> AccountName {
+    let account = caller.account.as_ref().map(|account| AccountName::clone(&account.name));
+    account.unwrap_or_else(|| "public".into())
+}
+
+fn ended_counter(error: &Error) -> &'static str {
+    match error.get_run() {
+        RunState::NotRun => "requests_refused",
+        RunState::Partial => "requests_cut_off",
+        RunState::Unknown => "requests_outcome_unknown",
+    }
+}
--- a/crates/hollyhook_gateway/src/front/mod.rs
+++ b/crates/hollyhook_gateway/src/front/mod.rs
@@ -6,10 +6,10 @@
 mod front_server;
 mod idle_watch;
 mod own_answer;
-mod ready_server;
 mod request_handler;
+mod status_server;
 
 pub(crate) use caller_request::CallerRequest;
 pub(crate) use front_server::FrontServer;
 pub(crate) use own_answer::{AnswerBody, own_answer, whole_body};
-pub(crate) use ready_server::serve_ready;
+pub(crate) use status_server::{answer_metrics, answer_ready, serve_status};
--- a/crates/hollyhook_gateway/src/front/request_handler.rs
+++ b/crates/hollyhook_gateway/src/front/request_handler.rs
@@ -28,6 +28,7 @@
     let mut response = match admit(parts, body, context).await {
         Ok(caller) => forward(context, caller).await,
         Err(error) => {
+            context.board.count("requests_refused");
             tracing::info!(request = id, kind = %error.kind(), reason = %error.message(), "request.refused");
             own_answer(&error)
         }
--- /dev/null
+++ b/crates/hollyhook_gateway/src/front/status_server.rs
@@ -0,0 +1,75 @@
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+
+use super::front_server::ACCEPT_PAUSE;
+use crate::gateway::GatewayContext;
+use crate::net::wire_stream;
+
+const METRICS_PATH: &str = "/metrics";
+/// The exposition format that scrapers expect.
+const METRICS_TYPE: HeaderValue =
+    HeaderValue::from_static("application/openmetrics-text; version=1.0.0; charset=utf-8");
+
+/// Answers short questions about this host: each connection is served until its peer closes it.
+pub(crate) async fn serve_status<F>(listener: TcpListener, context: Arc<GatewayContext>, answer: F)
+where
+    F: Fn(&GatewayContext, &str) -> Response<Full<Bytes>> + Copy + Send + Sync + 'static,
+{
+    loop {
+        let Ok((stream, _peer)) = listener.accept().await else {
+            context.timer.wait(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let context = Arc::clone(&context);
+        task::spawn(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let response = answer(&context, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            // Whoever asked asks again on a new connection.
+            let _outcome = http1::Builder::new().serve_connection(wire_stream(stream), service).await;
+        });
+    }
+}
+
+/// Whether this host takes callers, as the platform's balancer asks it.
+pub(crate) fn answer_ready(context: &GatewayContext, path: &str) -> Response<Full<Bytes>> {
+    if !hollyhook_platform::is_ready_path(path) {
+        return empty(StatusCode::NOT_FOUND);
+    }
+    empty(if context.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
+
+/// Counters and histograms.
+pub(crate) fn answer_metrics(context: &GatewayContext, path: &str) -> Response<Full<Bytes>> {
+    if path != METRICS_PATH {
+        return empty(StatusCode::NOT_FOUND);
+    }
+    match context.board.to_text() {
+        Ok(text) => {
+            let mut response = Response::new(Full::from(text));
+            response.headers_mut().insert(CONTENT_TYPE, METRICS_TYPE);
+            response
+        }
+        Err(error) => {
+            tracing::error!(%error, "metrics.not_written");
+            empty(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -11,6 +11,7 @@
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::ObjectKind;
 use hollyhook_settings::GatewaySettings;
+use hollyhook_telemetry::MetricBoard;
 
 use super::live_settings::LiveSettings;
 
@@ -37,6 +38,7 @@
     pub(crate) zone: ZoneName,
     pub(crate) timer: TimerService,
     pub(crate) pool: ConnectionPool,
+    pub(crate) board: MetricBoard,
     live: Mutex<LiveSettings>,
     body_limit: usize,
     body_bytes: AtomicUsize,
@@ -55,6 +57,7 @@
             host: Name::clone(&settings.host),
             zone: ZoneName::clone(&settings.zone),
             pool: ConnectionPool::new(timer.clone()),
+            board: MetricBoard::default(),
             live: Mutex::new(LiveSettings::from(settings)),
             // Bodies may take a quarter of the memory; the rest is for connections and what is being sent.
             body_limit: settings.memory_bytes / 4,
@@ -131,6 +134,9 @@
     /// Logs a change between a store that answers and one that does not.
     pub(crate) fn note_store(&self, kind: ObjectKind, error: Option<&StoreError>) {
         let is_away = error.is_some_and(|error| !matches!(error, StoreError::HistoryGone));
+        if is_away {
+            self.board.count("store_calls_failed");
+        }
         let was_away = lock(&self.away).insert(kind, is_away).unwrap_or(false);
         match error {
             Some(error) if is_away && !was_away => tracing::warn!(kind = kind.as_str(), %error, "store.lost"),
@@ -200,6 +206,7 @@
 
     /// Takes in what became of an attempt.
     pub(crate) fn note_outcome(&self, id: &EndpointId, failure: Option<AttemptFailure>) {
+        self.board.count(failure.map_or("attempts_succeeded", attempt_counter));
         let mut table = self.endpoints();
         match failure {
             None => {
@@ -256,6 +263,20 @@
     }
 }
 
+/// The counter of attempts that ended so.
+fn attempt_counter(failure: AttemptFailure) -> &'static str {
+    match failure {
+        AttemptFailure::NotConnected => "attempts_not_connected",
+        AttemptFailure::Rejected => "attempts_rejected",
+        AttemptFailure::WrongIncarnation => "attempts_wrong_incarnation",
+        AttemptFailure::Broken => "attempts_broken",
+        AttemptFailure::Silent => "attempts_silent",
+        AttemptFailure::Expired => "attempts_expired",
+        AttemptFailure::Garbled => "attempts_garbled",
+        AttemptFailure::Failed => "attempts_failed",
+    }
+}
+
 /// Memory that a body takes.
 #[derive(Debug)]
 pub(crate) struct BodyClaim {
--- a/crates/hollyhook_gateway/src/gateway/gateway_process.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -9,7 +9,7 @@
 use hollyhook_wire::listen;
 
 use super::GatewayContext;
-use crate::front::{FrontServer, serve_ready};
+use crate::front::{FrontServer, answer_metrics, answer_ready, serve_status};
 use crate::store::{EndpointWatch, SiteWatch, StoreClient};
 
 /// How often idle connections are looked through.
@@ -24,6 +24,7 @@
     front: FrontServer,
     address: SocketAddr,
     ready_address: SocketAddr,
+    metrics_address: Option<SocketAddr>,
 }
 
 impl Gateway {
@@ -40,7 +41,8 @@
         let address = front.local_addr().unwrap_or(settings.listen);
         let ready_address = ready.local_addr().unwrap_or(settings.ready_listen);
         let front = FrontServer::start(front, Arc::clone(&context));
-        task::spawn(serve_ready(ready, Arc::clone(&context)));
+        task::spawn(serve_status(ready, Arc::clone(&context), answer_ready));
+        let metrics_address = serve_metrics(settings, &context)?;
         let store = || {
             let context = Arc::clone(&context);
             StoreClient::new(timer.clone(), move || context.store_address())
@@ -50,7 +52,7 @@
         task::spawn(prune_pool(Arc::clone(&context)));
         tracing::info!(host = %context.host, zone = %context.zone, listen = %settings.listen, store = %settings.store,
             "gateway.started");
-        Ok(Self { context, front, address, ready_address })
+        Ok(Self { context, front, address, ready_address, metrics_address })
     }
 
     /// Where it serves callers.
@@ -63,6 +65,11 @@
         self.ready_address
     }
 
+    /// Where it serves metrics, if it does.
+    pub fn metrics_address(&self) -> Option<SocketAddr> {
+        self.metrics_address
+    }
+
     /// Takes in settings that changed: the bounds and where the store is. What else changed needs a restart.
     pub fn reload(&self, settings: &GatewaySettings) {
         self.context.reload(settings);
@@ -91,6 +98,16 @@
     }
 }
 
+fn serve_metrics(settings: &GatewaySettings, context: &Arc<GatewayContext>) -> Result<Option<SocketAddr>> {
+    let Some(address) = settings.metrics_listen else {
+        return Ok(None);
+    };
+    let listener = bind(address, "metrics_listen")?;
+    let address = listener.local_addr().unwrap_or(address);
+    task::spawn(serve_status(listener, Arc::clone(context), answer_metrics));
+    Ok(Some(address))
+}
+
 fn bind(address: SocketAddr, key: &'static str) -> Result<async_std::net::TcpListener> {
     listen(address).map_err(|error| {
         Error::new(ErrorKind::InvalidSetting, format!("can't listen at {address}: {error}")).param(key)
--- a/crates/hollyhook_daemon/src/metric/metric_board.rs
+++ b/crates/hollyhook_telemetry/src/metric/metric_board.rs
@@ -16,6 +16,8 @@
     FirstToken,
     /// Between two tokens of a stream without a loss.
     BetweenTokens,
+    /// The longest time between two events of a stream.
+    LongestGap,
     /// From the last token before a loss to the next.
     ResumeLatency,
     /// From the request to an endpoint's acceptance.
@@ -30,6 +32,7 @@
         match self {
             Self::FirstToken => "first_token",
             Self::BetweenTokens => "between_tokens",
+            Self::LongestGap => "longest_gap",
             Self::ResumeLatency => "resume_latency",
             Self::QueueWait => "queue_wait",
             Self::PlainCall => "plain_call",
@@ -47,13 +50,21 @@
 }
 
 impl MetricScope {
-    const fn label(self) -> &'static str {
+    pub(super) const fn label(self) -> &'static str {
         match self {
             Self::Account => "account",
             Self::Class => "class",
         }
     }
 
+    /// Names that have a histogram of their own: 1,200 accounts at the two-year size, and a few dozen classes in use.
+    const fn most_names(self) -> usize {
+        match self {
+            Self::Account => 1_500,
+            Self::Class => 64,
+        }
+    }
+
     /// Accounts are many, so theirs are coarse: one digit takes about 2 KB, three take about 40 KB.
     const fn digits(self) -> u8 {
         match self {
@@ -63,14 +74,17 @@
     }
 }
 
+/// The name under which the rest is counted.
+const OTHERS: &str = "others";
+
 /// The longest time that a histogram tells apart, in microseconds.
 const MAX_MICROS: u64 = 600_000_000;
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct HistogramKey {
-    measure: MetricMeasure,
-    scope: MetricScope,
-    name: Name,
+pub(super) struct HistogramKey {
+    pub(super) measure: MetricMeasure,
+    pub(super) scope: MetricScope,
+    pub(super) name: Name,
 }
 
 /// All counters and histograms of a process.
@@ -130,11 +144,12 @@
     }
 
     /// Records times of one client account and class.
-    pub fn record(&self, measure: MetricMeasure, account: &Name, class: &'static str, spans: &[Duration]) {
+    pub fn record(&self, measure: MetricMeasure, account: &Name, class: &str, spans: &[Duration]) {
         let mut histograms = lock(&self.histograms);
         let account_key = HistogramKey { measure, scope: MetricScope::Account, name: Name::clone(account) };
         let class_key = HistogramKey { measure, scope: MetricScope::Class, name: class.into() };
         for key in [account_key, class_key] {
+            let key = bounded(&histograms, key);
             let digits = key.scope.digits();
             let histogram = histograms.entry(key).or_insert_with(|| new_histogram(digits));
             for span in spans {
@@ -149,6 +164,10 @@
         }
     }
 
+    pub(super) fn visit_histograms(&self, mut visit: impl FnMut(&HistogramKey, &Histogram<u32>)) {
+        lock(&self.histograms).iter().for_each(|(key, histogram)| visit(key, histogram));
+    }
+
     /// All counters.
     pub fn counter_rows(&self) -> Vec<CounterRow> {
         let counters = lock(&self.counters);
@@ -174,6 +193,15 @@
     }
 }
 
+/// The key itself, or that of all others once there are too many of its scope: names come from outside.
+fn bounded(histograms: &BTreeMap<HistogramKey, Histogram<u32>>, key: HistogramKey) -> HistogramKey {
+    let of_scope = |other: &&HistogramKey| other.measure == key.measure && other.scope == key.scope;
+    if histograms.contains_key(&key) || histograms.keys().filter(of_scope).count() < key.scope.most_names() {
+        return key;
+    }
+    HistogramKey { name: OTHERS.into(), ..key }
+}
+
 fn new_histogram(digits: u8) -> Histogram<u32> {
     Histogram::new_with_bounds(1, MAX_MICROS, digits).expect("the bounds are constant and valid")
 }
--- /dev/null
+++ b/crates/hollyhook_telemetry/src/metric/metric_text.rs
@@ -0,0 +1,103 @@
+use std::collections::BTreeMap;
+use std::fmt;
+
+use hdrhistogram::Histogram;
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric, NoLabelSet};
+use prometheus_client::metrics::MetricType;
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::registry::Registry;
+
+use super::metric_board::HistogramKey;
+use super::{MetricBoard, MetricMeasure, ProcessUsage};
+
+/// Upper bounds of the buckets that scrapers see, in seconds: from a plain call to a generation of minutes.
+const BOUNDS: [f64; 13] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.7, 1.0, 2.5, 4.5, 25.0];
+const MICROS: f64 = 1e6;
+
+impl MetricBoard {
+    /// All counters and histograms as scrapers read them.
+    ///
+    /// # Errors
+    ///
+    /// If a metric can't be written as text.
+    pub fn to_text(&self) -> Result<String, fmt::Error> {
+        let mut registry = Registry::with_prefix("hollyhook");
+        let snapshot = BoardSnapshot::from(self);
+        registry.register_collector(Box::new(snapshot));
+        let mut text = String::new();
+        encode(&mut text, &registry)?;
+        Ok(text)
+    }
+}
+
+/// The board as it was at one moment.
+#[derive(Debug)]
+struct BoardSnapshot {
+    counters: Vec<(String, u64)>,
+    histograms: BTreeMap<MetricMeasure, Vec<HistogramSnapshot>>,
+    usage: ProcessUsage,
+}
+
+#[derive(Debug)]
+struct HistogramSnapshot {
+    scope: &'static str,
+    name: String,
+    sum: f64,
+    count: u64,
+    /// Upper bound in seconds and the number of values in the bucket.
+    buckets: Vec<(f64, u64)>,
+}
+
+impl From<&MetricBoard> for BoardSnapshot {
+    fn from(board: &MetricBoard) -> Self {
+        let counters = board.counter_rows().into_iter().map(|row| (row.counter.replace('.', "_"), row.value)).collect();
+        let mut histograms: BTreeMap<MetricMeasure, Vec<HistogramSnapshot>> = BTreeMap::new();
+        board.visit_histograms(|key, histogram| {
+            histograms.entry(key.measure).or_default().push(snapshot(key, histogram));
+        });
+        Self { counters, histograms, usage: ProcessUsage::read() }
+    }
+}
+
+fn snapshot(key: &HistogramKey, histogram: &Histogram<u32>) -> HistogramSnapshot {
+    let mut buckets = Vec::with_capacity(BOUNDS.len() + 1);
+    let mut below = 0;
+    for bound in BOUNDS {
+        let up_to = histogram.count_between(0, (bound * MICROS) as u64);
+        buckets.push((bound, up_to - below));
+        below = up_to;
+    }
+    buckets.push((f64::MAX, histogram.len() - below));
+    HistogramSnapshot {
+        scope: key.scope.label(),
+        name: key.name.to_string(),
+        sum: histogram.mean() * histogram.len() as f64 / MICROS,
+        count: histogram.len(),
+        buckets,
+    }
+}
+
+impl Collector for BoardSnapshot {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
+        for (name, value) in &self.counters {
+            let counter = ConstCounter::new(*value);
+            counter.encode(encoder.encode_descriptor(name, "See docs/OPERATIONS.md", None, MetricType::Counter)?)?;
+        }
+        for (measure, rows) in &self.histograms {
+            let name = format!("{}_seconds", measure.label());
+            let mut family = encoder.encode_descriptor(&name, "See docs/OPERATIONS.md", None, MetricType::Histogram)?;
+            for row in rows {
+                let labels = [(row.scope, row.name.as_str())];
+                let mut metric = family.encode_family(&labels)?;
+                metric.encode_histogram::<NoLabelSet>(row.sum, row.count, &row.buckets, None)?;
+            }
+        }
+        let memory = ConstGauge::new(self.usage.memory_bytes.cast_signed());
+        memory.encode(encoder.encode_descriptor("memory_bytes", "Memory in use", None, MetricType::Gauge)?)?;
+        let processor = ConstCounter::new(self.usage.cpu_ms);
+        processor.encode(encoder.encode_descriptor("processor_ms", "Processor time", None, MetricType::Counter)?)
+    }
+}
--- a/crates/hollyhook_daemon/src/metric/process_usage.rs
+++ b/crates/hollyhook_telemetry/src/metric/process_usage.rs
@@ -4,14 +4,16 @@
 
 /// What this process has used, as `/proc/self` says.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct ProcessUsage {
-    pub(crate) cpu_ms: u64,
-    pub(crate) memory_bytes: u64,
+pub struct ProcessUsage {
+    /// Processor time, in milliseconds.
+    pub cpu_ms: u64,
+    /// Memory that is in use, in bytes.
+    pub memory_bytes: u64,
 }
 
 impl ProcessUsage {
     /// Zero where the machine does not say.
-    pub(crate) fn read() -> Self {
+    pub fn read() -> Self {
         Self { cpu_ms: read_cpu().unwrap_or_default(), memory_bytes: read_memory().unwrap_or_default() }
     }
 }
--- a/crates/hollyhook_daemon/tests/metrics.rs
+++ b/crates/hollyhook_telemetry/tests/metrics.rs
@@ -3,7 +3,7 @@
 use std::net::UdpSocket;
 use std::time::Duration;
 
-use hollyhook_daemon::{MetricBoard, MetricMeasure};
+use hollyhook_telemetry::{MetricBoard, MetricMeasure};
 
 #[test]
 fn statsd_receives_after_flush() {
@@ -44,3 +44,16 @@
     assert!(row("long").p99_us.abs_diff(99_000) < 100);
     assert!(row("office").p50_us.abs_diff(50_000) < 5_000);
 }
+
+#[test]
+fn classes_bounded() {
+    let board = MetricBoard::default();
+    for number in 0..1_000 {
+        let class = format!("class-{number}");
+        board.record(MetricMeasure::PlainCall, &"office".into(), &class, &[Duration::from_millis(1)]);
+    }
+    let rows = board.histogram_rows();
+    let classes = rows.iter().filter(|row| &*row.scope == "class");
+    assert_eq!(classes.clone().count(), 65);
+    assert_eq!(classes.map(|row| row.count).sum::<u64>(), 1_000);
+}
