--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -43,7 +43,7 @@
     context.board.record(MetricMeasure::PlainCall, &account_label(caller), &caller.route.name, &[age]);
     let age_ms = age.as_millis() as u64;
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, service = %caller.service,
-        status, attempts, age_ms, "request.answered");
+        site_version = caller.site_version, status, attempts, age_ms, "request.answered");
 }
 
 /// A stream reached its end.
@@ -62,7 +62,7 @@
     let first_ms = pace.first().map(|first| first.since(caller.arrived).as_millis() as u64);
     let longest_gap_ms = pace.longest_gap().as_millis() as u64;
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, service = %caller.service,
-        status = 200, attempts, age_ms, first_ms, longest_gap_ms, cursor = caller.head.cursor, "request.streamed");
+        site_version = caller.site_version, status = 200, attempts, age_ms, first_ms, longest_gap_ms, cursor = caller.head.cursor, "request.streamed");
 }
 
 /// A request was refused, or its outcome is not known.
@@ -70,7 +70,7 @@
     context.board.count(ended_counter(error));
     let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, service = %caller.service,
-        kind = %error.kind(), attempts, age_ms, reason = %error.message(), "request.ended");
+        site_version = caller.site_version, kind = %error.kind(), attempts, age_ms, reason = %error.message(), "request.ended");
 }
 
 /// Whom a request's times are counted for.
--- a/crates/hollyhook_gateway/src/front/admission.rs
+++ b/crates/hollyhook_gateway/src/front/admission.rs
@@ -51,6 +51,7 @@
         account,
         service,
         engine,
+        site_version: site.version(),
         arrived,
         deadline,
         _claim: claim,
--- a/crates/hollyhook_gateway/src/front/caller_request.rs
+++ b/crates/hollyhook_gateway/src/front/caller_request.rs
@@ -20,6 +20,8 @@
     pub(crate) service: Name,
     /// The memory of the service's engines; none for a plain service.
     pub(crate) engine: Option<EngineMemory>,
+    /// The version of the configuration that admitted it.
+    pub(crate) site_version: u64,
     /// When the head had arrived.
     pub(crate) arrived: TimePoint,
     /// When the caller or the route gives up.
--- a/crates/hollyhook_gateway/src/front/request_handler.rs
+++ b/crates/hollyhook_gateway/src/front/request_handler.rs
@@ -29,7 +29,10 @@
         Ok(caller) => forward(context, caller).await,
         Err(error) => {
             context.board.count("requests_refused");
-            tracing::info!(request = id, kind = %error.kind(), reason = %error.message(), "request.refused");
+            let version = context.site().map(|site| site.version());
+            let confirmed_ms_ago = context.site_age().map(|age| age.as_millis() as u64);
+            tracing::info!(request = id, kind = %error.kind(), site_version = version, confirmed_ms_ago,
+                phase = ?context.phase(), reason = %error.message(), "request.refused");
             own_answer(&error)
         }
     };
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -107,6 +107,12 @@
         lock(&self.site).site()
     }
 
+    /// How long ago the configuration in force was last known to be the newest.
+    pub(crate) fn site_age(&self) -> Option<Duration> {
+        let confirmed = lock(&self.site).confirmed()?;
+        Some(self.timer.now().since(confirmed))
+    }
+
     /// Whether no key can have been taken away for longer than keys may outlive it.
     pub(crate) fn is_site_current(&self) -> bool {
         let bound = lock(&self.live).bounds.revoke.saturating_sub(CONFIRMATION_MARGIN);
--- a/crates/hollyhook_telemetry/src/log/log_output.rs
+++ b/crates/hollyhook_telemetry/src/log/log_output.rs
@@ -8,7 +8,7 @@
 use super::LogVolume;
 
 /// Lines that wait to be written; more are dropped and counted.
-const MOST_WAITING: usize = 4_096;
+const MOST_WAITING: usize = 1_024;
 
 /// Where log lines go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
