Judge a silent attempt by what its engine says of the run; count prompts that are being read

Change: SilenceJudge: an engine that does not report is left; a request that waits or is being read is waited for; events that were made and did not come mean a lost connection. choose_engine counts prompts being read.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -33,13 +33,13 @@
 pub use retry::{ProbeGate, ProbePlace, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
 pub use route::{
     EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
-    LoadReport, REPORT_AGE, RouteQuery, choose_engine,
+    EngineRun, LoadReport, REPORT_AGE, RouteQuery, choose_engine,
 };
 pub use site::{
     AccountPlan, CallerLimits, EngineMemory, PlanAdoption, RequestKind, RoutePlan, ServicePlan, ServiceShare,
     SiteIndex, SiteLedger, SitePlan,
 };
 pub use stop::{StopPhase, StopPlan};
-pub use stream::{EventCutter, EventPiece, EventRelay, PieceVerdict};
+pub use stream::{EventCutter, EventPiece, EventRelay, PieceVerdict, SilenceJudge, SilenceVerdict};
 pub use time::TimePoint;
 pub use trace::{RelayTrace, TraceEnd, TraceLine, TraceOutcome, TraceRun, TraceStart};
--- a/crates/hollyhook_core/src/route/engine_report.rs
+++ b/crates/hollyhook_core/src/route/engine_report.rs
@@ -1,16 +1,42 @@
 use std::time::Duration;
 
-use super::{EndpointRecord, LoadReport};
+use super::EndpointRecord;
+use crate::Name;
 
 /// What a model engine says of itself when asked; a few hundred milliseconds old.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct EngineReport {
-    /// Requests that run, and that wait for their prompt to be read.
-    pub load: LoadReport,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests whose prompt is being read.
+    pub reading: u32,
     /// Tokens of memory that can't be freed.
     pub used_tokens: u64,
     /// Tokens of memory in all.
     pub total_tokens: u64,
+    /// The requests that have made an event.
+    pub runs: Vec<EngineRun>,
+}
+
+impl EngineReport {
+    /// Requests that have made an event.
+    pub fn running(&self) -> u32 {
+        self.runs.len() as u32
+    }
+
+    /// Whether a request that does not run may be at the engine all the same.
+    pub fn has_unread(&self) -> bool {
+        self.waiting + self.reading > 0
+    }
+}
+
+/// One request that runs at an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineRun {
+    /// The client attempt that it is for.
+    pub attempt_id: Name,
+    /// Events made so far.
+    pub events: u64,
 }
 
 /// How old a report may be: what this host sent since then is not in it.
@@ -19,6 +45,8 @@
 /// What a running request costs, against one whose prompt waits to be read: it slows each step a little, while a
 /// waiting prompt delays everything behind it by its whole reading.
 const RUNNING_COST: f64 = 0.2;
+/// What a prompt that is being read costs, against one that waits: on average half of it is done.
+const READING_COST: f64 = 0.5;
 /// What an engine costs whose memory does not hold the request: it would have to wait for others to end.
 const FULL_COST: f64 = 10.0;
 /// What each rank costs in the order that all hosts share; less than a waiting prompt, so that the order decides only
@@ -40,15 +68,16 @@
 /// three others waits for seconds, wherever else there is room.
 pub fn choose_engine(candidates: &[EngineCandidate], needed_tokens: u64) -> Option<&EngineCandidate> {
     let answered = candidates.iter().enumerate().filter_map(|(rank, candidate)| {
-        let report = candidate.report?;
+        let report = candidate.report.as_ref()?;
         Some((cost(candidate, report, needed_tokens) + RANK_COST * rank as f64, candidate))
     });
     answered.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, candidate)| candidate)
 }
 
-fn cost(candidate: &EngineCandidate, report: EngineReport, needed_tokens: u64) -> f64 {
-    let waiting = f64::from(report.load.waiting) + f64::from(candidate.record.sent_lately);
-    let running = f64::from(report.load.running);
+fn cost(candidate: &EngineCandidate, report: &EngineReport, needed_tokens: u64) -> f64 {
+    let waiting = f64::from(report.waiting) + f64::from(candidate.record.sent_lately);
+    let reading = f64::from(report.reading);
+    let running = f64::from(report.running());
     let is_full = report.used_tokens + needed_tokens > report.total_tokens;
-    waiting + RUNNING_COST * running + if is_full { FULL_COST } else { 0.0 }
+    waiting + READING_COST * reading + RUNNING_COST * running + if is_full { FULL_COST } else { 0.0 }
 }
--- a/crates/hollyhook_core/src/stream/mod.rs
+++ b/crates/hollyhook_core/src/stream/mod.rs
@@ -2,6 +2,8 @@
 
 mod event_cutter;
 mod event_relay;
+mod silence_judge;
 
 pub use event_cutter::{EventCutter, EventPiece};
 pub use event_relay::{EventRelay, PieceVerdict};
+pub use silence_judge::{SilenceJudge, SilenceVerdict};
--- a/crates/hollyhook_core/tests/gateway/choosing.rs
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    EndpointId, EndpointRecord, EndpointTable, EngineCandidate, EngineReport, LoadReport, RouteQuery, TimePoint,
+    EndpointId, EndpointRecord, EndpointTable, EngineCandidate, EngineReport, EngineRun, RouteQuery, TimePoint,
     choose_engine,
 };
 use rand_pcg::Pcg64;
@@ -139,12 +139,17 @@
     assert!(!table.is_displaced(&record("elsewhere", "z0", 1_001, 1)));
 }
 
-fn candidate(id: &str, running: u32, waiting: u32, used_tokens: u64) -> EngineCandidate {
-    let load = LoadReport { running, waiting, capacity: 0 };
-    let report = EngineReport { load, used_tokens, total_tokens: 88_000 };
+fn candidate(id: &str, running: u64, waiting: u32, used_tokens: u64) -> EngineCandidate {
+    let runs = (0..running).map(|number| EngineRun { attempt_id: number.to_string().into(), events: 9 });
+    let report = EngineReport { waiting, reading: 0, used_tokens, total_tokens: 88_000, runs: runs.collect() };
     EngineCandidate { record: record(id, "z0", 1, 1), report: Some(report) }
 }
 
+fn reading(mut candidate: EngineCandidate, prompts: u32) -> EngineCandidate {
+    candidate.report.as_mut().unwrap().reading = prompts;
+    candidate
+}
+
 fn chosen(candidates: &[EngineCandidate]) -> Option<&str> {
     choose_engine(candidates, 9_000).map(|candidate| &*candidate.record.id)
 }
@@ -153,6 +158,7 @@
 #[test]
 fn engine_without_waiting_prompts() {
     assert_eq!(chosen(&[candidate("a", 1, 2, 0), candidate("b", 6, 0, 0)]), Some("b"));
+    assert_eq!(chosen(&[reading(candidate("a", 0, 0, 0), 2), candidate("b", 2, 0, 0)]), Some("b"));
     // About equally free: the order that all hosts share decides, so that a prompt finds its cache.
     assert_eq!(chosen(&[candidate("a", 2, 0, 0), candidate("b", 0, 0, 0)]), Some("a"));
 }
@@ -176,7 +182,7 @@
     table.opened(NOW, "z0-0");
     let report = candidate("", 0, 0, 0).report;
     let as_of = |millis| {
-        let known = |id| EngineCandidate { record: table.as_of(after(millis), id).unwrap(), report };
+        let known = |id| EngineCandidate { record: table.as_of(after(millis), id).unwrap(), report: report.clone() };
         [known("z0-0"), known("z0-1")]
     };
     assert_eq!(chosen(&as_of(100)), Some("z0-1"));
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod choosing;
 mod membership;
 mod retries;
+mod silence;
 mod site;
 mod stopping;
 mod streams;
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -15,11 +15,13 @@
 /// answers on a new connection.
 const CHOICE_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// Whether a model engine that is silent on a stream still answers.
-pub(super) async fn is_alive(context: &GatewayContext, target: &EndpointTarget) -> bool {
+/// Asks a model engine that is silent on a stream; none if it does not answer.
+pub(super) async fn ask_silent(context: &GatewayContext, target: &EndpointTarget) -> Option<EngineReport> {
     let report = ask(context, target, LIFE_TIMEOUT).await;
-    tracing::info!(endpoint = %target.id, is_alive = report.is_some(), report = ?report, "endpoint.probed");
-    report.is_some()
+    let known = report.as_ref();
+    tracing::info!(endpoint = %target.id, is_alive = known.is_some(), running = known.map(|known| known.running()),
+        reading = known.map(|known| known.reading), waiting = known.map(|known| known.waiting), "endpoint.probed");
+    report
 }
 
 /// Asks all of a shortlist at once; one that does not answer counts as failed.
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -6,7 +6,7 @@
 use futures::stream;
 use hollyhook_core::{
     AnswerVerdict, AttemptFailure, EndpointId, Error, ErrorKind, EventCutter, EventRelay, PieceVerdict, Result,
-    judge_answer,
+    SilenceJudge, SilenceVerdict, judge_answer,
 };
 use hollyhook_platform::{AttemptHeaders, remove_hop_headers};
 use http::Response;
@@ -16,7 +16,7 @@
 use hyper::body::Frame;
 
 use super::attempt::{EndpointPlace, OpenAnswer, WholeAnswer, send_attempt};
-use super::endpoint_probe::is_alive;
+use super::endpoint_probe::ask_silent;
 use super::engine_choice::{BackupPlace, EngineChoice, EngineChooser};
 use super::request_log;
 use super::stream_pace::StreamPace;
@@ -30,10 +30,6 @@
 const FIRST_SILENCE: Duration = Duration::from_millis(500);
 /// Tokens of a prompt that an engine reads in a millisecond, by the deployments' sheets.
 const PROMPT_TOKENS_PER_MS: u64 = 8;
-/// Times that an engine which says it lives may stay silent before the connection is taken for lost.
-const MOST_PROBES_BETWEEN: u32 = 3;
-/// The same before the first event, when the request may wait behind others.
-const MOST_PROBES_FIRST: u32 = 8;
 /// Attempts that engines may turn away before a caller is told to come back.
 const MOST_TURNED_AWAY: u32 = 4;
 /// When to come back after every engine turned a generation away.
@@ -300,7 +296,7 @@
         place: &EndpointPlace,
         headers: &AttemptHeaders,
     ) -> std::result::Result<OpenAnswer, AttemptFailure> {
-        let mut watch = SilenceWatch::new(self.first_silence(headers), MOST_PROBES_FIRST);
+        let mut watch = SilenceWatch::new(self.first_silence(headers));
         let mut sent = std::pin::pin!(send_attempt(&self.context, &self.caller, &place.target, headers));
         loop {
             let limit = watch.limit(self.caller.time_left(self.context.timer.now()));
@@ -328,20 +324,21 @@
         if self.caller.time_left(self.context.timer.now()).is_zero() {
             return Err(AttemptFailure::Expired);
         }
-        if watch.try_probe() && is_alive(&self.context, &place.target).await {
-            return Ok(());
+        let report = ask_silent(&self.context, &place.target).await;
+        let has_event = self.live.as_ref().is_some_and(|live| live.has_event);
+        let delivered = if has_event { self.relay.last().unwrap_or(0).max(self.relay.delivered()) } else { 0 };
+        watch.silence = EVENT_SILENCE;
+        match watch.judge.judge(report.as_ref(), &self.caller.head.attempt_id, delivered) {
+            SilenceVerdict::Wait => Ok(()),
+            SilenceVerdict::Leave => Err(AttemptFailure::Silent),
         }
-        Err(AttemptFailure::Silent)
     }
 
     /// The next whole events of the current attempt.
     async fn next_piece(&mut self) -> PieceEnd {
         let has_event = self.live.as_ref().is_some_and(|live| live.has_event);
-        let mut watch = if has_event {
-            SilenceWatch::new(EVENT_SILENCE, MOST_PROBES_BETWEEN)
-        } else {
-            SilenceWatch::new(self.first_silence(&AttemptHeaders::default()), MOST_PROBES_FIRST)
-        };
+        let silence = if has_event { EVENT_SILENCE } else { self.first_silence(&AttemptHeaders::default()) };
+        let mut watch = SilenceWatch::new(silence);
         loop {
             if let Some(end) = self.drain_cutter() {
                 return end;
@@ -392,29 +389,20 @@
     }
 }
 
-/// How long to hear nothing, and how often an engine that says it lives is believed.
+/// How long to hear nothing before the engine is asked, and what its reports said so far.
 struct SilenceWatch {
     silence: Duration,
-    probes_left: u32,
+    judge: SilenceJudge,
 }
 
 impl SilenceWatch {
-    fn new(silence: Duration, probes: u32) -> Self {
-        Self { silence, probes_left: probes }
+    fn new(silence: Duration) -> Self {
+        Self { silence, judge: SilenceJudge::default() }
     }
 
     fn limit(&self, time_left: Duration) -> Duration {
         self.silence.min(time_left)
     }
-
-    fn try_probe(&mut self) -> bool {
-        if self.probes_left == 0 {
-            return false;
-        }
-        self.probes_left -= 1;
-        self.silence = EVENT_SILENCE;
-        true
-    }
 }
 
 fn join(mut pieces: VecDeque<Bytes>) -> Option<Bytes> {
