Make a new copy of a run's memory when its backup's engine goes

Change: BackupKeeper looks at a run's backup every 0.3 s; when its engine is gone it has the memory copied to another engine that answers, brings the copy up to date, and frees it at the run's end.

--- a/crates/hollyhook_core/src/site/service_plan.rs
+++ b/crates/hollyhook_core/src/site/service_plan.rs
@@ -7,6 +7,8 @@
     pub capacity_tokens: u64,
     /// Whether an engine keeps the memory of another engine's run as a backup.
     pub has_backups: bool,
+    /// Whether an engine copies the memory of a run to another engine on order.
+    pub has_moves: bool,
 }
 
 /// One service.
--- /dev/null
+++ b/crates/hollyhook_gateway/src/forward/backup_keeper.rs
@@ -0,0 +1,147 @@
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_std::task;
+use futures::future::{AbortHandle, abortable};
+use hollyhook_core::{EndpointId, Name, TimePoint};
+use hollyhook_platform::BackupSource;
+use http::{Request, header};
+use http_body_util::{BodyExt, Full};
+
+use super::attempt::{EndpointTarget, send};
+use super::engine_choice::{BackupPlace, EngineChooser};
+use crate::front::CallerRequest;
+use crate::gateway::GatewayContext;
+
+/// How often a run's backup is looked at. Engines that crash together take a zone; the next zone follows seconds later.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+/// How often a copy made on order is brought up to date. Engines keep one that is not asked for during four seconds.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(2_500);
+/// How long a copy may take: the memory of a long generation crosses zones within a tenth of a second.
+const COPY_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Keeps a copy of a run's memory at another engine for as long as the run goes on.
+///
+/// The copy that a run was begun with grows with it. When its engine is gone, a new copy is made on order, at an engine
+/// that has just answered, and brought up to date until the run ends.
+#[derive(Debug)]
+pub(super) struct BackupKeeper {
+    context: Arc<GatewayContext>,
+    running: EndpointTarget,
+    place: Arc<Mutex<Option<BackupPlace>>>,
+    task: AbortHandle,
+}
+
+impl BackupKeeper {
+    pub(super) fn start(
+        context: &Arc<GatewayContext>,
+        caller: &Arc<CallerRequest>,
+        running: EndpointTarget,
+        first: Option<BackupPlace>,
+    ) -> Self {
+        let place = Arc::new(Mutex::new(first));
+        let round = KeeperRound {
+            context: Arc::clone(context),
+            caller: Arc::clone(caller),
+            running: running.clone(),
+            place: Arc::clone(&place),
+            copied_at: None,
+        };
+        let (work, handle) = abortable(round.run());
+        task::spawn(work);
+        Self { context: Arc::clone(context), running, place, task: handle }
+    }
+
+    /// Where the copy lies now, to go on from it; it is no longer kept.
+    pub(super) fn take(&self) -> Option<BackupPlace> {
+        self.place.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+}
+
+impl Drop for BackupKeeper {
+    fn drop(&mut self) {
+        self.task.abort();
+        if let Some(place) = self.take().filter(|place| place.is_ordered) {
+            task::spawn(free_copy(Arc::clone(&self.context), self.running.clone(), place.source.name));
+        }
+    }
+}
+
+/// Frees a copy that nobody will go on from. If it fails, the engines free it after a few seconds by themselves.
+async fn free_copy(context: Arc<GatewayContext>, running: EndpointTarget, copy: Name) {
+    let path = hollyhook_platform::free_path(&copy);
+    let request = Request::delete(path).header(header::HOST, running.address.to_string()).body(Full::default());
+    let Ok(request) = request else {
+        return;
+    };
+    let exchange = async {
+        let mut answer = send(&context, &running, request).await.ok()?;
+        (&mut answer.body).collect().await.ok()?;
+        answer.release(&context, &running.id);
+        Some(())
+    };
+    let is_freed = context.timer.within(COPY_TIMEOUT, exchange).await.flatten().is_some();
+    tracing::debug!(endpoint = %running.id, is_freed, "backup.freed");
+}
+
+struct KeeperRound {
+    context: Arc<GatewayContext>,
+    caller: Arc<CallerRequest>,
+    running: EndpointTarget,
+    place: Arc<Mutex<Option<BackupPlace>>>,
+    /// When the copy was last brought up to date, if it was made on order.
+    copied_at: Option<TimePoint>,
+}
+
+impl KeeperRound {
+    async fn run(mut self) {
+        loop {
+            self.context.timer.wait(CHECK_INTERVAL).await;
+            self.check().await;
+        }
+    }
+
+    async fn check(&mut self) {
+        let place = self.place.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let chooser = EngineChooser { context: &self.context, caller: &self.caller, tried: &[] };
+        let target =
+            place.as_ref().and_then(|place| chooser.usable(place)).map(|(record, _)| EndpointTarget::from(&record));
+        let target = match (target, self.copied_at) {
+            // It grows with the run.
+            (Some(_), None) => return,
+            (Some(_), Some(at)) if self.context.timer.now().since(at) < REFRESH_INTERVAL => return,
+            (Some(target), Some(_)) => Some(target),
+            (None, _) => chooser.choose_backup(&self.running).await,
+        };
+        let Some(target) = target else {
+            return;
+        };
+        let handle = self.copy_to(&target).await;
+        tracing::info!(request = %self.caller.head.attempt_id, endpoint = %self.running.id, backup = %target.id,
+            is_copied = handle.is_some(), "backup.copied");
+        let place = handle.map(|handle| BackupPlace {
+            id: EndpointId::clone(&target.id),
+            source: BackupSource { address: self.running.address, name: handle },
+            is_ordered: true,
+        });
+        self.copied_at = place.as_ref().map(|_| self.context.timer.now());
+        *self.place.lock().unwrap_or_else(PoisonError::into_inner) = place;
+    }
+
+    async fn copy_to(&self, target: &EndpointTarget) -> Option<Name> {
+        let order = hollyhook_platform::encode_copy_order(&self.caller.head.attempt_id, target.address).ok()?;
+        let exchange = async {
+            let request = Request::post(hollyhook_platform::copy_path())
+                .header(header::HOST, self.running.address.to_string())
+                .header(header::CONTENT_TYPE, "application/json")
+                .body(Full::from(order))
+                .ok()?;
+            let mut answer = send(&self.context, &self.running, request).await.ok()?;
+            let body = (&mut answer.body).collect().await.ok()?.to_bytes();
+            let is_done = answer.parts.status.is_success();
+            answer.release(&self.context, &self.running.id);
+            if is_done { hollyhook_platform::decode_copy(&body).ok() } else { None }
+        };
+        self.context.timer.within(COPY_TIMEOUT, exchange).await.flatten()
+    }
+}
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -19,7 +19,7 @@
 pub(super) async fn ask_silent(context: &GatewayContext, target: &EndpointTarget) -> Option<EngineReport> {
     let report = ask(context, target, LIFE_TIMEOUT).await;
     let known = report.as_ref();
-    tracing::info!(endpoint = %target.id, is_alive = known.is_some(), running = known.map(|known| known.running()),
+    tracing::info!(endpoint = %target.id, is_alive = known.is_some(), running = known.map(EngineReport::running),
         reading = known.map(|known| known.reading), waiting = known.map(|known| known.waiting), "endpoint.probed");
     report
 }
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -8,7 +8,7 @@
 use hollyhook_platform::BackupSource;
 use rand::Rng;
 
-use super::attempt::EndpointPlace;
+use super::attempt::{EndpointPlace, EndpointTarget};
 use super::endpoint_probe::ask_all;
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
@@ -22,6 +22,8 @@
 pub(super) struct BackupPlace {
     pub(super) id: EndpointId,
     pub(super) source: BackupSource,
+    /// Whether it was made on order: it stands until it is freed, and takes memory that serves nobody.
+    pub(super) is_ordered: bool,
 }
 
 /// Where an attempt goes, where its memory comes from, and where it is copied to.
@@ -83,7 +85,7 @@
     }
 
     /// The engine that holds the copy, if it still takes work.
-    fn usable(&self, held: &BackupPlace) -> Option<(EndpointRecord, BackupSource)> {
+    pub(super) fn usable(&self, held: &BackupPlace) -> Option<(EndpointRecord, BackupSource)> {
         let now = self.context.timer.now();
         let record = self.context.endpoints().get(&held.id).cloned()?;
         let is_fit = record.state == EndpointState::Live && !record.is_ejected(now);
@@ -101,6 +103,14 @@
         list
     }
 
+    /// An engine for a new copy of a run that goes on.
+    pub(super) async fn choose_backup(&self, running: &EndpointTarget) -> Option<EndpointTarget> {
+        let record = self.context.endpoints().get(&running.id).cloned()?;
+        let candidates = ask_all(self.context, self.list_elsewhere(&record)).await;
+        let best = choose_engine(&candidates, self.needed_tokens())?;
+        Some(EndpointTarget::from(&best.record))
+    }
+
     fn has_backups(&self) -> bool {
         let is_kept = self.caller.engine.is_some_and(|engine| engine.has_backups);
         is_kept && self.caller.route.kind.is_repeatable()
@@ -114,8 +124,8 @@
         let elsewhere: Vec<EngineCandidate> = elsewhere.collect();
         let best = choose_engine(&elsewhere, self.needed_tokens())?;
         let attempt_id = Name::clone(&self.caller.head.attempt_id);
-        let source = BackupSource { address: best.record.address, attempt_id };
-        Some(BackupPlace { id: EndpointId::clone(&best.record.id), source })
+        let source = BackupSource { address: best.record.address, name: attempt_id };
+        Some(BackupPlace { id: EndpointId::clone(&best.record.id), source, is_ordered: false })
     }
 
     /// A query for an engine, whose memory binds before its slots do.
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -16,6 +16,7 @@
 use hyper::body::Frame;
 
 use super::attempt::{EndpointPlace, OpenAnswer, WholeAnswer, send_attempt};
+use super::backup_keeper::BackupKeeper;
 use super::endpoint_probe::ask_silent;
 use super::engine_choice::{BackupPlace, EngineChoice, EngineChooser};
 use super::request_log;
@@ -40,7 +41,7 @@
     context: &Arc<GatewayContext>,
     caller: CallerRequest,
 ) -> Result<Response<AnswerBody>> {
-    let mut run = StreamRun::new(Arc::clone(context), caller);
+    let mut run = StreamRun::new(Arc::clone(context), Arc::new(caller));
     let first = match run.next().await {
         Some(Ok(bytes)) => bytes,
         Some(Err(error)) => return Err(error),
@@ -80,17 +81,18 @@
     answer: OpenAnswer,
     cutter: EventCutter,
     has_event: bool,
+    keeper: Option<BackupKeeper>,
 }
 
 /// A stream over all attempts at it.
 struct StreamRun {
     context: Arc<GatewayContext>,
-    caller: CallerRequest,
+    caller: Arc<CallerRequest>,
     relay: EventRelay,
     pace: StreamPace,
     live: Option<LiveAttempt>,
-    /// Where the memory of the run is copied to, and the attempt that it is copied from.
-    backup: Option<BackupPlace>,
+    /// Where a copy lies of the memory of the attempt that was lost.
+    held: Option<BackupPlace>,
     first_head: Option<Parts>,
     /// The weights that generated what the caller has; other ones would not continue it.
     weights: Option<u64>,
@@ -109,7 +111,7 @@
 }
 
 impl StreamRun {
-    fn new(context: Arc<GatewayContext>, caller: CallerRequest) -> Self {
+    fn new(context: Arc<GatewayContext>, caller: Arc<CallerRequest>) -> Self {
         let relay = EventRelay::new(caller.head.cursor);
         Self {
             context,
@@ -117,7 +119,7 @@
             relay,
             pace: StreamPace::default(),
             live: None,
-            backup: None,
+            held: None,
             first_head: None,
             weights: None,
             refusal: None,
@@ -183,6 +185,7 @@
         self.pace.note_loss();
         // Dropping the attempt closes its connection, which stops the old run.
         let id = EndpointId::clone(live.place.id());
+        self.held = live.keeper.as_ref().and_then(BackupKeeper::take);
         drop(live);
         self.fail(&id, failure)
     }
@@ -223,7 +226,7 @@
     /// Opens an attempt if there is none.
     async fn ensure_live(&mut self) -> Result<()> {
         while self.live.is_none() && self.refusal.is_none() {
-            let held = self.backup.take();
+            let held = self.held.take();
             let chooser = EngineChooser { context: &self.context, caller: &self.caller, tried: &self.tried };
             let Some(choice) = chooser.choose(held).await else {
                 return Err(self.no_place());
@@ -266,8 +269,9 @@
             AnswerVerdict::Pass if answer.parts.status.is_success() => {
                 self.first_head.get_or_insert_with(|| answer.parts.clone());
                 self.weights = self.weights.or(answer.head.weights);
-                self.backup = backup;
-                self.live = Some(LiveAttempt { place, answer, cutter: EventCutter::default(), has_event: false });
+                let keeper = self.keep_backup(&place, backup);
+                let cutter = EventCutter::default();
+                self.live = Some(LiveAttempt { place, answer, cutter, has_event: false, keeper });
                 Ok(())
             }
             AnswerVerdict::Pass if self.relay.delivered() == 0 => self.pass_on(&place, answer).await,
@@ -276,6 +280,12 @@
         }
     }
 
+    fn keep_backup(&self, place: &EndpointPlace, first: Option<BackupPlace>) -> Option<BackupKeeper> {
+        let has_moves = self.caller.engine.is_some_and(|engine| engine.has_moves);
+        let is_kept = self.caller.route.kind.is_repeatable() && (has_moves || first.is_some());
+        is_kept.then(|| BackupKeeper::start(&self.context, &self.caller, place.target.clone(), first))
+    }
+
     /// Passes an answer on that is no stream.
     async fn pass_on(
         &mut self,
