Gather changes of endpoints longer where there are many

Change: the pause after changes is 10 ms an endpoint, at least 0.4 s, at most 0.4 of the drain bound, which the settings have now.

--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -82,6 +82,11 @@
         lock(&self.live).stop()
     }
 
+    /// How long a leaving endpoint may get new work.
+    pub(crate) fn drain_bound(&self) -> Duration {
+        lock(&self.live).bounds.drain
+    }
+
     /// Where the platform's store is.
     pub(crate) fn store_address(&self) -> SocketAddr {
         lock(&self.live).store
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -11,12 +11,17 @@
 /// How long one watch waits. A longer one costs fewer calls; with the slack of a watch, a connection that went silent
 /// has to be noticed within 5 s, which is when a host counts as in touch again (3 s) and has to know of a leaving
 /// endpoint (2 s).
-const WATCH_WAIT: Duration = Duration::from_millis(3_500);
+const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// The pause after changes, so that the many changes of one event come with one call; a fifth of the time within which
-/// a leaving endpoint has to be known.
-const GATHER_PAUSE: Duration = Duration::from_millis(400);
+/// The pause after changes for each endpoint, so that many changes come with one call. The endpoints of a large site
+/// change all the time, and each watch that returns is charged; with 40 endpoints a longer pause was seen to cost more
+/// by what hosts knew too late than it saved.
+const GATHER_EACH: Duration = Duration::from_millis(10);
+/// The least of that pause.
+const LEAST_GATHER: Duration = Duration::from_millis(400);
+/// The most of that pause, as a part of the time within which a leaving endpoint has to be known.
+const MOST_GATHER: f64 = 0.4;
 
 /// Follows the endpoints that register themselves.
 #[derive(Debug)]
@@ -40,13 +45,19 @@
             let outcome = self.step().await;
             self.forget_lapsed();
             match outcome {
-                Ok(true) => self.context.timer.wait(GATHER_PAUSE).await,
+                Ok(true) => self.context.timer.wait(self.gather_pause()).await,
                 Ok(false) => {}
                 Err(error) => self.fail(&error).await,
             }
         }
     }
 
+    fn gather_pause(&self) -> Duration {
+        let most = self.context.drain_bound().mul_f64(MOST_GATHER);
+        let each = GATHER_EACH * self.context.endpoints().iter().count() as u32;
+        each.max(LEAST_GATHER).min(most)
+    }
+
     async fn fail(&mut self, error: &StoreError) {
         self.revision = None;
         self.context.note_store(ObjectKind::Endpoint, Some(error));
--- a/crates/hollyhook_settings/src/gateway/gateway_bounds.rs
+++ b/crates/hollyhook_settings/src/gateway/gateway_bounds.rs
@@ -11,6 +11,8 @@
 pub struct GatewayBounds {
     /// How long after a key was taken away requests with it may still run.
     pub revoke: Duration,
+    /// How long after an endpoint said that it leaves it may still get new work.
+    pub drain: Duration,
     /// How long after SIGTERM the process may live.
     pub grace: Duration,
     /// What all hosts together may send again.
@@ -33,6 +35,7 @@
     fn default() -> Self {
         Self {
             revoke: Duration::from_secs(5),
+            drain: Duration::from_secs(2),
             grace: Duration::from_secs(8),
             retry: RetryBounds { ratio: 0.2, window: Duration::from_secs(10), extra: 20 },
         }
@@ -44,6 +47,7 @@
         let default = Self::default();
         Self {
             revoke: reader.default("revoke", default.revoke, value::span(MILLISECOND, HOUR)),
+            drain: reader.default("drain", default.drain, value::span(MILLISECOND, HOUR)),
             grace: reader.default("grace", default.grace, value::span(MILLISECOND, HOUR)),
             retry: RetryBounds {
                 ratio: reader.default("retry_ratio", default.retry.ratio, value::ratio),
