Count attempts in one ledger; let the first requests wait for a start; split the stream's file

And plain calls and streams each had their own copy of when to stop trying.

Change: AttemptLedger decides for both, with a property test that 'not run' is said exactly when no attempt may have run; StopPlan::is_taking takes a call's own patience; requests within 0.6 s of a start wait. event_stream.rs parted into live_attempt.rs and silence_watch.rs.

Ruled out, by a test that failed (stop_lets_stream_end): judging calls by their patience alone from the order on refuses callers who state eight seconds and need a tenth of one.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -24,7 +24,9 @@
 };
 pub use cursor::{CursorKey, CursorSeal, StreamCursor};
 pub use error::{Answer, Error, ErrorKind, Result, RunState, answer_for};
-pub use forward::{AnswerHead, AnswerVerdict, AttemptFailure, CallerHead, PromptSize, judge_answer};
+pub use forward::{
+    AnswerHead, AnswerVerdict, AttemptFailure, AttemptLedger, CallerHead, PromptSize, StopReason, judge_answer,
+};
 pub use generation::{
     AttemptNumber, EndReason, EndpointRefusal, EndpointRhythm, GenerationId, GenerationRelay, OpenMode, Patience,
     PrefixDigest, ProbeReport, RelayAction, RelayEvent, RelayNote, RelayPhase, RelayPolicy, TokenLog,
--- a/crates/hollyhook_core/src/stop/stop_plan.rs
+++ b/crates/hollyhook_core/src/stop/stop_plan.rs
@@ -15,27 +15,14 @@
 pub enum StopPhase {
     /// No stop was ordered.
     Serving,
-    /// Not ready any more; what comes is served.
+    /// Not ready any more; what comes and can end in time is served.
     Leaving,
-    /// Streams are sent elsewhere, plain calls are served.
-    Finishing,
-    /// Idle connections are closed, nothing new is taken; what runs may end.
+    /// No caller is expected any more: idle connections are closed.
     Closing,
     /// Time is up: what still runs is cut off.
     Over,
 }
 
-impl StopPhase {
-    /// Whether a request of that kind is still begun; it must be sure to end within the grace time.
-    pub fn is_taking(self, kind: RequestKind) -> bool {
-        match self {
-            Self::Serving | Self::Leaving => true,
-            Self::Finishing => !kind.is_stream(),
-            Self::Closing | Self::Over => false,
-        }
-    }
-}
-
 /// The phases of a graceful stop that has to be over within a grace time.
 ///
 /// ```
@@ -64,13 +51,22 @@
             StopPhase::Over
         } else if passed >= CALLER_INTAKE {
             StopPhase::Closing
-        } else if passed >= STREAM_INTAKE {
-            StopPhase::Finishing
         } else {
             StopPhase::Leaving
         }
     }
 
+    /// Whether a request is still begun that long after the order, whose caller waits for `patience`.
+    ///
+    /// While callers are expected, a stream is taken if one of the usual length would end, and each call, which takes a
+    /// fraction of a second. After that a call is taken only if its caller gives up within the grace time.
+    pub fn is_taking(self, kind: RequestKind, patience: Duration, passed: Duration) -> bool {
+        if kind.is_stream() {
+            return passed < STREAM_INTAKE;
+        }
+        passed < self.caller_intake() || passed + patience <= self.usable_grace()
+    }
+
     /// How long after the order callers may still come.
     pub fn caller_intake(self) -> Duration {
         CALLER_INTAKE.min(self.usable_grace())
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The decisions of the gateway, without a network: which load each answers, and what it decides.
 
 mod answers;
+mod attempts;
 mod choosing;
 mod membership;
 mod retries;
--- /dev/null
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -0,0 +1,108 @@
+use std::collections::VecDeque;
+
+use bytes::{Bytes, BytesMut};
+use hollyhook_core::{AttemptFailure, EventCutter, EventRelay, PieceVerdict};
+use http_body_util::BodyExt;
+
+use super::attempt::{EndpointPlace, OpenAnswer};
+use super::backup_keeper::BackupKeeper;
+use super::silence_watch::SilenceWatch;
+use crate::front::CallerRequest;
+use crate::gateway::GatewayContext;
+
+/// One attempt whose events are being passed on.
+pub(super) struct LiveAttempt {
+    pub(super) place: EndpointPlace,
+    pub(super) answer: OpenAnswer,
+    pub(super) keeper: Option<BackupKeeper>,
+    cutter: EventCutter,
+    has_event: bool,
+}
+
+/// What comes next of an attempt.
+pub(super) enum PieceEnd {
+    /// Whole events for the caller.
+    Bytes(Bytes),
+    /// The stream's end.
+    Complete,
+    /// Nothing more.
+    Failure(AttemptFailure),
+}
+
+impl LiveAttempt {
+    pub(super) fn new(place: EndpointPlace, answer: OpenAnswer, keeper: Option<BackupKeeper>) -> Self {
+        Self { place, answer, keeper, cutter: EventCutter::default(), has_event: false }
+    }
+
+    /// The next whole events that the caller does not have.
+    pub(super) async fn next_piece(
+        &mut self,
+        context: &GatewayContext,
+        caller: &CallerRequest,
+        relay: &mut EventRelay,
+    ) -> PieceEnd {
+        let mut watch = if self.has_event {
+            SilenceWatch::between_events()
+        } else {
+            SilenceWatch::before_first(caller.head.prompt.unwrap_or_default().prompt_tokens)
+        };
+        loop {
+            if let Some(end) = self.drain_cutter(relay) {
+                return end;
+            }
+            let limit = watch.limit(caller.time_left(context.timer.now()));
+            match context.timer.within(limit, self.answer.body.frame()).await {
+                Some(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.cutter.feed(&data);
+                    }
+                }
+                Some(Some(Err(_error))) => return PieceEnd::Failure(AttemptFailure::Broken),
+                Some(None) if self.cutter.has_rest() => return PieceEnd::Failure(AttemptFailure::Garbled),
+                Some(None) => return PieceEnd::Complete,
+                None => {
+                    let delivered = self.delivered(relay);
+                    if let Err(failure) = watch.check(context, caller, &self.place.target, delivered).await {
+                        return PieceEnd::Failure(failure);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The number of the last event of this attempt that came, as far as it can be compared with what the engine made.
+    fn delivered(&self, relay: &EventRelay) -> u64 {
+        if self.has_event { relay.last().unwrap_or(0).max(relay.delivered()) } else { 0 }
+    }
+
+    /// What the caller gets of the events that are whole.
+    fn drain_cutter(&mut self, relay: &mut EventRelay) -> Option<PieceEnd> {
+        let mut ready = VecDeque::new();
+        while let Some(piece) = self.cutter.next_piece() {
+            self.has_event = true;
+            match relay.judge(&piece) {
+                PieceVerdict::Deliver => ready.push_back(piece.bytes),
+                PieceVerdict::Drop => {}
+                PieceVerdict::Gap if ready.is_empty() => return Some(PieceEnd::Failure(AttemptFailure::Garbled)),
+                // What came before the gap is delivered; the attempt is left when it is asked again.
+                PieceVerdict::Gap => break,
+            }
+        }
+        if self.cutter.is_overfull() {
+            return Some(PieceEnd::Failure(AttemptFailure::Garbled));
+        }
+        join(ready).map(PieceEnd::Bytes)
+    }
+}
+
+fn join(mut pieces: VecDeque<Bytes>) -> Option<Bytes> {
+    let first = pieces.pop_front()?;
+    if pieces.is_empty() {
+        return Some(first);
+    }
+    let mut joined = BytesMut::from(first);
+    for piece in pieces {
+        joined.extend_from_slice(&piece);
+    }
+    Some(joined.freeze())
+}
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -5,8 +5,10 @@
 mod endpoint_probe;
 mod engine_choice;
 mod event_stream;
+mod live_attempt;
 mod plain_call;
 mod request_log;
+mod silence_watch;
 mod stream_pace;
 
 use std::sync::Arc;
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    AnswerVerdict, AttemptFailure, EndpointId, Error, ErrorKind, RequestKind, Result, RouteQuery, judge_answer,
+    AnswerVerdict, AttemptFailure, AttemptLedger, EndpointId, RequestKind, Result, RouteQuery, StopReason, judge_answer,
 };
 use hollyhook_platform::AttemptHeaders;
 use http::Response;
@@ -34,9 +34,10 @@
     context: &Arc<GatewayContext>,
     caller: &CallerRequest,
 ) -> Result<Response<AnswerBody>> {
-    let mut run = CallRun { context, caller, tried: Vec::new(), runs: 0, turned_away: 0, fallback: None };
+    let ledger = AttemptLedger::for_route(&caller.route, MOST_TURNED_AWAY);
+    let mut run = CallRun { context, caller, tried: Vec::new(), ledger, fallback: None };
     let outcome = run.run().await;
-    let attempts = run.runs + run.turned_away;
+    let attempts = run.ledger.attempts();
     match &outcome {
         Ok(response) => request_log::answered(context, caller, response.status().as_u16(), attempts),
         Err(error) => request_log::ended(context, caller, error, attempts),
@@ -48,10 +49,7 @@
     context: &'a Arc<GatewayContext>,
     caller: &'a CallerRequest,
     tried: Vec<EndpointId>,
-    /// Attempts that may have run.
-    runs: u32,
-    /// Attempts that certainly did not run.
-    turned_away: u32,
+    ledger: AttemptLedger,
     fallback: Option<WholeAnswer>,
 }
 
@@ -59,7 +57,7 @@
     async fn run(&mut self) -> Result<Response<AnswerBody>> {
         loop {
             let Some(place) = self.place() else {
-                return self.give_up("no endpoint of the service is left");
+                return self.give_up(StopReason::NoEndpoint);
             };
             let end = self.attempt(&place).await;
             let failure = match end {
@@ -72,43 +70,25 @@
             };
             request_log::attempt_failed(self.context, self.caller, place.id(), failure, None);
             self.tried.push(EndpointId::clone(place.id()));
-            if failure.is_not_run() {
-                self.turned_away += 1;
-            } else {
-                self.runs += 1;
-            }
-            if let Some(why) = self.reason_to_stop() {
-                return self.give_up(why);
+            self.ledger.note(failure);
+            if let Some(reason) = self.stop_reason() {
+                return self.give_up(reason);
             }
         }
     }
 
-    fn reason_to_stop(&self) -> Option<&'static str> {
-        let is_repeatable = self.caller.route.kind == RequestKind::Idempotent;
-        if self.runs > 0 && !is_repeatable {
-            return Some("the call was sent, and what became of it is not known");
-        }
-        if self.runs >= self.caller.route.most_attempts {
-            return Some("the call ran at as many endpoints as its route allows");
-        }
-        if self.turned_away >= MOST_TURNED_AWAY {
-            return Some("every endpoint that was asked turned the call away");
-        }
-        if self.caller.time_left(self.context.timer.now()).is_zero() {
-            return Some("the caller's time is up");
-        }
-        (!self.context.try_retry(&self.caller.service)).then_some("the retry budget of the service is spent")
+    fn stop_reason(&self) -> Option<StopReason> {
+        let time_left = self.caller.time_left(self.context.timer.now());
+        let reason = self.ledger.stop_reason(time_left);
+        let is_spent = || !self.context.try_retry(&self.caller.service);
+        reason.or_else(|| is_spent().then_some(StopReason::BudgetSpent))
     }
 
-    fn give_up(&mut self, why: &'static str) -> Result<Response<AnswerBody>> {
-        if let Some(answer) = self.fallback.take() {
-            return Ok(answer.into_response());
-        }
-        if self.runs > 0 {
-            return Err(Error::new(ErrorKind::OutcomeUnknown, why));
+    fn give_up(&mut self, reason: StopReason) -> Result<Response<AnswerBody>> {
+        match self.fallback.take() {
+            Some(answer) => Ok(answer.into_response()),
+            None => Err(self.ledger.end(reason, 0, BUSY_RETRY)),
         }
-        let kind = if self.turned_away > 0 { ErrorKind::NotRun } else { ErrorKind::NoEndpoint };
-        Err(Error::new(kind, why).retry_after(BUSY_RETRY))
     }
 
     fn place(&self) -> Option<EndpointPlace> {
@@ -133,8 +113,7 @@
 
     /// How long this attempt may take: all that is left, unless another endpoint may be tried after it.
     fn attempt_limit(&self, left: Duration) -> Duration {
-        let is_last = self.runs + 1 >= self.caller.route.most_attempts;
-        if self.caller.route.kind != RequestKind::Idempotent || is_last {
+        if self.caller.route.kind != RequestKind::Idempotent || self.ledger.is_last() {
             return left;
         }
         left.min(self.caller.route.objective.mul_f64(SILENCE_FACTOR))
--- a/crates/hollyhook_gateway/src/front/admission.rs
+++ b/crates/hollyhook_gateway/src/front/admission.rs
@@ -30,13 +30,14 @@
 pub(super) async fn admit(parts: Parts, body: Incoming, context: &Arc<GatewayContext>) -> Result<CallerRequest> {
     let arrived = context.timer.now();
     let guard = context.begin_request();
+    context.wait_for_start().await;
     let site = context.site().ok_or_else(|| uncertain(None))?;
     check_method(&parts)?;
     let head = hollyhook_platform::caller_head(&parts.headers)?;
     let route = find_route(&site, &parts).map_err(|error| certain(error, context))?;
     let account = find_account(&site, &route, head.key.as_ref(), context)?;
-    check_phase(&route, context)?;
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    check_stop(&route, patience, context)?;
     let deadline = arrived + patience;
     let (body, claim) = read_body(body, site.limits().body_bytes, deadline, context).await?;
     let service = draw_service(&route)?;
@@ -104,8 +105,8 @@
     Error::new(ErrorKind::PlatformDown, why).retry_after(retry)
 }
 
-fn check_phase(route: &RoutePlan, context: &GatewayContext) -> Result<()> {
-    if context.phase().is_taking(route.kind) {
+fn check_stop(route: &RoutePlan, patience: Duration, context: &GatewayContext) -> Result<()> {
+    if context.is_taking(route.kind, patience) {
         return Ok(());
     }
     let why = "this host is stopping and the request might not end in time";
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -6,7 +6,7 @@
 
 use hollyhook_core::{
     AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, LoadReport, Name, PlanAdoption,
-    RetryWindow, RouteQuery, SiteIndex, SiteLedger, SitePlan, StopPhase, StopPlan, TimePoint, ZoneName,
+    RequestKind, RetryWindow, RouteQuery, SiteIndex, SiteLedger, SitePlan, StopPhase, StopPlan, TimePoint, ZoneName,
 };
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::ObjectKind;
@@ -27,6 +27,11 @@
 /// The part of the allowed retries that this host spends, so that clocks and windows that differ do not add up to
 /// more than is allowed.
 const RETRY_SHARE: f64 = 0.75;
+/// How long after its start a process lets requests wait for what it has yet to read from the store; a start takes
+/// about a tenth of a second on the smallest hosts, and callers come back in the moment in which hosts are back.
+const START_WAIT: Duration = Duration::from_millis(600);
+/// How often such a request looks.
+const START_CHECK: Duration = Duration::from_millis(10);
 /// Hosts among which the fixed part of the retry allowance is divided. A site has 7 or 8 today; docs/CAPACITY.md says
 /// what this becomes at a thousand.
 const RETRY_HOSTS: u64 = 16;
@@ -102,6 +107,21 @@
         live.store = settings.store;
     }
 
+    /// Whether a request whose caller waits for `patience` is still begun.
+    pub(crate) fn is_taking(&self, kind: RequestKind, patience: Duration) -> bool {
+        let live = lock(&self.live);
+        let passed = live.stop_ordered.map(|at| self.timer.now().since(at));
+        passed.is_none_or(|passed| live.stop().is_taking(kind, patience, passed))
+    }
+
+    /// Waits for the first configuration and list of endpoints of a process that has just started.
+    pub(crate) async fn wait_for_start(&self) {
+        let limit = TimePoint::ZERO + START_WAIT;
+        while self.timer.now() < limit && !(self.site().is_some() && self.has_endpoints.load(Ordering::Relaxed)) {
+            self.timer.wait(START_CHECK).await;
+        }
+    }
+
     /// Begins the stop.
     pub(crate) fn order_stop(&self) {
         lock(&self.live).stop_ordered.get_or_insert(self.timer.now());
