--- a/crates/hollyhook/tests/processes/main.rs
+++ b/crates/hollyhook/tests/processes/main.rs
@@ -5,6 +5,7 @@
 mod docs;
 mod fleet;
 mod generations;
+mod log_trace;
 mod plain_calls;
 mod settings;
 mod status;
--- a/crates/hollyhook_command/src/args/command_args.rs
+++ b/crates/hollyhook_command/src/args/command_args.rs
@@ -8,7 +8,7 @@
 use crate::load::{LoadArgs, run_load};
 use crate::settings::{check_settings, print_key};
 use crate::stand_in::{StandInArgs, run_stand_in};
-use crate::view::{ExplainArgs, ReplayArgs, StatusArgs, run_explain, run_replay, run_status};
+use crate::view::{ExplainArgs, ReplayArgs, StatusArgs, TraceArgs, run_explain, run_replay, run_status, run_trace};
 
 /// Operates hollyhook, a serving system for long generations on engines that fail.
 #[derive(Debug, Parser)]
@@ -40,6 +40,8 @@
     Status(StatusArgs),
     /// Tell what happened to one request, step by step, from the daemon's trace of it.
     Explain(ExplainArgs),
+    /// Tell what happened to one request from the logs of many gateways.
+    Trace(TraceArgs),
     /// Replay recorded traces and compare with the outcomes that they state.
     Replay(ReplayArgs),
     /// Measure what the daemon costs and how it does through failures.
@@ -63,6 +65,7 @@
         }
         CommandKind::Status(args) => run_status(args).await,
         CommandKind::Explain(args) => run_explain(args).await,
+        CommandKind::Trace(args) => run_trace(&args),
         CommandKind::Replay(args) => run_replay(&args),
         CommandKind::Load(args) => run_load(args).await,
         CommandKind::StandIn(args) => run_stand_in(args).await,
--- a/crates/hollyhook_command/src/view/mod.rs
+++ b/crates/hollyhook_command/src/view/mod.rs
@@ -4,9 +4,11 @@
 
 use eyre::Result;
 
+mod log_view;
 mod status_view;
 mod trace_view;
 
+pub(crate) use log_view::{TraceArgs, run_trace};
 pub(crate) use status_view::{StatusArgs, run_status};
 pub(crate) use trace_view::{ExplainArgs, ReplayArgs, run_explain, run_replay};
 
