--- a/crates/hollyhook_command/src/load/load_args.rs
+++ b/crates/hollyhook_command/src/load/load_args.rs
@@ -5,6 +5,7 @@
 
 use super::failures::{FailureArgs, run_failures};
 use super::overhead::{OverheadArgs, run_overhead};
+use super::placement::{PlacementArgs, run_placement};
 use super::slopes::{SlopeArgs, run_slopes};
 
 /// Which experiment to run.
@@ -22,6 +23,8 @@
     Failures(FailureArgs),
     /// Measure what one more stream, token, endpoint, account or claim costs; docs/CAPACITY.md is worked out from it.
     Slopes(SlopeArgs),
+    /// Play placement policies in virtual time on a model of the engines, up to twice their capacity and with losses.
+    Placement(PlacementArgs),
 }
 
 /// Runs an experiment and prints what it measured.
@@ -29,6 +32,7 @@
     match args.kind {
         LoadKind::Overhead(args) => run_overhead(args).await,
         LoadKind::Slopes(args) => run_slopes(&args),
+        LoadKind::Placement(args) => run_placement(&args),
         LoadKind::Failures(args) => run_failures(args).await,
     }
 }
--- a/crates/hollyhook_command/src/load/mod.rs
+++ b/crates/hollyhook_command/src/load/mod.rs
@@ -4,6 +4,7 @@
 mod failures;
 mod load_args;
 mod overhead;
+mod placement;
 mod sample_set;
 mod slopes;
 
