Refuse at once what could not be served before its caller gives up

Cause, from hollyhook load placement: beyond capacity requests wait until their callers have gone, and take the place of those that could be served.

Change: excess_wait: prompts before a request, its own, and the least time of a run, against the time that its caller leaves; refused as overloaded with how much too long the wait is. Only for what has not begun.

--- a/crates/hollyhook_core/src/forward/attempt_ledger.rs
+++ b/crates/hollyhook_core/src/forward/attempt_ledger.rs
@@ -18,6 +18,8 @@
     BudgetSpent,
     /// No endpoint is left.
     NoEndpoint,
+    /// Every endpoint that was asked would serve it too late.
+    Overloaded,
 }
 
 impl StopReason {
@@ -30,6 +32,7 @@
             Self::TimeUp => "the caller's time is up",
             Self::BudgetSpent => "the retry budget of the service is spent",
             Self::NoEndpoint => "no endpoint of the service is left",
+            Self::Overloaded => "the endpoints have more before this request than its caller's time allows",
         }
     }
 }
@@ -105,6 +108,7 @@
     /// What the caller is told at the end; "not run" only if no attempt may have run, with when to come back.
     pub fn end(&self, reason: StopReason, delivered: u64, retry_after: Duration) -> Error {
         let kind = match (self.runs, self.turned_away, delivered) {
+            (0, _, _) if reason == StopReason::Overloaded => ErrorKind::Overloaded,
             (0, 0, _) => ErrorKind::NoEndpoint,
             (0, _, _) => ErrorKind::NotRun,
             (_, _, 0) => ErrorKind::OutcomeUnknown,
--- a/crates/hollyhook_core/src/route/engine_report.rs
+++ b/crates/hollyhook_core/src/route/engine_report.rs
@@ -42,6 +42,27 @@
 /// How old a report may be: what this host sent since then is not in it.
 pub const REPORT_AGE: Duration = Duration::from_millis(300);
 
+/// Tokens of a prompt that an engine reads in a millisecond between the steps of others, by the deployments' sheets (8)
+/// less what a step takes besides.
+const READ_TOKENS_PER_MS: f64 = 7.0;
+/// What is left to a generation after its first event, at least: 140 events of 30 ms.
+const LEAST_RUN: Duration = Duration::from_millis(4_200);
+
+/// When a generation's first event can be expected at an engine, if the prompts before it are like its own.
+pub fn expected_first(report: &EngineReport, prompt_tokens: u64) -> Duration {
+    let prompts = f64::from(report.waiting) + READING_COST * f64::from(report.reading) + 1.0;
+    Duration::from_secs_f64(prompts * prompt_tokens as f64 / READ_TOKENS_PER_MS / 1e3)
+}
+
+/// How much too long a generation would have to wait at an engine to end in time; none if it can.
+///
+/// Answers a load beyond what the engines can take: a request that would wait until its caller gives up only takes the
+/// place of one that could be served. A late answer is better than none, so the objective is not looked at.
+pub fn excess_wait(report: &EngineReport, prompt_tokens: u64, time_left: Duration) -> Option<Duration> {
+    let needed = expected_first(report, prompt_tokens) + LEAST_RUN;
+    needed.checked_sub(time_left).filter(|excess| !excess.is_zero())
+}
+
 /// What a running request costs, against one whose prompt waits to be read: it slows each step a little, while a
 /// waiting prompt delays everything behind it by its whole reading.
 const RUNNING_COST: f64 = 0.2;
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -12,4 +12,6 @@
 pub use endpoint_record::{EndpointRecord, EndpointState, LoadReport};
 pub use endpoint_subset::EndpointSubset;
 pub use endpoint_table::{EndpointTable, RouteQuery};
-pub use engine_report::{EngineCandidate, EngineReport, EngineRun, REPORT_AGE, choose_engine};
+pub use engine_report::{
+    EngineCandidate, EngineReport, EngineRun, REPORT_AGE, choose_engine, excess_wait, expected_first,
+};
--- a/crates/hollyhook_core/tests/gateway/choosing.rs
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -2,7 +2,7 @@
 
 use hollyhook_core::{
     EndpointId, EndpointRecord, EndpointTable, EngineCandidate, EngineReport, EngineRun, RouteQuery, TimePoint,
-    choose_engine,
+    choose_engine, excess_wait,
 };
 use rand_pcg::Pcg64;
 use rand_pcg::rand_core::SeedableRng;
@@ -188,3 +188,17 @@
     assert_eq!(chosen(&as_of(100)), Some("z0-1"));
     assert_eq!(chosen(&as_of(400)), Some("z0-0"), "by then the report shows it");
 }
+
+/// Load beyond what the engines can take: a request is refused only if it could not end before its caller gives up.
+#[test]
+fn excess_wait_by_prompts_before() {
+    let wait = |waiting, left| {
+        let report = candidate("a", 4, waiting, 0).report.unwrap();
+        excess_wait(&report, 7_000, Duration::from_secs(left))
+    };
+    assert_eq!(wait(0, 25), None);
+    assert_eq!(wait(19, 25), None, "late, but served");
+    // 30 prompts of a second before it, its own, and 4.2 s for its events.
+    assert_eq!(wait(30, 25), Some(Duration::from_millis(10_200)));
+    assert_eq!(wait(0, 5), Some(Duration::from_millis(200)));
+}
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -1,9 +1,11 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::future::join;
 use hollyhook_core::{
-    EndpointId, EndpointRecord, EndpointState, EngineCandidate, Name, RouteQuery, ZoneName, choose_engine,
+    EndpointId, EndpointRecord, EndpointState, EngineCandidate, Name, RouteQuery, StopReason, ZoneName, choose_engine,
+    excess_wait,
 };
 use hollyhook_platform::BackupSource;
 use rand::Rng;
@@ -34,6 +36,18 @@
     pub(super) backup: Option<BackupPlace>,
 }
 
+/// Why no engine was chosen.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ChoiceRefusal {
+    pub(super) reason: StopReason,
+    /// How long an attempt would be too late; zero if that is not the reason.
+    pub(super) excess: Duration,
+}
+
+impl ChoiceRefusal {
+    const NO_ENDPOINT: Self = Self { reason: StopReason::NoEndpoint, excess: Duration::ZERO };
+}
+
 /// Chooses the engine for one attempt of a caller's stream.
 pub(super) struct EngineChooser<'a> {
     pub(super) context: &'a Arc<GatewayContext>,
@@ -44,10 +58,14 @@
 
 impl EngineChooser<'_> {
     /// Chooses; `held` is where a copy of the memory of the attempt before lies.
-    pub(super) async fn choose(&self, held: Option<BackupPlace>) -> Option<EngineChoice> {
+    ///
+    /// # Errors
+    ///
+    /// Why no attempt can be made, with how long it would be too late.
+    pub(super) async fn choose(&self, held: Option<BackupPlace>) -> Result<EngineChoice, ChoiceRefusal> {
         if self.caller.engine.is_none() {
-            let record = self.context.choose(&self.query(self.tried))?;
-            return Some(self.choice(&record, None, None));
+            let record = self.context.choose(&self.query(self.tried)).ok_or(ChoiceRefusal::NO_ENDPOINT)?;
+            return Ok(self.choice(&record, None, None));
         }
         let usable = held.as_ref().and_then(|held| self.usable(held));
         if let (Some(held), None) = (&held, &usable) {
@@ -56,12 +74,12 @@
         if let Some((record, source)) = usable {
             let backups = ask_all(self.context, self.list_elsewhere(&record)).await;
             let backup = self.best_backup(&record, &backups);
-            return Some(self.choice(&record, Some(source), backup));
+            return Ok(self.choice(&record, Some(source), backup));
         }
         self.choose_new().await
     }
 
-    async fn choose_new(&self) -> Option<EngineChoice> {
+    async fn choose_new(&self) -> Result<EngineChoice, ChoiceRefusal> {
         let first = self.context.shortlist(&self.query(self.tried), self.home(), ASKED);
         let second = first.first().map(|record| self.list_elsewhere(record)).unwrap_or_default();
         let (mut asked, elsewhere) = join(ask_all(self.context, first), ask_all(self.context, second)).await;
@@ -72,12 +90,31 @@
             self.context.refresh(&mut candidate.record);
         }
         let record = match choose_engine(&asked, self.needed_tokens()) {
-            Some(candidate) => candidate.record.clone(),
+            Some(candidate) => {
+                self.check_wait(candidate)?;
+                candidate.record.clone()
+            }
             // None of those that were asked answered; any that is left may be better.
-            None => self.context.choose(&self.query(self.tried))?,
+            None => self.context.choose(&self.query(self.tried)).ok_or(ChoiceRefusal::NO_ENDPOINT)?,
         };
         let backup = self.best_backup(&record, &asked);
-        Some(self.choice(&record, None, backup))
+        Ok(self.choice(&record, None, backup))
+    }
+
+    /// Refuses what even the best engine that was asked would not end in time.
+    ///
+    /// Only what has not begun: how much is left of a stream that goes on is not known.
+    fn check_wait(&self, candidate: &EngineCandidate) -> Result<(), ChoiceRefusal> {
+        if !self.tried.is_empty() || self.caller.head.cursor.is_some() {
+            return Ok(());
+        }
+        let time_left = self.caller.time_left(self.context.timer.now());
+        let prompt_tokens = self.caller.head.prompt.unwrap_or_default().prompt_tokens;
+        let report = candidate.report.as_ref();
+        match report.and_then(|report| excess_wait(report, prompt_tokens, time_left)) {
+            Some(excess) => Err(ChoiceRefusal { reason: StopReason::Overloaded, excess }),
+            None => Ok(()),
+        }
     }
 
     fn choice(&self, record: &EndpointRecord, from: Option<BackupSource>, backup: Option<BackupPlace>) -> EngineChoice {
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -193,9 +193,10 @@
         while self.live.is_none() && self.refusal.is_none() {
             let held = self.held.take();
             let chooser = EngineChooser { context: &self.context, caller: &self.caller, tried: &self.tried };
-            let Some(choice) = chooser.choose(held).await else {
-                return Err(self.ended_by(StopReason::NoEndpoint));
-            };
+            let choice = chooser.choose(held).await.map_err(|refusal| {
+                let retry = refusal.excess.max(BUSY_RETRY);
+                self.ledger.end(refusal.reason, self.relay.delivered(), retry)
+            })?;
             let id = EndpointId::clone(choice.place.id());
             if let Err(failure) = self.open(choice).await {
                 self.fail(&id, failure)?;
