--- a/crates/hollyhook/tests/processes/docs.rs
+++ b/crates/hollyhook/tests/processes/docs.rs
@@ -2,7 +2,7 @@
 use std::path::Path;
 
 use hollyhook_core::{ErrorKind, RelayNote, answer_for};
-use hollyhook_settings::{ProcessSettings, SettingErrors, SettingFile, SiteSettings};
+use hollyhook_settings::{GatewaySettings, ProcessSettings, SettingErrors, SettingFile, SiteSettings};
 
 fn page(name: &str) -> String {
     fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs").join(name)).unwrap()
@@ -57,3 +57,50 @@
         assert!(page.contains(&format!("`{}`", note.label())), "docs/OPERATORS.md does not have {}", note.label());
     }
 }
+
+/// The names of log lines in a source file: texts of two words in lower case, parted by a dot.
+fn line_names(source: &str) -> Vec<String> {
+    let is_word = |word: &str| !word.is_empty() && word.chars().all(|c| c.is_ascii_lowercase() || c == '_');
+    let texts = source.split('"').filter(|text| text.split_once('.').is_some_and(|(a, b)| is_word(a) && is_word(b)));
+    texts.map(str::to_owned).collect()
+}
+
+fn sources(folder: &Path, found: &mut Vec<String>) {
+    for entry in fs::read_dir(folder).unwrap().map(Result::unwrap) {
+        let path = entry.path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else {
+            found.push(fs::read_to_string(path).unwrap());
+        }
+    }
+}
+
+#[test]
+fn operations_page_has_every_line_and_counter() {
+    let page = page("OPERATIONS.md");
+    let mut found = Vec::new();
+    sources(&Path::new(env!("CARGO_MANIFEST_DIR")).join("../hollyhook_gateway/src"), &mut found);
+    let names: Vec<String> = found.iter().flat_map(|source| line_names(source)).collect();
+    assert!(names.len() > 20, "{names:?}");
+    for name in names {
+        assert!(page.contains(&format!("`{name}`")), "docs/OPERATIONS.md does not have the line {name}");
+    }
+    for source in &found {
+        for counter in source.split('"').filter(|text| text.starts_with("attempts_") || text.starts_with("requests_")) {
+            assert!(page.contains(&format!("`{counter}`")), "docs/OPERATIONS.md does not have {counter}");
+        }
+    }
+}
+
+#[test]
+fn operations_page_has_every_setting() {
+    let text = "[host]\nqqq = 1\n[gateway]\nqqq = 1\n[platform]\nqqq = 1\n[bounds]\nqqq = 1\n[log]\nqqq = 1\n";
+    let errors = GatewaySettings::parse(&SettingFile::parse("gateway", text).unwrap()).unwrap_err();
+    let keys = keys(&errors);
+    assert!(keys.len() > 12, "{keys:?}");
+    let page = page("OPERATIONS.md");
+    for key in keys {
+        assert!(page.contains(&format!("`{key}`")), "docs/OPERATIONS.md does not have the setting {key}");
+    }
+}
