Find the gateway's parts by name; part its context

The house style asks for services that find each other by name; the context had grown to everything. Retry budgets and the load of requests are parts of their own. Copies are ordered only where engines take such orders.

--- a/crates/hollyhook_gateway/src/forward/backup_keeper.rs
+++ b/crates/hollyhook_gateway/src/forward/backup_keeper.rs
@@ -23,7 +23,8 @@
 /// Keeps a copy of a run's memory at another engine for as long as the run goes on.
 ///
 /// The copy that a run was begun with grows with it. When its engine is gone, a new copy is made on order, at an engine
-/// that has just answered, and brought up to date until the run ends.
+/// that has just answered, and brought up to date until the run ends; where engines take no such orders, the run goes on
+/// without one.
 #[derive(Debug)]
 pub(super) struct BackupKeeper {
     context: Arc<GatewayContext>,
@@ -48,7 +49,9 @@
             copied_at: None,
         };
         let (work, handle) = abortable(round.run());
-        task::spawn(work);
+        if caller.engine.is_some_and(|engine| engine.has_moves) {
+            task::spawn(work);
+        }
         Self { context: Arc::clone(context), running, place, task: handle }
     }
 
--- a/crates/hollyhook_gateway/src/front/admission.rs
+++ b/crates/hollyhook_gateway/src/front/admission.rs
@@ -29,7 +29,7 @@
 /// Whatever the caller is to be told; nothing of the request has run then.
 pub(super) async fn admit(parts: Parts, body: Incoming, context: &Arc<GatewayContext>) -> Result<CallerRequest> {
     let arrived = context.timer.now();
-    let guard = context.begin_request();
+    let guard = context.load.begin();
     context.wait_for_start().await;
     let site = context.site().ok_or_else(|| uncertain(None))?;
     check_method(&parts)?;
--- a/crates/hollyhook_gateway/src/front/body_reader.rs
+++ b/crates/hollyhook_gateway/src/front/body_reader.rs
@@ -21,7 +21,7 @@
     context: &Arc<GatewayContext>,
 ) -> Result<(Bytes, BodyClaim)> {
     let limit = deadline.since(context.timer.now()).min(BODY_TIMEOUT);
-    let mut claim = context.claim_body();
+    let mut claim = context.load.claim_body();
     let read = context.timer.within(limit, collect(body, most, &mut claim)).await;
     let late = || Err(Error::new(ErrorKind::RequestTimeout, "the body did not arrive in time"));
     let bytes = read.unwrap_or_else(late)?;
--- a/crates/hollyhook_gateway/src/front/front_server.rs
+++ b/crates/hollyhook_gateway/src/front/front_server.rs
@@ -23,25 +23,8 @@
 /// How often a connection looks whether it was idle too long or the gateway stops.
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Takes callers' connections.
-#[derive(Debug)]
-pub(crate) struct FrontServer {
-    context: Arc<GatewayContext>,
-}
-
-impl FrontServer {
-    pub(crate) fn start(listener: TcpListener, context: Arc<GatewayContext>) -> Self {
-        task::spawn(accept(listener, Arc::clone(&context)));
-        Self { context }
-    }
-
-    /// Closes the connections that have no request under way; each notices by the phase of the stop.
-    pub(crate) fn close_idle(&self) {
-        debug_assert!(self.context.phase() >= StopPhase::Closing);
-    }
-}
-
-async fn accept(listener: TcpListener, context: Arc<GatewayContext>) {
+/// Takes callers' connections until the process ends; each closes by itself when it is idle too long or the host stops.
+pub(crate) async fn serve_callers(listener: TcpListener, context: Arc<GatewayContext>) {
     let connections = Arc::new(AtomicUsize::new(0));
     loop {
         let Ok((stream, _peer)) = listener.accept().await else {
@@ -49,7 +32,7 @@
             continue;
         };
         if connections.load(Ordering::Relaxed) >= MOST_CONNECTIONS {
-            tracing::warn!(connections = MOST_CONNECTIONS, "caller.connection_refused");
+            tracing::info!(connections = MOST_CONNECTIONS, "caller.connection_refused");
             continue;
         }
         connections.fetch_add(1, Ordering::Relaxed);
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -1,20 +1,21 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use hollyhook_core::{
     AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, LoadReport, Name, PlanAdoption,
-    RequestKind, RetryWindow, RouteQuery, SiteIndex, SiteLedger, SitePlan, StopPhase, StopPlan, TimePoint, ZoneName,
+    RequestKind, Result, RouteQuery, SiteIndex, SiteLedger, SitePlan, StopPhase, StopPlan, TimePoint, ZoneName,
 };
-use hollyhook_kernel::TimerService;
+use hollyhook_kernel::{ServiceRegistry, TimerService, WallClock};
 use hollyhook_platform::ObjectKind;
 use hollyhook_settings::GatewaySettings;
 use hollyhook_telemetry::MetricBoard;
 
 use super::live_settings::LiveSettings;
-
+use super::request_load::RequestLoad;
+use super::retry_budgets::RetryBudgets;
 use crate::pool::ConnectionPool;
 use crate::store::StoreError;
 
@@ -24,57 +25,71 @@
 /// How much fuller, in requests a place, the own zone may be before another one pays. Another zone costs little time,
 /// but what runs there is lost when the zones are cut from each other.
 const ZONE_PREFERENCE: f64 = 0.25;
-/// The part of the allowed retries that this host spends, so that clocks and windows that differ do not add up to
-/// more than is allowed.
-const RETRY_SHARE: f64 = 0.75;
 /// How long after its start a process lets requests wait for what it has yet to read from the store; a start takes
 /// about a tenth of a second on the smallest hosts, and callers come back in the moment in which hosts are back.
 const START_WAIT: Duration = Duration::from_millis(600);
 /// How often such a request looks.
 const START_CHECK: Duration = Duration::from_millis(10);
-/// Hosts among which the fixed part of the retry allowance is divided. A site has 7 or 8 today; docs/CAPACITY.md says
-/// what this becomes at a thousand.
-const RETRY_HOSTS: u64 = 16;
-
-/// What the parts of a gateway share.
+/// What the parts of a gateway share, as the registry of services names it.
 #[derive(Debug)]
 pub(crate) struct GatewayContext {
     pub(crate) host: Name,
     pub(crate) zone: ZoneName,
-    pub(crate) timer: TimerService,
-    pub(crate) pool: ConnectionPool,
-    pub(crate) board: MetricBoard,
-    live: Mutex<LiveSettings>,
-    body_limit: usize,
-    body_bytes: AtomicUsize,
-    requests: AtomicUsize,
-    site: Mutex<SiteLedger>,
-    endpoints: Mutex<EndpointTable>,
-    retries: Mutex<HashMap<Name, RetryWindow>>,
+    pub(crate) timer: Arc<TimerService>,
+    pub(crate) pool: Arc<ConnectionPool>,
+    pub(crate) board: Arc<MetricBoard>,
+    pub(crate) load: Arc<RequestLoad>,
+    live: Arc<Mutex<LiveSettings>>,
+    site: Arc<Mutex<SiteLedger>>,
+    endpoints: Arc<Mutex<EndpointTable>>,
+    retries: Arc<RetryBudgets>,
     has_endpoints: AtomicBool,
     away: Mutex<HashMap<ObjectKind, bool>>,
 }
 
 impl GatewayContext {
-    pub(crate) fn new(settings: &GatewaySettings, timer: TimerService) -> Self {
+    const SITE: &'static str = "site";
+    const ENDPOINTS: &'static str = "endpoints";
+    const SETTINGS: &'static str = "settings";
+
+    /// Registers the services that the parts of a gateway find by name.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` if one is registered already.
+    pub(crate) fn register(registry: &ServiceRegistry, settings: &GatewaySettings) -> Result<()> {
+        let timer = registry.register(TimerService::NAME, TimerService::from(WallClock::start()))?;
         let table = EndpointTable::new(ZoneName::clone(&settings.zone)).zone_preference(ZONE_PREFERENCE);
-        Self {
+        registry.register(ConnectionPool::NAME, ConnectionPool::new(TimerService::clone(&timer)))?;
+        registry.register(MetricBoard::NAME, MetricBoard::default())?;
+        registry.register(RequestLoad::NAME, RequestLoad::new(settings.memory_bytes))?;
+        registry.register(Self::SETTINGS, Mutex::new(LiveSettings::from(settings)))?;
+        registry.register(Self::SITE, Mutex::new(SiteLedger::default()))?;
+        registry.register(Self::ENDPOINTS, Mutex::new(table))?;
+        registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
+        Ok(())
+    }
+
+    /// Finds them.
+    ///
+    /// # Errors
+    ///
+    /// `Internal` if one is not registered.
+    pub(crate) fn find(registry: &ServiceRegistry, settings: &GatewaySettings) -> Result<Self> {
+        Ok(Self {
             host: Name::clone(&settings.host),
             zone: ZoneName::clone(&settings.zone),
-            pool: ConnectionPool::new(timer.clone()),
-            board: MetricBoard::default(),
-            live: Mutex::new(LiveSettings::from(settings)),
-            // Bodies may take a quarter of the memory; the rest is for connections and what is being sent.
-            body_limit: settings.memory_bytes / 4,
-            body_bytes: AtomicUsize::new(0),
-            requests: AtomicUsize::new(0),
-            site: Mutex::default(),
-            endpoints: Mutex::new(table),
-            retries: Mutex::default(),
+            timer: registry.find(TimerService::NAME)?,
+            pool: registry.find(ConnectionPool::NAME)?,
+            board: registry.find(MetricBoard::NAME)?,
+            load: registry.find(RequestLoad::NAME)?,
+            live: registry.find(Self::SETTINGS)?,
+            site: registry.find(Self::SITE)?,
+            endpoints: registry.find(Self::ENDPOINTS)?,
+            retries: registry.find(RetryBudgets::NAME)?,
             has_endpoints: AtomicBool::new(false),
             away: Mutex::default(),
-            timer,
-        }
+        })
     }
 
     pub(crate) fn phase(&self) -> StopPhase {
@@ -100,9 +115,7 @@
     /// Takes in settings that changed while the process runs.
     pub(crate) fn reload(&self, settings: &GatewaySettings) {
         let mut live = lock(&self.live);
-        if live.bounds.retry != settings.bounds.retry {
-            lock(&self.retries).clear();
-        }
+        self.retries.rebound(settings.bounds.retry);
         live.bounds = settings.bounds.clone();
         live.store = settings.store;
     }
@@ -261,36 +274,11 @@
     }
 
     pub(crate) fn count_first_send(&self, service: &Name) {
-        self.retry_window(service, RetryWindow::earn);
+        self.retries.earn(service, self.timer.now());
     }
 
     pub(crate) fn try_retry(&self, service: &Name) -> bool {
-        self.retry_window(service, RetryWindow::try_spend)
-    }
-
-    fn retry_window<T>(&self, service: &Name, act: impl FnOnce(&mut RetryWindow, TimePoint) -> T) -> T {
-        let bounds = lock(&self.live).bounds.retry;
-        let mut windows = lock(&self.retries);
-        let window = windows.entry(Name::clone(service)).or_insert_with(|| {
-            let reserve = (bounds.extra / RETRY_HOSTS) as u32;
-            RetryWindow::new(bounds.window, bounds.ratio * RETRY_SHARE, reserve)
-        });
-        act(window, self.timer.now())
-    }
-
-    /// A claim on memory for a body that is about to be read.
-    pub(crate) fn claim_body(self: &Arc<Self>) -> BodyClaim {
-        BodyClaim { context: Arc::clone(self), bytes: 0 }
-    }
-
-    /// Counts a request as under way until the guard goes.
-    pub(crate) fn begin_request(self: &Arc<Self>) -> RequestGuard {
-        self.requests.fetch_add(1, Ordering::Relaxed);
-        RequestGuard { context: Arc::clone(self) }
-    }
-
-    pub(crate) fn open_requests(&self) -> usize {
-        self.requests.load(Ordering::Relaxed)
+        self.retries.try_spend(service, self.timer.now())
     }
 }
 
@@ -308,40 +296,6 @@
     }
 }
 
-/// Memory that a body takes.
-#[derive(Debug)]
-pub(crate) struct BodyClaim {
-    context: Arc<GatewayContext>,
-    bytes: usize,
-}
-
-impl BodyClaim {
-    /// Claims more; false if bodies take too much already.
-    pub(crate) fn grow(&mut self, bytes: usize) -> bool {
-        let taken = self.context.body_bytes.fetch_add(bytes, Ordering::Relaxed);
-        self.bytes += bytes;
-        taken + bytes <= self.context.body_limit
-    }
-}
-
-impl Drop for BodyClaim {
-    fn drop(&mut self) {
-        self.context.body_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
-/// A request under way.
-#[derive(Debug)]
-pub(crate) struct RequestGuard {
-    context: Arc<GatewayContext>,
-}
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.context.requests.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/hollyhook_gateway/src/gateway/gateway_process.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -4,12 +4,12 @@
 
 use async_std::task;
 use hollyhook_core::{Error, ErrorKind, Result};
-use hollyhook_kernel::{TimerService, WallClock};
+use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_settings::GatewaySettings;
 use hollyhook_wire::listen;
 
 use super::GatewayContext;
-use crate::front::{FrontServer, answer_metrics, answer_ready, serve_status};
+use crate::front::{answer_metrics, answer_ready, serve_callers, serve_status};
 use crate::store::{EndpointWatch, SiteWatch, StoreClient};
 
 /// How often idle connections are looked through.
@@ -21,7 +21,6 @@
 #[derive(Debug)]
 pub struct Gateway {
     context: Arc<GatewayContext>,
-    front: FrontServer,
     address: SocketAddr,
     ready_address: SocketAddr,
     metrics_address: Option<SocketAddr>,
@@ -34,25 +33,26 @@
     ///
     /// `InvalidSetting` if an address can't be listened at.
     pub fn start(settings: &GatewaySettings) -> Result<Self> {
-        let timer = TimerService::from(WallClock::start());
-        let context = Arc::new(GatewayContext::new(settings, timer.clone()));
+        let registry = ServiceRegistry::default();
+        GatewayContext::register(&registry, settings)?;
+        let context = Arc::new(GatewayContext::find(&registry, settings)?);
         let front = bind(settings.listen, "listen")?;
         let ready = bind(settings.ready_listen, "ready_listen")?;
         let address = front.local_addr().unwrap_or(settings.listen);
         let ready_address = ready.local_addr().unwrap_or(settings.ready_listen);
-        let front = FrontServer::start(front, Arc::clone(&context));
+        task::spawn(serve_callers(front, Arc::clone(&context)));
         task::spawn(serve_status(ready, Arc::clone(&context), answer_ready));
         let metrics_address = serve_metrics(settings, &context)?;
         let store = || {
             let context = Arc::clone(&context);
-            StoreClient::new(timer.clone(), move || context.store_address())
+            StoreClient::new(TimerService::clone(&context.timer), move || context.store_address())
         };
         task::spawn(SiteWatch::new(Arc::clone(&context), store()).run());
         task::spawn(EndpointWatch::new(Arc::clone(&context), store()).run());
         task::spawn(prune_pool(Arc::clone(&context)));
         tracing::info!(host = %context.host, zone = %context.zone, listen = %settings.listen, store = %settings.store,
             "gateway.started");
-        Ok(Self { context, front, address, ready_address, metrics_address })
+        Ok(Self { context, address, ready_address, metrics_address })
     }
 
     /// Where it serves callers.
@@ -83,17 +83,16 @@
         let timer = &self.context.timer;
         let ordered_at = timer.now();
         self.context.order_stop();
-        tracing::info!(requests = self.context.open_requests(), "gateway.stopping");
+        tracing::info!(requests = self.context.load.requests(), "gateway.stopping");
         timer.wait(self.context.stop().caller_intake()).await;
-        self.front.close_idle();
         while timer.now().since(ordered_at) < self.context.stop().usable_grace() {
-            if self.context.open_requests() == 0 {
+            if self.context.load.requests() == 0 {
                 tracing::info!("gateway.stopped");
                 return true;
             }
             timer.wait(STOP_INTERVAL).await;
         }
-        tracing::warn!(requests = self.context.open_requests(), "gateway.cut_off");
+        tracing::warn!(requests = self.context.load.requests(), "gateway.cut_off");
         false
     }
 }
--- a/crates/hollyhook_gateway/src/gateway/mod.rs
+++ b/crates/hollyhook_gateway/src/gateway/mod.rs
@@ -3,6 +3,9 @@
 mod gateway_context;
 mod gateway_process;
 mod live_settings;
+mod request_load;
+mod retry_budgets;
 
-pub(crate) use gateway_context::{BodyClaim, GatewayContext, RequestGuard};
+pub(crate) use gateway_context::GatewayContext;
 pub use gateway_process::Gateway;
+pub(crate) use request_load::{BodyClaim, RequestGuard};
--- a/crates/hollyhook_gateway/src/pool/connection_pool.rs
+++ b/crates/hollyhook_gateway/src/pool/connection_pool.rs
@@ -27,6 +27,9 @@
 }
 
 impl ConnectionPool {
+    /// The name that the service is registered under.
+    pub(crate) const NAME: &'static str = "connections";
+
     pub(crate) fn new(timer: TimerService) -> Self {
         Self { timer, idle: Mutex::default() }
     }
