Free a copy that is still being made when its run ends

The keeper of a backup was stopped while its order was on the way, so that nobody knew the copy's name, and the copy stood at its engine for four seconds: the fault was in the gateway, not in the test.

Change: an order that is on the way is waited for, and its copy freed when the run has ended meanwhile.

--- a/crates/hollyhook_gateway/src/forward/backup_keeper.rs
+++ b/crates/hollyhook_gateway/src/forward/backup_keeper.rs
@@ -1,4 +1,4 @@
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_std::task;
@@ -29,10 +29,20 @@
 pub(super) struct BackupKeeper {
     context: Arc<GatewayContext>,
     running: EndpointTarget,
-    place: Arc<Mutex<Option<BackupPlace>>>,
+    state: Arc<Mutex<KeeperState>>,
     task: AbortHandle,
 }
 
+#[derive(Debug)]
+struct KeeperState {
+    /// Where the copy lies now.
+    place: Option<BackupPlace>,
+    /// Whether a copy is being made; its name comes only with the answer.
+    is_copying: bool,
+    /// Whether the run has ended.
+    is_over: bool,
+}
+
 impl BackupKeeper {
     pub(super) fn start(
         context: &Arc<GatewayContext>,
@@ -40,31 +50,39 @@
         running: EndpointTarget,
         first: Option<BackupPlace>,
     ) -> Self {
-        let place = Arc::new(Mutex::new(first));
+        let state = KeeperState { place: first, is_copying: false, is_over: false };
+        let state = Arc::new(Mutex::new(state));
         let round = KeeperRound {
             context: Arc::clone(context),
             caller: Arc::clone(caller),
             running: running.clone(),
-            place: Arc::clone(&place),
+            state: Arc::clone(&state),
             copied_at: None,
         };
         let (work, handle) = abortable(round.run());
         if caller.engine.is_some_and(|engine| engine.has_moves) {
             task::spawn(work);
         }
-        Self { context: Arc::clone(context), running, place, task: handle }
+        Self { context: Arc::clone(context), running, state, task: handle }
     }
 
     /// Where the copy lies now, to go on from it; it is no longer kept.
     pub(super) fn take(&self) -> Option<BackupPlace> {
-        self.place.lock().unwrap_or_else(PoisonError::into_inner).take()
+        lock(&self.state).place.take()
     }
 }
 
 impl Drop for BackupKeeper {
     fn drop(&mut self) {
-        self.task.abort();
-        if let Some(place) = self.take().filter(|place| place.is_ordered) {
+        let mut state = lock(&self.state);
+        state.is_over = true;
+        // A copy that is being made is freed by whoever gets its name.
+        if !state.is_copying {
+            self.task.abort();
+        }
+        let place = state.place.take();
+        drop(state);
+        if let Some(place) = place.filter(|place| place.is_ordered) {
             task::spawn(free_copy(Arc::clone(&self.context), self.running.clone(), place.source.name));
         }
     }
@@ -91,21 +109,21 @@
     context: Arc<GatewayContext>,
     caller: Arc<CallerRequest>,
     running: EndpointTarget,
-    place: Arc<Mutex<Option<BackupPlace>>>,
+    state: Arc<Mutex<KeeperState>>,
     /// When the copy was last brought up to date, if it was made on order.
     copied_at: Option<TimePoint>,
 }
 
 impl KeeperRound {
     async fn run(mut self) {
-        loop {
+        while !lock(&self.state).is_over {
             self.context.timer.wait(CHECK_INTERVAL).await;
             self.check().await;
         }
     }
 
     async fn check(&mut self) {
-        let place = self.place.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let place = lock(&self.state).place.clone();
         let chooser = EngineChooser { context: &self.context, caller: &self.caller, tried: &[] };
         let target =
             place.as_ref().and_then(|place| chooser.usable(place)).map(|(record, _)| EndpointTarget::from(&record));
@@ -119,16 +137,44 @@
         let Some(target) = target else {
             return;
         };
-        let handle = self.copy_to(&target).await;
+        if !self.begin_copy() {
+            return;
+        }
+        let copy = self.copy_to(&target).await;
         tracing::info!(request = %self.caller.head.attempt_id, endpoint = %self.running.id, backup = %target.id,
-            is_copied = handle.is_some(), "backup.copied");
-        let place = handle.map(|handle| BackupPlace {
-            id: EndpointId::clone(&target.id),
-            source: BackupSource { address: self.running.address, name: handle },
-            is_ordered: true,
-        });
-        self.copied_at = place.as_ref().map(|_| self.context.timer.now());
-        *self.place.lock().unwrap_or_else(PoisonError::into_inner) = place;
+            is_copied = copy.is_some(), "backup.copied");
+        self.end_copy(&target, copy).await;
+    }
+
+    /// Whether the run goes on, so that a copy is of use.
+    fn begin_copy(&self) -> bool {
+        let mut state = lock(&self.state);
+        state.is_copying = !state.is_over;
+        state.is_copying
+    }
+
+    async fn end_copy(&mut self, target: &EndpointTarget, copy: Option<Name>) {
+        self.copied_at = copy.as_ref().map(|_| self.context.timer.now());
+        let unused = {
+            let mut state = lock(&self.state);
+            state.is_copying = false;
+            let place = copy.clone().map(|name| BackupPlace {
+                id: EndpointId::clone(&target.id),
+                source: BackupSource { address: self.running.address, name },
+                is_ordered: true,
+            });
+            if state.is_over {
+                copy
+            } else {
+                state.place = place;
+                None
+            }
+        };
+        match unused {
+            Some(name) => free_copy(Arc::clone(&self.context), self.running.clone(), name).await,
+            None if self.copied_at.is_some() => self.context.board.count("backups_copied"),
+            None => {}
+        }
     }
 
     async fn copy_to(&self, target: &EndpointTarget) -> Option<Name> {
@@ -148,3 +194,7 @@
         self.context.timer.within(COPY_TIMEOUT, exchange).await.flatten()
     }
 }
+
+fn lock(state: &Mutex<KeeperState>) -> MutexGuard<'_, KeeperState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
