Read an endpoint's whole answer in one place

Cause: five places read a body to its end, cloned the head, put the connection back and made a whole answer of it: plain calls, answers that are no stream, reports of engines, orders of copies and their freeing. Three of them also wrote the same exchange within a limit. Change: OpenAnswer::read_whole and ask_endpoint; the head is no longer cloned. No threshold, answer or log line changes.

Conclusion: a change of form only.

--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -8,7 +8,7 @@
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
 use http::{Request, Response};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
 use crate::front::{AnswerBody, CallerRequest, whole_body};
@@ -75,6 +75,22 @@
         let keep = keep_time(&self.parts.headers);
         context.pool.put(id, self.connection, keep);
     }
+
+    /// Reads the body to its end and keeps the connection.
+    ///
+    /// # Errors
+    ///
+    /// `Broken` if the answer breaks off.
+    pub(super) async fn read_whole(
+        self,
+        context: &GatewayContext,
+        id: &EndpointId,
+    ) -> Result<WholeAnswer, AttemptFailure> {
+        let Self { parts, body, connection, .. } = self;
+        let body = body.collect().await.map_err(|_error| AttemptFailure::Broken)?.to_bytes();
+        context.pool.put(id, connection, keep_time(&parts.headers));
+        Ok(WholeAnswer { parts, body })
+    }
 }
 
 /// An endpoint's answer that was read whole.
@@ -139,6 +155,21 @@
     }
 }
 
+/// Sends a request of hollyhook's own to an endpoint and reads the answer whole; none if that takes longer than `limit`
+/// or the connection breaks.
+pub(super) async fn ask_endpoint(
+    context: &GatewayContext,
+    target: &EndpointTarget,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Option<WholeAnswer> {
+    let exchange = async {
+        let answer = send(context, target, request).await?;
+        answer.read_whole(context, &target.id).await
+    };
+    context.timer.within(limit, exchange).await?.ok()
+}
+
 async fn connect(context: &GatewayContext, target: &EndpointTarget) -> Result<PooledConnection, AttemptFailure> {
     let connected = context.pool.connect(target.address, CONNECT_TIMEOUT).await;
     connected.map_err(|error| {
--- a/crates/hollyhook_gateway/src/forward/backup_keeper.rs
+++ b/crates/hollyhook_gateway/src/forward/backup_keeper.rs
@@ -6,9 +6,9 @@
 use hollyhook_core::{EndpointId, Name, TimePoint};
 use hollyhook_platform::BackupSource;
 use http::{Request, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 
-use super::attempt::{EndpointTarget, send};
+use super::attempt::{EndpointTarget, ask_endpoint};
 use super::engine_choice::{BackupPlace, EngineChooser};
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
@@ -95,13 +95,7 @@
     let Ok(request) = request else {
         return;
     };
-    let exchange = async {
-        let mut answer = send(&context, &running, request).await.ok()?;
-        (&mut answer.body).collect().await.ok()?;
-        answer.release(&context, &running.id);
-        Some(())
-    };
-    let is_freed = context.timer.within(COPY_TIMEOUT, exchange).await.flatten().is_some();
+    let is_freed = ask_endpoint(&context, &running, request, COPY_TIMEOUT).await.is_some();
     tracing::debug!(endpoint = %running.id, is_freed, "backup.freed");
 }
 
@@ -179,19 +173,14 @@
 
     async fn copy_to(&self, target: &EndpointTarget) -> Option<Name> {
         let order = hollyhook_platform::encode_copy_order(&self.caller.head.attempt_id, target.address).ok()?;
-        let exchange = async {
-            let request = Request::post(hollyhook_platform::copy_path())
-                .header(header::HOST, self.running.address.to_string())
-                .header(header::CONTENT_TYPE, "application/json")
-                .body(Full::from(order))
-                .ok()?;
-            let mut answer = send(&self.context, &self.running, request).await.ok()?;
-            let body = (&mut answer.body).collect().await.ok()?.to_bytes();
-            let is_done = answer.parts.status.is_success();
-            answer.release(&self.context, &self.running.id);
-            if is_done { hollyhook_platform::decode_copy(&body).ok() } else { None }
-        };
-        self.context.timer.within(COPY_TIMEOUT, exchange).await.flatten()
+        let request = Request::post(hollyhook_platform::copy_path())
+            .header(header::HOST, self.running.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::from(order))
+            .ok()?;
+        let answer = ask_endpoint(&self.context, &self.running, request, COPY_TIMEOUT).await?;
+        let is_done = answer.parts.status.is_success();
+        if is_done { hollyhook_platform::decode_copy(&answer.body).ok() } else { None }
     }
 }
 
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -3,9 +3,9 @@
 use futures::future::join_all;
 use hollyhook_core::{AttemptFailure, EndpointRecord, EngineCandidate, EngineReport};
 use http::{Request, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 
-use super::attempt::{EndpointTarget, send};
+use super::attempt::{EndpointTarget, ask_endpoint};
 use crate::gateway::GatewayContext;
 
 /// How long a silent engine may take to report before it is taken for lost; it answers within milliseconds and needs
@@ -38,21 +38,15 @@
 }
 
 async fn ask(context: &GatewayContext, target: &EndpointTarget, limit: Duration) -> Option<EngineReport> {
-    let exchange = async {
-        let mut request = Request::get(hollyhook_platform::report_path())
-            .header(header::HOST, target.address.to_string())
-            .body(Full::default())
-            .ok()?;
-        hollyhook_platform::set_expected_endpoint(request.headers_mut(), &target.id);
-        let mut answer = send(context, target, request).await.ok()?;
-        if !answer.parts.status.is_success() {
-            tracing::info!(endpoint = %target.id, status = answer.parts.status.as_u16(), "endpoint.probe_refused");
-            return None;
-        }
-        let body = (&mut answer.body).collect().await.ok()?.to_bytes();
-        let report = hollyhook_platform::decode_report(&body).ok()?;
-        answer.release(context, &target.id);
-        Some(report)
-    };
-    context.timer.within(limit, exchange).await.flatten()
+    let mut request = Request::get(hollyhook_platform::report_path())
+        .header(header::HOST, target.address.to_string())
+        .body(Full::default())
+        .ok()?;
+    hollyhook_platform::set_expected_endpoint(request.headers_mut(), &target.id);
+    let answer = ask_endpoint(context, target, request, limit).await?;
+    if !answer.parts.status.is_success() {
+        tracing::info!(endpoint = %target.id, status = answer.parts.status.as_u16(), "endpoint.probe_refused");
+        return None;
+    }
+    hollyhook_platform::decode_report(&answer.body).ok()
 }
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -243,17 +243,8 @@
     }
 
     /// Passes an answer on that is no stream.
-    async fn pass_on(
-        &mut self,
-        place: &EndpointPlace,
-        mut answer: OpenAnswer,
-    ) -> std::result::Result<(), AttemptFailure> {
-        let Ok(body) = (&mut answer.body).collect().await else {
-            return Err(AttemptFailure::Broken);
-        };
-        let parts = answer.parts.clone();
-        answer.release(&self.context, place.id());
-        self.refusal = Some(WholeAnswer { parts, body: body.to_bytes() });
+    async fn pass_on(&mut self, place: &EndpointPlace, answer: OpenAnswer) -> std::result::Result<(), AttemptFailure> {
+        self.refusal = Some(answer.read_whole(&self.context, place.id()).await?);
         Ok(())
     }
 
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -6,7 +6,6 @@
 };
 use hollyhook_platform::AttemptHeaders;
 use http::Response;
-use http_body_util::BodyExt;
 
 use super::attempt::{EndpointPlace, WholeAnswer, send_attempt};
 use super::request_log;
@@ -127,7 +126,7 @@
             time_left: caller.time_left(self.context.timer.now()),
             ..AttemptHeaders::default()
         };
-        let mut answer = match send_attempt(self.context, caller, &place.target, &headers).await {
+        let answer = match send_attempt(self.context, caller, &place.target, &headers).await {
             Ok(answer) => answer,
             Err(failure) => return CallEnd::Failure(failure),
         };
@@ -138,12 +137,10 @@
         if verdict == AnswerVerdict::Fail(AttemptFailure::Garbled) {
             return CallEnd::Failure(AttemptFailure::Garbled);
         }
-        let Ok(body) = (&mut answer.body).collect().await else {
-            return CallEnd::Failure(AttemptFailure::Broken);
+        let whole = match answer.read_whole(self.context, place.id()).await {
+            Ok(whole) => whole,
+            Err(failure) => return CallEnd::Failure(failure),
         };
-        let parts = answer.parts.clone();
-        answer.release(self.context, place.id());
-        let whole = WholeAnswer { parts, body: body.to_bytes() };
         match verdict {
             AnswerVerdict::Pass => CallEnd::Answer(whole),
             AnswerVerdict::PassOrRetry => CallEnd::Fallback(whole),
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -30,6 +30,7 @@
 const START_WAIT: Duration = Duration::from_millis(600);
 /// How often such a request looks.
 const START_CHECK: Duration = Duration::from_millis(10);
+
 /// What the parts of a gateway share, as the registry of services names it.
 #[derive(Debug)]
 pub(crate) struct GatewayContext {
