Send callers who come back to the engine that holds their prompt

Cause: after a loss of hosts dozens of callers come back within a moment with the number of their last event.

Ruled out: that the memory had yielded. Asked for what they hold, the engines that had served the callers still had the prompt in 78 of 88 cases, also 18 s after a loss of power.

Change: a caller who comes back with a cursor is placed by `find_holder`: the first three engines of each zone in the order that all hosts share are asked for their report and for what they hold. The holder takes the request if no prompt waits there; otherwise another engine does and fetches the prompt from it. The log names a generation by its prompt's own part, which all attempts of a caller share, and says `prompt.found`.

Conclusion: what is left after a loss is the queue at the holder and the time until a caller notices.

--- a/crates/hollyhook_command/src/load/placement/host_model.rs
+++ b/crates/hollyhook_command/src/load/placement/host_model.rs
@@ -101,7 +101,7 @@
             .into_iter()
             .map(|record| {
                 let engine = index(&record.id);
-                EngineCandidate { report: reports.report(engine, now), record }
+                EngineCandidate { report: reports.report(engine, now), record, held_tokens: 0 }
             })
             .collect();
         let chosen = choose_engine(&asked, tokens).or(asked.first());
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -35,7 +35,8 @@
 pub use retry::{ProbeGate, ProbePlace, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
 pub use route::{
     EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
-    EngineRun, LoadReport, REPORT_AGE, RouteQuery, choose_engine, excess_wait, expected_first,
+    EngineRun, HeldPart, LoadReport, PromptHolder, REPORT_AGE, RouteQuery, choose_engine, excess_wait, expected_first,
+    find_holder,
 };
 pub use site::{
     AccountPlan, CallerLimits, EngineMemory, PlanAdoption, RequestKind, RoutePlan, ServicePlan, ServiceShare,
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -210,6 +210,22 @@
         costs.into_iter().take(most).map(|(_, record)| record.as_of(now)).collect()
     }
 
+    /// Up to `most` endpoints of each zone, in the order that all hosts share for `number`, the own zone first.
+    ///
+    /// Load is not looked at: where a prompt went earlier was decided by other loads, and by other hosts.
+    pub fn homes(&self, now: TimePoint, query: &RouteQuery<'_>, number: u64, most: usize) -> Vec<EndpointRecord> {
+        let fit = self.records.values().filter(|record| query.is_met_by(record) && !record.is_ejected(now));
+        let mut fit: Vec<&EndpointRecord> = fit.collect();
+        fit.sort_by_cached_key(|record| (record.zone != self.zone, Reverse(weight(&number.to_be_bytes(), &record.id))));
+        let mut taken: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+        fit.retain(|record| {
+            let count = taken.entry(&record.zone).or_default();
+            *count += 1;
+            *count <= most
+        });
+        fit.into_iter().map(|record| record.as_of(now)).collect()
+    }
+
     /// The endpoints that a request with this affinity may be held by, best first.
     pub fn candidates(&self, query: &RouteQuery<'_>, number: u128) -> Vec<EndpointId> {
         let fit = self.records.values().filter(|record| query.is_met_by(record)).collect();
--- a/crates/hollyhook_core/src/route/engine_report.rs
+++ b/crates/hollyhook_core/src/route/engine_report.rs
@@ -81,6 +81,8 @@
     pub record: EndpointRecord,
     /// Its report; none if it did not answer.
     pub report: Option<EngineReport>,
+    /// Tokens of the request's own prompt part that it still holds; zero if it was not asked.
+    pub held_tokens: u64,
 }
 
 /// Chooses among engines that were asked, given in the order that all hosts share; none if no engine answered.
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint_subset;
 mod endpoint_table;
 mod engine_report;
+mod prompt_holder;
 mod rendezvous;
 mod zone_trouble;
 
@@ -15,3 +16,4 @@
 pub use engine_report::{
     EngineCandidate, EngineReport, EngineRun, REPORT_AGE, choose_engine, excess_wait, expected_first,
 };
+pub use prompt_holder::{HeldPart, PromptHolder, find_holder};
--- a/crates/hollyhook_core/tests/gateway/choosing.rs
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -2,7 +2,7 @@
 
 use hollyhook_core::{
     EndpointId, EndpointRecord, EndpointTable, EngineCandidate, EngineReport, EngineRun, RouteQuery, TimePoint,
-    choose_engine, excess_wait,
+    choose_engine, excess_wait, find_holder,
 };
 use rand_pcg::Pcg64;
 use rand_pcg::rand_core::SeedableRng;
@@ -142,7 +142,7 @@
 fn candidate(id: &str, running: u64, waiting: u32, used_tokens: u64) -> EngineCandidate {
     let runs = (0..running).map(|number| EngineRun { attempt_id: number.to_string().into(), events: 9 });
     let report = EngineReport { waiting, reading: 0, used_tokens, total_tokens: 88_000, runs: runs.collect() };
-    EngineCandidate { record: record(id, "z0", 1, 1), report: Some(report) }
+    EngineCandidate { record: record(id, "z0", 1, 1), report: Some(report), held_tokens: 0 }
 }
 
 fn reading(mut candidate: EngineCandidate, prompts: u32) -> EngineCandidate {
@@ -182,7 +182,10 @@
     table.opened(NOW, "z0-0");
     let report = candidate("", 0, 0, 0).report;
     let as_of = |millis| {
-        let known = |id| EngineCandidate { record: table.as_of(after(millis), id).unwrap(), report: report.clone() };
+        let known = |id| {
+            let record = table.as_of(after(millis), id).unwrap();
+            EngineCandidate { record, report: report.clone(), held_tokens: 0 }
+        };
         [known("z0-0"), known("z0-1")]
     };
     assert_eq!(chosen(&as_of(100)), Some("z0-1"));
@@ -202,3 +205,57 @@
     assert_eq!(wait(30, 25), Some(Duration::from_millis(10_200)));
     assert_eq!(wait(0, 5), Some(Duration::from_millis(200)));
 }
+
+/// Where a prompt may have gone does not depend on what this host sent meanwhile.
+#[test]
+fn homes_whatever_the_load() {
+    let mut table = table(&["z0", "z1"], 6);
+    let before = table.homes(NOW, &query(), 77, 2);
+    for record in table.homes(NOW, &query(), 77, 1) {
+        for _ in 0..9 {
+            table.opened(NOW, &record.id);
+        }
+    }
+    let homes = table.homes(NOW, &query(), 77, 2);
+    assert_eq!(ids(&homes), ids(&before));
+    let zones: Vec<&str> = homes.iter().map(|record| &*record.zone).collect();
+    assert_eq!(zones, ["z0", "z0", "z1", "z1"]);
+}
+
+/// Without load, a prompt's first home is where it is placed.
+#[test]
+fn homes_agree_with_shortlist() {
+    let table = table(&["z0", "z1"], 6);
+    for number in 0..50 {
+        let homes = table.homes(NOW, &query(), number, 2);
+        assert_eq!(ids(&homes)[..2], ids(&table.shortlist(NOW, &query(), number, 2)));
+    }
+}
+
+fn holding(tokens: u64, candidate: EngineCandidate) -> EngineCandidate {
+    EngineCandidate { held_tokens: tokens, ..candidate }
+}
+
+fn holder(candidates: &[EngineCandidate]) -> Option<(&str, bool)> {
+    find_holder(candidates, 9_000).map(|holder| (&*holder.candidate.record.id, holder.is_free))
+}
+
+/// Load: callers who come back at once after a loss of hosts, with prompts that engines have just read.
+#[test]
+fn holder_of_most() {
+    let others = [candidate("a", 0, 0, 0), holding(5_000, candidate("b", 3, 0, 0))];
+    assert_eq!(holder(&others), Some(("b", true)));
+    let most = holding(8_000, candidate("c", 9, 0, 0));
+    assert_eq!(holder(&[others[1].clone(), most]), Some(("c", true)));
+    assert_eq!(holder(&[candidate("a", 0, 0, 0)]), None);
+    assert_eq!(holder(&[holding(16, candidate("a", 0, 0, 0))]), None, "reading so little costs less than the way");
+}
+
+#[test]
+fn holder_not_free() {
+    assert_eq!(holder(&[holding(8_000, candidate("a", 0, 1, 0))]), Some(("a", false)));
+    assert_eq!(holder(&[holding(8_000, candidate("a", 0, 0, 80_000))]), Some(("a", false)));
+    assert_eq!(holder(&[holding(8_000, reading(candidate("a", 0, 0, 0), 2))]), Some(("a", false)));
+    let silent = EngineCandidate { report: None, ..candidate("a", 0, 0, 0) };
+    assert_eq!(holder(&[holding(8_000, silent)]), None, "what does not answer holds nothing");
+}
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::future::join_all;
 use hollyhook_core::{AttemptFailure, EndpointRecord, EngineCandidate, EngineReport};
 use http::{Request, header};
@@ -32,21 +33,53 @@
         if report.is_none() {
             context.note_outcome(&target.id, Some(AttemptFailure::NotConnected));
         }
-        EngineCandidate { record, report }
+        EngineCandidate { record, report, held_tokens: 0 }
     });
     join_all(asks).await
 }
 
+/// Asks all of a list at once for their reports and for what they hold of a prompt part.
+pub(super) async fn ask_holdings(
+    context: &GatewayContext,
+    list: Vec<EndpointRecord>,
+    part: u64,
+) -> Vec<EngineCandidate> {
+    let mut candidates = ask_all(context, list).await;
+    let answered = candidates.iter_mut().filter(|candidate| candidate.report.is_some());
+    let asks = answered.map(|candidate| async move {
+        candidate.held_tokens = ask_held(context, &EndpointTarget::from(&candidate.record), part).await;
+    });
+    join_all(asks).await;
+    candidates
+}
+
+/// Tokens of a prompt part that an engine holds; zero if it does not say, which only costs reading them again.
+async fn ask_held(context: &GatewayContext, target: &EndpointTarget, part: u64) -> u64 {
+    let Some(body) = ask_path(context, target, hollyhook_platform::held_path(), CHOICE_TIMEOUT).await else {
+        return 0;
+    };
+    match hollyhook_platform::decode_held(&body) {
+        Ok(held) => held.iter().find(|known| known.part == part).map_or(0, |known| known.tokens),
+        Err(fault) => {
+            tracing::info!(endpoint = %target.id, reason = %fault, "endpoint.holdings_unread");
+            0
+        }
+    }
+}
+
 async fn ask(context: &GatewayContext, target: &EndpointTarget, limit: Duration) -> Option<EngineReport> {
-    let mut request = Request::get(hollyhook_platform::report_path())
-        .header(header::HOST, target.address.to_string())
-        .body(Full::default())
-        .ok()?;
+    let body = ask_path(context, target, hollyhook_platform::report_path(), limit).await?;
+    hollyhook_platform::decode_report(&body).ok()
+}
+
+/// Asks an engine on one of its own paths; none if it does not answer in time, or with a failure.
+async fn ask_path(context: &GatewayContext, target: &EndpointTarget, path: &str, limit: Duration) -> Option<Bytes> {
+    let mut request = Request::get(path).header(header::HOST, target.address.to_string()).body(Full::default()).ok()?;
     hollyhook_platform::set_expected_endpoint(request.headers_mut(), &target.id);
     let answer = ask_endpoint(context, target, request, limit).await?;
     if !answer.parts.status.is_success() {
         tracing::info!(endpoint = %target.id, status = answer.parts.status.as_u16(), "endpoint.probe_refused");
         return None;
     }
-    hollyhook_platform::decode_report(&answer.body).ok()
+    Some(answer.body)
 }
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -1,17 +1,18 @@
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::join;
 use hollyhook_core::{
     EndpointId, EndpointRecord, EndpointState, EngineCandidate, Name, RouteQuery, StopReason, ZoneName, choose_engine,
-    excess_wait,
+    excess_wait, find_holder,
 };
 use hollyhook_platform::BackupSource;
 use rand::Rng;
 
 use super::attempt::{EndpointPlace, EndpointTarget};
-use super::endpoint_probe::ask_all;
+use super::endpoint_probe::{ask_all, ask_holdings};
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
 
@@ -19,6 +20,10 @@
 /// choice removes most of the waiting behind other prompts, a third little more.
 const ASKED: usize = 2;
 
+/// Engines of each zone that are asked whether they hold the prompt of a generation that comes back. It went to one of the
+/// first two of a zone unless they were busy, which a third covers mostly; zones count because hosts see them change.
+const ASKED_HOMES: usize = 3;
+
 /// Where the memory of a run is copied to as it grows.
 #[derive(Debug, Clone)]
 pub(super) struct BackupPlace {
@@ -34,6 +39,8 @@
     pub(super) place: EndpointPlace,
     pub(super) from: Option<BackupSource>,
     pub(super) backup: Option<BackupPlace>,
+    /// The engine to fetch the prompt from, which it holds.
+    pub(super) prompt_at: Option<SocketAddr>,
 }
 
 /// Why no engine was chosen.
@@ -76,7 +83,37 @@
             let backup = self.best_backup(&record, &backups);
             return Ok(self.choice(&record, Some(source), backup));
         }
-        self.choose_new().await
+        let homes = match self.returning_part() {
+            Some(part) => self.ask_homes(part).await,
+            None => Vec::new(),
+        };
+        let Some(holder) = find_holder(&homes, self.needed_tokens()) else {
+            return self.choose_new().await;
+        };
+        let held_at = holder.candidate.record.address;
+        tracing::info!(request = %self.caller.head.attempt_id, endpoint = %holder.candidate.record.id,
+            tokens = holder.candidate.held_tokens, is_free = holder.is_free, "prompt.found");
+        if holder.is_free {
+            let record = &holder.candidate.record;
+            let backup = self.best_backup(record, &homes);
+            return Ok(self.choice(record, None, backup));
+        }
+        let choice = self.choose_new().await?;
+        let prompt_at = (choice.place.target.address != held_at).then_some(held_at);
+        Ok(EngineChoice { prompt_at, ..choice })
+    }
+
+    /// The prompt's own part, if the caller comes back to go on with a generation that this host has not tried yet.
+    ///
+    /// Its host was lost or stopped, not its engine: most likely that still holds what it had read.
+    fn returning_part(&self) -> Option<u64> {
+        let is_back = self.caller.head.cursor.is_some() && self.tried.is_empty();
+        self.caller.head.prompt.filter(|_| is_back)?.own_part
+    }
+
+    async fn ask_homes(&self, part: u64) -> Vec<EngineCandidate> {
+        let homes = self.context.homes(&self.query(self.tried), self.home(), ASKED_HOMES);
+        ask_holdings(self.context, homes, part).await
     }
 
     async fn choose_new(&self) -> Result<EngineChoice, ChoiceRefusal> {
@@ -118,7 +155,7 @@
     }
 
     fn choice(&self, record: &EndpointRecord, from: Option<BackupSource>, backup: Option<BackupPlace>) -> EngineChoice {
-        EngineChoice { place: EndpointPlace::take(self.context, record), from, backup }
+        EngineChoice { place: EndpointPlace::take(self.context, record), from, backup, prompt_at: None }
     }
 
     /// The engine that holds the copy, if it still takes work.
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -206,7 +206,7 @@
     }
 
     async fn open(&mut self, choice: EngineChoice) -> std::result::Result<(), AttemptFailure> {
-        let EngineChoice { place, from, backup } = choice;
+        let EngineChoice { place, from, backup, prompt_at } = choice;
         let headers = AttemptHeaders {
             endpoint: Some(EndpointId::clone(place.id())),
             account: self.caller.account.as_ref().map(|account| Arc::clone(&account.name)),
@@ -216,6 +216,7 @@
             cursor: self.relay.last(),
             backup_at: backup.as_ref().map(|backup| backup.source.address),
             backup_from: from,
+            prompt_at,
         };
         request_log::attempt_placed(&self.context, &self.caller, &place, &headers);
         let answer = self.open_head(&place, &headers).await?;
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -18,9 +18,13 @@
 ) {
     let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
     let backup_at = headers.backup_at.map(|address| address.to_string());
+    let prompt_at = headers.prompt_at.map(|address| address.to_string());
+    // Names the generation over all attempts of its caller, each of which has an id of its own.
+    let own_part = caller.head.prompt.and_then(|prompt| prompt.own_part);
+    let prompt = own_part.map(|part| format!("{part:x}"));
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %place.target.id,
         zone = %place.target.zone, open = place.open, left_ms = headers.time_left.as_millis() as u64, cursor = headers.cursor,
-        is_from_backup = headers.backup_from.is_some(), backup_at, age_ms, "attempt.placed");
+        is_from_backup = headers.backup_from.is_some(), backup_at, prompt_at, prompt, age_ms, "attempt.placed");
 }
 
 /// An attempt at an endpoint was of no use.
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -233,6 +233,11 @@
         self.endpoints().shortlist(self.timer.now(), query, number, most)
     }
 
+    /// Up to `most` endpoints of each zone that a prompt may have gone to, in the order that all hosts share for it.
+    pub(crate) fn homes(&self, query: &RouteQuery<'_>, number: u64, most: usize) -> Vec<EndpointRecord> {
+        self.endpoints().homes(self.timer.now(), query, number, most)
+    }
+
     /// Brings what is known of an endpoint up to date.
     pub(crate) fn refresh(&self, record: &mut EndpointRecord) {
         if let Some(known) = self.endpoints().as_of(self.timer.now(), &record.id) {
