Charge the retry budget only for sends that may have arrived; pass other incarnations by

Ruled out: telling incarnations apart by their reports: reports do not carry the name (252 looked at).

Change: a failed connection spends nothing (the limit is on arrivals); an endpoint that turns out to be another incarnation is passed by without counting as a refusal, since it is forgotten at once.

--- a/crates/hollyhook_core/src/forward/answer_verdict.rs
+++ b/crates/hollyhook_core/src/forward/answer_verdict.rs
@@ -48,6 +48,11 @@
         matches!(self, Self::NotConnected | Self::Rejected | Self::WrongIncarnation)
     }
 
+    /// Whether the request may have reached an endpoint, so that sending it again spends of the retry budget.
+    pub fn has_arrived(self) -> bool {
+        self != Self::NotConnected
+    }
+
     /// Whether it speaks against the endpoint itself, rather than against its load or one answer.
     pub fn is_loss(self) -> bool {
         matches!(self, Self::NotConnected | Self::Broken | Self::Silent)
--- a/crates/hollyhook_core/src/forward/attempt_ledger.rs
+++ b/crates/hollyhook_core/src/forward/attempt_ledger.rs
@@ -58,12 +58,13 @@
     most_turned_away: u32,
     runs: u32,
     turned_away: u32,
+    misdirected: u32,
 }
 
 impl AttemptLedger {
     /// A ledger for a request that may run at `most_runs` endpoints and be turned away by `most_turned_away`.
     pub fn new(kind: RequestKind, most_runs: u32, most_turned_away: u32) -> Self {
-        Self { kind, most_runs, most_turned_away, runs: 0, turned_away: 0 }
+        Self { kind, most_runs, most_turned_away, runs: 0, turned_away: 0, misdirected: 0 }
     }
 
     /// A ledger for a request on a route.
@@ -72,17 +73,20 @@
     }
 
     /// Counts an attempt that failed.
+    ///
+    /// One that met another incarnation does not count as turned away: it tells nothing of the service's load, and the
+    /// endpoint is not chosen again. After an outage of the platform most of what a host knows may be of that kind.
     pub fn note(&mut self, failure: AttemptFailure) {
-        if failure.is_not_run() {
-            self.turned_away += 1;
-        } else {
-            self.runs += 1;
+        match failure {
+            AttemptFailure::WrongIncarnation => self.misdirected += 1,
+            failure if failure.is_not_run() => self.turned_away += 1,
+            _ => self.runs += 1,
         }
     }
 
     /// Attempts that failed.
     pub fn attempts(&self) -> u32 {
-        self.runs + self.turned_away
+        self.runs + self.turned_away + self.misdirected
     }
 
     /// Whether the next attempt is the last that may run.
@@ -107,7 +111,7 @@
 
     /// What the caller is told at the end; "not run" only if no attempt may have run, with when to come back.
     pub fn end(&self, reason: StopReason, delivered: u64, retry_after: Duration) -> Error {
-        let kind = match (self.runs, self.turned_away, delivered) {
+        let kind = match (self.runs, self.turned_away + self.misdirected, delivered) {
             (0, _, _) if reason == StopReason::Overloaded => ErrorKind::Overloaded,
             (0, 0, _) => ErrorKind::NoEndpoint,
             (0, _, _) => ErrorKind::NotRun,
--- a/crates/hollyhook_core/src/route/prompt_holder.rs
+++ b/crates/hollyhook_core/src/route/prompt_holder.rs
@@ -13,8 +13,8 @@
 /// The least tokens that are worth going to, or fetching from, an engine for: reading fewer takes a few milliseconds.
 const WORTHWHILE_TOKENS: u64 = 200;
 /// What fetching a prompt costs, against reading another one: 8,000 tokens take some ten milliseconds, and another engine
-/// may have no room for them.
-const FETCH_COST: f64 = 0.25;
+/// may have no room for them. More than the way to another zone, so that a far holder is gone to rather than fetched from.
+const FETCH_COST: f64 = 0.3;
 /// What an engine of another zone costs, against reading another prompt: its stream is lost when zones are cut apart.
 const DISTANCE_COST: f64 = 0.25;
 
--- a/crates/hollyhook_core/tests/gateway/attempts.rs
+++ b/crates/hollyhook_core/tests/gateway/attempts.rs
@@ -36,6 +36,24 @@
     assert_eq!((error.kind(), error.get_retry_after()), (ErrorKind::NoEndpoint, Some(SECOND)));
 }
 
+/// After an outage of the platform, most endpoints that a host knows may have started anew since.
+#[test]
+fn note_wrong_incarnations() {
+    let mut ledger = AttemptLedger::new(RequestKind::NonIdempotent, 1, 3);
+    for _ in 0..20 {
+        ledger.note(AttemptFailure::WrongIncarnation);
+    }
+    assert_eq!((ledger.stop_reason(SECOND), ledger.attempts()), (None, 20));
+    assert_eq!(ledger.end(StopReason::NoEndpoint, 0, SECOND).get_run(), RunState::NotRun);
+}
+
+/// The budget counts what arrives at endpoints beyond the first.
+#[test]
+fn has_arrived_unless_not_connected() {
+    let free: Vec<AttemptFailure> = FAILURES.into_iter().filter(|failure| !failure.has_arrived()).collect();
+    assert_eq!(free, [AttemptFailure::NotConnected]);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 500, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -177,7 +177,7 @@
         self.ledger.note(failure);
         let time_left = self.caller.time_left(self.context.timer.now());
         let reason = self.ledger.stop_reason(time_left);
-        let is_spent = || !self.context.try_retry(&self.caller.service);
+        let is_spent = || failure.has_arrived() && !self.context.try_retry(&self.caller.service);
         match reason.or_else(|| is_spent().then_some(StopReason::BudgetSpent)) {
             Some(reason) => Err(self.ended_by(reason)),
             None => Ok(()),
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -70,16 +70,16 @@
             request_log::attempt_failed(self.context, self.caller, place.id(), failure, None);
             self.tried.push(EndpointId::clone(place.id()));
             self.ledger.note(failure);
-            if let Some(reason) = self.stop_reason() {
+            if let Some(reason) = self.stop_reason(failure) {
                 return self.give_up(reason);
             }
         }
     }
 
-    fn stop_reason(&self) -> Option<StopReason> {
+    fn stop_reason(&self, failure: AttemptFailure) -> Option<StopReason> {
         let time_left = self.caller.time_left(self.context.timer.now());
         let reason = self.ledger.stop_reason(time_left);
-        let is_spent = || !self.context.try_retry(&self.caller.service);
+        let is_spent = || failure.has_arrived() && !self.context.try_retry(&self.caller.service);
         reason.or_else(|| is_spent().then_some(StopReason::BudgetSpent))
     }
 
