--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -90,12 +90,14 @@
 impl StreamRun {
     fn new(context: Arc<GatewayContext>, caller: Arc<CallerRequest>) -> Self {
         let relay = EventRelay::new(caller.head.cursor);
+        let is_back = caller.head.cursor.is_some();
+        let pace = if is_back { StreamPace::returning(caller.arrived) } else { StreamPace::default() };
         let ledger = AttemptLedger::for_route(&caller.route, MOST_TURNED_AWAY);
         Self {
             context,
             caller,
             relay,
-            pace: StreamPace::default(),
+            pace,
             live: None,
             held: None,
             first_head: None,
@@ -125,7 +127,9 @@
             };
             match live.next_piece(&self.context, &self.caller, &mut self.relay).await {
                 PieceEnd::Bytes(bytes) => {
-                    self.pace.note(self.context.timer.now());
+                    if let Some(resume) = self.pace.note(self.context.timer.now()) {
+                        request_log::resumed(&self.context, &self.caller, &resume);
+                    }
                     return Some(Ok(bytes));
                 }
                 PieceEnd::Complete => {
@@ -162,7 +166,7 @@
         let Some(live) = self.live.take() else {
             return Ok(());
         };
-        self.pace.note_loss();
+        self.pace.note_loss(failure.as_str());
         // Dropping the attempt closes its connection, which stops the old run.
         let id = EndpointId::clone(live.place.id());
         self.held = live.keeper.as_ref().and_then(BackupKeeper::take);
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -5,7 +5,7 @@
 use hollyhook_telemetry::MetricMeasure;
 
 use super::attempt::EndpointPlace;
-use super::stream_pace::StreamPace;
+use super::stream_pace::{StreamPace, StreamResume};
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
 
@@ -40,6 +40,14 @@
         failure = failure.as_str(), last_event, age_ms, "attempt.failed");
 }
 
+/// A stream goes on after a loss.
+pub(super) fn resumed(context: &GatewayContext, caller: &CallerRequest, resume: &StreamResume) {
+    context.board.record_cause(MetricMeasure::ResumeLatency, resume.cause, resume.span);
+    let pause_ms = resume.span.as_millis() as u64;
+    tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, cause = resume.cause, pause_ms,
+        "stream.resumed");
+}
+
 /// A request got its last answer.
 pub(super) fn answered(context: &GatewayContext, caller: &CallerRequest, status: u16, attempts: u32) {
     let age = context.timer.now().since(caller.arrived);
--- a/crates/hollyhook_gateway/src/forward/stream_pace.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_pace.rs
@@ -2,32 +2,50 @@
 
 use hollyhook_core::TimePoint;
 
+/// The cause that is told of a stream that began elsewhere: its caller came back to go on.
+const CALLER_BACK: &str = "caller_back";
+
+/// A stream that goes on after a loss.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StreamResume {
+    /// What was lost.
+    pub(super) cause: &'static str,
+    /// From the last event before the loss, or the caller's return, to the next event.
+    pub(super) span: Duration,
+}
+
 /// How a stream's events reached its caller.
 #[derive(Debug, Default)]
 pub(super) struct StreamPace {
     first: Option<TimePoint>,
     last: Option<TimePoint>,
     longest_gap: Duration,
-    /// Since when an attempt is looked for after a loss.
-    lost: Option<TimePoint>,
+    /// Since when, and why, an attempt is looked for after a loss.
+    lost: Option<(TimePoint, &'static str)>,
     resumes: Vec<Duration>,
 }
 
 impl StreamPace {
-    /// Takes in that events are on their way to the caller.
-    pub(super) fn note(&mut self, now: TimePoint) {
+    /// The pace of a stream whose caller came back with a cursor.
+    pub(super) fn returning(arrived: TimePoint) -> Self {
+        Self { lost: Some((arrived, CALLER_BACK)), ..Self::default() }
+    }
+
+    /// Takes in that events are on their way to the caller; tells if they end a loss.
+    pub(super) fn note(&mut self, now: TimePoint) -> Option<StreamResume> {
         let gap = self.last.map_or(Duration::ZERO, |last| now.since(last));
         self.longest_gap = self.longest_gap.max(gap);
         self.first.get_or_insert(now);
-        if let Some(lost) = self.lost.take() {
-            self.resumes.push(now.since(lost));
-        }
         self.last = Some(now);
+        let (since, cause) = self.lost.take()?;
+        let span = now.since(since);
+        self.resumes.push(span);
+        Some(StreamResume { cause, span })
     }
 
-    /// Takes in that the attempt is lost that sent the last events.
-    pub(super) fn note_loss(&mut self) {
-        self.lost = self.lost.or(self.last);
+    /// Takes in that the attempt is lost that sent the last events; of several losses in a row the first is the cause.
+    pub(super) fn note_loss(&mut self, cause: &'static str) {
+        self.lost = self.lost.or(self.last.map(|last| (last, cause)));
     }
 
     /// The times from the last event before a loss to the next.
--- a/crates/hollyhook_telemetry/src/metric/metric_board.rs
+++ b/crates/hollyhook_telemetry/src/metric/metric_board.rs
@@ -47,6 +47,8 @@
     Account,
     /// A class's.
     Class,
+    /// A cause's, such as that of a loss.
+    Cause,
 }
 
 impl MetricScope {
@@ -54,6 +56,7 @@
         match self {
             Self::Account => "account",
             Self::Class => "class",
+            Self::Cause => "cause",
         }
     }
 
@@ -62,6 +65,7 @@
         match self {
             Self::Account => 1_500,
             Self::Class => 64,
+            Self::Cause => 16,
         }
     }
 
@@ -69,7 +73,7 @@
     const fn digits(self) -> u8 {
         match self {
             Self::Account => 1,
-            Self::Class => 3,
+            Self::Class | Self::Cause => 3,
         }
     }
 }
@@ -146,16 +150,8 @@
     /// Records times of one client account and class.
     pub fn record(&self, measure: MetricMeasure, account: &Name, class: &str, spans: &[Duration]) {
         let mut histograms = lock(&self.histograms);
-        let account_key = HistogramKey { measure, scope: MetricScope::Account, name: Name::clone(account) };
-        let class_key = HistogramKey { measure, scope: MetricScope::Class, name: class.into() };
-        for key in [account_key, class_key] {
-            let key = bounded(&histograms, key);
-            let digits = key.scope.digits();
-            let histogram = histograms.entry(key).or_insert_with(|| new_histogram(digits));
-            for span in spans {
-                histogram.saturating_record((span.as_micros() as u64).max(1));
-            }
-        }
+        add(&mut histograms, measure, MetricScope::Account, Name::clone(account), spans);
+        add(&mut histograms, measure, MetricScope::Class, class.into(), spans);
         drop(histograms);
         if let Some(statsd) = &self.statsd {
             for span in spans {
@@ -164,6 +160,14 @@
         }
     }
 
+    /// Records a time that has a cause.
+    pub fn record_cause(&self, measure: MetricMeasure, cause: &'static str, span: Duration) {
+        add(&mut lock(&self.histograms), measure, MetricScope::Cause, cause.into(), &[span]);
+        if let Some(statsd) = &self.statsd {
+            let _dropped = statsd.time_with_tags(measure.label(), span).with_tag("cause", cause).try_send();
+        }
+    }
+
     pub(super) fn visit_histograms(&self, mut visit: impl FnMut(&HistogramKey, &Histogram<u32>)) {
         lock(&self.histograms).iter().for_each(|(key, histogram)| visit(key, histogram));
     }
@@ -193,6 +197,21 @@
     }
 }
 
+fn add(
+    histograms: &mut BTreeMap<HistogramKey, Histogram<u32>>,
+    measure: MetricMeasure,
+    scope: MetricScope,
+    name: Name,
+    spans: &[Duration],
+) {
+    let key = bounded(histograms, HistogramKey { measure, scope, name });
+    let digits = key.scope.digits();
+    let histogram = histograms.entry(key).or_insert_with(|| new_histogram(digits));
+    for span in spans {
+        histogram.saturating_record((span.as_micros() as u64).max(1));
+    }
+}
+
 /// The key itself, or that of all others once there are too many of its scope: names come from outside.
 fn bounded(histograms: &BTreeMap<HistogramKey, Histogram<u32>>, key: HistogramKey) -> HistogramKey {
     let of_scope = |other: &&HistogramKey| other.measure == key.measure && other.scope == key.scope;
