--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -16,6 +16,10 @@
 /// answers on a new connection.
 const CHOICE_TIMEOUT: Duration = Duration::from_millis(60);
 
+/// The same for a generation that goes on from its backup, whose caller has been without events for half a second: an
+/// engine that lives answers by then, also on a new connection to another zone (two ways of some 3 ms, and its own 1 ms).
+const RESUME_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// Asks a model engine that is silent on a stream; none if it does not answer.
 pub(super) async fn ask_silent(context: &GatewayContext, target: &EndpointTarget) -> Option<EngineReport> {
     let report = ask(context, target, LIFE_TIMEOUT).await;
@@ -27,12 +31,21 @@
 
 /// Asks all of a shortlist at once; one that does not answer counts as failed.
 pub(super) async fn ask_all(context: &GatewayContext, shortlist: Vec<EndpointRecord>) -> Vec<EngineCandidate> {
-    let asks = shortlist.into_iter().map(|record| async move {
-        let target = EndpointTarget::from(&record);
-        let report = ask(context, &target, CHOICE_TIMEOUT).await;
-        if report.is_none() {
-            context.note_outcome(&target.id, Some(AttemptFailure::NotConnected));
-        }
+    let candidates = ask_each(context, shortlist, CHOICE_TIMEOUT).await;
+    for candidate in candidates.iter().filter(|candidate| candidate.report.is_none()) {
+        context.note_outcome(&candidate.record.id, Some(AttemptFailure::NotConnected));
+    }
+    candidates
+}
+
+/// Asks all of a shortlist at once, for a caller who can't wait; not to answer so soon speaks against no engine.
+pub(super) async fn ask_quickly(context: &GatewayContext, shortlist: Vec<EndpointRecord>) -> Vec<EngineCandidate> {
+    ask_each(context, shortlist, RESUME_TIMEOUT).await
+}
+
+async fn ask_each(context: &GatewayContext, list: Vec<EndpointRecord>, limit: Duration) -> Vec<EngineCandidate> {
+    let asks = list.into_iter().map(|record| async move {
+        let report = ask(context, &EndpointTarget::from(&record), limit).await;
         EngineCandidate { record, report, held_tokens: 0 }
     });
     join_all(asks).await
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 
 use super::attempt::{EndpointPlace, EndpointTarget};
-use super::endpoint_probe::{ask_all, ask_holdings};
+use super::endpoint_probe::{ask_all, ask_holdings, ask_quickly};
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
 
@@ -83,7 +83,7 @@
             tracing::info!(request = %self.caller.head.attempt_id, endpoint = %held.id, "backup.lost");
         }
         if let Some((record, source)) = usable {
-            let backups = ask_all(self.context, self.list_elsewhere(&record)).await;
+            let backups = ask_quickly(self.context, self.list_elsewhere(&record)).await;
             let backup = self.best_backup(&record, &backups);
             return Ok(self.choice(&record, Some(source), backup));
         }
--- a/crates/hollyhook_gateway/src/forward/silence_watch.rs
+++ b/crates/hollyhook_gateway/src/forward/silence_watch.rs
@@ -7,9 +7,10 @@
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
 
-/// Silence between two events after which the engine is asked whether it lives. Half of the pause that callers bear,
-/// so that a resume fits into the other half; an engine that reads another prompt between steps pauses for 0.2 s.
-const EVENT_SILENCE: Duration = Duration::from_millis(350);
+/// Silence between two events after which the engine is asked whether it lives. Callers bear 0.7 s, of which a dead engine
+/// takes half a second to be found out with it and the rest is for the resume; an engine that reads another prompt
+/// between steps pauses for 0.2 s.
+const EVENT_SILENCE: Duration = Duration::from_millis(300);
 /// Silence before the first event after which the engine is asked, beyond the time to read the prompt.
 const FIRST_SILENCE: Duration = Duration::from_millis(500);
 /// Tokens of a prompt that an engine reads in a millisecond, by the deployments' sheets.
