Share what hosts read of the store within a zone

Change: hosts register in the store under a kind of hollyhook's own. In a zone of six or more the first two in rendezvous order read the store, the others ask them over a long poll on a connection of their own. Whoever does not answer within 0.85 s, may not tell (it heard it from another host), or knows only what is older than 1.25 s is passed over for 8 s and the store is asked. Ages count from the question, so a delayed answer never makes a key look confirmed. The decisions are FeedLog and FeedRoster in hollyhook_core.

Tests: core feeding, gateway sharing.

--- /dev/null
+++ b/crates/hollyhook_core/src/feed/feed_log.rs
@@ -0,0 +1,142 @@
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::{Name, TimePoint};
+
+/// Changes that are kept for those who ask from an earlier revision; at 280 endpoints that change every second or so,
+/// about ten seconds of them. Whoever asks from before gets everything.
+const KEPT_CHANGES: usize = 2_048;
+
+/// A change of one object.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FeedChange<T> {
+    /// The object's name.
+    pub name: Name,
+    /// The object after the change; none if it is gone.
+    pub object: Option<T>,
+}
+
+/// What a follower is told.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FeedNews<T> {
+    /// Whether these are all objects that there are, rather than what changed.
+    pub is_whole: bool,
+    /// The objects, or the changes in order.
+    pub changes: Vec<FeedChange<T>>,
+    /// The store's revision up to which they go.
+    pub revision: u64,
+    /// Until when it is known that nothing else changed.
+    pub heard_until: TimePoint,
+    /// When the store last came back after it had been away; entries may have lapsed meanwhile.
+    pub back_at: Option<TimePoint>,
+}
+
+/// What a host knows of one kind of object, kept to tell others of it.
+///
+/// ```
+/// use hollyhook_core::{FeedChange, FeedLog, FeedNews, TimePoint};
+///
+/// let at = TimePoint::from_millis(10);
+/// let object = FeedChange { name: "a".into(), object: Some(1) };
+/// let whole = FeedNews { is_whole: true, changes: vec![object], revision: 7, heard_until: at, back_at: None };
+/// let mut log = FeedLog::default();
+/// log.take(&whole, true);
+/// assert_eq!(log.after(Some(7)).unwrap().changes, []);
+/// assert!(log.after(None).unwrap().is_whole);
+/// ```
+#[derive(Debug)]
+pub struct FeedLog<T> {
+    objects: BTreeMap<Name, T>,
+    changes: VecDeque<(u64, FeedChange<T>)>,
+    /// The revision from which on all changes are kept.
+    kept_from: u64,
+    revision: u64,
+    heard_until: TimePoint,
+    back_at: Option<TimePoint>,
+    /// Whether the store itself said it, rather than another host.
+    is_direct: bool,
+    is_known: bool,
+}
+
+impl<T> Default for FeedLog<T> {
+    fn default() -> Self {
+        Self {
+            objects: BTreeMap::new(),
+            changes: VecDeque::new(),
+            kept_from: 0,
+            revision: 0,
+            heard_until: TimePoint::ZERO,
+            back_at: None,
+            is_direct: false,
+            is_known: false,
+        }
+    }
+}
+
+impl<T: Clone> FeedLog<T> {
+    /// Takes news in; `is_direct` if the store itself gave them.
+    pub fn take(&mut self, news: &FeedNews<T>, is_direct: bool) {
+        self.is_direct = is_direct;
+        self.heard_until = self.heard_until.max(news.heard_until);
+        self.back_at = self.back_at.max(news.back_at);
+        if news.is_whole {
+            self.objects.clear();
+            self.changes.clear();
+            self.kept_from = news.revision;
+            self.is_known = true;
+        }
+        for change in &news.changes {
+            match &change.object {
+                Some(object) => self.objects.insert(Name::clone(&change.name), object.clone()),
+                None => self.objects.remove(&change.name),
+            };
+            if !news.is_whole {
+                self.changes.push_back((news.revision, change.clone()));
+            }
+        }
+        self.revision = self.revision.max(news.revision);
+        while self.changes.len() > KEPT_CHANGES {
+            if let Some((revision, _)) = self.changes.pop_front() {
+                // Others of the same revision may still stand; all of it counts as forgotten.
+                self.kept_from = self.kept_from.max(revision);
+            }
+        }
+    }
+
+    /// What changed after a revision, or everything where that is not known; none if this host may not tell, because
+    /// another one told it.
+    pub fn after(&self, revision: Option<u64>) -> Option<FeedNews<T>> {
+        if !self.is_known || !self.is_direct {
+            return None;
+        }
+        let known = revision.filter(|revision| *revision >= self.kept_from);
+        let changes = match known {
+            Some(known) => {
+                let later = self.changes.iter().filter(|(revision, _)| *revision > known);
+                later.map(|(_, change)| change.clone()).collect()
+            }
+            None => self.objects.iter().map(whole_change).collect(),
+        };
+        Some(FeedNews {
+            is_whole: known.is_none(),
+            changes,
+            revision: self.revision,
+            heard_until: self.heard_until,
+            back_at: self.back_at,
+        })
+    }
+}
+
+fn whole_change<T: Clone>((name, object): (&Name, &T)) -> FeedChange<T> {
+    FeedChange { name: Name::clone(name), object: Some(object.clone()) }
+}
+
+/// How old what a leader knows may be before a follower asks the store itself. A leader hears of the store every second
+/// at the latest; with this and its own wait of half a second a follower is within 1.8 s of any change that it could read
+/// itself, of the two seconds that sites allow.
+const MOST_AGE: Duration = Duration::from_millis(1_250);
+
+/// Whether what a leader knows is too old to rely on.
+pub fn is_stale(age: Duration) -> bool {
+    age > MOST_AGE
+}
--- /dev/null
+++ b/crates/hollyhook_core/src/feed/feed_roster.rs
@@ -0,0 +1,86 @@
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::route::weight;
+use crate::{Name, TimePoint, ZoneName};
+
+/// Hosts of a zone from which on they share what they read. Below, as at the sites of 7 or 8 hosts, a call to the store
+/// costs little against one more thing that can fail.
+const SHARED_FROM: usize = 6;
+/// Hosts of a zone that read the store for all of it. A second one goes on when the first is lost.
+const LEADERS: usize = 2;
+/// How long a host that did not answer is passed over; it may be cut off, stopped or gone for good.
+const PASSED_OVER: Duration = Duration::from_secs(8);
+
+/// A host that may be asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RosterMember {
+    /// Its name.
+    pub host: Name,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it answers other hosts.
+    pub address: SocketAddr,
+}
+
+/// From whom a host learns what the store holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FeedPlan {
+    /// From the store, and it tells others.
+    Lead,
+    /// From one of these, best first, and from the store if none answers.
+    Follow(Vec<RosterMember>),
+    /// From the store, for itself.
+    Alone,
+}
+
+/// The hosts of a zone, and which of them read the store for the others.
+///
+/// The order is the same on every host that knows the same members (rendezvous by their names), so nobody is elected: a
+/// host whose view differs reads the store although it need not, or asks one that refuses and goes on to the next.
+#[derive(Debug)]
+pub struct FeedRoster {
+    host: Name,
+    zone: ZoneName,
+    members: Vec<RosterMember>,
+    passed_over: BTreeMap<Name, TimePoint>,
+}
+
+impl FeedRoster {
+    /// A roster for a host that knows no other yet.
+    pub fn new(host: Name, zone: ZoneName) -> Self {
+        Self { host, zone, members: Vec::new(), passed_over: BTreeMap::new() }
+    }
+
+    /// Takes in all hosts that are registered; those of other zones are left out.
+    pub fn list(&mut self, members: Vec<RosterMember>) {
+        let mut own: Vec<RosterMember> = members.into_iter().filter(|member| member.zone == self.zone).collect();
+        own.sort_by_cached_key(|member| Reverse(weight(self.zone.as_bytes(), &member.host)));
+        self.members = own;
+    }
+
+    /// Notes that a host did not answer, or not well.
+    pub fn pass_over(&mut self, now: TimePoint, host: &Name) {
+        self.passed_over.insert(Name::clone(host), now + PASSED_OVER);
+    }
+
+    /// From whom this host learns now.
+    pub fn plan(&self, now: TimePoint) -> FeedPlan {
+        let is_known = self.members.iter().any(|member| member.host == self.host);
+        if !is_known || self.members.len() < SHARED_FROM {
+            return FeedPlan::Alone;
+        }
+        let is_passed_over = |host: &Name| self.passed_over.get(host).is_some_and(|until| now < *until);
+        let usable = self.members.iter().filter(|member| !is_passed_over(&member.host));
+        let leaders: Vec<&RosterMember> = usable.take(LEADERS).collect();
+        if leaders.iter().any(|leader| leader.host == self.host) {
+            return FeedPlan::Lead;
+        }
+        let mut leaders: Vec<RosterMember> = leaders.into_iter().cloned().collect();
+        // Followers part evenly between the leaders.
+        leaders.sort_by_cached_key(|leader| Reverse(weight(self.host.as_bytes(), &leader.host)));
+        FeedPlan::Follow(leaders)
+    }
+}
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -7,6 +7,7 @@
 mod call;
 mod cursor;
 mod error;
+mod feed;
 mod forward;
 mod generation;
 mod name;
@@ -24,6 +25,7 @@
 };
 pub use cursor::{CursorKey, CursorSeal, StreamCursor};
 pub use error::{Answer, Error, ErrorKind, Result, RunState, answer_for};
+pub use feed::{FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, RosterMember, is_stale};
 pub use forward::{
     AnswerHead, AnswerVerdict, AttemptFailure, AttemptLedger, CallerHead, PromptSize, StopReason, attempt_rank,
     judge_answer,
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -17,3 +17,4 @@
     EngineCandidate, EngineReport, EngineRun, REPORT_AGE, choose_engine, excess_wait, expected_first,
 };
 pub use prompt_holder::{HeldPart, HeldPlacement, has_holder, place_held};
+pub(crate) use rendezvous::weight;
--- a/crates/hollyhook_core/src/time/time_point.rs
+++ b/crates/hollyhook_core/src/time/time_point.rs
@@ -50,6 +50,14 @@
     }
 }
 
+impl Sub<Duration> for TimePoint {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_sub(rhs.as_micros() as u64))
+    }
+}
+
 impl Sub for TimePoint {
     type Output = Duration;
 
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod attempts;
 mod choosing;
+mod feeding;
 mod membership;
 mod retries;
 mod silence;
--- a/crates/hollyhook_gateway/src/front/front_server.rs
+++ b/crates/hollyhook_gateway/src/front/front_server.rs
@@ -17,7 +17,7 @@
 use crate::net::wire_stream;
 
 /// The pause after a connection could not be taken, most likely for want of descriptors.
-pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Callers' connections at a time. A process has 4,100 descriptors on the smallest hosts; the rest are for endpoints.
 const MOST_CONNECTIONS: usize = 2_500;
 /// How often a connection looks whether it was idle too long or the gateway stops.
--- a/crates/hollyhook_gateway/src/front/mod.rs
+++ b/crates/hollyhook_gateway/src/front/mod.rs
@@ -10,6 +10,6 @@
 mod status_server;
 
 pub(crate) use caller_request::CallerRequest;
-pub(crate) use front_server::serve_callers;
+pub(crate) use front_server::{ACCEPT_PAUSE, serve_callers};
 pub(crate) use own_answer::{AnswerBody, own_answer, whole_body};
 pub(crate) use status_server::{answer_metrics, answer_ready, serve_status};
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -16,6 +16,7 @@
 use super::live_settings::LiveSettings;
 use super::request_load::RequestLoad;
 use super::retry_budgets::RetryBudgets;
+use crate::peer::FeedBoard;
 use crate::pool::ConnectionPool;
 use crate::store::StoreError;
 
@@ -40,6 +41,7 @@
     pub(crate) pool: Arc<ConnectionPool>,
     pub(crate) board: Arc<MetricBoard>,
     pub(crate) load: Arc<RequestLoad>,
+    pub(crate) feed: Arc<FeedBoard>,
     live: Arc<Mutex<LiveSettings>>,
     site: Arc<Mutex<SiteLedger>>,
     endpoints: Arc<Mutex<EndpointTable>>,
@@ -62,6 +64,8 @@
         let timer = registry.register(TimerService::NAME, TimerService::from(WallClock::start()))?;
         let table = EndpointTable::new(ZoneName::clone(&settings.zone)).zone_preference(ZONE_PREFERENCE);
         registry.register(ConnectionPool::NAME, ConnectionPool::new(TimerService::clone(&timer)))?;
+        let feed = FeedBoard::new(Name::clone(&settings.host), ZoneName::clone(&settings.zone));
+        registry.register(FeedBoard::NAME, feed)?;
         registry.register(MetricBoard::NAME, MetricBoard::default())?;
         registry.register(RequestLoad::NAME, RequestLoad::new(settings.memory_bytes))?;
         registry.register(Self::SETTINGS, Mutex::new(LiveSettings::from(settings)))?;
@@ -84,6 +88,7 @@
             pool: registry.find(ConnectionPool::NAME)?,
             board: registry.find(MetricBoard::NAME)?,
             load: registry.find(RequestLoad::NAME)?,
+            feed: registry.find(FeedBoard::NAME)?,
             live: registry.find(Self::SETTINGS)?,
             site: registry.find(Self::SITE)?,
             endpoints: registry.find(Self::ENDPOINTS)?,
--- a/crates/hollyhook_gateway/src/gateway/gateway_process.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use async_std::task;
-use hollyhook_core::{Error, ErrorKind, Result};
+use hollyhook_core::{Error, ErrorKind, Name, Result, RosterMember, ZoneName};
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_settings::GatewaySettings;
 use hollyhook_wire::listen;
 
 use super::GatewayContext;
 use crate::front::{answer_metrics, answer_ready, serve_callers, serve_status};
+use crate::peer::{HostRegister, serve_peers};
 use crate::store::{EndpointWatch, SiteWatch, StoreClient};
 
 /// How often idle connections are looked through.
@@ -49,6 +50,7 @@
         };
         task::spawn(SiteWatch::new(Arc::clone(&context), store()).run());
         task::spawn(EndpointWatch::new(Arc::clone(&context), store()).run());
+        share_feed(settings, &context, store())?;
         task::spawn(prune_pool(Arc::clone(&context)));
         tracing::info!(host = %context.host, zone = %context.zone, listen = %settings.listen, store = %settings.store,
             "gateway.started");
@@ -107,6 +109,19 @@
     Ok(Some(address))
 }
 
+/// Tells other hosts what this one reads of the store, and learns of them; not where the settings name no address for it.
+fn share_feed(settings: &GatewaySettings, context: &Arc<GatewayContext>, client: StoreClient) -> Result<()> {
+    let Some(address) = settings.peer_listen else {
+        return Ok(());
+    };
+    let listener = bind(address, "peer_listen")?;
+    let address = listener.local_addr().unwrap_or(address);
+    let own = RosterMember { host: Name::clone(&context.host), zone: ZoneName::clone(&context.zone), address };
+    task::spawn(serve_peers(listener, Arc::clone(context)));
+    task::spawn(HostRegister::new(Arc::clone(context), client, own).run());
+    Ok(())
+}
+
 fn bind(address: SocketAddr, key: &'static str) -> Result<async_std::net::TcpListener> {
     listen(address).map_err(|error| {
         Error::new(ErrorKind::InvalidSetting, format!("can't listen at {address}: {error}")).param(key)
--- /dev/null
+++ b/crates/hollyhook_gateway/src/net/kept_line.rs
@@ -0,0 +1,96 @@
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollyhook_kernel::TimerService;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+
+use super::dial;
+use crate::pool::PooledConnection;
+
+/// How long a connection may take; the store and other hosts answer within milliseconds from within the region.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// The most bytes of one answer; the store states about 1 MB a page.
+const MOST_BYTES: usize = 4 << 20;
+
+/// Why a call gave nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct LineFault(pub(crate) &'static str);
+
+/// Calls one server after another over one kept connection.
+pub(crate) struct KeptLine {
+    timer: TimerService,
+    connection: Option<LineConnection>,
+}
+
+struct LineConnection {
+    address: SocketAddr,
+    inner: PooledConnection,
+}
+
+impl KeptLine {
+    pub(crate) fn new(timer: TimerService) -> Self {
+        Self { timer, connection: None }
+    }
+
+    /// Sends a request and reads the whole answer, or gives up after `limit`.
+    pub(crate) async fn call(
+        &mut self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), LineFault> {
+        let timer = self.timer.clone();
+        let outcome = timer.within(limit, self.exchange(address, request)).await;
+        outcome.unwrap_or_else(|| {
+            // A connection on which an answer was lost returns nothing further.
+            self.connection = None;
+            Err(LineFault("no answer in time"))
+        })
+    }
+
+    async fn exchange(
+        &mut self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), LineFault> {
+        let kept = self.connection.take().filter(|kept| kept.address == address && kept.inner.is_ready());
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => self.connect(address).await?,
+        };
+        let response = connection.inner.send(request).await.map_err(|_fault| LineFault("the connection broke"))?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MOST_BYTES).collect().await;
+        let body = body.map_err(|_error| LineFault("the answer was cut off"))?.to_bytes();
+        self.connection = Some(connection);
+        Ok((status, body))
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<LineConnection, LineFault> {
+        let stream = dial(&self.timer, address, CONNECT_TIMEOUT).await;
+        let stream = stream.map_err(|_error| LineFault("no connection"))?;
+        let inner = PooledConnection::start(stream).await.map_err(|_error| LineFault("no connection"))?;
+        Ok(LineConnection { address, inner })
+    }
+}
+
+impl fmt::Debug for KeptLine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("KeptLine").finish_non_exhaustive()
+    }
+}
+
+/// A request for a path; the body is empty for most.
+pub(crate) fn line_request(
+    method: http::Method,
+    address: SocketAddr,
+    path: &str,
+    body: impl Into<Bytes>,
+) -> Result<Request<Full<Bytes>>, LineFault> {
+    let builder = Request::builder().method(method).uri(path).header(header::HOST, address.to_string());
+    let builder = builder.header(header::CONTENT_TYPE, "application/json");
+    builder.body(Full::new(body.into())).map_err(|_error| LineFault("the path is not valid"))
+}
--- /dev/null
+++ b/crates/hollyhook_gateway/src/peer/feed_board.rs
@@ -0,0 +1,69 @@
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use futures::channel::oneshot;
+use hollyhook_core::{FeedLog, FeedNews, FeedPlan, FeedRoster, Name, RosterMember, TimePoint, ZoneName};
+use hollyhook_platform::{ObjectKind, StoreObject};
+
+/// What this host knows of the store and tells others, and who they are.
+#[derive(Debug)]
+pub(crate) struct FeedBoard {
+    roster: Mutex<FeedRoster>,
+    logs: Mutex<HashMap<ObjectKind, FeedLog<StoreObject>>>,
+    /// Those who wait for news of any kind.
+    waiters: Mutex<Vec<oneshot::Sender<()>>>,
+}
+
+impl FeedBoard {
+    /// The name that the service is registered under.
+    pub(crate) const NAME: &'static str = "feed";
+
+    pub(crate) fn new(host: Name, zone: ZoneName) -> Self {
+        Self { roster: Mutex::new(FeedRoster::new(host, zone)), logs: Mutex::default(), waiters: Mutex::default() }
+    }
+
+    /// From whom this host learns now.
+    pub(crate) fn plan(&self, now: TimePoint) -> FeedPlan {
+        lock(&self.roster).plan(now)
+    }
+
+    /// Takes in all hosts that are registered.
+    pub(crate) fn list_members(&self, members: Vec<RosterMember>) {
+        lock(&self.roster).list(members);
+    }
+
+    /// Notes that a host did not answer, or not well.
+    pub(crate) fn pass_over(&self, now: TimePoint, host: &Name) {
+        lock(&self.roster).pass_over(now, host);
+    }
+
+    /// Takes news in; `is_direct` if the store itself gave them.
+    pub(crate) fn take(&self, kind: ObjectKind, news: &FeedNews<StoreObject>, is_direct: bool) {
+        lock(&self.logs).entry(kind).or_default().take(news, is_direct);
+        if news.changes.is_empty() && !news.is_whole {
+            return;
+        }
+        for waiter in lock(&self.waiters).drain(..) {
+            // Who waited may have left.
+            let _gone = waiter.send(());
+        }
+    }
+
+    /// What changed after a revision; none if this host may not tell.
+    pub(crate) fn after(&self, kind: ObjectKind, revision: Option<u64>) -> Option<FeedNews<StoreObject>> {
+        lock(&self.logs).get(&kind)?.after(revision)
+    }
+
+    /// Completes when news of any kind are there.
+    pub(crate) fn news(&self) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        let mut waiters = lock(&self.waiters);
+        waiters.retain(|waiter| !waiter.is_canceled());
+        waiters.push(sender);
+        receiver
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/hollyhook_gateway/src/peer/feed_message.rs
@@ -0,0 +1,122 @@
+use std::time::Duration;
+
+use hollyhook_core::{FeedChange, FeedNews, Name, TimePoint};
+use hollyhook_platform::{ObjectKind, StoreObject};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+const CONFIGURATION_PATH: &str = "/feed/configuration";
+const ENDPOINT_PATH: &str = "/feed/endpoints";
+
+/// What a follower asks of a leader: changes after a revision, waiting for some if there are none.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct FeedQuery {
+    pub(super) kind: ObjectKind,
+    /// None asks for everything.
+    pub(super) after: Option<u64>,
+    pub(super) wait: Duration,
+}
+
+impl FeedQuery {
+    /// The path and query by which it is asked.
+    pub(super) fn to_path(self) -> String {
+        let path = if self.kind == ObjectKind::Endpoint { ENDPOINT_PATH } else { CONFIGURATION_PATH };
+        let after = self.after.map(|after| format!("&after={after}")).unwrap_or_default();
+        format!("{path}?wait_ms={}{after}", self.wait.as_millis())
+    }
+
+    /// Reads it; none if nothing is told under that path.
+    pub(super) fn from_path(path: &str, query: Option<&str>) -> Option<Self> {
+        let kind = match path {
+            CONFIGURATION_PATH => ObjectKind::Configuration,
+            ENDPOINT_PATH => ObjectKind::Endpoint,
+            _ => return None,
+        };
+        let pairs = || query.unwrap_or_default().split('&').filter_map(|pair| pair.split_once('='));
+        let number = |name| pairs().find(|(key, _)| *key == name).and_then(|(_, text)| text.parse().ok());
+        Some(Self { kind, after: number("after"), wait: Duration::from_millis(number("wait_ms").unwrap_or_default()) })
+    }
+}
+
+/// What a leader answers. Clocks of hosts differ, so times are told as ages.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct FeedMessage {
+    is_whole: bool,
+    revision: u64,
+    /// How long ago the store confirmed it, in milliseconds.
+    pub(super) age_ms: u64,
+    /// How long ago the store came back after it was away, in milliseconds.
+    back_ms_ago: Option<u64>,
+    changes: Vec<MessageChange>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct MessageChange {
+    name: Name,
+    object: Option<MessageObject>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct MessageObject {
+    revision: u64,
+    created: u64,
+    is_deleting: bool,
+    spec: Value,
+}
+
+impl FeedMessage {
+    /// The message for news, told at `now`.
+    pub(super) fn new(news: FeedNews<StoreObject>, now: TimePoint) -> Self {
+        Self {
+            is_whole: news.is_whole,
+            revision: news.revision,
+            age_ms: now.since(news.heard_until).as_millis() as u64,
+            back_ms_ago: news.back_at.map(|at| now.since(at).as_millis() as u64),
+            changes: news.changes.into_iter().map(MessageChange::from).collect(),
+        }
+    }
+
+    /// The news, for a question asked at `asked_at`.
+    ///
+    /// When the leader answered is not known here. The ages count from the question, so that a delayed answer never makes
+    /// anything look newer than it is.
+    pub(super) fn into_news(self, asked_at: TimePoint) -> FeedNews<StoreObject> {
+        FeedNews {
+            is_whole: self.is_whole,
+            changes: self.changes.into_iter().map(FeedChange::from).collect(),
+            revision: self.revision,
+            heard_until: before(asked_at, self.age_ms),
+            back_at: self.back_ms_ago.map(|ms| before(asked_at, ms)),
+        }
+    }
+}
+
+fn before(at: TimePoint, ms: u64) -> TimePoint {
+    at - Duration::from_millis(ms)
+}
+
+impl From<FeedChange<StoreObject>> for MessageChange {
+    fn from(change: FeedChange<StoreObject>) -> Self {
+        let object = change.object.map(|object| MessageObject {
+            revision: object.revision,
+            created: object.created,
+            is_deleting: object.is_deleting,
+            spec: object.spec,
+        });
+        Self { name: change.name, object }
+    }
+}
+
+impl From<MessageChange> for FeedChange<StoreObject> {
+    fn from(change: MessageChange) -> Self {
+        let MessageChange { name, object } = change;
+        let object = object.map(|object| StoreObject {
+            name: Name::clone(&name),
+            revision: object.revision,
+            created: object.created,
+            is_deleting: object.is_deleting,
+            spec: object.spec,
+        });
+        Self { name, object }
+    }
+}
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -2,10 +2,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyhook_core::{EndpointId, EndpointMembership};
+use hollyhook_core::{EndpointId, EndpointMembership, FeedNews, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
-use super::{StoreClient, StoreError};
+use super::{FeedReader, StoreClient, StoreError};
 use crate::gateway::GatewayContext;
 
 /// How long one watch waits. A longer one costs fewer calls; with the slack of a watch, a connection that went silent
@@ -20,6 +20,8 @@
 const GATHER_EACH: Duration = Duration::from_millis(10);
 /// The least of that pause.
 const LEAST_GATHER: Duration = Duration::from_millis(400);
+/// That pause at a host that reads for others: few do, and the others wait for it.
+const LEADER_GATHER: Duration = Duration::from_millis(350);
 /// The most of that pause, as a part of the time within which a leaving endpoint has to be known.
 const MOST_GATHER: f64 = 0.4;
 
@@ -27,16 +29,16 @@
 #[derive(Debug)]
 pub(crate) struct EndpointWatch {
     context: Arc<GatewayContext>,
-    client: StoreClient,
+    reader: FeedReader,
     membership: EndpointMembership,
-    /// The revision to watch from; none if the objects have to be listed first.
-    revision: Option<u64>,
-    is_away: bool,
+    /// The store's last return that was taken in.
+    back_at: Option<TimePoint>,
 }
 
 impl EndpointWatch {
     pub(crate) fn new(context: Arc<GatewayContext>, client: StoreClient) -> Self {
-        Self { context, client, membership: EndpointMembership::default(), revision: None, is_away: false }
+        let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Endpoint, client, WATCH_WAIT);
+        Self { context, reader, membership: EndpointMembership::default(), back_at: None }
     }
 
     /// Follows them until the process ends.
@@ -46,68 +48,55 @@
             self.forget_lapsed();
             match outcome {
                 Ok(true) => self.context.timer.wait(self.gather_pause()).await,
-                Ok(false) => {}
-                Err(error) => self.fail(&error).await,
+                Ok(false) | Err(StoreError::HistoryGone) => {}
+                Err(_logged) => self.context.timer.wait(RETRY_PAUSE).await,
             }
         }
     }
 
     fn gather_pause(&self) -> Duration {
+        if self.reader.is_leading() {
+            return LEADER_GATHER;
+        }
         let most = self.context.drain_bound().mul_f64(MOST_GATHER);
         let each = GATHER_EACH * self.context.endpoints().iter().count() as u32;
         each.max(LEAST_GATHER).min(most)
     }
 
-    async fn fail(&mut self, error: &StoreError) {
-        self.revision = None;
-        self.context.note_store(ObjectKind::Endpoint, Some(error));
-        if matches!(error, StoreError::HistoryGone) {
-            return;
-        }
-        self.is_away = true;
-        self.context.timer.wait(RETRY_PAUSE).await;
-    }
-
     /// One call; tells whether anything changed.
     async fn step(&mut self) -> Result<bool, StoreError> {
-        let Some(revision) = self.revision else {
-            let (objects, revision) = self.client.list(ObjectKind::Endpoint).await?;
-            self.note_return();
-            self.take_list(&objects);
-            self.revision = Some(revision);
-            return Ok(true);
-        };
-        let (changes, revision) = self.client.watch(ObjectKind::Endpoint, revision, WATCH_WAIT).await?;
-        for change in &changes {
-            if change.is_gone || change.object.is_deleting {
-                self.miss(&EndpointId::clone(&change.object.name));
-            } else {
-                self.upsert(&change.object);
+        let news = self.reader.next().await?;
+        self.note_return(&news);
+        if news.is_whole {
+            self.forget_missing(&news);
+        }
+        for change in &news.changes {
+            match &change.object {
+                Some(object) => self.upsert(object),
+                None => self.miss(&EndpointId::clone(&change.name)),
             }
         }
-        self.revision = Some(revision);
-        Ok(!changes.is_empty())
+        if news.is_whole {
+            self.context.note_endpoints_listed();
+        }
+        Ok(!news.changes.is_empty())
     }
 
-    fn note_return(&mut self) {
-        if std::mem::take(&mut self.is_away) {
-            self.membership.platform_back(self.context.timer.now());
-        }
-        self.context.note_store(ObjectKind::Endpoint, None);
+    fn note_return(&mut self, news: &FeedNews<StoreObject>) {
+        let Some(at) = news.back_at.filter(|at| Some(*at) > self.back_at) else {
+            return;
+        };
+        self.back_at = Some(at);
+        self.membership.platform_back(at);
     }
 
-    fn take_list(&mut self, objects: &[StoreObject]) {
-        let present = objects.iter().filter(|object| !object.is_deleting);
-        let present: BTreeSet<EndpointId> = present.map(|object| EndpointId::clone(&object.name)).collect();
+    fn forget_missing(&mut self, news: &FeedNews<StoreObject>) {
+        let present: BTreeSet<&EndpointId> = news.changes.iter().map(|change| &change.name).collect();
         let known: Vec<EndpointId> =
             self.context.endpoints().iter().map(|record| EndpointId::clone(&record.id)).collect();
         for id in known.iter().filter(|id| !present.contains(*id)) {
             self.miss(id);
         }
-        for object in objects.iter().filter(|object| !object.is_deleting) {
-            self.upsert(object);
-        }
-        self.context.note_endpoints_listed();
     }
 
     fn upsert(&mut self, object: &StoreObject) {
--- /dev/null
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -0,0 +1,120 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyhook_core::{FeedChange, FeedNews, FeedPlan, Name, RosterMember, TimePoint};
+use hollyhook_platform::{ObjectKind, StoreChange, StoreObject};
+
+use super::{StoreClient, StoreError};
+use crate::gateway::GatewayContext;
+use crate::peer::PeerClient;
+
+/// How long one watch waits at a host that reads for others: they take what it knows for old after 1.25 s, of which it
+/// spends up to 0.4 s on gathering changes.
+const LEADER_WAIT: Duration = Duration::from_millis(700);
+
+/// Follows one kind of object, from the store or from a host that reads it for others.
+#[derive(Debug)]
+pub(crate) struct FeedReader {
+    context: Arc<GatewayContext>,
+    kind: ObjectKind,
+    client: StoreClient,
+    peers: PeerClient,
+    /// How long one watch waits at a host that reads for itself.
+    wait: Duration,
+    /// The revision to go on from; none if all objects have to be read first.
+    revision: Option<u64>,
+    is_away: bool,
+}
+
+impl FeedReader {
+    pub(crate) fn new(context: Arc<GatewayContext>, kind: ObjectKind, client: StoreClient, wait: Duration) -> Self {
+        let peers = PeerClient::new(context.timer.as_ref().clone());
+        Self { context, kind, client, peers, wait, revision: None, is_away: false }
+    }
+
+    /// Whether other hosts rely on what this one reads.
+    pub(crate) fn is_leading(&self) -> bool {
+        self.context.feed.plan(self.context.timer.now()) == FeedPlan::Lead
+    }
+
+    /// The next news; waits a while for some.
+    ///
+    /// # Errors
+    ///
+    /// Why neither another host nor the store gave any.
+    pub(crate) async fn next(&mut self) -> Result<FeedNews<StoreObject>, StoreError> {
+        let plan = self.context.feed.plan(self.context.timer.now());
+        if let FeedPlan::Follow(leaders) = &plan
+            && let Some(news) = self.ask_leaders(leaders).await
+        {
+            self.take(&news, false);
+            return Ok(news);
+        }
+        let wait = if plan == FeedPlan::Lead { LEADER_WAIT } else { self.wait };
+        match self.ask_store(wait).await {
+            Ok(mut news) => {
+                if std::mem::take(&mut self.is_away) {
+                    news.back_at = Some(self.context.timer.now());
+                }
+                self.context.note_store(self.kind, None);
+                self.take(&news, true);
+                Ok(news)
+            }
+            Err(error) => {
+                self.revision = None;
+                self.is_away |= !matches!(error, StoreError::HistoryGone);
+                self.context.note_store(self.kind, Some(&error));
+                Err(error)
+            }
+        }
+    }
+
+    fn take(&mut self, news: &FeedNews<StoreObject>, is_direct: bool) {
+        self.revision = self.revision.max(Some(news.revision));
+        self.context.feed.take(self.kind, news, is_direct);
+    }
+
+    async fn ask_leaders(&mut self, leaders: &[RosterMember]) -> Option<FeedNews<StoreObject>> {
+        for leader in leaders {
+            let asked_at = self.context.timer.now();
+            match self.peers.ask(leader, self.kind, self.revision, asked_at).await {
+                Ok(news) => return Some(news),
+                Err(fault) => {
+                    tracing::info!(leader = %leader.host, kind = self.kind.as_str(), reason = fault.0, "leader.passed_over");
+                    self.context.board.count("leaders_passed_over");
+                    self.context.feed.pass_over(self.context.timer.now(), &leader.host);
+                }
+            }
+        }
+        None
+    }
+
+    async fn ask_store(&mut self, wait: Duration) -> Result<FeedNews<StoreObject>, StoreError> {
+        let asked_at = self.context.timer.now();
+        let Some(revision) = self.revision else {
+            return self.list(asked_at).await;
+        };
+        let (changes, revision) = self.client.watch(self.kind, revision, wait).await?;
+        let is_quiet = changes.is_empty();
+        // A watch that returned nothing waited its full time and saw nothing up to then.
+        let waited_until = (asked_at + wait).min(self.context.timer.now());
+        let heard_until = if is_quiet { waited_until } else { asked_at };
+        let changes = changes.into_iter().map(change).collect();
+        Ok(FeedNews { is_whole: false, changes, revision, heard_until, back_at: None })
+    }
+
+    async fn list(&mut self, asked_at: TimePoint) -> Result<FeedNews<StoreObject>, StoreError> {
+        let (objects, revision) = self.client.list(self.kind).await?;
+        let present = objects.into_iter().filter(|object| !object.is_deleting);
+        let changes = present.map(|object| FeedChange { name: Name::clone(&object.name), object: Some(object) });
+        let changes = changes.collect();
+        Ok(FeedNews { is_whole: true, changes, revision, heard_until: asked_at, back_at: None })
+    }
+}
+
+/// An object that is being deleted counts as gone.
+fn change(change: StoreChange) -> FeedChange<StoreObject> {
+    let name = Name::clone(&change.object.name);
+    let is_gone = change.is_gone || change.object.is_deleting;
+    FeedChange { name, object: (!is_gone).then_some(change.object) }
+}
--- a/crates/hollyhook_gateway/src/store/site_watch.rs
+++ b/crates/hollyhook_gateway/src/store/site_watch.rs
@@ -4,7 +4,7 @@
 use hollyhook_core::{PlanAdoption, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
-use super::{StoreClient, StoreError};
+use super::{FeedReader, StoreClient, StoreError};
 use crate::gateway::GatewayContext;
 
 /// How long one watch waits. Each return confirms that no key was taken away, so it has to be well under the time
@@ -20,52 +20,37 @@
 #[derive(Debug)]
 pub(crate) struct SiteWatch {
     context: Arc<GatewayContext>,
-    client: StoreClient,
-    /// The revision to watch from; none if the objects have to be listed first.
-    revision: Option<u64>,
+    reader: FeedReader,
 }
 
 impl SiteWatch {
     pub(crate) fn new(context: Arc<GatewayContext>, client: StoreClient) -> Self {
-        Self { context, client, revision: None }
+        let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Configuration, client, WATCH_WAIT);
+        Self { context, reader }
     }
 
     /// Follows it until the process ends.
     pub(crate) async fn run(mut self) {
         loop {
             if let Err(error) = self.step().await {
-                self.revision = None;
                 tracing::debug!(%error, "site.read_failed");
-                self.context.note_store(ObjectKind::Configuration, Some(&error));
                 if !matches!(error, StoreError::HistoryGone) {
                     self.context.timer.wait(RETRY_PAUSE).await;
                 }
-                continue;
             }
-            self.context.note_store(ObjectKind::Configuration, None);
         }
     }
 
     async fn step(&mut self) -> Result<(), StoreError> {
-        let asked_at = self.context.timer.now();
-        let Some(revision) = self.revision else {
-            let (objects, revision) = self.client.list(ObjectKind::Configuration).await?;
-            for object in &objects {
-                self.adopt(object, asked_at);
-            }
-            self.revision = Some(revision);
+        let news = self.reader.next().await?;
+        if news.changes.is_empty() {
+            self.context.confirm_site(news.heard_until);
             return Ok(());
-        };
-        let (changes, revision) = self.client.watch(ObjectKind::Configuration, revision, WATCH_WAIT).await?;
-        for change in changes.iter().filter(|change| !change.is_gone) {
-            self.adopt(&change.object, asked_at);
         }
-        self.revision = Some(revision);
-        if changes.is_empty() {
-            // It waited its full time and saw nothing up to then.
-            let heard_until = (asked_at + WATCH_WAIT).min(self.context.timer.now());
-            self.context.confirm_site(heard_until);
-        } else {
+        for object in news.changes.iter().filter_map(|change| change.object.as_ref()) {
+            self.adopt(object, news.heard_until);
+        }
+        if !news.is_whole {
             self.context.timer.wait(GATHER_PAUSE).await;
         }
         Ok(())
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -3,22 +3,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hollyhook_core::RosterMember;
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::{ObjectKind, StoreChange, StoreFault, StoreObject, StorePage};
-use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{Method, StatusCode};
 
-use crate::net::dial;
-use crate::pool::PooledConnection;
+use crate::net::{KeptLine, LineFault, line_request};
 
-/// How long a connection to the store may take; it answers within milliseconds from within the region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a call other than a watch may take: a slow store was seen to take 0.3 s.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How much longer than asked for a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(800);
-/// The most bytes of one answer; the store states about 1 MB a page.
-const MOST_BYTES: usize = 4 << 20;
 
 /// Why a call to the store gave nothing.
 #[derive(Debug)]
@@ -29,6 +24,8 @@
     HistoryGone,
     /// Too many calls.
     Throttled,
+    /// The object to be created exists.
+    Exists,
     /// The answer can't be understood.
     Malformed(StoreFault),
 }
@@ -39,40 +36,50 @@
             Self::Away(why) => write!(f, "the store is away: {why}"),
             Self::HistoryGone => f.write_str("the history after the watched revision is gone"),
             Self::Throttled => f.write_str("the store takes no more calls for now"),
+            Self::Exists => f.write_str("the object exists"),
             Self::Malformed(fault) => fault.fmt(f),
         }
     }
 }
 
+impl From<LineFault> for StoreError {
+    fn from(fault: LineFault) -> Self {
+        Self::Away(fault.0)
+    }
+}
+
 /// Calls the platform's store over one kept connection.
 pub(crate) struct StoreClient {
-    timer: TimerService,
+    line: KeptLine,
     /// Where the store is now.
     address: Box<dyn Fn() -> SocketAddr + Send + Sync>,
-    connection: Option<StoreConnection>,
     /// The store whose revisions the last list gave.
     listed_at: Option<SocketAddr>,
 }
 
-struct StoreConnection {
-    address: SocketAddr,
-    inner: PooledConnection,
-}
-
 impl StoreClient {
     pub(crate) fn new(timer: TimerService, address: impl Fn() -> SocketAddr + Send + Sync + 'static) -> Self {
-        Self { timer, address: Box::new(address), connection: None, listed_at: None }
+        Self { line: KeptLine::new(timer), address: Box::new(address), listed_at: None }
     }
 
     /// All objects of a kind, and the revision to watch from.
     pub(crate) async fn list(&mut self, kind: ObjectKind) -> Result<(Vec<StoreObject>, u64), StoreError> {
         self.listed_at = Some((self.address)());
+        self.pages(|after| hollyhook_platform::list_path(kind, after)).await
+    }
+
+    /// All objects of a kind as they were some seconds ago.
+    pub(crate) async fn list_old(&mut self, kind: ObjectKind) -> Result<Vec<StoreObject>, StoreError> {
+        let (objects, _revision) = self.pages(|after| hollyhook_platform::old_list_path(kind, after)).await?;
+        Ok(objects)
+    }
+
+    async fn pages(&mut self, path: impl Fn(Option<&str>) -> String) -> Result<(Vec<StoreObject>, u64), StoreError> {
         let mut objects = Vec::new();
         let mut first_revision = None;
         let mut after = None;
         loop {
-            let path = hollyhook_platform::list_path(kind, after.as_deref());
-            let body = self.call(&path, CALL_TIMEOUT).await?;
+            let body = self.call(Method::GET, &path(after.as_deref()), Bytes::new(), CALL_TIMEOUT).await?;
             let page: StorePage = hollyhook_platform::decode_page(&body).map_err(StoreError::Malformed)?;
             objects.extend(page.objects);
             // Changes between two pages are seen again by a watch from the first page's revision.
@@ -96,50 +103,34 @@
             return Err(StoreError::HistoryGone);
         }
         let path = hollyhook_platform::watch_path(kind, revision, wait);
-        let body = self.call(&path, wait + WATCH_SLACK).await?;
+        let body = self.call(Method::GET, &path, Bytes::new(), wait + WATCH_SLACK).await?;
         hollyhook_platform::decode_change(&body).map_err(StoreError::Malformed)
     }
 
-    async fn call(&mut self, path: &str, limit: Duration) -> Result<Bytes, StoreError> {
-        let timer = self.timer.clone();
-        let outcome = timer.within(limit, self.exchange(path)).await;
-        match outcome {
-            Some(Ok(body)) => Ok(body),
-            Some(Err(error)) => Err(error),
-            None => {
-                // A connection on which an answer was lost returns nothing further.
-                self.connection = None;
-                Err(StoreError::Away("no answer in time"))
+    /// Writes this host's entry, whether there is one or not.
+    pub(crate) async fn register_host(&mut self, member: &RosterMember) -> Result<(), StoreError> {
+        let body = Bytes::from(hollyhook_platform::encode_host(member).map_err(StoreError::Malformed)?);
+        let path = hollyhook_platform::create_path(ObjectKind::Host);
+        match self.call(Method::POST, path, body.clone(), CALL_TIMEOUT).await {
+            Err(StoreError::Exists) => {
+                let path = hollyhook_platform::object_path(ObjectKind::Host, &member.host);
+                self.call(Method::PUT, &path, body, CALL_TIMEOUT).await.map(|_answer| ())
             }
+            outcome => outcome.map(|_answer| ()),
         }
     }
 
-    async fn exchange(&mut self, path: &str) -> Result<Bytes, StoreError> {
+    async fn call(&mut self, method: Method, path: &str, body: Bytes, limit: Duration) -> Result<Bytes, StoreError> {
         let address = (self.address)();
-        let kept = self.connection.take().filter(|kept| kept.address == address && kept.inner.is_ready());
-        let mut connection = match kept {
-            Some(connection) => connection,
-            None => self.connect(address).await?,
-        };
-        let response = connection.inner.send(request(address, path)?).await;
-        let response = response.map_err(|_fault| StoreError::Away("the connection broke"))?;
-        match response.status() {
-            StatusCode::OK => {}
-            StatusCode::GONE => return Err(StoreError::HistoryGone),
-            StatusCode::TOO_MANY_REQUESTS => return Err(StoreError::Throttled),
-            _ => return Err(StoreError::Away("it turned the call away")),
+        let request = line_request(method, address, path, body)?;
+        let (status, body) = self.line.call(address, request, limit).await?;
+        match status {
+            StatusCode::OK | StatusCode::CREATED => Ok(body),
+            StatusCode::GONE => Err(StoreError::HistoryGone),
+            StatusCode::CONFLICT => Err(StoreError::Exists),
+            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
+            _ => Err(StoreError::Away("it turned the call away")),
         }
-        let body = Limited::new(response.into_body(), MOST_BYTES).collect().await;
-        let body = body.map_err(|_error| StoreError::Away("the answer was cut off"))?.to_bytes();
-        self.connection = Some(connection);
-        Ok(body)
-    }
-
-    async fn connect(&self, address: SocketAddr) -> Result<StoreConnection, StoreError> {
-        let stream = dial(&self.timer, address, CONNECT_TIMEOUT).await;
-        let stream = stream.map_err(|_error| StoreError::Away("no connection"))?;
-        let inner = PooledConnection::start(stream).await.map_err(|_error| StoreError::Away("no connection"))?;
-        Ok(StoreConnection { address, inner })
     }
 }
 
@@ -148,8 +139,3 @@
         f.debug_struct("StoreClient").field("address", &(self.address)()).finish_non_exhaustive()
     }
 }
-
-fn request(address: SocketAddr, path: &str) -> Result<Request<Full<Bytes>>, StoreError> {
-    let request = Request::get(path).header(header::HOST, address.to_string()).body(Full::default());
-    request.map_err(|_error| StoreError::Away("the path is not valid"))
-}
--- a/crates/hollyhook_settings/src/gateway/gateway_settings.rs
+++ b/crates/hollyhook_settings/src/gateway/gateway_settings.rs
@@ -21,6 +21,8 @@
     pub ready_listen: SocketAddr,
     /// Where it serves metrics.
     pub metrics_listen: Option<SocketAddr>,
+    /// Where it tells other hosts what it reads of the store; none if it shares nothing.
+    pub peer_listen: Option<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
     /// The most bytes of memory that the process may take.
@@ -80,6 +82,7 @@
     let listen = reader.required("listen", value::address);
     let ready_listen = reader.required("ready_listen", value::address);
     let metrics_listen = reader.optional("metrics_listen", value::address);
+    let peer_listen = reader.optional("peer_listen", value::address);
     reader.finish();
 
     let section = file.section("platform");
@@ -104,6 +107,7 @@
         listen: listen?,
         ready_listen: ready_listen?,
         metrics_listen,
+        peer_listen,
         store: store?,
         memory_bytes,
         bounds,
