--- a/crates/hollyhook/tests/processes/main.rs
+++ b/crates/hollyhook/tests/processes/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod generations;
 mod log_trace;
+mod placement;
 mod plain_calls;
 mod settings;
 mod status;
--- a/crates/hollyhook_command/src/load/placement/mod.rs
+++ b/crates/hollyhook_command/src/load/placement/mod.rs
@@ -3,6 +3,7 @@
 mod engine_model;
 mod fleet_model;
 mod host_model;
+mod placement_plot;
 mod placement_run;
 
 pub(crate) use placement_run::{PlacementArgs, run_placement};
--- a/crates/hollyhook_command/src/load/placement/placement_run.rs
+++ b/crates/hollyhook_command/src/load/placement/placement_run.rs
@@ -1,3 +1,4 @@
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Args, ValueEnum};
@@ -7,6 +8,7 @@
 
 use super::fleet_model::{FleetOutcome, FleetPlan, play};
 use super::host_model::PlacementPolicy;
+use super::placement_plot::draw_rows;
 
 /// Generations a second that an engine can take: the time to read a prompt and what decoding adds to it.
 const ENGINE_RATE: f64 = 0.75;
@@ -32,14 +34,17 @@
     /// Print one JSON object a row.
     #[arg(long)]
     json: bool,
+    /// Also draw the share of generations in time over the load, as an SVG file.
+    #[arg(long, value_name = "FILE")]
+    plot: Option<PathBuf>,
 }
 
 #[derive(Debug, Serialize)]
-struct PlacementRow {
-    load: u64,
-    losses: bool,
-    policy: String,
-    in_time_percent: f64,
+pub(super) struct PlacementRow {
+    pub(super) load: u64,
+    pub(super) losses: bool,
+    pub(super) policy: String,
+    pub(super) in_time_percent: f64,
     first_p50_ms: u64,
     first_p99_ms: u64,
     gap_p50_ms: u64,
@@ -66,6 +71,9 @@
             }
         }
     }
+    if let Some(path) = &args.plot {
+        draw_rows(path, &rows)?;
+    }
     if args.json {
         for row in &rows {
             println!("{}", serde_json::to_string(row)?);
--- a/crates/hollyhook_core/tests/gateway/feeding.rs
+++ b/crates/hollyhook_core/tests/gateway/feeding.rs
@@ -128,7 +128,9 @@
     let follower = rosters.iter().position(|roster| !leads(roster, NOW)).unwrap();
     let lost = followed(&rosters[follower], NOW);
     for roster in &mut rosters {
-        lost.iter().for_each(|host| roster.pass_over(NOW, host));
+        for host in &lost {
+            roster.pass_over(NOW, host);
+        }
     }
     let others = rosters.iter().filter(|roster| leads(roster, after(1_000))).count();
     assert_eq!(others, 2, "the next two lead");
