Wait until a stopped process has stopped; booking_platform_paused is no longer red

Cause, now proved: kill() with SIGSTOP returns before every thread has stopped.

Change: the tests' signal() returns after SIGSTOP only when all threads have stopped, as /proc says. The test is as strict as before.

--- a/crates/hollyhook/tests/processes/fleet.rs
+++ b/crates/hollyhook/tests/processes/fleet.rs
@@ -46,8 +46,19 @@
         Self { child, address: listening, peer_address }
     }
 
+    /// Sends a signal; returns after SIGSTOP only when every thread has stopped, since the signal itself only asks for it.
     pub fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(self.child.id().cast_signed()), signal).unwrap();
+        while signal == Signal::SIGSTOP && !self.has_stopped() {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn has_stopped(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        let stats = tasks.map(|task| std::fs::read_to_string(task.unwrap().path().join("stat")).unwrap());
+        // The state follows the name, which stands in parentheses and may hold any character.
+        stats.into_iter().all(|stat| stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T')))
     }
 
     pub fn kill(&mut self) {
