Name what stood as tuples; ask two leaders at most before the store

With nine leaders in a zone that are all silent, a follower would have asked each for 0.85 s before the store; two seconds are allowed.

--- a/crates/hollyhook_core/src/feed/feed_roster.rs
+++ b/crates/hollyhook_core/src/feed/feed_roster.rs
@@ -14,6 +14,8 @@
 /// Hosts of a zone for each leader. With two leaders for 75 hosts of a zone, before 3,000 engines, the busiest one sent
 /// 987 KB a second, nearly the whole link of the smallest hosts (10 Mbit/s), and versions came a second late.
 const HOSTS_EACH: usize = 8;
+/// Leaders that a follower asks before the store. Each may take 0.85 s to be found silent, and two seconds are allowed.
+const MOST_ASKED: usize = 2;
 /// How long a host that did not answer is passed over; it may be cut off, stopped or gone for good.
 const PASSED_OVER: Duration = Duration::from_secs(8);
 
@@ -85,6 +87,7 @@
         let mut leaders: Vec<RosterMember> = leaders.into_iter().cloned().collect();
         // Followers part evenly between the leaders.
         leaders.sort_by_cached_key(|leader| Reverse(weight(self.host.as_bytes(), &leader.host)));
+        leaders.truncate(MOST_ASKED);
         FeedPlan::Follow(leaders)
     }
 }
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -84,6 +84,15 @@
     }
 }
 
+/// How many endpoints are worth asking whether they hold a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HomeCounts {
+    /// Of the own zone, at most.
+    pub own: usize,
+    /// Of each other zone, at most.
+    pub far: usize,
+}
+
 /// The endpoints that this host knows, and the choice among them.
 #[derive(Debug)]
 pub struct EndpointTable {
@@ -210,7 +219,7 @@
         costs.into_iter().take(most).map(|(_, record)| record.as_of(now)).collect()
     }
 
-    /// Up to `own` endpoints of the own zone and `far` of each other zone, in the order that all hosts share for `number`.
+    /// The endpoints that a prompt may have gone to, in the order that all hosts share for `number`, the own zone first.
     ///
     /// Load is not looked at: where a prompt went earlier was decided by other loads, and by other hosts.
     pub fn homes(
@@ -218,8 +227,7 @@
         now: TimePoint,
         query: &RouteQuery<'_>,
         number: u64,
-        own: usize,
-        far: usize,
+        counts: HomeCounts,
     ) -> Vec<EndpointRecord> {
         let fit = self.records.values().filter(|record| query.is_met_by(record) && !record.is_ejected(now));
         let mut fit: Vec<&EndpointRecord> = fit.collect();
@@ -228,7 +236,7 @@
         fit.retain(|record| {
             let count = taken.entry(&record.zone).or_default();
             *count += 1;
-            *count <= if record.zone == self.zone { own } else { far }
+            *count <= if record.zone == self.zone { counts.own } else { counts.far }
         });
         fit.into_iter().map(|record| record.as_of(now)).collect()
     }
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -12,7 +12,7 @@
 pub use endpoint_membership::EndpointMembership;
 pub use endpoint_record::{EndpointRecord, EndpointState, LoadReport};
 pub use endpoint_subset::EndpointSubset;
-pub use endpoint_table::{EndpointTable, RouteQuery};
+pub use endpoint_table::{EndpointTable, HomeCounts, RouteQuery};
 pub use engine_report::{
     EngineCandidate, EngineReport, EngineRun, REPORT_AGE, choose_engine, excess_wait, expected_first,
 };
--- a/crates/hollyhook_core/tests/gateway/choosing.rs
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    EndpointId, EndpointRecord, EndpointTable, EngineCandidate, EngineReport, EngineRun, RouteQuery, TimePoint,
-    attempt_rank, choose_engine, excess_wait, place_held,
+    EndpointId, EndpointRecord, EndpointTable, EngineCandidate, EngineReport, EngineRun, HomeCounts, RouteQuery,
+    TimePoint, attempt_rank, choose_engine, excess_wait, place_held,
 };
 use rand_pcg::Pcg64;
 use rand_pcg::rand_core::SeedableRng;
@@ -210,13 +210,13 @@
 #[test]
 fn homes_whatever_the_load() {
     let mut table = table(&["z0", "z1"], 6);
-    let before = table.homes(NOW, &query(), 77, 2, 1);
-    for record in table.homes(NOW, &query(), 77, 1, 1) {
+    let before = table.homes(NOW, &query(), 77, HomeCounts { own: 2, far: 1 });
+    for record in table.homes(NOW, &query(), 77, HomeCounts { own: 1, far: 1 }) {
         for _ in 0..9 {
             table.opened(NOW, &record.id);
         }
     }
-    let homes = table.homes(NOW, &query(), 77, 2, 1);
+    let homes = table.homes(NOW, &query(), 77, HomeCounts { own: 2, far: 1 });
     assert_eq!(ids(&homes), ids(&before));
     let zones: Vec<&str> = homes.iter().map(|record| &*record.zone).collect();
     assert_eq!(zones, ["z0", "z0", "z1"]);
@@ -227,7 +227,7 @@
 fn homes_agree_with_shortlist() {
     let table = table(&["z0", "z1"], 6);
     for number in 0..50 {
-        let homes = table.homes(NOW, &query(), number, 2, 1);
+        let homes = table.homes(NOW, &query(), number, HomeCounts { own: 2, far: 1 });
         assert_eq!(ids(&homes)[..2], ids(&table.shortlist(NOW, &query(), number, 2)));
     }
 }
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -5,8 +5,8 @@
 
 use futures::future::join;
 use hollyhook_core::{
-    EndpointId, EndpointRecord, EndpointState, EngineCandidate, Name, RouteQuery, StopReason, ZoneName, choose_engine,
-    excess_wait, has_holder, place_held,
+    EndpointId, EndpointRecord, EndpointState, EngineCandidate, HomeCounts, Name, RouteQuery, StopReason, ZoneName,
+    choose_engine, excess_wait, has_holder, place_held,
 };
 use hollyhook_platform::BackupSource;
 use rand::Rng;
@@ -22,9 +22,9 @@
 
 /// Engines that are asked whether they hold the prompt of a generation that comes back: of the own zone, and of each other
 /// one. Of 94 that came back on a heavy day, 79 had last been at one of these.
-const FIRST_HOMES: (usize, usize) = (3, 1);
+const FIRST_HOMES: HomeCounts = HomeCounts { own: 3, far: 1 };
 /// The same if none of the first does: 91 of the 94.
-const ALL_HOMES: (usize, usize) = (6, 3);
+const ALL_HOMES: HomeCounts = HomeCounts { own: 6, far: 3 };
 
 /// Where the memory of a run is copied to as it grows.
 #[derive(Debug, Clone)]
@@ -119,13 +119,8 @@
     }
 
     /// Asks the engines that the prompt may have gone to, without those that were asked.
-    async fn ask_homes(
-        &self,
-        part: u64,
-        (own, far): (usize, usize),
-        asked: &[EngineCandidate],
-    ) -> Vec<EngineCandidate> {
-        let mut homes = self.context.homes(&self.query(self.tried), self.home(), own, far);
+    async fn ask_homes(&self, part: u64, counts: HomeCounts, asked: &[EngineCandidate]) -> Vec<EngineCandidate> {
+        let mut homes = self.context.homes(&self.query(self.tried), self.home(), counts);
         homes.retain(|home| asked.iter().all(|candidate| candidate.record.id != home.id));
         let mut candidates = ask_holdings(self.context, homes, part).await;
         self.refresh(&mut candidates);
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, LoadReport, Name, PlanAdoption,
-    RequestKind, Result, RouteQuery, SiteIndex, SiteLedger, SitePlan, StopPhase, StopPlan, TimePoint, ZoneName,
+    AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Name,
+    PlanAdoption, RequestKind, Result, RouteQuery, SiteIndex, SiteLedger, SitePlan, StopPhase, StopPlan, TimePoint,
+    ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService, WallClock};
 use hollyhook_platform::ObjectKind;
@@ -238,9 +239,9 @@
         self.endpoints().shortlist(self.timer.now(), query, number, most)
     }
 
-    /// Up to `own` endpoints of the own zone and `far` of each other zone that a prompt may have gone to.
-    pub(crate) fn homes(&self, query: &RouteQuery<'_>, number: u64, own: usize, far: usize) -> Vec<EndpointRecord> {
-        self.endpoints().homes(self.timer.now(), query, number, own, far)
+    /// The endpoints that a prompt may have gone to.
+    pub(crate) fn homes(&self, query: &RouteQuery<'_>, number: u64, counts: HomeCounts) -> Vec<EndpointRecord> {
+        self.endpoints().homes(self.timer.now(), query, number, counts)
     }
 
     /// Brings what is known of an endpoint up to date.
