Note a failed attempt and judge its end in one place

Cause: plain calls and streams each noted a failure, asked the ledger and then the retry budget, in the same five lines; the rule on refused connections had to be written into both.

Ruled out: putting it into AttemptLedger, which knows no budget; the budget is the service's over all requests.

Change: `end_attempt` serves both. Behaviour is the same. An import of feed_server joins its group.

Conclusion: one rule, one place.

--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -15,6 +15,7 @@
 use hyper::body::Frame;
 
 use super::attempt::{EndpointPlace, OpenAnswer, WholeAnswer, send_attempt};
+use super::attempt_end::end_attempt;
 use super::backup_keeper::BackupKeeper;
 use super::engine_choice::{BackupPlace, EngineChoice, EngineChooser};
 use super::live_attempt::{LiveAttempt, PieceEnd};
@@ -178,11 +179,7 @@
         self.context.note_outcome(id, Some(failure));
         request_log::attempt_failed(&self.context, &self.caller, id, failure, self.relay.last());
         self.tried.push(EndpointId::clone(id));
-        self.ledger.note(failure);
-        let time_left = self.caller.time_left(self.context.timer.now());
-        let reason = self.ledger.stop_reason(time_left);
-        let is_spent = || failure.has_arrived() && !self.context.try_retry(&self.caller.service);
-        match reason.or_else(|| is_spent().then_some(StopReason::BudgetSpent)) {
+        match end_attempt(&self.context, &self.caller, &mut self.ledger, failure) {
             Some(reason) => Err(self.ended_by(reason)),
             None => Ok(()),
         }
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Carrying a request to endpoints and the answer back.
 
 mod attempt;
+mod attempt_end;
 mod backup_keeper;
 mod endpoint_probe;
 mod engine_choice;
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -8,6 +8,7 @@
 use http::Response;
 
 use super::attempt::{EndpointPlace, WholeAnswer, send_attempt};
+use super::attempt_end::end_attempt;
 use super::request_log;
 use crate::front::{AnswerBody, CallerRequest};
 use crate::gateway::GatewayContext;
@@ -69,20 +70,12 @@
             };
             request_log::attempt_failed(self.context, self.caller, place.id(), failure, None);
             self.tried.push(EndpointId::clone(place.id()));
-            self.ledger.note(failure);
-            if let Some(reason) = self.stop_reason(failure) {
+            if let Some(reason) = end_attempt(self.context, self.caller, &mut self.ledger, failure) {
                 return self.give_up(reason);
             }
         }
     }
 
-    fn stop_reason(&self, failure: AttemptFailure) -> Option<StopReason> {
-        let time_left = self.caller.time_left(self.context.timer.now());
-        let reason = self.ledger.stop_reason(time_left);
-        let is_spent = || failure.has_arrived() && !self.context.try_retry(&self.caller.service);
-        reason.or_else(|| is_spent().then_some(StopReason::BudgetSpent))
-    }
-
     fn give_up(&mut self, reason: StopReason) -> Result<Response<AnswerBody>> {
         match self.fallback.take() {
             Some(answer) => Ok(answer.into_response()),
--- a/crates/hollyhook_gateway/src/peer/feed_server.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_server.rs
@@ -5,6 +5,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use bytes::Bytes;
+use hollyhook_core::FeedNews;
 use hollyhook_platform::StoreObject;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -12,8 +13,6 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 
-use hollyhook_core::FeedNews;
-
 use super::feed_message::{FeedMessage, FeedQuery};
 use crate::front::ACCEPT_PAUSE;
 use crate::gateway::GatewayContext;
