Know the starts of an engine apart; malformed entries name no engine

Cause: an engine may start again under its name. Change: an endpoint's name is that of one start (entry and start); a later start displaces an earlier one, by entry or by address; a report of another start says nothing of the one asked. Objects of the store are read one by one. Ruled out: a start beside the name in each table, pool and ledger, which leaves each of them to remember it.

--- a/crates/hollyhook_core/src/route/endpoint_record.rs
+++ b/crates/hollyhook_core/src/route/endpoint_record.rs
@@ -31,8 +31,12 @@
 /// One endpoint as this host knows it.
 #[derive(Debug, Clone)]
 pub struct EndpointRecord {
-    /// Its name.
+    /// Its name; another one at each start, so that nothing learnt of an earlier start is used for a later one.
     pub id: EndpointId,
+    /// The name that it registers under, and answers to; the same at each start where the platform lets it be.
+    pub entry: Name,
+    /// The Unix millisecond of its start; none if it does not say.
+    pub started: Option<u64>,
     /// Its service.
     pub service: Name,
     /// Its availability zone.
@@ -71,7 +75,9 @@
     /// A live endpoint of which nothing more is known yet.
     pub fn new(id: EndpointId, service: Name, zone: ZoneName, address: SocketAddr) -> Self {
         Self {
+            entry: Name::clone(&id),
             id,
+            started: None,
             service,
             zone,
             address,
@@ -104,6 +110,21 @@
         self
     }
 
+    /// The same endpoint as one start of what registers as `entry`.
+    #[must_use]
+    pub fn start_of(mut self, entry: Name, started: Option<u64>) -> Self {
+        self.entry = entry;
+        self.started = started;
+        self
+    }
+
+    /// Whether the other is what stood here before this one: the same name or address, registered or started earlier.
+    pub(super) fn follows(&self, other: &Self) -> bool {
+        let is_same_place = self.address == other.address || self.entry == other.entry;
+        let is_later = (other.registered, other.started) < (self.registered, self.started);
+        self.id != other.id && is_same_place && is_later
+    }
+
     /// The load to expect: what was reported, and what this host has sent since.
     ///
     /// In requests a place; the number of places is that of its last report unless `places` gives another, and a
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -132,19 +132,24 @@
         }
     }
 
-    /// The endpoints that a registration shows to be gone: those that registered the same address earlier.
+    /// The endpoints that a registration shows to be gone: those that registered the same address earlier, and earlier
+    /// starts of the same one.
     ///
     /// Their entries lapse only seconds later, and until then whoever is at the address answers in their place.
     pub fn displaced_by(&self, record: &EndpointRecord) -> Vec<EndpointId> {
-        let earlier = self.records.values().filter(|known| {
-            known.address == record.address && known.id != record.id && known.registered < record.registered
-        });
+        let earlier = self.records.values().filter(|known| record.follows(known));
         earlier.map(|known| EndpointId::clone(&known.id)).collect()
     }
 
-    /// Whether a later registration has the address of this one.
-    pub fn is_displaced(&self, record: &EndpointRecord) -> bool {
-        self.records.values().any(|known| known.address == record.address && known.registered > record.registered)
+    /// Whether a later registration, of a service that `is_known`, stands in the place of this one.
+    pub fn is_displaced(&self, record: &EndpointRecord, is_known: impl Fn(&str) -> bool) -> bool {
+        self.records.values().any(|known| known.follows(record) && is_known(&known.service))
+    }
+
+    /// The endpoints that registered under a name.
+    pub fn registered_as(&self, entry: &str) -> Vec<EndpointId> {
+        let known = self.records.values().filter(|record| &*record.entry == entry);
+        known.map(|record| EndpointId::clone(&record.id)).collect()
     }
 
     /// Forgets one endpoint.
--- a/crates/hollyhook_core/src/route/engine_report.rs
+++ b/crates/hollyhook_core/src/route/engine_report.rs
@@ -6,6 +6,8 @@
 /// What a model engine says of itself when asked; a few hundred milliseconds old.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct EngineReport {
+    /// The Unix millisecond of its start; none if it does not say.
+    pub started: Option<u64>,
     /// Requests that wait.
     pub waiting: u32,
     /// Requests whose prompt is being read.
--- a/crates/hollyhook_core/tests/gateway/choosing.rs
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -135,13 +135,55 @@
     table.remove("z0-0");
     table.upsert(later);
     let earlier = record("z0-0", "z0", 1_000, 1);
-    assert!(table.is_displaced(&earlier));
-    assert!(!table.is_displaced(&record("elsewhere", "z0", 1_001, 1)));
+    assert!(table.is_displaced(&earlier, |_| true));
+    assert!(!table.is_displaced(&record("elsewhere", "z0", 1_001, 1), |_| true));
+}
+
+fn start(entry: &str, started: u64, port: u16, registered: u64) -> EndpointRecord {
+    let record = record(&format!("{entry}@{started}"), "z0", port, registered);
+    record.start_of(entry.into(), Some(started))
+}
+
+/// What was counted and learnt of an engine is dropped when it starts again under its name.
+#[test]
+fn restart_known_as_another() {
+    let mut table = table(&["z0"], 2);
+    table.upsert(start("e", 1_000, 7, 5));
+    table.opened(NOW, "e@1000");
+    let later = start("e", 2_000, 7, 5);
+    assert_eq!(table.displaced_by(&later), ["e@1000".into()]);
+    table.remove("e@1000");
+    table.upsert(later);
+    table.closed("e@1000");
+    table.failed(NOW, "e@1000");
+    let record = table.get("e@2000").unwrap();
+    assert_eq!((record.open, record.is_ejected(NOW)), (0, false));
+    assert_eq!(table.registered_as("e"), ["e@2000".into()]);
+}
+
+/// A late read of an entry does not bring an earlier start back, wherever the later one is.
+#[test]
+fn restart_not_undone_by_old_entry() {
+    let mut table = table(&["z0"], 2);
+    table.upsert(start("e", 2_000, 8, 5));
+    assert!(table.is_displaced(&start("e", 1_000, 7, 5), |_| true));
+    assert!(!table.is_displaced(&start("e", 3_000, 7, 5), |_| true));
+}
+
+/// Whoever registers an address for a service that nobody knows does not keep its owner out.
+#[test]
+fn unknown_service_displaces_nobody() {
+    let mut table = table(&["z0"], 1);
+    let mut stranger = record("stranger", "z0", 1_000, 9);
+    stranger.service = "unheard-of".into();
+    table.upsert(stranger);
+    assert!(!table.is_displaced(&record("z0-0", "z0", 1_000, 1), |service| service == "model"));
 }
 
 fn candidate(id: &str, running: u64, waiting: u32, used_tokens: u64) -> EngineCandidate {
     let runs = (0..running).map(|number| EngineRun { attempt_id: number.to_string().into(), events: 9 });
-    let report = EngineReport { waiting, reading: 0, used_tokens, total_tokens: 88_000, runs: runs.collect() };
+    let report =
+        EngineReport { waiting, used_tokens, total_tokens: 88_000, runs: runs.collect(), ..EngineReport::default() };
     EngineCandidate { record: record(id, "z0", 1, 1), report: Some(report), held_tokens: 0 }
 }
 
--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollyhook_core::{AnswerHead, AttemptFailure, EndpointId, EndpointRecord, ZoneName};
+use hollyhook_core::{AnswerHead, AttemptFailure, EndpointId, EndpointRecord, Name, ZoneName};
 use hollyhook_platform::AttemptHeaders;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
@@ -23,13 +23,20 @@
 #[derive(Debug, Clone)]
 pub(super) struct EndpointTarget {
     pub(super) id: EndpointId,
+    /// The name that it answers to.
+    pub(super) entry: Name,
     pub(super) address: SocketAddr,
     pub(super) zone: ZoneName,
 }
 
 impl From<&EndpointRecord> for EndpointTarget {
     fn from(record: &EndpointRecord) -> Self {
-        Self { id: EndpointId::clone(&record.id), address: record.address, zone: ZoneName::clone(&record.zone) }
+        Self {
+            id: EndpointId::clone(&record.id),
+            entry: Name::clone(&record.entry),
+            address: record.address,
+            zone: ZoneName::clone(&record.zone),
+        }
     }
 }
 
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -82,13 +82,15 @@
 
 async fn ask(context: &GatewayContext, target: &EndpointTarget, limit: Duration) -> Option<EngineReport> {
     let body = ask_path(context, target, hollyhook_platform::report_path(), limit).await?;
-    hollyhook_platform::decode_report(&body).ok()
+    let report = hollyhook_platform::decode_report(&body).ok()?;
+    // Of another start, it says nothing of the one that was asked.
+    (!context.note_start(&target.id, report.started)).then_some(report)
 }
 
 /// Asks an engine on one of its own paths; none if it does not answer in time, or with a failure.
 async fn ask_path(context: &GatewayContext, target: &EndpointTarget, path: &str, limit: Duration) -> Option<Bytes> {
     let mut request = Request::get(path).header(header::HOST, target.address.to_string()).body(Full::default()).ok()?;
-    hollyhook_platform::set_expected_endpoint(request.headers_mut(), &target.id);
+    hollyhook_platform::set_expected_endpoint(request.headers_mut(), &target.entry);
     let answer = ask_endpoint(context, target, request, limit).await?;
     if !answer.parts.status.is_success() {
         tracing::info!(endpoint = %target.id, status = answer.parts.status.as_u16(), "endpoint.probe_refused");
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use futures::stream;
 use hollyhook_core::{
-    AnswerVerdict, AttemptFailure, AttemptLedger, EndpointId, Error, ErrorKind, EventRelay, Result, StopReason,
+    AnswerVerdict, AttemptFailure, AttemptLedger, EndpointId, Error, ErrorKind, EventRelay, Name, Result, StopReason,
     attempt_rank, judge_answer,
 };
 use hollyhook_platform::{AttemptHeaders, remove_hop_headers};
@@ -209,7 +209,7 @@
     async fn open(&mut self, choice: EngineChoice) -> std::result::Result<(), AttemptFailure> {
         let EngineChoice { place, from, backup, prompt_at, is_read } = choice;
         let headers = AttemptHeaders {
-            endpoint: Some(EndpointId::clone(place.id())),
+            endpoint: Some(Name::clone(&place.target.entry)),
             account: self.caller.account.as_ref().map(|account| Arc::clone(&account.name)),
             time_left: self.caller.time_left(self.context.timer.now()),
             rank: Some(attempt_rank(self.caller.rank(), is_read)),
@@ -224,7 +224,7 @@
         if let Some(load) = answer.head.load {
             self.context.note_load(place.id(), load);
         }
-        match judge_answer(self.caller.route.kind, &self.caller.head.attempt_id, place.id(), &answer.head) {
+        match judge_answer(self.caller.route.kind, &self.caller.head.attempt_id, &place.target.entry, &answer.head) {
             AnswerVerdict::Pass if answer.parts.status.is_success() => {
                 self.first_head.get_or_insert_with(|| answer.parts.clone());
                 self.weights = self.weights.or(answer.head.weights);
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -2,7 +2,8 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    AnswerVerdict, AttemptFailure, AttemptLedger, EndpointId, RequestKind, Result, RouteQuery, StopReason, judge_answer,
+    AnswerVerdict, AttemptFailure, AttemptLedger, EndpointId, Name, RequestKind, Result, RouteQuery, StopReason,
+    judge_answer,
 };
 use hollyhook_platform::AttemptHeaders;
 use http::Response;
@@ -114,7 +115,7 @@
     async fn exchange(&self, place: &EndpointPlace) -> CallEnd {
         let caller = self.caller;
         let headers = AttemptHeaders {
-            endpoint: Some(EndpointId::clone(place.id())),
+            endpoint: Some(Name::clone(&place.target.entry)),
             account: caller.account.as_ref().map(|account| Arc::clone(&account.name)),
             time_left: caller.time_left(self.context.timer.now()),
             ..AttemptHeaders::default()
@@ -126,7 +127,7 @@
         if let Some(load) = answer.head.load {
             self.context.note_load(place.id(), load);
         }
-        let verdict = judge_answer(caller.route.kind, &caller.head.attempt_id, place.id(), &answer.head);
+        let verdict = judge_answer(caller.route.kind, &caller.head.attempt_id, &place.target.entry, &answer.head);
         if verdict == AnswerVerdict::Fail(AttemptFailure::Garbled) {
             return CallEnd::Failure(AttemptFailure::Garbled);
         }
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -201,16 +201,23 @@
     }
 
     pub(crate) fn upsert_endpoint(&self, record: EndpointRecord) {
+        let site = self.site();
+        let is_known = |service: &str| site.as_ref().is_some_and(|site| site.service(service).is_some());
         let mut table = self.endpoints();
-        if table.is_displaced(&record) {
+        if table.is_displaced(&record, is_known) {
             return;
         }
-        for id in table.displaced_by(&record) {
+        // Of a service that nobody knows, anybody may have written it.
+        let displaced = if is_known(&record.service) { table.displaced_by(&record) } else { Vec::new() };
+        for id in displaced {
             table.remove(&id);
             self.pool.forget(&id);
             tracing::info!(endpoint = %id, by = %record.id, address = %record.address, "endpoint.displaced");
         }
         let known = table.get(&record.id).map(|known| known.state);
+        if known.is_none() {
+            self.board.count("endpoints_started");
+        }
         if known != Some(record.state) {
             tracing::info!(endpoint = %record.id, service = %record.service, zone = %record.zone,
                 address = %record.address, state = ?record.state, "endpoint.state");
@@ -221,10 +228,31 @@
         table.upsert(record);
     }
 
-    pub(crate) fn forget_endpoint(&self, id: &EndpointId) {
-        self.endpoints().remove(id);
-        self.pool.forget(id);
-        tracing::info!(endpoint = %id, "endpoint.gone");
+    /// Forgets what registered under a name.
+    pub(crate) fn forget_entry(&self, entry: &str) {
+        let mut table = self.endpoints();
+        for id in table.registered_as(entry) {
+            table.remove(&id);
+            self.pool.forget(&id);
+            tracing::info!(endpoint = %id, "endpoint.gone");
+        }
+    }
+
+    /// Takes in when the endpoint started that answers in the place of `id`; tells whether that is a later start, which
+    /// replaces this one.
+    pub(crate) fn note_start(&self, id: &EndpointId, started: Option<u64>) -> bool {
+        let known = self.endpoints().get(id).cloned();
+        let Some(known) = known.filter(|known| known.started.is_some() && known.started < started) else {
+            return false;
+        };
+        let id = hollyhook_platform::endpoint_id(&known.entry, started);
+        let mut record =
+            EndpointRecord::new(id, known.service, known.zone, known.address).capacity(known.load.capacity);
+        record = record.start_of(known.entry, started);
+        record.registered = known.registered;
+        record.state = known.state;
+        self.upsert_endpoint(record);
+        true
     }
 
     /// Chooses an endpoint by what this host knows.
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -1,8 +1,8 @@
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyhook_core::{EndpointId, EndpointMembership, FeedNews, TimePoint};
+use hollyhook_core::{EndpointMembership, FeedNews, Name, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
 use super::{FeedReader, StoreClient, StoreError};
@@ -33,12 +33,14 @@
     membership: EndpointMembership,
     /// The store's last return that was taken in.
     back_at: Option<TimePoint>,
+    /// Entries that could not be read, and the revision at which that was logged.
+    malformed: BTreeMap<Name, u64>,
 }
 
 impl EndpointWatch {
     pub(crate) fn new(context: Arc<GatewayContext>, client: StoreClient) -> Self {
         let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Endpoint, client, WATCH_WAIT);
-        Self { context, reader, membership: EndpointMembership::default(), back_at: None }
+        Self { context, reader, membership: EndpointMembership::default(), back_at: None, malformed: BTreeMap::new() }
     }
 
     /// Follows them until the process ends.
@@ -71,9 +73,11 @@
             self.forget_missing(&news);
         }
         for change in &news.changes {
-            match &change.object {
-                Some(object) => self.upsert(object),
-                None => self.miss(&EndpointId::clone(&change.name)),
+            if let Some(object) = &change.object {
+                self.upsert(object);
+            } else {
+                self.malformed.remove(&change.name);
+                self.miss(&change.name);
             }
         }
         if news.is_whole {
@@ -91,33 +95,41 @@
     }
 
     fn forget_missing(&mut self, news: &FeedNews<StoreObject>) {
-        let present: BTreeSet<&EndpointId> = news.changes.iter().map(|change| &change.name).collect();
-        let known: Vec<EndpointId> =
-            self.context.endpoints().iter().map(|record| EndpointId::clone(&record.id)).collect();
-        for id in known.iter().filter(|id| !present.contains(*id)) {
-            self.miss(id);
+        let present: BTreeSet<&Name> = news.changes.iter().map(|change| &change.name).collect();
+        let known: BTreeSet<Name> = self.context.endpoints().iter().map(|record| Name::clone(&record.entry)).collect();
+        for entry in known.iter().filter(|entry| !present.contains(*entry)) {
+            self.miss(entry);
         }
+        self.malformed.retain(|entry, _| present.contains(entry));
     }
 
     fn upsert(&mut self, object: &StoreObject) {
         match hollyhook_platform::decode_endpoint(object) {
             Ok(record) => {
-                self.membership.present(&record.id);
+                self.membership.present(&record.entry);
+                self.malformed.remove(&record.entry);
                 self.context.upsert_endpoint(record);
             }
-            Err(error) => tracing::error!(%error, endpoint = %object.name, "endpoint.malformed"),
+            Err(error) => {
+                // Whoever wrote it, it names no endpoint that could be used.
+                self.context.forget_entry(&object.name);
+                let logged = self.malformed.insert(Name::clone(&object.name), object.revision);
+                if logged != Some(object.revision) {
+                    tracing::error!(%error, entry = %object.name, revision = object.revision, "endpoint.malformed");
+                }
+            }
         }
     }
 
-    fn miss(&mut self, id: &EndpointId) {
-        if self.membership.is_gone(self.context.timer.now(), id) {
-            self.context.forget_endpoint(id);
+    fn miss(&mut self, entry: &Name) {
+        if self.membership.is_gone(self.context.timer.now(), entry) {
+            self.context.forget_entry(entry);
         }
     }
 
     fn forget_lapsed(&mut self) {
-        for id in self.membership.lapsed(self.context.timer.now()) {
-            self.context.forget_endpoint(&id);
+        for entry in self.membership.lapsed(self.context.timer.now()) {
+            self.context.forget_entry(&entry);
         }
     }
 }
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -82,6 +82,9 @@
             let body = self.call(Method::GET, &path(after.as_deref()), Bytes::new(), CALL_TIMEOUT).await?;
             let page: StorePage = hollyhook_platform::decode_page(&body).map_err(StoreError::Malformed)?;
             objects.extend(page.objects);
+            if page.nameless > 0 {
+                tracing::error!(count = page.nameless, "store.objects_nameless");
+            }
             // Changes between two pages are seen again by a watch from the first page's revision.
             let revision = *first_revision.get_or_insert(page.revision);
             match page.next_after {
