--- a/crates/hollyhook_core/src/route/endpoint_membership.rs
+++ b/crates/hollyhook_core/src/route/endpoint_membership.rs
@@ -3,11 +3,6 @@
 
 use crate::{EndpointId, TimePoint};
 
-/// How long after the platform's return an entry that lapsed meanwhile may take to come back.
-///
-/// The platform states about two seconds; the quarter more is for the read that shows it.
-const RETURN_GRACE: Duration = Duration::from_millis(2_250);
-
 /// Which endpoints are members, as far as the platform's list can be believed.
 ///
 /// Entries may lapse while the platform is away, although their endpoints live. What is missing just after its return
@@ -31,6 +26,11 @@
 }
 
 impl EndpointMembership {
+    /// How long after the platform's return an entry that lapsed meanwhile may take to come back.
+    ///
+    /// The platform states about two seconds; the quarter more is for the read that shows it.
+    pub const RETURN_GRACE: Duration = Duration::from_millis(2_250);
+
     /// Notes that the platform answers again after it did not.
     pub fn platform_back(&mut self, now: TimePoint) {
         self.back_at = Some(now);
@@ -38,10 +38,10 @@
 
     /// Whether an endpoint whose entry is missing is to be forgotten now; if not, [`lapsed`](Self::lapsed) tells when.
     pub fn is_gone(&mut self, now: TimePoint, id: &EndpointId) -> bool {
-        let Some(back_at) = self.back_at.filter(|at| now.since(*at) < RETURN_GRACE) else {
+        let Some(back_at) = self.back_at.filter(|at| now.since(*at) < Self::RETURN_GRACE) else {
             return true;
         };
-        self.missing.entry(EndpointId::clone(id)).or_insert(back_at + RETURN_GRACE);
+        self.missing.entry(EndpointId::clone(id)).or_insert(back_at + Self::RETURN_GRACE);
         false
     }
 
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -1,7 +1,8 @@
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use async_std::task;
 use hollyhook_core::{EndpointMembership, FeedNews, Name, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
@@ -30,7 +31,7 @@
 pub(crate) struct EndpointWatch {
     context: Arc<GatewayContext>,
     reader: FeedReader,
-    membership: EndpointMembership,
+    membership: Arc<Mutex<EndpointMembership>>,
     /// The store's last return that was taken in.
     back_at: Option<TimePoint>,
     /// Entries that could not be read, and the revision at which that was logged.
@@ -40,15 +41,13 @@
 impl EndpointWatch {
     pub(crate) fn new(context: Arc<GatewayContext>, client: StoreClient) -> Self {
         let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Endpoint, client, WATCH_WAIT);
-        Self { context, reader, membership: EndpointMembership::default(), back_at: None, malformed: BTreeMap::new() }
+        Self { context, reader, membership: Arc::default(), back_at: None, malformed: BTreeMap::new() }
     }
 
     /// Follows them until the process ends.
     pub(crate) async fn run(mut self) {
         loop {
-            let outcome = self.step().await;
-            self.forget_lapsed();
-            match outcome {
+            match self.step().await {
                 Ok(true) => self.context.timer.wait(self.gather_pause()).await,
                 Ok(false) | Err(StoreError::HistoryGone) => {}
                 Err(_logged) => self.context.timer.wait(RETRY_PAUSE).await,
@@ -91,7 +90,9 @@
             return;
         };
         self.back_at = Some(at);
-        self.membership.platform_back(at);
+        lock(&self.membership).platform_back(at);
+        // By itself, since the next watch may wait for longer than a leaving endpoint may still get work.
+        task::spawn(forget_when_due(Arc::clone(&self.context), Arc::clone(&self.membership), at));
     }
 
     fn forget_missing(&mut self, news: &FeedNews<StoreObject>) {
@@ -106,7 +107,7 @@
     fn upsert(&mut self, object: &StoreObject) {
         match hollyhook_platform::decode_endpoint(object) {
             Ok(record) => {
-                self.membership.present(&record.entry);
+                lock(&self.membership).present(&record.entry);
                 self.malformed.remove(&record.entry);
                 self.context.upsert_endpoint(record);
             }
@@ -122,14 +123,23 @@
     }
 
     fn miss(&mut self, entry: &Name) {
-        if self.membership.is_gone(self.context.timer.now(), entry) {
+        let is_gone = lock(&self.membership).is_gone(self.context.timer.now(), entry);
+        if is_gone {
             self.context.forget_entry(entry);
         }
     }
+}
 
-    fn forget_lapsed(&mut self) {
-        for entry in self.membership.lapsed(self.context.timer.now()) {
-            self.context.forget_entry(&entry);
-        }
+/// Forgets the entries that did not come back after the store's return, when that is certain.
+async fn forget_when_due(context: Arc<GatewayContext>, membership: Arc<Mutex<EndpointMembership>>, back_at: TimePoint) {
+    let due = back_at + EndpointMembership::RETURN_GRACE;
+    context.timer.wait(due.since(context.timer.now())).await;
+    let lapsed = lock(&membership).lapsed(context.timer.now());
+    for entry in lapsed {
+        context.forget_entry(&entry);
     }
 }
+
+fn lock(membership: &Mutex<EndpointMembership>) -> MutexGuard<'_, EndpointMembership> {
+    membership.lock().unwrap_or_else(PoisonError::into_inner)
+}
