Hosts that the store turns away ask other hosts what it holds

Ruled out: to trust keys for longer, which the bound of 5 s forbids. Change: when the store gives no answer, one host of the own zone and one of another are asked, at once and without waiting; the age of what they know is counted in full. Who is helped tells nobody. A pause of 0.5 s after help.

--- a/crates/hollyhook_core/src/feed/feed_log.rs
+++ b/crates/hollyhook_core/src/feed/feed_log.rs
@@ -170,3 +170,12 @@
 pub fn is_stale(age: Duration) -> bool {
     age > MOST_AGE
 }
+
+/// How old what a host knows may be that is asked because the store gives no answer. It reads the store for itself, and
+/// hears of endpoints every three seconds at the latest; whoever asks it would know nothing newer.
+const MOST_HELP_AGE: Duration = Duration::from_millis(3_500);
+
+/// Whether what a host knows is too old to help one that the store does not answer.
+pub fn is_stale_help(age: Duration) -> bool {
+    age > MOST_HELP_AGE
+}
--- a/crates/hollyhook_core/src/feed/feed_roster.rs
+++ b/crates/hollyhook_core/src/feed/feed_roster.rs
@@ -16,6 +16,9 @@
 const HOSTS_EACH: usize = 8;
 /// Leaders that a follower asks before the store. Each may take 0.85 s to be found silent, and two seconds are allowed.
 const MOST_ASKED: usize = 2;
+/// Hosts of the own zone, and of all others, that are asked when the store gives no answer. In a whole outage all of them
+/// answer that they know nothing new, and the next time others are asked.
+const HELPERS_EACH: usize = 1;
 /// How long a host that did not answer is passed over; it may be cut off, stopped or gone for good.
 const PASSED_OVER: Duration = Duration::from_secs(8);
 
@@ -50,20 +53,40 @@
     host: Name,
     zone: ZoneName,
     members: Vec<RosterMember>,
+    /// The hosts of other zones.
+    others: Vec<RosterMember>,
     passed_over: BTreeMap<Name, TimePoint>,
 }
 
 impl FeedRoster {
     /// A roster for a host that knows no other yet.
     pub fn new(host: Name, zone: ZoneName) -> Self {
-        Self { host, zone, members: Vec::new(), passed_over: BTreeMap::new() }
+        Self { host, zone, members: Vec::new(), others: Vec::new(), passed_over: BTreeMap::new() }
     }
 
-    /// Takes in all hosts that are registered; those of other zones are left out.
+    /// Takes in all hosts that are registered.
     pub fn list(&mut self, members: Vec<RosterMember>) {
-        let mut own: Vec<RosterMember> = members.into_iter().filter(|member| member.zone == self.zone).collect();
+        let (mut own, mut others): (Vec<_>, Vec<_>) = members.into_iter().partition(|member| member.zone == self.zone);
         own.sort_by_cached_key(|member| Reverse(weight(self.zone.as_bytes(), &member.host)));
+        others.sort_by_cached_key(|member| Reverse(weight(self.host.as_bytes(), &member.host)));
         self.members = own;
+        self.others = others;
+    }
+
+    /// Whom to ask when the store gives no answer, best first: a host of the own zone, which is also in reach when zones are
+    /// cut from each other, and one of another zone.
+    ///
+    /// Answers a store that turns some hosts away and serves the others: those would have to refuse their callers as soon
+    /// as they can't be certain of keys any more.
+    pub fn helpers(&self, now: TimePoint) -> Vec<RosterMember> {
+        let is_usable = |member: &&RosterMember| member.host != self.host && !self.is_passed_over(now, &member.host);
+        let near = self.members.iter().filter(is_usable).take(HELPERS_EACH);
+        let far = self.others.iter().filter(is_usable).take(HELPERS_EACH);
+        near.chain(far).cloned().collect()
+    }
+
+    fn is_passed_over(&self, now: TimePoint, host: &Name) -> bool {
+        self.passed_over.get(host).is_some_and(|until| now < *until)
     }
 
     /// Notes that a host did not answer, or not well.
@@ -77,8 +100,7 @@
         if !is_known || self.members.len() < SHARED_FROM {
             return FeedPlan::Alone;
         }
-        let is_passed_over = |host: &Name| self.passed_over.get(host).is_some_and(|until| now < *until);
-        let usable = self.members.iter().filter(|member| !is_passed_over(&member.host));
+        let usable = self.members.iter().filter(|member| !self.is_passed_over(now, &member.host));
         let number = LEAST_LEADERS.max(self.members.len() / HOSTS_EACH);
         let leaders: Vec<&RosterMember> = usable.take(number).collect();
         if leaders.iter().any(|leader| leader.host == self.host) {
--- a/crates/hollyhook_core/src/feed/mod.rs
+++ b/crates/hollyhook_core/src/feed/mod.rs
@@ -3,5 +3,5 @@
 mod feed_log;
 mod feed_roster;
 
-pub use feed_log::{FeedChange, FeedLog, FeedNews, is_stale};
+pub use feed_log::{FeedChange, FeedLog, FeedNews, is_stale, is_stale_help};
 pub use feed_roster::{FeedPlan, FeedRoster, RosterMember};
--- a/crates/hollyhook_gateway/src/peer/feed_board.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_board.rs
@@ -27,6 +27,11 @@
         lock(&self.roster).plan(now)
     }
 
+    /// Whom to ask when the store gives no answer.
+    pub(crate) fn helpers(&self, now: TimePoint) -> Vec<RosterMember> {
+        lock(&self.roster).helpers(now)
+    }
+
     /// Takes in all hosts that are registered.
     pub(crate) fn list_members(&self, members: Vec<RosterMember>) {
         lock(&self.roster).list(members);
--- a/crates/hollyhook_gateway/src/peer/peer_client.rs
+++ b/crates/hollyhook_gateway/src/peer/peer_client.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use hollyhook_core::{FeedNews, RosterMember, TimePoint, is_stale};
+use hollyhook_core::{FeedNews, RosterMember, TimePoint, is_stale, is_stale_help};
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::{ObjectKind, StoreObject};
 use http::{Method, StatusCode};
@@ -37,15 +37,39 @@
         after: Option<u64>,
         asked_at: TimePoint,
     ) -> Result<FeedNews<StoreObject>, LineFault> {
-        let query = FeedQuery { kind, after, wait: WAIT };
-        let request = line_request(Method::GET, leader.address, &query.to_path(), "")?;
-        let (status, body) = self.line.call(leader.address, request, WAIT + SLACK).await?;
+        self.ask_within(leader, FeedQuery { kind, after, wait: WAIT }, asked_at, is_stale).await
+    }
+
+    /// The same of a host that reads the store for itself; it answers at once.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ask`](Self::ask).
+    pub(crate) async fn ask_help(
+        &mut self,
+        helper: &RosterMember,
+        kind: ObjectKind,
+        after: Option<u64>,
+        asked_at: TimePoint,
+    ) -> Result<FeedNews<StoreObject>, LineFault> {
+        self.ask_within(helper, FeedQuery { kind, after, wait: Duration::ZERO }, asked_at, is_stale_help).await
+    }
+
+    async fn ask_within(
+        &mut self,
+        host: &RosterMember,
+        query: FeedQuery,
+        asked_at: TimePoint,
+        is_too_old: impl Fn(Duration) -> bool,
+    ) -> Result<FeedNews<StoreObject>, LineFault> {
+        let request = line_request(Method::GET, host.address, &query.to_path(), "")?;
+        let (status, body) = self.line.call(host.address, request, query.wait + SLACK).await?;
         if status != StatusCode::OK {
             return Err(LineFault("it does not read the store"));
         }
         let message: FeedMessage =
             serde_json::from_slice(&body).map_err(|_error| LineFault("it can't be understood"))?;
-        if is_stale(Duration::from_millis(message.age_ms)) {
+        if is_too_old(Duration::from_millis(message.age_ms)) {
             return Err(LineFault("what it knows is too old"));
         }
         Ok(message.into_news(asked_at))
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -12,6 +12,9 @@
 /// spends up to 0.4 s on gathering changes.
 const LEADER_WAIT: Duration = Duration::from_millis(700);
 
+/// The pause after another host helped out; each try of the store in between is charged, and what is learnt so is that old.
+const HELP_PAUSE: Duration = Duration::from_millis(500);
+
 /// Follows one kind of object, from the store or from a host that reads it for others.
 #[derive(Debug)]
 pub(crate) struct FeedReader {
@@ -24,12 +27,14 @@
     /// The revision to go on from; none if all objects have to be read first.
     revision: Option<u64>,
     is_away: bool,
+    /// Whether the last news came from a host that was asked because the store gave no answer.
+    is_helped: bool,
 }
 
 impl FeedReader {
     pub(crate) fn new(context: Arc<GatewayContext>, kind: ObjectKind, client: StoreClient, wait: Duration) -> Self {
         let peers = PeerClient::new(context.timer.as_ref().clone());
-        Self { context, kind, client, peers, wait, revision: None, is_away: false }
+        Self { context, kind, client, peers, wait, revision: None, is_away: false, is_helped: false }
     }
 
     /// Whether other hosts rely on what this one reads.
@@ -43,6 +48,9 @@
     ///
     /// Why neither another host nor the store gave any.
     pub(crate) async fn next(&mut self) -> Result<FeedNews<StoreObject>, StoreError> {
+        if std::mem::take(&mut self.is_helped) {
+            self.context.timer.wait(HELP_PAUSE).await;
+        }
         let plan = self.context.feed.plan(self.context.timer.now());
         if let FeedPlan::Follow(leaders) = &plan
             && let Some(news) = self.ask_leaders(leaders).await
@@ -61,14 +69,38 @@
                 Ok(news)
             }
             Err(error) => {
-                self.revision = None;
-                self.is_away |= !matches!(error, StoreError::HistoryGone);
+                let is_away = !matches!(error, StoreError::HistoryGone);
+                self.is_away |= is_away;
                 self.context.note_store(self.kind, Some(&error));
+                if is_away && let Some(news) = self.ask_helpers().await {
+                    self.is_helped = true;
+                    self.take(&news, false);
+                    return Ok(news);
+                }
+                self.revision = None;
                 Err(error)
             }
         }
     }
 
+    /// What hosts know that the store may answer, when it does not answer this one.
+    async fn ask_helpers(&mut self) -> Option<FeedNews<StoreObject>> {
+        for helper in self.context.feed.helpers(self.context.timer.now()) {
+            let asked_at = self.context.timer.now();
+            match self.peers.ask_help(&helper, self.kind, self.revision, asked_at).await {
+                Ok(news) => {
+                    self.context.board.count("helped_by_hosts");
+                    return Some(news);
+                }
+                Err(fault) => {
+                    tracing::info!(helper = %helper.host, kind = self.kind.as_str(), reason = fault.0, "helper.passed_over");
+                    self.context.feed.pass_over(self.context.timer.now(), &helper.host);
+                }
+            }
+        }
+        None
+    }
+
     fn take(&mut self, news: &FeedNews<StoreObject>, is_direct: bool) {
         self.revision = self.revision.max(Some(news.revision));
         self.context.feed.take(self.kind, news, is_direct);
