--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -52,7 +52,7 @@
 impl EndpointPlace {
     /// Takes a place.
     pub(super) fn take(context: &Arc<GatewayContext>, record: &EndpointRecord) -> Self {
-        context.count_open(&record.id);
+        context.endpoints.count_open(&record.id);
         Self { context: Arc::clone(context), target: EndpointTarget::from(record), open: record.open }
     }
 
@@ -63,7 +63,7 @@
 
 impl Drop for EndpointPlace {
     fn drop(&mut self) {
-        self.context.endpoints().closed(&self.target.id);
+        self.context.endpoints.table().closed(&self.target.id);
     }
 }
 
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -33,7 +33,7 @@
 pub(super) async fn ask_all(context: &GatewayContext, shortlist: Vec<EndpointRecord>) -> Vec<EngineCandidate> {
     let candidates = ask_each(context, shortlist, CHOICE_TIMEOUT).await;
     for candidate in candidates.iter().filter(|candidate| candidate.report.is_none()) {
-        context.note_outcome(&candidate.record.id, Some(AttemptFailure::NotConnected));
+        context.endpoints.note_outcome(&candidate.record.id, Some(AttemptFailure::NotConnected));
     }
     candidates
 }
@@ -84,7 +84,7 @@
     let body = ask_path(context, target, hollyhook_platform::report_path(), limit).await?;
     let report = hollyhook_platform::decode_report(&body).ok()?;
     // Of another start, it says nothing of the one that was asked.
-    (!context.note_start(&target.id, report.started)).then_some(report)
+    (!context.endpoints.note_start(&target.id, report.started)).then_some(report)
 }
 
 /// Asks an engine on one of its own paths; none if it does not answer in time, or with a failure.
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -75,7 +75,7 @@
     /// Why no attempt can be made, with how long it would be too late.
     pub(super) async fn choose(&self, held: Option<BackupPlace>) -> Result<EngineChoice, ChoiceRefusal> {
         if self.caller.engine.is_none() {
-            let record = self.context.choose(&self.query(self.tried)).ok_or(ChoiceRefusal::NO_ENDPOINT)?;
+            let record = self.context.endpoints.choose(&self.query(self.tried)).ok_or(ChoiceRefusal::NO_ENDPOINT)?;
             return Ok(self.choice(&record, None, None));
         }
         let usable = held.as_ref().and_then(|held| self.usable(held));
@@ -120,7 +120,7 @@
 
     /// Asks the engines that the prompt may have gone to, without those that were asked.
     async fn ask_homes(&self, part: u64, counts: HomeCounts, asked: &[EngineCandidate]) -> Vec<EngineCandidate> {
-        let mut homes = self.context.homes(&self.query(self.tried), self.home(), counts);
+        let mut homes = self.context.endpoints.homes(&self.query(self.tried), self.home(), counts);
         homes.retain(|home| asked.iter().all(|candidate| candidate.record.id != home.id));
         let mut candidates = ask_holdings(self.context, homes, part).await;
         self.refresh(&mut candidates);
@@ -128,7 +128,7 @@
     }
 
     async fn choose_new(&self) -> Result<EngineChoice, ChoiceRefusal> {
-        let first = self.context.shortlist(&self.query(self.tried), self.home(), ASKED);
+        let first = self.context.endpoints.shortlist(&self.query(self.tried), self.home(), ASKED);
         let second = first.first().map(|record| self.list_elsewhere(record)).unwrap_or_default();
         let (mut asked, elsewhere) = join(ask_all(self.context, first), ask_all(self.context, second)).await;
         // Engines of other zones come last in the order, so that they are taken only if prompts wait in this one.
@@ -140,7 +140,7 @@
                 candidate.record.clone()
             }
             // None of those that were asked answered; any that is left may be better.
-            None => self.context.choose(&self.query(self.tried)).ok_or(ChoiceRefusal::NO_ENDPOINT)?,
+            None => self.context.endpoints.choose(&self.query(self.tried)).ok_or(ChoiceRefusal::NO_ENDPOINT)?,
         };
         let backup = self.best_backup(&record, &asked);
         Ok(self.choice(&record, None, backup))
@@ -149,7 +149,7 @@
     /// Takes in what this host sent to the engines while it asked: it is in no report.
     fn refresh(&self, candidates: &mut [EngineCandidate]) {
         for candidate in candidates {
-            self.context.refresh(&mut candidate.record);
+            self.context.endpoints.refresh(&mut candidate.record);
         }
     }
 
@@ -177,7 +177,7 @@
     /// The engine that holds the copy, if it still takes work.
     pub(super) fn usable(&self, held: &BackupPlace) -> Option<(EndpointRecord, BackupSource)> {
         let now = self.context.timer.now();
-        let record = self.context.endpoints().get(&held.id).cloned()?;
+        let record = self.context.endpoints.table().get(&held.id).cloned()?;
         let is_fit = record.state == EndpointState::Live && !record.is_ejected(now);
         is_fit.then(|| (record, held.source.clone()))
     }
@@ -186,7 +186,7 @@
     /// its own, since another one may just be gone.
     fn list_elsewhere(&self, record: &EndpointRecord) -> Vec<EndpointRecord> {
         let query = self.query(self.tried).avoid_zone(&record.zone);
-        let mut list = self.context.shortlist(&query, self.home(), usize::MAX);
+        let mut list = self.context.endpoints.shortlist(&query, self.home(), usize::MAX);
         let mut zones = BTreeSet::new();
         list.retain(|record| zones.insert(ZoneName::clone(&record.zone)));
         list.truncate(ASKED);
@@ -195,7 +195,7 @@
 
     /// An engine for a new copy of a run that goes on.
     pub(super) async fn choose_backup(&self, running: &EndpointTarget) -> Option<EndpointTarget> {
-        let record = self.context.endpoints().get(&running.id).cloned()?;
+        let record = self.context.endpoints.table().get(&running.id).cloned()?;
         let candidates = ask_all(self.context, self.list_elsewhere(&record)).await;
         let best = choose_copy(&candidates, self.needed_tokens())?;
         Some(EndpointTarget::from(&best.record))
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -149,7 +149,7 @@
     fn complete(&mut self) {
         self.is_over = true;
         if let Some(live) = self.live.take() {
-            self.context.note_outcome(live.place.id(), None);
+            self.context.endpoints.note_outcome(live.place.id(), None);
             live.answer.release(&self.context, live.place.id());
         }
         request_log::streamed(&self.context, &self.caller, &self.pace, self.ledger.attempts() + 1);
@@ -176,7 +176,7 @@
     }
 
     fn fail(&mut self, id: &EndpointId, failure: AttemptFailure) -> Result<()> {
-        self.context.note_outcome(id, Some(failure));
+        self.context.endpoints.note_outcome(id, Some(failure));
         request_log::attempt_failed(&self.context, &self.caller, id, failure, self.relay.last());
         self.tried.push(EndpointId::clone(id));
         match end_attempt(&self.context, &self.caller, &mut self.ledger, failure) {
@@ -222,7 +222,7 @@
         request_log::attempt_placed(&self.context, &self.caller, &place, &headers);
         let answer = self.open_head(&place, &headers).await?;
         if let Some(load) = answer.head.load {
-            self.context.note_load(place.id(), load);
+            self.context.endpoints.note_load(place.id(), load);
         }
         match judge_answer(self.caller.route.kind, &self.caller.head.attempt_id, &place.target.entry, &answer.head) {
             AnswerVerdict::Pass if answer.parts.status.is_success() => {
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -86,7 +86,7 @@
 
     fn place(&self) -> Option<EndpointPlace> {
         let query = RouteQuery::new(&self.caller.service).avoid(&self.tried);
-        self.context.choose(&query).map(|record| EndpointPlace::take(self.context, &record))
+        self.context.endpoints.choose(&query).map(|record| EndpointPlace::take(self.context, &record))
     }
 
     async fn attempt(&self, place: &EndpointPlace) -> CallEnd {
@@ -100,7 +100,7 @@
             CallEnd::Fallback(_) => Some(AttemptFailure::Failed),
             CallEnd::Failure(failure) => Some(*failure),
         };
-        self.context.note_outcome(place.id(), failure);
+        self.context.endpoints.note_outcome(place.id(), failure);
         end
     }
 
@@ -125,7 +125,7 @@
             Err(failure) => return CallEnd::Failure(failure),
         };
         if let Some(load) = answer.head.load {
-            self.context.note_load(place.id(), load);
+            self.context.endpoints.note_load(place.id(), load);
         }
         let verdict = judge_answer(caller.route.kind, &caller.head.attempt_id, &place.target.entry, &answer.head);
         if verdict == AnswerVerdict::Fail(AttemptFailure::Garbled) {
--- /dev/null
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -0,0 +1,176 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use hollyhook_core::{
+    AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Result,
+    RouteQuery, SiteLedger, ZoneName,
+};
+use hollyhook_kernel::{ServiceRegistry, TimerService};
+use hollyhook_telemetry::MetricBoard;
+
+use crate::pool::ConnectionPool;
+
+/// How much fuller, in requests a place, the own zone may be before another one pays. Another zone costs little time,
+/// but what runs there is lost when the zones are cut from each other.
+const ZONE_PREFERENCE: f64 = 0.25;
+
+/// The endpoints that this host knows, with the connections to them and the counts of how attempts ended.
+#[derive(Debug)]
+pub(crate) struct EndpointDirectory {
+    timer: Arc<TimerService>,
+    pool: Arc<ConnectionPool>,
+    board: Arc<MetricBoard>,
+    site: Arc<Mutex<SiteLedger>>,
+    table: Mutex<EndpointTable>,
+}
+
+impl EndpointDirectory {
+    /// The name that the service is registered under.
+    pub(crate) const NAME: &'static str = "endpoints";
+
+    /// An empty directory for a host of that zone, of services that are registered; `site` names that of the
+    /// configuration.
+    ///
+    /// # Errors
+    ///
+    /// `Internal` if one of them is not registered.
+    pub(crate) fn find(registry: &ServiceRegistry, site: &str, zone: &ZoneName) -> Result<Self> {
+        Ok(Self {
+            timer: registry.find(TimerService::NAME)?,
+            pool: registry.find(ConnectionPool::NAME)?,
+            board: registry.find(MetricBoard::NAME)?,
+            site: registry.find(site)?,
+            table: Mutex::new(EndpointTable::new(ZoneName::clone(zone)).zone_preference(ZONE_PREFERENCE)),
+        })
+    }
+
+    pub(crate) fn table(&self) -> MutexGuard<'_, EndpointTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn upsert(&self, record: EndpointRecord) {
+        let site = self.site.lock().unwrap_or_else(PoisonError::into_inner).site();
+        let is_known = |service: &str| site.as_ref().is_some_and(|site| site.service(service).is_some());
+        let mut table = self.table();
+        if table.is_displaced(&record, is_known) {
+            return;
+        }
+        // Of a service that nobody knows, anybody may have written it.
+        let displaced = if is_known(&record.service) { table.displaced_by(&record) } else { Vec::new() };
+        for id in displaced {
+            table.remove(&id);
+            self.pool.forget(&id);
+            tracing::info!(endpoint = %id, by = %record.id, address = %record.address, "endpoint.displaced");
+        }
+        let known = table.get(&record.id).map(|known| known.state);
+        if known.is_none() {
+            self.board.count("endpoints_started");
+        }
+        if known != Some(record.state) {
+            tracing::info!(endpoint = %record.id, service = %record.service, zone = %record.zone,
+                address = %record.address, state = ?record.state, "endpoint.state");
+        }
+        if record.state == EndpointState::Leaving {
+            self.pool.forget(&record.id);
+        }
+        table.upsert(record);
+    }
+
+    /// Forgets what registered under a name.
+    pub(crate) fn forget_entry(&self, entry: &str) {
+        let mut table = self.table();
+        for id in table.registered_as(entry) {
+            table.remove(&id);
+            self.pool.forget(&id);
+            tracing::info!(endpoint = %id, "endpoint.gone");
+        }
+    }
+
+    /// Takes in when the endpoint started that answers in the place of `id`; tells whether that is a later start, which
+    /// replaces this one.
+    pub(crate) fn note_start(&self, id: &EndpointId, started: Option<u64>) -> bool {
+        let known = self.table().get(id).cloned();
+        let Some(known) = known.filter(|known| known.started.is_some() && known.started < started) else {
+            return false;
+        };
+        let id = hollyhook_platform::endpoint_id(&known.entry, started);
+        let mut record =
+            EndpointRecord::new(id, known.service, known.zone, known.address).capacity(known.load.capacity);
+        record = record.start_of(known.entry, started);
+        record.registered = known.registered;
+        record.state = known.state;
+        self.upsert(record);
+        true
+    }
+
+    /// Chooses an endpoint by what this host knows.
+    pub(crate) fn choose(&self, query: &RouteQuery<'_>) -> Option<EndpointRecord> {
+        let table = self.table();
+        let id = table.choose(self.timer.now(), query, &mut rand::rng())?;
+        table.get(&id).cloned()
+    }
+
+    /// Up to `most` endpoints worth asking for their load, in the order that all hosts share for `number`.
+    pub(crate) fn shortlist(&self, query: &RouteQuery<'_>, number: u64, most: usize) -> Vec<EndpointRecord> {
+        self.table().shortlist(self.timer.now(), query, number, most)
+    }
+
+    /// The endpoints that a prompt may have gone to.
+    pub(crate) fn homes(&self, query: &RouteQuery<'_>, number: u64, counts: HomeCounts) -> Vec<EndpointRecord> {
+        self.table().homes(self.timer.now(), query, number, counts)
+    }
+
+    /// Brings what is known of an endpoint up to date.
+    pub(crate) fn refresh(&self, record: &mut EndpointRecord) {
+        if let Some(known) = self.table().as_of(self.timer.now(), &record.id) {
+            *record = known;
+        }
+    }
+
+    /// Counts a request as open at an endpoint that was chosen from a shortlist.
+    pub(crate) fn count_open(&self, id: &str) {
+        self.table().opened(self.timer.now(), id);
+    }
+
+    pub(crate) fn note_load(&self, id: &str, load: LoadReport) {
+        self.table().report(id, load);
+    }
+
+    /// Takes in what became of an attempt.
+    pub(crate) fn note_outcome(&self, id: &EndpointId, failure: Option<AttemptFailure>) {
+        self.board.count(failure.map_or("attempts_succeeded", attempt_counter));
+        let mut table = self.table();
+        match failure {
+            None => {
+                table.succeeded(id);
+                table.answered(id, false);
+            }
+            Some(AttemptFailure::WrongIncarnation) => {
+                table.remove(id);
+                self.pool.forget(id);
+            }
+            Some(failure) if failure.is_loss() => {
+                table.failed(self.timer.now(), id);
+                tracing::info!(endpoint = %id, failure = failure.as_str(), "endpoint.ejected");
+                self.pool.forget(id);
+            }
+            Some(AttemptFailure::Rejected | AttemptFailure::Failed | AttemptFailure::Garbled) => {
+                table.answered(id, true);
+            }
+            Some(_) => {}
+        }
+    }
+}
+
+/// The counter of attempts that ended so.
+fn attempt_counter(failure: AttemptFailure) -> &'static str {
+    match failure {
+        AttemptFailure::NotConnected => "attempts_not_connected",
+        AttemptFailure::Rejected => "attempts_rejected",
+        AttemptFailure::WrongIncarnation => "attempts_wrong_incarnation",
+        AttemptFailure::Broken => "attempts_broken",
+        AttemptFailure::Silent => "attempts_silent",
+        AttemptFailure::Expired => "attempts_expired",
+        AttemptFailure::Garbled => "attempts_garbled",
+        AttemptFailure::Failed => "attempts_failed",
+    }
+}
--- a/crates/hollyhook_gateway/src/gateway/mod.rs
+++ b/crates/hollyhook_gateway/src/gateway/mod.rs
@@ -1,11 +1,13 @@
 //! The parts of a gateway, put together, and its start and stop.
 
+mod endpoint_directory;
 mod gateway_context;
 mod gateway_process;
 mod live_settings;
 mod request_load;
 mod retry_budgets;
 
+pub(crate) use endpoint_directory::EndpointDirectory;
 pub(crate) use gateway_context::GatewayContext;
 pub use gateway_process::Gateway;
 pub(crate) use request_load::{BodyClaim, RequestGuard};
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -60,7 +60,7 @@
             return LEADER_GATHER;
         }
         let most = self.context.drain_bound().mul_f64(MOST_GATHER);
-        let each = GATHER_EACH * self.context.endpoints().iter().count() as u32;
+        let each = GATHER_EACH * self.context.endpoints.table().iter().count() as u32;
         each.max(LEAST_GATHER).min(most)
     }
 
@@ -97,7 +97,8 @@
 
     fn forget_missing(&mut self, news: &FeedNews<StoreObject>) {
         let present: BTreeSet<&Name> = news.changes.iter().map(|change| &change.name).collect();
-        let known: BTreeSet<Name> = self.context.endpoints().iter().map(|record| Name::clone(&record.entry)).collect();
+        let known: BTreeSet<Name> =
+            self.context.endpoints.table().iter().map(|record| Name::clone(&record.entry)).collect();
         for entry in known.iter().filter(|entry| !present.contains(*entry)) {
             self.miss(entry);
         }
@@ -109,11 +110,11 @@
             Ok(record) => {
                 lock(&self.membership).present(&record.entry);
                 self.malformed.remove(&record.entry);
-                self.context.upsert_endpoint(record);
+                self.context.endpoints.upsert(record);
             }
             Err(error) => {
                 // Whoever wrote it, it names no endpoint that could be used.
-                self.context.forget_entry(&object.name);
+                self.context.endpoints.forget_entry(&object.name);
                 let logged = self.malformed.insert(Name::clone(&object.name), object.revision);
                 if logged != Some(object.revision) {
                     tracing::error!(%error, entry = %object.name, revision = object.revision, "endpoint.malformed");
@@ -125,7 +126,7 @@
     fn miss(&mut self, entry: &Name) {
         let is_gone = lock(&self.membership).is_gone(self.context.timer.now(), entry);
         if is_gone {
-            self.context.forget_entry(entry);
+            self.context.endpoints.forget_entry(entry);
         }
     }
 }
@@ -136,7 +137,7 @@
     context.timer.wait(due.since(context.timer.now())).await;
     let lapsed = lock(&membership).lapsed(context.timer.now());
     for entry in lapsed {
-        context.forget_entry(&entry);
+        context.endpoints.forget_entry(&entry);
     }
 }
 
