--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -33,7 +33,7 @@
     /// # Errors
     ///
     /// `Internal` if one of them is not registered.
-    pub(crate) fn find(registry: &ServiceRegistry, site: &str, zone: &ZoneName) -> Result<Self> {
+    pub(crate) fn new(registry: &ServiceRegistry, site: &str, zone: &ZoneName) -> Result<Self> {
         Ok(Self {
             timer: registry.find(TimerService::NAME)?,
             pool: registry.find(ConnectionPool::NAME)?,
@@ -88,6 +88,9 @@
     /// Takes in when the endpoint started that answers in the place of `id`; tells whether that is a later start, which
     /// replaces this one.
     pub(crate) fn note_start(&self, id: &EndpointId, started: Option<u64>) -> bool {
+        if started.is_none() {
+            return false;
+        }
         let known = self.table().get(id).cloned();
         let Some(known) = known.filter(|known| known.started.is_some() && known.started < started) else {
             return false;
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -29,6 +29,9 @@
 /// How often such a request looks.
 const START_CHECK: Duration = Duration::from_millis(10);
 
+/// How often the first list of endpoints looks; callers wait for it, and both are read at the same time.
+const SITE_CHECK: Duration = Duration::from_millis(2);
+
 /// What the parts of a gateway share, as the registry of services names it.
 #[derive(Debug)]
 pub(crate) struct GatewayContext {
@@ -65,7 +68,7 @@
         registry.register(RequestLoad::NAME, RequestLoad::new(settings.memory_bytes))?;
         registry.register(Self::SETTINGS, Mutex::new(LiveSettings::from(settings)))?;
         registry.register(Self::SITE, Mutex::new(SiteLedger::default()))?;
-        let endpoints = EndpointDirectory::find(registry, Self::SITE, &settings.zone)?;
+        let endpoints = EndpointDirectory::new(registry, Self::SITE, &settings.zone)?;
         registry.register(EndpointDirectory::NAME, endpoints)?;
         registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
         Ok(())
@@ -137,6 +140,14 @@
         }
     }
 
+    /// Waits for the first configuration, for a while: what registers is judged by the services that it names.
+    pub(crate) async fn wait_for_site(&self) {
+        let limit = TimePoint::ZERO + START_WAIT;
+        while self.timer.now() < limit && self.site().is_none() {
+            self.timer.wait(SITE_CHECK).await;
+        }
+    }
+
     /// Begins the stop.
     pub(crate) fn order_stop(&self) {
         lock(&self.live).stop_ordered.get_or_insert(self.timer.now());
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -67,6 +67,7 @@
     /// One call; tells whether anything changed.
     async fn step(&mut self) -> Result<bool, StoreError> {
         let news = self.reader.next().await?;
+        self.context.wait_for_site().await;
         self.note_return(&news);
         if news.is_whole {
             self.forget_missing(&news);
