Every attempt has the rank of its request

Its test goes with it; stream_resumed_from_backup now says that every attempt has the rank of its request.

--- a/crates/hollyhook_core/src/forward/mod.rs
+++ b/crates/hollyhook_core/src/forward/mod.rs
@@ -2,10 +2,8 @@
 
 mod answer_verdict;
 mod attempt_ledger;
-mod attempt_rank;
 mod caller_head;
 
 pub use answer_verdict::{AnswerHead, AnswerVerdict, AttemptFailure, judge_answer};
 pub use attempt_ledger::{AttemptLedger, StopReason};
-pub use attempt_rank::attempt_rank;
 pub use caller_head::{CallerHead, PromptSize};
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -27,8 +27,7 @@
 pub use error::{Answer, Error, ErrorKind, Result, RunState, answer_for};
 pub use feed::{FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, RosterMember, is_stale, is_stale_help};
 pub use forward::{
-    AnswerHead, AnswerVerdict, AttemptFailure, AttemptLedger, CallerHead, PromptSize, StopReason, attempt_rank,
-    judge_answer,
+    AnswerHead, AnswerVerdict, AttemptFailure, AttemptLedger, CallerHead, PromptSize, StopReason, judge_answer,
 };
 pub use generation::{
     AttemptNumber, EndReason, EndpointRefusal, EndpointRhythm, GenerationId, GenerationRelay, OpenMode, Patience,
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -43,8 +43,6 @@
     pub(super) backup: Option<BackupPlace>,
     /// The engine to fetch the prompt from, which it holds.
     pub(super) prompt_at: Option<SocketAddr>,
-    /// Whether the engine has, or fetches, nearly all that the attempt would have to read.
-    pub(super) is_read: bool,
 }
 
 /// Why no engine was chosen.
@@ -107,7 +105,7 @@
             tokens = placement.holder.held_tokens, is_fetched = placement.is_fetched(), "prompt.found");
         let prompt_at = placement.is_fetched().then_some(holder.address);
         let backup = self.best_backup(record, &homes);
-        Some(EngineChoice { prompt_at, is_read: true, ..self.choice(record, None, backup) })
+        Some(EngineChoice { prompt_at, ..self.choice(record, None, backup) })
     }
 
     /// The prompt's own part, if the caller comes back to go on with a generation that this host has not tried yet.
@@ -170,8 +168,7 @@
     }
 
     fn choice(&self, record: &EndpointRecord, from: Option<BackupSource>, backup: Option<BackupPlace>) -> EngineChoice {
-        let is_read = from.is_some();
-        EngineChoice { place: EndpointPlace::take(self.context, record), from, backup, prompt_at: None, is_read }
+        EngineChoice { place: EndpointPlace::take(self.context, record), from, backup, prompt_at: None }
     }
 
     /// The engine that holds the copy, if it still takes work.
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -5,7 +5,7 @@
 use futures::stream;
 use hollyhook_core::{
     AnswerVerdict, AttemptFailure, AttemptLedger, EndpointId, Error, ErrorKind, EventRelay, Name, Result, StopReason,
-    attempt_rank, judge_answer,
+    judge_answer,
 };
 use hollyhook_platform::{AttemptHeaders, remove_hop_headers};
 use http::Response;
@@ -207,12 +207,12 @@
     }
 
     async fn open(&mut self, choice: EngineChoice) -> std::result::Result<(), AttemptFailure> {
-        let EngineChoice { place, from, backup, prompt_at, is_read } = choice;
+        let EngineChoice { place, from, backup, prompt_at } = choice;
         let headers = AttemptHeaders {
             endpoint: Some(Name::clone(&place.target.entry)),
             account: self.caller.account.as_ref().map(|account| Arc::clone(&account.name)),
             time_left: self.caller.time_left(self.context.timer.now()),
-            rank: Some(attempt_rank(self.caller.rank(), is_read)),
+            rank: Some(self.caller.rank()),
             weights: self.weights,
             cursor: self.relay.last(),
             backup_at: backup.as_ref().map(|backup| backup.source.address),
