Say in the logs why an endpoint was forgotten and how old the host's knowledge was

Cause: the logs could not tell the hypotheses of the incident apart. A plain call's lines did not name its endpoint; nothing said that a missing entry was kept, why an endpoint was forgotten, how long a failed call had hung, or how old what the host knew was when it chose. Change: endpoint and known_ms in request.answered, known_ms in attempt.placed, endpoint.kept, a reason in endpoint.gone, call_ms and away_ms in store.lost and store.regained. No change of logic.

--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -47,13 +47,16 @@
     pub(super) target: EndpointTarget,
     /// Requests of this host that were open there when it was chosen.
     pub(super) open: u32,
+    /// How old what the host knew of endpoints was then, in milliseconds.
+    pub(super) known_ms: Option<u64>,
 }
 
 impl EndpointPlace {
     /// Takes a place.
     pub(super) fn take(context: &Arc<GatewayContext>, record: &EndpointRecord) -> Self {
         context.endpoints.count_open(&record.id);
-        Self { context: Arc::clone(context), target: EndpointTarget::from(record), open: record.open }
+        let known_ms = context.endpoints.age().map(|age| age.as_millis() as u64);
+        Self { context: Arc::clone(context), target: EndpointTarget::from(record), open: record.open, known_ms }
     }
 
     pub(super) fn id(&self) -> &EndpointId {
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -10,7 +10,7 @@
 
 use super::attempt::{EndpointPlace, WholeAnswer, send_attempt};
 use super::attempt_end::end_attempt;
-use super::request_log;
+use super::request_log::{self, CallTrace};
 use crate::front::{AnswerBody, CallerRequest};
 use crate::gateway::GatewayContext;
 
@@ -36,11 +36,11 @@
     caller: &CallerRequest,
 ) -> Result<Response<AnswerBody>> {
     let ledger = AttemptLedger::for_route(&caller.route, MOST_TURNED_AWAY);
-    let mut run = CallRun { context, caller, tried: Vec::new(), ledger, fallback: None };
+    let mut run = CallRun { context, caller, tried: Vec::new(), ledger, fallback: None, last: CallTrace::default() };
     let outcome = run.run().await;
     let attempts = run.ledger.attempts();
     match &outcome {
-        Ok(response) => request_log::answered(context, caller, response.status().as_u16(), attempts),
+        Ok(response) => request_log::answered(context, caller, response.status().as_u16(), &run.last, attempts),
         Err(error) => request_log::ended(context, caller, error, attempts),
     }
     outcome
@@ -52,6 +52,7 @@
     tried: Vec<EndpointId>,
     ledger: AttemptLedger,
     fallback: Option<WholeAnswer>,
+    last: CallTrace,
 }
 
 impl CallRun<'_> {
@@ -60,6 +61,7 @@
             let Some(place) = self.place() else {
                 return self.give_up(StopReason::NoEndpoint);
             };
+            self.last = CallTrace { endpoint: Some(EndpointId::clone(place.id())), known_ms: place.known_ms };
             let end = self.attempt(&place).await;
             let failure = match end {
                 CallEnd::Answer(answer) => return Ok(answer.into_response()),
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -9,6 +9,14 @@
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
 
+/// The last endpoint that a call was sent to.
+#[derive(Debug, Default)]
+pub(super) struct CallTrace {
+    pub(super) endpoint: Option<EndpointId>,
+    /// How old what the host knew of endpoints was when it was chosen, in milliseconds.
+    pub(super) known_ms: Option<u64>,
+}
+
 /// An attempt is sent to an endpoint.
 pub(super) fn attempt_placed(
     context: &GatewayContext,
@@ -23,7 +31,7 @@
     let own_part = caller.head.prompt.and_then(|prompt| prompt.own_part);
     let prompt = own_part.map(|part| format!("{part:x}"));
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %place.target.id,
-        zone = %place.target.zone, open = place.open, left_ms = headers.time_left.as_millis() as u64, cursor = headers.cursor,
+        zone = %place.target.zone, open = place.open, known_ms = place.known_ms, left_ms = headers.time_left.as_millis() as u64, cursor = headers.cursor,
         is_from_backup = headers.backup_from.is_some(), backup_at, prompt_at, prompt, age_ms, "attempt.placed");
 }
 
@@ -48,14 +56,15 @@
         "stream.resumed");
 }
 
-/// A request got its last answer.
-pub(super) fn answered(context: &GatewayContext, caller: &CallerRequest, status: u16, attempts: u32) {
+/// A request got its last answer, from the last endpoint that was tried.
+pub(super) fn answered(context: &GatewayContext, caller: &CallerRequest, status: u16, last: &CallTrace, attempts: u32) {
     let age = context.timer.now().since(caller.arrived);
     context.board.count("requests_answered");
     context.board.record(MetricMeasure::PlainCall, &account_label(caller), &caller.route.name, &[age]);
     let age_ms = age.as_millis() as u64;
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, service = %caller.service,
-        site_version = caller.site_version, status, attempts, age_ms, "request.answered");
+        site_version = caller.site_version, status, endpoint = last.endpoint.as_deref(), known_ms = last.known_ms, attempts,
+        age_ms, "request.answered");
 }
 
 /// A stream reached its end.
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -1,8 +1,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use hollyhook_core::{
     AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Result,
-    RouteQuery, SiteLedger, ZoneName,
+    RouteQuery, SiteLedger, TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_telemetry::MetricBoard;
@@ -21,6 +22,8 @@
     board: Arc<MetricBoard>,
     site: Arc<Mutex<SiteLedger>>,
     table: Mutex<EndpointTable>,
+    /// Until when it is known that nothing else changed; none before the first list.
+    confirmed: Mutex<Option<TimePoint>>,
 }
 
 impl EndpointDirectory {
@@ -40,6 +43,7 @@
             board: registry.find(MetricBoard::NAME)?,
             site: registry.find(site)?,
             table: Mutex::new(EndpointTable::new(ZoneName::clone(zone)).zone_preference(ZONE_PREFERENCE)),
+            confirmed: Mutex::default(),
         })
     }
 
@@ -47,6 +51,18 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes until when it is known that nothing else changed.
+    pub(crate) fn confirm(&self, at: TimePoint) {
+        let mut confirmed = self.confirmed.lock().unwrap_or_else(PoisonError::into_inner);
+        *confirmed = (*confirmed).max(Some(at));
+    }
+
+    /// How old what this host knows of endpoints is; none before the first list.
+    pub(crate) fn age(&self) -> Option<Duration> {
+        let confirmed = *self.confirmed.lock().unwrap_or_else(PoisonError::into_inner);
+        confirmed.map(|at| self.timer.now().since(at))
+    }
+
     pub(crate) fn upsert(&self, record: EndpointRecord) {
         let site = self.site.lock().unwrap_or_else(PoisonError::into_inner).site();
         let is_known = |service: &str| site.as_ref().is_some_and(|site| site.service(service).is_some());
@@ -75,13 +91,13 @@
         table.upsert(record);
     }
 
-    /// Forgets what registered under a name.
-    pub(crate) fn forget_entry(&self, entry: &str) {
+    /// Forgets what registered under a name; `reason` is for the log.
+    pub(crate) fn forget_entry(&self, entry: &str, reason: &'static str) {
         let mut table = self.table();
         for id in table.registered_as(entry) {
             table.remove(&id);
             self.pool.forget(&id);
-            tracing::info!(endpoint = %id, "endpoint.gone");
+            tracing::info!(endpoint = %id, reason, "endpoint.gone");
         }
     }
 
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -47,7 +48,8 @@
     site: Arc<Mutex<SiteLedger>>,
     retries: Arc<RetryBudgets>,
     has_endpoints: AtomicBool,
-    away: Mutex<HashMap<ObjectKind, bool>>,
+    /// When the first call began that the store did not answer, by what it was for.
+    away: Mutex<HashMap<ObjectKind, TimePoint>>,
 }
 
 impl GatewayContext {
@@ -188,17 +190,21 @@
         self.has_endpoints.store(true, Ordering::Relaxed);
     }
 
-    /// Logs a change between a store that answers and one that does not.
-    pub(crate) fn note_store(&self, kind: ObjectKind, error: Option<&StoreError>) {
-        let is_away = error.is_some_and(|error| !matches!(error, StoreError::HistoryGone));
-        if is_away {
-            self.board.count("store_calls_failed");
-        }
-        let was_away = lock(&self.away).insert(kind, is_away).unwrap_or(false);
-        match error {
-            Some(error) if is_away && !was_away => tracing::warn!(kind = kind.as_str(), %error, "store.lost"),
-            None if was_away => tracing::info!(kind = kind.as_str(), "store.regained"),
-            _ => {}
+    /// Logs a change between a store that answers and one that does not, as a call shows it that began at `asked_at`.
+    pub(crate) fn note_store(&self, kind: ObjectKind, asked_at: TimePoint, error: Option<&StoreError>) {
+        let error = error.filter(|error| !matches!(error, StoreError::HistoryGone));
+        let call_ms = self.timer.now().since(asked_at).as_millis() as u64;
+        let Some(error) = error else {
+            if let Some(lost_at) = lock(&self.away).remove(&kind) {
+                let away_ms = self.timer.now().since(lost_at).as_millis() as u64;
+                tracing::info!(kind = kind.as_str(), away_ms, call_ms, "store.regained");
+            }
+            return;
+        };
+        self.board.count("store_calls_failed");
+        if let Entry::Vacant(entry) = lock(&self.away).entry(kind) {
+            entry.insert(asked_at);
+            tracing::warn!(kind = kind.as_str(), %error, call_ms, "store.lost");
         }
     }
 
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -68,6 +68,7 @@
     async fn step(&mut self) -> Result<bool, StoreError> {
         let news = self.reader.next().await?;
         self.context.wait_for_site().await;
+        self.context.endpoints.confirm(news.heard_until);
         self.note_return(&news);
         if news.is_whole {
             self.forget_missing(&news);
@@ -115,7 +116,7 @@
             }
             Err(error) => {
                 // Whoever wrote it, it names no endpoint that could be used.
-                self.context.endpoints.forget_entry(&object.name);
+                self.context.endpoints.forget_entry(&object.name, "malformed");
                 let logged = self.malformed.insert(Name::clone(&object.name), object.revision);
                 if logged != Some(object.revision) {
                     tracing::error!(%error, entry = %object.name, revision = object.revision, "endpoint.malformed");
@@ -127,7 +128,9 @@
     fn miss(&mut self, entry: &Name) {
         let is_gone = lock(&self.membership).is_gone(self.context.timer.now(), entry);
         if is_gone {
-            self.context.endpoints.forget_entry(entry);
+            self.context.endpoints.forget_entry(entry, "removed");
+        } else {
+            tracing::info!(%entry, "endpoint.kept");
         }
     }
 }
@@ -138,7 +141,7 @@
     context.timer.wait(due.since(context.timer.now())).await;
     let lapsed = lock(&membership).lapsed(context.timer.now());
     for entry in lapsed {
-        context.endpoints.forget_entry(&entry);
+        context.endpoints.forget_entry(&entry, "lapsed");
     }
 }
 
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -59,19 +59,20 @@
             return Ok(news);
         }
         let wait = if plan == FeedPlan::Lead { LEADER_WAIT } else { self.wait };
+        let asked_at = self.context.timer.now();
         match self.ask_store(wait).await {
             Ok(mut news) => {
                 if std::mem::take(&mut self.is_away) {
                     news.back_at = Some(self.context.timer.now());
                 }
-                self.context.note_store(self.kind, None);
+                self.context.note_store(self.kind, asked_at, None);
                 self.take(&news, true);
                 Ok(news)
             }
             Err(error) => {
                 let is_away = !matches!(error, StoreError::HistoryGone);
                 self.is_away |= is_away;
-                self.context.note_store(self.kind, Some(&error));
+                self.context.note_store(self.kind, asked_at, Some(&error));
                 if is_away && let Some(news) = self.ask_helpers().await {
                     self.is_helped = true;
                     self.take(&news, false);
