Count from the last call without an answer, not from the host's own notice

Cause: a host that was cut off took its own return for the store's. It kept missing entries for 2.25 s from there, and a call under way when a cut ended hung for up to 3.8 s (watch) or 1.5 s (list), so that it sent to endpoints that had left up to 3.4 s after the cut, where 3 s are the bound. Class: belief that outlives a loss of contact. Change: StoreContact in hollyhook_core decides how long calls may take and from when on lapsed entries are awaited, all from the start of the last call without an answer. A watch is short enough for its silence to be noticed (1.95 s at a bound of 3 s, which is a setting now); a hung call is followed at once by a list on a new connection; while the store is away it is asked in short calls, also by a host that others help.

--- a/crates/hollyhook_core/src/feed/feed_log.rs
+++ b/crates/hollyhook_core/src/feed/feed_log.rs
@@ -30,7 +30,7 @@
     pub revision: u64,
     /// Until when it is known that nothing else changed.
     pub heard_until: TimePoint,
-    /// When the store last came back after it had been away; entries may have lapsed meanwhile.
+    /// From when on entries that lapsed while the store was away have their time to come back.
     pub back_at: Option<TimePoint>,
 }
 
--- /dev/null
+++ b/crates/hollyhook_core/src/feed/store_contact.rs
@@ -0,0 +1,101 @@
+use std::time::Duration;
+
+use crate::{EndpointMembership, TimePoint};
+
+/// What a watch may take beyond the wait that it asks for; a slow store was seen to take 0.3 s.
+const WATCH_SLACK: Duration = Duration::from_millis(800);
+/// What reading everything again may take once a call was given up: 0.05 s on the smallest hosts, and five times that.
+const READ_MARGIN: Duration = Duration::from_millis(250);
+/// What is left for requests that were placed just before an endpoint was forgotten, together with [`READ_MARGIN`].
+const SEND_MARGIN: Duration = Duration::from_millis(500);
+/// How long a watch waits while the store is away: its answer shows that the store is back, and is wanted at once.
+const PROBE_WAIT: Duration = Duration::from_millis(50);
+/// The least time between the starts of two calls while the store is away.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// How long calls other than watches may take, by how many before them in a row got no answer, and again from the second.
+/// While the store is away short ones find its return sooner: what lapsed meanwhile is kept from the last call that
+/// failed, so that 1.5 s for each would leave it 1 s to come back, where up to 2 s are needed. Each third waits longer,
+/// for a store that answers, but slowly.
+const CALL_LIMITS: [Duration; 4] = [
+    Duration::from_millis(1_500),
+    Duration::from_millis(700),
+    Duration::from_millis(700),
+    Duration::from_millis(1_500),
+];
+
+/// Whether the platform's store answers this host, and how long its next call may take.
+///
+/// A host that was away has to act on all that the store acknowledged meanwhile as soon as it counts as in contact again,
+/// a while (`contact`) after its way to the store was whole. It can't know when that was; it knows when the last call
+/// began that got no answer. So that is what everything here is counted from: a host that counted from its own notice
+/// was seen to send to endpoints 3.3 s after the end of a cut, where 3 s are the bound.
+///
+/// ```
+/// use hollyhook_core::{StoreContact, TimePoint};
+/// use std::time::Duration;
+///
+/// let bound = Duration::from_secs(3);
+/// let mut contact = StoreContact::default();
+/// contact.failed(TimePoint::from_millis(1_000));
+/// // A call of one second: what is missing may have lapsed just before its end, or may have left two seconds before it.
+/// let back_at = contact.answered(TimePoint::from_millis(2_000), bound);
+/// assert_eq!(back_at, Some(TimePoint::from_millis(1_250)));
+/// assert!(!contact.is_away());
+/// ```
+#[derive(Debug, Default)]
+pub struct StoreContact {
+    /// When the last call began that got no answer; none if the one after it got one.
+    failed_at: Option<TimePoint>,
+    /// Calls in a row that got no answer.
+    failures: usize,
+}
+
+impl StoreContact {
+    /// Whether the last call got no answer.
+    pub fn is_away(&self) -> bool {
+        self.failed_at.is_some()
+    }
+
+    /// Notes that a call got no answer, or one that says that nothing was done.
+    pub fn failed(&mut self, began: TimePoint) {
+        self.failed_at = Some(began);
+        self.failures += 1;
+    }
+
+    /// Notes an answer; tells from when on entries that lapsed have their time to come back, if the store was away.
+    ///
+    /// That is now, unless the last call without an answer began so long ago that the host would be in contact before
+    /// their time is over.
+    pub fn answered(&mut self, now: TimePoint, contact: Duration) -> Option<TimePoint> {
+        let failed_at = self.failed_at.take()?;
+        self.failures = 0;
+        let latest = failed_at + contact - (EndpointMembership::RETURN_GRACE + SEND_MARGIN);
+        Some(now.min(latest))
+    }
+
+    /// How long the next watch waits: `usual`, or less where its silence would be noticed too late, or while the store is
+    /// away.
+    pub fn watch_wait(&self, usual: Duration, contact: Duration) -> Duration {
+        if self.is_away() {
+            return PROBE_WAIT;
+        }
+        let most = contact.saturating_sub(WATCH_SLACK + READ_MARGIN);
+        usual.min(most).max(PROBE_WAIT)
+    }
+
+    /// How long a watch with that wait may take.
+    pub fn watch_limit(&self, wait: Duration) -> Duration {
+        if self.is_away() { wait + self.call_limit() } else { wait + WATCH_SLACK }
+    }
+
+    /// How long the next other call may take.
+    pub fn call_limit(&self) -> Duration {
+        let [first, rest @ ..] = CALL_LIMITS;
+        self.failures.checked_sub(1).map_or(first, |number| rest[number % rest.len()])
+    }
+
+    /// The pause until the next call.
+    pub fn pause(&self, now: TimePoint) -> Duration {
+        self.failed_at.map(|began| (began + RETRY_INTERVAL).since(now)).unwrap_or_default()
+    }
+}
--- a/crates/hollyhook_core/src/route/endpoint_membership.rs
+++ b/crates/hollyhook_core/src/route/endpoint_membership.rs
@@ -31,9 +31,9 @@
     /// The platform states about two seconds; the quarter more is for the read that shows it.
     pub const RETURN_GRACE: Duration = Duration::from_millis(2_250);
 
-    /// Notes that the platform answers again after it did not.
-    pub fn platform_back(&mut self, now: TimePoint) {
-        self.back_at = Some(now);
+    /// Notes that the platform answers again after it did not; what is missing has its grace time from `at` on.
+    pub fn platform_back(&mut self, at: TimePoint) {
+        self.back_at = Some(at);
     }
 
     /// Whether an endpoint whose entry is missing is to be forgotten now; if not, [`lapsed`](Self::lapsed) tells when.
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod attempts;
 mod choosing;
+mod contact;
 mod copies;
 mod feeding;
 mod membership;
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -114,6 +114,11 @@
         lock(&self.live).bounds.drain
     }
 
+    /// How long after its way to the store is whole again this host has to act on all that was acknowledged before.
+    pub(crate) fn contact_bound(&self) -> Duration {
+        lock(&self.live).bounds.contact
+    }
+
     /// Where the platform's store is.
     pub(crate) fn store_address(&self) -> SocketAddr {
         lock(&self.live).store
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -9,12 +9,9 @@
 use super::{FeedReader, StoreClient, StoreError};
 use crate::gateway::GatewayContext;
 
-/// How long one watch waits. A longer one costs fewer calls; with the slack of a watch, a connection that went silent
-/// has to be noticed within 5 s, which is when a host counts as in touch again (3 s) and has to know of a leaving
-/// endpoint (2 s).
+/// How long one watch waits at most. A longer one costs fewer calls; where that would leave a connection that went silent
+/// unnoticed for too long, it is shorter.
 const WATCH_WAIT: Duration = Duration::from_secs(3);
-/// The pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// The pause after changes for each endpoint, so that many changes come with one call. The endpoints of a large site
 /// change all the time, and each watch that returns is charged; with 40 endpoints a longer pause was seen to cost more
 /// by what hosts knew too late than it saved.
@@ -50,7 +47,7 @@
             match self.step().await {
                 Ok(true) => self.context.timer.wait(self.gather_pause()).await,
                 Ok(false) | Err(StoreError::HistoryGone) => {}
-                Err(_logged) => self.context.timer.wait(RETRY_PAUSE).await,
+                Err(_logged) => self.reader.pause().await,
             }
         }
     }
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyhook_core::{FeedChange, FeedNews, FeedPlan, Name, RosterMember, TimePoint};
+use hollyhook_core::{FeedChange, FeedNews, FeedPlan, Name, RosterMember, StoreContact, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreChange, StoreObject};
 
 use super::{StoreClient, StoreError};
@@ -26,7 +26,7 @@
     wait: Duration,
     /// The revision to go on from; none if all objects have to be read first.
     revision: Option<u64>,
-    is_away: bool,
+    contact: StoreContact,
     /// Whether the last news came from a host that was asked because the store gave no answer.
     is_helped: bool,
 }
@@ -34,7 +34,7 @@
 impl FeedReader {
     pub(crate) fn new(context: Arc<GatewayContext>, kind: ObjectKind, client: StoreClient, wait: Duration) -> Self {
         let peers = PeerClient::new(context.timer.as_ref().clone());
-        Self { context, kind, client, peers, wait, revision: None, is_away: false, is_helped: false }
+        Self { context, kind, client, peers, wait, revision: None, contact: StoreContact::default(), is_helped: false }
     }
 
     /// Whether other hosts rely on what this one reads.
@@ -59,20 +59,13 @@
             return Ok(news);
         }
         let wait = if plan == FeedPlan::Lead { LEADER_WAIT } else { self.wait };
-        let asked_at = self.context.timer.now();
         match self.ask_store(wait).await {
-            Ok(mut news) => {
-                if std::mem::take(&mut self.is_away) {
-                    news.back_at = Some(self.context.timer.now());
-                }
-                self.context.note_store(self.kind, asked_at, None);
+            Ok(news) => {
                 self.take(&news, true);
                 Ok(news)
             }
             Err(error) => {
                 let is_away = !matches!(error, StoreError::HistoryGone);
-                self.is_away |= is_away;
-                self.context.note_store(self.kind, asked_at, Some(&error));
                 if is_away && let Some(news) = self.ask_helpers().await {
                     self.is_helped = true;
                     self.take(&news, false);
@@ -84,6 +77,11 @@
         }
     }
 
+    /// Waits until the store may be asked again after it gave no answer.
+    pub(crate) async fn pause(&self) {
+        self.context.timer.wait(self.contact.pause(self.context.timer.now())).await;
+    }
+
     /// What hosts know that the store may answer, when it does not answer this one.
     async fn ask_helpers(&mut self) -> Option<FeedNews<StoreObject>> {
         for helper in self.context.feed.helpers(self.context.timer.now()) {
@@ -122,12 +120,55 @@
         None
     }
 
-    async fn ask_store(&mut self, wait: Duration) -> Result<FeedNews<StoreObject>, StoreError> {
+    /// What the store answers; if a connection that worked gives nothing, a new one is tried at once.
+    ///
+    /// Connections go silent for good while new ones work. A host that asked others first, or paused, would be up to 0.8 s
+    /// later to know of endpoints that leave.
+    async fn ask_store(&mut self, usual_wait: Duration) -> Result<FeedNews<StoreObject>, StoreError> {
+        let was_away = self.contact.is_away();
         let asked_at = self.context.timer.now();
-        let Some(revision) = self.revision else {
-            return self.list(asked_at).await;
+        let outcome = match self.revision {
+            Some(revision) => self.watch(asked_at, revision, usual_wait).await,
+            None => self.list(asked_at).await,
         };
-        let (changes, revision) = self.client.watch(self.kind, revision, wait).await?;
+        match self.note_answer(asked_at, outcome) {
+            Err(StoreError::Away(_)) if !was_away => {}
+            outcome => return outcome,
+        }
+        let asked_at = self.context.timer.now();
+        let outcome = self.list(asked_at).await;
+        self.note_answer(asked_at, outcome)
+    }
+
+    /// Takes in whether the store answered a call that began at `asked_at`.
+    fn note_answer(
+        &mut self,
+        asked_at: TimePoint,
+        outcome: Result<FeedNews<StoreObject>, StoreError>,
+    ) -> Result<FeedNews<StoreObject>, StoreError> {
+        self.context.note_store(self.kind, asked_at, outcome.as_ref().err());
+        match outcome {
+            Ok(news) => {
+                let back_at = self.contact.answered(self.context.timer.now(), self.context.contact_bound());
+                Ok(FeedNews { back_at, ..news })
+            }
+            Err(StoreError::HistoryGone) => Err(StoreError::HistoryGone),
+            Err(error) => {
+                self.contact.failed(asked_at);
+                Err(error)
+            }
+        }
+    }
+
+    async fn watch(
+        &mut self,
+        asked_at: TimePoint,
+        revision: u64,
+        usual_wait: Duration,
+    ) -> Result<FeedNews<StoreObject>, StoreError> {
+        let wait = self.contact.watch_wait(usual_wait, self.context.contact_bound());
+        let limit = self.contact.watch_limit(wait);
+        let (changes, revision) = self.client.watch(self.kind, revision, wait, limit).await?;
         let is_quiet = changes.is_empty();
         // A watch that returned nothing waited its full time and saw nothing up to then.
         let waited_until = (asked_at + wait).min(self.context.timer.now());
@@ -137,7 +178,7 @@
     }
 
     async fn list(&mut self, asked_at: TimePoint) -> Result<FeedNews<StoreObject>, StoreError> {
-        let (objects, revision) = self.client.list(self.kind).await?;
+        let (objects, revision) = self.client.list(self.kind, self.contact.call_limit()).await?;
         let present = objects.into_iter().filter(|object| !object.is_deleting);
         let changes = present
             .map(|object| FeedChange { name: Name::clone(&object.name), object: Some(strip(self.kind, object)) });
--- a/crates/hollyhook_gateway/src/store/site_watch.rs
+++ b/crates/hollyhook_gateway/src/store/site_watch.rs
@@ -13,8 +13,6 @@
 /// The pause after a change, so that a series of them comes with few calls; a tenth of the time within which a version
 /// has to be in force.
 const GATHER_PAUSE: Duration = Duration::from_millis(200);
-/// The pause after a failed call.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Follows the operator's configuration.
 #[derive(Debug)]
@@ -35,7 +33,7 @@
             if let Err(error) = self.step().await {
                 tracing::debug!(%error, "site.read_failed");
                 if !matches!(error, StoreError::HistoryGone) {
-                    self.context.timer.wait(RETRY_PAUSE).await;
+                    self.reader.pause().await;
                 }
             }
         }
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -10,10 +10,8 @@
 
 use crate::net::{KeptLine, LineFault, line_request};
 
-/// How long a call other than a watch may take: a slow store was seen to take 0.3 s.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How much longer than asked for a watch may take.
-const WATCH_SLACK: Duration = Duration::from_millis(800);
+/// How long a call about hosts may take; nobody waits for it.
+const HOST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Why a call to the store gave nothing.
 #[derive(Debug)]
@@ -62,24 +60,33 @@
         Self { line: KeptLine::new(timer), address: Box::new(address), listed_at: None }
     }
 
-    /// All objects of a kind, and the revision to watch from.
-    pub(crate) async fn list(&mut self, kind: ObjectKind) -> Result<(Vec<StoreObject>, u64), StoreError> {
+    /// All objects of a kind, and the revision to watch from; each page within `limit`.
+    pub(crate) async fn list(
+        &mut self,
+        kind: ObjectKind,
+        limit: Duration,
+    ) -> Result<(Vec<StoreObject>, u64), StoreError> {
         self.listed_at = Some((self.address)());
-        self.pages(|after| hollyhook_platform::list_path(kind, after)).await
+        self.pages(|after| hollyhook_platform::list_path(kind, after), limit).await
     }
 
     /// All objects of a kind as they were some seconds ago.
     pub(crate) async fn list_old(&mut self, kind: ObjectKind) -> Result<Vec<StoreObject>, StoreError> {
-        let (objects, _revision) = self.pages(|after| hollyhook_platform::old_list_path(kind, after)).await?;
+        let (objects, _revision) =
+            self.pages(|after| hollyhook_platform::old_list_path(kind, after), HOST_TIMEOUT).await?;
         Ok(objects)
     }
 
-    async fn pages(&mut self, path: impl Fn(Option<&str>) -> String) -> Result<(Vec<StoreObject>, u64), StoreError> {
+    async fn pages(
+        &mut self,
+        path: impl Fn(Option<&str>) -> String,
+        limit: Duration,
+    ) -> Result<(Vec<StoreObject>, u64), StoreError> {
         let mut objects = Vec::new();
         let mut first_revision = None;
         let mut after = None;
         loop {
-            let body = self.call(Method::GET, &path(after.as_deref()), Bytes::new(), CALL_TIMEOUT).await?;
+            let body = self.call(Method::GET, &path(after.as_deref()), Bytes::new(), limit).await?;
             let page: StorePage = hollyhook_platform::decode_page(&body).map_err(StoreError::Malformed)?;
             objects.extend(page.objects);
             if page.nameless > 0 {
@@ -94,19 +101,20 @@
         }
     }
 
-    /// Waits up to `wait` for changes of a kind after a revision.
+    /// Waits up to `wait` for changes of a kind after a revision; the answer has to come within `limit`.
     pub(crate) async fn watch(
         &mut self,
         kind: ObjectKind,
         revision: u64,
         wait: Duration,
+        limit: Duration,
     ) -> Result<(Vec<StoreChange>, u64), StoreError> {
         if self.listed_at != Some((self.address)()) {
             // The store has moved; the revisions of another one mean nothing there.
             return Err(StoreError::HistoryGone);
         }
         let path = hollyhook_platform::watch_path(kind, revision, wait);
-        let body = self.call(Method::GET, &path, Bytes::new(), wait + WATCH_SLACK).await?;
+        let body = self.call(Method::GET, &path, Bytes::new(), limit).await?;
         hollyhook_platform::decode_change(&body).map_err(StoreError::Malformed)
     }
 
@@ -114,10 +122,10 @@
     pub(crate) async fn register_host(&mut self, member: &RosterMember) -> Result<(), StoreError> {
         let body = Bytes::from(hollyhook_platform::encode_host(member).map_err(StoreError::Malformed)?);
         let path = hollyhook_platform::create_path(ObjectKind::Host);
-        match self.call(Method::POST, path, body.clone(), CALL_TIMEOUT).await {
+        match self.call(Method::POST, path, body.clone(), HOST_TIMEOUT).await {
             Err(StoreError::Exists) => {
                 let path = hollyhook_platform::object_path(ObjectKind::Host, &member.host);
-                self.call(Method::PUT, &path, body, CALL_TIMEOUT).await.map(|_answer| ())
+                self.call(Method::PUT, &path, body, HOST_TIMEOUT).await.map(|_answer| ())
             }
             outcome => outcome.map(|_answer| ()),
         }
