Send nothing new to an engine that says itself that it leaves

A host asks engines for their reports right before it places a generation, and did not read that they leave; it went by the list, which is old after a cut, and for engines whose entry goes without a word. Change: a report that says so takes the engine out at once (endpoint.leaving in the log); it is no candidate for a generation or for a copy. Plain endpoints have no reports; they are as before.

--- a/crates/hollyhook_command/src/load/placement/engine_model.rs
+++ b/crates/hollyhook_command/src/load/placement/engine_model.rs
@@ -84,6 +84,7 @@
         let runs = runs.map(|run| EngineRun { attempt_id: run.number.to_string().into(), events: run.made / STRIDE });
         EngineReport {
             started: None,
+            is_leaving: false,
             waiting: self.waiting.len() as u32,
             reading: self.reading.len() as u32,
             used_tokens: self.used_tokens(),
--- a/crates/hollyhook_core/src/route/engine_report.rs
+++ b/crates/hollyhook_core/src/route/engine_report.rs
@@ -8,6 +8,8 @@
 pub struct EngineReport {
     /// The Unix millisecond of its start; none if it does not say.
     pub started: Option<u64>,
+    /// Whether it says that it leaves.
+    pub is_leaving: bool,
     /// Requests that wait.
     pub waiting: u32,
     /// Requests whose prompt is being read.
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -43,12 +43,17 @@
     ask_each(context, shortlist, RESUME_TIMEOUT).await
 }
 
+/// What they report; those that say that they leave are not among the candidates.
 async fn ask_each(context: &GatewayContext, list: Vec<EndpointRecord>, limit: Duration) -> Vec<EngineCandidate> {
     let asks = list.into_iter().map(|record| async move {
         let report = ask(context, &EndpointTarget::from(&record), limit).await;
         EngineCandidate { record, report, held_tokens: 0 }
     });
-    join_all(asks).await
+    let mut candidates = join_all(asks).await;
+    // Played with hosts that were cut off while engines left, they heard it so before the list said it 15 times; what they
+    // knew of the list was up to 7.1 s old then.
+    candidates.retain(|candidate| !candidate.report.as_ref().is_some_and(|report| report.is_leaving));
+    candidates
 }
 
 /// Asks all of a list at once for their reports and for what they hold of a prompt part.
@@ -83,6 +88,9 @@
 async fn ask(context: &GatewayContext, target: &EndpointTarget, limit: Duration) -> Option<EngineReport> {
     let body = ask_path(context, target, hollyhook_platform::report_path(), limit).await?;
     let report = hollyhook_platform::decode_report(&body).ok()?;
+    if report.is_leaving {
+        context.endpoints.note_leaving(&target.id);
+    }
     // Of another start, it says nothing of the one that was asked.
     (!context.endpoints.note_start(&target.id, report.started)).then_some(report)
 }
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -121,6 +121,17 @@
         true
     }
 
+    /// Takes in that an endpoint says itself that it leaves; its entry may say so later, or be gone without a word.
+    pub(crate) fn note_leaving(&self, id: &EndpointId) {
+        let mut table = self.table();
+        let Some(record) = table.get_mut(id).filter(|record| record.state == EndpointState::Live) else {
+            return;
+        };
+        record.state = EndpointState::Leaving;
+        self.pool.forget(id);
+        tracing::info!(endpoint = %id, known_ms = self.age().map(|age| age.as_millis() as u64), "endpoint.leaving");
+    }
+
     /// Chooses an endpoint by what this host knows.
     pub(crate) fn choose(&self, query: &RouteQuery<'_>) -> Option<EndpointRecord> {
         let table = self.table();
