Notice within a second of waking that the time of a wait was up meanwhile

Cause: the same class: a host that was suspended goes on as if no time had passed. The clock counts the time for which the machine is suspended, the sleeps of waits don't: a call to the store that was under way would hang for all that was left of its limit, up to 2.75 s after the wake, and entries that were kept would be for as long. Ruled out: that the runtime's timer notices by itself; the test fails on the code before. Change: a wait sleeps for a second at most and looks at the clock again. Measured: wait_ends_after_suspension fails before (after its limit of 30 s) and passes.

--- a/crates/hollyhook_kernel/src/timer/clock.rs
+++ b/crates/hollyhook_kernel/src/timer/clock.rs
@@ -6,6 +6,11 @@
 use hollyhook_core::TimePoint;
 use rustix::time::{ClockId, clock_gettime};
 
+/// The longest sleep of a wait. Sleeps don't count the time for which a machine is suspended, and the clock does: a host
+/// that wakes notices after this long that its time was up meanwhile, rather than after all that was left. At a second, a
+/// call to the store that was under way ends 1 s after the wake, not up to 2.75 s after it.
+const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+
 /// The clock of the machine.
 ///
 /// It goes on while the machine is suspended, unlike the standard library's `Instant`: a host that wakes must know
@@ -13,20 +18,33 @@
 #[derive(Debug, Clone, Copy)]
 pub struct WallClock {
     start: Duration,
+    /// The time since the machine's start.
+    source: fn() -> Duration,
 }
 
 impl WallClock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        Self { start: since_boot() }
+        Self::reading(since_boot)
+    }
+
+    /// A clock that starts now and tells the time since the machine's start by `source`.
+    pub fn reading(source: fn() -> Duration) -> Self {
+        Self { start: source(), source }
     }
 
     pub(super) fn now(self) -> TimePoint {
-        TimePoint::from_micros(since_boot().saturating_sub(self.start).as_micros() as u64)
+        TimePoint::from_micros((self.source)().saturating_sub(self.start).as_micros() as u64)
     }
 
     pub(super) async fn wait_until(self, at: TimePoint) {
-        async_io::Timer::after(at.since(self.now())).await;
+        loop {
+            let left = at.since(self.now());
+            async_io::Timer::after(left.min(LONGEST_SLEEP)).await;
+            if left <= LONGEST_SLEEP {
+                return;
+            }
+        }
     }
 
     pub(super) fn unix_secs() -> u64 {
