Don't put back an endpoint that is forgotten while its new start is noted

Cause: found by reading, for the same class: note_start read a record, let the table go and wrote the record again under its new start; an endpoint whose entry went in between stood there again, and nothing would have taken it out. Ruled out: nothing; not seen in a play, and no test can hold the moment open. Change: one lock for both steps. Conclusion: kept as a repair by reading, not proved by a failure.

--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -3,7 +3,7 @@
 
 use hollyhook_core::{
     AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Result,
-    RouteQuery, SiteLedger, TimePoint, ZoneName,
+    RouteQuery, SiteIndex, SiteLedger, TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_telemetry::MetricBoard;
@@ -64,9 +64,16 @@
     }
 
     pub(crate) fn upsert(&self, record: EndpointRecord) {
-        let site = self.site.lock().unwrap_or_else(PoisonError::into_inner).site();
-        let is_known = |service: &str| site.as_ref().is_some_and(|site| site.service(service).is_some());
-        let mut table = self.table();
+        let site = self.known_site();
+        self.upsert_into(&mut self.table(), site.as_deref(), record);
+    }
+
+    fn known_site(&self) -> Option<Arc<SiteIndex>> {
+        self.site.lock().unwrap_or_else(PoisonError::into_inner).site()
+    }
+
+    fn upsert_into(&self, table: &mut EndpointTable, site: Option<&SiteIndex>, record: EndpointRecord) {
+        let is_known = |service: &str| site.is_some_and(|site| site.service(service).is_some());
         if table.is_displaced(&record, is_known) {
             return;
         }
@@ -107,7 +114,10 @@
         if started.is_none() {
             return false;
         }
-        let known = self.table().get(id).cloned();
+        let site = self.known_site();
+        // One lock for both steps: an endpoint that is forgotten in between must not be put back.
+        let mut table = self.table();
+        let known = table.get(id).cloned();
         let Some(known) = known.filter(|known| known.started.is_some() && known.started < started) else {
             return false;
         };
@@ -117,7 +127,7 @@
         record = record.start_of(known.entry, started);
         record.registered = known.registered;
         record.state = known.state;
-        self.upsert(record);
+        self.upsert_into(&mut table, site.as_deref(), record);
         true
     }
 
