Count from the last answer where the first call that fails may have begun on a dead connection

Cause: the same: a connection can go silent right after an answer, while the host gathers changes (up to 0.8 s) or asks leaders in vain (up to 1.7 s). The watch that follows then hung past the contact bound, and the entries that were missing after it were kept too long. Change: StoreContact knows when the last answer came, from the store or a leader; the wait of a watch ends that much earlier, and what is missing after a first failure has its time from there.

--- a/crates/hollyhook_core/src/feed/store_contact.rs
+++ b/crates/hollyhook_core/src/feed/store_contact.rs
@@ -26,9 +26,9 @@
 /// Whether the platform's store answers this host, and how long its next call may take.
 ///
 /// A host that was away has to act on all that the store acknowledged meanwhile as soon as it counts as in contact again,
-/// a while (`contact`) after its way to the store was whole. It can't know when that was; it knows when the last call
-/// began that got no answer. So that is what everything here is counted from: a host that counted from its own notice
-/// was seen to send to endpoints 3.3 s after the end of a cut, where 3 s are the bound.
+/// a while (`contact`) after its way to the store was whole. It can't know when that was; it knows when the last answer
+/// came, and when the last call began that got none. So everything here is counted from these: a host that counted from its
+/// own notice was seen to send to endpoints that had left 3.3 s after the end of a cut, where 3 s are the bound.
 ///
 /// ```
 /// use hollyhook_core::{StoreContact, TimePoint};
@@ -36,6 +36,7 @@
 ///
 /// let bound = Duration::from_secs(3);
 /// let mut contact = StoreContact::default();
+/// contact.heard(TimePoint::from_millis(1_000));
 /// contact.failed(TimePoint::from_millis(1_000));
 /// // A call of one second: what is missing may have lapsed just before its end, or may have left two seconds before it.
 /// let back_at = contact.answered(TimePoint::from_millis(2_000), bound);
@@ -44,21 +45,33 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct StoreContact {
-    /// When the last call began that got no answer; none if the one after it got one.
-    failed_at: Option<TimePoint>,
+    /// From when on the host may have been out of contact, by the last call; none if it got an answer.
+    lost_at: Option<TimePoint>,
+    /// When the last call began that got no answer.
+    failed_at: TimePoint,
     /// Calls in a row that got no answer.
     failures: usize,
+    /// When the last answer came, from the store or from a host that reads it for others.
+    heard_at: TimePoint,
 }
 
 impl StoreContact {
     /// Whether the last call got no answer.
     pub fn is_away(&self) -> bool {
-        self.failed_at.is_some()
+        self.lost_at.is_some()
+    }
+
+    /// Notes an answer of a host that reads the store for others.
+    pub fn heard(&mut self, now: TimePoint) {
+        self.heard_at = now;
     }
 
     /// Notes that a call got no answer, or one that says that nothing was done.
+    ///
+    /// The first in a row went over a connection that may have been dead since the last answer; later ones make their own.
     pub fn failed(&mut self, began: TimePoint) {
-        self.failed_at = Some(began);
+        self.lost_at = Some(if self.is_away() { began } else { began.min(self.heard_at) });
+        self.failed_at = began;
         self.failures += 1;
     }
 
@@ -67,19 +80,23 @@
     /// That is now, unless the last call without an answer began so long ago that the host would be in contact before
     /// their time is over.
     pub fn answered(&mut self, now: TimePoint, contact: Duration) -> Option<TimePoint> {
-        let failed_at = self.failed_at.take()?;
+        self.heard_at = now;
+        let lost_at = self.lost_at.take()?;
         self.failures = 0;
-        let latest = failed_at + contact - (EndpointMembership::RETURN_GRACE + SEND_MARGIN);
+        let latest = lost_at + contact - (EndpointMembership::RETURN_GRACE + SEND_MARGIN);
         Some(now.min(latest))
     }
 
     /// How long the next watch waits: `usual`, or less where its silence would be noticed too late, or while the store is
     /// away.
-    pub fn watch_wait(&self, usual: Duration, contact: Duration) -> Duration {
+    ///
+    /// Its connection may have gone silent as soon as the last answer had come, also while changes were gathered (up to
+    /// 0.8 s) or other hosts were asked (up to 1.7 s).
+    pub fn watch_wait(&self, now: TimePoint, usual: Duration, contact: Duration) -> Duration {
         if self.is_away() {
             return PROBE_WAIT;
         }
-        let most = contact.saturating_sub(WATCH_SLACK + READ_MARGIN);
+        let most = contact.saturating_sub(WATCH_SLACK + READ_MARGIN).saturating_sub(now.since(self.heard_at));
         usual.min(most).max(PROBE_WAIT)
     }
 
@@ -94,8 +111,8 @@
         self.failures.checked_sub(1).map_or(first, |number| rest[number % rest.len()])
     }
 
-    /// The pause until the next call.
+    /// The pause until the next call, after one that got no answer.
     pub fn pause(&self, now: TimePoint) -> Duration {
-        self.failed_at.map(|began| (began + RETRY_INTERVAL).since(now)).unwrap_or_default()
+        (self.failed_at + RETRY_INTERVAL).since(now)
     }
 }
--- a/crates/hollyhook_core/tests/gateway/contact.rs
+++ b/crates/hollyhook_core/tests/gateway/contact.rs
@@ -18,6 +18,7 @@
 /// A store whose last call without an answer began at `began`.
 fn away_since(began: u64) -> StoreContact {
     let mut contact = StoreContact::default();
+    contact.heard(at(began));
     contact.failed(at(began));
     contact
 }
@@ -33,6 +34,25 @@
     assert_eq!(away_since(9_800).answered(at(10_000), CONTACT), Some(at(10_000)));
 }
 
+/// The first call that fails goes over a connection that may have been dead since the last answer, with a cut long over.
+#[test]
+fn answered_after_pause_and_hung_call() {
+    let mut contact = StoreContact::default();
+    contact.heard(at(6_800));
+    contact.failed(at(7_300));
+    assert_eq!(contact.answered(at(10_000), CONTACT), Some(at(7_050)));
+}
+
+/// Later ones make a connection, which shows that the host was still out of contact.
+#[test]
+fn answered_after_second_failure() {
+    let mut contact = StoreContact::default();
+    contact.heard(at(6_800));
+    contact.failed(at(7_300));
+    contact.failed(at(9_700));
+    assert_eq!(contact.answered(at(10_000), CONTACT), Some(at(9_950)));
+}
+
 /// The host may have been cut off alone, up to a moment after the call began.
 #[test]
 fn answered_after_hung_call() {
@@ -66,18 +86,30 @@
 fn watch_ends_before_contact() {
     for bound in [1_000, 2_000, 3_000, 4_000, 5_000] {
         let contact = StoreContact::default();
-        let wait = contact.watch_wait(USUAL, millis(bound));
+        let wait = contact.watch_wait(TimePoint::ZERO, USUAL, millis(bound));
         assert!(wait <= USUAL);
         let limit = contact.watch_limit(wait);
         assert!(limit + millis(200) <= millis(bound).max(millis(1_050)), "{limit:?} of {bound}");
     }
 }
 
+/// The same if the connection went silent while changes were gathered, or while others were asked, after the last answer.
+#[test]
+fn watch_ends_before_contact_after_pause() {
+    for pause in [400, 800, 1_700, 2_500, 9_000] {
+        let mut contact = StoreContact::default();
+        contact.heard(at(10_000));
+        let now = at(10_000 + pause);
+        let limit = contact.watch_limit(contact.watch_wait(now, USUAL, CONTACT));
+        assert!(limit + millis(200) <= millis((3_000 - pause.min(3_000)).max(1_050)), "{limit:?} after {pause}");
+    }
+}
+
 /// While the store is away nothing waits for changes: what counts is that it is back.
 #[test]
 fn watch_brief_while_away() {
     let contact = away_since(9_000);
-    assert!(contact.watch_wait(USUAL, CONTACT) <= millis(100));
+    assert!(contact.watch_wait(at(9_700), USUAL, CONTACT) <= millis(100));
 }
 
 /// Short calls find the return early; now and then one waits for a store that answers slowly.
@@ -101,5 +133,5 @@
 fn pause_from_start_of_call() {
     assert_eq!(away_since(9_000).pause(at(9_010)), millis(240));
     assert_eq!(away_since(9_000).pause(at(9_700)), Duration::ZERO);
-    assert_eq!(StoreContact::default().pause(at(9_000)), Duration::ZERO);
+    assert_eq!(StoreContact::default().pause(at(9_000)), Duration::ZERO, "nothing failed");
 }
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -55,6 +55,7 @@
         if let FeedPlan::Follow(leaders) = &plan
             && let Some(news) = self.ask_leaders(leaders).await
         {
+            self.contact.heard(self.context.timer.now());
             self.take(&news, false);
             return Ok(news);
         }
@@ -166,7 +167,7 @@
         revision: u64,
         usual_wait: Duration,
     ) -> Result<FeedNews<StoreObject>, StoreError> {
-        let wait = self.contact.watch_wait(usual_wait, self.context.contact_bound());
+        let wait = self.contact.watch_wait(asked_at, usual_wait, self.context.contact_bound());
         let limit = self.contact.watch_limit(wait);
         let (changes, revision) = self.client.watch(self.kind, revision, wait, limit).await?;
         let is_quiet = changes.is_empty();
