--- a/crates/hollyhook_core/src/feed/store_contact.rs
+++ b/crates/hollyhook_core/src/feed/store_contact.rs
@@ -61,9 +61,11 @@
         self.lost_at.is_some()
     }
 
-    /// Notes an answer of a host that reads the store for others.
+    /// Notes an answer of a host that reads the store for others: what this one knows is as new as if the store had answered.
     pub fn heard(&mut self, now: TimePoint) {
         self.heard_at = now;
+        self.lost_at = None;
+        self.failures = 0;
     }
 
     /// Notes that a call got no answer, or one that says that nothing was done.
@@ -80,10 +82,9 @@
     /// That is now, unless the last call without an answer began so long ago that the host would be in contact before
     /// their time is over.
     pub fn answered(&mut self, now: TimePoint, contact: Duration) -> Option<TimePoint> {
-        self.heard_at = now;
-        let lost_at = self.lost_at.take()?;
-        self.failures = 0;
-        let latest = lost_at + contact - (EndpointMembership::RETURN_GRACE + SEND_MARGIN);
+        let lost_at = self.lost_at;
+        self.heard(now);
+        let latest = lost_at? + contact - (EndpointMembership::RETURN_GRACE + SEND_MARGIN);
         Some(now.min(latest))
     }
 
--- a/crates/hollyhook_core/tests/gateway/contact.rs
+++ b/crates/hollyhook_core/tests/gateway/contact.rs
@@ -43,6 +43,17 @@
     assert_eq!(contact.answered(at(10_000), CONTACT), Some(at(7_050)));
 }
 
+/// A host that others read for was told since: what it lost before is made good.
+#[test]
+fn answered_after_others_told() {
+    let mut contact = away_since(7_300);
+    contact.heard(at(8_000));
+    assert!(!contact.is_away());
+    assert_eq!(contact.answered(at(10_000), CONTACT), None);
+    contact.failed(at(11_000));
+    assert_eq!(contact.answered(at(11_100), CONTACT), Some(at(10_250)), "counts from the last answer");
+}
+
 /// Later ones make a connection, which shows that the host was still out of contact.
 #[test]
 fn answered_after_second_failure() {
