Choose the engine of a copy without copying the candidates

Cause: choose_copy cloned the candidates to call choose_engine and then looked its answer up by name; best_backup cloned them once more, for each generation that is placed. Ruled out: a second function over an iterator; one serves both. Change: both choose from whatever yields candidates; the same order, ranks and costs. The tests pass closures, their assertions are untouched.

--- a/crates/hollyhook_core/src/route/copy_placement.rs
+++ b/crates/hollyhook_core/src/route/copy_placement.rs
@@ -11,12 +11,13 @@
 /// Answers a load at which memory runs short: a copy takes as much of it as its run, and serves only if an engine is lost,
 /// while a prompt that waits for memory is late for certain. So copies yield: none goes to an engine where requests wait,
 /// nor where little would be left. A run that is lost without a copy has its prompt read again.
-pub fn choose_copy(candidates: &[EngineCandidate], needed_tokens: u64) -> Option<&EngineCandidate> {
+pub fn choose_copy<'a>(
+    candidates: impl IntoIterator<Item = &'a EngineCandidate>,
+    needed_tokens: u64,
+) -> Option<&'a EngineCandidate> {
     let has_room =
-        |candidate: &EngineCandidate| candidate.report.as_ref().is_some_and(|report| has_spare(report, needed_tokens));
-    let spare: Vec<EngineCandidate> = candidates.iter().filter(|candidate| has_room(candidate)).cloned().collect();
-    let best = choose_engine(&spare, needed_tokens)?;
-    candidates.iter().find(|candidate| candidate.record.id == best.record.id)
+        |candidate: &&EngineCandidate| candidate.report.as_ref().is_some_and(|report| has_spare(report, needed_tokens));
+    choose_engine(candidates.into_iter().filter(has_room), needed_tokens)
 }
 
 /// Whether an engine has memory that nobody waits for.
--- a/crates/hollyhook_core/src/route/engine_report.rs
+++ b/crates/hollyhook_core/src/route/engine_report.rs
@@ -93,8 +93,11 @@
 ///
 /// Answers the load of prompts of thousands of tokens: an engine reads them one after another, so a request behind
 /// three others waits for seconds, wherever else there is room.
-pub fn choose_engine(candidates: &[EngineCandidate], needed_tokens: u64) -> Option<&EngineCandidate> {
-    let answered = candidates.iter().enumerate().filter_map(|(rank, candidate)| {
+pub fn choose_engine<'a>(
+    candidates: impl IntoIterator<Item = &'a EngineCandidate>,
+    needed_tokens: u64,
+) -> Option<&'a EngineCandidate> {
+    let answered = candidates.into_iter().enumerate().filter_map(|(rank, candidate)| {
         let report = candidate.report.as_ref()?;
         Some((engine_cost(candidate, report, needed_tokens) + RANK_COST * rank as f64, candidate))
     });
--- a/crates/hollyhook_core/tests/gateway/copies.rs
+++ b/crates/hollyhook_core/tests/gateway/copies.rs
@@ -74,16 +74,16 @@
 /// Each run has a copy where memory is plenty.
 #[test]
 fn copies_made_for_all_with_room() {
-    let outcome = play(5, choose_copy);
+    let outcome = play(5, |engines, tokens| choose_copy(engines, tokens));
     assert_eq!((outcome.copied, outcome.waited), (outcome.begun, 0));
 }
 
 /// Where runs alone take most of the memory, they wait for that of copies for less than a tick in the mean.
 #[test]
 fn copies_yield_to_prompts() {
-    let always = play(14, choose_engine);
+    let always = play(14, |engines, tokens| choose_engine(engines, tokens));
     assert!(always.waited > 10 * TICKS, "copies for all leave too little memory: {always:?}");
-    let yielding = play(14, choose_copy);
+    let yielding = play(14, |engines, tokens| choose_copy(engines, tokens));
     assert!(yielding.waited < yielding.begun, "{yielding:?}");
     assert_eq!(yielding.begun, 14 * TICKS / 10, "all that came");
     assert!(always.begun < yielding.begun * 3 / 4, "{always:?}");
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -207,9 +207,8 @@
         if !self.has_backups() {
             return None;
         }
-        let elsewhere = candidates.iter().filter(|candidate| candidate.record.zone != record.zone).cloned();
-        let elsewhere: Vec<EngineCandidate> = elsewhere.collect();
-        let best = choose_copy(&elsewhere, self.needed_tokens())?;
+        let elsewhere = candidates.iter().filter(|candidate| candidate.record.zone != record.zone);
+        let best = choose_copy(elsewhere, self.needed_tokens())?;
         let attempt_id = Name::clone(&self.caller.head.attempt_id);
         let source = BackupSource { address: best.record.address, name: attempt_id };
         Some(BackupPlace { id: EndpointId::clone(&best.record.id), source, is_ordered: false })
