One call to the store, noted in one place; three limits in turn

Change: call_store makes one call and notes it; the limits are taken in turn. limits_of_calls_in_a_row demands the same seven figures as before. Ruled out: a change of behaviour; revision, wait, limit and order of the calls are those of before. Measured: core::contact and the gateway's tests pass.

--- a/crates/hollyhook_core/src/feed/store_contact.rs
+++ b/crates/hollyhook_core/src/feed/store_contact.rs
@@ -14,16 +14,12 @@
 const PROBE_WAIT: Duration = Duration::from_millis(50);
 /// The least time between the starts of two calls while the store is away.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
-/// How long calls other than watches may take, by how many before them in a row got no answer, and again from the second.
+/// How long calls other than watches may take, in turn, by how many before them in a row got no answer.
 /// While the store is away short ones find its return sooner: what lapsed meanwhile is kept from the last call that
 /// failed, so that 1.5 s for each would leave it 1 s to come back, where up to 2 s are needed. Each third waits longer,
 /// for a store that answers, but slowly.
-const CALL_LIMITS: [Duration; 4] = [
-    Duration::from_millis(1_500),
-    Duration::from_millis(700),
-    Duration::from_millis(700),
-    Duration::from_millis(1_500),
-];
+const CALL_LIMITS: [Duration; 3] =
+    [Duration::from_millis(1_500), Duration::from_millis(700), Duration::from_millis(700)];
 
 /// Whether the platform's store answers this host, and how long its next call may take.
 ///
@@ -110,8 +106,7 @@
 
     /// How long the next other call may take.
     pub fn call_limit(&self) -> Duration {
-        let [first, rest @ ..] = CALL_LIMITS;
-        self.failures.checked_sub(1).map_or(first, |number| rest[number % rest.len()])
+        CALL_LIMITS[self.failures % CALL_LIMITS.len()]
     }
 
     /// The pause until the next call, after one that got no answer.
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -127,38 +127,30 @@
     /// make the host that much later to know of endpoints that leave.
     async fn ask_store(&mut self, usual_wait: Duration) -> Result<FeedNews<StoreObject>, StoreError> {
         let was_away = self.contact.is_away();
-        let asked_at = self.context.timer.now();
-        let outcome = match self.revision {
-            Some(revision) => self.watch(asked_at, revision, usual_wait).await,
-            None => self.list(asked_at).await,
-        };
-        match self.note_answer(asked_at, outcome) {
-            Err(StoreError::Away(_)) if !was_away => {}
-            outcome => return outcome,
+        match self.call_store(self.revision, usual_wait).await {
+            Err(StoreError::Away(_)) if !was_away => self.call_store(None, usual_wait).await,
+            outcome => outcome,
         }
-        let asked_at = self.context.timer.now();
-        let outcome = self.list(asked_at).await;
-        self.note_answer(asked_at, outcome)
     }
 
-    /// Takes in whether the store answered a call that began at `asked_at`.
-    fn note_answer(
+    /// One call: a watch from a revision, or a list without one.
+    async fn call_store(
         &mut self,
-        asked_at: TimePoint,
-        outcome: Result<FeedNews<StoreObject>, StoreError>,
+        revision: Option<u64>,
+        usual_wait: Duration,
     ) -> Result<FeedNews<StoreObject>, StoreError> {
+        let asked_at = self.context.timer.now();
+        let mut outcome = match revision {
+            Some(revision) => self.watch(asked_at, revision, usual_wait).await,
+            None => self.list(asked_at).await,
+        };
         self.context.note_store(self.kind, asked_at, outcome.as_ref().err());
-        match outcome {
-            Ok(news) => {
-                let back_at = self.contact.answered(self.context.timer.now(), self.context.contact_bound());
-                Ok(FeedNews { back_at, ..news })
-            }
-            Err(StoreError::HistoryGone) => Err(StoreError::HistoryGone),
-            Err(error) => {
-                self.contact.failed(asked_at);
-                Err(error)
-            }
+        match &mut outcome {
+            Ok(news) => news.back_at = self.contact.answered(self.context.timer.now(), self.context.contact_bound()),
+            Err(StoreError::HistoryGone) => {}
+            Err(_) => self.contact.failed(asked_at),
         }
+        outcome
     }
 
     async fn watch(
