One lock for the gateway's shared state

Cause: locking a mutex also after a task failed stood in five private functions and in line in six more places, four of them new with the directory of endpoints. Change: sync::lock. Ruled out: a crate for it; three lines suffice. No change of behaviour.

--- a/crates/hollyhook_gateway/src/forward/backup_keeper.rs
+++ b/crates/hollyhook_gateway/src/forward/backup_keeper.rs
@@ -1,4 +1,4 @@
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_std::task;
@@ -12,6 +12,7 @@
 use super::engine_choice::{BackupPlace, EngineChooser};
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
+use crate::sync::lock;
 
 /// How often a run's backup is looked at. Engines that crash together take a zone; the next zone follows seconds later.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
@@ -187,7 +188,3 @@
         if is_done { hollyhook_platform::decode_copy(&answer.body).ok() } else { None }
     }
 }
-
-fn lock(state: &Mutex<KeeperState>) -> MutexGuard<'_, KeeperState> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -1,4 +1,4 @@
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use hollyhook_core::{
@@ -9,6 +9,7 @@
 use hollyhook_telemetry::MetricBoard;
 
 use crate::pool::ConnectionPool;
+use crate::sync::lock;
 
 /// How much fuller, in requests a place, the own zone may be before another one pays. Another zone costs little time,
 /// but what runs there is lost when the zones are cut from each other.
@@ -48,18 +49,18 @@
     }
 
     pub(crate) fn table(&self) -> MutexGuard<'_, EndpointTable> {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.table)
     }
 
     /// Notes until when it is known that nothing else changed.
     pub(crate) fn confirm(&self, at: TimePoint) {
-        let mut confirmed = self.confirmed.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut confirmed = lock(&self.confirmed);
         *confirmed = (*confirmed).max(Some(at));
     }
 
     /// How old what this host knows of endpoints is; none before the first list.
     pub(crate) fn age(&self) -> Option<Duration> {
-        let confirmed = *self.confirmed.lock().unwrap_or_else(PoisonError::into_inner);
+        let confirmed = *lock(&self.confirmed);
         confirmed.map(|at| self.timer.now().since(at))
     }
 
@@ -69,7 +70,7 @@
     }
 
     fn known_site(&self) -> Option<Arc<SiteIndex>> {
-        self.site.lock().unwrap_or_else(PoisonError::into_inner).site()
+        lock(&self.site).site()
     }
 
     fn upsert_into(&self, table: &mut EndpointTable, site: Option<&SiteIndex>, record: EndpointRecord) {
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -2,7 +2,7 @@
 use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hollyhook_core::{
@@ -20,6 +20,7 @@
 use crate::peer::FeedBoard;
 use crate::pool::ConnectionPool;
 use crate::store::StoreError;
+use crate::sync::lock;
 
 /// How long watches may hear nothing of changes while the store drops its history, and what the way to it and back
 /// may take; both shorten the time for which keys are honoured without confirmation.
@@ -221,7 +222,3 @@
         self.retries.try_spend(service, self.timer.now())
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/hollyhook_gateway/src/gateway/retry_budgets.rs
+++ b/crates/hollyhook_gateway/src/gateway/retry_budgets.rs
@@ -1,9 +1,11 @@
 use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::Mutex;
 
 use hollyhook_core::{Name, RetryWindow, TimePoint};
 use hollyhook_settings::RetryBounds;
 
+use crate::sync::lock;
+
 /// The part of the allowed retries that this host spends, so that clocks and windows that differ do not add up to
 /// more than is allowed.
 const RETRY_SHARE: f64 = 0.75;
@@ -33,7 +35,7 @@
 
     /// Takes other bounds; what was counted under the old ones is forgotten.
     pub(crate) fn rebound(&self, bounds: RetryBounds) {
-        let mut state = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = lock(&self.inner);
         if state.bounds != bounds {
             *state = BudgetState { bounds, windows: HashMap::new() };
         }
@@ -50,7 +52,7 @@
     }
 
     fn act<T>(&self, service: &Name, act: impl FnOnce(&mut RetryWindow) -> T) -> T {
-        let mut state = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = lock(&self.inner);
         let bounds = state.bounds;
         let window = state.windows.entry(Name::clone(service)).or_insert_with(|| {
             let reserve = (bounds.extra / RETRY_HOSTS) as u32;
--- a/crates/hollyhook_gateway/src/lib.rs
+++ b/crates/hollyhook_gateway/src/lib.rs
@@ -11,5 +11,6 @@
 mod peer;
 mod pool;
 mod store;
+mod sync;
 
 pub use gateway::Gateway;
--- a/crates/hollyhook_gateway/src/peer/feed_board.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_board.rs
@@ -1,10 +1,12 @@
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::Mutex;
 
 use futures::channel::oneshot;
 use hollyhook_core::{FeedLog, FeedNews, FeedPlan, FeedRoster, Name, RosterMember, TimePoint, ZoneName};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
+use crate::sync::lock;
+
 /// What this host knows of the store and tells others, and who they are.
 #[derive(Debug)]
 pub(crate) struct FeedBoard {
@@ -68,7 +70,3 @@
         receiver
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/hollyhook_gateway/src/pool/connection_pool.rs
+++ b/crates/hollyhook_gateway/src/pool/connection_pool.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use hollyhook_core::EndpointId;
@@ -10,6 +10,7 @@
 
 use super::PooledConnection;
 use crate::net::dial;
+use crate::sync::lock;
 
 /// How long a connection is kept whose peer does not say how long it keeps it.
 const DEFAULT_KEEP: Duration = Duration::from_secs(4);
@@ -37,7 +38,7 @@
     /// A kept connection to an endpoint, the most recently used first.
     pub(crate) fn take(&self, id: &EndpointId) -> Option<PooledConnection> {
         let now = self.timer.now();
-        let mut idle = self.lock();
+        let mut idle = lock(&self.idle);
         let connections = idle.get_mut(id)?;
         while let Some(connection) = connections.pop() {
             if connection.is_ready() && now < connection.usable_until {
@@ -60,7 +61,7 @@
     /// Keeps a connection whose answer was read to its end, as long as the answer's headers say.
     pub(crate) fn put(&self, id: &EndpointId, mut connection: PooledConnection, keep: Duration) {
         connection.usable_until = self.timer.now() + keep;
-        let mut idle = self.lock();
+        let mut idle = lock(&self.idle);
         let connections = idle.entry(EndpointId::clone(id)).or_default();
         if connections.len() < MOST_IDLE {
             connections.push(connection);
@@ -69,22 +70,18 @@
 
     /// Closes the idle connections to an endpoint that is gone or silent.
     pub(crate) fn forget(&self, id: &str) {
-        self.lock().remove(id);
+        lock(&self.idle).remove(id);
     }
 
     /// Closes what its peer will close soon.
     pub(crate) fn prune(&self) {
         let now = self.timer.now();
-        let mut idle = self.lock();
+        let mut idle = lock(&self.idle);
         for connections in idle.values_mut() {
             connections.retain(|connection| now < connection.usable_until && connection.is_ready());
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
-
-    fn lock(&self) -> MutexGuard<'_, HashMap<EndpointId, Vec<PooledConnection>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 /// How long an idle connection may be used again, after an answer with these headers.
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -1,5 +1,5 @@
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_std::task;
@@ -8,6 +8,7 @@
 
 use super::{FeedReader, StoreClient, StoreError};
 use crate::gateway::GatewayContext;
+use crate::sync::lock;
 
 /// How long one watch waits at most. A longer one costs fewer calls; where that would leave a connection that went silent
 /// unnoticed for too long, it is shorter.
@@ -141,7 +142,3 @@
         context.endpoints.forget_entry(&entry, "lapsed");
     }
 }
-
-fn lock(membership: &Mutex<EndpointMembership>) -> MutexGuard<'_, EndpointMembership> {
-    membership.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- /dev/null
+++ b/crates/hollyhook_gateway/src/sync/mod.rs
@@ -0,0 +1,5 @@
+//! Shared state of a process.
+
+mod lock;
+
+pub(crate) use lock::lock;
