One way to ask another host, one wait of a process that starts

Change: PeerRole says how long a host may wait and how old what it knows may be; ask_hosts, wait_while_starting, known_ms. Ruled out: one log line for both roles; operators and OPERATIONS.md know two names. No change of behaviour. Measured: the gateway's tests pass.

--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -55,7 +55,7 @@
     /// Takes a place.
     pub(super) fn take(context: &Arc<GatewayContext>, record: &EndpointRecord) -> Self {
         context.endpoints.count_open(&record.id);
-        let known_ms = context.endpoints.age().map(|age| age.as_millis() as u64);
+        let known_ms = context.endpoints.known_ms();
         Self { context: Arc::clone(context), target: EndpointTarget::from(record), open: record.open, known_ms }
     }
 
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -1,5 +1,4 @@
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
 
 use hollyhook_core::{
     AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Result,
@@ -58,10 +57,10 @@
         *confirmed = (*confirmed).max(Some(at));
     }
 
-    /// How old what this host knows of endpoints is; none before the first list.
-    pub(crate) fn age(&self) -> Option<Duration> {
+    /// How old what this host knows of endpoints is, in milliseconds; none before the first list.
+    pub(crate) fn known_ms(&self) -> Option<u64> {
         let confirmed = *lock(&self.confirmed);
-        confirmed.map(|at| self.timer.now().since(at))
+        confirmed.map(|at| self.timer.now().since(at).as_millis() as u64)
     }
 
     pub(crate) fn upsert(&self, record: EndpointRecord) {
@@ -140,7 +139,7 @@
         };
         record.state = EndpointState::Leaving;
         self.pool.forget(id);
-        tracing::info!(endpoint = %id, known_ms = self.age().map(|age| age.as_millis() as u64), "endpoint.leaving");
+        tracing::info!(endpoint = %id, known_ms = self.known_ms(), "endpoint.leaving");
     }
 
     /// Chooses an endpoint by what this host knows.
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -142,17 +142,20 @@
 
     /// Waits for the first configuration and list of endpoints of a process that has just started.
     pub(crate) async fn wait_for_start(&self) {
-        let limit = TimePoint::ZERO + START_WAIT;
-        while self.timer.now() < limit && !(self.site().is_some() && self.has_endpoints.load(Ordering::Relaxed)) {
-            self.timer.wait(START_CHECK).await;
-        }
+        let has_started = || self.site().is_some() && self.has_endpoints.load(Ordering::Relaxed);
+        self.wait_while_starting(START_CHECK, has_started).await;
     }
 
     /// Waits for the first configuration, for a while: what registers is judged by the services that it names.
     pub(crate) async fn wait_for_site(&self) {
+        self.wait_while_starting(SITE_CHECK, || self.site().is_some()).await;
+    }
+
+    /// Waits until something holds, which is looked at so often, or the process is no longer new.
+    async fn wait_while_starting(&self, check: Duration, holds: impl Fn() -> bool) {
         let limit = TimePoint::ZERO + START_WAIT;
-        while self.timer.now() < limit && self.site().is_none() {
-            self.timer.wait(SITE_CHECK).await;
+        while self.timer.now() < limit && !holds() {
+            self.timer.wait(check).await;
         }
     }
 
--- a/crates/hollyhook_gateway/src/peer/peer_client.rs
+++ b/crates/hollyhook_gateway/src/peer/peer_client.rs
@@ -14,7 +14,32 @@
 /// How much longer an answer may take: hosts of a zone are a millisecond apart, with a quarter of a core each.
 const SLACK: Duration = Duration::from_millis(250);
 
-/// Asks other hosts of the zone over one kept connection.
+/// Why another host is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PeerRole {
+    /// It reads the store for the zone: it waits for changes if there are none.
+    Leader,
+    /// It reads the store for itself, which gives this host no answer: it answers at once.
+    Helper,
+}
+
+impl PeerRole {
+    fn wait(self) -> Duration {
+        match self {
+            Self::Leader => WAIT,
+            Self::Helper => Duration::ZERO,
+        }
+    }
+
+    fn is_too_old(self, age: Duration) -> bool {
+        match self {
+            Self::Leader => is_stale(age),
+            Self::Helper => is_stale_help(age),
+        }
+    }
+}
+
+/// Asks other hosts over one kept connection.
 #[derive(Debug)]
 pub(crate) struct PeerClient {
     line: KeptLine,
@@ -25,43 +50,20 @@
         Self { line: KeptLine::new(timer) }
     }
 
-    /// What changed after a revision, by what a leader knows; waits for changes if there are none.
+    /// What changed after a revision, by what a host knows of the store.
     ///
     /// # Errors
     ///
     /// What is wrong, if it does not answer, may not tell, or knows only what is too old.
     pub(crate) async fn ask(
         &mut self,
-        leader: &RosterMember,
-        kind: ObjectKind,
-        after: Option<u64>,
-        asked_at: TimePoint,
-    ) -> Result<FeedNews<StoreObject>, LineFault> {
-        self.ask_within(leader, FeedQuery { kind, after, wait: WAIT }, asked_at, is_stale).await
-    }
-
-    /// The same of a host that reads the store for itself; it answers at once.
-    ///
-    /// # Errors
-    ///
-    /// As for [`ask`](Self::ask).
-    pub(crate) async fn ask_help(
-        &mut self,
-        helper: &RosterMember,
+        role: PeerRole,
+        host: &RosterMember,
         kind: ObjectKind,
         after: Option<u64>,
         asked_at: TimePoint,
     ) -> Result<FeedNews<StoreObject>, LineFault> {
-        self.ask_within(helper, FeedQuery { kind, after, wait: Duration::ZERO }, asked_at, is_stale_help).await
-    }
-
-    async fn ask_within(
-        &mut self,
-        host: &RosterMember,
-        query: FeedQuery,
-        asked_at: TimePoint,
-        is_too_old: impl Fn(Duration) -> bool,
-    ) -> Result<FeedNews<StoreObject>, LineFault> {
+        let query = FeedQuery { kind, after, wait: role.wait() };
         let request = line_request(Method::GET, host.address, &query.to_path(), "")?;
         let (status, body) = self.line.call(host.address, request, query.wait + SLACK).await?;
         if status != StatusCode::OK {
@@ -69,7 +71,7 @@
         }
         let message: FeedMessage =
             serde_json::from_slice(&body).map_err(|_error| LineFault("it can't be understood"))?;
-        if is_too_old(Duration::from_millis(message.age_ms)) {
+        if role.is_too_old(Duration::from_millis(message.age_ms)) {
             return Err(LineFault("what it knows is too old"));
         }
         Ok(message.into_news(asked_at))
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -6,7 +6,8 @@
 
 use super::{StoreClient, StoreError};
 use crate::gateway::GatewayContext;
-use crate::peer::PeerClient;
+use crate::net::LineFault;
+use crate::peer::{PeerClient, PeerRole};
 
 /// How long one watch waits at a host that reads for others: they take what it knows for old after 1.25 s, of which it
 /// spends up to 0.4 s on gathering changes.
@@ -53,7 +54,7 @@
         }
         let plan = self.context.feed.plan(self.context.timer.now());
         if let FeedPlan::Follow(leaders) = &plan
-            && let Some(news) = self.ask_leaders(leaders).await
+            && let Some(news) = self.ask_hosts(PeerRole::Leader, leaders).await
         {
             self.contact.heard(self.context.timer.now());
             self.take(&news, false);
@@ -67,7 +68,8 @@
             }
             Err(error) => {
                 let is_away = !matches!(error, StoreError::HistoryGone);
-                if is_away && let Some(news) = self.ask_helpers().await {
+                if is_away && let Some(news) = self.ask_hosts(PeerRole::Helper, &self.helpers()).await {
+                    self.context.board.count("helped_by_hosts");
                     self.is_helped = true;
                     self.take(&news, false);
                     return Ok(news);
@@ -78,49 +80,46 @@
         }
     }
 
+    /// Whom to ask when the store gives no answer.
+    fn helpers(&self) -> Vec<RosterMember> {
+        self.context.feed.helpers(self.context.timer.now())
+    }
+
     /// Waits until the store may be asked again after it gave no answer.
     pub(crate) async fn pause(&self) {
         self.context.timer.wait(self.contact.pause(self.context.timer.now())).await;
     }
 
-    /// What hosts know that the store may answer, when it does not answer this one.
-    async fn ask_helpers(&mut self) -> Option<FeedNews<StoreObject>> {
-        for helper in self.context.feed.helpers(self.context.timer.now()) {
-            let asked_at = self.context.timer.now();
-            match self.peers.ask_help(&helper, self.kind, self.revision, asked_at).await {
-                Ok(news) => {
-                    self.context.board.count("helped_by_hosts");
-                    return Some(news);
-                }
-                Err(fault) => {
-                    tracing::info!(helper = %helper.host, kind = self.kind.as_str(), reason = fault.0, "helper.passed_over");
-                    self.context.feed.pass_over(self.context.timer.now(), &helper.host);
-                }
-            }
-        }
-        None
-    }
-
     fn take(&mut self, news: &FeedNews<StoreObject>, is_direct: bool) {
         self.revision = self.revision.max(Some(news.revision));
         self.context.feed.take(self.kind, news, is_direct);
     }
 
-    async fn ask_leaders(&mut self, leaders: &[RosterMember]) -> Option<FeedNews<StoreObject>> {
-        for leader in leaders {
+    /// What the first of these hosts knows that is of use; the others are passed over for a while.
+    async fn ask_hosts(&mut self, role: PeerRole, hosts: &[RosterMember]) -> Option<FeedNews<StoreObject>> {
+        for host in hosts {
             let asked_at = self.context.timer.now();
-            match self.peers.ask(leader, self.kind, self.revision, asked_at).await {
+            match self.peers.ask(role, host, self.kind, self.revision, asked_at).await {
                 Ok(news) => return Some(news),
-                Err(fault) => {
-                    tracing::info!(leader = %leader.host, kind = self.kind.as_str(), reason = fault.0, "leader.passed_over");
-                    self.context.board.count("leaders_passed_over");
-                    self.context.feed.pass_over(self.context.timer.now(), &leader.host);
-                }
+                Err(fault) => self.pass_over(role, host, fault),
             }
         }
         None
     }
 
+    fn pass_over(&self, role: PeerRole, host: &RosterMember, fault: LineFault) {
+        match role {
+            PeerRole::Leader => {
+                tracing::info!(leader = %host.host, kind = self.kind.as_str(), reason = fault.0, "leader.passed_over");
+                self.context.board.count("leaders_passed_over");
+            }
+            PeerRole::Helper => {
+                tracing::info!(helper = %host.host, kind = self.kind.as_str(), reason = fault.0, "helper.passed_over");
+            }
+        }
+        self.context.feed.pass_over(self.context.timer.now(), &host.host);
+    }
+
     /// What the store answers; if a connection that worked gives nothing, a new one is tried at once.
     ///
     /// Connections go silent for good while new ones work. To ask two other hosts first (0.25 s each) and pause (0.25 s) would
