What FeedReader logs of the store is its own state; twins in two tests

Cause: when the store was lost was kept in a map behind a lock in the shared context, by kind of object, though each kind has one reader and nobody else asks; the context knew the store's errors for it alone. Lines, fields and counters of the log are as before, the assertions untouched. Ruled out: deriving it from StoreContact; a leader's answer ends its loss, and store.regained is the store's own word.

--- a/crates/hollyhook_core/tests/gateway/contact.rs
+++ b/crates/hollyhook_core/tests/gateway/contact.rs
@@ -15,10 +15,15 @@
     Duration::from_millis(millis)
 }
 
-/// A store whose last call without an answer began at `began`.
+/// A store whose only call without an answer began at `began`, just after the last answer.
 fn away_since(began: u64) -> StoreContact {
+    failed_after(began, began)
+}
+
+/// The same some time after the last answer.
+fn failed_after(heard: u64, began: u64) -> StoreContact {
     let mut contact = StoreContact::default();
-    contact.heard(at(began));
+    contact.heard(at(heard));
     contact.failed(at(began));
     contact
 }
@@ -37,9 +42,7 @@
 /// The first call that fails goes over a connection that may have been dead since the last answer, with a cut long over.
 #[test]
 fn answered_after_pause_and_hung_call() {
-    let mut contact = StoreContact::default();
-    contact.heard(at(6_800));
-    contact.failed(at(7_300));
+    let mut contact = failed_after(6_800, 7_300);
     assert_eq!(contact.answered(at(10_000), CONTACT), Some(at(7_050)));
 }
 
@@ -57,9 +60,7 @@
 /// Later ones make a connection, which shows that the host was still out of contact.
 #[test]
 fn answered_after_second_failure() {
-    let mut contact = StoreContact::default();
-    contact.heard(at(6_800));
-    contact.failed(at(7_300));
+    let mut contact = failed_after(6_800, 7_300);
     contact.failed(at(9_700));
     assert_eq!(contact.answered(at(10_000), CONTACT), Some(at(9_950)));
 }
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -1,5 +1,3 @@
-use std::collections::HashMap;
-use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -9,7 +7,6 @@
     Name, PlanAdoption, RequestKind, Result, SiteIndex, SiteLedger, SitePlan, StopPhase, StopPlan, TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService, WallClock};
-use hollyhook_platform::ObjectKind;
 use hollyhook_settings::GatewaySettings;
 use hollyhook_telemetry::MetricBoard;
 
@@ -19,7 +16,6 @@
 use super::retry_budgets::RetryBudgets;
 use crate::peer::FeedBoard;
 use crate::pool::ConnectionPool;
-use crate::store::StoreError;
 use crate::sync::lock;
 
 /// How long watches may hear nothing of changes while the store drops its history, and what the way to it and back
@@ -49,8 +45,6 @@
     site: Arc<Mutex<SiteLedger>>,
     retries: Arc<RetryBudgets>,
     has_endpoints: AtomicBool,
-    /// When the first call began that the store did not answer, by what it was for.
-    away: Mutex<HashMap<ObjectKind, TimePoint>>,
 }
 
 impl GatewayContext {
@@ -96,7 +90,6 @@
             endpoints: registry.find(EndpointDirectory::NAME)?,
             retries: registry.find(RetryBudgets::NAME)?,
             has_endpoints: AtomicBool::new(false),
-            away: Mutex::default(),
         })
     }
 
@@ -199,24 +192,6 @@
         self.has_endpoints.store(true, Ordering::Relaxed);
     }
 
-    /// Logs a change between a store that answers and one that does not, as a call shows it that began at `asked_at`.
-    pub(crate) fn note_store(&self, kind: ObjectKind, asked_at: TimePoint, error: Option<&StoreError>) {
-        let error = error.filter(|error| !matches!(error, StoreError::HistoryGone));
-        let call_ms = self.timer.now().since(asked_at).as_millis() as u64;
-        let Some(error) = error else {
-            if let Some(lost_at) = lock(&self.away).remove(&kind) {
-                let away_ms = self.timer.now().since(lost_at).as_millis() as u64;
-                tracing::info!(kind = kind.as_str(), away_ms, call_ms, "store.regained");
-            }
-            return;
-        };
-        self.board.count("store_calls_failed");
-        if let Entry::Vacant(entry) = lock(&self.away).entry(kind) {
-            entry.insert(asked_at);
-            tracing::warn!(kind = kind.as_str(), %error, call_ms, "store.lost");
-        }
-    }
-
     pub(crate) fn count_first_send(&self, service: &Name) {
         self.retries.earn(service, self.timer.now());
     }
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -28,6 +28,8 @@
     /// The revision to go on from; none if all objects have to be read first.
     revision: Option<u64>,
     contact: StoreContact,
+    /// When the first call began that the store did not answer; none while it answers.
+    lost_at: Option<TimePoint>,
     /// Whether the last news came from a host that was asked because the store gave no answer.
     is_helped: bool,
 }
@@ -35,7 +37,8 @@
 impl FeedReader {
     pub(crate) fn new(context: Arc<GatewayContext>, kind: ObjectKind, client: StoreClient, wait: Duration) -> Self {
         let peers = PeerClient::new(context.timer.as_ref().clone());
-        Self { context, kind, client, peers, wait, revision: None, contact: StoreContact::default(), is_helped: false }
+        let contact = StoreContact::default();
+        Self { context, kind, client, peers, wait, revision: None, contact, lost_at: None, is_helped: false }
     }
 
     /// Whether other hosts rely on what this one reads.
@@ -143,15 +146,43 @@
             Some(revision) => self.watch(asked_at, revision, usual_wait).await,
             None => self.list(asked_at).await,
         };
-        self.context.note_store(self.kind, asked_at, outcome.as_ref().err());
         match &mut outcome {
-            Ok(news) => news.back_at = self.contact.answered(self.context.timer.now(), self.context.contact_bound()),
-            Err(StoreError::HistoryGone) => {}
-            Err(_) => self.contact.failed(asked_at),
+            Ok(news) => {
+                self.note_regained(asked_at);
+                news.back_at = self.contact.answered(self.context.timer.now(), self.context.contact_bound());
+            }
+            Err(StoreError::HistoryGone) => self.note_regained(asked_at),
+            Err(error) => {
+                self.note_lost(asked_at, error);
+                self.contact.failed(asked_at);
+            }
         }
         outcome
     }
 
+    /// Logs that the store answers again, if it did not, as a call shows that began at `asked_at`.
+    fn note_regained(&mut self, asked_at: TimePoint) {
+        let Some(lost_at) = self.lost_at.take() else {
+            return;
+        };
+        let (away_ms, call_ms) = (self.millis_since(lost_at), self.millis_since(asked_at));
+        tracing::info!(kind = self.kind.as_str(), away_ms, call_ms, "store.regained");
+    }
+
+    /// Counts a call without an answer, and logs the first.
+    fn note_lost(&mut self, asked_at: TimePoint, error: &StoreError) {
+        self.context.board.count("store_calls_failed");
+        if self.lost_at.is_none() {
+            self.lost_at = Some(asked_at);
+            let call_ms = self.millis_since(asked_at);
+            tracing::warn!(kind = self.kind.as_str(), %error, call_ms, "store.lost");
+        }
+    }
+
+    fn millis_since(&self, at: TimePoint) -> u64 {
+        self.context.timer.now().since(at).as_millis() as u64
+    }
+
     async fn watch(
         &mut self,
         asked_at: TimePoint,
