Two hosts of a zone read the store, whatever its size; relays tell the others

Cause: one host of eight read the store for the others. Change: two leaders a zone. Where they would tell more than 24 hosts, one of nine others is a relay: it asks a leader, the others ask it. What is told says how many hosts told it on, and is told on once. An answer says how long its question was held, so that ages don't count the wait twice. A host that has just started is waited for instead of refused.

--- a/crates/hollyhook_core/src/feed/feed_log.rs
+++ b/crates/hollyhook_core/src/feed/feed_log.rs
@@ -1,5 +1,4 @@
 use std::collections::{BTreeMap, VecDeque};
-use std::time::Duration;
 
 use crate::{Name, TimePoint};
 
@@ -10,6 +9,10 @@
 /// links of the smallest hosts; whoever would need it reads the store and comes back with a later revision.
 const MOST_TOLD: usize = 1_000;
 
+/// Hosts that may have told on what a host tells on itself: a leader tells relays, and these the others. The count grows
+/// with each host, so that hosts which ask each other in a circle soon refuse, and notice that the store is away.
+const MOST_HOPS: u32 = 1;
+
 /// A change of one object.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FeedChange<T> {
@@ -32,6 +35,15 @@
     pub heard_until: TimePoint,
     /// From when on entries that lapsed while the store was away have their time to come back.
     pub back_at: Option<TimePoint>,
+    /// Hosts that told it on; zero if the store itself said it.
+    pub hops: u32,
+}
+
+impl<T> FeedNews<T> {
+    /// Whether they only say that nothing changed.
+    pub fn is_empty(&self) -> bool {
+        !self.is_whole && self.changes.is_empty()
+    }
 }
 
 /// What a host knows of one kind of object, kept to tell others of it.
@@ -41,9 +53,9 @@
 ///
 /// let at = TimePoint::from_millis(10);
 /// let object = FeedChange { name: "a".into(), object: Some(1) };
-/// let whole = FeedNews { is_whole: true, changes: vec![object], revision: 7, heard_until: at, back_at: None };
+/// let whole = FeedNews { is_whole: true, changes: vec![object], revision: 7, heard_until: at, back_at: None, hops: 0 };
 /// let mut log = FeedLog::default();
-/// log.take(&whole, true);
+/// log.take(&whole);
 /// assert_eq!(log.after(Some(7)).unwrap().changes, []);
 /// assert!(log.after(None).unwrap().is_whole);
 /// ```
@@ -56,8 +68,8 @@
     revision: u64,
     heard_until: TimePoint,
     back_at: Option<TimePoint>,
-    /// Whether the store itself said it, rather than another host.
-    is_direct: bool,
+    /// Hosts that told on what is known.
+    hops: u32,
     is_known: bool,
 }
 
@@ -70,21 +82,21 @@
             revision: 0,
             heard_until: TimePoint::ZERO,
             back_at: None,
-            is_direct: false,
+            hops: 0,
             is_known: false,
         }
     }
 }
 
 impl<T: Clone + PartialEq> FeedLog<T> {
-    /// Takes news in; `is_direct` if the store itself gave them.
-    pub fn take(&mut self, news: &FeedNews<T>, is_direct: bool) {
-        self.is_direct = is_direct;
+    /// Takes news in.
+    pub fn take(&mut self, news: &FeedNews<T>) {
+        self.hops = news.hops;
         self.heard_until = self.heard_until.max(news.heard_until);
         self.back_at = self.back_at.max(news.back_at);
         if news.is_whole && (!self.is_known || news.revision < self.revision) {
             // The first that is known, or of another store, whose revisions mean something else.
-            *self = Self { is_direct, back_at: self.back_at, heard_until: self.heard_until, ..Self::default() };
+            *self = Self { hops: news.hops, back_at: self.back_at, heard_until: self.heard_until, ..Self::default() };
             self.is_known = true;
             self.kept_from = news.revision;
             self.objects = news.changes.iter().filter_map(known_object).collect();
@@ -127,9 +139,9 @@
 
     /// What changed after a revision, or everything where that is not known.
     ///
-    /// None if this host may not tell, because another one told it, or if everything is too much.
+    /// None if this host may not tell, because too many others told it on, or if everything is too much.
     pub fn after(&self, revision: Option<u64>) -> Option<FeedNews<T>> {
-        if !self.is_known || !self.is_direct {
+        if !self.is_known || self.hops > MOST_HOPS {
             return None;
         }
         let known = revision.filter(|revision| *revision >= self.kept_from);
@@ -149,6 +161,7 @@
             revision: self.revision,
             heard_until: self.heard_until,
             back_at: self.back_at,
+            hops: self.hops,
         })
     }
 }
@@ -160,22 +173,3 @@
 fn whole_change<T: Clone>((name, object): (&Name, &T)) -> FeedChange<T> {
     FeedChange { name: Name::clone(name), object: Some(object.clone()) }
 }
-
-/// How old what a leader knows may be before a follower asks the store itself. A leader hears of the store every second
-/// at the latest; with this and its own wait of half a second a follower is within 1.8 s of any change that it could read
-/// itself, of the two seconds that sites allow.
-const MOST_AGE: Duration = Duration::from_millis(1_250);
-
-/// Whether what a leader knows is too old to rely on.
-pub fn is_stale(age: Duration) -> bool {
-    age > MOST_AGE
-}
-
-/// How old what a host knows may be that is asked because the store gives no answer. It reads the store for itself, and
-/// hears of endpoints every three seconds at the latest; whoever asks it would know nothing newer.
-const MOST_HELP_AGE: Duration = Duration::from_millis(3_500);
-
-/// Whether what a host knows is too old to help one that the store does not answer.
-pub fn is_stale_help(age: Duration) -> bool {
-    age > MOST_HELP_AGE
-}
--- a/crates/hollyhook_core/src/feed/feed_roster.rs
+++ b/crates/hollyhook_core/src/feed/feed_roster.rs
@@ -9,12 +9,15 @@
 /// Hosts of a zone from which on they share what they read. Below, as at the sites of 7 or 8 hosts, a call to the store
 /// costs little against one more thing that can fail.
 const SHARED_FROM: usize = 6;
-/// Hosts of a zone that read the store for all of it, at least. A second one goes on when the first is lost.
-const LEAST_LEADERS: usize = 2;
-/// Hosts of a zone for each leader. With two leaders for 75 hosts of a zone, before 3,000 engines, the busiest one sent
-/// 987 KB a second, nearly the whole link of the smallest hosts (10 Mbit/s), and versions came a second late.
-const HOSTS_EACH: usize = 8;
-/// Leaders that a follower asks before the store. Each may take 0.85 s to be found silent, and two seconds are allowed.
+/// Hosts of a zone that read the store for all of it, whatever its size. A second one goes on when the first is lost.
+const LEADERS: usize = 2;
+/// Hosts of a zone that leaders tell by themselves. Two that told 73 hosts of 3,000 endpoints sent 987 KB a second each,
+/// nearly the whole link of the smallest hosts (10 Mbit/s), and versions came a second late.
+const TOLD_BY_LEADERS: usize = 24;
+/// Hosts for each relay in a larger zone, itself among them. Leaders then tell two or three relays each in a zone of 50
+/// hosts, and ten in one of 200.
+const HOSTS_EACH: usize = 9;
+/// Hosts that are asked before the store. Each may take 0.85 s to be found silent; see [`FeedTiming`](super::FeedTiming).
 const MOST_ASKED: usize = 2;
 /// Hosts of the own zone, and of all others, that are asked when the store gives no answer. In a whole outage all of them
 /// answer that they know nothing new, and the next time others are asked.
@@ -38,15 +41,28 @@
 pub enum FeedPlan {
     /// From the store, and it tells others.
     Lead,
+    /// From one of these, best first, and from the store if none answers; and it tells others.
+    Relay(Vec<RosterMember>),
     /// From one of these, best first, and from the store if none answers.
     Follow(Vec<RosterMember>),
     /// From the store, for itself.
     Alone,
 }
 
+impl FeedPlan {
+    /// The hosts to learn from before the store is asked.
+    pub fn sources(&self) -> &[RosterMember] {
+        match self {
+            Self::Relay(sources) | Self::Follow(sources) => sources,
+            Self::Lead | Self::Alone => &[],
+        }
+    }
+}
+
 /// The hosts of a zone, and which of them read the store for the others.
 ///
-/// The order is the same on every host that knows the same members (rendezvous by their names), so nobody is elected: a
+/// The first in an order read it, in larger zones the next are relays, and the others follow these. So a zone costs the store
+/// the same whatever its size, and no host tells more than a dozen or two. The order is the same on every host that knows the same members (rendezvous by their names), so nobody is elected: a
 /// host whose view differs reads the store although it need not, or asks one that refuses and goes on to the next.
 #[derive(Debug)]
 pub struct FeedRoster {
@@ -101,15 +117,33 @@
             return FeedPlan::Alone;
         }
         let usable = self.members.iter().filter(|member| !self.is_passed_over(now, &member.host));
-        let number = LEAST_LEADERS.max(self.members.len() / HOSTS_EACH);
-        let leaders: Vec<&RosterMember> = usable.take(number).collect();
-        if leaders.iter().any(|leader| leader.host == self.host) {
-            return FeedPlan::Lead;
+        let usable: Vec<&RosterMember> = usable.collect();
+        let (leaders, others) = usable.split_at(LEADERS.min(usable.len()));
+        let (relays, _) = others.split_at(self.relay_count().min(others.len()));
+        if self.is_among(leaders) {
+            FeedPlan::Lead
+        } else if self.is_among(relays) {
+            FeedPlan::Relay(self.sources_of(leaders))
+        } else {
+            FeedPlan::Follow(self.sources_of(if relays.is_empty() { leaders } else { relays }))
         }
-        let mut leaders: Vec<RosterMember> = leaders.into_iter().cloned().collect();
-        // Followers part evenly between the leaders.
-        leaders.sort_by_cached_key(|leader| Reverse(weight(self.host.as_bytes(), &leader.host)));
-        leaders.truncate(MOST_ASKED);
-        FeedPlan::Follow(leaders)
+    }
+
+    /// Relays of the zone; none where leaders can tell everyone.
+    fn relay_count(&self) -> usize {
+        let told = self.members.len().saturating_sub(LEADERS);
+        if told <= TOLD_BY_LEADERS { 0 } else { told.div_ceil(HOSTS_EACH) }
+    }
+
+    fn is_among(&self, members: &[&RosterMember]) -> bool {
+        members.iter().any(|member| member.host == self.host)
+    }
+
+    /// Whom this host asks of those; all hosts together part evenly between them.
+    fn sources_of(&self, members: &[&RosterMember]) -> Vec<RosterMember> {
+        let mut sources: Vec<RosterMember> = members.iter().copied().cloned().collect();
+        sources.sort_by_cached_key(|source| Reverse(weight(self.host.as_bytes(), &source.host)));
+        sources.truncate(MOST_ASKED);
+        sources
     }
 }
--- a/crates/hollyhook_core/tests/gateway/feeding.rs
+++ b/crates/hollyhook_core/tests/gateway/feeding.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hollyhook_core::{FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, Name, RosterMember, TimePoint, is_stale};
+use hollyhook_core::{FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, FeedTiming, Name, RosterMember, TimePoint};
 
 const NOW: TimePoint = TimePoint::from_millis(10_000);
 
@@ -20,14 +20,14 @@
 }
 
 fn news(is_whole: bool, revision: u64, changes: &[FeedChange<u32>]) -> FeedNews<u32> {
-    FeedNews { is_whole, changes: changes.to_vec(), revision, heard_until: NOW, back_at: None }
+    FeedNews { is_whole, changes: changes.to_vec(), revision, heard_until: NOW, back_at: None, hops: 0 }
 }
 
 /// A log that has everything at revision 10 and one change at 12.
 fn log() -> FeedLog<u32> {
     let mut log = FeedLog::default();
-    log.take(&news(true, 10, &[set("a", 1), set("b", 1)]), true);
-    log.take(&news(false, 12, &[set("a", 2), gone("b")]), true);
+    log.take(&news(true, 10, &[set("a", 1), set("b", 1)]));
+    log.take(&news(false, 12, &[set("a", 2), gone("b")]));
     log
 }
 
@@ -52,7 +52,7 @@
 fn after_forgotten_changes() {
     let mut log = log();
     for number in 0..3_000 {
-        log.take(&news(false, 20 + number, &[set("a", number as u32)]), true);
+        log.take(&news(false, 20 + number, &[set("a", number as u32)]));
     }
     assert!(log.after(Some(12)).unwrap().is_whole);
     assert_eq!(log.after(Some(3_018)).unwrap().changes, [set("a", 2_999)]);
@@ -62,9 +62,9 @@
 #[test]
 fn after_another_list() {
     let mut log = log();
-    log.take(&news(true, 30, &[set("a", 2), set("c", 3)]), true);
+    log.take(&news(true, 30, &[set("a", 2), set("c", 3)]));
     assert_eq!(log.after(Some(12)), Some(news(false, 30, &[set("c", 3)])));
-    log.take(&news(true, 40, &[set("c", 3)]), true);
+    log.take(&news(true, 40, &[set("c", 3)]));
     assert_eq!(log.after(Some(30)), Some(news(false, 40, &[gone("a")])));
 }
 
@@ -72,7 +72,7 @@
 #[test]
 fn after_another_store() {
     let mut log = log();
-    log.take(&news(true, 5, &[set("z", 1)]), true);
+    log.take(&news(true, 5, &[set("z", 1)]));
     assert_eq!(log.after(Some(3)), Some(news(true, 5, &[set("z", 1)])));
     assert_eq!(log.after(Some(5)), Some(news(false, 5, &[])));
 }
@@ -81,26 +81,110 @@
 fn after_more_than_can_be_told() {
     let objects: Vec<FeedChange<u32>> = (0..3_000).map(|number| set(&number.to_string(), number)).collect();
     let mut log = FeedLog::default();
-    log.take(&news(true, 10, &objects), true);
+    log.take(&news(true, 10, &objects));
     assert_eq!(log.after(None), None);
     assert_eq!(log.after(Some(10)), Some(news(false, 10, &[])));
 }
 
-/// What was heard from another host is not told on: two that follow each other would never notice that the store is away.
+fn told(hops: u32, news: FeedNews<u32>) -> FeedNews<u32> {
+    FeedNews { hops, ..news }
+}
+
+/// What was heard from another host is told on once: hosts that follow each other in a circle would never notice that the
+/// store is away.
 #[test]
 fn after_hearsay() {
     let mut log = log();
-    log.take(&news(false, 13, &[set("c", 1)]), false);
+    let change = news(false, 13, &[set("c", 1)]);
+    log.take(&told(2, change.clone()));
     assert_eq!(log.after(Some(12)), None);
-    log.take(&news(false, 13, &[]), true);
-    assert_eq!(log.after(Some(12)), Some(news(false, 13, &[set("c", 1)])));
+    log.take(&told(u32::MAX, news(false, 13, &[])));
+    assert_eq!(log.after(Some(12)), None, "who was helped tells nobody");
+    log.take(&told(1, news(false, 13, &[])));
+    assert_eq!(log.after(Some(12)), Some(told(1, change.clone())));
+    log.take(&news(false, 13, &[]));
+    assert_eq!(log.after(Some(12)), Some(change));
     assert_eq!(FeedLog::<u32>::default().after(None), None);
 }
 
+/// Hosts that ask only each other, in a circle, never make what they know look newer: it becomes too old for all of them.
+#[test]
+fn after_a_circle() {
+    let mut logs = [log(), log(), log()];
+    for turn in 0..9 {
+        if let Some(heard) = logs[turn % 3].after(Some(12)) {
+            logs[(turn + 1) % 3].take(&told(heard.hops + 1, heard));
+        }
+    }
+    assert!(logs.iter().filter_map(|log| log.after(Some(12))).all(|heard| heard.heard_until == NOW));
+}
+
+/// The bounds of sites: the smallest for which hosts share what they read, and those of larger ones.
+const BOUNDS: [u64; 3] = [2_000, 3_000, 4_000];
+
+fn timings() -> impl Iterator<Item = (Duration, FeedTiming)> {
+    BOUNDS.into_iter().map(Duration::from_millis).map(|bound| (bound, FeedTiming::new(bound)))
+}
+
+/// What leaders and relays know while nothing fails is never too old: a leader's watch and its pause for gathering, and one
+/// wait more for each host that tells it on.
+#[test]
+fn is_stale_not_while_all_is_well() {
+    for (_, timing) in timings() {
+        let known = timing.leader_wait() + timing.leader_gather();
+        for hops in 0..2 {
+            assert!(!timing.is_stale(known + timing.peer_wait() * hops, hops));
+        }
+    }
+}
+
 #[test]
 fn is_stale_after_a_missed_watch() {
-    assert!(!is_stale(Duration::from_millis(1_100)));
-    assert!(is_stale(Duration::from_millis(1_500)));
+    for (_, timing) in timings() {
+        let known = timing.leader_wait() + timing.leader_gather() + timing.leader_wait();
+        assert!(timing.is_stale(known, 0));
+        assert!(timing.is_stale(known + timing.peer_wait() * 2, 1));
+    }
+}
+
+/// The age from which on what a host knows is too old, in milliseconds.
+fn most_age(timing: FeedTiming, hops: u32) -> Duration {
+    let ages = (0..10_000).map(Duration::from_millis);
+    ages.take_while(|age| !timing.is_stale(*age, hops)).last().unwrap()
+}
+
+/// A leader loses the store just before a change, and the second one is silent: who asked the first reads the store itself
+/// and has sent its last request to what left before the bound.
+#[test]
+fn most_age_within_bound() {
+    let read_and_send = Duration::from_millis(50 + 250);
+    for (bound, timing) in timings().skip(1) {
+        let silent = timing.peer_limit(timing.peer_wait());
+        let known = most_age(timing, 0) + timing.peer_wait() + silent;
+        assert!(known + read_and_send <= bound, "{known:?} of {bound:?}");
+    }
+}
+
+/// At the shortest bound there is time for one lost leader, not for a second that is silent.
+#[test]
+fn most_age_within_shortest_bound() {
+    let (bound, timing) = timings().next().unwrap();
+    assert!(most_age(timing, 0) + timing.peer_wait() <= bound);
+}
+
+/// Keys that may outlive their end by five seconds are honoured for 3.75 s without word of them: callers of hosts at the
+/// end of the chain are not refused while all is well.
+#[test]
+fn known_age_within_key_bound() {
+    for (_, timing) in timings() {
+        let known = timing.leader_wait() + timing.leader_gather() + timing.peer_wait() * 2;
+        assert!(known + timing.peer_wait() < Duration::from_millis(3_750));
+    }
+}
+
+#[test]
+fn is_stale_of_absurd_age() {
+    assert!(FeedTiming::new(Duration::from_secs(4)).is_stale(Duration::MAX, 1));
 }
 
 fn member(number: u16, zone: &str) -> RosterMember {
@@ -136,18 +220,60 @@
     assert_eq!(roster(50, 20).plan(NOW), FeedPlan::Alone, "the own entry is not there yet");
 }
 
-/// All hosts agree on who leads; store calls grow far slower than hosts, and no leader tells more than a dozen or two.
+/// All hosts agree on who leads and who tells on; a zone of any size has two that read the store, and nobody tells more than
+/// a dozen or two.
 #[test]
-fn plan_leaders_by_size() {
-    for (hosts, leaders) in [(6, 2), (22, 2), (75, 9), (143, 17)] {
+fn plan_by_size() {
+    for (hosts, relays) in [(6, 0), (22, 0), (26, 0), (27, 3), (49, 6), (75, 9), (143, 16), (200, 22)] {
         let rosters: Vec<FeedRoster> = (0..hosts).map(|host| roster(host, hosts)).collect();
-        assert_eq!(rosters.iter().filter(|roster| leads(roster, NOW)).count(), leaders);
-        let followers = rosters.iter().filter(|roster| !leads(roster, NOW));
-        let mut first: Vec<Name> = followers.map(|roster| followed(roster, NOW).remove(0)).collect();
+        let plans: Vec<FeedPlan> = rosters.iter().map(|roster| roster.plan(NOW)).collect();
+        assert_eq!(plans.iter().filter(|plan| **plan == FeedPlan::Lead).count(), 2, "{hosts} hosts");
+        assert_eq!(plans.iter().filter(|plan| matches!(plan, FeedPlan::Relay(_))).count(), relays, "{hosts} hosts");
+        let mut first: Vec<&Name> =
+            plans.iter().filter_map(|plan| plan.sources().first()).map(|source| &source.host).collect();
         first.sort();
-        let most = first.chunk_by(|a, b| a == b).map(<[Name]>::len).max().unwrap();
-        assert!(most <= 24, "{most} of {hosts} follow one leader");
+        let most = first.chunk_by(|a, b| a == b).map(<[&Name]>::len).max().unwrap();
+        assert!(most <= 24, "{most} of {hosts} ask one host");
+    }
+}
+
+/// In a large zone relays ask leaders and the others ask relays; nobody asks itself.
+#[test]
+fn plan_in_two_levels() {
+    let rosters: Vec<FeedRoster> = (0..49).map(|host| roster(host, 49)).collect();
+    let plan_of = |name: &Name| {
+        let host = (0..49).find(|host| member(*host, "z0").host == *name).unwrap();
+        rosters[usize::from(host)].plan(NOW)
+    };
+    for roster in &rosters {
+        match roster.plan(NOW) {
+            FeedPlan::Lead => {}
+            FeedPlan::Relay(sources) => {
+                assert_eq!(sources.len(), 2);
+                assert!(sources.iter().all(|source| plan_of(&source.host) == FeedPlan::Lead));
+            }
+            FeedPlan::Follow(sources) => {
+                assert_eq!(sources.len(), 2);
+                assert!(sources.iter().all(|source| matches!(plan_of(&source.host), FeedPlan::Relay(_))));
+            }
+            FeedPlan::Alone => panic!("all are known"),
+        }
+    }
+}
+
+/// Where both leaders are lost, relays take their place.
+#[test]
+fn plan_of_relays_without_leaders() {
+    let mut rosters: Vec<FeedRoster> = (0..49).map(|host| roster(host, 49)).collect();
+    let leaders: Vec<Name> =
+        (0..49).filter(|host| leads(&rosters[usize::from(*host)], NOW)).map(|host| member(host, "z0").host).collect();
+    for roster in &mut rosters {
+        for leader in &leaders {
+            roster.pass_over(NOW, leader);
+        }
     }
+    let reading = rosters.iter().filter(|roster| leads(roster, after(1_000)));
+    assert_eq!(reading.count(), 2);
 }
 
 #[test]
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    Name, PlanAdoption, RequestKind, Result, SiteIndex, SiteLedger, SitePlan, StopPhase, StopPlan, TimePoint, ZoneName,
+    FeedTiming, Name, PlanAdoption, RequestKind, Result, SiteIndex, SiteLedger, SitePlan, StopPhase, StopPlan,
+    TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService, WallClock};
 use hollyhook_settings::GatewaySettings;
@@ -113,6 +114,12 @@
         lock(&self.live).bounds.contact
     }
 
+    /// How hosts wait for each other and for the store.
+    pub(crate) fn feed_timing(&self) -> FeedTiming {
+        let bounds = &lock(&self.live).bounds;
+        FeedTiming::new(bounds.drain.min(bounds.config))
+    }
+
     /// Where the platform's store is.
     pub(crate) fn store_address(&self) -> SocketAddr {
         lock(&self.live).store
--- a/crates/hollyhook_gateway/src/peer/feed_board.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_board.rs
@@ -44,10 +44,10 @@
         lock(&self.roster).pass_over(now, host);
     }
 
-    /// Takes news in; `is_direct` if the store itself gave them.
-    pub(crate) fn take(&self, kind: ObjectKind, news: &FeedNews<StoreObject>, is_direct: bool) {
-        lock(&self.logs).entry(kind).or_default().take(news, is_direct);
-        if news.changes.is_empty() && !news.is_whole {
+    /// Takes news in.
+    pub(crate) fn take(&self, kind: ObjectKind, news: &FeedNews<StoreObject>) {
+        lock(&self.logs).entry(kind).or_default().take(news);
+        if news.is_empty() {
             return;
         }
         for waiter in lock(&self.waiters).drain(..) {
@@ -61,6 +61,11 @@
         lock(&self.logs).get(&kind)?.after(revision)
     }
 
+    /// Whether this host has heard of any objects of that kind.
+    pub(crate) fn has_heard(&self, kind: ObjectKind) -> bool {
+        lock(&self.logs).contains_key(&kind)
+    }
+
     /// Completes when news of any kind are there.
     pub(crate) fn news(&self) -> oneshot::Receiver<()> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/hollyhook_gateway/src/peer/feed_message.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_message.rs
@@ -47,6 +47,12 @@
     pub(super) age_ms: u64,
     /// How long ago the store came back after it was away, in milliseconds.
     back_ms_ago: Option<u64>,
+    /// Hosts that told it to the one that answers.
+    #[serde(default)]
+    pub(super) hops: u32,
+    /// How long the question was held before this was said, in milliseconds.
+    #[serde(default)]
+    held_ms: u64,
     changes: Vec<MessageChange>,
 }
 
@@ -65,28 +71,34 @@
 }
 
 impl FeedMessage {
-    /// The message for news, told at `now`.
-    pub(super) fn new(news: FeedNews<StoreObject>, now: TimePoint) -> Self {
+    /// The message for news, told at `now` in answer to a question that came at `asked_at`.
+    pub(super) fn new(news: FeedNews<StoreObject>, asked_at: TimePoint, now: TimePoint) -> Self {
         Self {
             is_whole: news.is_whole,
             revision: news.revision,
             age_ms: now.since(news.heard_until).as_millis() as u64,
             back_ms_ago: news.back_at.map(|at| now.since(at).as_millis() as u64),
+            hops: news.hops,
+            held_ms: now.since(asked_at).as_millis() as u64,
             changes: news.changes.into_iter().map(MessageChange::from).collect(),
         }
     }
 
     /// The news, for a question asked at `asked_at`.
     ///
-    /// When the leader answered is not known here. The ages count from the question, so that a delayed answer never makes
-    /// anything look newer than it is.
+    /// When the answer was given is not known here, only that it was no sooner than the question and the time for which it
+    /// was held. The ages count from then, so that a delayed answer never makes anything look newer than it is.
+    /// Counted from the question alone, what passed through two hosts looked 1.2 s older than it was, and in an outage of the
+    /// store keys were refused that much sooner.
     pub(super) fn into_news(self, asked_at: TimePoint) -> FeedNews<StoreObject> {
+        let answered_at = asked_at + Duration::from_millis(self.held_ms);
         FeedNews {
             is_whole: self.is_whole,
             changes: self.changes.into_iter().map(FeedChange::from).collect(),
             revision: self.revision,
-            heard_until: before(asked_at, self.age_ms),
-            back_at: self.back_ms_ago.map(|ms| before(asked_at, ms)),
+            heard_until: before(answered_at, self.age_ms),
+            back_at: self.back_ms_ago.map(|ms| before(answered_at, ms)),
+            hops: self.hops.saturating_add(1),
         }
     }
 }
--- a/crates/hollyhook_gateway/src/peer/feed_server.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_server.rs
@@ -46,10 +46,11 @@
     let Some(query) = FeedQuery::from_path(request.uri().path(), request.uri().query()) else {
         return empty(StatusCode::NOT_FOUND);
     };
+    let asked_at = context.timer.now();
     let Some(news) = wait_for_news(context, &query).await else {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     };
-    let message = FeedMessage::new(news, context.timer.now());
+    let message = FeedMessage::new(news, asked_at, context.timer.now());
     match serde_json::to_vec(&message) {
         Ok(body) => Response::new(Full::from(body)),
         Err(error) => {
@@ -59,16 +60,18 @@
     }
 }
 
-/// The news after the follower's revision; none if this host may not tell.
+/// The news after the follower's revision; none if this host may not tell, or has heard nothing itself within the wait.
 async fn wait_for_news(context: &GatewayContext, query: &FeedQuery) -> Option<FeedNews<StoreObject>> {
     let until = context.timer.now() + query.wait.min(MOST_WAIT);
     loop {
         // Waited for before looking, so that what comes in between is not missed.
         let signal = context.feed.news();
-        let news = context.feed.after(query.kind, query.after)?;
+        let news = context.feed.after(query.kind, query.after);
         let time_left = until.since(context.timer.now());
-        if news.is_whole || !news.changes.is_empty() || time_left.is_zero() {
-            return Some(news);
+        // After a loss of all hosts those that are asked start at the same moment as those that ask.
+        let is_awaited = news.as_ref().map_or(!context.feed.has_heard(query.kind), FeedNews::is_empty);
+        if !is_awaited || time_left.is_zero() {
+            return news;
         }
         let _signal = context.timer.within(time_left, signal).await;
     }
--- a/crates/hollyhook_gateway/src/peer/peer_client.rs
+++ b/crates/hollyhook_gateway/src/peer/peer_client.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use hollyhook_core::{FeedNews, RosterMember, TimePoint, is_stale, is_stale_help};
+use hollyhook_core::{FeedNews, FeedTiming, RosterMember, TimePoint, is_stale_help};
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::{ObjectKind, StoreObject};
 use http::{Method, StatusCode};
@@ -8,37 +8,46 @@
 use super::feed_message::{FeedMessage, FeedQuery};
 use crate::net::{KeptLine, LineFault, line_request};
 
-/// How long a leader waits for news before it answers that there are none. With the age that news may have, a follower
-/// stays within 1.9 s of the store.
-const WAIT: Duration = Duration::from_millis(600);
-/// How much longer an answer may take: hosts of a zone are a millisecond apart, with a quarter of a core each.
-const SLACK: Duration = Duration::from_millis(250);
-
 /// Why another host is asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PeerRole {
-    /// It reads the store for the zone: it waits for changes if there are none.
+    /// It reads the store for the zone, and this one tells others: it waits for changes if there are none.
     Leader,
+    /// It tells this one what the store holds: it waits for changes if there are none.
+    Source,
     /// It reads the store for itself, which gives this host no answer: it answers at once.
     Helper,
 }
 
 impl PeerRole {
-    fn wait(self) -> Duration {
+    fn wait(self, timing: FeedTiming) -> Duration {
         match self {
-            Self::Leader => WAIT,
+            Self::Leader => timing.relay_wait(),
+            Self::Source => timing.peer_wait(),
             Self::Helper => Duration::ZERO,
         }
     }
 
-    fn is_too_old(self, age: Duration) -> bool {
+    fn is_too_old(self, timing: FeedTiming, message: &FeedMessage) -> bool {
+        let age = Duration::from_millis(message.age_ms);
         match self {
-            Self::Leader => is_stale(age),
+            Self::Leader | Self::Source => timing.is_stale(age, message.hops),
             Self::Helper => is_stale_help(age),
         }
     }
 }
 
+/// A question to another host.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PeerQuestion {
+    pub(crate) role: PeerRole,
+    pub(crate) kind: ObjectKind,
+    /// The revision after which changes are asked for; none asks for everything.
+    pub(crate) after: Option<u64>,
+    pub(crate) timing: FeedTiming,
+    pub(crate) asked_at: TimePoint,
+}
+
 /// Asks other hosts over one kept connection.
 #[derive(Debug)]
 pub(crate) struct PeerClient {
@@ -57,21 +66,19 @@
     /// What is wrong, if it does not answer, may not tell, or knows only what is too old.
     pub(crate) async fn ask(
         &mut self,
-        role: PeerRole,
         host: &RosterMember,
-        kind: ObjectKind,
-        after: Option<u64>,
-        asked_at: TimePoint,
+        question: PeerQuestion,
     ) -> Result<FeedNews<StoreObject>, LineFault> {
-        let query = FeedQuery { kind, after, wait: role.wait() };
+        let PeerQuestion { role, kind, after, timing, asked_at } = question;
+        let query = FeedQuery { kind, after, wait: role.wait(timing) };
         let request = line_request(Method::GET, host.address, &query.to_path(), "")?;
-        let (status, body) = self.line.call(host.address, request, query.wait + SLACK).await?;
+        let (status, body) = self.line.call(host.address, request, timing.peer_limit(query.wait)).await?;
         if status != StatusCode::OK {
             return Err(LineFault("it does not read the store"));
         }
         let message: FeedMessage =
             serde_json::from_slice(&body).map_err(|_error| LineFault("it can't be understood"))?;
-        if role.is_too_old(Duration::from_millis(message.age_ms)) {
+        if role.is_too_old(timing, &message) {
             return Err(LineFault("what it knows is too old"));
         }
         Ok(message.into_news(asked_at))
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use hollyhook_core::{EndpointMembership, FeedNews, Name, TimePoint};
+use hollyhook_core::{EndpointMembership, FeedNews, FeedPlan, Name, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
 use super::{FeedReader, StoreClient, StoreError};
@@ -19,8 +19,6 @@
 const GATHER_EACH: Duration = Duration::from_millis(10);
 /// The least of that pause.
 const LEAST_GATHER: Duration = Duration::from_millis(400);
-/// That pause at a host that reads for others: few do, and the others wait for it.
-const LEADER_GATHER: Duration = Duration::from_millis(350);
 /// The most of that pause, as a part of the time within which a leaving endpoint has to be known.
 const MOST_GATHER: f64 = 0.4;
 
@@ -54,8 +52,11 @@
     }
 
     fn gather_pause(&self) -> Duration {
-        if self.reader.is_leading() {
-            return LEADER_GATHER;
+        match self.reader.plan() {
+            FeedPlan::Lead => return self.context.feed_timing().leader_gather(),
+            // A leader has gathered already, and others wait for what is told on.
+            FeedPlan::Relay(_) => return Duration::ZERO,
+            FeedPlan::Follow(_) | FeedPlan::Alone => {}
         }
         let most = self.context.drain_bound().mul_f64(MOST_GATHER);
         let each = GATHER_EACH * self.context.endpoints.table().iter().count() as u32;
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -7,11 +7,11 @@
 use super::{StoreClient, StoreError};
 use crate::gateway::GatewayContext;
 use crate::net::LineFault;
-use crate::peer::{PeerClient, PeerRole};
+use crate::peer::{PeerClient, PeerQuestion, PeerRole};
 
-/// How long one watch waits at a host that reads for others: they take what it knows for old after 1.25 s, of which it
-/// spends up to 0.4 s on gathering changes.
-const LEADER_WAIT: Duration = Duration::from_millis(700);
+/// The least that a watch waits at a host that reads for others, also where what it knows has grown old: a call that
+/// returns at once is charged and seldom brings anything.
+const LEAST_WAIT: Duration = Duration::from_millis(200);
 
 /// The pause after another host helped out; each try of the store in between is charged, and what is learnt so is that old.
 const HELP_PAUSE: Duration = Duration::from_millis(500);
@@ -27,6 +27,8 @@
     wait: Duration,
     /// The revision to go on from; none if all objects have to be read first.
     revision: Option<u64>,
+    /// Until when the last news were certain.
+    heard_until: TimePoint,
     contact: StoreContact,
     /// When the first call began that the store did not answer; none while it answers.
     lost_at: Option<TimePoint>,
@@ -37,13 +39,23 @@
 impl FeedReader {
     pub(crate) fn new(context: Arc<GatewayContext>, kind: ObjectKind, client: StoreClient, wait: Duration) -> Self {
         let peers = PeerClient::new(context.timer.as_ref().clone());
-        let contact = StoreContact::default();
-        Self { context, kind, client, peers, wait, revision: None, contact, lost_at: None, is_helped: false }
+        Self {
+            context,
+            kind,
+            client,
+            peers,
+            wait,
+            revision: None,
+            heard_until: TimePoint::ZERO,
+            contact: StoreContact::default(),
+            lost_at: None,
+            is_helped: false,
+        }
     }
 
-    /// Whether other hosts rely on what this one reads.
-    pub(crate) fn is_leading(&self) -> bool {
-        self.context.feed.plan(self.context.timer.now()) == FeedPlan::Lead
+    /// From whom this host learns now.
+    pub(crate) fn plan(&self) -> FeedPlan {
+        self.context.feed.plan(self.context.timer.now())
     }
 
     /// The next news; waits a while for some.
@@ -55,26 +67,27 @@
         if std::mem::take(&mut self.is_helped) {
             self.context.timer.wait(HELP_PAUSE).await;
         }
-        let plan = self.context.feed.plan(self.context.timer.now());
-        if let FeedPlan::Follow(leaders) = &plan
-            && let Some(news) = self.ask_hosts(PeerRole::Leader, leaders).await
-        {
+        let plan = self.plan();
+        let role = if matches!(plan, FeedPlan::Relay(_)) { PeerRole::Leader } else { PeerRole::Source };
+        if let Some(news) = self.ask_hosts(role, plan.sources()).await {
             self.contact.heard(self.context.timer.now());
-            self.take(&news, false);
+            self.take(&news);
             return Ok(news);
         }
-        let wait = if plan == FeedPlan::Lead { LEADER_WAIT } else { self.wait };
+        let wait = if plan == FeedPlan::Lead { self.leader_wait() } else { self.wait };
         match self.ask_store(wait).await {
             Ok(news) => {
-                self.take(&news, true);
+                self.take(&news);
                 Ok(news)
             }
             Err(error) => {
                 let is_away = !matches!(error, StoreError::HistoryGone);
-                if is_away && let Some(news) = self.ask_hosts(PeerRole::Helper, &self.helpers()).await {
+                if is_away && let Some(mut news) = self.ask_hosts(PeerRole::Helper, &self.helpers()).await {
                     self.context.board.count("helped_by_hosts");
                     self.is_helped = true;
-                    self.take(&news, false);
+                    // Who was helped tells nobody: what it knows may be older than others would wait for.
+                    news.hops = u32::MAX;
+                    self.take(&news);
                     return Ok(news);
                 }
                 self.revision = None;
@@ -93,16 +106,29 @@
         self.context.timer.wait(self.contact.pause(self.context.timer.now())).await;
     }
 
-    fn take(&mut self, news: &FeedNews<StoreObject>, is_direct: bool) {
+    /// How long a watch waits for others: what they are told ages meanwhile, from when the last answer was certain.
+    fn leader_wait(&self) -> Duration {
+        let age = self.context.timer.now().since(self.heard_until);
+        self.context.feed_timing().leader_wait().saturating_sub(age).max(LEAST_WAIT)
+    }
+
+    fn take(&mut self, news: &FeedNews<StoreObject>) {
         self.revision = self.revision.max(Some(news.revision));
-        self.context.feed.take(self.kind, news, is_direct);
+        self.heard_until = news.heard_until;
+        self.context.feed.take(self.kind, news);
     }
 
     /// What the first of these hosts knows that is of use; the others are passed over for a while.
     async fn ask_hosts(&mut self, role: PeerRole, hosts: &[RosterMember]) -> Option<FeedNews<StoreObject>> {
         for host in hosts {
-            let asked_at = self.context.timer.now();
-            match self.peers.ask(role, host, self.kind, self.revision, asked_at).await {
+            let question = PeerQuestion {
+                role,
+                kind: self.kind,
+                after: self.revision,
+                timing: self.context.feed_timing(),
+                asked_at: self.context.timer.now(),
+            };
+            match self.peers.ask(host, question).await {
                 Ok(news) => return Some(news),
                 Err(fault) => self.pass_over(role, host, fault),
             }
@@ -112,7 +138,7 @@
 
     fn pass_over(&self, role: PeerRole, host: &RosterMember, fault: LineFault) {
         match role {
-            PeerRole::Leader => {
+            PeerRole::Leader | PeerRole::Source => {
                 tracing::info!(leader = %host.host, kind = self.kind.as_str(), reason = fault.0, "leader.passed_over");
                 self.context.board.count("leaders_passed_over");
             }
@@ -197,7 +223,7 @@
         let waited_until = (asked_at + wait).min(self.context.timer.now());
         let heard_until = if is_quiet { waited_until } else { asked_at };
         let changes = changes.into_iter().map(|known| change(self.kind, known)).collect();
-        Ok(FeedNews { is_whole: false, changes, revision, heard_until, back_at: None })
+        Ok(FeedNews { is_whole: false, changes, revision, heard_until, back_at: None, hops: 0 })
     }
 
     async fn list(&mut self, asked_at: TimePoint) -> Result<FeedNews<StoreObject>, StoreError> {
@@ -206,7 +232,7 @@
         let changes = present
             .map(|object| FeedChange { name: Name::clone(&object.name), object: Some(strip(self.kind, object)) });
         let changes = changes.collect();
-        Ok(FeedNews { is_whole: true, changes, revision, heard_until: asked_at, back_at: None })
+        Ok(FeedNews { is_whole: true, changes, revision, heard_until: asked_at, back_at: None, hops: 0 })
     }
 }
 
--- a/crates/hollyhook_settings/src/gateway/gateway_bounds.rs
+++ b/crates/hollyhook_settings/src/gateway/gateway_bounds.rs
@@ -13,6 +13,8 @@
     pub revoke: Duration,
     /// How long after an endpoint said that it leaves it may still get new work.
     pub drain: Duration,
+    /// How long after a version of the configuration was accepted requests may still be handled by the one before.
+    pub config: Duration,
     /// How long after its way to the store is whole again a host has to act on all that the store acknowledged before.
     pub contact: Duration,
     /// How long after SIGTERM the process may live.
@@ -38,6 +40,7 @@
         Self {
             revoke: Duration::from_secs(5),
             drain: Duration::from_secs(2),
+            config: Duration::from_secs(2),
             contact: Duration::from_secs(3),
             grace: Duration::from_secs(8),
             retry: RetryBounds { ratio: 0.2, window: Duration::from_secs(10), extra: 20 },
@@ -51,6 +54,7 @@
         Self {
             revoke: reader.default("revoke", default.revoke, value::span(MILLISECOND, HOUR)),
             drain: reader.default("drain", default.drain, value::span(MILLISECOND, HOUR)),
+            config: reader.default("config", default.config, value::span(MILLISECOND, HOUR)),
             contact: reader.default("contact", default.contact, value::span(MILLISECOND, HOUR)),
             grace: reader.default("grace", default.grace, value::span(MILLISECOND, HOUR)),
             retry: RetryBounds {
