In an outage nobody takes itself for a leader

Cause: a host passes over for 8 s who knows nothing new. Change: hosts are passed over for a reason. Once the store gives this host no answer either, those that knew nothing new are asked again, only not for help. Hosts that others tell ask the store each quarter of the contact bound while it is away; leaders as often as before. Tests: plan_kept_in_an_outage, helpers_without_the_outdated, calls_in_an_outage, pause_of_told_within_contact.

--- a/crates/hollyhook_core/src/feed/feed_roster.rs
+++ b/crates/hollyhook_core/src/feed/feed_roster.rs
@@ -25,6 +25,15 @@
 /// How long a host that did not answer is passed over; it may be cut off, stopped or gone for good.
 const PASSED_OVER: Duration = Duration::from_secs(8);
 
+/// Why a host is passed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PassReason {
+    /// It gave no answer that can be used.
+    Lost,
+    /// It says that it knows nothing new, or may not tell.
+    Outdated,
+}
+
 /// A host that may be asked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RosterMember {
@@ -71,13 +80,29 @@
     members: Vec<RosterMember>,
     /// The hosts of other zones.
     others: Vec<RosterMember>,
-    passed_over: BTreeMap<Name, TimePoint>,
+    passed_over: BTreeMap<Name, PassedOver>,
+    /// Until when hosts are not asked for help that knew nothing newer than this one.
+    unhelpful: BTreeMap<Name, TimePoint>,
+}
+
+/// Until when, and why, a host is passed over.
+#[derive(Debug, Clone, Copy)]
+struct PassedOver {
+    until: TimePoint,
+    reason: PassReason,
 }
 
 impl FeedRoster {
     /// A roster for a host that knows no other yet.
     pub fn new(host: Name, zone: ZoneName) -> Self {
-        Self { host, zone, members: Vec::new(), others: Vec::new(), passed_over: BTreeMap::new() }
+        Self {
+            host,
+            zone,
+            members: Vec::new(),
+            others: Vec::new(),
+            passed_over: BTreeMap::new(),
+            unhelpful: BTreeMap::new(),
+        }
     }
 
     /// Takes in all hosts that are registered.
@@ -95,19 +120,41 @@
     /// Answers a store that turns some hosts away and serves the others: those would have to refuse their callers as soon
     /// as they can't be certain of keys any more.
     pub fn helpers(&self, now: TimePoint) -> Vec<RosterMember> {
-        let is_usable = |member: &&RosterMember| member.host != self.host && !self.is_passed_over(now, &member.host);
+        let is_helpful = |member: &RosterMember| self.unhelpful.get(&member.host).is_none_or(|until| now >= *until);
+        let is_usable = |member: &&RosterMember| {
+            member.host != self.host && !self.is_passed_over(now, &member.host) && is_helpful(member)
+        };
         let near = self.members.iter().filter(is_usable).take(HELPERS_EACH);
         let far = self.others.iter().filter(is_usable).take(HELPERS_EACH);
         near.chain(far).cloned().collect()
     }
 
     fn is_passed_over(&self, now: TimePoint, host: &Name) -> bool {
-        self.passed_over.get(host).is_some_and(|until| now < *until)
+        self.passed_over.get(host).is_some_and(|passed| now < passed.until)
     }
 
-    /// Notes that a host did not answer, or not well.
-    pub fn pass_over(&mut self, now: TimePoint, host: &Name) {
-        self.passed_over.insert(Name::clone(host), now + PASSED_OVER);
+    /// Notes that a host to learn from was of no use.
+    pub fn pass_over(&mut self, now: TimePoint, host: &Name, reason: PassReason) {
+        self.passed_over.insert(Name::clone(host), PassedOver { until: now + PASSED_OVER, reason });
+    }
+
+    /// Notes that a host was of no use that was asked for help.
+    pub fn pass_over_helper(&mut self, now: TimePoint, host: &Name, reason: PassReason) {
+        match reason {
+            PassReason::Lost => self.pass_over(now, host, reason),
+            PassReason::Outdated => {
+                self.unhelpful.insert(Name::clone(host), now + PASSED_OVER);
+            }
+        }
+    }
+
+    /// Notes that the store gives this host no answer either: who knew nothing new is not to blame, and is asked again.
+    ///
+    /// Otherwise, in an outage, each host would soon pass all others over and take itself for a leader: 295 hosts made 8,000
+    /// calls in eight seconds, and went on to read for themselves for as long after it.
+    pub fn forgive(&mut self) {
+        let outdated = self.passed_over.extract_if(.., |_, passed| passed.reason == PassReason::Outdated);
+        self.unhelpful.extend(outdated.map(|(host, passed)| (host, passed.until)));
     }
 
     /// From whom this host learns now.
--- a/crates/hollyhook_core/src/feed/mod.rs
+++ b/crates/hollyhook_core/src/feed/mod.rs
@@ -6,6 +6,6 @@
 mod store_contact;
 
 pub use feed_log::{FeedChange, FeedLog, FeedNews};
-pub use feed_roster::{FeedPlan, FeedRoster, RosterMember};
+pub use feed_roster::{FeedPlan, FeedRoster, PassReason, RosterMember};
 pub use feed_timing::{FeedTiming, is_stale_help};
 pub use store_contact::StoreContact;
--- a/crates/hollyhook_core/src/feed/store_contact.rs
+++ b/crates/hollyhook_core/src/feed/store_contact.rs
@@ -14,6 +14,9 @@
 const PROBE_WAIT: Duration = Duration::from_millis(50);
 /// The least time between the starts of two calls while the store is away.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// The same at a host that others tell of the store's return, as a part of the contact bound. With the two questions before
+/// it, of 0.6 s each, and a call of 1.5 s it still reads the store itself within the bound, if they can't tell.
+const TOLD_INTERVAL: f64 = 0.25;
 /// How long calls other than watches may take, in turn, by how many before them in a row got no answer.
 /// While the store is away short ones find its return sooner: what lapsed meanwhile is kept from the last call that
 /// failed, so that 1.5 s for each would leave it 1 s to come back, where up to 2 s are needed. Each third waits longer,
@@ -113,4 +116,12 @@
     pub fn pause(&self, now: TimePoint) -> Duration {
         (self.failed_at + RETRY_INTERVAL).since(now)
     }
+
+    /// The same at a host that asks others first, which are told of the store's return sooner.
+    ///
+    /// Answers an outage before hundreds of hosts, each of which would ask four times a second for each kind of object, as the
+    /// store tries to come back.
+    pub fn pause_of_told(&self, now: TimePoint, contact: Duration) -> Duration {
+        (self.failed_at + contact.mul_f64(TOLD_INTERVAL)).since(now)
+    }
 }
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -26,7 +26,8 @@
 pub use cursor::{CursorKey, CursorSeal, StreamCursor};
 pub use error::{Answer, Error, ErrorKind, Result, RunState, answer_for};
 pub use feed::{
-    FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, FeedTiming, RosterMember, StoreContact, is_stale_help,
+    FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, FeedTiming, PassReason, RosterMember, StoreContact,
+    is_stale_help,
 };
 pub use forward::{
     AnswerHead, AnswerVerdict, AttemptFailure, AttemptLedger, CallerHead, PromptSize, StopReason, judge_answer,
--- a/crates/hollyhook_core/tests/gateway/feeding.rs
+++ b/crates/hollyhook_core/tests/gateway/feeding.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hollyhook_core::{FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, FeedTiming, Name, RosterMember, TimePoint};
+use hollyhook_core::{
+    FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, FeedTiming, Name, PassReason, RosterMember, StoreContact,
+    TimePoint,
+};
 
 const NOW: TimePoint = TimePoint::from_millis(10_000);
 
@@ -269,7 +272,7 @@
         (0..49).filter(|host| leads(&rosters[usize::from(*host)], NOW)).map(|host| member(host, "z0").host).collect();
     for roster in &mut rosters {
         for leader in &leaders {
-            roster.pass_over(NOW, leader);
+            roster.pass_over(NOW, leader, PassReason::Lost);
         }
     }
     let reading = rosters.iter().filter(|roster| leads(roster, after(1_000)));
@@ -283,10 +286,91 @@
     let lost = followed(&rosters[follower], NOW);
     for roster in &mut rosters {
         for host in &lost {
-            roster.pass_over(NOW, host);
+            roster.pass_over(NOW, host, PassReason::Lost);
         }
     }
     let others = rosters.iter().filter(|roster| leads(roster, after(1_000))).count();
     assert_eq!(others, 2, "the next two lead");
     assert!(!followed(&rosters[follower], after(9_000)).iter().any(|host| !lost.contains(host)), "they are back");
 }
+
+/// In an outage everyone says that it knows nothing new. Nobody takes itself for a leader because of that.
+#[test]
+fn plan_kept_in_an_outage() {
+    for host in 0..49 {
+        let mut roster = roster(host, 49);
+        let plan = roster.plan(NOW);
+        for source in plan.sources() {
+            roster.pass_over(NOW, &source.host, PassReason::Outdated);
+        }
+        roster.forgive();
+        assert_eq!(roster.plan(NOW), plan);
+    }
+}
+
+/// What is lost stays passed over, also in an outage.
+#[test]
+fn plan_without_the_lost_in_an_outage() {
+    let mut roster = (0..49).map(|host| roster(host, 49)).find(|roster| !leads(roster, NOW)).unwrap();
+    let lost = followed_or_relayed(&roster).remove(0);
+    roster.pass_over(NOW, &lost, PassReason::Lost);
+    roster.forgive();
+    assert!(!followed_or_relayed(&roster).contains(&lost));
+}
+
+fn followed_or_relayed(roster: &FeedRoster) -> Vec<Name> {
+    roster.plan(NOW).sources().iter().map(|source| Name::clone(&source.host)).collect()
+}
+
+/// Who knew nothing newer is not asked for help again for a while, but is followed all the same.
+#[test]
+fn helpers_without_the_outdated() {
+    let mut roster = roster(0, 49);
+    let (plan, helpers) = (roster.plan(NOW), roster.helpers(NOW));
+    for helper in &helpers {
+        roster.pass_over_helper(NOW, &helper.host, PassReason::Outdated);
+    }
+    assert!(roster.helpers(NOW).iter().all(|helper| !helpers.contains(helper)));
+    assert_eq!(roster.plan(NOW), plan);
+    assert_eq!(roster.helpers(after(8_000)), helpers);
+    // The same of those that were followed.
+    for source in plan.sources() {
+        roster.pass_over(NOW, &source.host, PassReason::Outdated);
+    }
+    roster.forgive();
+    assert!(roster.helpers(NOW).iter().all(|helper| !plan.sources().contains(helper)));
+}
+
+/// An outage before 295 hosts in six zones, where each call fails at once: the store is asked less than 500 times a second by
+/// all of them for each kind of object, instead of four times by each host.
+#[test]
+fn calls_in_an_outage() {
+    const HOSTS: u32 = 295;
+    const LEADERS: u32 = 12;
+    let contact = Duration::from_secs(5);
+    let mut store = StoreContact::default();
+    store.failed(NOW);
+    let a_second = |pause: Duration| Duration::from_secs(1).as_secs_f64() / pause.as_secs_f64();
+    let calls = f64::from(LEADERS) * a_second(store.pause(NOW))
+        + f64::from(HOSTS - LEADERS) * a_second(store.pause_of_told(NOW, contact));
+    assert!(calls < 500.0, "{calls} a second");
+}
+
+/// A host that asks two others first, which hold its questions and then know nothing, reads the store itself within the
+/// contact bound after its return, even where a call hangs.
+#[test]
+fn pause_of_told_within_contact() {
+    for contact in [4_000, 5_000].map(Duration::from_millis) {
+        let timing = FeedTiming::new(contact);
+        let mut store = StoreContact::default();
+        let mut longest = Duration::ZERO;
+        for _ in 0..6 {
+            let call = store.call_limit();
+            store.failed(NOW);
+            let questions = timing.peer_wait() * 2;
+            longest = longest.max(call.max(store.pause_of_told(NOW, contact)) + questions);
+        }
+        let read_and_send = Duration::from_millis(50 + 250);
+        assert!(longest + read_and_send <= contact, "{longest:?} of {contact:?}");
+    }
+}
--- a/crates/hollyhook_gateway/src/peer/feed_board.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_board.rs
@@ -2,7 +2,7 @@
 use std::sync::Mutex;
 
 use futures::channel::oneshot;
-use hollyhook_core::{FeedLog, FeedNews, FeedPlan, FeedRoster, Name, RosterMember, TimePoint, ZoneName};
+use hollyhook_core::{FeedLog, FeedNews, FeedPlan, FeedRoster, Name, PassReason, RosterMember, TimePoint, ZoneName};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
 use crate::sync::lock;
@@ -39,9 +39,19 @@
         lock(&self.roster).list(members);
     }
 
-    /// Notes that a host did not answer, or not well.
-    pub(crate) fn pass_over(&self, now: TimePoint, host: &Name) {
-        lock(&self.roster).pass_over(now, host);
+    /// Notes that a host to learn from was of no use.
+    pub(crate) fn pass_over(&self, now: TimePoint, host: &Name, reason: PassReason) {
+        lock(&self.roster).pass_over(now, host, reason);
+    }
+
+    /// Notes that a host was of no use that was asked for help.
+    pub(crate) fn pass_over_helper(&self, now: TimePoint, host: &Name, reason: PassReason) {
+        lock(&self.roster).pass_over_helper(now, host, reason);
+    }
+
+    /// Notes that the store gives this host no answer either.
+    pub(crate) fn forgive(&self) {
+        lock(&self.roster).forgive();
     }
 
     /// Takes news in.
--- a/crates/hollyhook_gateway/src/peer/mod.rs
+++ b/crates/hollyhook_gateway/src/peer/mod.rs
@@ -9,4 +9,4 @@
 pub(crate) use feed_board::FeedBoard;
 pub(crate) use feed_server::serve_peers;
 pub(crate) use host_register::HostRegister;
-pub(crate) use peer_client::{PeerClient, PeerQuestion, PeerRole};
+pub(crate) use peer_client::{PeerClient, PeerFault, PeerQuestion, PeerRole};
--- a/crates/hollyhook_gateway/src/peer/peer_client.rs
+++ b/crates/hollyhook_gateway/src/peer/peer_client.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use hollyhook_core::{FeedNews, FeedTiming, RosterMember, TimePoint, is_stale_help};
+use hollyhook_core::{FeedNews, FeedTiming, PassReason, RosterMember, TimePoint, is_stale_help};
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::{ObjectKind, StoreObject};
 use http::{Method, StatusCode};
@@ -37,6 +37,25 @@
     }
 }
 
+/// Why another host's answer is of no use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct PeerFault {
+    pub(crate) reason: PassReason,
+    pub(crate) why: &'static str,
+}
+
+impl PeerFault {
+    fn outdated(why: &'static str) -> Self {
+        Self { reason: PassReason::Outdated, why }
+    }
+}
+
+impl From<LineFault> for PeerFault {
+    fn from(fault: LineFault) -> Self {
+        Self { reason: PassReason::Lost, why: fault.0 }
+    }
+}
+
 /// A question to another host.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PeerQuestion {
@@ -68,18 +87,18 @@
         &mut self,
         host: &RosterMember,
         question: PeerQuestion,
-    ) -> Result<FeedNews<StoreObject>, LineFault> {
+    ) -> Result<FeedNews<StoreObject>, PeerFault> {
         let PeerQuestion { role, kind, after, timing, asked_at } = question;
         let query = FeedQuery { kind, after, wait: role.wait(timing) };
         let request = line_request(Method::GET, host.address, &query.to_path(), "")?;
         let (status, body) = self.line.call(host.address, request, timing.peer_limit(query.wait)).await?;
         if status != StatusCode::OK {
-            return Err(LineFault("it does not read the store"));
+            return Err(PeerFault::outdated("it does not read the store"));
         }
         let message: FeedMessage =
             serde_json::from_slice(&body).map_err(|_error| LineFault("it can't be understood"))?;
         if role.is_too_old(timing, &message) {
-            return Err(LineFault("what it knows is too old"));
+            return Err(PeerFault::outdated("what it knows is too old"));
         }
         Ok(message.into_news(asked_at))
     }
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -6,8 +6,7 @@
 
 use super::{StoreClient, StoreError};
 use crate::gateway::GatewayContext;
-use crate::net::LineFault;
-use crate::peer::{PeerClient, PeerQuestion, PeerRole};
+use crate::peer::{PeerClient, PeerFault, PeerQuestion, PeerRole};
 
 /// The least that a watch waits at a host that reads for others, also where what it knows has grown old: a call that
 /// returns at once is charged and seldom brings anything.
@@ -82,6 +81,9 @@
             }
             Err(error) => {
                 let is_away = !matches!(error, StoreError::HistoryGone);
+                if is_away {
+                    self.context.feed.forgive();
+                }
                 if is_away && let Some(mut news) = self.ask_hosts(PeerRole::Helper, &self.helpers()).await {
                     self.context.board.count("helped_by_hosts");
                     self.is_helped = true;
@@ -103,7 +105,13 @@
 
     /// Waits until the store may be asked again after it gave no answer.
     pub(crate) async fn pause(&self) {
-        self.context.timer.wait(self.contact.pause(self.context.timer.now())).await;
+        let now = self.context.timer.now();
+        let pause = if self.plan().sources().is_empty() {
+            self.contact.pause(now)
+        } else {
+            self.contact.pause_of_told(now, self.context.contact_bound())
+        };
+        self.context.timer.wait(pause).await;
     }
 
     /// How long a watch waits for others: what they are told ages meanwhile, from when the last answer was certain.
@@ -136,17 +144,19 @@
         None
     }
 
-    fn pass_over(&self, role: PeerRole, host: &RosterMember, fault: LineFault) {
+    fn pass_over(&self, role: PeerRole, host: &RosterMember, fault: PeerFault) {
+        let now = self.context.timer.now();
         match role {
             PeerRole::Leader | PeerRole::Source => {
-                tracing::info!(leader = %host.host, kind = self.kind.as_str(), reason = fault.0, "leader.passed_over");
+                tracing::info!(leader = %host.host, kind = self.kind.as_str(), reason = fault.why, "leader.passed_over");
                 self.context.board.count("leaders_passed_over");
+                self.context.feed.pass_over(now, &host.host, fault.reason);
             }
             PeerRole::Helper => {
-                tracing::info!(helper = %host.host, kind = self.kind.as_str(), reason = fault.0, "helper.passed_over");
+                tracing::info!(helper = %host.host, kind = self.kind.as_str(), reason = fault.why, "helper.passed_over");
+                self.context.feed.pass_over_helper(now, &host.host, fault.reason);
             }
         }
-        self.context.feed.pass_over(self.context.timer.now(), &host.host);
     }
 
     /// What the store answers; if a connection that worked gives nothing, a new one is tried at once.
