Hosts that others tell gather changes for 0.4 s, and list each other sooner

Cause: a host paused for up to 1.6 s after each change of endpoints, also where another host tells it and no call is charged. And all hosts read for themselves until they had listed each other, a second after they registered. Ruled out: telling a new start from a report's headers (they name no instance); going on to the new name at the old address, which may be another service. Change: the pause is 0.4 s at hosts that others tell, none at relays. Hosts list each other after 0.5 s, again after 3 s.

--- a/crates/hollyhook_gateway/src/peer/host_register.rs
+++ b/crates/hollyhook_gateway/src/peer/host_register.rs
@@ -7,8 +7,11 @@
 use crate::gateway::GatewayContext;
 use crate::store::{StoreClient, StoreError};
 
-/// The pause between writing the own entry and reading those of others, which start at about the same time.
-const FIRST_PAUSE: Duration = Duration::from_secs(1);
+/// The pause between writing the own entry and reading those of others, which start at about the same time: within 0.3 s of
+/// each other, and 0.1 s each until they write. Until then each reads the store for itself.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+/// The pause until they are read again, for those that came later, and since the list may be some seconds old.
+const SECOND_PAUSE: Duration = Duration::from_secs(3);
 /// How often the others are read again. Hosts come and go a few times an hour, and what is missed meanwhile costs calls to
 /// the store but serves callers no worse.
 const LIST_INTERVAL: Duration = Duration::from_secs(20);
@@ -40,8 +43,10 @@
         while !is_registered {
             is_registered = self.register().await;
         }
+        let mut pause = SECOND_PAUSE;
         loop {
-            self.context.timer.wait(LIST_INTERVAL).await;
+            self.context.timer.wait(pause).await;
+            pause = LIST_INTERVAL;
             while self.try_list().await.is_none() {
                 self.context.timer.wait(RETRY_PAUSE).await;
             }
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -19,6 +19,9 @@
 const GATHER_EACH: Duration = Duration::from_millis(10);
 /// The least of that pause.
 const LEAST_GATHER: Duration = Duration::from_millis(400);
+/// That pause at a host that others tell, which costs the store nothing. Engines that crash together are back after a second
+/// or so under new names; until a host hears of them it is turned away at each.
+const TOLD_GATHER: Duration = Duration::from_millis(400);
 /// The most of that pause, as a part of the time within which a leaving endpoint has to be known.
 const MOST_GATHER: f64 = 0.4;
 
@@ -56,7 +59,8 @@
             FeedPlan::Lead => return self.context.feed_timing().leader_gather(),
             // A leader has gathered already, and others wait for what is told on.
             FeedPlan::Relay(_) => return Duration::ZERO,
-            FeedPlan::Follow(_) | FeedPlan::Alone => {}
+            FeedPlan::Follow(_) => return TOLD_GATHER,
+            FeedPlan::Alone => {}
         }
         let most = self.context.drain_bound().mul_f64(MOST_GATHER);
         let each = GATHER_EACH * self.context.endpoints.table().iter().count() as u32;
