For copies, ask engines first to which a rested connection is kept

Cause: a new connection for nearly each question. A host of 295 meets each of 326 engines rarely, engines keep an idle connection for 10 s, and two of the four engines asked for each generation, those of other zones, are asked in the order of its prompt. Ruled out: a subset of engines for each host (two streams in seven seconds leave each of its engines idle for longer than that); the own zone's two, whose order lets returning callers find their prompt. Change: among engines of other zones that cost about the same, those go first to which a connection is kept that was idle for 2 s. Test: shortlist_prefers_among_equals.

--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -33,12 +33,13 @@
     avoid_zone: Option<&'a ZoneName>,
     affinity: Option<u128>,
     places: Option<u32>,
+    preferred: &'a [EndpointId],
 }
 
 impl<'a> RouteQuery<'a> {
     /// A query for any endpoint of a service.
     pub fn new(service: &'a str) -> Self {
-        Self { service, binding: None, avoid: &[], avoid_zone: None, affinity: None, places: None }
+        Self { service, binding: None, avoid: &[], avoid_zone: None, affinity: None, places: None, preferred: &[] }
     }
 
     /// The same query for exactly those weights.
@@ -62,6 +63,13 @@
         self
     }
 
+    /// The same query for which these go first among endpoints that cost about the same.
+    #[must_use]
+    pub fn prefer(mut self, preferred: &'a [EndpointId]) -> Self {
+        self.preferred = preferred;
+        self
+    }
+
     /// The same query that prefers the few endpoints which every host ranks first for this number.
     #[must_use]
     pub fn affinity(mut self, number: u128) -> Self {
@@ -218,7 +226,8 @@
         let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp).unwrap_or_default();
         let rank = |cost: f64, record: &EndpointRecord| {
             let steps = ((cost - least) / HOME_SLACK) as u64;
-            (steps, Reverse(weight(&number.to_be_bytes(), &record.id)))
+            let is_preferred = query.preferred.contains(&record.id);
+            (steps, Reverse(is_preferred), Reverse(weight(&number.to_be_bytes(), &record.id)))
         };
         costs.sort_by_cached_key(|(cost, record)| rank(*cost, record));
         costs.into_iter().take(most).map(|(_, record)| record.as_of(now)).collect()
--- a/crates/hollyhook_core/tests/gateway/choosing.rs
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -56,6 +56,19 @@
 }
 
 /// Home is left when it is clearly fuller than others.
+/// Preferred ones go first where they cost about the same, and only there.
+#[test]
+fn shortlist_prefers_among_equals() {
+    let mut table = table(&["z0"], 8);
+    let usual = table.shortlist(NOW, &query(), 77, 2);
+    let preferred = [EndpointId::clone(&usual[1].id)];
+    assert_eq!(table.shortlist(NOW, &query().prefer(&preferred), 77, 1)[0].id, preferred[0]);
+    for _ in 0..6 {
+        table.opened(NOW, &preferred[0]);
+    }
+    assert_eq!(table.shortlist(NOW, &query().prefer(&preferred), 77, 1)[0].id, usual[0].id);
+}
+
 #[test]
 fn shortlist_leaves_full_home() {
     let mut table = table(&["z0"], 8);
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -26,6 +26,11 @@
 /// The same if none of the first does: 91 of the 94.
 const ALL_HOMES: HomeCounts = HomeCounts { own: 6, far: 3 };
 
+/// How long a connection to an engine of another zone has been idle before it makes that engine go first. A host that starts
+/// a generation every 3 s then asks the same two engines each time, and one of many generations spreads their copies: an
+/// engine gets one from it in 2 s, so three or four at a time while runs last six to seven seconds.
+const COPY_REST: Duration = Duration::from_secs(2);
+
 /// Where the memory of a run is copied to as it grows.
 #[derive(Debug, Clone)]
 pub(super) struct BackupPlace {
@@ -181,8 +186,12 @@
 
     /// Engines of other zones, above all for the copy of a run, since a zone often goes as a whole; each in a zone of
     /// its own, since another one may just be gone.
+    ///
+    /// Those to which a connection is kept go first. The order that all hosts share does not matter here: who goes on from a
+    /// copy knows where it lies.
     fn list_elsewhere(&self, record: &EndpointRecord) -> Vec<EndpointRecord> {
-        let query = self.query(self.tried).avoid_zone(&record.zone);
+        let rested = self.context.pool.rested(COPY_REST);
+        let query = self.query(self.tried).avoid_zone(&record.zone).prefer(&rested);
         let mut list = self.context.endpoints.shortlist(&query, self.home(), usize::MAX);
         let mut zones = BTreeSet::new();
         list.retain(|record| zones.insert(ZoneName::clone(&record.zone)));
--- a/crates/hollyhook_gateway/src/pool/connection_pool.rs
+++ b/crates/hollyhook_gateway/src/pool/connection_pool.rs
@@ -60,7 +60,9 @@
 
     /// Keeps a connection whose answer was read to its end, as long as the answer's headers say.
     pub(crate) fn put(&self, id: &EndpointId, mut connection: PooledConnection, keep: Duration) {
-        connection.usable_until = self.timer.now() + keep;
+        let now = self.timer.now();
+        connection.usable_until = now + keep;
+        connection.idle_since = now;
         let mut idle = lock(&self.idle);
         let connections = idle.entry(EndpointId::clone(id)).or_default();
         if connections.len() < MOST_IDLE {
@@ -68,6 +70,17 @@
         }
     }
 
+    /// The endpoints to which a connection is kept that has been idle for at least `rest`.
+    pub(crate) fn rested(&self, rest: Duration) -> Vec<EndpointId> {
+        let now = self.timer.now();
+        let is_rested = |connection: &PooledConnection| {
+            connection.is_ready() && now < connection.usable_until && now.since(connection.idle_since) >= rest
+        };
+        let idle = lock(&self.idle);
+        let rested = idle.iter().filter(|(_, connections)| connections.iter().any(is_rested));
+        rested.map(|(id, _)| EndpointId::clone(id)).collect()
+    }
+
     /// Closes the idle connections to an endpoint that is gone or silent.
     pub(crate) fn forget(&self, id: &str) {
         lock(&self.idle).remove(id);
--- a/crates/hollyhook_gateway/src/pool/pooled_connection.rs
+++ b/crates/hollyhook_gateway/src/pool/pooled_connection.rs
@@ -32,6 +32,8 @@
     driver: AbortHandle,
     /// Until when the peer keeps it open while idle; set when it is put back.
     pub(super) usable_until: TimePoint,
+    /// When it was put back.
+    pub(super) idle_since: TimePoint,
 }
 
 impl PooledConnection {
@@ -43,7 +45,7 @@
             // What goes wrong on the connection is told to whoever waits for an answer on it.
             let _outcome = driver.await;
         });
-        Ok(Self { sender, driver: handle, usable_until: TimePoint::ZERO })
+        Ok(Self { sender, driver: handle, usable_until: TimePoint::ZERO, idle_since: TimePoint::ZERO })
     }
 
     /// Whether it can take a request now.
