Bound the time that another host says it held a question

Cause: reading the diff: a held time longer than the wait that was asked for would make what is told look newer than it is. Change: it counts up to that wait. MOST_AGE instead of LATEST_AGE; a doc comment wrapped.

--- a/crates/hollyhook_core/src/feed/feed_roster.rs
+++ b/crates/hollyhook_core/src/feed/feed_roster.rs
@@ -71,8 +71,10 @@
 /// The hosts of a zone, and which of them read the store for the others.
 ///
 /// The first in an order read it, in larger zones the next are relays, and the others follow these. So a zone costs the store
-/// the same whatever its size, and no host tells more than a dozen or two. The order is the same on every host that knows the same members (rendezvous by their names), so nobody is elected: a
-/// host whose view differs reads the store although it need not, or asks one that refuses and goes on to the next.
+/// the same whatever its size, and no host tells more than a dozen or two.
+///
+/// The order is the same on every host that knows the same members (rendezvous by their names), so nobody is elected: a host
+/// whose view differs reads the store although it need not, or asks one that refuses and goes on to the next.
 #[derive(Debug)]
 pub struct FeedRoster {
     host: Name,
--- a/crates/hollyhook_core/src/feed/feed_timing.rs
+++ b/crates/hollyhook_core/src/feed/feed_timing.rs
@@ -17,7 +17,7 @@
 const LEAST_AGE: Duration = Duration::from_millis(1_250);
 /// The most of that age. What is passed on twice is up to 1.2 s older, and keys are honoured for 3.75 s without word of
 /// them where they may outlive their end by 5 s.
-const LATEST_AGE: Duration = Duration::from_millis(1_750);
+const MOST_AGE: Duration = Duration::from_millis(1_750);
 
 /// How long hosts wait for each other and for the store, and how old what they are told may be.
 ///
@@ -43,7 +43,7 @@
     /// The timing where changes have to be acted on within `bound` of their acknowledgement.
     pub fn new(bound: Duration) -> Self {
         let reaction = PEER_WAIT + PEER_WAIT + PEER_SLACK + READ_AND_SEND;
-        Self { most_age: bound.saturating_sub(reaction).clamp(LEAST_AGE, LATEST_AGE) }
+        Self { most_age: bound.saturating_sub(reaction).clamp(LEAST_AGE, MOST_AGE) }
     }
 
     /// How long a watch waits at a host that reads the store for others.
@@ -68,7 +68,7 @@
         RELAY_WAIT
     }
 
-    /// How long another host's answer may take.
+    /// How long another host's answer may take that waits so long for changes.
     pub fn peer_limit(&self, wait: Duration) -> Duration {
         wait + PEER_SLACK
     }
--- a/crates/hollyhook_gateway/src/peer/feed_message.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_message.rs
@@ -84,14 +84,14 @@
         }
     }
 
-    /// The news, for a question asked at `asked_at`.
+    /// The news, for a question asked at `asked_at` that was to be held for up to `wait`.
     ///
     /// When the answer was given is not known here, only that it was no sooner than the question and the time for which it
     /// was held. The ages count from then, so that a delayed answer never makes anything look newer than it is.
     /// Counted from the question alone, what passed through two hosts looked 1.2 s older than it was, and in an outage of the
     /// store keys were refused that much sooner.
-    pub(super) fn into_news(self, asked_at: TimePoint) -> FeedNews<StoreObject> {
-        let answered_at = asked_at + Duration::from_millis(self.held_ms);
+    pub(super) fn into_news(self, asked_at: TimePoint, wait: Duration) -> FeedNews<StoreObject> {
+        let answered_at = asked_at + Duration::from_millis(self.held_ms).min(wait);
         FeedNews {
             is_whole: self.is_whole,
             changes: self.changes.into_iter().map(FeedChange::from).collect(),
--- a/crates/hollyhook_gateway/src/peer/peer_client.rs
+++ b/crates/hollyhook_gateway/src/peer/peer_client.rs
@@ -100,6 +100,6 @@
         if role.is_too_old(timing, &message) {
             return Err(PeerFault::outdated("what it knows is too old"));
         }
-        Ok(message.into_news(asked_at))
+        Ok(message.into_news(asked_at, query.wait))
     }
 }
