An index of the places of endpoints, so that a list is read in its own length

Change: PlaceIndex, by address and by name. Tests: displaced_by_none_of_the_gone beside those of displaced endpoints.

--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -4,6 +4,7 @@
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
+use super::place_index::PlaceIndex;
 use super::rendezvous::weight;
 use super::zone_trouble::ZoneTrouble;
 use super::{EndpointRecord, EndpointState, LoadReport};
@@ -107,6 +108,7 @@
     zone: ZoneName,
     zone_preference: f64,
     records: BTreeMap<EndpointId, EndpointRecord>,
+    places: PlaceIndex,
     troubles: BTreeMap<ZoneName, ZoneTrouble>,
 }
 
@@ -116,7 +118,13 @@
 
     /// A table for a host in that availability zone.
     pub fn new(zone: ZoneName) -> Self {
-        Self { zone, zone_preference: ZONE_PREFERENCE, records: BTreeMap::new(), troubles: BTreeMap::new() }
+        Self {
+            zone,
+            zone_preference: ZONE_PREFERENCE,
+            records: BTreeMap::new(),
+            places: PlaceIndex::default(),
+            troubles: BTreeMap::new(),
+        }
     }
 
     /// The same table with how much fuller, in requests a place, the own zone may be before another one pays.
@@ -135,6 +143,8 @@
                 known.service = record.service;
             }
             _ => {
+                self.remove(&record.id);
+                self.places.add(&record);
                 self.records.insert(EndpointId::clone(&record.id), record);
             }
         }
@@ -145,29 +155,36 @@
     ///
     /// Their entries lapse only seconds later, and until then whoever is at the address answers in their place.
     pub fn displaced_by(&self, record: &EndpointRecord) -> Vec<EndpointId> {
-        let earlier = self.records.values().filter(|known| record.follows(known));
+        let earlier = self.beside(record).filter(|known| record.follows(known));
         earlier.map(|known| EndpointId::clone(&known.id)).collect()
     }
 
     /// Whether a later registration, of a service that `is_known`, stands in the place of this one.
     pub fn is_displaced(&self, record: &EndpointRecord, is_known: impl Fn(&str) -> bool) -> bool {
-        self.records.values().any(|known| known.follows(record) && is_known(&known.service))
+        self.beside(record).any(|known| known.follows(record) && is_known(&known.service))
+    }
+
+    /// The endpoints that share the name or the address of a registration.
+    fn beside(&self, record: &EndpointRecord) -> impl Iterator<Item = &EndpointRecord> {
+        self.places.beside(record).into_iter().filter_map(|id| self.records.get(id))
     }
 
     /// The endpoints that registered under a name.
     pub fn registered_as(&self, entry: &str) -> Vec<EndpointId> {
-        let known = self.records.values().filter(|record| &*record.entry == entry);
-        known.map(|record| EndpointId::clone(&record.id)).collect()
+        self.places.registered_as(entry).map(EndpointId::clone).collect()
     }
 
     /// Forgets one endpoint.
     pub fn remove(&mut self, id: &str) {
-        self.records.remove(id);
+        if let Some(record) = self.records.remove(id) {
+            self.places.remove(&record);
+        }
     }
 
     /// Forgets every endpoint that is not among those.
     pub fn retain(&mut self, is_known: impl Fn(&EndpointId) -> bool) {
-        self.records.retain(|id, _| is_known(id));
+        let gone = self.records.extract_if(.., |id, _| !is_known(id));
+        gone.for_each(|(_, record)| self.places.remove(&record));
     }
 
     /// One endpoint.
--- a/crates/hollyhook_core/tests/gateway/choosing.rs
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -139,6 +139,26 @@
     assert_eq!(chosen, 0);
 }
 
+/// Whoever is gone, or has moved, is beside nobody any more, neither by its address nor by its name.
+#[test]
+fn displaced_by_none_of_the_gone() {
+    let mut table = table(&["z0"], 3);
+    let later = |port| record("later", "z0", port, 9);
+    assert_eq!(table.displaced_by(&later(1_000)), ["z0-0".into()]);
+    table.remove("z0-0");
+    assert_eq!(table.displaced_by(&later(1_000)), [] as [EndpointId; 0]);
+    assert!(table.registered_as("z0-0").is_empty());
+
+    table.upsert(record("z0-1", "z0", 5_000, 1));
+    assert_eq!(table.displaced_by(&later(1_001)), [] as [EndpointId; 0], "it has moved");
+    assert_eq!(table.displaced_by(&later(5_000)), ["z0-1".into()]);
+    assert_eq!(table.registered_as("z0-1"), ["z0-1".into()]);
+
+    table.retain(|id| &**id != "z0-2");
+    assert_eq!(table.displaced_by(&later(1_002)), [] as [EndpointId; 0]);
+    assert!(table.registered_as("z0-2").is_empty());
+}
+
 /// A later registration has the address; the earlier one only still stands in the list.
 #[test]
 fn displaced_by_later_registration() {
