Two circles of files undone: the model's reports, the stand-in engine's shared state

Cause: fleet_model and host_model named each other, as did engine_stand_in and stream_pump; what both needed lay in one of them.

--- a/crates/hollyhook_command/src/load/placement/fleet_model.rs
+++ b/crates/hollyhook_command/src/load/placement/fleet_model.rs
@@ -1,16 +1,14 @@
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
-use std::time::Duration;
+use std::collections::BinaryHeap;
 
-use hollyhook_core::{EngineReport, TimePoint};
+use hollyhook_core::TimePoint;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use super::engine_model::{EngineModel, Generation};
 use super::host_model::{HostModel, PlacementPolicy};
+use super::report_log::ReportLog;
 
-/// How old reports are when they arrive.
-const REPORT_LAG: Duration = Duration::from_millis(200);
 /// How often the model notes what an engine would report.
 const REPORT_EVERY_US: u64 = 50_000;
 /// Entry hosts, as one of the two sites has them.
@@ -51,29 +49,6 @@
     pub(super) read_again: u64,
 }
 
-/// What engines reported, and which are up.
-#[derive(Debug, Default)]
-pub(super) struct ReportLog {
-    reports: Vec<VecDeque<(u64, EngineReport)>>,
-    down_until: Vec<u64>,
-    now_us: u64,
-}
-
-impl ReportLog {
-    pub(super) fn is_up(&self, engine: usize) -> bool {
-        self.down_until[engine] <= self.now_us
-    }
-
-    /// The report that would arrive now; none of an engine that is down.
-    pub(super) fn report(&self, engine: usize, now: TimePoint) -> Option<EngineReport> {
-        let at = now.as_micros().saturating_sub(REPORT_LAG.as_micros() as u64);
-        let known = self.reports[engine].iter().rev().find(|(made, _)| *made <= at);
-        let report = known.map(|(_, report)| report.clone()).unwrap_or_default();
-        let report = EngineReport { total_tokens: super::engine_model::MEMORY_TOKENS, ..report };
-        self.is_up(engine).then_some(report)
-    }
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Happening {
     Arrival,
@@ -109,7 +84,7 @@
         rng: StdRng::seed_from_u64(plan.seed),
         engines: vec![EngineModel::default(); plan.engines],
         hosts: (0..HOSTS).map(|host| HostModel::new(host % plan.zones, plan.engines, plan.zones)).collect(),
-        log: ReportLog { reports: vec![VecDeque::new(); plan.engines], down_until: vec![0; plan.engines], now_us: 0 },
+        log: ReportLog::new(plan.engines),
         queue: BinaryHeap::new(),
         progress: Vec::new(),
         outcome: FleetOutcome::default(),
@@ -120,7 +95,7 @@
         fleet.queue.push(Reverse((5_000_000, Happening::Loss(0))));
     }
     while let Some(Reverse((now_us, happening))) = fleet.queue.pop() {
-        fleet.log.now_us = now_us;
+        fleet.log.advance(now_us);
         fleet.happen(now_us, happening);
     }
     fleet.outcome
@@ -199,11 +174,8 @@
     }
 
     fn note_reports(&mut self, now_us: u64) {
-        for (engine, log) in self.engines.iter().zip(&mut self.log.reports) {
-            log.push_back((now_us, engine.report()));
-            if log.len() > 8 {
-                log.pop_front();
-            }
+        for (number, engine) in self.engines.iter().enumerate() {
+            self.log.note(number, now_us, engine.report());
         }
     }
 
@@ -212,7 +184,7 @@
         let mut lost = Vec::new();
         for engine in (zone..self.plan.engines).step_by(self.plan.zones) {
             if self.rng.random::<f64>() < 0.9 {
-                self.log.down_until[engine] = now_us + DOWN_US;
+                self.log.take_down(engine, now_us + DOWN_US);
                 lost.extend(self.engines[engine].crash().into_iter().map(|generation| (engine, generation)));
             }
         }
--- a/crates/hollyhook_command/src/load/placement/host_model.rs
+++ b/crates/hollyhook_command/src/load/placement/host_model.rs
@@ -5,7 +5,7 @@
 use rand::rngs::StdRng;
 
 use super::engine_model::MEMORY_TOKENS;
-use super::fleet_model::ReportLog;
+use super::report_log::ReportLog;
 
 /// How a host places a generation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
--- a/crates/hollyhook_command/src/load/placement/mod.rs
+++ b/crates/hollyhook_command/src/load/placement/mod.rs
@@ -5,5 +5,6 @@
 mod host_model;
 mod placement_plot;
 mod placement_run;
+mod report_log;
 
 pub(crate) use placement_run::{PlacementArgs, run_placement};
--- a/crates/hollyhook_standin/src/engine/engine_stand_in.rs
+++ b/crates/hollyhook_standin/src/engine/engine_stand_in.rs
@@ -16,6 +16,7 @@
 use tide::{Request, Response, StatusCode};
 
 use super::engine_batch::EngineBatch;
+use super::engine_shared::EngineShared;
 use super::stream_pump::StreamPump;
 use super::{EngineCounts, EngineOptions};
 use crate::fault::{FaultKind, FaultOrder, FaultState, serve};
@@ -30,19 +31,6 @@
     shared: Arc<EngineShared>,
 }
 
-#[derive(Debug)]
-pub(super) struct EngineShared {
-    pub(super) options: EngineOptions,
-    pub(super) batch: Mutex<EngineBatch>,
-    pub(super) faults: Arc<FaultState>,
-    /// Grows with each fault that ends the streams that are open.
-    pub(super) cut_epoch: AtomicU64,
-    pub(super) silence_epoch: AtomicU64,
-    pub(super) is_leaving: AtomicBool,
-    pub(super) is_lying: AtomicBool,
-    pub(super) reported: Mutex<LoadReport>,
-}
-
 impl EngineStandIn {
     /// Starts an engine at `address`; port 0 takes a free one.
     ///
@@ -86,40 +74,6 @@
     }
 }
 
-impl EngineShared {
-    pub(super) fn batch(&self) -> MutexGuard<'_, EngineBatch> {
-        self.batch.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn suffer(&self, order: FaultOrder) {
-        match order.kind {
-            FaultKind::Silence => {
-                self.silence_epoch.fetch_add(1, Ordering::SeqCst);
-            }
-            FaultKind::Cut => {
-                self.cut_epoch.fetch_add(1, Ordering::SeqCst);
-            }
-            FaultKind::Leave => self.is_leaving.store(true, Ordering::SeqCst),
-            FaultKind::Return => self.is_leaving.store(false, Ordering::SeqCst),
-            FaultKind::LieIdle => self.is_lying.store(true, Ordering::SeqCst),
-            _ => self.faults.apply(order),
-        }
-        self.batch().wake_all();
-    }
-
-    /// What it says of itself: as old as the lag, or a lie.
-    fn load(&self) -> EngineLoad {
-        let reported = *self.reported.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_lying = self.is_lying.load(Ordering::SeqCst);
-        let load = if is_lying { LoadReport { running: 0, waiting: 0, ..reported } } else { reported };
-        EngineLoad { binding: self.options.binding.clone(), state: self.endpoint_state(), load }
-    }
-
-    fn endpoint_state(&self) -> EndpointState {
-        if self.is_leaving.load(Ordering::SeqCst) { EndpointState::Leaving } else { EndpointState::Live }
-    }
-}
-
 async fn run_steps(shared: Arc<EngineShared>) {
     let mut next = Instant::now();
     while !shared.faults.is_dead() {
--- a/crates/hollyhook_standin/src/engine/mod.rs
+++ b/crates/hollyhook_standin/src/engine/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine_batch;
 mod engine_options;
+mod engine_shared;
 mod engine_stand_in;
 mod prefix_cache;
 mod sequence;
--- a/crates/hollyhook_standin/src/engine/stream_pump.rs
+++ b/crates/hollyhook_standin/src/engine/stream_pump.rs
@@ -8,7 +8,7 @@
 use hollyhook_core::{AttemptNumber, EndReason, GenerationId, Name};
 use hollyhook_wire::{ApiStyle, BodyFeed, ChunkChoice, ChunkDelta, EngineChunk, EngineUsage};
 
-use super::engine_stand_in::EngineShared;
+use super::engine_shared::EngineShared;
 use super::sequence::Sequence;
 
 /// Moves the tokens of one sequence to one attachment.
