--- a/crates/hollyhook/tests/processes/generations.rs
+++ b/crates/hollyhook/tests/processes/generations.rs
@@ -22,15 +22,21 @@
     assert_whole(PROMPT, &reading.tokens, tokens as usize);
 }
 
+/// A fleet whose engines take so long for a token that the rest of a generation lasts for seconds, also while the machine has
+/// other work: who is to be killed midway must not have ended.
+fn unhurried(engines: usize) -> Fleet {
+    Fleet::start(&FleetPlan { engines, step_ms: 40, ..FleetPlan::default() })
+}
+
 #[test]
 fn kill_engine_once() {
-    let mut fleet = Fleet::start(&FleetPlan::default());
+    let mut fleet = unhurried(3);
     block_on(kill_midway(&mut fleet, 1));
 }
 
 #[test]
 fn kill_engine_twice_in_a_row() {
-    let mut fleet = Fleet::start(&FleetPlan { engines: 4, ..FleetPlan::default() });
+    let mut fleet = unhurried(4);
     block_on(kill_midway(&mut fleet, 2));
 }
 
--- a/crates/hollyhook_standin/src/engine/engine_stand_in.rs
+++ b/crates/hollyhook_standin/src/engine/engine_stand_in.rs
@@ -1,16 +1,14 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
 use async_std::task;
-use hollyhook_core::{
-    AttemptNumber, EndpointRefusal, EndpointState, Error, ErrorKind, GenerationId, LoadReport, Result,
-};
+use hollyhook_core::{AttemptNumber, EndpointRefusal, Error, ErrorKind, GenerationId, LoadReport, Result};
 use hollyhook_wire::{
-    ApiErrorBody, ApiStyle, CallerRequest, EngineExtension, EngineLoad, HttpServer, LOAD_FIELD, ServerLimits, feed_body,
+    ApiErrorBody, ApiStyle, CallerRequest, EngineExtension, HttpServer, LOAD_FIELD, ServerLimits, feed_body,
 };
 use serde::Deserialize;
 use tide::{Request, Response, StatusCode};
@@ -19,7 +17,7 @@
 use super::engine_shared::EngineShared;
 use super::stream_pump::StreamPump;
 use super::{EngineCounts, EngineOptions};
-use crate::fault::{FaultKind, FaultOrder, FaultState, serve};
+use crate::fault::{FaultOrder, FaultState, serve};
 
 /// Pieces that a stream may be ahead of its reader.
 const FEED_CAPACITY: usize = 64;
