--- a/crates/hollyhook_core/tests/gateway/choosing.rs
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -55,7 +55,6 @@
     assert!(list.iter().all(|record| &*record.zone == "z0"), "the own zone goes first");
 }
 
-/// Home is left when it is clearly fuller than others.
 /// Preferred ones go first where they cost about the same, and only there.
 #[test]
 fn shortlist_prefers_among_equals() {
@@ -69,6 +68,7 @@
     assert_eq!(table.shortlist(NOW, &query().prefer(&preferred), 77, 1)[0].id, usual[0].id);
 }
 
+/// Home is left when it is clearly fuller than others.
 #[test]
 fn shortlist_leaves_full_home() {
     let mut table = table(&["z0"], 8);
