Logs and a counter that say which request ended which endpoint

Cause of the change: the logs of the incident could not tell whether a request ends its endpoints or is only there when they end. `broken` is said of an endpoint that lives as well as of one that ended, and nothing names a request over its client attempts but the prompt of a generation. Ruled out: the prompt part as the name (plain calls have none); the store's list (3.6 s late, and silent on the cause). Change: after a broken connection, and only if the attempt had not sent events for a second, the host tries one connection; where it is refused the process has ended. request.crashed_endpoint says so with a digest over path, account and body, endpoint_crashes counts it. No decision follows from it yet.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod generation;
 mod name;
+mod quarantine;
 mod retry;
 mod route;
 mod site;
@@ -37,6 +38,7 @@
     PrefixDigest, ProbeReport, RelayAction, RelayEvent, RelayNote, RelayPhase, RelayPolicy, TokenLog,
 };
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
+pub use quarantine::{DigestError, RequestDigest};
 pub use retry::{ProbeGate, ProbePlace, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
 pub use route::{
     EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -17,6 +17,7 @@
 use super::attempt::{EndpointPlace, OpenAnswer, WholeAnswer, send_attempt};
 use super::attempt_end::end_attempt;
 use super::backup_keeper::BackupKeeper;
+use super::crash_check::{SURVIVAL, check_crash};
 use super::engine_choice::{BackupPlace, EngineChoice, EngineChooser};
 use super::live_attempt::{LiveAttempt, PieceEnd};
 use super::request_log;
@@ -138,7 +139,7 @@
                     return None;
                 }
                 PieceEnd::Failure(failure) => {
-                    if let Err(error) = self.leave(failure) {
+                    if let Err(error) = self.leave(failure).await {
                         return Some(Err(self.end(error)));
                     }
                 }
@@ -163,16 +164,20 @@
     }
 
     /// Counts a failed attempt and says whether another may follow.
-    fn leave(&mut self, failure: AttemptFailure) -> Result<()> {
+    async fn leave(&mut self, failure: AttemptFailure) -> Result<()> {
         let Some(live) = self.live.take() else {
             return Ok(());
         };
         self.pace.note_loss(failure.as_str());
         // Dropping the attempt closes its connection, which stops the old run.
-        let id = EndpointId::clone(live.place.id());
+        let target = live.place.target.clone();
+        let has_survived = live.event_span(self.context.timer.now()) >= SURVIVAL;
         self.held = live.keeper.as_ref().and_then(BackupKeeper::take);
         drop(live);
-        self.fail(&id, failure)
+        if !has_survived {
+            check_crash(&self.context, &self.caller, &target, failure).await;
+        }
+        self.fail(&target.id, failure)
     }
 
     fn fail(&mut self, id: &EndpointId, failure: AttemptFailure) -> Result<()> {
@@ -198,9 +203,10 @@
                 let retry = refusal.excess.max(BUSY_RETRY);
                 self.ledger.end(refusal.reason, self.relay.delivered(), retry)
             })?;
-            let id = EndpointId::clone(choice.place.id());
+            let target = choice.place.target.clone();
             if let Err(failure) = self.open(choice).await {
-                self.fail(&id, failure)?;
+                check_crash(&self.context, &self.caller, &target, failure).await;
+                self.fail(&target.id, failure)?;
             }
         }
         Ok(())
--- a/crates/hollyhook_gateway/src/forward/live_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -1,7 +1,8 @@
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use hollyhook_core::{AttemptFailure, EventCutter, EventRelay, PieceVerdict};
+use hollyhook_core::{AttemptFailure, EventCutter, EventRelay, PieceVerdict, TimePoint};
 use http_body_util::BodyExt;
 
 use super::attempt::{EndpointPlace, OpenAnswer};
@@ -16,7 +17,7 @@
     pub(super) answer: OpenAnswer,
     pub(super) keeper: Option<BackupKeeper>,
     cutter: EventCutter,
-    has_event: bool,
+    first_event_at: Option<TimePoint>,
 }
 
 /// What comes next of an attempt.
@@ -31,7 +32,7 @@
 
 impl LiveAttempt {
     pub(super) fn new(place: EndpointPlace, answer: OpenAnswer, keeper: Option<BackupKeeper>) -> Self {
-        Self { place, answer, keeper, cutter: EventCutter::default(), has_event: false }
+        Self { place, answer, keeper, cutter: EventCutter::default(), first_event_at: None }
     }
 
     /// The next whole events that the caller does not have.
@@ -41,13 +42,13 @@
         caller: &CallerRequest,
         relay: &mut EventRelay,
     ) -> PieceEnd {
-        let mut watch = if self.has_event {
+        let mut watch = if self.first_event_at.is_some() {
             SilenceWatch::between_events()
         } else {
             SilenceWatch::before_first(caller.head.prompt.unwrap_or_default().prompt_tokens)
         };
         loop {
-            if let Some(end) = self.drain_cutter(relay) {
+            if let Some(end) = self.drain_cutter(relay, context.timer.now()) {
                 return end;
             }
             let limit = watch.limit(caller.time_left(context.timer.now()));
@@ -72,14 +73,19 @@
 
     /// The number of the last event of this attempt that came, as far as it can be compared with what the engine made.
     fn delivered(&self, relay: &EventRelay) -> u64 {
-        if self.has_event { relay.last().unwrap_or(0).max(relay.delivered()) } else { 0 }
+        if self.first_event_at.is_some() { relay.last().unwrap_or(0).max(relay.delivered()) } else { 0 }
+    }
+
+    /// For how long it has sent events.
+    pub(super) fn event_span(&self, now: TimePoint) -> Duration {
+        self.first_event_at.map_or(Duration::ZERO, |first| now.since(first))
     }
 
     /// What the caller gets of the events that are whole.
-    fn drain_cutter(&mut self, relay: &mut EventRelay) -> Option<PieceEnd> {
+    fn drain_cutter(&mut self, relay: &mut EventRelay, now: TimePoint) -> Option<PieceEnd> {
         let mut ready = VecDeque::new();
         while let Some(piece) = self.cutter.next_piece() {
-            self.has_event = true;
+            self.first_event_at.get_or_insert(now);
             match relay.judge(&piece) {
                 PieceVerdict::Deliver => ready.push_back(piece.bytes),
                 PieceVerdict::Drop => {}
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod attempt_end;
 mod backup_keeper;
+mod crash_check;
 mod endpoint_probe;
 mod engine_choice;
 mod event_stream;
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -10,6 +10,7 @@
 
 use super::attempt::{EndpointPlace, WholeAnswer, send_attempt};
 use super::attempt_end::end_attempt;
+use super::crash_check::check_crash;
 use super::request_log::{self, CallTrace};
 use crate::front::{AnswerBody, CallerRequest};
 use crate::gateway::GatewayContext;
@@ -72,6 +73,7 @@
                 CallEnd::Failure(failure) => failure,
             };
             request_log::attempt_failed(self.context, self.caller, place.id(), failure, None);
+            check_crash(self.context, self.caller, &place.target, failure).await;
             self.tried.push(EndpointId::clone(place.id()));
             if let Some(reason) = end_attempt(self.context, self.caller, &mut self.ledger, failure) {
                 return self.give_up(reason);
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -49,6 +49,13 @@
         failure = failure.as_str(), last_event, age_ms, "attempt.failed");
 }
 
+/// An endpoint ended that had begun to run a request.
+pub(super) fn crashed(context: &GatewayContext, caller: &CallerRequest, endpoint: &EndpointId) {
+    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %endpoint,
+        digest = %caller.digest(), age_ms, "request.crashed_endpoint");
+}
+
 /// A stream goes on after a loss.
 pub(super) fn resumed(context: &GatewayContext, caller: &CallerRequest, resume: &StreamResume) {
     context.board.record_cause(MetricMeasure::ResumeLatency, resume.cause, resume.span);
--- a/crates/hollyhook_gateway/src/front/caller_request.rs
+++ b/crates/hollyhook_gateway/src/front/caller_request.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollyhook_core::{AccountPlan, CallerHead, EngineMemory, Name, RoutePlan, TimePoint};
+use hollyhook_core::{AccountPlan, CallerHead, EngineMemory, Name, RequestDigest, RoutePlan, TimePoint};
 use http::{HeaderMap, Method, Uri};
 
 use crate::gateway::{BodyClaim, RequestGuard};
@@ -36,6 +36,13 @@
         self.deadline.since(now)
     }
 
+    /// Names it over all its client attempts.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let account = self.account.as_ref().map(|account| &*account.name);
+        RequestDigest::new(path, account, &self.body)
+    }
+
     /// The rank that goes before the route's is the account's.
     pub(crate) fn rank(&self) -> u8 {
         self.account.as_ref().and_then(|account| account.rank).unwrap_or(self.route.rank)
