A request that ends its endpoints is refused by all hosts after the third

What callers saw: engines ended one after the other under the same request, 36 and 52 in the record, and others lost what ran there. Cause: what a host knows of a request ended with its client attempt (AttemptLedger), and nothing of it passed between hosts; every broken connection was taken for the endpoint's fault alone. Change: CrashLedger, without a network, keeps which endpoints ended under which request (digest over path, account, body). Three that no other request explains make it refused with 503 and the time that is left of an hour; a run that does no harm starts the count anew. Records join in any order, and what an older store lost is written again. Ways weighed: a kind of its own (one more watch a host); telling hosts directly (lost in a cut, and with a restart); a limit a client attempt (nothing over hosts).

--- a/crates/hollyhook_core/src/error/answer_table.rs
+++ b/crates/hollyhook_core/src/error/answer_table.rs
@@ -57,6 +57,7 @@
         ErrorKind::Draining => answer(503, SERVER, "draining", NotRun, true),
         ErrorKind::PlatformDown => answer(503, SERVER, "platform_down", NotRun, true),
         ErrorKind::NotRun => answer(503, SERVER, "not_run", NotRun, true),
+        ErrorKind::Quarantined => answer(503, SERVER, "quarantined", NotRun, true),
         ErrorKind::OutcomeUnknown => answer(502, SERVER, "outcome_unknown", Unknown, false),
         ErrorKind::GenerationLost => answer(502, SERVER, "generation_lost", Partial, true),
         ErrorKind::GenerationDiverged => answer(502, SERVER, "generation_diverged", Partial, false),
--- a/crates/hollyhook_core/src/error/error_kind.rs
+++ b/crates/hollyhook_core/src/error/error_kind.rs
@@ -53,6 +53,8 @@
     PlatformDown,
     /// The call was not sent to any endpoint.
     NotRun,
+    /// Endpoints that began to run the same request ended; it was not sent to another.
+    Quarantined,
     /// The call was sent and its outcome is not known; it is never sent again.
     OutcomeUnknown,
     /// The generation was cut and no endpoint could continue it.
@@ -71,7 +73,7 @@
 
 impl ErrorKind {
     /// Every kind, for tables and documentation.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 30] = [
         Self::MalformedHead,
         Self::HeadTooLarge,
         Self::BodyTooLarge,
@@ -94,6 +96,7 @@
         Self::Draining,
         Self::PlatformDown,
         Self::NotRun,
+        Self::Quarantined,
         Self::OutcomeUnknown,
         Self::GenerationLost,
         Self::GenerationDiverged,
--- a/crates/hollyhook_core/src/forward/attempt_ledger.rs
+++ b/crates/hollyhook_core/src/forward/attempt_ledger.rs
@@ -20,6 +20,8 @@
     NoEndpoint,
     /// Every endpoint that was asked would serve it too late.
     Overloaded,
+    /// It ends the endpoints that run it.
+    Quarantined,
 }
 
 impl StopReason {
@@ -32,6 +34,7 @@
             Self::TimeUp => "the caller's time is up",
             Self::BudgetSpent => "the retry budget of the service is spent",
             Self::NoEndpoint => "no endpoint of the service is left",
+            Self::Quarantined => "endpoints that began to run the same request ended",
             Self::Overloaded => "the endpoints have more before this request than its caller's time allows",
         }
     }
@@ -113,6 +116,7 @@
     pub fn end(&self, reason: StopReason, delivered: u64, retry_after: Duration) -> Error {
         let kind = match (self.runs, self.turned_away + self.misdirected, delivered) {
             (0, _, _) if reason == StopReason::Overloaded => ErrorKind::Overloaded,
+            (0, _, _) if reason == StopReason::Quarantined => ErrorKind::Quarantined,
             (0, 0, _) => ErrorKind::NoEndpoint,
             (0, _, _) => ErrorKind::NotRun,
             (_, _, 0) => ErrorKind::OutcomeUnknown,
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -38,7 +38,7 @@
     PrefixDigest, ProbeReport, RelayAction, RelayEvent, RelayNote, RelayPhase, RelayPolicy, TokenLog,
 };
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
-pub use quarantine::{DigestError, RequestDigest};
+pub use quarantine::{CrashLedger, CrashRecord, CrashRecords, DigestError, LedgerChange, RequestDigest};
 pub use retry::{ProbeGate, ProbePlace, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
 pub use route::{
     EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
--- /dev/null
+++ b/crates/hollyhook_core/src/quarantine/crash_ledger.rs
@@ -0,0 +1,177 @@
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::{CrashRecord, RequestDigest};
+use crate::Name;
+
+/// Endpoints that may end under a request until it is refused. One or two may end by chance just then.
+const MOST_ENDS: usize = 3;
+/// Endpoints that end under a request until other hosts are told while it is still being tried here.
+const TOLD_FROM: usize = 2;
+/// How long a request is refused after an endpoint last ended under it. By then its endpoints may run another version.
+const LIFETIME: Duration = Duration::from_hours(1);
+/// Requests that are remembered, in memory and in the platform's store.
+const MOST_RECORDS: usize = 128;
+
+/// What all hosts know of requests under which endpoints ended: by request.
+pub type CrashRecords = BTreeMap<RequestDigest, CrashRecord>;
+
+/// Which requests end the endpoints that run them, by what this host saw and what others told it.
+///
+/// When an endpoint ends, all that it ran is lost with it, so that others look as guilty as the request that ended it. Three
+/// things part them: a request that an endpoint has run without ending starts anew; the request under which most ended
+/// explains those, so that they don't count for others; and it takes three.
+///
+/// ```
+/// use hollyhook_core::{CrashLedger, RequestDigest};
+///
+/// let (mut ledger, digest) = (CrashLedger::default(), RequestDigest::new("/draft/a", None, b""));
+/// for endpoint in ["a", "b", "c"] {
+///     assert_eq!(ledger.refusal(1_000, &digest), None);
+///     ledger.note_end(1_000, digest, endpoint.into());
+/// }
+/// assert!(ledger.refusal(1_000, &digest).is_some());
+/// ```
+#[derive(Debug, Default)]
+pub struct CrashLedger {
+    entries: BTreeMap<RequestDigest, LedgerEntry>,
+    /// What the platform's store holds, as far as this host has heard.
+    stored: CrashRecords,
+    refused: BTreeSet<RequestDigest>,
+}
+
+#[derive(Debug, Default)]
+struct LedgerEntry {
+    record: CrashRecord,
+    /// Whether other hosts are to know of it.
+    is_told: bool,
+}
+
+/// The requests that a change made refused, and those that it cleared.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct LedgerChange {
+    /// Refused from now on.
+    pub refused: Vec<RequestDigest>,
+    /// Served again.
+    pub cleared: Vec<RequestDigest>,
+}
+
+impl CrashLedger {
+    /// Whether nothing is known of any request.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Notes that an endpoint ended under a request.
+    pub fn note_end(&mut self, now: u64, digest: RequestDigest, endpoint: Name) -> LedgerChange {
+        let entry = self.entries.entry(digest).or_default();
+        entry.record.ends.insert(endpoint, now);
+        entry.is_told |= entry.record.suspected().count() >= TOLD_FROM;
+        self.judge(now)
+    }
+
+    /// Notes that a request is no longer tried here, whatever became of it.
+    ///
+    /// Where each client attempt is sent only once, no host sees more than one end at a time.
+    pub fn note_given_up(&mut self, digest: &RequestDigest) {
+        if let Some(entry) = self.entries.get_mut(digest) {
+            entry.is_told |= entry.record.suspected().next().is_some();
+        }
+    }
+
+    /// Notes that an endpoint ran a request and did not end.
+    pub fn note_survival(&mut self, now: u64, digest: &RequestDigest) -> LedgerChange {
+        let Some(entry) = self.entries.get_mut(digest) else {
+            return LedgerChange::default();
+        };
+        entry.record.survived_at = now;
+        if !entry.is_told {
+            self.entries.remove(digest);
+        }
+        self.judge(now)
+    }
+
+    /// Takes in what the platform's store holds.
+    pub fn learn(&mut self, now: u64, stored: CrashRecords) -> LedgerChange {
+        for (digest, record) in &stored {
+            let entry = self.entries.entry(*digest).or_default();
+            entry.record.join(record);
+            entry.is_told = true;
+        }
+        self.stored = stored;
+        self.judge(now)
+    }
+
+    /// What the platform's store should hold, if that is not what it holds.
+    ///
+    /// The store may have come back from an older copy of itself; what is missing there is then written again.
+    pub fn untold(&self) -> Option<CrashRecords> {
+        let records = || self.told().map(|(digest, record)| (*digest, record.clone())).collect();
+        self.is_untold().then(records)
+    }
+
+    /// Whether the platform's store does not hold what it should.
+    pub fn is_untold(&self) -> bool {
+        self.told().any(|(digest, record)| self.stored.get(digest) != Some(record))
+    }
+
+    fn told(&self) -> impl Iterator<Item = (&RequestDigest, &CrashRecord)> {
+        let told = self.entries.iter().filter(|(_, entry)| entry.is_told);
+        told.map(|(digest, entry)| (digest, &entry.record))
+    }
+
+    /// For how much longer a request is refused; none if it is served.
+    pub fn refusal(&self, now: u64, digest: &RequestDigest) -> Option<Duration> {
+        let entry = self.entries.get(digest).filter(|_| self.refused.contains(digest))?;
+        let left = (entry.record.noted_at() + LIFETIME.as_millis() as u64).checked_sub(now)?;
+        Some(Duration::from_millis(left)).filter(|left| !left.is_zero())
+    }
+
+    fn judge(&mut self, now: u64) -> LedgerChange {
+        self.forget_old(now);
+        let refused = self.find_guilty();
+        let change = LedgerChange {
+            refused: refused.difference(&self.refused).copied().collect(),
+            cleared: self.refused.difference(&refused).copied().collect(),
+        };
+        self.refused = refused;
+        change
+    }
+
+    fn forget_old(&mut self, now: u64) {
+        let oldest = now.saturating_sub(LIFETIME.as_millis() as u64);
+        self.entries.retain(|_, entry| entry.record.noted_at() > oldest);
+        while self.entries.len() > MOST_RECORDS {
+            let by_age = |(digest, entry): &(&RequestDigest, &LedgerEntry)| {
+                (self.refused.contains(digest), entry.record.noted_at())
+            };
+            let Some(digest) = self.entries.iter().min_by_key(by_age).map(|(digest, _)| *digest) else {
+                return;
+            };
+            self.entries.remove(&digest);
+        }
+    }
+
+    /// The requests under which enough endpoints ended that no other request explains.
+    ///
+    /// Those with as many ends are judged together: which of them did it is not known yet, and the next end tells.
+    fn find_guilty(&self) -> BTreeSet<RequestDigest> {
+        let suspects = self.entries.iter().map(|(digest, entry)| {
+            let ends: BTreeSet<&Name> = entry.record.suspected().collect();
+            (*digest, ends)
+        });
+        let mut suspects: Vec<_> = suspects.filter(|(_, ends)| ends.len() >= MOST_ENDS).collect();
+        suspects.sort_by_key(|(_, ends)| Reverse(ends.len()));
+        let mut guilty = BTreeSet::new();
+        let mut explained: BTreeSet<&Name> = BTreeSet::new();
+        for level in suspects.chunk_by(|(_, one), (_, other)| one.len() == other.len()) {
+            let is_guilty = |(_, ends): &&(_, BTreeSet<&Name>)| ends.difference(&explained).count() >= MOST_ENDS;
+            let found: Vec<_> = level.iter().filter(is_guilty).collect();
+            guilty.extend(found.iter().map(|(digest, _)| *digest));
+            let ends: BTreeSet<&Name> = found.iter().flat_map(|(_, ends)| ends.iter().copied()).collect();
+            explained.extend(ends);
+        }
+        guilty
+    }
+}
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -7,6 +7,8 @@
 mod copies;
 mod feeding;
 mod membership;
+mod quarantine;
+mod quarantine_play;
 mod retries;
 mod silence;
 mod site;
--- /dev/null
+++ b/crates/hollyhook_core/tests/gateway/quarantine.rs
@@ -0,0 +1,177 @@
+//! Requests that end the endpoints which run them, among others that are only there.
+
+use hollyhook_core::{CrashLedger, CrashRecord, CrashRecords, DigestError, RequestDigest};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const NOW: u64 = 1_000_000;
+const HOUR: u64 = 3_600_000;
+
+fn digest(path: &str) -> RequestDigest {
+    RequestDigest::new(path, Some("office"), b"")
+}
+
+/// A ledger in which endpoints ended under requests.
+fn ledger(ends: &[(&str, &[&str])]) -> CrashLedger {
+    let mut ledger = CrashLedger::default();
+    note(&mut ledger, NOW, ends);
+    ledger
+}
+
+fn note(ledger: &mut CrashLedger, now: u64, ends: &[(&str, &[&str])]) {
+    for (path, endpoints) in ends {
+        for endpoint in *endpoints {
+            ledger.note_end(now, digest(path), (*endpoint).into());
+        }
+    }
+}
+
+fn is_refused(ledger: &CrashLedger, path: &str) -> bool {
+    ledger.refusal(NOW, &digest(path)).is_some()
+}
+
+#[test]
+fn digest_parts_apart() {
+    assert_ne!(RequestDigest::new("/a", Some("b"), b""), RequestDigest::new("/a", None, b"b"));
+    for text in ["0123", "é123456789012345678901234567890"] {
+        assert_eq!(text.parse::<RequestDigest>(), Err(DigestError), "{text}");
+    }
+}
+
+#[test]
+fn third_end_refuses() {
+    let mut ledger = ledger(&[("/a", &["x", "y"])]);
+    assert!(!is_refused(&ledger, "/a"));
+    let change = ledger.note_end(NOW, digest("/a"), "z".into());
+    assert_eq!((change.refused, change.cleared), (vec![digest("/a")], vec![]));
+    assert!(is_refused(&ledger, "/a") && !is_refused(&ledger, "/b"));
+}
+
+/// Two hosts that lose the same endpoint under the same request count one end.
+#[test]
+fn same_endpoint_counted_once() {
+    let mut ledger = ledger(&[("/a", &["x", "y"])]);
+    note(&mut ledger, NOW + 5, &[("/a", &["y"])]);
+    assert!(!is_refused(&ledger, "/a"));
+}
+
+/// A generation was placed three times beside the one that ended its engines, and lost three of them within 0.4 s.
+#[test]
+fn request_beside_it_served() {
+    let ledger = ledger(&[("/deadly", &["x", "y", "z", "w"]), ("/beside", &["y", "z", "w"])]);
+    assert!(is_refused(&ledger, "/deadly"));
+    assert!(!is_refused(&ledger, "/beside"));
+}
+
+/// As long as both lost the same endpoints, either may have ended them; the next end tells.
+#[test]
+fn equal_ends_parted_by_next() {
+    let mut ledger = ledger(&[("/deadly", &["x", "y", "z"]), ("/beside", &["x", "y", "z"])]);
+    assert!(is_refused(&ledger, "/deadly") && is_refused(&ledger, "/beside"));
+    let change = ledger.note_end(NOW, digest("/deadly"), "w".into());
+    assert_eq!(change.cleared, [digest("/beside")]);
+    assert!(is_refused(&ledger, "/deadly"));
+}
+
+/// What ended under another request does not hide what ended under this one.
+#[test]
+fn two_that_end_endpoints_refused() {
+    let ledger = ledger(&[("/one", &["a", "b", "c", "d"]), ("/other", &["d", "x", "y", "z"])]);
+    assert!(is_refused(&ledger, "/one") && is_refused(&ledger, "/other"));
+}
+
+#[test]
+fn survival_starts_anew() {
+    let mut ledger = ledger(&[("/a", &["x", "y"])]);
+    ledger.note_survival(NOW + 1, &digest("/a"));
+    note(&mut ledger, NOW + 2, &[("/a", &["z", "w"])]);
+    assert!(!is_refused(&ledger, "/a"));
+    note(&mut ledger, NOW + 3, &[("/a", &["v"])]);
+    assert!(is_refused(&ledger, "/a"));
+}
+
+/// One end is most likely chance; to tell of each would be a write for every request that an endpoint takes with it.
+#[test]
+fn single_end_told_when_given_up() {
+    let mut ledger = ledger(&[("/a", &["x"])]);
+    assert_eq!(ledger.untold(), None);
+    ledger.note_given_up(&digest("/a"));
+    assert_eq!(ledger.untold().unwrap().len(), 1);
+}
+
+#[test]
+fn second_end_told() {
+    assert_eq!(ledger(&[("/a", &["x", "y"])]).untold().unwrap()[&digest("/a")].ends.len(), 2);
+}
+
+/// Each of three hosts saw one end.
+#[test]
+fn ends_of_hosts_added() {
+    let mut ledger = ledger(&[("/a", &["x"])]);
+    let record = CrashRecord { ends: [("y".into(), NOW), ("z".into(), NOW)].into(), survived_at: 0 };
+    ledger.learn(NOW, [(digest("/a"), record)].into());
+    assert!(is_refused(&ledger, "/a"));
+    assert_eq!(ledger.untold().unwrap()[&digest("/a")].ends.len(), 3);
+}
+
+#[test]
+fn told_once_only() {
+    let mut ledger = ledger(&[("/a", &["x", "y"])]);
+    let told = ledger.untold().unwrap();
+    ledger.learn(NOW, told);
+    assert_eq!(ledger.untold(), None);
+}
+
+/// A store that lost what was written there gets it again.
+#[test]
+fn older_store_written_again() {
+    let mut ledger = ledger(&[("/a", &["x", "y", "z"])]);
+    let told = ledger.untold().unwrap();
+    ledger.learn(NOW, told.clone());
+    ledger.learn(NOW, CrashRecords::new());
+    assert!(is_refused(&ledger, "/a"));
+    assert_eq!(ledger.untold(), Some(told));
+}
+
+#[test]
+fn forgotten_after_an_hour() {
+    let mut ledger = ledger(&[("/a", &["x", "y", "z"])]);
+    assert!(ledger.refusal(NOW + HOUR - 1, &digest("/a")).is_some());
+    assert_eq!(ledger.refusal(NOW + HOUR, &digest("/a")), None);
+    note(&mut ledger, NOW + HOUR, &[("/a", &["w"])]);
+    assert!(ledger.refusal(NOW + HOUR, &digest("/a")).is_some(), "it still ends endpoints");
+    note(&mut ledger, NOW + 3 * HOUR, &[("/b", &["w"])]);
+    assert_eq!(ledger.refusal(NOW + 3 * HOUR, &digest("/a")), None);
+}
+
+/// However many are suspected, those that are refused are remembered.
+#[test]
+fn memory_bounded() {
+    let mut ledger = ledger(&[("/deadly", &["x", "y", "z"])]);
+    for number in 0..1_000_u64 {
+        note(&mut ledger, NOW + number, &[(&format!("/{number}"), &["v", "w"])]);
+    }
+    assert!(is_refused(&ledger, "/deadly"));
+    assert!(ledger.untold().unwrap().len() <= 128);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Hosts that hear the same in another order, or twice, believe the same.
+    #[test]
+    fn records_join_in_any_order(parts in proptest::collection::vec((0_usize..4, 0_u64..50, 0_u64..50), 1..12)) {
+        let names = ["v", "w", "x", "y"];
+        let records: Vec<CrashRecord> = parts.iter().map(|(name, at, survived_at)| {
+            CrashRecord { ends: [(names[*name].into(), *at)].into(), survived_at: *survived_at }
+        }).collect();
+        let (mut forward, mut backward) = (CrashRecord::default(), CrashRecord::default());
+        for record in &records {
+            forward.join(record);
+        }
+        for record in records.iter().rev().chain(&records) {
+            backward.join(record);
+        }
+        prop_assert_eq!(forward, backward);
+    }
+}
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -22,6 +22,10 @@
 
 /// Serves an admitted request.
 pub(crate) async fn forward(context: &Arc<GatewayContext>, caller: CallerRequest) -> Response<AnswerBody> {
+    if let Some(error) = crash_check::refuse(context, &caller) {
+        request_log::ended(context, &caller, &error, 0);
+        return own_answer(&error);
+    }
     context.count_first_send(&caller.service);
     let outcome = if caller.route.kind.is_stream() {
         event_stream::forward_stream(context, caller).await
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -10,7 +10,7 @@
 
 use super::attempt::{EndpointPlace, WholeAnswer, send_attempt};
 use super::attempt_end::end_attempt;
-use super::crash_check::check_crash;
+use super::crash_check::{check_crash, note_given_up, note_survival};
 use super::request_log::{self, CallTrace};
 use crate::front::{AnswerBody, CallerRequest};
 use crate::gateway::GatewayContext;
@@ -41,8 +41,17 @@
     let outcome = run.run().await;
     let attempts = run.ledger.attempts();
     match &outcome {
-        Ok(response) => request_log::answered(context, caller, response.status().as_u16(), &run.last, attempts),
-        Err(error) => request_log::ended(context, caller, error, attempts),
+        Ok(response) => {
+            request_log::answered(context, caller, response.status().as_u16(), &run.last, attempts);
+            // A failure of the endpoint's own may have come before the request could do harm.
+            if response.status().is_success() {
+                note_survival(context, caller);
+            }
+        }
+        Err(error) => {
+            request_log::ended(context, caller, error, attempts);
+            note_given_up(context, caller);
+        }
     }
     outcome
 }
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -13,6 +13,7 @@
 
 use super::EndpointDirectory;
 use super::live_settings::LiveSettings;
+use super::quarantine_board::QuarantineBoard;
 use super::request_load::RequestLoad;
 use super::retry_budgets::RetryBudgets;
 use crate::peer::FeedBoard;
@@ -46,6 +47,7 @@
     pub(crate) load: Arc<RequestLoad>,
     pub(crate) feed: Arc<FeedBoard>,
     pub(crate) endpoints: Arc<EndpointDirectory>,
+    pub(crate) quarantine: Arc<QuarantineBoard>,
     live: Arc<Mutex<LiveSettings>>,
     site: Arc<Mutex<SiteLedger>>,
     retries: Arc<RetryBudgets>,
@@ -72,6 +74,7 @@
         registry.register(Self::SITE, Mutex::new(SiteLedger::default()))?;
         let endpoints = EndpointDirectory::new(registry, Self::SITE, &settings.zone)?;
         registry.register(EndpointDirectory::NAME, endpoints)?;
+        registry.register(QuarantineBoard::NAME, QuarantineBoard::new(registry)?)?;
         registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
         Ok(())
     }
@@ -93,6 +96,7 @@
             live: registry.find(Self::SETTINGS)?,
             site: registry.find(Self::SITE)?,
             endpoints: registry.find(EndpointDirectory::NAME)?,
+            quarantine: registry.find(QuarantineBoard::NAME)?,
             retries: registry.find(RetryBudgets::NAME)?,
             has_endpoints: AtomicBool::new(false),
         })
--- a/crates/hollyhook_gateway/src/gateway/mod.rs
+++ b/crates/hollyhook_gateway/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod gateway_context;
 mod gateway_process;
 mod live_settings;
+mod quarantine_board;
 mod request_load;
 mod retry_budgets;
 
--- a/crates/hollyhook_gateway/src/peer/feed_message.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_message.rs
@@ -68,6 +68,8 @@
     created: u64,
     is_deleting: bool,
     spec: Value,
+    #[serde(default, skip_serializing_if = "Value::is_null")]
+    status: Value,
 }
 
 impl FeedMessage {
@@ -114,6 +116,7 @@
             created: object.created,
             is_deleting: object.is_deleting,
             spec: object.spec,
+            status: object.status,
         });
         Self { name: change.name, object }
     }
@@ -128,6 +131,7 @@
             created: object.created,
             is_deleting: object.is_deleting,
             spec: object.spec,
+            status: object.status,
         });
         Self { name, object }
     }
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollyhook_core::RosterMember;
+use hollyhook_core::{CrashRecords, RosterMember};
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::{ObjectKind, StoreChange, StoreFault, StoreObject, StorePage};
 use http::{Method, StatusCode};
@@ -13,6 +13,9 @@
 /// How long a call about hosts may take; nobody waits for it.
 const HOST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long a call about requests that end endpoints may take.
+const NOTE_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Why a call to the store gave nothing.
 #[derive(Debug)]
 pub(crate) enum StoreError {
@@ -131,17 +134,54 @@
         }
     }
 
+    /// The object that holds the newest configuration.
+    pub(crate) async fn read_site(&mut self) -> Result<StoreObject, StoreError> {
+        let path = hollyhook_platform::object_path(ObjectKind::Configuration, hollyhook_platform::site_name());
+        let body = self.call(Method::GET, &path, Bytes::new(), NOTE_TIMEOUT).await?;
+        hollyhook_platform::decode_object(&body).map_err(StoreError::Malformed)
+    }
+
+    /// Writes what was noted of requests that end endpoints at an object, unless it has changed; returns it then.
+    pub(crate) async fn write_crashes(
+        &mut self,
+        object: &StoreObject,
+        records: &CrashRecords,
+    ) -> Result<Option<StoreObject>, StoreError> {
+        let body = hollyhook_platform::encode_crashes(object, records).map_err(StoreError::Malformed)?;
+        let path = hollyhook_platform::status_path(ObjectKind::Configuration, &object.name);
+        let (status, body) = self.exchange(Method::PUT, &path, Bytes::from(body), NOTE_TIMEOUT).await?;
+        if status == StatusCode::CONFLICT {
+            return hollyhook_platform::decode_object(&body).map(Some).map_err(StoreError::Malformed);
+        }
+        answered(status, body).map(|_answer| None)
+    }
+
     async fn call(&mut self, method: Method, path: &str, body: Bytes, limit: Duration) -> Result<Bytes, StoreError> {
+        let (status, body) = self.exchange(method, path, body, limit).await?;
+        answered(status, body)
+    }
+
+    async fn exchange(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
         let address = (self.address)();
         let request = line_request(method, address, path, body)?;
-        let (status, body) = self.line.call(address, request, limit).await?;
-        match status {
-            StatusCode::OK | StatusCode::CREATED => Ok(body),
-            StatusCode::GONE => Err(StoreError::HistoryGone),
-            StatusCode::CONFLICT => Err(StoreError::Exists),
-            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
-            _ => Err(StoreError::Away("it turned the call away")),
-        }
+        Ok(self.line.call(address, request, limit).await?)
+    }
+}
+
+/// What an answer gives, by its status.
+fn answered(status: StatusCode, body: Bytes) -> Result<Bytes, StoreError> {
+    match status {
+        StatusCode::OK | StatusCode::CREATED => Ok(body),
+        StatusCode::GONE => Err(StoreError::HistoryGone),
+        StatusCode::CONFLICT => Err(StoreError::Exists),
+        StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
+        _ => Err(StoreError::Away("it turned the call away")),
     }
 }
 
