What hosts note of ended endpoints stands at an endpoint's entry, not at the configuration

Cause: each note was a change of the configuration's object, which carries all of it. Ruled out: the check whether an endpoint has ended (50 of them in the zone with either code); the writes as calls (nine). Change: the notes stand in the status of an endpoint's entry, the first live one in an order that all hosts share; a change of it is a few hundred bytes. An entry goes with its endpoint, so hosts that read the store for others write again what is missing; the others write only what they saw. Each write reads the entry first.

--- a/crates/hollyhook_core/src/quarantine/crash_ledger.rs
+++ b/crates/hollyhook_core/src/quarantine/crash_ledger.rs
@@ -46,6 +46,8 @@
     record: CrashRecord,
     /// Whether other hosts are to know of it.
     is_told: bool,
+    /// Whether an endpoint ended under it at this host.
+    is_own: bool,
 }
 
 /// The requests that a change made refused, and those that it cleared.
@@ -67,6 +69,7 @@
     pub fn note_end(&mut self, now: u64, digest: RequestDigest, endpoint: Name) -> LedgerChange {
         let entry = self.entries.entry(digest).or_default();
         entry.record.ends.insert(endpoint, now);
+        entry.is_own = true;
         entry.is_told |= entry.record.suspected().count() >= TOLD_FROM;
         self.judge(now)
     }
@@ -103,22 +106,21 @@
         self.judge(now)
     }
 
-    /// What the platform's store should hold, if that is not what it holds.
+    /// What the platform's store should hold, if this host is to write it.
     ///
-    /// The store may have come back from an older copy of itself; what is missing there is then written again.
-    pub fn untold(&self) -> Option<CrashRecords> {
-        let records = || self.told().map(|(digest, record)| (*digest, record.clone())).collect();
-        self.is_untold().then(records)
-    }
-
-    /// Whether the platform's store does not hold what it should.
-    pub fn is_untold(&self) -> bool {
-        self.told().any(|(digest, record)| self.stored.get(digest) != Some(record))
+    /// Each host writes what it saw itself. What is missing there of what others saw, since it went with an entry or the
+    /// store came back from an older copy of itself, is written again by those who read the store for others
+    /// (`is_reader`): a few hosts at any size of a site.
+    pub fn untold(&self, is_reader: bool) -> Option<CrashRecords> {
+        let told = self.entries.iter().filter(|(_, entry)| entry.is_told);
+        let records = || told.map(|(digest, entry)| (*digest, entry.record.clone())).collect();
+        self.is_untold(is_reader).then(records)
     }
 
-    fn told(&self) -> impl Iterator<Item = (&RequestDigest, &CrashRecord)> {
-        let told = self.entries.iter().filter(|(_, entry)| entry.is_told);
-        told.map(|(digest, entry)| (digest, &entry.record))
+    /// Whether this host is to write anything.
+    pub fn is_untold(&self, is_reader: bool) -> bool {
+        let told = self.entries.iter().filter(|(_, entry)| entry.is_told && (entry.is_own || is_reader));
+        told.into_iter().any(|(digest, entry)| self.stored.get(digest) != Some(&entry.record))
     }
 
     /// For how much longer a request is refused; none if it is served.
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -8,7 +8,10 @@
 use super::rendezvous::weight;
 use super::zone_trouble::ZoneTrouble;
 use super::{EndpointRecord, EndpointState, LoadReport};
-use crate::{EndpointId, ModelBinding, TimePoint, ZoneName};
+use crate::{EndpointId, ModelBinding, Name, TimePoint, ZoneName};
+
+/// By this name hosts choose the entry for their notes.
+const NOTES: &[u8] = b"notes";
 
 /// How much fuller, in requests a place, the own zone may be before another one pays.
 const ZONE_PREFERENCE: f64 = 0.25;
@@ -202,6 +205,14 @@
         self.records.get_mut(id)
     }
 
+    /// The entry at which hosts note what all of them have to know: of the live endpoints, the same at all hosts that know the
+    /// same ones.
+    pub fn noting_entry(&self) -> Option<Name> {
+        let live = self.iter().filter(|record| record.state == EndpointState::Live);
+        let entry = live.map(|record| &record.entry).max_by_key(|entry| weight(NOTES, entry));
+        entry.cloned()
+    }
+
     /// All endpoints by name.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointRecord> {
         self.records.values()
--- a/crates/hollyhook_core/tests/gateway/quarantine.rs
+++ b/crates/hollyhook_core/tests/gateway/quarantine.rs
@@ -94,14 +94,14 @@
 #[test]
 fn single_end_told_when_given_up() {
     let mut ledger = ledger(&[("/a", &["x"])]);
-    assert_eq!(ledger.untold(), None);
+    assert_eq!(ledger.untold(true), None);
     ledger.note_given_up(&digest("/a"));
-    assert_eq!(ledger.untold().unwrap().len(), 1);
+    assert_eq!(ledger.untold(true).unwrap().len(), 1);
 }
 
 #[test]
 fn second_end_told() {
-    assert_eq!(ledger(&[("/a", &["x", "y"])]).untold().unwrap()[&digest("/a")].ends.len(), 2);
+    assert_eq!(ledger(&[("/a", &["x", "y"])]).untold(true).unwrap()[&digest("/a")].ends.len(), 2);
 }
 
 /// Each of three hosts saw one end.
@@ -111,26 +111,39 @@
     let record = CrashRecord { ends: [("y".into(), NOW), ("z".into(), NOW)].into(), survived_at: 0 };
     ledger.learn(NOW, [(digest("/a"), record)].into());
     assert!(is_refused(&ledger, "/a"));
-    assert_eq!(ledger.untold().unwrap()[&digest("/a")].ends.len(), 3);
+    assert_eq!(ledger.untold(true).unwrap()[&digest("/a")].ends.len(), 3);
 }
 
 #[test]
 fn told_once_only() {
     let mut ledger = ledger(&[("/a", &["x", "y"])]);
-    let told = ledger.untold().unwrap();
+    let told = ledger.untold(true).unwrap();
     ledger.learn(NOW, told);
-    assert_eq!(ledger.untold(), None);
+    assert_eq!(ledger.untold(true), None);
+}
+
+/// Of hundreds of hosts that hear of it only those write it again that read the store for others.
+#[test]
+fn heard_written_again_by_readers() {
+    let mut ledger = CrashLedger::default();
+    let record = CrashRecord { ends: [("x".into(), NOW), ("y".into(), NOW)].into(), survived_at: 0 };
+    ledger.learn(NOW, [(digest("/a"), record)].into());
+    ledger.learn(NOW, CrashRecords::new());
+    assert_eq!(ledger.untold(false), None);
+    assert_eq!(ledger.untold(true).unwrap().len(), 1);
+    note(&mut ledger, NOW, &[("/a", &["z"])]);
+    assert_eq!(ledger.untold(false).unwrap()[&digest("/a")].ends.len(), 3);
 }
 
 /// A store that lost what was written there gets it again.
 #[test]
 fn older_store_written_again() {
     let mut ledger = ledger(&[("/a", &["x", "y", "z"])]);
-    let told = ledger.untold().unwrap();
+    let told = ledger.untold(true).unwrap();
     ledger.learn(NOW, told.clone());
     ledger.learn(NOW, CrashRecords::new());
     assert!(is_refused(&ledger, "/a"));
-    assert_eq!(ledger.untold(), Some(told));
+    assert_eq!(ledger.untold(true), Some(told));
 }
 
 #[test]
@@ -152,7 +165,7 @@
         note(&mut ledger, NOW + number, &[(&format!("/{number}"), &["v", "w"])]);
     }
     assert!(is_refused(&ledger, "/deadly"));
-    assert!(ledger.untold().unwrap().len() <= 128);
+    assert!(ledger.untold(true).unwrap().len() <= 128);
 }
 
 proptest! {
--- a/crates/hollyhook_core/tests/gateway/quarantine_play.rs
+++ b/crates/hollyhook_core/tests/gateway/quarantine_play.rs
@@ -143,7 +143,7 @@
             }
         }
         for host in &self.hosts {
-            for (digest, record) in host.untold().unwrap_or_default() {
+            for (digest, record) in host.untold(true).unwrap_or_default() {
                 self.stored.entry(digest).or_default().join(&record);
                 self.written.insert(self.now + TOLD_AFTER, self.stored.clone());
             }
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -1,7 +1,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use hollyhook_core::{
-    AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Result,
+    AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Name, Result,
     RouteQuery, SiteIndex, SiteLedger, TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
@@ -142,6 +142,11 @@
         tracing::info!(endpoint = %id, known_ms = self.known_ms(), "endpoint.leaving");
     }
 
+    /// The entry at which hosts note what all of them have to know; the same at all hosts that know the same endpoints.
+    pub(crate) fn noting_entry(&self) -> Option<Name> {
+        self.table().noting_entry()
+    }
+
     /// Chooses an endpoint by what this host knows.
     pub(crate) fn choose(&self, query: &RouteQuery<'_>) -> Option<EndpointRecord> {
         let table = self.table();
--- a/crates/hollyhook_gateway/src/gateway/quarantine_board.rs
+++ b/crates/hollyhook_gateway/src/gateway/quarantine_board.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -6,7 +7,6 @@
 use hollyhook_kernel::ServiceRegistry;
 use hollyhook_platform::StoreObject;
 use hollyhook_telemetry::MetricBoard;
-use serde_json::Value;
 
 use crate::sync::lock;
 
@@ -15,8 +15,8 @@
 pub(crate) struct QuarantineBoard {
     board: Arc<MetricBoard>,
     ledger: Mutex<CrashLedger>,
-    /// The object that holds the records, as last heard of, without what the operator wrote there.
-    object: Mutex<Option<StoreObject>>,
+    /// What is noted at endpoints' entries, by entry.
+    noted: Mutex<BTreeMap<Name, CrashRecords>>,
     /// Whether the records are being written to the store.
     is_writing: AtomicBool,
 }
@@ -34,7 +34,7 @@
         Ok(Self {
             board: registry.find(MetricBoard::NAME)?,
             ledger: Mutex::default(),
-            object: Mutex::default(),
+            noted: Mutex::default(),
             is_writing: AtomicBool::new(false),
         })
     }
@@ -73,41 +73,63 @@
         self.log(&change);
     }
 
-    /// Takes in the object that holds what all hosts noted.
-    pub(crate) fn learn(&self, object: &StoreObject) {
-        if object.name != hollyhook_platform::site_name().into() {
-            return;
-        }
-        let noted = StoreObject {
-            name: Name::clone(&object.name),
-            revision: object.revision,
-            created: object.created,
-            is_deleting: object.is_deleting,
-            spec: Value::Null,
-            status: object.status.clone(),
-        };
-        *lock(&self.object) = Some(noted);
+    /// Takes in what hosts noted at an endpoint's entry.
+    pub(crate) fn read_entry(&self, object: &StoreObject) {
         match hollyhook_platform::decode_crashes(object) {
-            Ok(records) => self.note_stored(records),
-            Err(error) => tracing::error!(%error, revision = object.revision, "quarantine.malformed"),
+            Ok(records) => self.note_entry(&object.name, records),
+            Err(error) => {
+                tracing::error!(%error, entry = %object.name, revision = object.revision, "quarantine.malformed");
+            }
         }
     }
 
-    /// Takes in the records that the store holds now.
-    pub(crate) fn note_stored(&self, records: CrashRecords) {
-        let change = lock(&self.ledger).learn(unix_millis(), records);
+    /// Takes in that these records stand at an endpoint's entry now.
+    pub(crate) fn note_entry(&self, entry: &Name, records: CrashRecords) {
+        self.change_noted(|noted| {
+            if records.is_empty() {
+                return noted.remove(entry).is_some();
+            }
+            noted.insert(Name::clone(entry), records.clone()) != Some(records)
+        });
+    }
+
+    /// Notes that an endpoint's entry is gone, and what stood there with it.
+    pub(crate) fn forget_entry(&self, entry: &Name) {
+        self.change_noted(|noted| noted.remove(entry).is_some());
+    }
+
+    /// Notes that all other entries are gone.
+    pub(crate) fn retain_entries(&self, is_present: impl Fn(&Name) -> bool) {
+        self.change_noted(|noted| {
+            let before = noted.len();
+            noted.retain(|entry, _| is_present(entry));
+            noted.len() != before
+        });
+    }
+
+    /// Changes what is noted at entries, and lets the ledger know if that made a difference.
+    fn change_noted(&self, change: impl FnOnce(&mut BTreeMap<Name, CrashRecords>) -> bool) {
+        let mut noted = lock(&self.noted);
+        if !change(&mut noted) {
+            return;
+        }
+        let mut stored = CrashRecords::new();
+        for (digest, record) in noted.values().flatten() {
+            stored.entry(*digest).or_default().join(record);
+        }
+        drop(noted);
+        let change = lock(&self.ledger).learn(unix_millis(), stored);
         self.log(&change);
     }
 
-    /// The object as last heard of, and the records that it should hold, if it does not.
-    pub(crate) fn untold(&self) -> Option<(Option<StoreObject>, CrashRecords)> {
-        let records = lock(&self.ledger).untold()?;
-        Some((lock(&self.object).clone(), records))
+    /// The records that the store should hold, if this host is to write them.
+    pub(crate) fn untold(&self, is_reader: bool) -> Option<CrashRecords> {
+        lock(&self.ledger).untold(is_reader)
     }
 
     /// Whether the records have to be written and nobody does so yet; if so, the caller does from now on.
-    pub(crate) fn begin_writing(&self) -> bool {
-        lock(&self.ledger).is_untold() && !self.is_writing.swap(true, Ordering::AcqRel)
+    pub(crate) fn begin_writing(&self, is_reader: bool) -> bool {
+        lock(&self.ledger).is_untold(is_reader) && !self.is_writing.swap(true, Ordering::AcqRel)
     }
 
     pub(crate) fn end_writing(&self) {
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -6,7 +6,7 @@
 use hollyhook_core::{EndpointMembership, FeedNews, FeedPlan, Name, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
-use super::{FeedReader, StoreClient, StoreError};
+use super::{FeedReader, QuarantineWriter, StoreClient, StoreError};
 use crate::gateway::GatewayContext;
 use crate::sync::lock;
 
@@ -78,12 +78,15 @@
         }
         for change in &news.changes {
             if let Some(object) = &change.object {
+                self.context.quarantine.read_entry(object);
                 self.upsert(object);
             } else {
+                self.context.quarantine.forget_entry(&change.name);
                 self.malformed.remove(&change.name);
                 self.miss(&change.name);
             }
         }
+        QuarantineWriter::wake(&self.context);
         if news.is_whole {
             self.context.note_endpoints_listed();
         }
@@ -108,6 +111,7 @@
             self.miss(entry);
         }
         self.malformed.retain(|entry, _| present.contains(entry));
+        self.context.quarantine.retain_entries(|entry| present.contains(entry));
     }
 
     fn upsert(&mut self, object: &StoreObject) {
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -3,6 +3,7 @@
 
 use hollyhook_core::{FeedChange, FeedNews, FeedPlan, Name, RosterMember, StoreContact, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreChange, StoreObject};
+use serde_json::Value;
 
 use super::{StoreClient, StoreError};
 use crate::gateway::GatewayContext;
@@ -258,5 +259,8 @@
 
 /// What is kept of an object, and told to others.
 fn strip(kind: ObjectKind, object: StoreObject) -> StoreObject {
-    if kind == ObjectKind::Endpoint { hollyhook_platform::strip_endpoint(object) } else { object }
+    match kind {
+        ObjectKind::Endpoint => hollyhook_platform::strip_endpoint(object),
+        _ => StoreObject { status: Value::Null, ..object },
+    }
 }
--- a/crates/hollyhook_gateway/src/store/quarantine_writer.rs
+++ b/crates/hollyhook_gateway/src/store/quarantine_writer.rs
@@ -2,38 +2,37 @@
 use std::time::Duration;
 
 use async_std::task;
-use hollyhook_core::CrashRecords;
+use hollyhook_core::{CrashRecords, FeedPlan};
 use hollyhook_kernel::TimerService;
-use hollyhook_platform::StoreObject;
+use hollyhook_platform::ObjectKind;
 use rand::Rng;
 
 use super::{StoreClient, StoreError};
 use crate::gateway::GatewayContext;
 
-/// How long what was noted is gathered before it is written, drawn anew each time: hosts that lost the same endpoint write at
-/// the same moment, and each write makes those of the others fail.
+/// How long what was noted is gathered before it is written, in milliseconds, drawn anew each time: hosts that lost the same
+/// endpoint write at the same moment, and each write makes those of the others fail.
 const GATHER: std::ops::Range<u64> = 40..160;
 /// The pause after the store gave no answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// Writes what hosts noted of requests that end endpoints to the platform's store, from where all hosts hear of it as they do
-/// of the configuration.
+/// Writes what hosts noted of requests that end endpoints to the platform's store: into the status of an endpoint's entry, so
+/// that all hosts hear of it as they do of the endpoints.
+///
+/// The configuration would be the more lasting place, but each change of it carries all of it to each host.
 #[derive(Debug)]
 pub(crate) struct QuarantineWriter {
     context: Arc<GatewayContext>,
     client: StoreClient,
-    /// Whether the object has to be read before it is written, since what became of the last write is not known.
-    has_to_read: bool,
 }
 
 impl QuarantineWriter {
-    /// Begins to write if anything is to be told and nobody writes yet.
+    /// Begins to write if anything is to be told and nobody here writes yet.
     pub(crate) fn wake(context: &Arc<GatewayContext>) {
-        if context.quarantine.begin_writing() {
+        if context.quarantine.begin_writing(is_reader(context)) {
             let of_store = Arc::clone(context);
             let client = StoreClient::new(TimerService::clone(&context.timer), move || of_store.store_address());
-            let writer = Self { context: Arc::clone(context), client, has_to_read: false };
-            task::spawn(writer.run());
+            task::spawn(Self { context: Arc::clone(context), client }.run());
         }
     }
 
@@ -41,13 +40,17 @@
         loop {
             let gather = rand::rng().random_range(GATHER);
             self.context.timer.wait(Duration::from_millis(gather)).await;
-            let Some((object, records)) = self.context.quarantine.untold() else {
+            if self.untold().is_none() {
                 break;
-            };
-            if let Err(error) = self.step(object, records).await {
-                tracing::info!(%error, "quarantine.not_written");
-                self.has_to_read = true;
-                self.context.timer.wait(RETRY_PAUSE).await;
+            }
+            match self.write().await {
+                Ok(()) => {}
+                // Another host was first; what it wrote is read and joined with what this one knows.
+                Err(StoreError::Exists) => tracing::debug!("quarantine.written_by_other"),
+                Err(error) => {
+                    tracing::info!(%error, "quarantine.not_written");
+                    self.context.timer.wait(RETRY_PAUSE).await;
+                }
             }
         }
         self.context.quarantine.end_writing();
@@ -55,22 +58,26 @@
         Self::wake(&self.context);
     }
 
-    /// One read or one write.
-    async fn step(&mut self, object: Option<StoreObject>, records: CrashRecords) -> Result<(), StoreError> {
-        let Some(object) = object.filter(|_| !self.has_to_read) else {
-            let object = self.client.read_site().await?;
-            self.has_to_read = false;
-            self.context.quarantine.learn(&object);
+    /// Reads the entry and writes what is missing there; so what became of an earlier write without an answer is seen too.
+    async fn write(&mut self) -> Result<(), StoreError> {
+        let name = self.context.endpoints.noting_entry().ok_or(StoreError::Away("no endpoint is registered"))?;
+        let entry = self.client.read(ObjectKind::Endpoint, &name).await?;
+        self.context.quarantine.read_entry(&entry);
+        let Some(records) = self.untold() else {
             return Ok(());
         };
-        match self.client.write_crashes(&object, &records).await? {
-            None => {
-                tracing::info!(count = records.len(), "quarantine.written");
-                self.context.quarantine.note_stored(records);
-            }
-            // Another host was first; what it wrote is joined with what this one knows.
-            Some(newer) => self.context.quarantine.learn(&newer),
-        }
+        self.client.write_crashes(&entry, &records).await?;
+        tracing::info!(entry = %name, count = records.len(), "quarantine.written");
+        self.context.quarantine.note_entry(&name, records);
         Ok(())
     }
+
+    fn untold(&self) -> Option<CrashRecords> {
+        self.context.quarantine.untold(is_reader(&self.context))
+    }
+}
+
+/// Whether this host reads the store itself, for others or for itself alone.
+fn is_reader(context: &GatewayContext) -> bool {
+    matches!(context.feed.plan(context.timer.now()), FeedPlan::Lead | FeedPlan::Alone)
 }
--- a/crates/hollyhook_gateway/src/store/site_watch.rs
+++ b/crates/hollyhook_gateway/src/store/site_watch.rs
@@ -4,7 +4,7 @@
 use hollyhook_core::{PlanAdoption, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
-use super::{FeedReader, QuarantineWriter, StoreClient, StoreError};
+use super::{FeedReader, StoreClient, StoreError};
 use crate::gateway::GatewayContext;
 
 /// How long one watch waits. Each return confirms that no key was taken away, so it has to be well under the time
@@ -46,10 +46,7 @@
             return Ok(());
         }
         for object in news.changes.iter().filter_map(|change| change.object.as_ref()) {
-            // First, since callers are served from the moment in which the configuration is known.
-            self.context.quarantine.learn(object);
             self.adopt(object, news.heard_until);
-            QuarantineWriter::wake(&self.context);
         }
         if !news.is_whole {
             self.context.timer.wait(GATHER_PAUSE).await;
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -25,7 +25,7 @@
     HistoryGone,
     /// Too many calls.
     Throttled,
-    /// The object to be created exists.
+    /// The object to be created exists, or the one to be changed has changed.
     Exists,
     /// The answer can't be understood.
     Malformed(StoreFault),
@@ -37,7 +37,7 @@
             Self::Away(why) => write!(f, "the store is away: {why}"),
             Self::HistoryGone => f.write_str("the history after the watched revision is gone"),
             Self::Throttled => f.write_str("the store takes no more calls for now"),
-            Self::Exists => f.write_str("the object exists"),
+            Self::Exists => f.write_str("the object exists, or is another one now"),
             Self::Malformed(fault) => fault.fmt(f),
         }
     }
@@ -134,54 +134,39 @@
         }
     }
 
-    /// The object that holds the newest configuration.
-    pub(crate) async fn read_site(&mut self) -> Result<StoreObject, StoreError> {
-        let path = hollyhook_platform::object_path(ObjectKind::Configuration, hollyhook_platform::site_name());
+    /// One object.
+    pub(crate) async fn read(&mut self, kind: ObjectKind, name: &str) -> Result<StoreObject, StoreError> {
+        let path = hollyhook_platform::object_path(kind, name);
         let body = self.call(Method::GET, &path, Bytes::new(), NOTE_TIMEOUT).await?;
         hollyhook_platform::decode_object(&body).map_err(StoreError::Malformed)
     }
 
-    /// Writes what was noted of requests that end endpoints at an object, unless it has changed; returns it then.
+    /// Writes what was noted of requests that end endpoints at an endpoint's entry.
+    ///
+    /// # Errors
+    ///
+    /// `Exists` if the entry has changed since it was read.
     pub(crate) async fn write_crashes(
         &mut self,
-        object: &StoreObject,
+        entry: &StoreObject,
         records: &CrashRecords,
-    ) -> Result<Option<StoreObject>, StoreError> {
-        let body = hollyhook_platform::encode_crashes(object, records).map_err(StoreError::Malformed)?;
-        let path = hollyhook_platform::status_path(ObjectKind::Configuration, &object.name);
-        let (status, body) = self.exchange(Method::PUT, &path, Bytes::from(body), NOTE_TIMEOUT).await?;
-        if status == StatusCode::CONFLICT {
-            return hollyhook_platform::decode_object(&body).map(Some).map_err(StoreError::Malformed);
-        }
-        answered(status, body).map(|_answer| None)
+    ) -> Result<(), StoreError> {
+        let body = hollyhook_platform::encode_crashes(entry, records).map_err(StoreError::Malformed)?;
+        let path = hollyhook_platform::status_path(ObjectKind::Endpoint, &entry.name);
+        self.call(Method::PUT, &path, Bytes::from(body), NOTE_TIMEOUT).await.map(|_answer| ())
     }
 
     async fn call(&mut self, method: Method, path: &str, body: Bytes, limit: Duration) -> Result<Bytes, StoreError> {
-        let (status, body) = self.exchange(method, path, body, limit).await?;
-        answered(status, body)
-    }
-
-    async fn exchange(
-        &mut self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-        limit: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
         let address = (self.address)();
         let request = line_request(method, address, path, body)?;
-        Ok(self.line.call(address, request, limit).await?)
-    }
-}
-
-/// What an answer gives, by its status.
-fn answered(status: StatusCode, body: Bytes) -> Result<Bytes, StoreError> {
-    match status {
-        StatusCode::OK | StatusCode::CREATED => Ok(body),
-        StatusCode::GONE => Err(StoreError::HistoryGone),
-        StatusCode::CONFLICT => Err(StoreError::Exists),
-        StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
-        _ => Err(StoreError::Away("it turned the call away")),
+        let (status, body) = self.line.call(address, request, limit).await?;
+        match status {
+            StatusCode::OK | StatusCode::CREATED => Ok(body),
+            StatusCode::GONE => Err(StoreError::HistoryGone),
+            StatusCode::CONFLICT => Err(StoreError::Exists),
+            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
+            _ => Err(StoreError::Away("it turned the call away")),
+        }
     }
 }
 
