--- a/crates/hollyhook_core/src/feed/feed_log.rs
+++ b/crates/hollyhook_core/src/feed/feed_log.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, VecDeque};
 
+use super::StoreRevision;
 use crate::{Name, TimePoint};
 
 /// Changes that are kept for those who ask from an earlier revision; at 280 endpoints that change every second or so,
@@ -30,7 +31,7 @@
     /// The objects, or the changes in order.
     pub changes: Vec<FeedChange<T>>,
     /// The store's revision up to which they go.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Until when it is known that nothing else changed.
     pub heard_until: TimePoint,
     /// From when on entries that lapsed while the store was away have their time to come back.
@@ -49,23 +50,23 @@
 /// What a host knows of one kind of object, kept to tell others of it.
 ///
 /// ```
-/// use hollyhook_core::{FeedChange, FeedLog, FeedNews, TimePoint};
+/// use hollyhook_core::{FeedChange, FeedLog, FeedNews, StoreRevision, TimePoint};
 ///
-/// let at = TimePoint::from_millis(10);
+/// let (at, revision) = (TimePoint::from_millis(10), StoreRevision::new(1, 7));
 /// let object = FeedChange { name: "a".into(), object: Some(1) };
-/// let whole = FeedNews { is_whole: true, changes: vec![object], revision: 7, heard_until: at, back_at: None, hops: 0 };
+/// let whole = FeedNews { is_whole: true, changes: vec![object], revision, heard_until: at, back_at: None, hops: 0 };
 /// let mut log = FeedLog::default();
 /// log.take(&whole);
-/// assert_eq!(log.after(Some(7)).unwrap().changes, []);
+/// assert_eq!(log.after(Some(revision)).unwrap().changes, []);
 /// assert!(log.after(None).unwrap().is_whole);
 /// ```
 #[derive(Debug)]
 pub struct FeedLog<T> {
     objects: BTreeMap<Name, T>,
-    changes: VecDeque<(u64, FeedChange<T>)>,
+    changes: VecDeque<(StoreRevision, FeedChange<T>)>,
     /// The revision from which on all changes are kept.
-    kept_from: u64,
-    revision: u64,
+    kept_from: StoreRevision,
+    revision: StoreRevision,
     heard_until: TimePoint,
     back_at: Option<TimePoint>,
     /// Hosts that told on what is known.
@@ -78,8 +79,8 @@
         Self {
             objects: BTreeMap::new(),
             changes: VecDeque::new(),
-            kept_from: 0,
-            revision: 0,
+            kept_from: StoreRevision::default(),
+            revision: StoreRevision::default(),
             heard_until: TimePoint::ZERO,
             back_at: None,
             hops: 0,
@@ -91,10 +92,15 @@
 impl<T: Clone + PartialEq> FeedLog<T> {
     /// Takes news in.
     pub fn take(&mut self, news: &FeedNews<T>) {
+        // What a store said before it came back from an older copy replaces nothing of what it says since.
+        if news.revision.era < self.revision.era {
+            return;
+        }
         self.hops = news.hops;
         self.heard_until = self.heard_until.max(news.heard_until);
         self.back_at = self.back_at.max(news.back_at);
-        if news.is_whole && (!self.is_known || news.revision < self.revision) {
+        let is_of_other_store = news.revision.era == self.revision.era && news.revision < self.revision;
+        if news.is_whole && (!self.is_known || is_of_other_store) {
             // The first that is known, or of another store, whose revisions mean something else.
             *self = Self { hops: news.hops, back_at: self.back_at, heard_until: self.heard_until, ..Self::default() };
             self.is_known = true;
@@ -119,7 +125,7 @@
         }
     }
 
-    fn apply(&mut self, revision: u64, change: FeedChange<T>) {
+    fn apply(&mut self, revision: StoreRevision, change: FeedChange<T>) {
         match &change.object {
             Some(object) => self.objects.insert(Name::clone(&change.name), object.clone()),
             None => self.objects.remove(&change.name),
@@ -139,11 +145,15 @@
 
     /// What changed after a revision, or everything where that is not known.
     ///
-    /// None if this host may not tell, because too many others told it on, or if everything is too much.
-    pub fn after(&self, revision: Option<u64>) -> Option<FeedNews<T>> {
+    /// None if this host may not tell, because too many others told it on, or if everything is too much, or if who asks knows a
+    /// newer era of the store.
+    pub fn after(&self, revision: Option<StoreRevision>) -> Option<FeedNews<T>> {
         if !self.is_known || self.hops > MOST_HOPS {
             return None;
         }
+        if revision.is_some_and(|revision| revision.era > self.revision.era) {
+            return None;
+        }
         let known = revision.filter(|revision| *revision >= self.kept_from);
         if known.is_none() && self.objects.len() > MOST_TOLD {
             return None;
--- a/crates/hollyhook_core/src/feed/store_contact.rs
+++ b/crates/hollyhook_core/src/feed/store_contact.rs
@@ -89,6 +89,15 @@
         Some(now.min(latest))
     }
 
+    /// Notes an answer that shows that the store came back from an older copy of itself; tells from when on what is missing
+    /// there has its time to come back.
+    ///
+    /// No call may have failed meanwhile: the store was away for a moment after the last answer.
+    pub fn came_back(&mut self, now: TimePoint, contact: Duration) -> TimePoint {
+        self.lost_at = self.lost_at.or(Some(self.heard_at));
+        self.answered(now, contact).unwrap_or(now)
+    }
+
     /// How long the next watch waits: `usual`, or less where its silence would be noticed too late, or while the store is
     /// away.
     ///
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -27,8 +27,8 @@
 pub use cursor::{CursorKey, CursorSeal, StreamCursor};
 pub use error::{Answer, Error, ErrorKind, Result, RunState, answer_for};
 pub use feed::{
-    FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, FeedTiming, PassReason, RosterMember, StoreContact,
-    is_stale_help,
+    EraLedger, EraVerdict, FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, FeedTiming, PassReason, RosterMember,
+    StoreContact, StoreRevision, is_stale_help,
 };
 pub use forward::{
     AnswerHead, AnswerVerdict, AttemptFailure, AttemptLedger, CallerHead, PromptSize, StopReason, judge_answer,
--- a/crates/hollyhook_core/src/route/endpoint_membership.rs
+++ b/crates/hollyhook_core/src/route/endpoint_membership.rs
@@ -23,6 +23,10 @@
     back_at: Option<TimePoint>,
     /// Missing entries and when they are taken as gone.
     missing: BTreeMap<EndpointId, TimePoint>,
+    /// When entries went, of those that went lately.
+    gone: BTreeMap<EndpointId, TimePoint>,
+    /// Until when what an older copy of the platform's list holds may be gone.
+    relics_until: TimePoint,
 }
 
 impl EndpointMembership {
@@ -31,6 +35,33 @@
     /// The platform states about two seconds; the quarter more is for the read that shows it.
     pub const RETURN_GRACE: Duration = Duration::from_millis(2_250);
 
+    /// How long an entry stays in the platform's list that nobody renews: three heartbeats and what the list lags behind.
+    const RELIC_TIME: Duration = Duration::from_secs(5);
+    /// How long it is remembered that an entry went; copies from which the platform comes back are some seconds old.
+    const GONE_KEPT: Duration = Duration::from_mins(1);
+
+    /// Notes that the platform came back from an older copy of itself: entries in it may be of endpoints that left since.
+    pub fn platform_older(&mut self, now: TimePoint) {
+        self.relics_until = now + Self::RELIC_TIME;
+    }
+
+    /// Whether what the list says of an endpoint may be of before, which the list shows only by chance.
+    ///
+    /// Who lives renews its entry, and it stays; who left does not, and it goes.
+    pub fn is_doubtful(&self, now: TimePoint) -> bool {
+        now < self.relics_until
+    }
+
+    /// Whether an entry that is there is of an endpoint that left before the platform came back from an older copy.
+    pub fn is_relic(&self, now: TimePoint, id: &EndpointId) -> bool {
+        self.is_doubtful(now) && self.gone.contains_key(id)
+    }
+
+    fn note_gone(&mut self, now: TimePoint, id: &EndpointId) {
+        self.gone.retain(|_, at| now.since(*at) < Self::GONE_KEPT);
+        self.gone.insert(EndpointId::clone(id), now);
+    }
+
     /// Notes that the platform answers again after it did not; what is missing has its grace time from `at` on.
     pub fn platform_back(&mut self, at: TimePoint) {
         self.back_at = Some(at);
@@ -39,6 +70,7 @@
     /// Whether an endpoint whose entry is missing is to be forgotten now; if not, [`lapsed`](Self::lapsed) tells when.
     pub fn is_gone(&mut self, now: TimePoint, id: &EndpointId) -> bool {
         let Some(back_at) = self.back_at.filter(|at| now.since(*at) < Self::RETURN_GRACE) else {
+            self.note_gone(now, id);
             return true;
         };
         self.missing.entry(EndpointId::clone(id)).or_insert(back_at + Self::RETURN_GRACE);
@@ -48,6 +80,7 @@
     /// Notes that an entry is there.
     pub fn present(&mut self, id: &EndpointId) {
         self.missing.remove(id);
+        self.gone.remove(id);
     }
 
     /// The endpoints whose grace time is over; each is returned once.
@@ -56,6 +89,7 @@
         let due: Vec<EndpointId> = due.collect();
         for id in &due {
             self.missing.remove(id);
+            self.note_gone(now, id);
         }
         due
     }
--- a/crates/hollyhook_core/src/route/endpoint_record.rs
+++ b/crates/hollyhook_core/src/route/endpoint_record.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::REPORT_AGE;
-use crate::{EndpointId, EndpointRhythm, ModelBinding, Name, TimePoint, ZoneName};
+use crate::{EndpointId, EndpointRhythm, ModelBinding, Name, StoreRevision, TimePoint, ZoneName};
 
 /// Whether an endpoint gets new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -44,7 +44,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     /// Orders registrations: of two with one address, the later one is there.
-    pub registered: u64,
+    pub registered: StoreRevision,
     /// The weights that it serves; none for a plain service.
     pub binding: Option<ModelBinding>,
     /// Whether it gets new work.
@@ -81,7 +81,7 @@
             service,
             zone,
             address,
-            registered: 0,
+            registered: StoreRevision::default(),
             binding: None,
             state: EndpointState::Live,
             load: LoadReport::default(),
--- a/crates/hollyhook_core/src/site/site_ledger.rs
+++ b/crates/hollyhook_core/src/site/site_ledger.rs
@@ -23,23 +23,29 @@
 pub struct SiteLedger {
     site: Option<Arc<SiteIndex>>,
     confirmed: Option<TimePoint>,
+    /// The era of the store in which it was read.
+    era: u64,
 }
 
 impl SiteLedger {
-    /// Takes in a version that was the newest at `read_at`.
-    pub fn adopt(&mut self, plan: SitePlan, read_at: TimePoint) -> PlanAdoption {
+    /// Takes in a version that was the newest in the store at `read_at`, in an era of the store.
+    ///
+    /// An older one in a later era is what the copy holds from which the store came back: the operator will write the newer one
+    /// again, and until then nothing is newer than what is in force.
+    pub fn adopt(&mut self, plan: SitePlan, read_at: TimePoint, era: u64) -> PlanAdoption {
         let current = self.site.as_ref().map(|site| site.version());
         let adoption = match current {
             Some(version) if plan.version < version => PlanAdoption::Older,
             Some(version) if plan.version == version => PlanAdoption::Same,
             _ => PlanAdoption::Adopted,
         };
+        if adoption != PlanAdoption::Older || era > self.era {
+            self.confirm(read_at);
+        }
         if adoption == PlanAdoption::Adopted {
+            self.era = era;
             self.site = Some(Arc::new(SiteIndex::from(plan)));
         }
-        if adoption != PlanAdoption::Older {
-            self.confirm(read_at);
-        }
         adoption
     }
 
--- a/crates/hollyhook_core/tests/gateway/choosing.rs
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -2,14 +2,14 @@
 
 use hollyhook_core::{
     EndpointId, EndpointRecord, EndpointTable, EngineCandidate, EngineReport, EngineRun, HomeCounts, RouteQuery,
-    TimePoint, choose_engine, excess_wait, place_held,
+    StoreRevision, TimePoint, choose_engine, excess_wait, place_held,
 };
 use rand_pcg::Pcg64;
 use rand_pcg::rand_core::SeedableRng;
 
 fn record(id: &str, zone: &str, port: u16, registered: u64) -> EndpointRecord {
     let mut record = EndpointRecord::new(id.into(), "model".into(), zone.into(), ([10, 0, 0, 1], port).into());
-    record.registered = registered;
+    record.registered = StoreRevision::new(0, registered);
     record.capacity(64)
 }
 
--- a/crates/hollyhook_core/tests/gateway/feeding.rs
+++ b/crates/hollyhook_core/tests/gateway/feeding.rs
@@ -5,7 +5,7 @@
 
 use hollyhook_core::{
     FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, FeedTiming, Name, PassReason, RosterMember, StoreContact,
-    TimePoint,
+    StoreRevision, TimePoint,
 };
 
 const NOW: TimePoint = TimePoint::from_millis(10_000);
@@ -22,8 +22,20 @@
     FeedChange { name: name.into(), object: None }
 }
 
+/// A revision of the first era.
+const fn at(number: u64) -> StoreRevision {
+    StoreRevision::new(1, number)
+}
+
 fn news(is_whole: bool, revision: u64, changes: &[FeedChange<u32>]) -> FeedNews<u32> {
-    FeedNews { is_whole, changes: changes.to_vec(), revision, heard_until: NOW, back_at: None, hops: 0 }
+    FeedNews {
+        is_whole,
+        changes: changes.to_vec(),
+        revision: StoreRevision::new(1, revision),
+        heard_until: NOW,
+        back_at: None,
+        hops: 0,
+    }
 }
 
 /// A log that has everything at revision 10 and one change at 12.
@@ -37,10 +49,10 @@
 #[test]
 fn after_known_revision() {
     let log = log();
-    assert_eq!(log.after(Some(10)), Some(news(false, 12, &[set("a", 2), gone("b")])));
-    assert_eq!(log.after(Some(12)), Some(news(false, 12, &[])));
+    assert_eq!(log.after(Some(at(10))), Some(news(false, 12, &[set("a", 2), gone("b")])));
+    assert_eq!(log.after(Some(at(12))), Some(news(false, 12, &[])));
     // Another leader was ahead: nothing is taken back.
-    assert_eq!(log.after(Some(15)).unwrap().changes, []);
+    assert_eq!(log.after(Some(at(15))).unwrap().changes, []);
 }
 
 #[test]
@@ -48,7 +60,7 @@
     let log = log();
     let whole = Some(news(true, 12, &[set("a", 2)]));
     assert_eq!(log.after(None), whole);
-    assert_eq!(log.after(Some(9)), whole, "changes from before the list are not known");
+    assert_eq!(log.after(Some(at(9))), whole, "changes from before the list are not known");
 }
 
 #[test]
@@ -57,8 +69,8 @@
     for number in 0..3_000 {
         log.take(&news(false, 20 + number, &[set("a", number as u32)]));
     }
-    assert!(log.after(Some(12)).unwrap().is_whole);
-    assert_eq!(log.after(Some(3_018)).unwrap().changes, [set("a", 2_999)]);
+    assert!(log.after(Some(at(12))).unwrap().is_whole);
+    assert_eq!(log.after(Some(at(3_018))).unwrap().changes, [set("a", 2_999)]);
 }
 
 /// A leader that has to list again, because the store dropped its history, tells only what differs.
@@ -66,9 +78,9 @@
 fn after_another_list() {
     let mut log = log();
     log.take(&news(true, 30, &[set("a", 2), set("c", 3)]));
-    assert_eq!(log.after(Some(12)), Some(news(false, 30, &[set("c", 3)])));
+    assert_eq!(log.after(Some(at(12))), Some(news(false, 30, &[set("c", 3)])));
     log.take(&news(true, 40, &[set("c", 3)]));
-    assert_eq!(log.after(Some(30)), Some(news(false, 40, &[gone("a")])));
+    assert_eq!(log.after(Some(at(30))), Some(news(false, 40, &[gone("a")])));
 }
 
 /// The revisions of another store mean nothing.
@@ -76,8 +88,41 @@
 fn after_another_store() {
     let mut log = log();
     log.take(&news(true, 5, &[set("z", 1)]));
-    assert_eq!(log.after(Some(3)), Some(news(true, 5, &[set("z", 1)])));
-    assert_eq!(log.after(Some(5)), Some(news(false, 5, &[])));
+    assert_eq!(log.after(Some(at(3))), Some(news(true, 5, &[set("z", 1)])));
+    assert_eq!(log.after(Some(at(5))), Some(news(false, 5, &[])));
+}
+
+/// News of the second era.
+fn later(news: FeedNews<u32>) -> FeedNews<u32> {
+    let revision = StoreRevision { era: 2, ..news.revision };
+    FeedNews { revision, ..news }
+}
+
+/// The store came back from an older copy, with lower revisions: those who ask from before are told what differs.
+#[test]
+fn after_newer_era() {
+    let mut log = log();
+    log.take(&later(news(true, 5, &[set("a", 1), set("b", 1)])));
+    let differences = later(news(false, 5, &[set("a", 1), set("b", 1)]));
+    assert_eq!(log.after(Some(at(12))), Some(differences));
+    assert_eq!(log.after(Some(StoreRevision::new(2, 5))).unwrap().changes, []);
+}
+
+/// What is still on its way of before replaces nothing.
+#[test]
+fn older_era_replaces_nothing() {
+    let mut log = log();
+    log.take(&later(news(true, 5, &[set("a", 7)])));
+    let known = log.after(None);
+    log.take(&news(true, 90, &[set("a", 1)]));
+    log.take(&news(false, 91, &[gone("a")]));
+    assert_eq!(log.after(None), known);
+}
+
+/// Who has heard that the store came back is told nothing by one who has not.
+#[test]
+fn who_knows_newer_era_not_told() {
+    assert_eq!(log().after(Some(StoreRevision::new(2, 1))), None);
 }
 
 #[test]
@@ -86,7 +131,7 @@
     let mut log = FeedLog::default();
     log.take(&news(true, 10, &objects));
     assert_eq!(log.after(None), None);
-    assert_eq!(log.after(Some(10)), Some(news(false, 10, &[])));
+    assert_eq!(log.after(Some(at(10))), Some(news(false, 10, &[])));
 }
 
 fn told(hops: u32, news: FeedNews<u32>) -> FeedNews<u32> {
@@ -100,13 +145,13 @@
     let mut log = log();
     let change = news(false, 13, &[set("c", 1)]);
     log.take(&told(2, change.clone()));
-    assert_eq!(log.after(Some(12)), None);
+    assert_eq!(log.after(Some(at(12))), None);
     log.take(&told(u32::MAX, news(false, 13, &[])));
-    assert_eq!(log.after(Some(12)), None, "who was helped tells nobody");
+    assert_eq!(log.after(Some(at(12))), None, "who was helped tells nobody");
     log.take(&told(1, news(false, 13, &[])));
-    assert_eq!(log.after(Some(12)), Some(told(1, change.clone())));
+    assert_eq!(log.after(Some(at(12))), Some(told(1, change.clone())));
     log.take(&news(false, 13, &[]));
-    assert_eq!(log.after(Some(12)), Some(change));
+    assert_eq!(log.after(Some(at(12))), Some(change));
     assert_eq!(FeedLog::<u32>::default().after(None), None);
 }
 
@@ -115,11 +160,11 @@
 fn after_a_circle() {
     let mut logs = [log(), log(), log()];
     for turn in 0..9 {
-        if let Some(heard) = logs[turn % 3].after(Some(12)) {
+        if let Some(heard) = logs[turn % 3].after(Some(at(12))) {
             logs[(turn + 1) % 3].take(&told(heard.hops + 1, heard));
         }
     }
-    assert!(logs.iter().filter_map(|log| log.after(Some(12))).all(|heard| heard.heard_until == NOW));
+    assert!(logs.iter().filter_map(|log| log.after(Some(at(12)))).all(|heard| heard.heard_until == NOW));
 }
 
 /// The bounds of sites: the smallest for which hosts share what they read, and those of larger ones.
--- a/crates/hollyhook_core/tests/gateway/site.rs
+++ b/crates/hollyhook_core/tests/gateway/site.rs
@@ -68,12 +68,25 @@
     assert!(keyless.account(&closed, None).unwrap().is_none());
 }
 
+/// What an older copy of the store holds is not in force, and takes no confirmation from what is: the store holds nothing newer.
+#[test]
+fn ledger_older_version_of_later_era_confirms() {
+    let mut ledger = SiteLedger::default();
+    ledger.adopt(plan(4, &[]), TimePoint::from_millis(1_000), 1);
+    assert_eq!(ledger.adopt(plan(3, &[]), TimePoint::from_millis(9_000), 2), PlanAdoption::Older);
+    assert_eq!(ledger.site().unwrap().version(), 4);
+    assert_eq!(ledger.confirmed(), Some(TimePoint::from_millis(9_000)));
+    ledger.adopt(plan(5, &[]), TimePoint::from_millis(9_500), 2);
+    assert_eq!(ledger.adopt(plan(4, &[]), TimePoint::from_millis(9_900), 2), PlanAdoption::Older);
+    assert_eq!(ledger.confirmed(), Some(TimePoint::from_millis(9_500)));
+}
+
 #[test]
 fn ledger_honours_keys_for_a_bounded_time() {
     let bound = Duration::from_secs(3);
     let mut ledger = SiteLedger::default();
     assert!(!ledger.is_current(TimePoint::ZERO, bound));
-    ledger.adopt(plan(4, &[]), TimePoint::from_millis(1_000));
+    ledger.adopt(plan(4, &[]), TimePoint::from_millis(1_000), 1);
     assert!(ledger.is_current(TimePoint::from_millis(3_999), bound));
     assert!(!ledger.is_current(TimePoint::from_millis(4_000), bound));
     ledger.confirm(TimePoint::from_millis(2_000));
@@ -81,7 +94,7 @@
     ledger.confirm(TimePoint::from_millis(500));
     assert!(ledger.is_current(TimePoint::from_millis(4_500), bound));
     // A late read of an older version confirms nothing.
-    assert_eq!(ledger.adopt(plan(3, &[]), TimePoint::from_millis(9_000)), PlanAdoption::Older);
+    assert_eq!(ledger.adopt(plan(3, &[]), TimePoint::from_millis(9_000), 1), PlanAdoption::Older);
     assert!(!ledger.is_current(TimePoint::from_millis(9_000), bound));
 }
 
@@ -94,7 +107,7 @@
         let mut ledger = SiteLedger::default();
         let mut newest = None;
         for (step, version) in versions.into_iter().enumerate() {
-            ledger.adopt(plan(version, &[]), TimePoint::from_millis(step as u64));
+            ledger.adopt(plan(version, &[]), TimePoint::from_millis(step as u64), 1);
             newest = newest.max(Some(version));
             prop_assert_eq!(ledger.site().map(|site| site.version()), newest);
         }
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -72,7 +72,11 @@
         lock(&self.site).site()
     }
 
-    fn upsert_into(&self, table: &mut EndpointTable, site: Option<&SiteIndex>, record: EndpointRecord) {
+    fn upsert_into(&self, table: &mut EndpointTable, site: Option<&SiteIndex>, mut record: EndpointRecord) {
+        // Its registration stays what it was, also if the store shows it again out of an older copy.
+        if let Some(known) = table.get(&record.id) {
+            record.registered = known.registered;
+        }
         let is_known = |service: &str| site.is_some_and(|site| site.service(service).is_some());
         if table.is_displaced(&record, is_known) {
             return;
@@ -104,6 +108,7 @@
         for id in table.registered_as(entry) {
             table.remove(&id);
             self.pool.forget(&id);
+            self.board.count("endpoints_gone");
             tracing::info!(endpoint = %id, reason, "endpoint.gone");
         }
     }
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -198,8 +198,8 @@
         lock(&self.site).is_current(self.timer.now(), bound)
     }
 
-    pub(crate) fn adopt_site(&self, plan: SitePlan, read_at: TimePoint) -> PlanAdoption {
-        lock(&self.site).adopt(plan, read_at)
+    pub(crate) fn adopt_site(&self, plan: SitePlan, read_at: TimePoint, era: u64) -> PlanAdoption {
+        lock(&self.site).adopt(plan, read_at, era)
     }
 
     pub(crate) fn confirm_site(&self, at: TimePoint) {
--- a/crates/hollyhook_gateway/src/gateway/gateway_process.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -4,14 +4,14 @@
 
 use async_std::task;
 use hollyhook_core::{Error, ErrorKind, Name, Result, RosterMember, ZoneName};
-use hollyhook_kernel::{ServiceRegistry, TimerService};
+use hollyhook_kernel::ServiceRegistry;
 use hollyhook_settings::GatewaySettings;
 use hollyhook_wire::listen;
 
 use super::GatewayContext;
 use crate::front::{answer_metrics, answer_ready, serve_callers, serve_status};
 use crate::peer::{HostRegister, serve_peers};
-use crate::store::{EndpointWatch, SiteWatch, StoreClient};
+use crate::store::{EndpointWatch, SiteWatch};
 
 /// How often idle connections are looked through.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
@@ -44,13 +44,9 @@
         task::spawn(serve_callers(front, Arc::clone(&context)));
         task::spawn(serve_status(ready, Arc::clone(&context), answer_ready));
         let metrics_address = serve_metrics(settings, &context)?;
-        let store = || {
-            let context = Arc::clone(&context);
-            StoreClient::new(TimerService::clone(&context.timer), move || context.store_address())
-        };
-        share_feed(settings, &context, store())?;
-        task::spawn(SiteWatch::new(Arc::clone(&context), store()).run());
-        task::spawn(EndpointWatch::new(Arc::clone(&context), store()).run());
+        share_feed(settings, &context)?;
+        task::spawn(SiteWatch::new(Arc::clone(&context)).run());
+        task::spawn(EndpointWatch::new(Arc::clone(&context)).run());
         task::spawn(prune_pool(Arc::clone(&context)));
         tracing::info!(host = %context.host, zone = %context.zone, listen = %settings.listen, store = %settings.store,
             "gateway.started");
@@ -110,7 +106,7 @@
 }
 
 /// Tells other hosts what this one reads of the store, and learns of them; not where the settings name no address for it.
-fn share_feed(settings: &GatewaySettings, context: &Arc<GatewayContext>, client: StoreClient) -> Result<()> {
+fn share_feed(settings: &GatewaySettings, context: &Arc<GatewayContext>) -> Result<()> {
     let Some(address) = settings.peer_listen else {
         return Ok(());
     };
@@ -119,7 +115,7 @@
     let own = RosterMember { host: Name::clone(&context.host), zone: ZoneName::clone(&context.zone), address };
     context.feed.begin_listing();
     task::spawn(serve_peers(listener, Arc::clone(context)));
-    task::spawn(HostRegister::new(Arc::clone(context), client, own).run());
+    task::spawn(HostRegister::new(Arc::clone(context), own).run());
     Ok(())
 }
 
--- a/crates/hollyhook_gateway/src/net/kept_line.rs
+++ b/crates/hollyhook_gateway/src/net/kept_line.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hollyhook_kernel::TimerService;
-use http::{Request, StatusCode, header};
+use http::{Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
 
 use super::dial;
@@ -41,7 +41,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), LineFault> {
+    ) -> Result<Response<Bytes>, LineFault> {
         let timer = self.timer.clone();
         let outcome = timer.within(limit, self.exchange(address, request)).await;
         outcome.unwrap_or_else(|| {
@@ -55,18 +55,18 @@
         &mut self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-    ) -> Result<(StatusCode, Bytes), LineFault> {
+    ) -> Result<Response<Bytes>, LineFault> {
         let kept = self.connection.take().filter(|kept| kept.address == address && kept.inner.is_ready());
         let mut connection = match kept {
             Some(connection) => connection,
             None => self.connect(address).await?,
         };
         let response = connection.inner.send(request).await.map_err(|_fault| LineFault("the connection broke"))?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MOST_BYTES).collect().await;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, MOST_BYTES).collect().await;
         let body = body.map_err(|_error| LineFault("the answer was cut off"))?.to_bytes();
         self.connection = Some(connection);
-        Ok((status, body))
+        Ok(Response::from_parts(parts, body))
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<LineConnection, LineFault> {
--- a/crates/hollyhook_gateway/src/peer/feed_board.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_board.rs
@@ -3,7 +3,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use futures::channel::oneshot;
-use hollyhook_core::{FeedLog, FeedNews, FeedPlan, FeedRoster, Name, PassReason, RosterMember, TimePoint, ZoneName};
+use hollyhook_core::{
+    EraLedger, EraVerdict, FeedLog, FeedNews, FeedPlan, FeedRoster, Name, PassReason, RosterMember, StoreRevision,
+    TimePoint, ZoneName,
+};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
 use crate::sync::lock;
@@ -17,6 +20,7 @@
     waiters: Mutex<Vec<oneshot::Sender<()>>>,
     /// Whether the other hosts are being listed for the first time.
     is_listing: AtomicBool,
+    eras: Mutex<EraLedger>,
 }
 
 impl FeedBoard {
@@ -29,9 +33,20 @@
             logs: Mutex::default(),
             waiters: Mutex::default(),
             is_listing: AtomicBool::new(false),
+            eras: Mutex::default(),
         }
     }
 
+    /// The newest era of the store that this host has heard of.
+    pub(crate) fn era(&self) -> u64 {
+        lock(&self.eras).era()
+    }
+
+    /// Judges an answer by the era of the store that it tells.
+    pub(crate) fn judge_era(&self, told: Option<u64>) -> EraVerdict {
+        lock(&self.eras).judge(told)
+    }
+
     /// Notes that the other hosts will be listed soon.
     pub(crate) fn begin_listing(&self) {
         self.is_listing.store(true, Ordering::Relaxed);
@@ -90,7 +105,7 @@
     }
 
     /// What changed after a revision; none if this host may not tell.
-    pub(crate) fn after(&self, kind: ObjectKind, revision: Option<u64>) -> Option<FeedNews<StoreObject>> {
+    pub(crate) fn after(&self, kind: ObjectKind, revision: Option<StoreRevision>) -> Option<FeedNews<StoreObject>> {
         lock(&self.logs).get(&kind)?.after(revision)
     }
 
--- a/crates/hollyhook_gateway/src/peer/feed_message.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_message.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use hollyhook_core::{FeedChange, FeedNews, Name, TimePoint};
+use hollyhook_core::{FeedChange, FeedNews, Name, StoreRevision, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreObject};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -13,7 +13,7 @@
 pub(super) struct FeedQuery {
     pub(super) kind: ObjectKind,
     /// None asks for everything.
-    pub(super) after: Option<u64>,
+    pub(super) after: Option<StoreRevision>,
     pub(super) wait: Duration,
 }
 
@@ -21,7 +21,7 @@
     /// The path and query by which it is asked.
     pub(super) fn to_path(self) -> String {
         let path = if self.kind == ObjectKind::Endpoint { ENDPOINT_PATH } else { CONFIGURATION_PATH };
-        let after = self.after.map(|after| format!("&after={after}")).unwrap_or_default();
+        let after = self.after.map(|after| format!("&era={}&after={}", after.era, after.number)).unwrap_or_default();
         format!("{path}?wait_ms={}{after}", self.wait.as_millis())
     }
 
@@ -34,7 +34,9 @@
         };
         let pairs = || query.unwrap_or_default().split('&').filter_map(|pair| pair.split_once('='));
         let number = |name| pairs().find(|(key, _)| *key == name).and_then(|(_, text)| text.parse().ok());
-        Some(Self { kind, after: number("after"), wait: Duration::from_millis(number("wait_ms").unwrap_or_default()) })
+        let era = number("era").unwrap_or_default();
+        let after = number("after").map(|after| StoreRevision::new(era, after));
+        Some(Self { kind, after, wait: Duration::from_millis(number("wait_ms").unwrap_or_default()) })
     }
 }
 
@@ -42,6 +44,9 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct FeedMessage {
     is_whole: bool,
+    /// The era of the store.
+    #[serde(default)]
+    era: u64,
     revision: u64,
     /// How long ago the store confirmed it, in milliseconds.
     pub(super) age_ms: u64,
@@ -77,7 +82,8 @@
     pub(super) fn new(news: FeedNews<StoreObject>, asked_at: TimePoint, now: TimePoint) -> Self {
         Self {
             is_whole: news.is_whole,
-            revision: news.revision,
+            era: news.revision.era,
+            revision: news.revision.number,
             age_ms: now.since(news.heard_until).as_millis() as u64,
             back_ms_ago: news.back_at.map(|at| now.since(at).as_millis() as u64),
             hops: news.hops,
@@ -97,7 +103,7 @@
         FeedNews {
             is_whole: self.is_whole,
             changes: self.changes.into_iter().map(FeedChange::from).collect(),
-            revision: self.revision,
+            revision: StoreRevision::new(self.era, self.revision),
             heard_until: before(answered_at, self.age_ms),
             back_at: self.back_ms_ago.map(|ms| before(answered_at, ms)),
             hops: self.hops.saturating_add(1),
--- a/crates/hollyhook_gateway/src/peer/host_register.rs
+++ b/crates/hollyhook_gateway/src/peer/host_register.rs
@@ -29,7 +29,8 @@
 }
 
 impl HostRegister {
-    pub(crate) fn new(context: Arc<GatewayContext>, client: StoreClient, own: RosterMember) -> Self {
+    pub(crate) fn new(context: Arc<GatewayContext>, own: RosterMember) -> Self {
+        let client = StoreClient::new(&context);
         Self { context, client, own }
     }
 
@@ -40,6 +41,7 @@
     /// 295 hosts that lost power start at once.
     pub(crate) async fn run(mut self) {
         let mut is_registered = self.try_list().await.is_some_and(|is_listed| is_listed);
+        let mut era = self.context.feed.era();
         while !is_registered {
             is_registered = self.register().await;
         }
@@ -48,8 +50,17 @@
         loop {
             self.context.timer.wait(pause).await;
             pause = LIST_INTERVAL;
-            while self.try_list().await.is_none() {
-                self.context.timer.wait(RETRY_PAUSE).await;
+            let is_older = self.context.feed.era() > era;
+            era = self.context.feed.era();
+            let is_listed = loop {
+                match self.try_list().await {
+                    Some(is_listed) => break is_listed,
+                    None => self.context.timer.wait(RETRY_PAUSE).await,
+                }
+            };
+            // The copy from which the store came back may be from before this host's entry.
+            if is_older && !is_listed {
+                self.register().await;
             }
         }
     }
--- a/crates/hollyhook_gateway/src/peer/peer_client.rs
+++ b/crates/hollyhook_gateway/src/peer/peer_client.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use hollyhook_core::{FeedNews, FeedTiming, PassReason, RosterMember, TimePoint, is_stale_help};
+use hollyhook_core::{FeedNews, FeedTiming, PassReason, RosterMember, StoreRevision, TimePoint, is_stale_help};
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::{ObjectKind, StoreObject};
 use http::{Method, StatusCode};
@@ -62,7 +62,7 @@
     pub(crate) role: PeerRole,
     pub(crate) kind: ObjectKind,
     /// The revision after which changes are asked for; none asks for everything.
-    pub(crate) after: Option<u64>,
+    pub(crate) after: Option<StoreRevision>,
     pub(crate) timing: FeedTiming,
     pub(crate) asked_at: TimePoint,
 }
@@ -91,12 +91,12 @@
         let PeerQuestion { role, kind, after, timing, asked_at } = question;
         let query = FeedQuery { kind, after, wait: role.wait(timing) };
         let request = line_request(Method::GET, host.address, &query.to_path(), "")?;
-        let (status, body) = self.line.call(host.address, request, timing.peer_limit(query.wait)).await?;
-        if status != StatusCode::OK {
+        let response = self.line.call(host.address, request, timing.peer_limit(query.wait)).await?;
+        if response.status() != StatusCode::OK {
             return Err(PeerFault::outdated("it does not read the store"));
         }
         let message: FeedMessage =
-            serde_json::from_slice(&body).map_err(|_error| LineFault("it can't be understood"))?;
+            serde_json::from_slice(response.body()).map_err(|_error| LineFault("it can't be understood"))?;
         if role.is_too_old(timing, &message) {
             return Err(PeerFault::outdated("what it knows is too old"));
         }
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use async_std::task;
-use hollyhook_core::{EndpointMembership, FeedNews, FeedPlan, Name, TimePoint};
+use hollyhook_core::{
+    EndpointMembership, EndpointRecord, EndpointState, FeedNews, FeedPlan, Name, StoreRevision, TimePoint,
+};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
-use super::{FeedReader, QuarantineWriter, StoreClient, StoreError};
+use super::{FeedReader, QuarantineWriter, StoreError};
 use crate::gateway::GatewayContext;
 use crate::sync::lock;
 
@@ -33,14 +35,26 @@
     membership: Arc<Mutex<EndpointMembership>>,
     /// The store's last return that was taken in.
     back_at: Option<TimePoint>,
+    /// The store's revision in the first news of its era.
+    began: StoreRevision,
+    /// Entries in the copy from which the store came back that may be of endpoints that left, or say what was before.
+    doubtful: BTreeMap<Name, StoreObject>,
     /// Entries that could not be read, and the revision at which that was logged.
     malformed: BTreeMap<Name, u64>,
 }
 
 impl EndpointWatch {
-    pub(crate) fn new(context: Arc<GatewayContext>, client: StoreClient) -> Self {
-        let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Endpoint, client, WATCH_WAIT);
-        Self { context, reader, membership: Arc::default(), back_at: None, malformed: BTreeMap::new() }
+    pub(crate) fn new(context: Arc<GatewayContext>) -> Self {
+        let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Endpoint, WATCH_WAIT);
+        Self {
+            context,
+            reader,
+            membership: Arc::default(),
+            back_at: None,
+            began: StoreRevision::default(),
+            doubtful: BTreeMap::new(),
+            malformed: BTreeMap::new(),
+        }
     }
 
     /// Follows them until the process ends.
@@ -72,6 +86,7 @@
         let news = self.reader.next().await?;
         self.context.wait_for_site().await;
         self.context.endpoints.confirm(news.heard_until);
+        self.note_era(&news);
         self.note_return(&news);
         if news.is_whole {
             self.forget_missing(&news);
@@ -83,9 +98,11 @@
             } else {
                 self.context.quarantine.forget_entry(&change.name);
                 self.malformed.remove(&change.name);
+                self.doubtful.remove(&change.name);
                 self.miss(&change.name);
             }
         }
+        self.settle_doubtful();
         QuarantineWriter::wake(&self.context);
         if news.is_whole {
             self.context.note_endpoints_listed();
@@ -93,6 +110,51 @@
         Ok(!news.changes.is_empty())
     }
 
+    /// Takes in that the store came back from an older copy of itself.
+    fn note_era(&mut self, news: &FeedNews<StoreObject>) {
+        if news.revision.era <= self.began.era {
+            return;
+        }
+        let is_first = self.began == StoreRevision::default();
+        self.began = news.revision;
+        if is_first {
+            return;
+        }
+        lock(&self.membership).platform_older(self.context.timer.now());
+        tracing::warn!(
+            era = news.revision.era,
+            revision = news.revision.number,
+            kind = "endpoints",
+            is_whole = news.is_whole,
+            "store.came_back_older"
+        );
+    }
+
+    /// Whether an entry says what was before the store came back from an older copy: nobody has written it since, and what this
+    /// host knows is newer.
+    fn is_outdated(&self, object: &StoreObject, record: &EndpointRecord) -> bool {
+        if object.revision > self.began.number {
+            return false;
+        }
+        let now = self.context.timer.now();
+        let membership = lock(&self.membership);
+        let is_back = || {
+            let known = self.context.endpoints.table().get(&record.id).map(|known| known.state);
+            known == Some(EndpointState::Leaving) && record.state == EndpointState::Live
+        };
+        membership.is_relic(now, &record.entry) || membership.is_doubtful(now) && is_back()
+    }
+
+    /// Believes the entries that are still there when those would have gone that nobody renews.
+    fn settle_doubtful(&mut self) {
+        if self.doubtful.is_empty() || lock(&self.membership).is_doubtful(self.context.timer.now()) {
+            return;
+        }
+        for object in std::mem::take(&mut self.doubtful).into_values() {
+            self.upsert(&object);
+        }
+    }
+
     fn note_return(&mut self, news: &FeedNews<StoreObject>) {
         let Some(at) = news.back_at.filter(|at| Some(*at) > self.back_at) else {
             return;
@@ -111,14 +173,21 @@
             self.miss(entry);
         }
         self.malformed.retain(|entry, _| present.contains(entry));
+        self.doubtful.retain(|entry, _| present.contains(entry));
         self.context.quarantine.retain_entries(|entry| present.contains(entry));
     }
 
     fn upsert(&mut self, object: &StoreObject) {
         match hollyhook_platform::decode_endpoint(object) {
-            Ok(record) => {
+            Ok(record) if self.is_outdated(object, &record) => {
+                tracing::info!(entry = %object.name, state = ?record.state, "endpoint.outdated");
+                self.doubtful.insert(Name::clone(&object.name), object.clone());
+            }
+            Ok(mut record) => {
                 lock(&self.membership).present(&record.entry);
                 self.malformed.remove(&record.entry);
+                self.doubtful.remove(&record.entry);
+                record.registered.era = self.began.era;
                 self.context.endpoints.upsert(record);
             }
             Err(error) => {
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyhook_core::{FeedChange, FeedNews, FeedPlan, Name, RosterMember, StoreContact, TimePoint};
+use hollyhook_core::{
+    EraVerdict, FeedChange, FeedNews, FeedPlan, Name, PassReason, RosterMember, StoreContact, StoreRevision, TimePoint,
+};
 use hollyhook_platform::{ObjectKind, StoreChange, StoreObject};
 use serde_json::Value;
 
@@ -26,7 +28,9 @@
     /// How long one watch waits at a host that reads for itself.
     wait: Duration,
     /// The revision to go on from; none if all objects have to be read first.
-    revision: Option<u64>,
+    revision: Option<StoreRevision>,
+    /// The newest era in which news came.
+    era: u64,
     /// Until when the last news were certain.
     heard_until: TimePoint,
     contact: StoreContact,
@@ -37,7 +41,8 @@
 }
 
 impl FeedReader {
-    pub(crate) fn new(context: Arc<GatewayContext>, kind: ObjectKind, client: StoreClient, wait: Duration) -> Self {
+    pub(crate) fn new(context: Arc<GatewayContext>, kind: ObjectKind, wait: Duration) -> Self {
+        let client = StoreClient::new(&context);
         let peers = PeerClient::new(context.timer.as_ref().clone());
         Self {
             context,
@@ -46,6 +51,7 @@
             peers,
             wait,
             revision: None,
+            era: 0,
             heard_until: TimePoint::ZERO,
             contact: StoreContact::default(),
             lost_at: None,
@@ -126,6 +132,7 @@
 
     fn take(&mut self, news: &FeedNews<StoreObject>) {
         self.revision = self.revision.max(Some(news.revision));
+        self.era = news.revision.era;
         self.heard_until = news.heard_until;
         self.context.feed.take(self.kind, news);
     }
@@ -141,13 +148,28 @@
                 asked_at: self.context.timer.now(),
             };
             match self.peers.ask(host, question).await {
-                Ok(news) => return Some(news),
+                Ok(news) if news.revision.era < self.context.feed.era() => {
+                    let why = "it has not heard that the store came back from a copy";
+                    self.pass_over(role, host, PeerFault { reason: PassReason::Outdated, why });
+                }
+                Ok(news) => {
+                    self.note_era(host, &news);
+                    return Some(news);
+                }
                 Err(fault) => self.pass_over(role, host, fault),
             }
         }
         None
     }
 
+    /// Takes in the era of the store that another host heard of.
+    fn note_era(&self, host: &RosterMember, news: &FeedNews<StoreObject>) {
+        let (before, era) = (self.context.feed.era(), news.revision.era);
+        if era > 0 && self.context.feed.judge_era(Some(era)) == EraVerdict::Newer {
+            tracing::info!(before, era, told_by = %host.host, "store.era");
+        }
+    }
+
     fn pass_over(&self, role: PeerRole, host: &RosterMember, fault: PeerFault) {
         let now = self.context.timer.now();
         match role {
@@ -178,7 +200,7 @@
     /// One call: a watch from a revision, or a list without one.
     async fn call_store(
         &mut self,
-        revision: Option<u64>,
+        revision: Option<StoreRevision>,
         usual_wait: Duration,
     ) -> Result<FeedNews<StoreObject>, StoreError> {
         let asked_at = self.context.timer.now();
@@ -189,7 +211,13 @@
         match &mut outcome {
             Ok(news) => {
                 self.note_regained(asked_at);
-                news.back_at = self.contact.answered(self.context.timer.now(), self.context.contact_bound());
+                let (now, bound) = (self.context.timer.now(), self.context.contact_bound());
+                let has_come_back = self.heard_until > TimePoint::ZERO && news.revision.era > self.era;
+                news.back_at = if has_come_back {
+                    Some(self.contact.came_back(now, bound))
+                } else {
+                    self.contact.answered(now, bound)
+                };
             }
             Err(StoreError::HistoryGone) => self.note_regained(asked_at),
             Err(error) => {
@@ -226,7 +254,7 @@
     async fn watch(
         &mut self,
         asked_at: TimePoint,
-        revision: u64,
+        revision: StoreRevision,
         usual_wait: Duration,
     ) -> Result<FeedNews<StoreObject>, StoreError> {
         let wait = self.contact.watch_wait(asked_at, usual_wait, self.context.contact_bound());
--- a/crates/hollyhook_gateway/src/store/quarantine_writer.rs
+++ b/crates/hollyhook_gateway/src/store/quarantine_writer.rs
@@ -3,7 +3,6 @@
 
 use async_std::task;
 use hollyhook_core::{CrashRecords, FeedPlan};
-use hollyhook_kernel::TimerService;
 use hollyhook_platform::ObjectKind;
 use rand::Rng;
 
@@ -30,9 +29,7 @@
     /// Begins to write if anything is to be told and nobody here writes yet.
     pub(crate) fn wake(context: &Arc<GatewayContext>) {
         if context.quarantine.begin_writing(is_reader(context)) {
-            let of_store = Arc::clone(context);
-            let client = StoreClient::new(TimerService::clone(&context.timer), move || of_store.store_address());
-            task::spawn(Self { context: Arc::clone(context), client }.run());
+            task::spawn(Self { context: Arc::clone(context), client: StoreClient::new(context) }.run());
         }
     }
 
--- a/crates/hollyhook_gateway/src/store/site_watch.rs
+++ b/crates/hollyhook_gateway/src/store/site_watch.rs
@@ -4,7 +4,7 @@
 use hollyhook_core::{PlanAdoption, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
-use super::{FeedReader, StoreClient, StoreError};
+use super::{FeedReader, StoreError};
 use crate::gateway::GatewayContext;
 
 /// How long one watch waits. Each return confirms that no key was taken away, so it has to be well under the time
@@ -22,8 +22,8 @@
 }
 
 impl SiteWatch {
-    pub(crate) fn new(context: Arc<GatewayContext>, client: StoreClient) -> Self {
-        let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Configuration, client, WATCH_WAIT);
+    pub(crate) fn new(context: Arc<GatewayContext>) -> Self {
+        let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Configuration, WATCH_WAIT);
         Self { context, reader }
     }
 
@@ -46,7 +46,7 @@
             return Ok(());
         }
         for object in news.changes.iter().filter_map(|change| change.object.as_ref()) {
-            self.adopt(object, news.heard_until);
+            self.adopt(object, news.heard_until, news.revision.era);
         }
         if !news.is_whole {
             self.context.timer.wait(GATHER_PAUSE).await;
@@ -54,11 +54,11 @@
         Ok(())
     }
 
-    fn adopt(&self, object: &StoreObject, read_at: TimePoint) {
+    fn adopt(&self, object: &StoreObject, read_at: TimePoint, era: u64) {
         match hollyhook_platform::decode_site(object) {
             Ok(Some(plan)) => {
                 let version = plan.version;
-                let adoption = self.context.adopt_site(plan, read_at);
+                let adoption = self.context.adopt_site(plan, read_at, era);
                 if adoption != PlanAdoption::Same {
                     tracing::info!(version, revision = object.revision, adoption = ?adoption, "site.read");
                 }
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -1,14 +1,17 @@
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollyhook_core::{CrashRecords, RosterMember};
+use hollyhook_core::{CrashRecords, EraVerdict, RosterMember, StoreRevision};
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::{ObjectKind, StoreChange, StoreFault, StoreObject, StorePage};
-use http::{Method, StatusCode};
+use http::{Method, Response, StatusCode};
 
+use crate::gateway::GatewayContext;
 use crate::net::{KeptLine, LineFault, line_request};
+use crate::peer::FeedBoard;
 
 /// How long a call about hosts may take; nobody waits for it.
 const HOST_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -52,6 +55,8 @@
 /// Calls the platform's store over one kept connection.
 pub(crate) struct StoreClient {
     line: KeptLine,
+    /// Where the eras of the store are known that others heard of.
+    feed: Arc<FeedBoard>,
     /// Where the store is now.
     address: Box<dyn Fn() -> SocketAddr + Send + Sync>,
     /// The store whose revisions the last list gave.
@@ -59,8 +64,14 @@
 }
 
 impl StoreClient {
-    pub(crate) fn new(timer: TimerService, address: impl Fn() -> SocketAddr + Send + Sync + 'static) -> Self {
-        Self { line: KeptLine::new(timer), address: Box::new(address), listed_at: None }
+    pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
+        let of_address = Arc::clone(context);
+        Self {
+            line: KeptLine::new(TimerService::clone(&context.timer)),
+            feed: Arc::clone(&context.feed),
+            address: Box::new(move || of_address.store_address()),
+            listed_at: None,
+        }
     }
 
     /// All objects of a kind, and the revision to watch from; each page within `limit`.
@@ -68,7 +79,7 @@
         &mut self,
         kind: ObjectKind,
         limit: Duration,
-    ) -> Result<(Vec<StoreObject>, u64), StoreError> {
+    ) -> Result<(Vec<StoreObject>, StoreRevision), StoreError> {
         self.listed_at = Some((self.address)());
         self.pages(|after| hollyhook_platform::list_path(kind, after), limit).await
     }
@@ -84,19 +95,24 @@
         &mut self,
         path: impl Fn(Option<&str>) -> String,
         limit: Duration,
-    ) -> Result<(Vec<StoreObject>, u64), StoreError> {
+    ) -> Result<(Vec<StoreObject>, StoreRevision), StoreError> {
         let mut objects = Vec::new();
         let mut first_revision = None;
         let mut after = None;
         loop {
-            let body = self.call(Method::GET, &path(after.as_deref()), Bytes::new(), limit).await?;
+            let (era, body) = self.call(Method::GET, &path(after.as_deref()), Bytes::new(), limit).await?;
             let page: StorePage = hollyhook_platform::decode_page(&body).map_err(StoreError::Malformed)?;
             objects.extend(page.objects);
             if page.nameless > 0 {
                 tracing::error!(count = page.nameless, "store.objects_nameless");
             }
             // Changes between two pages are seen again by a watch from the first page's revision.
-            let revision = *first_revision.get_or_insert(page.revision);
+            let read_at = StoreRevision::new(era, page.revision);
+            let revision = *first_revision.get_or_insert(read_at);
+            if revision.era != era {
+                // The store came back from a copy between two pages; together they are the list of no moment.
+                return Err(StoreError::HistoryGone);
+            }
             match page.next_after {
                 Some(name) => after = Some(name),
                 None => return Ok((objects, revision)),
@@ -108,17 +124,25 @@
     pub(crate) async fn watch(
         &mut self,
         kind: ObjectKind,
-        revision: u64,
+        revision: StoreRevision,
         wait: Duration,
         limit: Duration,
-    ) -> Result<(Vec<StoreChange>, u64), StoreError> {
+    ) -> Result<(Vec<StoreChange>, StoreRevision), StoreError> {
         if self.listed_at != Some((self.address)()) {
             // The store has moved; the revisions of another one mean nothing there.
             return Err(StoreError::HistoryGone);
         }
-        let path = hollyhook_platform::watch_path(kind, revision, wait);
-        let body = self.call(Method::GET, &path, Bytes::new(), limit).await?;
-        hollyhook_platform::decode_change(&body).map_err(StoreError::Malformed)
+        if self.feed.era() != revision.era {
+            return Err(StoreError::HistoryGone);
+        }
+        let path = hollyhook_platform::watch_path(kind, revision.number, wait);
+        let (era, body) = self.call(Method::GET, &path, Bytes::new(), limit).await?;
+        if era != revision.era {
+            // Since it came back from a copy, what it counts from this revision on is not what has changed.
+            return Err(StoreError::HistoryGone);
+        }
+        let (changes, number) = hollyhook_platform::decode_change(&body).map_err(StoreError::Malformed)?;
+        Ok((changes, StoreRevision::new(era, number)))
     }
 
     /// Writes this host's entry, whether there is one or not.
@@ -137,7 +161,7 @@
     /// One object.
     pub(crate) async fn read(&mut self, kind: ObjectKind, name: &str) -> Result<StoreObject, StoreError> {
         let path = hollyhook_platform::object_path(kind, name);
-        let body = self.call(Method::GET, &path, Bytes::new(), NOTE_TIMEOUT).await?;
+        let (_era, body) = self.call(Method::GET, &path, Bytes::new(), NOTE_TIMEOUT).await?;
         hollyhook_platform::decode_object(&body).map_err(StoreError::Malformed)
     }
 
@@ -156,18 +180,42 @@
         self.call(Method::PUT, &path, Bytes::from(body), NOTE_TIMEOUT).await.map(|_answer| ())
     }
 
-    async fn call(&mut self, method: Method, path: &str, body: Bytes, limit: Duration) -> Result<Bytes, StoreError> {
+    /// One call; the era that its answer is of, and its body.
+    async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<(u64, Bytes), StoreError> {
         let address = (self.address)();
         let request = line_request(method, address, path, body)?;
-        let (status, body) = self.line.call(address, request, limit).await?;
-        match status {
-            StatusCode::OK | StatusCode::CREATED => Ok(body),
+        let response = self.line.call(address, request, limit).await?;
+        let era = self.judge_era(&response)?;
+        match response.status() {
+            StatusCode::OK | StatusCode::CREATED => Ok((era, response.into_body())),
             StatusCode::GONE => Err(StoreError::HistoryGone),
             StatusCode::CONFLICT => Err(StoreError::Exists),
             StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
             _ => Err(StoreError::Away("it turned the call away")),
         }
     }
+
+    /// The era of an answer, if it may be believed.
+    fn judge_era(&self, response: &Response<Bytes>) -> Result<u64, StoreError> {
+        let told = hollyhook_platform::store_era(response.headers()).map_err(StoreError::Malformed)?;
+        let before = self.feed.era();
+        match self.feed.judge_era(told) {
+            EraVerdict::Same => {}
+            EraVerdict::Newer => tracing::info!(before, era = told, "store.era"),
+            EraVerdict::Older | EraVerdict::Missing if !response.status().is_success() => {}
+            EraVerdict::Older | EraVerdict::Missing => {
+                tracing::error!(newest = before, era = told, "store.era_wrong");
+                return Err(StoreError::Away("its answer is of another era than it told before"));
+            }
+        }
+        Ok(told.unwrap_or_default())
+    }
 }
 
 impl fmt::Debug for StoreClient {
