--- a/crates/hollyhook_core/src/feed/feed_roster.rs
+++ b/crates/hollyhook_core/src/feed/feed_roster.rs
@@ -11,8 +11,8 @@
 const SHARED_FROM: usize = 6;
 /// Hosts of a zone that read the store for all of it, whatever its size. A second one goes on when the first is lost.
 const LEADERS: usize = 2;
-/// Hosts of a zone that leaders tell by themselves. Two that told 73 hosts of 3,000 endpoints sent 987 KB a second each,
-/// nearly the whole link of the smallest hosts (10 Mbit/s), and versions came a second late.
+/// Hosts of a zone that leaders tell by themselves. Many more would take the whole link of a small host (10 Mbit/s), and
+/// versions would come late.
 const TOLD_BY_LEADERS: usize = 24;
 /// Hosts for each relay in a larger zone, itself among them. Leaders then tell two or three relays each in a zone of 50
 /// hosts, and ten in one of 200.
@@ -152,8 +152,8 @@
 
     /// Notes that the store gives this host no answer either: who knew nothing new is not to blame, and is asked again.
     ///
-    /// Otherwise, in an outage, each host would soon pass all others over and take itself for a leader: 295 hosts made 8,000
-    /// calls in eight seconds, and went on to read for themselves for as long after it.
+    /// Otherwise, in an outage, each host would soon pass all others over and take itself for a leader, and go on to read for
+    /// itself for as long after it.
     pub fn forgive(&mut self) {
         let outdated = self.passed_over.extract_if(.., |_, passed| passed.reason == PassReason::Outdated);
         self.unhelpful.extend(outdated.map(|(host, passed)| (host, passed.until)));
--- a/crates/hollyhook_core/src/feed/store_contact.rs
+++ b/crates/hollyhook_core/src/feed/store_contact.rs
@@ -2,10 +2,9 @@
 
 use crate::{EndpointMembership, TimePoint};
 
-/// What a watch may take beyond the wait that it asks for; a slow store was seen to take 0.3 s.
+/// What a watch may take beyond the wait that it asks for, at a store that is slow.
 const WATCH_SLACK: Duration = Duration::from_millis(800);
-/// What reading everything again may take once a call was given up. A list of 40 endpoints took 10 to 17 ms in the logs of
-/// hosts that came back; larger sites read several pages.
+/// What reading everything again may take once a call was given up. Larger sites read several pages.
 const READ_MARGIN: Duration = Duration::from_millis(250);
 /// How long before the host counts as in contact what is still missing is forgotten: a request that was placed just before
 /// may wait for a connection to its endpoint for 0.25 s, and the list may come [`READ_MARGIN`] later.
@@ -28,8 +27,8 @@
 ///
 /// A host that was away has to act on all that the store acknowledged meanwhile as soon as it counts as in contact again,
 /// a while (`contact`) after its way to the store was whole. It can't know when that was; it knows when the last answer
-/// came, and when the last call began that got none. So everything here is counted from these: a host that counted from its
-/// own notice was seen to send to endpoints that had left 3.3 s after the end of a cut, where 3 s are the bound.
+/// came, and when the last call began that got none. So everything here is counted from these: a host that
+/// counted from its own notice would send to endpoints that had left beyond the bound.
 ///
 /// ```
 /// use hollyhook_core::{StoreContact, TimePoint};
--- a/crates/hollyhook_core/src/route/copy_placement.rs
+++ b/crates/hollyhook_core/src/route/copy_placement.rs
@@ -1,8 +1,7 @@
 use super::{EngineCandidate, EngineReport, choose_engine};
 
-/// The share of an engine's memory up to which copies may take it. Played at three times the usual load, four values of
-/// 0.4 to 0.75 served 138 -> 165 to 210 of 370 streams in time; below 0.6, at the usual load, streams went without a copy
-/// when a zone was lost (mean worth 0.612 -> 0.604 at 0.5 and 0.597 at 0.4; 0.609 at 0.75).
+/// The share of an engine's memory up to which copies may take it. Above it, they would take the room of running generations;
+/// well below it, generations go without a copy when a zone is lost.
 const MOST_COPY_SHARE: f64 = 0.75;
 
 /// Chooses the engine that gets the copy of a run, given in the order that all hosts share; none if the run does better
--- a/crates/hollyhook_core/src/route/place_index.rs
+++ b/crates/hollyhook_core/src/route/place_index.rs
@@ -6,9 +6,8 @@
 
 /// Which endpoints registered under a name, and at an address.
 ///
-/// Each registration that is read is compared with the others of its place. By looking at all records, a first list of 3,000
-/// endpoints took 190 ms of a whole core, 1.6 s on the smallest hosts, which have an eighth of one; of 10,000 it took 2.9 s.
-/// With the index it is 10 ms and 41 ms (one run of each, beside other load).
+/// Each registration that is read is compared with the others of its place. To look at all records for each
+/// would take the square of their number, seconds on small hosts for a first list of thousands.
 #[derive(Debug, Default)]
 pub(super) struct PlaceIndex {
     by_address: BTreeMap<SocketAddr, BTreeSet<EndpointId>>,
--- a/crates/hollyhook_core/src/route/zone_trouble.rs
+++ b/crates/hollyhook_core/src/route/zone_trouble.rs
@@ -7,8 +7,7 @@
 const WINDOW: Duration = Duration::from_secs(1);
 /// Endpoints that must fail within the window before the zone is suspected: one alone is its own fault.
 const SUSPECT_ENDPOINTS: usize = 2;
-/// How long after the last failure the zone stays suspected. Engines that crash together were seen to be back after
-/// 1.2 s.
+/// How long after the last failure the zone stays suspected: a little longer than engines take to start again.
 const SUSPICION: Duration = Duration::from_millis(1_500);
 
 /// The endpoints of one zone that failed lately.
--- a/crates/hollyhook_gateway/src/forward/backup_keeper.rs
+++ b/crates/hollyhook_gateway/src/forward/backup_keeper.rs
@@ -17,7 +17,7 @@
 /// How often a run's backup is looked at. Engines that crash together take a zone; the next zone follows seconds later.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// When engines are asked again for room for a copy, after none had any. Memory comes free as streams end, after six
-/// seconds or more; to ask each 0.3 s was 0.02 of worth at three times the usual load.
+/// seconds or more, and each question takes time of an engine that has none to spare.
 const NO_ROOM_PAUSE: Duration = Duration::from_millis(1_500);
 /// How often a copy made on order is brought up to date. Engines keep one that is not asked for during four seconds.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(2_500);
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -50,8 +50,7 @@
         EngineCandidate { record, report, held_tokens: 0 }
     });
     let mut candidates = join_all(asks).await;
-    // Played with hosts that were cut off while engines left, they heard it so before the list said it 15 times; what they
-    // knew of the list was up to 7.1 s old then.
+    // A host that was cut off hears it so seconds before its list says it.
     candidates.retain(|candidate| !candidate.report.as_ref().is_some_and(|report| report.is_leaving));
     candidates
 }
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -21,9 +21,9 @@
 const ASKED: usize = 2;
 
 /// Engines that are asked whether they hold the prompt of a generation that comes back: of the own zone, and of each other
-/// one. Of 94 that came back on a heavy day, 79 had last been at one of these.
+/// one. Most have last been at one of these.
 const FIRST_HOMES: HomeCounts = HomeCounts { own: 3, far: 1 };
-/// The same if none of the first does: 91 of the 94.
+/// The same if none of the first does.
 const ALL_HOMES: HomeCounts = HomeCounts { own: 6, far: 3 };
 
 /// How long a connection to an engine of another zone has been idle before it makes that engine go first. A host that starts
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -20,7 +20,7 @@
 /// When to come back after every endpoint turned a call away.
 const BUSY_RETRY: Duration = Duration::from_millis(120);
 /// An idempotent call is sent to a second endpoint after this many times its objective. Within the objective almost
-/// all calls are answered; twice it is past the slowest that were seen.
+/// all calls are answered.
 const SILENCE_FACTOR: f64 = 1.6;
 
 enum CallEnd {
--- a/crates/hollyhook_gateway/src/front/admission.rs
+++ b/crates/hollyhook_gateway/src/front/admission.rs
@@ -15,7 +15,7 @@
 /// When the caller of a plain call should come back whose host does not know the configuration, or not for certain:
 /// another host most likely does, and a call waits for a second at most.
 const UNCERTAIN_CALL_RETRY: Duration = Duration::from_millis(10);
-/// The same for a stream. 2.5 s, to outlast an outage of the store for all hosts, was tried and served fewer.
+/// The same for a stream; a longer one, to outlast an outage of the store for all hosts, leaves too little time to serve it.
 const UNCERTAIN_STREAM_RETRY: Duration = Duration::from_millis(150);
 /// When a caller should come back whose host is stopping; the next connection goes to another one.
 const STOPPING_RETRY: Duration = Duration::from_millis(20);
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -160,7 +160,7 @@
     }
 
     /// Waits until the other hosts are listed, for a while: most learn from these, and each watch before that is a call to the
-    /// store more. At the first start of 295 hosts it was 460 of them.
+    /// store more.
     pub(crate) async fn wait_for_hosts(&self) {
         self.wait_until(TimePoint::ZERO + LISTING_WAIT, START_CHECK, || !self.feed.is_listing()).await;
     }
--- a/crates/hollyhook_gateway/src/gateway/retry_budgets.rs
+++ b/crates/hollyhook_gateway/src/gateway/retry_budgets.rs
@@ -9,8 +9,8 @@
 /// The part of the allowed retries that this host spends, so that clocks and windows that differ do not add up to
 /// more than is allowed.
 const RETRY_SHARE: f64 = 0.75;
-/// Hosts among which the fixed part of the retry allowance is divided. A site has 7 or 8 today; docs/CAPACITY.md says
-/// what this becomes at a thousand.
+/// Hosts among which the fixed part of the retry allowance is divided; docs/CAPACITY.md says what this becomes at a
+/// thousand.
 const RETRY_HOSTS: u64 = 16;
 
 /// The retry budget of each service, as far as this host may spend it.
--- a/crates/hollyhook_gateway/src/peer/feed_message.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_message.rs
@@ -96,8 +96,8 @@
     ///
     /// When the answer was given is not known here, only that it was no sooner than the question and the time for which it
     /// was held. The ages count from then, so that a delayed answer never makes anything look newer than it is.
-    /// Counted from the question alone, what passed through two hosts looked 1.2 s older than it was, and in an outage of the
-    /// store keys were refused that much sooner.
+    /// Counted from the question alone, what passed through two hosts would look older than it is, and in an outage of the store
+    /// keys would be refused that much sooner.
     pub(super) fn into_news(self, asked_at: TimePoint, wait: Duration) -> FeedNews<StoreObject> {
         let answered_at = asked_at + Duration::from_millis(self.held_ms).min(wait);
         FeedNews {
--- a/crates/hollyhook_gateway/src/peer/host_register.rs
+++ b/crates/hollyhook_gateway/src/peer/host_register.rs
@@ -36,9 +36,8 @@
 
     /// Registers and lists until the process ends.
     ///
-    /// A host that starts again finds its entry in the list, which costs a tenth of a call, and the hosts to follow with it.
-    /// To write the entry each time cost two calls, and three more were made before the list: 7 calls at each start, where
-    /// 295 hosts that lost power start at once.
+    /// A host that starts again finds its entry in the list, which costs a tenth of a call, and the hosts to follow with it: all
+    /// hosts of a site may lose power and start at once.
     pub(crate) async fn run(mut self) {
         let mut is_registered = self.try_list().await.is_some_and(|is_listed| is_listed);
         let mut era = self.context.feed.era();
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -16,8 +16,8 @@
 /// unnoticed for too long, it is shorter.
 const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// The pause after changes for each endpoint, so that many changes come with one call. The endpoints of a large site
-/// change all the time, and each watch that returns is charged; with 40 endpoints a longer pause was seen to cost more
-/// by what hosts knew too late than it saved.
+/// change all the time, and each watch that returns is a call; where there are few, what hosts know too late costs callers
+/// more than the call.
 const GATHER_EACH: Duration = Duration::from_millis(10);
 /// The least of that pause.
 const LEAST_GATHER: Duration = Duration::from_millis(400);
