--- a/crates/hollyhook_core/src/route/endpoint_membership.rs
+++ b/crates/hollyhook_core/src/route/endpoint_membership.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::EndpointState;
 use crate::{EndpointId, TimePoint};
 
 /// Which endpoints are members, as far as the platform's list can be believed.
@@ -52,9 +53,17 @@
         now < self.relics_until
     }
 
-    /// Whether an entry that is there is of an endpoint that left before the platform came back from an older copy.
-    pub fn is_relic(&self, now: TimePoint, id: &EndpointId) -> bool {
-        self.is_doubtful(now) && self.gone.contains_key(id)
+    /// Whether an entry that nobody has written since the platform came back from an older copy says less than what is known:
+    /// its endpoint has left, or is `known` to leave and is said to be live.
+    pub fn is_outdated(
+        &self,
+        now: TimePoint,
+        id: &EndpointId,
+        known: Option<EndpointState>,
+        told: EndpointState,
+    ) -> bool {
+        let is_back = known == Some(EndpointState::Leaving) && told == EndpointState::Live;
+        self.is_doubtful(now) && (is_back || self.gone.contains_key(id))
     }
 
     fn note_gone(&mut self, now: TimePoint, id: &EndpointId) {
--- a/crates/hollyhook_core/tests/gateway/membership.rs
+++ b/crates/hollyhook_core/tests/gateway/membership.rs
@@ -1,4 +1,4 @@
-use hollyhook_core::{EndpointId, EndpointMembership, TimePoint};
+use hollyhook_core::{EndpointId, EndpointMembership, EndpointState, TimePoint};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::from_millis(millis)
@@ -35,3 +35,38 @@
     membership.platform_back(at(3_000));
     assert!(!membership.is_gone(at(5_000), &id("b")));
 }
+
+const LIVE: EndpointState = EndpointState::Live;
+const LEAVING: EndpointState = EndpointState::Leaving;
+
+/// What left before the platform came back from an older copy is in the copy, for as long as nobody renews it.
+#[test]
+fn gone_outdated_in_older_copy() {
+    let mut membership = EndpointMembership::default();
+    assert!(membership.is_gone(at(1_000), &id("a")));
+    assert!(!membership.is_outdated(at(1_500), &id("a"), None, LIVE), "the platform is not older");
+    membership.platform_older(at(2_000));
+    assert!(membership.is_outdated(at(2_000), &id("a"), None, LIVE));
+    assert!(!membership.is_outdated(at(2_000), &id("b"), None, LIVE), "nobody knows that it left");
+    assert!(!membership.is_outdated(at(7_000), &id("a"), None, LIVE), "somebody renews it");
+}
+
+#[test]
+fn leaving_outdated_in_older_copy() {
+    let mut membership = EndpointMembership::default();
+    assert!(!membership.is_outdated(at(1_000), &id("a"), Some(LEAVING), LIVE), "its own word, in order");
+    membership.platform_older(at(2_000));
+    assert!(membership.is_outdated(at(2_000), &id("a"), Some(LEAVING), LIVE));
+    assert!(!membership.is_outdated(at(2_000), &id("a"), Some(LEAVING), LEAVING));
+    assert!(!membership.is_outdated(at(2_000), &id("a"), Some(LIVE), LIVE));
+}
+
+/// One that went and came back since is there.
+#[test]
+fn returned_not_outdated_in_older_copy() {
+    let mut membership = EndpointMembership::default();
+    assert!(membership.is_gone(at(1_000), &id("a")));
+    membership.present(&id("a"));
+    membership.platform_older(at(2_000));
+    assert!(!membership.is_outdated(at(2_000), &id("a"), None, LIVE));
+}
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use hollyhook_core::{
-    EndpointMembership, EndpointRecord, EndpointState, FeedNews, FeedPlan, Name, StoreRevision, TimePoint,
-};
+use hollyhook_core::{EndpointMembership, EndpointRecord, FeedNews, FeedPlan, Name, StoreRevision, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
 use super::{FeedReader, QuarantineWriter, StoreError};
@@ -136,13 +134,8 @@
         if object.revision > self.began.number {
             return false;
         }
-        let now = self.context.timer.now();
-        let membership = lock(&self.membership);
-        let is_back = || {
-            let known = self.context.endpoints.table().get(&record.id).map(|known| known.state);
-            known == Some(EndpointState::Leaving) && record.state == EndpointState::Live
-        };
-        membership.is_relic(now, &record.entry) || membership.is_doubtful(now) && is_back()
+        let known = self.context.endpoints.table().get(&record.id).map(|known| known.state);
+        lock(&self.membership).is_outdated(self.context.timer.now(), &record.entry, known, record.state)
     }
 
     /// Believes the entries that are still there when those would have gone that nobody renews.
