What an ended engine took with it is placed apart, and refused for two seconds at first

What callers would see: a generation that follows the one that ends engines loses as many as that one, is refused with it, and stays so for an hour, since neither is tried again and no next end tells them apart. Cause: all that an engine took with it is placed at the same moment, by the same reports, at the same best engine; and a host that knows its own ends only takes them for unexplained until the others' words arrive. Change: a request that was there when an engine ended goes to any engine that may take it; the refusal says two seconds as long as the last end is that fresh.

--- a/crates/hollyhook_core/src/quarantine/crash_ledger.rs
+++ b/crates/hollyhook_core/src/quarantine/crash_ledger.rs
@@ -11,6 +11,8 @@
 const TOLD_FROM: usize = 2;
 /// How long a request is refused after an endpoint last ended under it. By then its endpoints may run another version.
 const LIFETIME: Duration = Duration::from_hours(1);
+/// How long after an end what other hosts saw of it may still be on its way here.
+const SETTLING: Duration = Duration::from_secs(2);
 /// Requests that are remembered, in memory and in the platform's store.
 const MOST_RECORDS: usize = 128;
 
@@ -123,11 +125,20 @@
         told.into_iter().any(|(digest, entry)| self.stored.get(digest) != Some(&entry.record))
     }
 
-    /// For how much longer a request is refused; none if it is served.
+    /// Whether an endpoint ended under a request since it last did no harm.
+    pub fn is_suspected(&self, digest: &RequestDigest) -> bool {
+        self.entries.get(digest).is_some_and(|entry| entry.record.suspected().next().is_some())
+    }
+
+    /// When the caller of a request that is refused should come back; none if it is served.
+    ///
+    /// Soon, as long as what others saw may yet explain the ends: then another request has done it. After that, when the request
+    /// would be tried again.
     pub fn refusal(&self, now: u64, digest: &RequestDigest) -> Option<Duration> {
         let entry = self.entries.get(digest).filter(|_| self.refused.contains(digest))?;
-        let left = (entry.record.noted_at() + LIFETIME.as_millis() as u64).checked_sub(now)?;
-        Some(Duration::from_millis(left)).filter(|left| !left.is_zero())
+        let age = Duration::from_millis(now.saturating_sub(entry.record.noted_at()));
+        let left = LIFETIME.checked_sub(age).filter(|left| !left.is_zero())?;
+        Some(if age < SETTLING { SETTLING } else { left })
     }
 
     fn judge(&mut self, now: u64) -> LedgerChange {
--- a/crates/hollyhook_core/tests/gateway/quarantine.rs
+++ b/crates/hollyhook_core/tests/gateway/quarantine.rs
@@ -1,5 +1,7 @@
 //! Requests that end the endpoints which run them, among others that are only there.
 
+use std::time::Duration;
+
 use hollyhook_core::{CrashLedger, CrashRecord, CrashRecords, DigestError, RequestDigest};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -146,6 +148,17 @@
     assert_eq!(ledger.untold(true), Some(told));
 }
 
+/// A host that knows only its own ends can't tell yet whose fault they are; whoever did no harm is served when it comes back.
+#[test]
+fn fresh_refusal_says_soon() {
+    let mut ledger = ledger(&[("/beside", &["x", "y", "z"])]);
+    assert_eq!(ledger.refusal(NOW, &digest("/beside")), Some(Duration::from_secs(2)));
+    assert!(ledger.refusal(NOW + 2_000, &digest("/beside")).unwrap() > Duration::from_mins(59));
+    let ends = ["w", "x", "y", "z"].map(|endpoint| (endpoint.into(), NOW)).into();
+    ledger.learn(NOW + 500, [(digest("/deadly"), CrashRecord { ends, survived_at: 0 })].into());
+    assert_eq!(ledger.refusal(NOW + 2_000, &digest("/beside")), None);
+}
+
 #[test]
 fn forgotten_after_an_hour() {
     let mut ledger = ledger(&[("/a", &["x", "y", "z"])]);
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -92,10 +92,20 @@
         }
         match self.choose_held().await {
             Some(choice) => Ok(choice),
+            None if self.context.quarantine.is_suspected(|| self.caller.digest()) => self.choose_apart(),
             None => self.choose_new().await,
         }
     }
 
+    /// Chooses for a request that was there when an engine ended: any engine, rather than the best.
+    ///
+    /// All that an engine took with it is placed anew at the same moment. Placed by the same reports, what did no harm would
+    /// follow the request that ended it from engine to engine, and be taken for the cause as well.
+    fn choose_apart(&self) -> Result<EngineChoice, ChoiceRefusal> {
+        let record = self.context.endpoints.choose(&self.query(self.tried)).ok_or(ChoiceRefusal::NO_ENDPOINT)?;
+        Ok(self.choice(&record, None, None))
+    }
+
     /// Chooses for a caller who comes back, if an engine still holds the prompt.
     async fn choose_held(&self) -> Option<EngineChoice> {
         let part = self.returning_part()?;
--- a/crates/hollyhook_gateway/src/gateway/quarantine_board.rs
+++ b/crates/hollyhook_gateway/src/gateway/quarantine_board.rs
@@ -48,6 +48,12 @@
         ledger.refusal(unix_millis(), &digest())
     }
 
+    /// Whether an endpoint ended under a request since it last did no harm.
+    pub(crate) fn is_suspected(&self, digest: impl FnOnce() -> RequestDigest) -> bool {
+        let ledger = lock(&self.ledger);
+        !ledger.is_empty() && ledger.is_suspected(&digest())
+    }
+
     /// Notes that an endpoint ended under a request.
     pub(crate) fn note_end(&self, digest: RequestDigest, endpoint: &str) {
         let change = lock(&self.ledger).note_end(unix_millis(), digest, Name::from(endpoint));
