--- a/crates/hollyhook_core/tests/gateway/quarantine_play.rs
+++ b/crates/hollyhook_core/tests/gateway/quarantine_play.rs
@@ -156,12 +156,11 @@
         }
         // Callers come back once, if they are told to do so within the time that they have.
         let back = self.hosts[host].refusal(self.now, &digest(request)).filter(|back| *back <= MOST_PATIENCE);
-        match back.filter(|_| self.returned.insert(request)) {
-            Some(back) => _ = self.returning.insert(self.now + back.as_millis() as u64, request),
-            None => {
-                self.outcome.refused += usize::from(is_refused);
-                self.outcome.failed += usize::from(!is_refused);
-            }
+        if let Some(back) = back.filter(|_| self.returned.insert(request)) {
+            self.returning.insert(self.now + back.as_millis() as u64, request);
+        } else {
+            self.outcome.refused += usize::from(is_refused);
+            self.outcome.failed += usize::from(!is_refused);
         }
     }
 
