Who reads the store is asked only if something is to be written; notes are learnt in the order they were read

Found by reading the diff: each request's end asked the plan of the zone, which sorts its hosts, once anything was noted; and two tasks that read entries could let the ledger learn the older of two states last (then a note would be written again for nothing).

--- a/crates/hollyhook_core/src/feed/store_revision.rs
+++ b/crates/hollyhook_core/src/feed/store_revision.rs
@@ -1,7 +1,3 @@
-use std::fmt;
-
-use serde::{Deserialize, Serialize};
-
 /// A moment in the history of the platform's store.
 ///
 /// A store may come back from an older copy of itself. Its revisions then go back and are given out again, and its era
@@ -12,10 +8,9 @@
 ///
 /// assert!(StoreRevision::new(2, 7) > StoreRevision::new(1, 900));
 /// ```
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StoreRevision {
     /// How often the store came back, as it tells it; zero where it does not.
-    #[serde(default)]
     pub era: u64,
     /// Its count of changes.
     pub number: u64,
@@ -27,9 +22,3 @@
         Self { era, number }
     }
 }
-
-impl fmt::Display for StoreRevision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}", self.era, self.number)
-    }
-}
--- a/crates/hollyhook_gateway/src/gateway/quarantine_board.rs
+++ b/crates/hollyhook_gateway/src/gateway/quarantine_board.rs
@@ -123,8 +123,9 @@
         for (digest, record) in noted.values().flatten() {
             stored.entry(*digest).or_default().join(record);
         }
-        drop(noted);
+        // Still with the lock on what is noted: what was read later must not be learnt first.
         let change = lock(&self.ledger).learn(unix_millis(), stored);
+        drop(noted);
         self.log(&change);
     }
 
@@ -134,8 +135,12 @@
     }
 
     /// Whether the records have to be written and nobody does so yet; if so, the caller does from now on.
-    pub(crate) fn begin_writing(&self, is_reader: bool) -> bool {
-        lock(&self.ledger).is_untold(is_reader) && !self.is_writing.swap(true, Ordering::AcqRel)
+    ///
+    /// Whether this host reads the store for others takes a while to say, and is asked only if anything is missing there.
+    pub(crate) fn begin_writing(&self, is_reader: impl FnOnce() -> bool) -> bool {
+        let is_missing = lock(&self.ledger).is_untold(true);
+        let is_own = || lock(&self.ledger).is_untold(is_reader());
+        is_missing && is_own() && !self.is_writing.swap(true, Ordering::AcqRel)
     }
 
     pub(crate) fn end_writing(&self) {
--- a/crates/hollyhook_gateway/src/store/quarantine_writer.rs
+++ b/crates/hollyhook_gateway/src/store/quarantine_writer.rs
@@ -28,7 +28,7 @@
 impl QuarantineWriter {
     /// Begins to write if anything is to be told and nobody here writes yet.
     pub(crate) fn wake(context: &Arc<GatewayContext>) {
-        if context.quarantine.begin_writing(is_reader(context)) {
+        if context.quarantine.begin_writing(|| is_reader(context)) {
             task::spawn(Self { context: Arc::clone(context), client: StoreClient::new(context) }.run());
         }
     }
