A host that is missing after an older copy registers until it is registered

Found by reading the diff: at a start a failed write is tried again, after a return of the store it was tried once, and the era was taken as dealt with, so that a host whose one write failed stayed unknown to the others until its next start. Ruled out: that the next list mends it (it looks only where the era is newer than at the last one). Change: the same loop as at the start. No test of its own yet (a write that fails just then); gateway::eras passes. Conclusion: by reading.

--- a/crates/hollyhook_gateway/src/peer/host_register.rs
+++ b/crates/hollyhook_gateway/src/peer/host_register.rs
@@ -59,7 +59,7 @@
             };
             // The copy from which the store came back may be from before this host's entry.
             if is_older && !is_listed {
-                self.register().await;
+                while !self.register().await {}
             }
         }
     }
