Roll-outs: a version is judged by what all hosts see of it before it gets more than its share

Cause: nothing read the operator's orders or an endpoint's version. New endpoints stood beside the old ones and got as much as these: 60 in 100 in a test with three of five endpoints, where 10 are allowed, and no order was ever answered.

Change: hollyhook_core::rollout decides without input or output. Each first attempt is drawn for the target at 0.8 of the share that the site states, at as large a part of its endpoints, so that the sum over hosts holds without a message and faults under load show. Each host writes what it saw to an object of its own, at most twice a second while a roll-out goes on; hosts that read the store for others judge the sum (binomial for failures, Welch on logarithms for times, by route, with and without the worst endpoint) and write the state. Versions that nobody has looked up get nothing; a host that hears nothing of the store sends the old version only; what is decided never goes back. Only where the settings name an exposure.

Ruled out: to move as soon as the target looks good, since one that turns bad later has then got more than its share, whatever is done (docs/design/roll-outs.md, ways weighed).

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -13,6 +13,7 @@
 mod name;
 mod quarantine;
 mod retry;
+mod rollout;
 mod route;
 mod site;
 mod stop;
@@ -40,6 +41,10 @@
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
 pub use quarantine::{CrashLedger, CrashRecord, CrashRecords, DigestError, LedgerChange, RequestDigest};
 pub use retry::{ProbeGate, ProbePlace, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
+pub use rollout::{
+    RolloutOrder, RolloutPlan, RolloutState, RolloutStep, TimeTally, TrialEvidence, VersionFault, VersionRule,
+    VersionTally, VersionVerdict, judge_version,
+};
 pub use route::{
     EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
     EngineRun, HeldPart, HeldPlacement, HomeCounts, LoadReport, REPORT_AGE, RouteQuery, choose_copy, choose_engine,
--- a/crates/hollyhook_core/src/route/endpoint_record.rs
+++ b/crates/hollyhook_core/src/route/endpoint_record.rs
@@ -39,6 +39,8 @@
     pub started: Option<u64>,
     /// Its service.
     pub service: Name,
+    /// The version of its software; empty if it does not say.
+    pub version: Name,
     /// Its availability zone.
     pub zone: ZoneName,
     /// Where it listens.
@@ -79,6 +81,7 @@
             id,
             started: None,
             service,
+            version: Name::default(),
             zone,
             address,
             registered: StoreRevision::default(),
@@ -103,6 +106,13 @@
         self
     }
 
+    /// The same endpoint with the version of its software.
+    #[must_use]
+    pub fn version(mut self, version: Name) -> Self {
+        self.version = version;
+        self
+    }
+
     /// The same endpoint with room for that many typical requests at a time.
     #[must_use]
     pub fn capacity(mut self, places: u32) -> Self {
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -8,6 +8,7 @@
 use super::rendezvous::weight;
 use super::zone_trouble::ZoneTrouble;
 use super::{EndpointRecord, EndpointState, LoadReport};
+use crate::rollout::VersionRule;
 use crate::{EndpointId, ModelBinding, Name, TimePoint, ZoneName};
 
 /// By this name hosts choose the entry for their notes.
@@ -38,12 +39,22 @@
     affinity: Option<u128>,
     places: Option<u32>,
     preferred: &'a [EndpointId],
+    versions: Option<&'a VersionRule>,
 }
 
 impl<'a> RouteQuery<'a> {
     /// A query for any endpoint of a service.
     pub fn new(service: &'a str) -> Self {
-        Self { service, binding: None, avoid: &[], avoid_zone: None, affinity: None, places: None, preferred: &[] }
+        Self {
+            service,
+            binding: None,
+            avoid: &[],
+            avoid_zone: None,
+            affinity: None,
+            places: None,
+            preferred: &[],
+            versions: None,
+        }
     }
 
     /// The same query for exactly those weights.
@@ -74,6 +85,13 @@
         self
     }
 
+    /// The same query for endpoints of the versions that a rule allows.
+    #[must_use]
+    pub fn versions(mut self, rule: &'a VersionRule) -> Self {
+        self.versions = Some(rule);
+        self
+    }
+
     /// The same query that prefers the few endpoints which every host ranks first for this number.
     #[must_use]
     pub fn affinity(mut self, number: u128) -> Self {
@@ -92,7 +110,13 @@
         let is_served = &*record.service == self.service;
         let is_bound = self.binding.is_none_or(|binding| record.binding.as_ref() == Some(binding));
         let is_far = self.avoid_zone.is_none_or(|zone| record.zone != *zone);
-        is_served && is_bound && is_far && record.state == EndpointState::Live && !self.avoid.contains(&record.id)
+        let is_allowed = self.versions.is_none_or(|rule| rule.allows(&record.id, &record.version));
+        is_served
+            && is_bound
+            && is_far
+            && is_allowed
+            && record.state == EndpointState::Live
+            && !self.avoid.contains(&record.id)
     }
 }
 
@@ -144,6 +168,7 @@
                 known.state = record.state;
                 known.binding = record.binding;
                 known.service = record.service;
+                known.version = record.version;
             }
             _ => {
                 self.remove(&record.id);
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod quarantine;
 mod quarantine_play;
 mod retries;
+mod rollouts;
 mod silence;
 mod site;
 mod stopping;
--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -27,6 +27,7 @@
     pub(super) entry: Name,
     pub(super) address: SocketAddr,
     pub(super) zone: ZoneName,
+    pub(super) version: Name,
 }
 
 impl From<&EndpointRecord> for EndpointTarget {
@@ -36,6 +37,7 @@
             entry: Name::clone(&record.entry),
             address: record.address,
             zone: ZoneName::clone(&record.zone),
+            version: Name::clone(&record.version),
         }
     }
 }
--- a/crates/hollyhook_gateway/src/forward/backup_keeper.rs
+++ b/crates/hollyhook_gateway/src/forward/backup_keeper.rs
@@ -122,7 +122,8 @@
 
     async fn check(&mut self) {
         let place = lock(&self.state).place.clone();
-        let chooser = EngineChooser { context: &self.context, caller: &self.caller, tried: &[] };
+        let rule = self.context.rollouts.rule(&self.caller.service, false).unwrap_or_default();
+        let chooser = EngineChooser { context: &self.context, caller: &self.caller, tried: &[], versions: &rule };
         let target =
             place.as_ref().and_then(|place| chooser.usable(place)).map(|(record, _)| EndpointTarget::from(&record));
         let target = match (target, self.copied_at) {
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -5,8 +5,8 @@
 
 use futures::future::join;
 use hollyhook_core::{
-    EndpointId, EndpointRecord, EndpointState, EngineCandidate, HomeCounts, Name, RouteQuery, StopReason, ZoneName,
-    choose_copy, choose_engine, excess_wait, has_holder, place_held,
+    EndpointId, EndpointRecord, EndpointState, EngineCandidate, HomeCounts, Name, RouteQuery, StopReason, VersionRule,
+    ZoneName, choose_copy, choose_engine, excess_wait, has_holder, place_held,
 };
 use hollyhook_platform::BackupSource;
 use rand::Rng;
@@ -68,6 +68,8 @@
     pub(super) caller: &'a CallerRequest,
     /// Engines that were tried already.
     pub(super) tried: &'a [EndpointId],
+    /// Which versions it may go to.
+    pub(super) versions: &'a VersionRule,
 }
 
 impl EngineChooser<'_> {
@@ -192,7 +194,9 @@
     pub(super) fn usable(&self, held: &BackupPlace) -> Option<(EndpointRecord, BackupSource)> {
         let now = self.context.timer.now();
         let record = self.context.endpoints.table().get(&held.id).cloned()?;
-        let is_fit = record.state == EndpointState::Live && !record.is_ejected(now);
+        let is_fit = record.state == EndpointState::Live
+            && !record.is_ejected(now)
+            && self.context.rollouts.may_go_on_at(&record.service, &record.version);
         is_fit.then(|| (record, held.source.clone()))
     }
 
@@ -237,7 +241,7 @@
 
     /// A query for an engine, whose memory binds before its slots do.
     fn query<'q>(&'q self, avoid: &'q [EndpointId]) -> RouteQuery<'q> {
-        let query = RouteQuery::new(&self.caller.service).avoid(avoid);
+        let query = RouteQuery::new(&self.caller.service).avoid(avoid).versions(self.versions);
         match self.caller.engine {
             Some(engine) => query.places((engine.capacity_tokens / self.needed_tokens()).max(1) as u32),
             None => query,
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -19,10 +19,11 @@
 use super::backup_keeper::BackupKeeper;
 use super::crash_check::{SURVIVAL, check_crash, note_given_up, note_survival};
 use super::engine_choice::{BackupPlace, EngineChoice, EngineChooser};
-use super::live_attempt::{LiveAttempt, PieceEnd};
+use super::live_attempt::{AttemptStart, LiveAttempt, PieceEnd};
 use super::request_log;
 use super::silence_watch::SilenceWatch;
 use super::stream_pace::StreamPace;
+use super::version_note::{VersionTimes, note_version};
 use crate::front::{AnswerBody, CallerRequest};
 use crate::gateway::GatewayContext;
 
@@ -151,6 +152,8 @@
         self.is_over = true;
         if let Some(live) = self.live.take() {
             self.context.endpoints.note_outcome(live.place.id(), None);
+            let times = live.times(self.context.timer.now());
+            note_version(&self.context, &self.caller, &live.place.target, None, times);
             live.answer.release(&self.context, live.place.id());
         }
         note_survival(&self.context, &self.caller);
@@ -173,6 +176,8 @@
         self.pace.note_loss(failure.as_str());
         // Dropping the attempt closes its connection, which stops the old run.
         let target = live.place.target.clone();
+        let times = live.times(self.context.timer.now());
+        note_version(&self.context, &self.caller, &target, Some(failure), times);
         let has_survived = live.event_span(self.context.timer.now()) >= SURVIVAL;
         self.held = live.keeper.as_ref().and_then(BackupKeeper::take);
         drop(live);
@@ -202,13 +207,25 @@
     async fn ensure_live(&mut self) -> Result<()> {
         while self.live.is_none() && self.refusal.is_none() {
             let held = self.held.take();
-            let chooser = EngineChooser { context: &self.context, caller: &self.caller, tried: &self.tried };
-            let choice = chooser.choose(held).await.map_err(|refusal| {
+            let rule = self.context.rollouts.rule(&self.caller.service, self.is_first()).unwrap_or_default();
+            let chooser =
+                EngineChooser { context: &self.context, caller: &self.caller, tried: &self.tried, versions: &rule };
+            let mut choice = chooser.choose(held).await;
+            if choice.is_err() && rule.only.is_some() {
+                // Nothing is refused for what the few endpoints on trial carry.
+                let rule = self.context.rollouts.rule(&self.caller.service, false).unwrap_or_default();
+                choice = EngineChooser { versions: &rule, ..chooser }.choose(None).await;
+            }
+            let choice = choice.map_err(|refusal| {
                 let retry = refusal.excess.max(BUSY_RETRY);
                 self.ledger.end(refusal.reason, self.relay.delivered(), retry)
             })?;
             let target = choice.place.target.clone();
+            let sent_at = self.context.timer.now();
             if let Err(failure) = self.open(choice).await {
+                let took = self.context.timer.now().since(sent_at);
+                let first = Some(took).filter(|_| self.is_first());
+                note_version(&self.context, &self.caller, &target, Some(failure), VersionTimes { first, gap: None });
                 check_crash(&self.context, &self.caller, &target, failure).await;
                 self.fail(&target.id, failure)?;
             }
@@ -229,6 +246,7 @@
             backup_from: from,
             prompt_at,
         };
+        let start = AttemptStart { sent_at: self.context.timer.now(), is_first: self.is_first() };
         request_log::attempt_placed(&self.context, &self.caller, &place, &headers);
         let answer = self.open_head(&place, &headers).await?;
         if let Some(load) = answer.head.load {
@@ -239,7 +257,7 @@
                 self.first_head.get_or_insert_with(|| answer.parts.clone());
                 self.weights = self.weights.or(answer.head.weights);
                 let keeper = self.keep_backup(&place, backup);
-                self.live = Some(LiveAttempt::new(place, answer, keeper));
+                self.live = Some(LiveAttempt::new(place, answer, keeper, start));
                 Ok(())
             }
             AnswerVerdict::Pass if self.relay.delivered() == 0 => self.pass_on(&place, answer).await,
@@ -248,6 +266,11 @@
         }
     }
 
+    /// Whether the next attempt begins the generation, rather than going on with it.
+    fn is_first(&self) -> bool {
+        self.tried.is_empty() && self.caller.head.cursor.is_none()
+    }
+
     fn keep_backup(&self, place: &EndpointPlace, first: Option<BackupPlace>) -> Option<BackupKeeper> {
         let has_moves = self.caller.engine.is_some_and(|engine| engine.has_moves);
         let is_kept = self.caller.route.kind.is_repeatable() && (has_moves || first.is_some());
--- a/crates/hollyhook_gateway/src/forward/live_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -8,16 +8,33 @@
 use super::attempt::{EndpointPlace, OpenAnswer};
 use super::backup_keeper::BackupKeeper;
 use super::silence_watch::SilenceWatch;
+use super::version_note::VersionTimes;
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
 
+/// Events from which on the mean gap between them says something.
+const GAP_EVENTS: u32 = 8;
+
+/// How an attempt began.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AttemptStart {
+    pub(super) sent_at: TimePoint,
+    /// Whether it begins the generation, rather than going on with it.
+    pub(super) is_first: bool,
+}
+
 /// One attempt whose events are being passed on.
 pub(super) struct LiveAttempt {
     pub(super) place: EndpointPlace,
     pub(super) answer: OpenAnswer,
     pub(super) keeper: Option<BackupKeeper>,
     cutter: EventCutter,
+    /// Whether it began the generation, rather than going on with it.
+    is_first: bool,
+    sent_at: TimePoint,
     first_event_at: Option<TimePoint>,
+    last_event_at: Option<TimePoint>,
+    events: u32,
 }
 
 /// What comes next of an attempt.
@@ -31,8 +48,32 @@
 }
 
 impl LiveAttempt {
-    pub(super) fn new(place: EndpointPlace, answer: OpenAnswer, keeper: Option<BackupKeeper>) -> Self {
-        Self { place, answer, keeper, cutter: EventCutter::default(), first_event_at: None }
+    pub(super) fn new(
+        place: EndpointPlace,
+        answer: OpenAnswer,
+        keeper: Option<BackupKeeper>,
+        start: AttemptStart,
+    ) -> Self {
+        Self {
+            place,
+            answer,
+            keeper,
+            cutter: EventCutter::default(),
+            is_first: start.is_first,
+            sent_at: start.sent_at,
+            first_event_at: None,
+            last_event_at: None,
+            events: 0,
+        }
+    }
+
+    /// How long it has taken, as far as other attempts can be compared with it.
+    pub(super) fn times(&self, now: TimePoint) -> VersionTimes {
+        let first = self.first_event_at.unwrap_or(now).since(self.sent_at);
+        let span = self.first_event_at.zip(self.last_event_at).map(|(first, last)| last.since(first));
+        let gap = span.filter(|_| self.events >= GAP_EVENTS).map(|span| span / (self.events - 1));
+        // What goes on elsewhere reads less of its prompt.
+        VersionTimes { first: Some(first).filter(|_| self.is_first), gap }
     }
 
     /// The next whole events that the caller does not have.
@@ -86,6 +127,8 @@
         let mut ready = VecDeque::new();
         while let Some(piece) = self.cutter.next_piece() {
             self.first_event_at.get_or_insert(now);
+            self.last_event_at = Some(now);
+            self.events += 1;
             match relay.judge(&piece) {
                 PieceVerdict::Deliver => ready.push_back(piece.bytes),
                 PieceVerdict::Drop => {}
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -12,6 +12,7 @@
 mod request_log;
 mod silence_watch;
 mod stream_pace;
+mod version_note;
 
 use std::sync::Arc;
 
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -12,6 +12,7 @@
 use super::attempt_end::end_attempt;
 use super::crash_check::{check_crash, note_given_up, note_survival};
 use super::request_log::{self, CallTrace};
+use super::version_note::{VersionTimes, note_version};
 use crate::front::{AnswerBody, CallerRequest};
 use crate::gateway::GatewayContext;
 
@@ -98,13 +99,15 @@
     }
 
     fn place(&self) -> Option<EndpointPlace> {
-        let query = RouteQuery::new(&self.caller.service).avoid(&self.tried);
+        let rule = self.context.rollouts.rule(&self.caller.service, self.tried.is_empty()).unwrap_or_default();
+        let query = RouteQuery::new(&self.caller.service).avoid(&self.tried).versions(&rule);
         self.context.endpoints.choose(&query).map(|record| EndpointPlace::take(self.context, &record))
     }
 
     async fn attempt(&self, place: &EndpointPlace) -> CallEnd {
         let left = self.caller.time_left(self.context.timer.now());
         let limit = self.attempt_limit(left);
+        let sent_at = self.context.timer.now();
         let late = if limit < left { AttemptFailure::Silent } else { AttemptFailure::Expired };
         let end = self.context.timer.within(limit, self.exchange(place)).await;
         let end = end.unwrap_or(CallEnd::Failure(late));
@@ -114,6 +117,8 @@
             CallEnd::Failure(failure) => Some(*failure),
         };
         self.context.endpoints.note_outcome(place.id(), failure);
+        let took = self.context.timer.now().since(sent_at);
+        note_version(self.context, self.caller, &place.target, failure, VersionTimes { first: Some(took), gap: None });
         end
     }
 
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -129,7 +129,7 @@
         let id = hollyhook_platform::endpoint_id(&known.entry, started);
         let mut record =
             EndpointRecord::new(id, known.service, known.zone, known.address).capacity(known.load.capacity);
-        record = record.start_of(known.entry, started);
+        record = record.version(known.version).start_of(known.entry, started);
         record.registered = known.registered;
         record.state = known.state;
         self.upsert_into(&mut table, site.as_deref(), record);
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -16,6 +16,7 @@
 use super::quarantine_board::QuarantineBoard;
 use super::request_load::RequestLoad;
 use super::retry_budgets::RetryBudgets;
+use super::rollout_board::RolloutBoard;
 use crate::peer::FeedBoard;
 use crate::pool::ConnectionPool;
 use crate::sync::lock;
@@ -48,6 +49,7 @@
     pub(crate) feed: Arc<FeedBoard>,
     pub(crate) endpoints: Arc<EndpointDirectory>,
     pub(crate) quarantine: Arc<QuarantineBoard>,
+    pub(crate) rollouts: Arc<RolloutBoard>,
     live: Arc<Mutex<LiveSettings>>,
     site: Arc<Mutex<SiteLedger>>,
     retries: Arc<RetryBudgets>,
@@ -75,6 +77,7 @@
         let endpoints = EndpointDirectory::new(registry, Self::SITE, &settings.zone)?;
         registry.register(EndpointDirectory::NAME, endpoints)?;
         registry.register(QuarantineBoard::NAME, QuarantineBoard::new(registry)?)?;
+        registry.register(RolloutBoard::NAME, RolloutBoard::new(registry, settings.bounds.exposure)?)?;
         registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
         Ok(())
     }
@@ -97,6 +100,7 @@
             site: registry.find(Self::SITE)?,
             endpoints: registry.find(EndpointDirectory::NAME)?,
             quarantine: registry.find(QuarantineBoard::NAME)?,
+            rollouts: registry.find(RolloutBoard::NAME)?,
             retries: registry.find(RetryBudgets::NAME)?,
             has_endpoints: AtomicBool::new(false),
         })
@@ -137,6 +141,7 @@
     pub(crate) fn reload(&self, settings: &GatewaySettings) {
         let mut live = lock(&self.live);
         self.retries.rebound(settings.bounds.retry);
+        self.rollouts.rebound(settings.bounds.exposure);
         live.bounds = settings.bounds.clone();
         live.store = settings.store;
     }
@@ -159,6 +164,12 @@
         self.wait_while_starting(SITE_CHECK, || self.site().is_some()).await;
     }
 
+    /// Waits until it is known which versions of services are on order, for a while: before that, the usual version alone gets
+    /// requests, and which one that is can't be told from the endpoints.
+    pub(crate) async fn wait_for_versions(&self) {
+        self.wait_while_starting(SITE_CHECK, || !self.rollouts.has_unvetted()).await;
+    }
+
     /// Waits until the other hosts are listed, for a while: most learn from these, and each watch before that is a call to the
     /// store more.
     pub(crate) async fn wait_for_hosts(&self) {
--- a/crates/hollyhook_gateway/src/gateway/gateway_process.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -11,7 +11,7 @@
 use super::GatewayContext;
 use crate::front::{answer_metrics, answer_ready, serve_callers, serve_status};
 use crate::peer::{HostRegister, serve_peers};
-use crate::store::{EndpointWatch, SiteWatch};
+use crate::store::{EndpointWatch, RolloutWatch, SiteWatch};
 
 /// How often idle connections are looked through.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
@@ -47,6 +47,7 @@
         share_feed(settings, &context)?;
         task::spawn(SiteWatch::new(Arc::clone(&context)).run());
         task::spawn(EndpointWatch::new(Arc::clone(&context)).run());
+        task::spawn(RolloutWatch::new(Arc::clone(&context)).run());
         task::spawn(prune_pool(Arc::clone(&context)));
         tracing::info!(host = %context.host, zone = %context.zone, listen = %settings.listen, store = %settings.store,
             "gateway.started");
--- a/crates/hollyhook_gateway/src/gateway/mod.rs
+++ b/crates/hollyhook_gateway/src/gateway/mod.rs
@@ -7,8 +7,10 @@
 mod quarantine_board;
 mod request_load;
 mod retry_budgets;
+mod rollout_board;
 
 pub(crate) use endpoint_directory::EndpointDirectory;
 pub(crate) use gateway_context::GatewayContext;
 pub use gateway_process::Gateway;
 pub(crate) use request_load::{BodyClaim, RequestGuard};
+pub(crate) use rollout_board::{KnownRollout, VersionAnswer};
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -101,8 +101,10 @@
             }
         }
         self.settle_doubtful();
+        self.context.rollouts.note_versions();
         QuarantineWriter::wake(&self.context);
         if news.is_whole {
+            self.context.wait_for_versions().await;
             self.context.note_endpoints_listed();
         }
         Ok(!news.changes.is_empty())
--- a/crates/hollyhook_gateway/src/store/quarantine_writer.rs
+++ b/crates/hollyhook_gateway/src/store/quarantine_writer.rs
@@ -2,11 +2,11 @@
 use std::time::Duration;
 
 use async_std::task;
-use hollyhook_core::{CrashRecords, FeedPlan};
+use hollyhook_core::CrashRecords;
 use hollyhook_platform::ObjectKind;
 use rand::Rng;
 
-use super::{StoreClient, StoreError};
+use super::{StoreClient, StoreError, is_reader};
 use crate::gateway::GatewayContext;
 
 /// How long what was noted is gathered before it is written, in milliseconds, drawn anew each time: hosts that lost the same
@@ -73,8 +73,3 @@
         self.context.quarantine.untold(is_reader(&self.context))
     }
 }
-
-/// Whether this host reads the store itself, for others or for itself alone.
-fn is_reader(context: &GatewayContext) -> bool {
-    matches!(context.feed.plan(context.timer.now()), FeedPlan::Lead | FeedPlan::Alone)
-}
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollyhook_core::{CrashRecords, EraVerdict, RosterMember, StoreRevision};
+use hollyhook_core::{CrashRecords, EraVerdict, Name, RolloutOrder, RosterMember, StoreRevision};
 use hollyhook_kernel::TimerService;
-use hollyhook_platform::{ObjectKind, StoreChange, StoreFault, StoreObject, StorePage};
+use hollyhook_platform::{ObjectKind, RolloutStatus, StoreChange, StoreFault, StoreObject, StorePage, TrialReport};
 use http::{Method, Response, StatusCode};
 
 use crate::gateway::GatewayContext;
@@ -16,9 +16,6 @@
 /// How long a call about hosts may take; nobody waits for it.
 const HOST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// How long a call about requests that end endpoints may take.
-const NOTE_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Why a call to the store gave nothing.
 #[derive(Debug)]
 pub(crate) enum StoreError {
@@ -64,6 +61,9 @@
 }
 
 impl StoreClient {
+    /// How long a call about what hosts note may take.
+    pub(crate) const NOTE_TIMEOUT: Duration = Duration::from_millis(700);
+
     pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
         let of_address = Arc::clone(context);
         Self {
@@ -147,11 +147,22 @@
 
     /// Writes this host's entry, whether there is one or not.
     pub(crate) async fn register_host(&mut self, member: &RosterMember) -> Result<(), StoreError> {
-        let body = Bytes::from(hollyhook_platform::encode_host(member).map_err(StoreError::Malformed)?);
-        let path = hollyhook_platform::create_path(ObjectKind::Host);
+        let body = hollyhook_platform::encode_host(member).map_err(StoreError::Malformed)?;
+        self.write_own(ObjectKind::Host, &member.host, Bytes::from(body)).await
+    }
+
+    /// Writes what this host saw of versions on trial, whether there is an object for it or not.
+    pub(crate) async fn write_trials(&mut self, host: &Name, reports: &[TrialReport]) -> Result<(), StoreError> {
+        let body = hollyhook_platform::encode_trials(host, reports).map_err(StoreError::Malformed)?;
+        self.write_own(ObjectKind::Trial, host, Bytes::from(body)).await
+    }
+
+    /// Creates an object that no other host writes, or replaces it.
+    async fn write_own(&mut self, kind: ObjectKind, name: &str, body: Bytes) -> Result<(), StoreError> {
+        let path = hollyhook_platform::create_path(kind);
         match self.call(Method::POST, path, body.clone(), HOST_TIMEOUT).await {
             Err(StoreError::Exists) => {
-                let path = hollyhook_platform::object_path(ObjectKind::Host, &member.host);
+                let path = hollyhook_platform::object_path(kind, name);
                 self.call(Method::PUT, &path, body, HOST_TIMEOUT).await.map(|_answer| ())
             }
             outcome => outcome.map(|_answer| ()),
@@ -161,7 +172,7 @@
     /// One object.
     pub(crate) async fn read(&mut self, kind: ObjectKind, name: &str) -> Result<StoreObject, StoreError> {
         let path = hollyhook_platform::object_path(kind, name);
-        let (_era, body) = self.call(Method::GET, &path, Bytes::new(), NOTE_TIMEOUT).await?;
+        let (_era, body) = self.call(Method::GET, &path, Bytes::new(), Self::NOTE_TIMEOUT).await?;
         hollyhook_platform::decode_object(&body).map_err(StoreError::Malformed)
     }
 
@@ -177,7 +188,23 @@
     ) -> Result<(), StoreError> {
         let body = hollyhook_platform::encode_crashes(entry, records).map_err(StoreError::Malformed)?;
         let path = hollyhook_platform::status_path(ObjectKind::Endpoint, &entry.name);
-        self.call(Method::PUT, &path, Bytes::from(body), NOTE_TIMEOUT).await.map(|_answer| ())
+        self.call(Method::PUT, &path, Bytes::from(body), Self::NOTE_TIMEOUT).await.map(|_answer| ())
+    }
+
+    /// Writes how far a roll-out is.
+    ///
+    /// # Errors
+    ///
+    /// `Exists` if the order, or what stands there of it, has changed since it was read.
+    pub(crate) async fn write_rollout(
+        &mut self,
+        object: &StoreObject,
+        order: &RolloutOrder,
+        status: &RolloutStatus,
+    ) -> Result<(), StoreError> {
+        let body = hollyhook_platform::encode_status(object, order, status).map_err(StoreError::Malformed)?;
+        let path = hollyhook_platform::status_path(ObjectKind::Rollout, &object.name);
+        self.call(Method::PUT, &path, Bytes::from(body), Self::NOTE_TIMEOUT).await.map(|_answer| ())
     }
 
     /// One call; the era that its answer is of, and its body.
--- a/crates/hollyhook_settings/src/gateway/gateway_bounds.rs
+++ b/crates/hollyhook_settings/src/gateway/gateway_bounds.rs
@@ -21,6 +21,8 @@
     pub grace: Duration,
     /// What all hosts together may send again.
     pub retry: RetryBounds,
+    /// The share of a service's requests that a version may get before it is judged; none where no roll-outs are ordered.
+    pub exposure: Option<f64>,
 }
 
 /// What all hosts together may send beyond the first send of each request to one service.
@@ -44,6 +46,7 @@
             contact: Duration::from_secs(3),
             grace: Duration::from_secs(8),
             retry: RetryBounds { ratio: 0.2, window: Duration::from_secs(10), extra: 20 },
+            exposure: None,
         }
     }
 }
@@ -62,6 +65,7 @@
                 window: reader.default("retry_window", default.retry.window, value::span(MILLISECOND, HOUR)),
                 extra: reader.default("retry_extra", default.retry.extra, value::count(0, 1_000_000)),
             },
+            exposure: reader.optional("exposure", value::fraction),
         }
     }
 }
--- a/crates/hollyhook_settings/src/value/value_parsers.rs
+++ b/crates/hollyhook_settings/src/value/value_parsers.rs
@@ -105,6 +105,14 @@
     }
 }
 
+/// A part of a whole as a plain number, such as `0.1`; platforms state theirs so.
+pub(crate) fn fraction(text: &str) -> Parsed<f64> {
+    match text.parse::<f64>() {
+        Ok(number) if (0.0..=1.0).contains(&number) => Ok(number),
+        _ => fault(format!("`{text}` is not a part of a whole"), "give a number from 0 to 1, such as `0.1`"),
+    }
+}
+
 /// One of several words.
 pub(crate) fn choice<T: Copy>(options: &'static [(&'static str, T)]) -> impl Fn(&str) -> Parsed<T> {
     move |text| {
