A host that starts serves with the part of the endpoints that it has read

What callers saw: after a loss of all hosts at 300 hosts before 3,000 endpoints, 171 of the 187 requests of the two seconds around it were refused, and hosts knew no endpoint for 1.9 to 2.85 s.

Cause: each host reads a megabyte of entries over the store's one link (1 Gbit/s, 300 MB in all, 2.4 s), six pages of 500, and took the first of them in only with the last.

Change: the first list is taken in page by page, and the host is ready once it knows a live endpoint of each service; the rest comes while it serves. A page without an answer is asked for again, not the list. Nothing else rests on a part: what is missing is judged by the whole list, and the watch goes on from the first page's revision.

--- a/crates/hollyhook_core/src/site/site_index.rs
+++ b/crates/hollyhook_core/src/site/site_index.rs
@@ -37,6 +37,11 @@
         self.services.get(name)
     }
 
+    /// The names of all services.
+    pub fn services(&self) -> impl Iterator<Item = &Name> {
+        self.services.keys()
+    }
+
     /// The route with the longest prefix of the path among those of the host.
     ///
     /// # Errors
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -152,6 +152,11 @@
         self.table().noting_entry()
     }
 
+    /// Whether an endpoint of a service is known that takes work.
+    pub(crate) fn has_live(&self, service: &str) -> bool {
+        self.table().iter().any(|record| &*record.service == service && record.state == EndpointState::Live)
+    }
+
     /// Chooses an endpoint by what this host knows.
     pub(crate) fn choose(&self, query: &RouteQuery<'_>) -> Option<EndpointRecord> {
         let table = self.table();
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -43,7 +43,9 @@
 
 impl EndpointWatch {
     pub(crate) fn new(context: Arc<GatewayContext>) -> Self {
-        let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Endpoint, WATCH_WAIT);
+        let (of_part, mut taken) = (Arc::clone(&context), 0);
+        let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Endpoint, WATCH_WAIT)
+            .part_taker(move |objects| taken += take_part(&of_part, objects.get(taken..).unwrap_or_default()));
         Self {
             context,
             reader,
@@ -206,6 +208,26 @@
     }
 }
 
+/// Takes in what is read of the first list before it is whole, and serves once it has an endpoint of each service.
+///
+/// Hundreds of hosts that start at once read thousands of entries over the store's one link, for seconds; callers need one
+/// endpoint, not all. What can't be read is logged when the list is whole. Returns how many objects it took in: none before the
+/// configuration is known, by whose services they are judged.
+fn take_part(context: &GatewayContext, objects: &[StoreObject]) -> usize {
+    let Some(site) = context.site() else {
+        return 0;
+    };
+    let present = objects.iter().filter(|object| !object.is_deleting);
+    for record in present.filter_map(|object| hollyhook_platform::decode_endpoint(object).ok()) {
+        context.endpoints.upsert(record);
+    }
+    context.rollouts.note_versions();
+    if !context.rollouts.has_unvetted() && site.services().all(|service| context.endpoints.has_live(service)) {
+        context.note_endpoints_listed();
+    }
+    objects.len()
+}
+
 /// Forgets the entries that did not come back after the store's return, when that is certain.
 async fn forget_when_due(context: Arc<GatewayContext>, membership: Arc<Mutex<EndpointMembership>>, back_at: TimePoint) {
     let due = back_at + EndpointMembership::RETURN_GRACE;
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -1,3 +1,4 @@
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use hollyhook_platform::{ObjectKind, StoreChange, StoreObject};
 use serde_json::Value;
 
+use super::page_list::PageList;
 use super::{StoreClient, StoreError};
 use crate::gateway::GatewayContext;
 use crate::peer::{PeerClient, PeerFault, PeerQuestion, PeerRole};
@@ -18,6 +20,21 @@
 /// The pause after another host helped out; each try of the store in between is charged, and what is learnt so is that old.
 const HELP_PAUSE: Duration = Duration::from_millis(500);
 
+/// How long after its first page a list may go on that got no answer for a page; the store keeps what changed meanwhile for
+/// longer.
+const LIST_KEPT: Duration = Duration::from_secs(5);
+
+/// Takes what is read of the first list before it is whole: the objects so far.
+struct PartTaker(Box<TakePart>);
+
+type TakePart = dyn FnMut(&[StoreObject]) + Send + Sync;
+
+impl fmt::Debug for PartTaker {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("PartTaker")
+    }
+}
+
 /// Follows one kind of object, from the store or from a host that reads it for others.
 #[derive(Debug)]
 pub(crate) struct FeedReader {
@@ -36,6 +53,10 @@
     contact: StoreContact,
     /// When the first call began that the store did not answer; none while it answers.
     lost_at: Option<TimePoint>,
+    /// A list of which a page got no answer.
+    begun: Option<PageList>,
+    /// Who is told of the first list page by page.
+    part_taker: Option<PartTaker>,
     /// Whether the last news came from a host that was asked because the store gave no answer.
     is_helped: bool,
 }
@@ -55,10 +76,18 @@
             heard_until: TimePoint::ZERO,
             contact: StoreContact::default(),
             lost_at: None,
+            begun: None,
+            part_taker: None,
             is_helped: false,
         }
     }
 
+    /// The same reader that tells of its first list page by page: a host that has just started can serve with a part.
+    pub(crate) fn part_taker(mut self, taker: impl FnMut(&[StoreObject]) + Send + Sync + 'static) -> Self {
+        self.part_taker = Some(PartTaker(Box::new(taker)));
+        self
+    }
+
     /// From whom this host learns now.
     pub(crate) fn plan(&self) -> FeedPlan {
         self.context.feed.plan(self.context.timer.now())
@@ -269,7 +298,33 @@
     }
 
     async fn list(&mut self, asked_at: TimePoint) -> Result<FeedNews<StoreObject>, StoreError> {
-        let (objects, revision) = self.client.list(self.kind, self.contact.call_limit()).await?;
+        let mut list = self.begun.take().filter(|list| asked_at.since(list.asked_at) < LIST_KEPT);
+        let mut list = list.take().unwrap_or_else(|| PageList::new(asked_at));
+        let limit = self.contact.call_limit();
+        loop {
+            let (era, page) = match self.client.list_page(self.kind, list.after.as_deref(), limit).await {
+                Ok(answer) => answer,
+                Err(error) => {
+                    self.begun = Some(list).filter(|_| matches!(error, StoreError::Away(_) | StoreError::Throttled));
+                    return Err(error);
+                }
+            };
+            if !list.take(era, page) {
+                // The store came back from a copy between two pages; together they are the list of no moment.
+                return Err(StoreError::HistoryGone);
+            }
+            if list.after.is_none() {
+                break;
+            }
+            if self.heard_until == TimePoint::ZERO && self.part_taker.is_some() {
+                self.context.wait_for_site().await;
+            }
+            if let Some(PartTaker(take)) = self.part_taker.as_mut().filter(|_| self.heard_until == TimePoint::ZERO) {
+                take(&list.objects);
+            }
+        }
+        let PageList { asked_at, objects, revision, .. } = list;
+        let revision = revision.unwrap_or_default();
         let present = objects.into_iter().filter(|object| !object.is_deleting);
         let changes = present
             .map(|object| FeedChange { name: Name::clone(&object.name), object: Some(strip(self.kind, object)) });
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -84,6 +84,36 @@
         self.pages(|after| hollyhook_platform::list_path(kind, after), limit).await
     }
 
+    /// One page of the objects of a kind, from after a name, and the era that it is of.
+    ///
+    /// # Errors
+    ///
+    /// Why there was no answer, within `limit`.
+    pub(crate) async fn list_page(
+        &mut self,
+        kind: ObjectKind,
+        after: Option<&str>,
+        limit: Duration,
+    ) -> Result<(u64, StorePage), StoreError> {
+        let address = (self.address)();
+        if after.is_none() {
+            self.listed_at = Some(address);
+        } else if self.listed_at != Some(address) {
+            // The store has moved; pages of two of them are no list.
+            return Err(StoreError::HistoryGone);
+        }
+        self.page(&hollyhook_platform::list_path(kind, after), limit).await
+    }
+
+    async fn page(&mut self, path: &str, limit: Duration) -> Result<(u64, StorePage), StoreError> {
+        let (era, body) = self.call(Method::GET, path, Bytes::new(), limit).await?;
+        let page: StorePage = hollyhook_platform::decode_page(&body).map_err(StoreError::Malformed)?;
+        if page.nameless > 0 {
+            tracing::error!(count = page.nameless, "store.objects_nameless");
+        }
+        Ok((era, page))
+    }
+
     /// All objects of a kind as they were some seconds ago.
     pub(crate) async fn list_old(&mut self, kind: ObjectKind) -> Result<Vec<StoreObject>, StoreError> {
         let (objects, _revision) =
@@ -100,12 +130,8 @@
         let mut first_revision = None;
         let mut after = None;
         loop {
-            let (era, body) = self.call(Method::GET, &path(after.as_deref()), Bytes::new(), limit).await?;
-            let page: StorePage = hollyhook_platform::decode_page(&body).map_err(StoreError::Malformed)?;
+            let (era, page) = self.page(&path(after.as_deref()), limit).await?;
             objects.extend(page.objects);
-            if page.nameless > 0 {
-                tracing::error!(count = page.nameless, "store.objects_nameless");
-            }
             // Changes between two pages are seen again by a watch from the first page's revision.
             let read_at = StoreRevision::new(era, page.revision);
             let revision = *first_revision.get_or_insert(read_at);
