Requests that end endpoints are told also where the port answers, or nothing does

What callers saw: where something accepts connections in an ended endpoint's place and breaks each, or where it falls silent with its machine, the request that ended it was begun again at every host, with all attempts of its route.

Cause: only a refused connection was taken for an end.

Change: after a broken connection an engine is asked for its report on a new one, a plain endpoint's connection has to hold for 10 ms, twice; if each breaks it has ended.

Why it holds: what a lost zone takes with it goes on elsewhere within a second or two, before it shows that its endpoints had ended, and is cleared (lost_zones_condemn_nobody).

--- a/crates/hollyhook_core/src/quarantine/crash_ledger.rs
+++ b/crates/hollyhook_core/src/quarantine/crash_ledger.rs
@@ -2,6 +2,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::break_list::BreakList;
 use super::{CrashRecord, RequestDigest};
 use crate::Name;
 
@@ -41,6 +42,7 @@
     /// What the platform's store holds, as far as this host has heard.
     stored: CrashRecords,
     refused: BTreeSet<RequestDigest>,
+    breaks: BreakList,
 }
 
 #[derive(Debug, Default)]
@@ -64,7 +66,7 @@
 impl CrashLedger {
     /// Whether nothing is known of any request.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.entries.is_empty() && self.breaks.is_empty()
     }
 
     /// Notes that an endpoint ended under a request.
@@ -76,10 +78,35 @@
         self.judge(now)
     }
 
+    /// Notes that an endpoint left a request without an answer, and may have ended.
+    ///
+    /// It counts once [`note_gone`](Self::note_gone) tells so, unless an endpoint has run the request meanwhile.
+    pub fn note_break(&mut self, now: u64, digest: RequestDigest, endpoint: Name) {
+        self.breaks.note(now, digest, endpoint);
+    }
+
+    /// Notes that an endpoint is gone without having said that it leaves: requests that it had left without an answer
+    /// just before may have ended it.
+    pub fn note_gone(&mut self, now: u64, endpoint: &str) -> LedgerChange {
+        for known in self.breaks.take(now, endpoint) {
+            let entry = self.entries.entry(known.digest).or_default();
+            entry.record.ends.insert(known.endpoint, known.at);
+            entry.is_own = true;
+            entry.is_told |= known.is_given_up || entry.record.suspected().count() >= TOLD_FROM;
+        }
+        self.judge(now)
+    }
+
+    /// Forgets breaks that nothing explained in time.
+    pub fn forget_breaks(&mut self, now: u64) {
+        self.breaks.forget_old(now);
+    }
+
     /// Notes that a request is no longer tried here, whatever became of it.
     ///
     /// Where each client attempt is sent only once, no host sees more than one end at a time.
     pub fn note_given_up(&mut self, digest: &RequestDigest) {
+        self.breaks.note_given_up(digest);
         if let Some(entry) = self.entries.get_mut(digest) {
             entry.is_told |= entry.record.suspected().next().is_some();
         }
@@ -87,6 +114,7 @@
 
     /// Notes that an endpoint ran a request and did not end.
     pub fn note_survival(&mut self, now: u64, digest: &RequestDigest) -> LedgerChange {
+        self.breaks.forget(digest);
         let Some(entry) = self.entries.get_mut(digest) else {
             return LedgerChange::default();
         };
--- a/crates/hollyhook_core/src/quarantine/mod.rs
+++ b/crates/hollyhook_core/src/quarantine/mod.rs
@@ -1,5 +1,6 @@
 //! Requests that end the endpoints which run them: how they are told from others, and refused by all hosts.
 
+mod break_list;
 mod crash_ledger;
 mod crash_record;
 mod request_digest;
--- a/crates/hollyhook_core/tests/gateway/quarantine.rs
+++ b/crates/hollyhook_core/tests/gateway/quarantine.rs
@@ -49,6 +49,78 @@
     assert!(is_refused(&ledger, "/a") && !is_refused(&ledger, "/b"));
 }
 
+/// Endpoints that fell silent under a request, and whose next start tells that they had ended.
+fn darken(ledger: &mut CrashLedger, path: &str, endpoints: &[&str]) {
+    for (number, endpoint) in endpoints.iter().enumerate() {
+        let at = NOW + number as u64;
+        ledger.note_break(at, digest(path), (*endpoint).into());
+        ledger.note_gone(at + 3_000, endpoint);
+    }
+}
+
+#[test]
+fn break_counts_once_endpoint_is_gone() {
+    let mut ledger = CrashLedger::default();
+    for endpoint in ["x", "y", "z"] {
+        ledger.note_break(NOW, digest("/a"), endpoint.into());
+    }
+    assert!(!ledger.is_empty() && !is_refused(&ledger, "/a"));
+    for endpoint in ["x", "y", "z"] {
+        ledger.note_gone(NOW + 3_000, endpoint);
+    }
+    assert!(is_refused(&ledger, "/a"));
+}
+
+/// Links break, and what ends a minute later ended for another reason.
+#[test]
+fn break_long_before_end_does_not_count() {
+    let mut ledger = CrashLedger::default();
+    for endpoint in ["x", "y", "z"] {
+        ledger.note_break(NOW, digest("/a"), endpoint.into());
+        ledger.note_gone(NOW + 60_000, endpoint);
+    }
+    assert!(!is_refused(&ledger, "/a"));
+}
+
+/// Nine in ten endpoints of a zone are lost at once, time after time: what ran there goes on elsewhere and is served, and only
+/// seconds later does it show that they had ended.
+#[test]
+fn lost_zones_condemn_nobody() {
+    let mut ledger = CrashLedger::default();
+    for zone in 0..5_u64 {
+        let at = NOW + zone * 6_000;
+        let endpoints: Vec<String> = (0..60).map(|number| format!("{zone}-{number}")).collect();
+        for (number, endpoint) in endpoints.iter().enumerate() {
+            ledger.note_break(at, digest(&format!("/{}", number % 20)), (**endpoint).into());
+        }
+        for path in 0..20 {
+            ledger.note_survival(at + 1_500, &digest(&format!("/{path}")));
+        }
+        for endpoint in &endpoints {
+            let change = ledger.note_gone(at + 3_000, endpoint);
+            assert!(change.refused.is_empty(), "{change:?}");
+        }
+    }
+}
+
+/// Who was given up before it showed is told to other hosts then, since each sees few ends by itself.
+#[test]
+fn break_given_up_is_told() {
+    let mut ledger = CrashLedger::default();
+    ledger.note_break(NOW, digest("/a"), "x".into());
+    ledger.note_given_up(&digest("/a"));
+    assert!(ledger.untold(false).is_none());
+    ledger.note_gone(NOW + 3_000, "x");
+    assert!(ledger.untold(false).is_some());
+}
+
+#[test]
+fn silent_ends_join_those_seen() {
+    let mut ledger = ledger(&[("/a", &["x"])]);
+    darken(&mut ledger, "/a", &["y", "z"]);
+    assert!(is_refused(&ledger, "/a"));
+}
+
 /// Two hosts that lose the same endpoint under the same request count one end.
 #[test]
 fn same_endpoint_counted_once() {
--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -3,15 +3,23 @@
 use std::time::Duration;
 
 use hollyhook_core::{AttemptFailure, Error, ErrorKind, StopReason};
+use http::{Request, header};
+use http_body_util::Full;
 
 use super::attempt::EndpointTarget;
 use super::request_log;
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
+use crate::pool::{PooledConnection, SendFault};
 use crate::store::QuarantineWriter;
 
-/// How long an endpoint may take to refuse a connection; a host whose process has ended refuses within a round trip.
+/// How long an endpoint may take to refuse a connection, or to break it; a host whose process has ended refuses within a round
+/// trip, and so does what accepts connections in its place.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(60);
+/// Connections in a row that have to break until an endpoint is taken for ended: endpoints that live reset some.
+const BROKEN_CHECKS: usize = 2;
+/// How long a connection to a plain endpoint, which can't be asked without taking a place there, has to hold.
+const HOLD_TIME: Duration = Duration::from_millis(10);
 
 /// How long an attempt has to send events until the request is no longer suspected to end its endpoint.
 pub(super) const SURVIVAL: Duration = Duration::from_secs(1);
@@ -19,7 +27,8 @@
 /// Notes against a request that the endpoint ended that had begun to run it, if that is so.
 ///
 /// A broken connection alone says little: endpoints that live reset some, and links do. One whose process has ended
-/// refuses the next connection.
+/// refuses the next connections, or breaks each. Where neither can be told, since nothing answers at all, the break is kept
+/// until the endpoint's next start or the end of its entry explains it.
 pub(super) async fn check_crash(
     context: &Arc<GatewayContext>,
     caller: &CallerRequest,
@@ -27,7 +36,11 @@
     failure: AttemptFailure,
 ) {
     let is_cut_off = matches!(failure, AttemptFailure::Broken | AttemptFailure::Garbled);
-    if is_cut_off && has_ended(context, target).await {
+    let has_ended = is_cut_off && has_ended(context, caller, target).await;
+    if !has_ended && (is_cut_off || failure == AttemptFailure::Silent) {
+        context.quarantine.note_break(caller.digest(), &target.id);
+    }
+    if has_ended {
         context.board.count("endpoint_crashes");
         request_log::crashed(context, caller, &target.id);
         context.quarantine.note_end(caller.digest(), &target.id);
@@ -56,7 +69,34 @@
     Some(error.retry_after(left))
 }
 
-async fn has_ended(context: &GatewayContext, target: &EndpointTarget) -> bool {
-    let connected = context.pool.connect(target.address, CHECK_TIMEOUT).await;
-    connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+async fn has_ended(context: &GatewayContext, caller: &CallerRequest, target: &EndpointTarget) -> bool {
+    for _check in 0..BROKEN_CHECKS {
+        let is_broken = match context.pool.connect(target.address, CHECK_TIMEOUT).await {
+            Ok(connection) if caller.engine.is_some() => breaks_when_asked(context, target, connection).await,
+            Ok(connection) => {
+                context.timer.wait(HOLD_TIME).await;
+                !connection.is_ready()
+            }
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
+            Err(error) => error.kind() == io::ErrorKind::ConnectionReset,
+        };
+        if !is_broken {
+            return false;
+        }
+    }
+    true
+}
+
+/// Whether a new connection to an engine breaks when the engine is asked for its report, which needs no place there.
+async fn breaks_when_asked(
+    context: &GatewayContext,
+    target: &EndpointTarget,
+    mut connection: PooledConnection,
+) -> bool {
+    let request = Request::get(hollyhook_platform::report_path()).header(header::HOST, target.address.to_string());
+    let Ok(request) = request.body(Full::default()) else {
+        return false;
+    };
+    let sent = context.timer.within(CHECK_TIMEOUT, connection.send(request)).await;
+    matches!(sent, Some(Err(SendFault::Broken | SendFault::Unsent(_))))
 }
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -24,6 +24,8 @@
     table: Mutex<EndpointTable>,
     /// Until when it is known that nothing else changed; none before the first list.
     confirmed: Mutex<Option<TimePoint>>,
+    /// Endpoints that went without having said that they leave, until they are asked for.
+    lost: Mutex<Vec<EndpointId>>,
 }
 
 impl EndpointDirectory {
@@ -44,6 +46,7 @@
             site: registry.find(site)?,
             table: Mutex::new(EndpointTable::new(ZoneName::clone(zone)).zone_preference(ZONE_PREFERENCE)),
             confirmed: Mutex::default(),
+            lost: Mutex::default(),
         })
     }
 
@@ -84,6 +87,7 @@
         // Of a service that nobody knows, anybody may have written it.
         let displaced = if is_known(&record.service) { table.displaced_by(&record) } else { Vec::new() };
         for id in displaced {
+            self.note_lost(table, &id);
             table.remove(&id);
             self.pool.forget(&id);
             tracing::info!(endpoint = %id, by = %record.id, address = %record.address, "endpoint.displaced");
@@ -106,6 +110,7 @@
     pub(crate) fn forget_entry(&self, entry: &str, reason: &'static str) {
         let mut table = self.table();
         for id in table.registered_as(entry) {
+            self.note_lost(&table, &id);
             table.remove(&id);
             self.pool.forget(&id);
             self.board.count("endpoints_gone");
@@ -113,6 +118,17 @@
         }
     }
 
+    fn note_lost(&self, table: &EndpointTable, id: &EndpointId) {
+        if table.get(id).is_some_and(|record| record.state == EndpointState::Live) {
+            lock(&self.lost).push(EndpointId::clone(id));
+        }
+    }
+
+    /// The endpoints that went without having said that they leave, since this was asked last.
+    pub(crate) fn take_lost(&self) -> Vec<EndpointId> {
+        std::mem::take(&mut *lock(&self.lost))
+    }
+
     /// Takes in when the endpoint started that answers in the place of `id`; tells whether that is a later start, which
     /// replaces this one.
     pub(crate) fn note_start(&self, id: &EndpointId, started: Option<u64>) -> bool {
--- a/crates/hollyhook_gateway/src/gateway/quarantine_board.rs
+++ b/crates/hollyhook_gateway/src/gateway/quarantine_board.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use hollyhook_core::{CrashLedger, CrashRecords, LedgerChange, Name, RequestDigest, Result};
+use hollyhook_core::{CrashLedger, CrashRecords, EndpointId, LedgerChange, Name, RequestDigest, Result};
 use hollyhook_kernel::ServiceRegistry;
 use hollyhook_platform::StoreObject;
 use hollyhook_telemetry::MetricBoard;
@@ -60,6 +60,25 @@
         self.log(&change);
     }
 
+    /// Notes that an endpoint left a request without an answer, and may have ended.
+    pub(crate) fn note_break(&self, digest: RequestDigest, endpoint: &str) {
+        lock(&self.ledger).note_break(unix_millis(), digest, Name::from(endpoint));
+    }
+
+    /// Notes that endpoints are gone without having said that they leave.
+    pub(crate) fn note_gone(&self, endpoints: &[EndpointId]) {
+        let mut ledger = lock(&self.ledger);
+        if ledger.is_empty() {
+            return;
+        }
+        ledger.forget_breaks(unix_millis());
+        let changes: Vec<LedgerChange> = endpoints.iter().map(|id| ledger.note_gone(unix_millis(), id)).collect();
+        drop(ledger);
+        for change in &changes {
+            self.log(change);
+        }
+    }
+
     /// Notes that a request is no longer tried here.
     pub(crate) fn note_given_up(&self, digest: impl FnOnce() -> RequestDigest) {
         let mut ledger = lock(&self.ledger);
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -103,6 +103,7 @@
             }
         }
         self.settle_doubtful();
+        self.context.quarantine.note_gone(&self.context.endpoints.take_lost());
         self.context.rollouts.note_versions();
         QuarantineWriter::wake(&self.context);
         if news.is_whole {
