The second engine is asked only if the first does not settle the choice

Hypothesis: in a pool that is far from full the first engine in the order that all hosts share is chosen whatever the second says, since the second costs half a prompt more; asking it only takes a connection.

Change: is_settled (core): the first answered and costs at most that half prompt.

Test: where it is settled, the choice among all is the first (engine_settled_without_others).

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -48,7 +48,7 @@
 pub use route::{
     EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
     EngineRun, HeldPart, HeldPlacement, HomeCounts, LoadReport, REPORT_AGE, RouteQuery, choose_copy, choose_engine,
-    excess_wait, expected_first, has_holder, place_held,
+    excess_wait, expected_first, has_holder, is_settled, place_held,
 };
 pub use site::{
     AccountPlan, CallerLimits, EngineMemory, PlanAdoption, RequestKind, RoutePlan, ServicePlan, ServiceShare,
--- a/crates/hollyhook_core/src/route/engine_report.rs
+++ b/crates/hollyhook_core/src/route/engine_report.rs
@@ -104,6 +104,14 @@
     answered.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, candidate)| candidate)
 }
 
+/// Whether no engine after the first in the order could be chosen before it, whatever it reported.
+///
+/// Answers a pool that is far from full, where most engines that come first are: others need not be asked then.
+pub fn is_settled(first: &EngineCandidate, needed_tokens: u64) -> bool {
+    let cost = first.report.as_ref().map(|report| engine_cost(first, report, needed_tokens));
+    cost.is_some_and(|cost| cost <= RANK_COST)
+}
+
 /// What sending a request to an engine costs, in prompts that wait before it.
 pub(super) fn engine_cost(candidate: &EngineCandidate, report: &EngineReport, needed_tokens: u64) -> f64 {
     let waiting = f64::from(report.waiting) + f64::from(candidate.record.sent_lately);
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -17,7 +17,7 @@
 pub use endpoint_subset::EndpointSubset;
 pub use endpoint_table::{EndpointTable, HomeCounts, RouteQuery};
 pub use engine_report::{
-    EngineCandidate, EngineReport, EngineRun, REPORT_AGE, choose_engine, excess_wait, expected_first,
+    EngineCandidate, EngineReport, EngineRun, REPORT_AGE, choose_engine, excess_wait, expected_first, is_settled,
 };
 pub use prompt_holder::{HeldPart, HeldPlacement, has_holder, place_held};
 pub(crate) use rendezvous::weight;
--- a/crates/hollyhook_core/tests/gateway/choosing.rs
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -2,7 +2,7 @@
 
 use hollyhook_core::{
     EndpointId, EndpointRecord, EndpointTable, EngineCandidate, EngineReport, EngineRun, HomeCounts, RouteQuery,
-    StoreRevision, TimePoint, choose_engine, excess_wait, place_held,
+    StoreRevision, TimePoint, choose_engine, excess_wait, is_settled, place_held,
 };
 use rand_pcg::Pcg64;
 use rand_pcg::rand_core::SeedableRng;
@@ -238,6 +238,28 @@
     assert_eq!(chosen(&[candidate("a", 2, 0, 0), candidate("b", 0, 0, 0)]), Some("a"));
 }
 
+/// Where the first engine settles the choice, it is the one that would be chosen had all been asked.
+#[test]
+fn engine_settled_without_others() {
+    let mut settled = 0;
+    for (running, waiting, used, prompts) in (0..6)
+        .flat_map(|running| (0..3).flat_map(move |waiting| (0..2).map(move |full| (running, waiting, full))))
+        .flat_map(|(running, waiting, full)| (0..3).map(move |prompts| (running, waiting, full * 85_000, prompts)))
+    {
+        let first = reading(candidate("a", running, waiting, used), prompts);
+        let idle = [candidate("b", 0, 0, 0), candidate("c", 0, 0, 0)];
+        let all = [vec![first.clone()], idle.to_vec()].concat();
+        if is_settled(&first, 9_000) {
+            settled += 1;
+            assert_eq!(chosen(&all), Some("a"), "{running} {waiting} {used} {prompts}");
+        }
+    }
+    assert_eq!(settled, 4, "up to two runs, or one prompt that is read");
+    let mut silent = candidate("a", 0, 0, 0);
+    silent.report = None;
+    assert!(!is_settled(&silent, 9_000));
+}
+
 #[test]
 fn engine_with_memory() {
     assert_eq!(chosen(&[candidate("a", 1, 0, 80_000), candidate("b", 5, 2, 40_000)]), Some("b"));
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -6,7 +6,7 @@
 use futures::future::join;
 use hollyhook_core::{
     EndpointId, EndpointRecord, EndpointState, EngineCandidate, HomeCounts, Name, RouteQuery, StopReason, VersionRule,
-    ZoneName, choose_copy, choose_engine, excess_wait, has_holder, place_held,
+    ZoneName, choose_copy, choose_engine, excess_wait, has_holder, is_settled, place_held,
 };
 use hollyhook_platform::BackupSource;
 use rand::Rng;
@@ -147,7 +147,7 @@
         let mut second = first.first().map(|record| self.list_elsewhere(record)).unwrap_or_default();
         // Asked twice at once, an engine was left out for half a second by the slower answer, and its copy not gone on from.
         second.retain(|record| first.iter().all(|listed| listed.id != record.id));
-        let (mut asked, elsewhere) = join(ask_all(self.context, first), ask_all(self.context, second)).await;
+        let (mut asked, elsewhere) = self.ask_in_order(first, second).await;
         // Engines of other zones come last in the order, so that they are taken only if prompts wait in this one.
         asked.extend(elsewhere);
         self.refresh(&mut asked);
@@ -163,6 +163,22 @@
         Ok(self.choice(&record, None, backup))
     }
 
+    /// Asks the engines that a prompt may go to, best first, and those that its copy may go to.
+    ///
+    /// The best alone at first, since in most cases that settles it: each other engine costs a connection.
+    async fn ask_in_order(
+        &self,
+        mut first: Vec<EndpointRecord>,
+        second: Vec<EndpointRecord>,
+    ) -> (Vec<EngineCandidate>, Vec<EngineCandidate>) {
+        let rest = first.split_off(1.min(first.len()));
+        let (mut asked, elsewhere) = join(ask_all(self.context, first), ask_all(self.context, second)).await;
+        if !asked.first().is_some_and(|best| is_settled(best, self.needed_tokens())) {
+            asked.extend(ask_all(self.context, rest).await);
+        }
+        (asked, elsewhere)
+    }
+
     /// Takes in what this host sent to the engines while it asked: it is in no report.
     fn refresh(&self, candidates: &mut [EngineCandidate]) {
         for candidate in candidates {
