--- a/crates/hollyhook_gateway/src/gateway/mod.rs
+++ b/crates/hollyhook_gateway/src/gateway/mod.rs
@@ -3,14 +3,17 @@
 mod endpoint_directory;
 mod gateway_context;
 mod gateway_process;
+mod known_rollout;
 mod live_settings;
 mod quarantine_board;
 mod request_load;
 mod retry_budgets;
 mod rollout_board;
+mod unix_time;
 
 pub(crate) use endpoint_directory::EndpointDirectory;
 pub(crate) use gateway_context::GatewayContext;
 pub use gateway_process::Gateway;
+pub(crate) use known_rollout::KnownRollout;
 pub(crate) use request_load::{BodyClaim, RequestGuard};
-pub(crate) use rollout_board::{KnownRollout, VersionAnswer};
+pub(crate) use rollout_board::VersionAnswer;
--- a/crates/hollyhook_gateway/src/gateway/quarantine_board.rs
+++ b/crates/hollyhook_gateway/src/gateway/quarantine_board.rs
@@ -1,13 +1,14 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use hollyhook_core::{CrashLedger, CrashRecords, EndpointId, LedgerChange, Name, RequestDigest, Result};
 use hollyhook_kernel::ServiceRegistry;
 use hollyhook_platform::StoreObject;
 use hollyhook_telemetry::MetricBoard;
 
+use super::unix_time::unix_millis;
 use crate::sync::lock;
 
 /// The requests that end the endpoints which run them, and what the platform's store holds of these.
@@ -176,8 +177,3 @@
         }
     }
 }
-
-/// The time of day. Hosts compare such times only over an hour, against which their clocks differ little.
-fn unix_millis() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
-}
--- a/crates/hollyhook_gateway/src/gateway/rollout_board.rs
+++ b/crates/hollyhook_gateway/src/gateway/rollout_board.rs
@@ -1,19 +1,19 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use futures::channel::oneshot;
 use hollyhook_core::{
-    EndpointId, EndpointState, Name, Result, RolloutOrder, RolloutPlan, RolloutState, TimePoint, TrialEvidence,
-    VersionRule,
+    EndpointId, EndpointState, Name, Result, RolloutOrder, RolloutState, TimePoint, TrialEvidence, VersionRule,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
-use hollyhook_platform::{RolloutStatus, StoreObject, TrialReport};
+use hollyhook_platform::{StoreObject, TrialReport};
 use hollyhook_telemetry::MetricBoard;
 use rand::Rng;
 
 use super::EndpointDirectory;
+use super::known_rollout::{KnownRollout, heard_at};
 use crate::sync::lock;
 
 /// The part of the requests that a version on trial may get which it does get; the rest is for chance, and for what is moved
@@ -50,51 +50,6 @@
     confirmed: Option<TimePoint>,
 }
 
-/// A roll-out, as far as this host knows.
-#[derive(Debug, Clone)]
-pub(crate) struct KnownRollout {
-    pub(crate) order: RolloutOrder,
-    /// The order as the store holds it, and what was written of it there.
-    pub(crate) object: StoreObject,
-    pub(crate) stored: Option<RolloutState>,
-    /// How far it is. It never goes back, also if the store does.
-    pub(crate) state: Option<RolloutState>,
-    pub(crate) state_since: TimePoint,
-    pub(crate) ordered_at: TimePoint,
-    /// Whether the operator took the order away.
-    is_withdrawn: bool,
-    /// What this host saw.
-    evidence: TrialEvidence,
-}
-
-impl KnownRollout {
-    /// Whether it is being decided.
-    pub(crate) fn is_active(&self) -> bool {
-        !self.is_withdrawn && !self.state.is_some_and(RolloutState::is_final)
-    }
-
-    /// Whether the store should hold another state than it does.
-    pub(crate) fn is_unwritten(&self) -> bool {
-        !self.is_withdrawn && self.stored != self.state
-    }
-
-    /// When it goes on.
-    pub(crate) fn plan(&self) -> RolloutPlan {
-        RolloutPlan {
-            ordered_at: self.ordered_at,
-            duration: self.order.duration,
-            state: self.state,
-            state_since: self.state_since,
-        }
-    }
-
-    /// What is to stand in the store for a state.
-    pub(crate) fn status(&self, now: TimePoint, state: RolloutState) -> RolloutStatus {
-        let age = now.since(self.ordered_at).as_millis() as u64;
-        RolloutStatus { state, ordered_ms: Some(unix_millis().saturating_sub(age)) }
-    }
-}
-
 /// One answer of an endpoint, as evidence about its version.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct VersionAnswer<'a> {
@@ -414,15 +369,3 @@
         }
     }
 }
-
-/// When an order was first heard of: by the note of the host that heard of it, if there is one.
-fn heard_at(now: TimePoint, order: &RolloutOrder, status: Option<&RolloutStatus>) -> TimePoint {
-    let noted = status.and_then(|status| status.ordered_ms);
-    let age = noted.map_or(0, |at| unix_millis().saturating_sub(at));
-    // Times of day may jump.
-    now - Duration::from_millis(age).min(order.duration)
-}
-
-fn unix_millis() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
-}
