An order that can't be read is not listed again and again; what comes after a roll-out is used

- After a roll-out was completed its target alone got requests for good, so that endpoints of a later version without an order would have got none.
The target alone is used for ten seconds, by when the old ones are gone (RolloutPlan::share, in the core).
- A host that heard of an order at the end of a quiet watch held back until the next one: what counts is when the store answered, not when it was asked.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -42,8 +42,8 @@
 pub use quarantine::{CrashLedger, CrashRecord, CrashRecords, DigestError, LedgerChange, RequestDigest};
 pub use retry::{ProbeGate, ProbePlace, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
 pub use rollout::{
-    RolloutOrder, RolloutPlan, RolloutState, RolloutStep, TimeTally, TrialEvidence, VersionFault, VersionRule,
-    VersionTally, VersionVerdict, judge_version,
+    RolloutOrder, RolloutPlan, RolloutState, RolloutStep, TargetShare, TimeTally, TrialEvidence, VersionFault,
+    VersionRule, VersionTally, VersionVerdict, judge_version,
 };
 pub use route::{
     EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
--- a/crates/hollyhook_core/src/rollout/mod.rs
+++ b/crates/hollyhook_core/src/rollout/mod.rs
@@ -8,7 +8,7 @@
 mod version_tally;
 
 pub use rollout_order::{RolloutOrder, RolloutState};
-pub use rollout_plan::{RolloutPlan, RolloutStep};
+pub use rollout_plan::{RolloutPlan, RolloutStep, TargetShare};
 pub use trial_evidence::TrialEvidence;
 pub use version_judge::{VersionFault, VersionVerdict, judge_version};
 pub use version_rule::VersionRule;
--- a/crates/hollyhook_core/src/rollout/rollout_plan.rs
+++ b/crates/hollyhook_core/src/rollout/rollout_plan.rs
@@ -9,6 +9,22 @@
 /// How long it is moved to before it is completed: hosts hear of it within a tenth of a second, and plain calls end.
 const MOVING_TIME: Duration = Duration::from_millis(400);
 
+/// How long after it was completed endpoints of other versions may still be registered. What comes later is of a newer version.
+const OLD_GONE_AFTER: Duration = Duration::from_secs(10);
+
+/// Which of a service's requests the target of a roll-out gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TargetShare {
+    /// None.
+    Nothing,
+    /// A small share.
+    Trial,
+    /// All of them.
+    Everything,
+    /// Its part, as any other version.
+    Any,
+}
+
 /// What is to be written of a roll-out next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RolloutStep {
@@ -52,6 +68,17 @@
         }
     }
 
+    /// Which of a service's requests the target gets now.
+    pub fn share(&self, now: TimePoint) -> TargetShare {
+        match self.state {
+            None | Some(RolloutState::RolledBack) => TargetShare::Nothing,
+            Some(RolloutState::Trial) => TargetShare::Trial,
+            Some(RolloutState::Moving) => TargetShare::Everything,
+            Some(RolloutState::Completed) if now.since(self.state_since) < OLD_GONE_AFTER => TargetShare::Everything,
+            Some(RolloutState::Completed) => TargetShare::Any,
+        }
+    }
+
     fn is_due(&self, now: TimePoint) -> bool {
         now.since(self.ordered_at) + MOVING_LEAD >= self.duration
     }
--- a/crates/hollyhook_core/tests/gateway/rollouts.rs
+++ b/crates/hollyhook_core/tests/gateway/rollouts.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    EndpointId, Name, RolloutPlan, RolloutState, RolloutStep, TimePoint, TrialEvidence, VersionFault, VersionRule,
-    VersionVerdict, judge_version,
+    EndpointId, Name, RolloutPlan, RolloutState, RolloutStep, TargetShare, TimePoint, TrialEvidence, VersionFault,
+    VersionRule, VersionVerdict, judge_version,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -224,3 +224,20 @@
     let backwards = VersionRule::trial_endpoints("v2", backwards.into_iter().rev(), 0.08);
     assert_eq!(VersionRule::trial_endpoints("v2", live(280), 0.08), backwards);
 }
+
+#[test]
+fn share_by_state() {
+    let share = |state, now_ms| plan(state, 20_000).share(TimePoint::from_millis(now_ms));
+    assert_eq!(share(None, 20_000), TargetShare::Nothing);
+    assert_eq!(share(Some(RolloutState::Trial), 20_000), TargetShare::Trial);
+    assert_eq!(share(Some(RolloutState::Moving), 20_000), TargetShare::Everything);
+    assert_eq!(share(Some(RolloutState::RolledBack), 90_000), TargetShare::Nothing);
+}
+
+/// Endpoints of the next version that come without an order, long after a roll-out, are endpoints like any other.
+#[test]
+fn share_long_after_completion() {
+    let share = |now_ms| plan(Some(RolloutState::Completed), 20_000).share(TimePoint::from_millis(now_ms));
+    assert_eq!(share(20_100), TargetShare::Everything);
+    assert_eq!(share(60_000), TargetShare::Any);
+}
--- a/crates/hollyhook_gateway/src/gateway/rollout_board.rs
+++ b/crates/hollyhook_gateway/src/gateway/rollout_board.rs
@@ -5,7 +5,8 @@
 
 use futures::channel::oneshot;
 use hollyhook_core::{
-    EndpointId, EndpointState, Name, Result, RolloutOrder, RolloutState, TimePoint, TrialEvidence, VersionRule,
+    EndpointId, EndpointState, Name, Result, RolloutOrder, RolloutState, TargetShare, TimePoint, TrialEvidence,
+    VersionRule,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_platform::{StoreObject, TrialReport};
@@ -100,9 +101,16 @@
         lock(&self.state).rollouts.values().any(|rollout| rollout.is_active() || rollout.is_unwritten())
     }
 
-    /// Whether there are versions of which it is not known whether they are on order.
+    /// Whether there are versions of which a list of the orders would tell whether they are on order. Where an order can't be
+    /// read it would not.
     pub(crate) fn has_unvetted(&self) -> bool {
-        !lock(&self.state).unvetted.is_empty()
+        let state = lock(&self.state);
+        state.unvetted.keys().any(|service| !state.blocked.contains(service))
+    }
+
+    /// Whether a change of an order would matter to this host now.
+    pub(crate) fn is_awaited(&self) -> bool {
+        !lock(&self.state).blocked.is_empty() || self.is_active()
     }
 
     /// Completes when there is a version to be vetted.
@@ -121,30 +129,42 @@
     pub(crate) fn rule(&self, service: &Name, is_first: bool) -> Option<VersionRule> {
         let state = lock(&self.state);
         let exposure = state.exposure?;
-        let unvetted = state.unvetted.get(service);
-        let Some(rollout) = state.rollouts.get(service) else {
-            return unvetted.map(|versions| VersionRule { except: versions.clone(), ..VersionRule::any() });
-        };
-        let (target, phase) = (Name::clone(&rollout.order.target), rollout.state);
+        let unvetted = state.unvetted.get(service).cloned();
         let now = self.timer.now();
+        let rollout = state.rollouts.get(service);
         let is_heard = state.confirmed.is_some_and(|at| now.since(at) <= CONFIRMED_FOR);
-        let mut except = unvetted.cloned().unwrap_or_default();
+        let target = rollout.map(|rollout| (Name::clone(&rollout.order.target), rollout.plan().share(now)));
         drop(state);
-        let share = exposure * TRIAL_PART;
-        let may_try = is_first && is_heard && phase == Some(RolloutState::Trial);
-        if may_try && rand::rng().random_bool(share.clamp(0.0, 1.0)) {
-            let live = self.live_endpoints(service, &target);
-            if !live.is_empty() {
-                let chosen = VersionRule::trial_endpoints(&target, live, share);
-                return Some(VersionRule::only(&target).endpoints(chosen));
+        let others = |version: Option<Name>| {
+            let except: BTreeSet<Name> = unvetted.clone().into_iter().flatten().chain(version).collect();
+            (!except.is_empty()).then(|| VersionRule { except, ..VersionRule::any() })
+        };
+        match target {
+            None | Some((_, TargetShare::Any)) => others(None),
+            Some((version, TargetShare::Nothing)) => others(Some(version)),
+            Some((version, TargetShare::Everything)) => {
+                let is_there = !self.live_endpoints(service, &version).is_empty();
+                is_there.then(|| VersionRule::only(&version))
             }
+            Some((version, TargetShare::Trial)) => {
+                let drawn =
+                    if is_first && is_heard { self.draw(service, &version, exposure * TRIAL_PART) } else { None };
+                drawn.or_else(|| others(Some(version)))
+            }
+        }
+    }
+
+    /// The rule for a request that is drawn for the version on trial, if it is.
+    fn draw(&self, service: &Name, version: &Name, share: f64) -> Option<VersionRule> {
+        if !rand::rng().random_bool(share.clamp(0.0, 1.0)) {
+            return None;
         }
-        if matches!(phase, Some(RolloutState::Moving | RolloutState::Completed)) {
-            let is_there = !self.live_endpoints(service, &target).is_empty();
-            return is_there.then(|| VersionRule::only(&target));
+        let live = self.live_endpoints(service, version);
+        if live.is_empty() {
+            return None;
         }
-        except.insert(target);
-        Some(VersionRule { except, ..VersionRule::any() })
+        let chosen = VersionRule::trial_endpoints(version, live, share);
+        Some(VersionRule::only(version).endpoints(chosen))
     }
 
     /// Whether an endpoint may be sent what another one has begun.
@@ -153,10 +173,12 @@
         let Some(rollout) = state.rollouts.get(service).filter(|_| state.exposure.is_some()) else {
             return true;
         };
-        match rollout.state {
-            Some(RolloutState::RolledBack) => rollout.order.target != *version,
-            Some(RolloutState::Completed) => rollout.order.target == *version,
-            _ => true,
+        let is_target = rollout.order.target == *version;
+        match rollout.plan().share(self.timer.now()) {
+            TargetShare::Nothing => !is_target,
+            // While it is moved to, what runs elsewhere may still end there.
+            TargetShare::Everything => is_target || rollout.state == Some(RolloutState::Moving),
+            TargetShare::Trial | TargetShare::Any => true,
         }
     }
 
--- a/crates/hollyhook_gateway/src/store/rollout_watch.rs
+++ b/crates/hollyhook_gateway/src/store/rollout_watch.rs
@@ -67,7 +67,7 @@
         let rollouts = &self.context.rollouts;
         // Until the others are listed, each host takes itself for one that reads the store.
         let is_reader = || !self.context.feed.is_listing() && is_reader(&self.context);
-        rollouts.is_on() && (rollouts.has_unvetted() || rollouts.is_active() || is_reader())
+        rollouts.is_on() && (rollouts.has_unvetted() || rollouts.is_awaited() || is_reader())
     }
 
     async fn step(&mut self) -> Result<(), StoreError> {
@@ -80,18 +80,16 @@
     }
 
     async fn list(&mut self) -> Result<(), StoreError> {
-        let asked_at = self.context.timer.now();
         let looked_for = self.context.rollouts.unvetted();
         let (objects, revision) = self.client.list(ObjectKind::Rollout, CALL_TIMEOUT).await?;
-        self.context.rollouts.confirm(asked_at);
+        self.context.rollouts.confirm(self.context.timer.now());
         self.context.rollouts.take_list(&objects, &looked_for);
         self.revision = Some(revision);
         Ok(())
     }
 
     async fn watch(&mut self, revision: StoreRevision) -> Result<(), StoreError> {
-        let asked_at = self.context.timer.now();
-        let wait = if self.context.rollouts.is_active() { ACTIVE_WAIT } else { QUIET_WAIT };
+        let wait = if self.context.rollouts.is_awaited() { ACTIVE_WAIT } else { QUIET_WAIT };
         let signal = self.context.rollouts.signal();
         let watch = self.client.watch(ObjectKind::Rollout, revision, wait, wait + CALL_TIMEOUT);
         let outcome = match select(Box::pin(watch), signal).await {
@@ -99,7 +97,7 @@
             // A version is to be vetted, which a list does; the call that is left goes with its connection.
             Either::Right(_) => return Ok(()),
         };
-        self.context.rollouts.confirm(asked_at);
+        self.context.rollouts.confirm(self.context.timer.now());
         let (changes, revision) = outcome;
         for change in changes {
             if change.is_gone || change.object.is_deleting {
