A run whose second engine is of another zone keeps its copy

What callers saw: where a service has few engines in a zone, the second engine in the order is of another zone; since the second is asked only if needed it was asked for nothing then, neither for the prompt nor for the copy, and a run whose engine was lost read its prompt anew.

Cause: engines that the choice may ask were left out of those that a copy may go to, also where the choice did not ask them.

Change: those for a copy are asked, and left out of the rest of the order instead, so that no engine is asked twice at once.

--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -144,9 +144,7 @@
 
     async fn choose_new(&self) -> Result<EngineChoice, ChoiceRefusal> {
         let first = self.context.endpoints.shortlist(&self.query(self.tried), self.home(), ASKED);
-        let mut second = first.first().map(|record| self.list_elsewhere(record)).unwrap_or_default();
-        // Asked twice at once, an engine was left out for half a second by the slower answer, and its copy not gone on from.
-        second.retain(|record| first.iter().all(|listed| listed.id != record.id));
+        let second = first.first().map(|record| self.list_elsewhere(record)).unwrap_or_default();
         let (mut asked, elsewhere) = self.ask_in_order(first, second).await;
         // Engines of other zones come last in the order, so that they are taken only if prompts wait in this one.
         asked.extend(elsewhere);
@@ -171,7 +169,9 @@
         mut first: Vec<EndpointRecord>,
         second: Vec<EndpointRecord>,
     ) -> (Vec<EngineCandidate>, Vec<EngineCandidate>) {
-        let rest = first.split_off(1.min(first.len()));
+        let mut rest = first.split_off(1.min(first.len()));
+        // Asked twice at once, an engine was left out for half a second by the slower answer, and its copy not gone on from.
+        rest.retain(|record| second.iter().all(|listed| listed.id != record.id));
         let (mut asked, elsewhere) = join(ask_all(self.context, first), ask_all(self.context, second)).await;
         if !asked.first().is_some_and(|best| is_settled(best, self.needed_tokens())) {
             asked.extend(ask_all(self.context, rest).await);
