--- a/crates/hollyhook_core/src/quarantine/crash_ledger.rs
+++ b/crates/hollyhook_core/src/quarantine/crash_ledger.rs
@@ -71,10 +71,7 @@
 
     /// Notes that an endpoint ended under a request.
     pub fn note_end(&mut self, now: u64, digest: RequestDigest, endpoint: Name) -> LedgerChange {
-        let entry = self.entries.entry(digest).or_default();
-        entry.record.ends.insert(endpoint, now);
-        entry.is_own = true;
-        entry.is_told |= entry.record.suspected().count() >= TOLD_FROM;
+        self.count_end(digest, endpoint, now, false);
         self.judge(now)
     }
 
@@ -89,10 +86,7 @@
     /// just before may have ended it.
     pub fn note_gone(&mut self, now: u64, endpoint: &str) -> LedgerChange {
         for known in self.breaks.take(now, endpoint) {
-            let entry = self.entries.entry(known.digest).or_default();
-            entry.record.ends.insert(known.endpoint, known.at);
-            entry.is_own = true;
-            entry.is_told |= known.is_given_up || entry.record.suspected().count() >= TOLD_FROM;
+            self.count_end(known.digest, known.endpoint, known.at, known.is_given_up);
         }
         self.judge(now)
     }
@@ -169,6 +163,13 @@
         Some(if age < SETTLING { SETTLING } else { left })
     }
 
+    fn count_end(&mut self, digest: RequestDigest, endpoint: Name, at: u64, is_given_up: bool) {
+        let entry = self.entries.entry(digest).or_default();
+        entry.record.ends.insert(endpoint, at);
+        entry.is_own = true;
+        entry.is_told |= is_given_up || entry.record.suspected().count() >= TOLD_FROM;
+    }
+
     fn judge(&mut self, now: u64) -> LedgerChange {
         self.forget_old(now);
         let refused = self.find_guilty();
--- a/crates/hollyhook_core/src/rollout/rollout_plan.rs
+++ b/crates/hollyhook_core/src/rollout/rollout_plan.rs
@@ -3,8 +3,8 @@
 use super::{RolloutState, VersionVerdict};
 use crate::TimePoint;
 
-/// What is left until the deadline when a good version is moved to. All that goes there until then counts as exposure should
-/// it turn bad after all, so that it is less than a request a second of the allowance; calls that run elsewhere end meanwhile.
+/// What is left until the deadline when a good version is moved to. Should it turn bad after all, everything that it got by the
+/// deadline counts, so that this is short; plain calls that run elsewhere end within it.
 const MOVING_LEAD: Duration = Duration::from_millis(700);
 /// How long it is moved to before it is completed: hosts hear of it within a tenth of a second, and plain calls end.
 const MOVING_TIME: Duration = Duration::from_millis(400);
--- a/crates/hollyhook_gateway/src/forward/live_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -29,9 +29,7 @@
     pub(super) answer: OpenAnswer,
     pub(super) keeper: Option<BackupKeeper>,
     cutter: EventCutter,
-    /// Whether it began the generation, rather than going on with it.
-    is_first: bool,
-    sent_at: TimePoint,
+    start: AttemptStart,
     first_event_at: Option<TimePoint>,
     last_event_at: Option<TimePoint>,
     events: u32,
@@ -59,8 +57,7 @@
             answer,
             keeper,
             cutter: EventCutter::default(),
-            is_first: start.is_first,
-            sent_at: start.sent_at,
+            start,
             first_event_at: None,
             last_event_at: None,
             events: 0,
@@ -69,11 +66,11 @@
 
     /// How long it has taken, as far as other attempts can be compared with it.
     pub(super) fn times(&self, now: TimePoint) -> VersionTimes {
-        let first = self.first_event_at.unwrap_or(now).since(self.sent_at);
+        let first = self.first_event_at.unwrap_or(now).since(self.start.sent_at);
         let span = self.first_event_at.zip(self.last_event_at).map(|(first, last)| last.since(first));
         let gap = span.filter(|_| self.events >= GAP_EVENTS).map(|span| span / (self.events - 1));
         // What goes on elsewhere reads less of its prompt.
-        VersionTimes { first: Some(first).filter(|_| self.is_first), gap }
+        VersionTimes { first: Some(first).filter(|_| self.start.is_first), gap }
     }
 
     /// The next whole events that the caller does not have.
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -298,8 +298,8 @@
     }
 
     async fn list(&mut self, asked_at: TimePoint) -> Result<FeedNews<StoreObject>, StoreError> {
-        let mut list = self.begun.take().filter(|list| asked_at.since(list.asked_at) < LIST_KEPT);
-        let mut list = list.take().unwrap_or_else(|| PageList::new(asked_at));
+        let begun = self.begun.take().filter(|list| asked_at.since(list.asked_at) < LIST_KEPT);
+        let mut list = begun.unwrap_or_else(|| PageList::new(asked_at));
         let limit = self.contact.call_limit();
         loop {
             let (era, page) = match self.client.list_page(self.kind, list.after.as_deref(), limit).await {
