A host logs the rate limit that an endpoint names

Cause of the change: in the incident the logs could not tell whether a host had heard of a limit, kept to a share of it, or forgot it; no line was written for it at all. Change: answer heads are decoded with the limit, in one place for requests and for reports; TermsLedger keeps the last one said by each endpoint, and 'endpoint.rate_limit' is logged when it changes. Nothing decides by it yet. An answer without a limit ends an earlier one only if its request was sent after that was heard, since answers on different connections overtake each other. What another endpoint at the address says (421) is not taken for the word of the one that was meant.

--- a/crates/hollyhook_core/src/forward/answer_verdict.rs
+++ b/crates/hollyhook_core/src/forward/answer_verdict.rs
@@ -1,7 +1,7 @@
 use crate::{EndpointId, LoadReport, Name, RequestKind};
 
 /// What hollyhook reads of an endpoint's answer head.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerHead {
     /// The HTTP status.
     pub status: u16,
@@ -19,6 +19,15 @@
     pub is_encoded: bool,
     /// The load that the endpoint reports.
     pub load: Option<LoadReport>,
+    /// Requests a second that the endpoint takes from all hosts together; none if it does not limit them.
+    pub rate_limit: Option<f64>,
+}
+
+impl AnswerHead {
+    /// Whether the endpoint that was meant answers, as far as the answer says, rather than another one at its address.
+    pub fn is_from(&self, endpoint: &str) -> bool {
+        self.endpoint.as_deref().map_or(self.status != MISDIRECTED, |answering| answering == endpoint)
+    }
 }
 
 /// Why an attempt is of no use to the caller.
@@ -99,8 +108,7 @@
     }
     if head.status == MISDIRECTED {
         // The incarnation that was meant may turn a request away for its weights; any other has only its address.
-        let is_meant = head.endpoint.as_deref() == Some(endpoint);
-        let failure = if is_meant { AttemptFailure::Rejected } else { AttemptFailure::WrongIncarnation };
+        let failure = if head.is_from(endpoint) { AttemptFailure::Rejected } else { AttemptFailure::WrongIncarnation };
         return AnswerVerdict::Fail(failure);
     }
     if head.is_not_run {
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -18,6 +18,7 @@
 mod site;
 mod stop;
 mod stream;
+mod terms;
 mod time;
 mod trace;
 
@@ -56,5 +57,6 @@
 };
 pub use stop::{StopPhase, StopPlan};
 pub use stream::{EventCutter, EventPiece, EventRelay, PieceVerdict, SilenceJudge, SilenceVerdict};
+pub use terms::TermsLedger;
 pub use time::TimePoint;
 pub use trace::{RelayTrace, TraceEnd, TraceLine, TraceOutcome, TraceRun, TraceStart};
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -9,7 +9,7 @@
 use super::zone_trouble::ZoneTrouble;
 use super::{EndpointRecord, EndpointState, LoadReport};
 use crate::rollout::VersionRule;
-use crate::{EndpointId, ModelBinding, Name, TimePoint, ZoneName};
+use crate::{EndpointId, ModelBinding, Name, TermsLedger, TimePoint, ZoneName};
 
 /// By this name hosts choose the entry for their notes.
 const NOTES: &[u8] = b"notes";
@@ -137,6 +137,7 @@
     records: BTreeMap<EndpointId, EndpointRecord>,
     places: PlaceIndex,
     troubles: BTreeMap<ZoneName, ZoneTrouble>,
+    terms: TermsLedger,
 }
 
 impl EndpointTable {
@@ -151,6 +152,7 @@
             records: BTreeMap::new(),
             places: PlaceIndex::default(),
             troubles: BTreeMap::new(),
+            terms: TermsLedger::default(),
         }
     }
 
@@ -230,6 +232,11 @@
         self.records.get_mut(id)
     }
 
+    /// The terms on which endpoints take requests.
+    pub fn terms_mut(&mut self) -> &mut TermsLedger {
+        &mut self.terms
+    }
+
     /// The entry at which hosts note what all of them have to know: of the live endpoints, the same at all hosts that know the
     /// same ones.
     pub fn noting_entry(&self) -> Option<Name> {
--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -153,10 +153,14 @@
             Some(connection) => connection,
             None => connect(context, target).await?,
         };
+        let sent_at = context.timer.now();
         match connection.send(request).await {
             Ok(response) => {
                 let (parts, body) = response.into_parts();
                 let head = hollyhook_platform::answer_head(&parts);
+                if head.is_from(&target.entry) {
+                    context.endpoints.note_terms(&target.id, &head, sent_at);
+                }
                 return Ok(OpenAnswer { head, parts, body, connection });
             }
             Err(SendFault::Unsent(unsent)) if is_kept => request = *unsent,
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -1,8 +1,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use hollyhook_core::{
-    AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Name, Result,
-    RouteQuery, SiteIndex, SiteLedger, TimePoint, ZoneName,
+    AnswerHead, AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Name,
+    Result, RouteQuery, SiteIndex, SiteLedger, TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_telemetry::MetricBoard;
@@ -163,6 +163,13 @@
         tracing::info!(endpoint = %id, known_ms = self.known_ms(), "endpoint.leaving");
     }
 
+    /// Takes in on which terms an endpoint says that it takes requests, in its answer to one sent at `sent_at`.
+    pub(crate) fn note_terms(&self, id: &EndpointId, head: &AnswerHead, sent_at: TimePoint) {
+        if self.table().terms_mut().note_limit(self.timer.now(), id, head.rate_limit, sent_at) {
+            tracing::info!(endpoint = %id, rate = head.rate_limit, "endpoint.rate_limit");
+        }
+    }
+
     /// The entry at which hosts note what all of them have to know; the same at all hosts that know the same endpoints.
     pub(crate) fn noting_entry(&self) -> Option<Name> {
         self.table().noting_entry()
