Hosts share the rate limit that an endpoint names

What callers saw: nothing yet; endpoints that had asked to get 1.6 to 2.7 requests a second got up to 41 in 4 s, from hosts that had passed on the answer that says so. An endpoint in need that is loaded on fails its callers next. Cause (class: what an endpoint says of itself is passed through and not heeded): no part of the gateway read the header. Ruled out: that each host took the whole limit for itself, or forgot it. Change: RateShare, one host's part of the limit: a slot every hosts / (0.8 x rate) seconds from a time drawn at random, lost a second after it came. No message between hosts, constant state an endpoint, any number of hosts. TermsLedger keeps it apart from the list, so that an entry that lapses and comes back does not forget it. An endpoint without a slot is not chosen, asked or given a copy's resume; choosing and counting are one step, so that two requests never take one slot. If all endpoints of a service are held back, the caller is refused at once, with when to come back. Ways weighed: a lease of slots in the store (calls grow with endpoints, and the store may be away); slots by rank and time of day (clocks jump; views of the rank differ); telling other hosts (not needed, each hears it with its first answer). Why it holds: the sum of all slots that can fall in 4 s is 0.8 x rate x 5 s in the mean, two thirds of what is allowed.

--- a/crates/hollyhook_core/src/feed/feed_roster.rs
+++ b/crates/hollyhook_core/src/feed/feed_roster.rs
@@ -117,6 +117,11 @@
         self.others = others;
     }
 
+    /// The hosts that are registered, this one among them; zero before they are listed.
+    pub fn host_count(&self) -> usize {
+        self.members.len() + self.others.len()
+    }
+
     /// Whom to ask when the store gives no answer, best first: a host of the own zone, which is also in reach when zones are
     /// cut from each other, and one of another zone.
     ///
--- a/crates/hollyhook_core/src/forward/attempt_ledger.rs
+++ b/crates/hollyhook_core/src/forward/attempt_ledger.rs
@@ -18,6 +18,8 @@
     BudgetSpent,
     /// No endpoint is left.
     NoEndpoint,
+    /// Every endpoint that is left takes no more requests for now, by its own word.
+    HeldBack,
     /// Every endpoint that was asked would serve it too late.
     Overloaded,
     /// It ends the endpoints that run it.
@@ -34,6 +36,7 @@
             Self::TimeUp => "the caller's time is up",
             Self::BudgetSpent => "the retry budget of the service is spent",
             Self::NoEndpoint => "no endpoint of the service is left",
+            Self::HeldBack => "the endpoints of the service take no more requests for now",
             Self::Quarantined => "endpoints that began to run the same request ended",
             Self::Overloaded => "the endpoints have more before this request than its caller's time allows",
         }
@@ -115,7 +118,7 @@
     /// What the caller is told at the end; "not run" only if no attempt may have run, with when to come back.
     pub fn end(&self, reason: StopReason, delivered: u64, retry_after: Duration) -> Error {
         let kind = match (self.runs, self.turned_away + self.misdirected, delivered) {
-            (0, _, _) if reason == StopReason::Overloaded => ErrorKind::Overloaded,
+            (0, _, _) if matches!(reason, StopReason::Overloaded | StopReason::HeldBack) => ErrorKind::Overloaded,
             (0, _, _) if reason == StopReason::Quarantined => ErrorKind::Quarantined,
             (0, 0, _) => ErrorKind::NoEndpoint,
             (0, _, _) => ErrorKind::NotRun,
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -232,7 +232,7 @@
         self.records.get_mut(id)
     }
 
-    /// The terms on which endpoints take requests.
+    /// The terms on which endpoints take requests, to learn something of them.
     pub fn terms_mut(&mut self) -> &mut TermsLedger {
         &mut self.terms
     }
@@ -258,12 +258,12 @@
         }
     }
 
-    /// Chooses an endpoint; count the request with [`opened`](Self::opened) when it is sent there.
+    /// Chooses an endpoint; count the request with [`try_open`](Self::try_open) when it is sent there.
     ///
     /// The best of a few drawn at random, so that many hosts with the same reports do not all choose the same one.
     /// Ejected endpoints are used only if no other is left.
     pub fn choose(&self, now: TimePoint, query: &RouteQuery<'_>, rng: &mut impl Rng) -> Option<EndpointId> {
-        let fit: Vec<&EndpointRecord> = self.records.values().filter(|record| query.is_met_by(record)).collect();
+        let fit: Vec<&EndpointRecord> = self.open_to(now, query).collect();
         let healthy: Vec<&EndpointRecord> = fit.iter().copied().filter(|record| !record.is_ejected(now)).collect();
         let pool = if healthy.is_empty() { fit } else { healthy };
         let pool = match query.affinity {
@@ -279,7 +279,7 @@
     ///
     /// A request that comes back through another host finds the endpoint that may still hold its prompt.
     pub fn shortlist(&self, now: TimePoint, query: &RouteQuery<'_>, number: u64, most: usize) -> Vec<EndpointRecord> {
-        let fit = self.records.values().filter(|record| query.is_met_by(record) && !record.is_ejected(now));
+        let fit = self.open_to(now, query).filter(|record| !record.is_ejected(now));
         let suspect = self.suspect_zones(now, query);
         let mut costs: Vec<(f64, &EndpointRecord)> =
             fit.map(|record| (self.cost(record, query, &suspect), record)).collect();
@@ -303,7 +303,7 @@
         number: u64,
         counts: HomeCounts,
     ) -> Vec<EndpointRecord> {
-        let fit = self.records.values().filter(|record| query.is_met_by(record) && !record.is_ejected(now));
+        let fit = self.open_to(now, query).filter(|record| !record.is_ejected(now));
         let mut fit: Vec<&EndpointRecord> = fit.collect();
         fit.sort_by_cached_key(|record| (record.zone != self.zone, Reverse(weight(&number.to_be_bytes(), &record.id))));
         let mut taken: BTreeMap<&ZoneName, usize> = BTreeMap::new();
@@ -321,6 +321,27 @@
         ranked(fit, number).into_iter().map(|record| EndpointId::clone(&record.id)).collect()
     }
 
+    /// The endpoints that take a request now.
+    fn open_to<'t>(&'t self, now: TimePoint, query: &'t RouteQuery<'_>) -> impl Iterator<Item = &'t EndpointRecord> {
+        let fit = self.records.values().filter(|record| query.is_met_by(record));
+        fit.filter(move |record| self.terms.is_open(now, &record.id))
+    }
+
+    /// Whether there are endpoints for a request, of which none takes one now.
+    pub fn is_held_back(&self, now: TimePoint, query: &RouteQuery<'_>) -> bool {
+        let is_any = self.records.values().any(|record| query.is_met_by(record));
+        is_any && self.open_to(now, query).next().is_none()
+    }
+
+    /// Counts a request as open at an endpoint, if that takes one now; tells whether it does.
+    pub fn try_open(&mut self, now: TimePoint, id: &str) -> bool {
+        let is_open = self.terms.try_send(now, id);
+        if is_open {
+            self.opened(now, id);
+        }
+        is_open
+    }
+
     /// Counts a request as open at an endpoint.
     pub fn opened(&mut self, now: TimePoint, id: &str) {
         if let Some(record) = self.records.get_mut(id) {
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -15,3 +15,4 @@
 mod site;
 mod stopping;
 mod streams;
+mod terms;
--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollyhook_core::{AnswerHead, AttemptFailure, EndpointId, EndpointRecord, Name, ZoneName};
+use hollyhook_core::{AnswerHead, AttemptFailure, EndpointId, EndpointRecord, Name, RouteQuery, ZoneName};
 use hollyhook_platform::AttemptHeaders;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
@@ -54,9 +54,19 @@
 }
 
 impl EndpointPlace {
-    /// Takes a place.
-    pub(super) fn take(context: &Arc<GatewayContext>, record: &EndpointRecord) -> Self {
-        context.endpoints.count_open(&record.id);
+    /// Takes a place at any endpoint that a query allows; none if none takes a request now.
+    pub(super) fn take_any(context: &Arc<GatewayContext>, query: &RouteQuery<'_>) -> Option<Self> {
+        let record = context.endpoints.open_any(query)?;
+        Some(Self::taken(context, &record))
+    }
+
+    /// Takes a place at an endpoint that was chosen; none if it takes no request now.
+    pub(super) fn take(context: &Arc<GatewayContext>, record: &EndpointRecord) -> Option<Self> {
+        context.endpoints.try_open(&record.id).then(|| Self::taken(context, record))
+    }
+
+    /// A place that was taken.
+    fn taken(context: &Arc<GatewayContext>, record: &EndpointRecord) -> Self {
         let known_ms = context.endpoints.known_ms();
         Self { context: Arc::clone(context), target: EndpointTarget::from(record), open: record.open, known_ms }
     }
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -58,10 +58,6 @@
     pub(super) excess: Duration,
 }
 
-impl ChoiceRefusal {
-    const NO_ENDPOINT: Self = Self { reason: StopReason::NoEndpoint, excess: Duration::ZERO };
-}
-
 /// Chooses the engine for one attempt of a caller's stream.
 pub(super) struct EngineChooser<'a> {
     pub(super) context: &'a Arc<GatewayContext>,
@@ -80,8 +76,7 @@
     /// Why no attempt can be made, with how long it would be too late.
     pub(super) async fn choose(&self, held: Option<BackupPlace>) -> Result<EngineChoice, ChoiceRefusal> {
         if self.caller.engine.is_none() {
-            let record = self.context.endpoints.choose(&self.query(self.tried)).ok_or(ChoiceRefusal::NO_ENDPOINT)?;
-            return Ok(self.choice(&record, None, None));
+            return self.choose_any();
         }
         let usable = held.as_ref().and_then(|held| self.usable(held));
         if let (Some(held), None) = (&held, &usable) {
@@ -89,23 +84,31 @@
         }
         if let Some((record, source)) = usable {
             let backups = ask_quickly(self.context, self.list_elsewhere(&record)).await;
-            let backup = self.best_backup(&record, &backups);
-            return Ok(self.choice(&record, Some(source), backup));
+            if let Some(place) = EndpointPlace::take(self.context, &record) {
+                let backup = self.best_backup(&place, &backups);
+                return Ok(EngineChoice { place, from: Some(source), backup, prompt_at: None });
+            }
         }
         match self.choose_held().await {
             Some(choice) => Ok(choice),
-            None if self.context.quarantine.is_suspected(|| self.caller.digest()) => self.choose_apart(),
+            None if self.context.quarantine.is_suspected(|| self.caller.digest()) => self.choose_any(),
             None => self.choose_new().await,
         }
     }
 
-    /// Chooses for a request that was there when an engine ended: any engine, rather than the best.
+    /// Chooses any engine, rather than the best.
     ///
     /// All that an engine took with it is placed anew at the same moment. Placed by the same reports, what did no harm would
-    /// follow the request that ended it from engine to engine, and be taken for the cause as well.
-    fn choose_apart(&self) -> Result<EngineChoice, ChoiceRefusal> {
-        let record = self.context.endpoints.choose(&self.query(self.tried)).ok_or(ChoiceRefusal::NO_ENDPOINT)?;
-        Ok(self.choice(&record, None, None))
+    /// follow a request that ended it from engine to engine, and be taken for the cause as well.
+    fn choose_any(&self) -> Result<EngineChoice, ChoiceRefusal> {
+        let place = self.any_place()?;
+        Ok(EngineChoice { place, from: None, backup: None, prompt_at: None })
+    }
+
+    fn any_place(&self) -> Result<EndpointPlace, ChoiceRefusal> {
+        let query = self.query(self.tried);
+        let refusal = || ChoiceRefusal { reason: self.context.endpoints.lack(&query), excess: Duration::ZERO };
+        EndpointPlace::take_any(self.context, &query).ok_or_else(refusal)
     }
 
     /// Chooses for a caller who comes back, if an engine still holds the prompt.
@@ -121,8 +124,9 @@
         tracing::info!(request = %self.caller.head.attempt_id, endpoint = %holder.id,
             tokens = placement.holder.held_tokens, is_fetched = placement.is_fetched(), "prompt.found");
         let prompt_at = placement.is_fetched().then_some(holder.address);
-        let backup = self.best_backup(record, &homes);
-        Some(EngineChoice { prompt_at, ..self.choice(record, None, backup) })
+        let place = EndpointPlace::take(self.context, record)?;
+        let backup = self.best_backup(&place, &homes);
+        Some(EngineChoice { place, from: None, backup, prompt_at })
     }
 
     /// The prompt's own part, if the caller comes back to go on with a generation that this host has not tried yet.
@@ -149,16 +153,17 @@
         // Engines of other zones come last in the order, so that they are taken only if prompts wait in this one.
         asked.extend(elsewhere);
         self.refresh(&mut asked);
-        let record = match choose_engine(&asked, self.needed_tokens()) {
-            Some(candidate) => {
-                self.check_wait(candidate)?;
-                candidate.record.clone()
-            }
-            // None of those that were asked answered; any that is left may be better.
-            None => self.context.endpoints.choose(&self.query(self.tried)).ok_or(ChoiceRefusal::NO_ENDPOINT)?,
+        let best = choose_engine(&asked, self.needed_tokens());
+        if let Some(best) = best {
+            self.check_wait(best)?;
+        }
+        let place = match best.and_then(|best| EndpointPlace::take(self.context, &best.record)) {
+            Some(place) => place,
+            // None of those that were asked answered, or has a place; any that is left may be better.
+            None => self.any_place()?,
         };
-        let backup = self.best_backup(&record, &asked);
-        Ok(self.choice(&record, None, backup))
+        let backup = self.best_backup(&place, &asked);
+        Ok(EngineChoice { place, from: None, backup, prompt_at: None })
     }
 
     /// Asks the engines that a prompt may go to, best first, and those that its copy may go to.
@@ -202,10 +207,6 @@
         }
     }
 
-    fn choice(&self, record: &EndpointRecord, from: Option<BackupSource>, backup: Option<BackupPlace>) -> EngineChoice {
-        EngineChoice { place: EndpointPlace::take(self.context, record), from, backup, prompt_at: None }
-    }
-
     /// The engine that holds the copy, if it still takes work.
     pub(super) fn usable(&self, held: &BackupPlace) -> Option<(EndpointRecord, BackupSource)> {
         let now = self.context.timer.now();
@@ -244,11 +245,11 @@
         is_kept && self.caller.route.kind.is_repeatable()
     }
 
-    fn best_backup(&self, record: &EndpointRecord, candidates: &[EngineCandidate]) -> Option<BackupPlace> {
+    fn best_backup(&self, place: &EndpointPlace, candidates: &[EngineCandidate]) -> Option<BackupPlace> {
         if !self.has_backups() {
             return None;
         }
-        let elsewhere = candidates.iter().filter(|candidate| candidate.record.zone != record.zone);
+        let elsewhere = candidates.iter().filter(|candidate| candidate.record.zone != place.target.zone);
         let best = choose_copy(elsewhere, self.needed_tokens())?;
         let attempt_id = Name::clone(&self.caller.head.attempt_id);
         let source = BackupSource { address: best.record.address, name: attempt_id };
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -69,8 +69,9 @@
 impl CallRun<'_> {
     async fn run(&mut self) -> Result<Response<AnswerBody>> {
         loop {
-            let Some(place) = self.place() else {
-                return self.give_up(StopReason::NoEndpoint);
+            let place = match self.place() {
+                Ok(place) => place,
+                Err(reason) => return self.give_up(reason),
             };
             self.last = CallTrace { endpoint: Some(EndpointId::clone(place.id())), known_ms: place.known_ms };
             let end = self.attempt(&place).await;
@@ -98,10 +99,15 @@
         }
     }
 
-    fn place(&self) -> Option<EndpointPlace> {
+    /// Takes a place for the next attempt.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none.
+    fn place(&self) -> std::result::Result<EndpointPlace, StopReason> {
         let rule = self.context.rollouts.rule(&self.caller.service, self.tried.is_empty()).unwrap_or_default();
         let query = RouteQuery::new(&self.caller.service).avoid(&self.tried).versions(&rule);
-        self.context.endpoints.choose(&query).map(|record| EndpointPlace::take(self.context, &record))
+        EndpointPlace::take_any(self.context, &query).ok_or_else(|| self.context.endpoints.lack(&query))
     }
 
     async fn attempt(&self, place: &EndpointPlace) -> CallEnd {
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -2,17 +2,20 @@
 
 use hollyhook_core::{
     AnswerHead, AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Name,
-    Result, RouteQuery, SiteIndex, SiteLedger, TimePoint, ZoneName,
+    Result, RouteQuery, SiteIndex, SiteLedger, StopReason, TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_telemetry::MetricBoard;
 
+use crate::peer::FeedBoard;
 use crate::pool::ConnectionPool;
 use crate::sync::lock;
 
 /// How much fuller, in requests a place, the own zone may be before another one pays. Another zone costs little time,
 /// but what runs there is lost when the zones are cut from each other.
 const ZONE_PREFERENCE: f64 = 0.25;
+/// Hosts among which a rate limit is divided before they are listed.
+const UNLISTED_HOSTS: usize = 16;
 
 /// The endpoints that this host knows, with the connections to them and the counts of how attempts ended.
 #[derive(Debug)]
@@ -20,6 +23,7 @@
     timer: Arc<TimerService>,
     pool: Arc<ConnectionPool>,
     board: Arc<MetricBoard>,
+    feed: Arc<FeedBoard>,
     site: Arc<Mutex<SiteLedger>>,
     table: Mutex<EndpointTable>,
     /// Until when it is known that nothing else changed; none before the first list.
@@ -43,6 +47,7 @@
             timer: registry.find(TimerService::NAME)?,
             pool: registry.find(ConnectionPool::NAME)?,
             board: registry.find(MetricBoard::NAME)?,
+            feed: registry.find(FeedBoard::NAME)?,
             site: registry.find(site)?,
             table: Mutex::new(EndpointTable::new(ZoneName::clone(zone)).zone_preference(ZONE_PREFERENCE)),
             confirmed: Mutex::default(),
@@ -165,8 +170,15 @@
 
     /// Takes in on which terms an endpoint says that it takes requests, in its answer to one sent at `sent_at`.
     pub(crate) fn note_terms(&self, id: &EndpointId, head: &AnswerHead, sent_at: TimePoint) {
-        if self.table().terms_mut().note_limit(self.timer.now(), id, head.rate_limit, sent_at) {
-            tracing::info!(endpoint = %id, rate = head.rate_limit, "endpoint.rate_limit");
+        let now = self.timer.now();
+        let hosts = self.feed.host_count().unwrap_or(UNLISTED_HOSTS);
+        let mut table = self.table();
+        let is_news = match head.rate_limit {
+            Some(rate) => table.terms_mut().limit(now, id, rate, hosts, &mut rand::rng()),
+            None => table.terms_mut().unlimit(id, sent_at),
+        };
+        if is_news {
+            tracing::info!(endpoint = %id, rate = head.rate_limit, hosts, "endpoint.rate_limit");
         }
     }
 
@@ -180,11 +192,23 @@
         self.table().iter().any(|record| &*record.service == service && record.state == EndpointState::Live)
     }
 
-    /// Chooses an endpoint by what this host knows.
-    pub(crate) fn choose(&self, query: &RouteQuery<'_>) -> Option<EndpointRecord> {
-        let table = self.table();
-        let id = table.choose(self.timer.now(), query, &mut rand::rng())?;
-        table.get(&id).cloned()
+    /// Chooses an endpoint by what this host knows, and counts a request as open there.
+    pub(crate) fn open_any(&self, query: &RouteQuery<'_>) -> Option<EndpointRecord> {
+        let now = self.timer.now();
+        let mut table = self.table();
+        let id = table.choose(now, query, &mut rand::rng())?;
+        let record = table.get(&id).cloned()?;
+        table.try_open(now, &id).then_some(record)
+    }
+
+    /// Why no endpoint is left for a request.
+    pub(crate) fn lack(&self, query: &RouteQuery<'_>) -> StopReason {
+        if self.table().is_held_back(self.timer.now(), query) {
+            self.board.count("requests_held_back");
+            StopReason::HeldBack
+        } else {
+            StopReason::NoEndpoint
+        }
     }
 
     /// Up to `most` endpoints worth asking for their load, in the order that all hosts share for `number`.
@@ -204,9 +228,9 @@
         }
     }
 
-    /// Counts a request as open at an endpoint that was chosen from a shortlist.
-    pub(crate) fn count_open(&self, id: &str) {
-        self.table().opened(self.timer.now(), id);
+    /// Counts a request as open at an endpoint that was chosen from a shortlist, if that takes one now; tells whether it does.
+    pub(crate) fn try_open(&self, id: &str) -> bool {
+        self.table().try_open(self.timer.now(), id)
     }
 
     pub(crate) fn note_load(&self, id: &str, load: LoadReport) {
--- a/crates/hollyhook_gateway/src/peer/feed_board.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_board.rs
@@ -62,6 +62,11 @@
         self.is_listing.load(Ordering::Relaxed)
     }
 
+    /// The hosts that are registered; none before they are listed.
+    pub(crate) fn host_count(&self) -> Option<usize> {
+        Some(lock(&self.roster).host_count()).filter(|count| *count > 0)
+    }
+
     /// From whom this host learns now.
     pub(crate) fn plan(&self, now: TimePoint) -> FeedPlan {
         lock(&self.roster).plan(now)
