An endpoint that says in an answer that it leaves gets nothing new

What callers saw: requests cut off with 502 by an endpoint that ended under them, 3 to 5 s after it had told this host. Cause (class: what an endpoint says of itself is passed through and not heeded): the header was not read; only the list and an engine's report were believed, and the store was away. Change: answer heads tell it, for requests and reports alike, where the host already hears a report's word.

--- a/crates/hollyhook_core/src/forward/answer_verdict.rs
+++ b/crates/hollyhook_core/src/forward/answer_verdict.rs
@@ -21,6 +21,8 @@
     pub load: Option<LoadReport>,
     /// Requests a second that the endpoint takes from all hosts together; none if it does not limit them.
     pub rate_limit: Option<f64>,
+    /// Whether the endpoint says that it leaves.
+    pub is_leaving: bool,
 }
 
 impl AnswerHead {
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -170,6 +170,9 @@
 
     /// Takes in on which terms an endpoint says that it takes requests, in its answer to one sent at `sent_at`.
     pub(crate) fn note_terms(&self, id: &EndpointId, head: &AnswerHead, sent_at: TimePoint) {
+        if head.is_leaving {
+            self.note_leaving(id);
+        }
         let now = self.timer.now();
         let hosts = self.feed.host_count().unwrap_or(UNLISTED_HOSTS);
         let mut table = self.table();
