What an endpoint says of its leaving goes before its entry

Cause (class: older hearsay overwrites an endpoint's own word): EndpointTable::upsert took the state of the entry, and forgot the word with the record when the entry lapsed. It concerned engines' reports too, which were read long before. Change: TermsLedger keeps the word, apart from the records; the table puts it before every entry. It ends with the incarnation, whose name it is kept under.

--- a/crates/hollyhook_core/src/forward/answer_verdict.rs
+++ b/crates/hollyhook_core/src/forward/answer_verdict.rs
@@ -1,4 +1,4 @@
-use crate::{EndpointId, LoadReport, Name, RequestKind};
+use crate::{EndpointId, LoadReport, Name, RequestKind, StatedTerms};
 
 /// What hollyhook reads of an endpoint's answer head.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -19,10 +19,8 @@
     pub is_encoded: bool,
     /// The load that the endpoint reports.
     pub load: Option<LoadReport>,
-    /// Requests a second that the endpoint takes from all hosts together; none if it does not limit them.
-    pub rate_limit: Option<f64>,
-    /// Whether the endpoint says that it leaves.
-    pub is_leaving: bool,
+    /// The terms on which the endpoint takes requests.
+    pub terms: StatedTerms,
 }
 
 impl AnswerHead {
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -57,6 +57,6 @@
 };
 pub use stop::{StopPhase, StopPlan};
 pub use stream::{EventCutter, EventPiece, EventRelay, PieceVerdict, SilenceJudge, SilenceVerdict};
-pub use terms::{RateShare, TermsLedger};
+pub use terms::{RateShare, StatedTerms, TermsLedger};
 pub use time::TimePoint;
 pub use trace::{RelayTrace, TraceEnd, TraceLine, TraceOutcome, TraceRun, TraceStart};
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -164,7 +164,10 @@
     }
 
     /// Adds an endpoint, or updates where it is and whether it gets work; what was learnt of it stays.
-    pub fn upsert(&mut self, record: EndpointRecord) {
+    ///
+    /// Its own word that it leaves goes before its entry, which may be older, and before one that comes back.
+    pub fn upsert(&mut self, mut record: EndpointRecord) {
+        record.state = self.state_of(&record);
         match self.records.get_mut(&record.id) {
             Some(known) if known.address == record.address => {
                 known.state = record.state;
@@ -180,6 +183,21 @@
         }
     }
 
+    /// The state of an endpoint, of what a registration says and what it said itself.
+    pub fn state_of(&self, record: &EndpointRecord) -> EndpointState {
+        if self.terms.is_leaving(&record.id) { EndpointState::Leaving } else { record.state }
+    }
+
+    /// Takes in that an endpoint says itself that it leaves; tells whether it got work until then.
+    pub fn leave(&mut self, now: TimePoint, id: &EndpointId) -> bool {
+        self.terms.leave(now, id);
+        let Some(record) = self.records.get_mut(id).filter(|record| record.state == EndpointState::Live) else {
+            return false;
+        };
+        record.state = EndpointState::Leaving;
+        true
+    }
+
     /// The endpoints that a registration shows to be gone: those that registered the same address earlier, and earlier
     /// starts of the same one.
     ///
--- /dev/null
+++ b/crates/hollyhook_core/src/terms/stated_terms.rs
@@ -0,0 +1,8 @@
+/// What one answer of an endpoint says of the terms on which it takes requests.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct StatedTerms {
+    /// Requests a second that it takes from all hosts together; none if it does not limit them.
+    pub rate_limit: Option<f64>,
+    /// Whether it leaves.
+    pub is_leaving: bool,
+}
--- a/crates/hollyhook_core/src/terms/terms_ledger.rs
+++ b/crates/hollyhook_core/src/terms/terms_ledger.rs
@@ -20,21 +20,20 @@
 #[derive(Debug)]
 struct EndpointTerms {
     heard_at: TimePoint,
-    share: RateShare,
+    share: Option<RateShare>,
+    is_leaving: bool,
 }
 
 impl TermsLedger {
     /// Takes in the rate limit, in requests a second, that an endpoint names for the `hosts` together; tells whether that is news.
     pub fn limit(&mut self, now: TimePoint, id: &EndpointId, rate: f64, hosts: usize, rng: &mut impl Rng) -> bool {
-        if let Some(terms) = self.terms.get_mut(id) {
-            let is_news = terms.share.rate().total_cmp(&rate).is_ne();
-            terms.heard_at = now;
-            terms.share.rename(now, rate, hosts);
+        let terms = self.heard(now, id);
+        if let Some(share) = &mut terms.share {
+            let is_news = share.rate().total_cmp(&rate).is_ne();
+            share.rename(now, rate, hosts);
             return is_news;
         }
-        self.terms.retain(|_, terms| now.since(terms.heard_at) < KEPT);
-        let share = RateShare::named(now, rate, hosts, rng);
-        self.terms.insert(EndpointId::clone(id), EndpointTerms { heard_at: now, share });
+        terms.share = Some(RateShare::named(now, rate, hosts, rng));
         true
     }
 
@@ -42,17 +41,40 @@
     ///
     /// A limit that was heard later than that stays: answers on different connections overtake each other.
     pub fn unlimit(&mut self, id: &EndpointId, sent_at: TimePoint) -> bool {
-        let is_ended = self.terms.get(id).is_some_and(|terms| terms.heard_at < sent_at);
-        is_ended && self.terms.remove(id).is_some()
+        let terms = self.terms.get_mut(id).filter(|terms| terms.heard_at < sent_at);
+        terms.is_some_and(|terms| terms.share.take().is_some())
+    }
+
+    /// Takes in that an endpoint says that it leaves.
+    pub fn leave(&mut self, now: TimePoint, id: &EndpointId) {
+        self.heard(now, id).is_leaving = true;
+    }
+
+    /// Whether an endpoint said that it leaves.
+    pub fn is_leaving(&self, id: &str) -> bool {
+        self.terms.get(id).is_some_and(|terms| terms.is_leaving)
     }
 
     /// Whether an endpoint takes a request of this host now.
     pub fn is_open(&self, now: TimePoint, id: &str) -> bool {
-        self.terms.get(id).is_none_or(|terms| terms.share.opens_in(now).is_zero())
+        let share = self.terms.get(id).and_then(|terms| terms.share.as_ref());
+        share.is_none_or(|share| share.opens_in(now).is_zero())
     }
 
     /// Whether a request may be sent to an endpoint now; if so, it is counted.
     pub fn try_send(&mut self, now: TimePoint, id: &str) -> bool {
-        self.terms.get_mut(id).is_none_or(|terms| terms.share.try_use(now))
+        let share = self.terms.get_mut(id).and_then(|terms| terms.share.as_mut());
+        share.is_none_or(|share| share.try_use(now))
+    }
+
+    /// The terms of an endpoint that has just said something of them.
+    fn heard(&mut self, now: TimePoint, id: &EndpointId) -> &mut EndpointTerms {
+        if !self.terms.contains_key(id) {
+            self.terms.retain(|_, terms| now.since(terms.heard_at) < KEPT);
+        }
+        let fresh = || EndpointTerms { heard_at: now, share: None, is_leaving: false };
+        let terms = self.terms.entry(EndpointId::clone(id)).or_insert_with(fresh);
+        terms.heard_at = now;
+        terms
     }
 }
--- a/crates/hollyhook_core/tests/gateway/terms.rs
+++ b/crates/hollyhook_core/tests/gateway/terms.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use hollyhook_core::{EndpointRecord, EndpointTable, RateShare, RouteQuery, TermsLedger, TimePoint};
+use hollyhook_core::{EndpointRecord, EndpointState, EndpointTable, RateShare, RouteQuery, TermsLedger, TimePoint};
 use rand::Rng;
 use rand_pcg::Pcg64;
 use rand_pcg::rand_core::SeedableRng;
@@ -114,3 +114,19 @@
     assert!(terms.unlimit(&"i-1".into(), after(3)));
     assert!(terms.is_open(after(3), "i-1"));
 }
+
+/// The entry is older than the endpoint's own word, or lapses while the store is away and comes back.
+#[test]
+fn leaving_outlives_listing() {
+    let mut table = EndpointTable::new("z0".into());
+    table.upsert(record("i-1"));
+    assert!(table.leave(NOW, &"i-1".into()));
+    assert!(!table.leave(NOW, &"i-1".into()), "the same again is no news");
+    table.upsert(record("i-1"));
+    assert_eq!(table.get("i-1").unwrap().state, EndpointState::Leaving);
+    table.remove("i-1");
+    table.upsert(record("i-1"));
+    assert_eq!(table.get("i-1").unwrap().state, EndpointState::Leaving);
+    table.upsert(record("i-2"));
+    assert_eq!(table.get("i-2").unwrap().state, EndpointState::Live);
+}
--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -169,7 +169,7 @@
                 let (parts, body) = response.into_parts();
                 let head = hollyhook_platform::answer_head(&parts);
                 if head.is_from(&target.entry) {
-                    context.endpoints.note_terms(&target.id, &head, sent_at);
+                    context.endpoints.note_terms(&target.id, head.terms, sent_at);
                 }
                 return Ok(OpenAnswer { head, parts, body, connection });
             }
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -1,8 +1,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use hollyhook_core::{
-    AnswerHead, AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Name,
-    Result, RouteQuery, SiteIndex, SiteLedger, StopReason, TimePoint, ZoneName,
+    AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Name, Result,
+    RouteQuery, SiteIndex, SiteLedger, StatedTerms, StopReason, TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_telemetry::MetricBoard;
@@ -97,6 +97,7 @@
             self.pool.forget(&id);
             tracing::info!(endpoint = %id, by = %record.id, address = %record.address, "endpoint.displaced");
         }
+        record.state = table.state_of(&record);
         let known = table.get(&record.id).map(|known| known.state);
         if known.is_none() {
             self.board.count("endpoints_started");
@@ -159,29 +160,27 @@
 
     /// Takes in that an endpoint says itself that it leaves; its entry may say so later, or be gone without a word.
     pub(crate) fn note_leaving(&self, id: &EndpointId) {
-        let mut table = self.table();
-        let Some(record) = table.get_mut(id).filter(|record| record.state == EndpointState::Live) else {
+        if !self.table().leave(self.timer.now(), id) {
             return;
-        };
-        record.state = EndpointState::Leaving;
+        }
         self.pool.forget(id);
         tracing::info!(endpoint = %id, known_ms = self.known_ms(), "endpoint.leaving");
     }
 
     /// Takes in on which terms an endpoint says that it takes requests, in its answer to one sent at `sent_at`.
-    pub(crate) fn note_terms(&self, id: &EndpointId, head: &AnswerHead, sent_at: TimePoint) {
-        if head.is_leaving {
+    pub(crate) fn note_terms(&self, id: &EndpointId, terms: StatedTerms, sent_at: TimePoint) {
+        if terms.is_leaving {
             self.note_leaving(id);
         }
         let now = self.timer.now();
         let hosts = self.feed.host_count().unwrap_or(UNLISTED_HOSTS);
         let mut table = self.table();
-        let is_news = match head.rate_limit {
+        let is_news = match terms.rate_limit {
             Some(rate) => table.terms_mut().limit(now, id, rate, hosts, &mut rand::rng()),
             None => table.terms_mut().unlimit(id, sent_at),
         };
         if is_news {
-            tracing::info!(endpoint = %id, rate = head.rate_limit, hosts, "endpoint.rate_limit");
+            tracing::info!(endpoint = %id, rate = terms.rate_limit, hosts, "endpoint.rate_limit");
         }
     }
 
