A host keeps the pause that an endpoint asks for

What callers saw: no loss in the record, but an overloaded endpoint went on getting, and turning away, what it had asked not to get; callers of the last endpoint were told to come back after 0.12 s, when it had just asked for 3 s. Cause (class: what an endpoint says of itself is passed through and not heeded): an answer that turns a request away was a failure like any other; its pause was not read. The cost of failures keeps requests away only while others fail less. Ruled out: that choosing fell back for want of others; in the record another endpoint served the call 9 ms later. Change: StatedTerms.pause, for requests and reports alike; TermsLedger keeps its end; such an endpoint is not chosen, asked or given anything to go on with until then. EndpointLack says why no endpoint takes a request and how long that lasts: the caller hears the end of the shortest pause instead of a fixed 0.12 s.

--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -1,5 +1,6 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rand::Rng;
 use rand::seq::IndexedRandom;
@@ -345,10 +346,17 @@
         fit.filter(move |record| self.terms.is_open(now, &record.id))
     }
 
-    /// Whether there are endpoints for a request, of which none takes one now.
-    pub fn is_held_back(&self, now: TimePoint, query: &RouteQuery<'_>) -> bool {
-        let is_any = self.records.values().any(|record| query.is_met_by(record));
-        is_any && self.open_to(now, query).next().is_none()
+    /// How long the endpoints for a request want none, where there are some and none takes one now.
+    ///
+    /// Zero if only the slots of this host are used up: another host may have one. Endpoints that the request has left count
+    /// too, since its caller may come back to them.
+    pub fn held_back_for(&self, now: TimePoint, query: &RouteQuery<'_>) -> Option<Duration> {
+        let query = query.clone().avoid(&[]);
+        if self.open_to(now, &query).next().is_some() {
+            return None;
+        }
+        let fit = self.records.values().filter(|record| query.is_met_by(record));
+        fit.map(|record| self.terms.paused_for(now, &record.id)).min()
     }
 
     /// Counts a request as open at an endpoint, if that takes one now; tells whether it does.
--- a/crates/hollyhook_core/src/terms/stated_terms.rs
+++ b/crates/hollyhook_core/src/terms/stated_terms.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 /// What one answer of an endpoint says of the terms on which it takes requests.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct StatedTerms {
@@ -5,4 +7,6 @@
     pub rate_limit: Option<f64>,
     /// Whether it leaves.
     pub is_leaving: bool,
+    /// For how long it wants no more requests of this host; none if it does not say so.
+    pub pause: Option<Duration>,
 }
--- a/crates/hollyhook_core/src/terms/terms_ledger.rs
+++ b/crates/hollyhook_core/src/terms/terms_ledger.rs
@@ -22,6 +22,14 @@
     heard_at: TimePoint,
     share: Option<RateShare>,
     is_leaving: bool,
+    paused_until: TimePoint,
+}
+
+impl EndpointTerms {
+    fn is_open(&self, now: TimePoint) -> bool {
+        let has_slot = self.share.as_ref().is_none_or(|share| share.opens_in(now).is_zero());
+        has_slot && now >= self.paused_until
+    }
 }
 
 impl TermsLedger {
@@ -55,24 +63,42 @@
         self.terms.get(id).is_some_and(|terms| terms.is_leaving)
     }
 
+    /// Takes in that an endpoint wants no more requests of this host for so long; tells whether that is news.
+    pub fn pause(&mut self, now: TimePoint, id: &EndpointId, span: Duration) -> bool {
+        let terms = self.heard(now, id);
+        let is_news = terms.paused_until <= now;
+        terms.paused_until = terms.paused_until.max(now + span);
+        is_news
+    }
+
+    /// How long an endpoint still wants no more requests of this host.
+    pub fn paused_for(&self, now: TimePoint, id: &str) -> Duration {
+        self.terms.get(id).map_or(Duration::ZERO, |terms| terms.paused_until.since(now))
+    }
+
     /// Whether an endpoint takes a request of this host now.
     pub fn is_open(&self, now: TimePoint, id: &str) -> bool {
-        let share = self.terms.get(id).and_then(|terms| terms.share.as_ref());
-        share.is_none_or(|share| share.opens_in(now).is_zero())
+        self.terms.get(id).is_none_or(|terms| terms.is_open(now))
     }
 
     /// Whether a request may be sent to an endpoint now; if so, it is counted.
     pub fn try_send(&mut self, now: TimePoint, id: &str) -> bool {
-        let share = self.terms.get_mut(id).and_then(|terms| terms.share.as_mut());
-        share.is_none_or(|share| share.try_use(now))
+        let Some(terms) = self.terms.get_mut(id) else {
+            return true;
+        };
+        let is_open = terms.is_open(now);
+        if let Some(share) = terms.share.as_mut().filter(|_| is_open) {
+            share.try_use(now);
+        }
+        is_open
     }
 
     /// The terms of an endpoint that has just said something of them.
     fn heard(&mut self, now: TimePoint, id: &EndpointId) -> &mut EndpointTerms {
         if !self.terms.contains_key(id) {
-            self.terms.retain(|_, terms| now.since(terms.heard_at) < KEPT);
+            self.terms.retain(|_, terms| now.since(terms.heard_at) < KEPT || now < terms.paused_until);
         }
-        let fresh = || EndpointTerms { heard_at: now, share: None, is_leaving: false };
+        let fresh = || EndpointTerms { heard_at: now, share: None, is_leaving: false, paused_until: now };
         let terms = self.terms.entry(EndpointId::clone(id)).or_insert_with(fresh);
         terms.heard_at = now;
         terms
--- a/crates/hollyhook_core/tests/gateway/terms.rs
+++ b/crates/hollyhook_core/tests/gateway/terms.rs
@@ -101,7 +101,7 @@
     assert!(limited(table.terms_mut(), NOW, 0.1));
     table.remove("i-1");
     table.upsert(record("i-1"));
-    assert!(table.is_held_back(NOW, &RouteQuery::new("desk")));
+    assert_eq!(table.held_back_for(NOW, &RouteQuery::new("desk")), Some(Duration::ZERO));
 }
 
 #[test]
@@ -130,3 +130,16 @@
     table.upsert(record("i-2"));
     assert_eq!(table.get("i-2").unwrap().state, EndpointState::Live);
 }
+
+#[test]
+fn pause_kept_to_its_end() {
+    let mut table = EndpointTable::new("z0".into());
+    table.upsert(record("i-1"));
+    let query = RouteQuery::new("desk");
+    assert!(table.terms_mut().pause(NOW, &"i-1".into(), Duration::from_secs(3)));
+    assert!(!table.terms_mut().pause(NOW, &"i-1".into(), Duration::from_secs(1)), "a shorter one ends no sooner");
+    assert_eq!(table.held_back_for(after(1_000), &query), Some(Duration::from_secs(2)));
+    assert!(!table.try_open(after(2_999), "i-1"));
+    assert!(table.try_open(after(3_000), "i-1"));
+    assert_eq!(table.held_back_for(after(3_000), &query), None);
+}
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -14,7 +14,7 @@
 use super::attempt::{EndpointPlace, EndpointTarget};
 use super::endpoint_probe::{ask_all, ask_holdings, ask_quickly};
 use crate::front::CallerRequest;
-use crate::gateway::GatewayContext;
+use crate::gateway::{EndpointLack, GatewayContext};
 
 /// Engines that are asked before a generation is placed. Two that are asked are nearly as good as all: the second
 /// choice removes most of the waiting behind other prompts, a third little more.
@@ -50,14 +50,6 @@
     pub(super) prompt_at: Option<SocketAddr>,
 }
 
-/// Why no engine was chosen.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct ChoiceRefusal {
-    pub(super) reason: StopReason,
-    /// How long an attempt would be too late; zero if that is not the reason.
-    pub(super) excess: Duration,
-}
-
 /// Chooses the engine for one attempt of a caller's stream.
 pub(super) struct EngineChooser<'a> {
     pub(super) context: &'a Arc<GatewayContext>,
@@ -74,7 +66,7 @@
     /// # Errors
     ///
     /// Why no attempt can be made, with how long it would be too late.
-    pub(super) async fn choose(&self, held: Option<BackupPlace>) -> Result<EngineChoice, ChoiceRefusal> {
+    pub(super) async fn choose(&self, held: Option<BackupPlace>) -> Result<EngineChoice, EndpointLack> {
         if self.caller.engine.is_none() {
             return self.choose_any();
         }
@@ -100,15 +92,14 @@
     ///
     /// All that an engine took with it is placed anew at the same moment. Placed by the same reports, what did no harm would
     /// follow a request that ended it from engine to engine, and be taken for the cause as well.
-    fn choose_any(&self) -> Result<EngineChoice, ChoiceRefusal> {
+    fn choose_any(&self) -> Result<EngineChoice, EndpointLack> {
         let place = self.any_place()?;
         Ok(EngineChoice { place, from: None, backup: None, prompt_at: None })
     }
 
-    fn any_place(&self) -> Result<EndpointPlace, ChoiceRefusal> {
+    fn any_place(&self) -> Result<EndpointPlace, EndpointLack> {
         let query = self.query(self.tried);
-        let refusal = || ChoiceRefusal { reason: self.context.endpoints.lack(&query), excess: Duration::ZERO };
-        EndpointPlace::take_any(self.context, &query).ok_or_else(refusal)
+        EndpointPlace::take_any(self.context, &query).ok_or_else(|| self.context.endpoints.lack(&query))
     }
 
     /// Chooses for a caller who comes back, if an engine still holds the prompt.
@@ -146,7 +137,7 @@
         candidates
     }
 
-    async fn choose_new(&self) -> Result<EngineChoice, ChoiceRefusal> {
+    async fn choose_new(&self) -> Result<EngineChoice, EndpointLack> {
         let first = self.context.endpoints.shortlist(&self.query(self.tried), self.home(), ASKED);
         let second = first.first().map(|record| self.list_elsewhere(record)).unwrap_or_default();
         let (mut asked, elsewhere) = self.ask_in_order(first, second).await;
@@ -194,7 +185,7 @@
     /// Refuses what even the best engine that was asked would not end in time.
     ///
     /// Only what has not begun: how much is left of a stream that goes on is not known.
-    fn check_wait(&self, candidate: &EngineCandidate) -> Result<(), ChoiceRefusal> {
+    fn check_wait(&self, candidate: &EngineCandidate) -> Result<(), EndpointLack> {
         if !self.tried.is_empty() || self.caller.head.cursor.is_some() {
             return Ok(());
         }
@@ -202,7 +193,7 @@
         let prompt_tokens = self.caller.head.prompt.unwrap_or_default().prompt_tokens;
         let report = candidate.report.as_ref();
         match report.and_then(|report| excess_wait(report, prompt_tokens, time_left)) {
-            Some(excess) => Err(ChoiceRefusal { reason: StopReason::Overloaded, excess }),
+            Some(excess) => Err(EndpointLack { reason: StopReason::Overloaded, pause: excess }),
             None => Ok(()),
         }
     }
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -216,9 +216,9 @@
                 let rule = self.context.rollouts.rule(&self.caller.service, false).unwrap_or_default();
                 choice = EngineChooser { versions: &rule, ..chooser }.choose(None).await;
             }
-            let choice = choice.map_err(|refusal| {
-                let retry = refusal.excess.max(BUSY_RETRY);
-                self.ledger.end(refusal.reason, self.relay.delivered(), retry)
+            let choice = choice.map_err(|lack| {
+                let retry = lack.pause.max(BUSY_RETRY);
+                self.ledger.end(lack.reason, self.relay.delivered(), retry)
             })?;
             let target = choice.place.target.clone();
             let sent_at = self.context.timer.now();
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -14,7 +14,7 @@
 use super::request_log::{self, CallTrace};
 use super::version_note::{VersionTimes, note_version};
 use crate::front::{AnswerBody, CallerRequest};
-use crate::gateway::GatewayContext;
+use crate::gateway::{EndpointLack, GatewayContext};
 
 /// Attempts that endpoints may turn away, or that find no connection, before a caller is told to come back.
 const MOST_TURNED_AWAY: u32 = 3;
@@ -71,7 +71,7 @@
         loop {
             let place = match self.place() {
                 Ok(place) => place,
-                Err(reason) => return self.give_up(reason),
+                Err(lack) => return self.give_up(lack.reason, lack.pause.max(BUSY_RETRY)),
             };
             self.last = CallTrace { endpoint: Some(EndpointId::clone(place.id())), known_ms: place.known_ms };
             let end = self.attempt(&place).await;
@@ -87,15 +87,15 @@
             check_crash(self.context, self.caller, &place.target, failure).await;
             self.tried.push(EndpointId::clone(place.id()));
             if let Some(reason) = end_attempt(self.context, self.caller, &mut self.ledger, failure) {
-                return self.give_up(reason);
+                return self.give_up(reason, BUSY_RETRY);
             }
         }
     }
 
-    fn give_up(&mut self, reason: StopReason) -> Result<Response<AnswerBody>> {
+    fn give_up(&mut self, reason: StopReason, retry_after: Duration) -> Result<Response<AnswerBody>> {
         match self.fallback.take() {
             Some(answer) => Ok(answer.into_response()),
-            None => Err(self.ledger.end(reason, 0, BUSY_RETRY)),
+            None => Err(self.ledger.end(reason, 0, retry_after)),
         }
     }
 
@@ -104,7 +104,7 @@
     /// # Errors
     ///
     /// Why there is none.
-    fn place(&self) -> std::result::Result<EndpointPlace, StopReason> {
+    fn place(&self) -> std::result::Result<EndpointPlace, EndpointLack> {
         let rule = self.context.rollouts.rule(&self.caller.service, self.tried.is_empty()).unwrap_or_default();
         let query = RouteQuery::new(&self.caller.service).avoid(&self.tried).versions(&rule);
         EndpointPlace::take_any(self.context, &query).ok_or_else(|| self.context.endpoints.lack(&query))
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -1,4 +1,5 @@
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use hollyhook_core::{
     AttemptFailure, EndpointId, EndpointRecord, EndpointState, EndpointTable, HomeCounts, LoadReport, Name, Result,
@@ -17,6 +18,14 @@
 /// Hosts among which a rate limit is divided before they are listed.
 const UNLISTED_HOSTS: usize = 16;
 
+/// Why no endpoint takes a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EndpointLack {
+    pub(crate) reason: StopReason,
+    /// How long it stays so, as far as that is known; zero if not.
+    pub(crate) pause: Duration,
+}
+
 /// The endpoints that this host knows, with the connections to them and the counts of how attempts ended.
 #[derive(Debug)]
 pub(crate) struct EndpointDirectory {
@@ -182,6 +191,12 @@
         if is_news {
             tracing::info!(endpoint = %id, rate = terms.rate_limit, hosts, "endpoint.rate_limit");
         }
+        if let Some(span) = terms.pause
+            && table.terms_mut().pause(now, id, span)
+        {
+            self.board.count("endpoint_pauses");
+            tracing::info!(endpoint = %id, pause_ms = span.as_millis() as u64, "endpoint.pause");
+        }
     }
 
     /// The entry at which hosts note what all of them have to know; the same at all hosts that know the same endpoints.
@@ -204,12 +219,13 @@
     }
 
     /// Why no endpoint is left for a request.
-    pub(crate) fn lack(&self, query: &RouteQuery<'_>) -> StopReason {
-        if self.table().is_held_back(self.timer.now(), query) {
-            self.board.count("requests_held_back");
-            StopReason::HeldBack
-        } else {
-            StopReason::NoEndpoint
+    pub(crate) fn lack(&self, query: &RouteQuery<'_>) -> EndpointLack {
+        match self.table().held_back_for(self.timer.now(), query) {
+            Some(pause) => {
+                self.board.count("requests_held_back");
+                EndpointLack { reason: StopReason::HeldBack, pause }
+            }
+            None => EndpointLack { reason: StopReason::NoEndpoint, pause: Duration::ZERO },
         }
     }
 
--- a/crates/hollyhook_gateway/src/gateway/mod.rs
+++ b/crates/hollyhook_gateway/src/gateway/mod.rs
@@ -11,7 +11,7 @@
 mod rollout_board;
 mod unix_time;
 
-pub(crate) use endpoint_directory::EndpointDirectory;
+pub(crate) use endpoint_directory::{EndpointDirectory, EndpointLack};
 pub(crate) use gateway_context::GatewayContext;
 pub use gateway_process::Gateway;
 pub(crate) use known_rollout::KnownRollout;
