--- a/crates/hollyhook_core/src/route/failure_record.rs
+++ b/crates/hollyhook_core/src/route/failure_record.rs
@@ -5,7 +5,8 @@
 /// What an endpoint's answers say of its failures, and when a request may find out whether it is well again.
 ///
 /// An endpoint whose share of failures keeps requests away answers nothing by which it could be found well. So it gets one
-/// request at a time to try, rarely while that fails, and more often with each that succeeds, until its share is its own again.
+/// request at a time to try, rarely while that fails, and more often with each that succeeds, until its share is its own again:
+/// a circuit breaker that is half open.
 #[derive(Debug, Clone, Default)]
 pub(super) struct FailureRecord {
     share: f64,
@@ -16,7 +17,9 @@
 #[derive(Debug, Clone)]
 struct TrialState {
     next_at: TimePoint,
+    /// Between the answer to one trial and the next one.
     pause: Duration,
+    /// Whether a request was sent as a trial and nothing was answered since.
     is_open: bool,
 }
 
@@ -38,6 +41,9 @@
 
     /// The share of answers that were failures, smoothed; from 0 to 1.
     pub(super) fn share(&self, now: TimePoint) -> f64 {
+        if self.share <= 0.0 {
+            return 0.0;
+        }
         let halvings = now.since(self.answered_at).as_secs_f64() / Self::HALF_LIFE.as_secs_f64();
         self.share * 0.5_f64.powf(halvings)
     }
--- a/crates/hollyhook_core/src/terms/rate_share.rs
+++ b/crates/hollyhook_core/src/terms/rate_share.rs
@@ -23,7 +23,7 @@
 /// use rand_pcg::{Pcg64, rand_core::SeedableRng};
 ///
 /// let start = TimePoint::from_millis(1);
-/// let mut share = RateShare::named(start, 2.0, 8, &mut Pcg64::seed_from_u64(1));
+/// let mut share = RateShare::new(start, 2.0, 8, &mut Pcg64::seed_from_u64(1));
 /// let open_at = start + share.opens_in(start);
 /// assert!(share.try_use(open_at));
 /// assert!(!share.try_use(open_at));
@@ -37,7 +37,7 @@
 
 impl RateShare {
     /// One host's share of `rate` requests a second, of so many hosts.
-    pub fn named(now: TimePoint, rate: f64, hosts: usize, rng: &mut impl Rng) -> Self {
+    pub fn new(now: TimePoint, rate: f64, hosts: usize, rng: &mut impl Rng) -> Self {
         let interval = interval(rate, hosts);
         Self { rate, interval, slot_at: now + interval.mul_f64(rng.random::<f64>()) }
     }
@@ -48,7 +48,7 @@
     }
 
     /// Takes another rate, or another number of hosts. A slot that is as near as before stays where it is.
-    pub fn rename(&mut self, now: TimePoint, rate: f64, hosts: usize) {
+    pub fn update(&mut self, now: TimePoint, rate: f64, hosts: usize) {
         self.rate = rate;
         self.interval = interval(rate, hosts);
         self.slot_at = self.slot_at.min(now + self.interval);
--- a/crates/hollyhook_core/src/terms/terms_ledger.rs
+++ b/crates/hollyhook_core/src/terms/terms_ledger.rs
@@ -38,10 +38,10 @@
         let terms = self.heard(now, id);
         if let Some(share) = &mut terms.share {
             let is_news = share.rate().total_cmp(&rate).is_ne();
-            share.rename(now, rate, hosts);
+            share.update(now, rate, hosts);
             return is_news;
         }
-        terms.share = Some(RateShare::named(now, rate, hosts, rng));
+        terms.share = Some(RateShare::new(now, rate, hosts, rng));
         true
     }
 
--- a/crates/hollyhook_core/tests/gateway/terms.rs
+++ b/crates/hollyhook_core/tests/gateway/terms.rs
@@ -20,7 +20,7 @@
 /// The sends of hosts that share a limit, in milliseconds; `demand` tells whether a host has a request in a millisecond.
 fn play(rate: f64, hosts: usize, seed: u64, demand: impl Fn(usize, u64, &mut Pcg64) -> bool) -> Vec<u64> {
     let mut rng = Pcg64::seed_from_u64(seed);
-    let mut shares: Vec<RateShare> = (0..hosts).map(|_| RateShare::named(NOW, rate, hosts, &mut rng)).collect();
+    let mut shares: Vec<RateShare> = (0..hosts).map(|_| RateShare::new(NOW, rate, hosts, &mut rng)).collect();
     let mut sends = Vec::new();
     for millis in (0..PLAYED_MS).step_by(STEP_MS) {
         for (host, share) in shares.iter_mut().enumerate() {
@@ -70,17 +70,17 @@
 #[test]
 fn rate_share_raised_used_sooner() {
     let mut rng = Pcg64::seed_from_u64(1);
-    let mut share = RateShare::named(NOW, 0.1, 8, &mut rng);
-    share.rename(NOW, 100.0, 8);
+    let mut share = RateShare::new(NOW, 0.1, 8, &mut rng);
+    share.update(NOW, 100.0, 8);
     assert!(share.opens_in(NOW) <= Duration::from_millis(100));
-    share.rename(NOW, f64::MAX, 8);
+    share.update(NOW, f64::MAX, 8);
     assert!(share.try_use(after(60_000)));
 }
 
 #[test]
 fn rate_share_lowered_to_none_still_asks_at_times() {
-    let mut share = RateShare::named(NOW, 100.0, 8, &mut Pcg64::seed_from_u64(1));
-    share.rename(NOW, 0.0, 8);
+    let mut share = RateShare::new(NOW, 100.0, 8, &mut Pcg64::seed_from_u64(1));
+    share.update(NOW, 0.0, 8);
     assert!(share.try_use(after(1_000)), "the slot that it had");
     let pause = share.opens_in(after(1_000));
     assert!((Duration::from_secs(30)..Duration::from_mins(2)).contains(&pause), "{pause:?}");
