One list of those who wait to be woken

Cause: FeedBoard and RolloutBoard each kept senders of a channel and dropped, pushed and drained them with the same lines. Ruled out: one of the boards calling the other, which know nothing of each other. Change: sync::WakeList, with wait and wake; both hold one. Behaviour is as before.

--- a/crates/hollyhook_gateway/src/gateway/rollout_board.rs
+++ b/crates/hollyhook_gateway/src/gateway/rollout_board.rs
@@ -15,7 +15,7 @@
 
 use super::EndpointDirectory;
 use super::known_rollout::{KnownRollout, heard_at};
-use crate::sync::lock;
+use crate::sync::{WakeList, lock};
 
 /// The part of the requests that a version on trial may get which it does get; the rest is for chance, and for what is moved
 /// to it shortly before the deadline.
@@ -31,7 +31,7 @@
     board: Arc<MetricBoard>,
     endpoints: Arc<EndpointDirectory>,
     state: Mutex<BoardState>,
-    waiters: Mutex<Vec<oneshot::Sender<()>>>,
+    waiters: WakeList,
     /// Whether reports and decisions are being made.
     is_working: AtomicBool,
 }
@@ -81,7 +81,7 @@
             board: registry.find(MetricBoard::NAME)?,
             endpoints: registry.find(EndpointDirectory::NAME)?,
             state: Mutex::new(BoardState { exposure, ..BoardState::default() }),
-            waiters: Mutex::default(),
+            waiters: WakeList::default(),
             is_working: AtomicBool::new(false),
         })
     }
@@ -115,11 +115,7 @@
 
     /// Completes when there is a version to be vetted.
     pub(crate) fn signal(&self) -> oneshot::Receiver<()> {
-        let (sender, receiver) = oneshot::channel();
-        let mut waiters = lock(&self.waiters);
-        waiters.retain(|waiter| !waiter.is_canceled());
-        waiters.push(sender);
-        receiver
+        self.waiters.wait()
     }
 
     /// Which versions a request may go to; none if any.
@@ -227,14 +223,7 @@
         }
         if !state.unvetted.is_empty() {
             drop(state);
-            self.wake();
-        }
-    }
-
-    fn wake(&self) {
-        for waiter in lock(&self.waiters).drain(..) {
-            // Who waited may have left.
-            let _gone = waiter.send(());
+            self.waiters.wake();
         }
     }
 
--- a/crates/hollyhook_gateway/src/peer/feed_board.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_board.rs
@@ -9,7 +9,7 @@
 };
 use hollyhook_platform::{ObjectKind, StoreObject};
 
-use crate::sync::lock;
+use crate::sync::{WakeList, lock};
 
 /// What this host knows of the store and tells others, and who they are.
 #[derive(Debug)]
@@ -17,7 +17,7 @@
     roster: Mutex<FeedRoster>,
     logs: Mutex<HashMap<ObjectKind, FeedLog<StoreObject>>>,
     /// Those who wait for news of any kind.
-    waiters: Mutex<Vec<oneshot::Sender<()>>>,
+    waiters: WakeList,
     /// Whether the other hosts are being listed for the first time.
     is_listing: AtomicBool,
     eras: Mutex<EraLedger>,
@@ -31,7 +31,7 @@
         Self {
             roster: Mutex::new(FeedRoster::new(host, zone)),
             logs: Mutex::default(),
-            waiters: Mutex::default(),
+            waiters: WakeList::default(),
             is_listing: AtomicBool::new(false),
             eras: Mutex::default(),
         }
@@ -103,10 +103,7 @@
         if news.is_empty() {
             return;
         }
-        for waiter in lock(&self.waiters).drain(..) {
-            // Who waited may have left.
-            let _gone = waiter.send(());
-        }
+        self.waiters.wake();
     }
 
     /// What changed after a revision; none if this host may not tell.
@@ -121,10 +118,6 @@
 
     /// Completes when news of any kind are there.
     pub(crate) fn news(&self) -> oneshot::Receiver<()> {
-        let (sender, receiver) = oneshot::channel();
-        let mut waiters = lock(&self.waiters);
-        waiters.retain(|waiter| !waiter.is_canceled());
-        waiters.push(sender);
-        receiver
+        self.waiters.wait()
     }
 }
--- a/crates/hollyhook_gateway/src/sync/mod.rs
+++ b/crates/hollyhook_gateway/src/sync/mod.rs
@@ -1,5 +1,7 @@
 //! Shared state of a process.
 
 mod lock;
+mod wake_list;
 
 pub(crate) use lock::lock;
+pub(crate) use wake_list::WakeList;
