An endpoint's state is worked out in one place

Cause: the directory asked the table for the state that upsert then worked out again, only to log it. Change: upsert returns the endpoint as it is now; state_of is gone. The log line is written after the change, with the zone that the host believes. Behaviour is as before.

--- a/crates/hollyhook_command/src/load/slopes.rs
+++ b/crates/hollyhook_command/src/load/slopes.rs
@@ -193,7 +193,9 @@
 
 fn table(count: u32) -> EndpointTable {
     let mut table = EndpointTable::new("zone-0".into());
-    (0..count).for_each(|number| table.upsert(record(number)));
+    for number in 0..count {
+        table.upsert(record(number));
+    }
     table
 }
 
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -173,12 +173,15 @@
         self
     }
 
-    /// Adds an endpoint, or updates where it is and whether it gets work; what was learnt of it stays.
+    /// Adds an endpoint, or updates where it is and whether it gets work; what was learnt of it stays. Returns it as it is now.
     ///
     /// Its own word that it leaves goes before its entry, which may be older, and before one that comes back.
-    pub fn upsert(&mut self, mut record: EndpointRecord) {
-        record.state = self.state_of(&record);
-        match self.records.get_mut(&record.id) {
+    pub fn upsert(&mut self, mut record: EndpointRecord) -> &EndpointRecord {
+        let id = EndpointId::clone(&record.id);
+        if self.terms.is_leaving(&id) {
+            record.state = EndpointState::Leaving;
+        }
+        match self.records.get_mut(&id) {
             Some(known) if known.address == record.address => {
                 known.state = record.state;
                 known.binding = record.binding;
@@ -186,16 +189,12 @@
                 known.version = record.version;
             }
             _ => {
-                self.remove(&record.id);
+                self.remove(&id);
                 self.places.add(&record);
-                self.records.insert(EndpointId::clone(&record.id), record);
+                self.records.insert(EndpointId::clone(&id), record);
             }
         }
-    }
-
-    /// The state of an endpoint, of what a registration says and what it said itself.
-    pub fn state_of(&self, record: &EndpointRecord) -> EndpointState {
-        if self.terms.is_leaving(&record.id) { EndpointState::Leaving } else { record.state }
+        &self.records[&id]
     }
 
     /// Takes in that an endpoint says itself that it leaves; tells whether it got work until then.
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -106,11 +106,11 @@
             self.pool.forget(&id);
             tracing::info!(endpoint = %id, by = %record.id, address = %record.address, "endpoint.displaced");
         }
-        record.state = table.state_of(&record);
         let known = table.get(&record.id).map(|known| known.state);
         if known.is_none() {
             self.board.count("endpoints_started");
         }
+        let record = table.upsert(record);
         if known != Some(record.state) {
             tracing::info!(endpoint = %record.id, service = %record.service, zone = %record.zone,
                 address = %record.address, state = ?record.state, "endpoint.state");
@@ -118,7 +118,6 @@
         if record.state == EndpointState::Leaving {
             self.pool.forget(&record.id);
         }
-        table.upsert(record);
     }
 
     /// Forgets what registered under a name; `reason` is for the log.
