The hosts are counted only where an endpoint names a limit

Cause: note_terms runs for each answer, and took the roster's lock for a count that only a named limit needs. Change: counted with the limit. 'endpoint.rate_limit' says the hosts where a limit is named, not where it ends. The saving was not measured: a lock and an addition an answer.

--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -181,13 +181,14 @@
             self.note_leaving(id);
         }
         let now = self.timer.now();
-        let hosts = self.feed.host_count().unwrap_or(UNLISTED_HOSTS);
+        let limit = terms.rate_limit.map(|rate| (rate, self.feed.host_count().unwrap_or(UNLISTED_HOSTS)));
         let mut table = self.table();
-        let is_news = match terms.rate_limit {
-            Some(rate) => table.terms_mut().limit(now, id, rate, hosts, &mut rand::rng()),
+        let is_news = match limit {
+            Some((rate, hosts)) => table.terms_mut().limit(now, id, rate, hosts, &mut rand::rng()),
             None => table.terms_mut().unlimit(id, sent_at),
         };
         if is_news {
+            let hosts = limit.map(|(_, hosts)| hosts);
             tracing::info!(endpoint = %id, rate = terms.rate_limit, hosts, "endpoint.rate_limit");
         }
         if let Some(span) = terms.pause
