One place says whether a request may find out that an endpoint is well again

Cause: plain calls and generations each worked it out from the kind, what was tried and the attempts left, in two ways that come to the same: where nothing was tried, the ledger's 'last' means a route with one attempt. Change: RoutePlan::has_second_attempt, and RouteQuery asks itself whether this is the first attempt. EngineChooser::query took what it avoids as an argument that was always the same. Behaviour is as before.

--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -95,7 +95,7 @@
         self
     }
 
-    /// The same query for a request that can be tried again elsewhere if it fails.
+    /// The same query for a request that can be tried again elsewhere if its first attempt fails.
     #[must_use]
     pub fn repeatable(mut self, is_repeatable: bool) -> Self {
         self.is_repeatable = is_repeatable;
@@ -116,6 +116,11 @@
         self
     }
 
+    /// Whether its request may find out if an endpoint is well again: a first attempt that another one may follow.
+    fn may_be_trial(&self) -> bool {
+        self.is_repeatable && self.avoid.is_empty()
+    }
+
     fn is_met_by(&self, record: &EndpointRecord) -> bool {
         let is_served = &*record.service == self.service;
         let is_bound = self.binding.is_none_or(|binding| record.binding.as_ref() == Some(binding));
@@ -318,7 +323,7 @@
         let rank = |cost: f64, record: &EndpointRecord| {
             let steps = ((cost - least) / HOME_SLACK) as u64;
             let is_preferred = query.preferred.contains(&record.id);
-            let is_due = query.is_repeatable && record.errors.is_trial_due(now);
+            let is_due = query.may_be_trial() && record.errors.is_trial_due(now);
             (Reverse(is_due), steps, Reverse(is_preferred), Reverse(weight(&number.to_be_bytes(), &record.id)))
         };
         costs.sort_by_cached_key(|(cost, record)| rank(*cost, record));
@@ -457,7 +462,7 @@
     query: &RouteQuery<'_>,
     pool: &[&'t EndpointRecord],
 ) -> Option<&'t EndpointRecord> {
-    if !query.is_repeatable || pool.len() < 2 {
+    if !query.may_be_trial() || pool.len() < 2 {
         return None;
     }
     let is_due = |record: &&EndpointRecord| record.errors.is_trial_due(now) && record.pressure(query.places) < 1.0;
--- a/crates/hollyhook_core/src/site/route_plan.rs
+++ b/crates/hollyhook_core/src/site/route_plan.rs
@@ -65,6 +65,11 @@
 }
 
 impl RoutePlan {
+    /// Whether a request that fails at its first endpoint may be tried at another one.
+    pub fn has_second_attempt(&self) -> bool {
+        self.kind.is_repeatable() && self.most_attempts > 1
+    }
+
     /// The service for a request, given a number drawn from 0 up to the sum of the weights.
     ///
     /// ```
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -98,7 +98,7 @@
     }
 
     fn any_place(&self) -> Result<EndpointPlace, EndpointLack> {
-        let query = self.query(self.tried);
+        let query = self.query();
         EndpointPlace::take_any(self.context, &query).ok_or_else(|| self.context.endpoints.lack(&query))
     }
 
@@ -130,7 +130,7 @@
 
     /// Asks the engines that the prompt may have gone to, without those that were asked.
     async fn ask_homes(&self, part: u64, counts: HomeCounts, asked: &[EngineCandidate]) -> Vec<EngineCandidate> {
-        let mut homes = self.context.endpoints.homes(&self.query(self.tried), self.home(), counts);
+        let mut homes = self.context.endpoints.homes(&self.query(), self.home(), counts);
         homes.retain(|home| asked.iter().all(|candidate| candidate.record.id != home.id));
         let mut candidates = ask_holdings(self.context, homes, part).await;
         self.refresh(&mut candidates);
@@ -138,7 +138,7 @@
     }
 
     async fn choose_new(&self) -> Result<EngineChoice, EndpointLack> {
-        let first = self.context.endpoints.shortlist(&self.query(self.tried), self.home(), ASKED);
+        let first = self.context.endpoints.shortlist(&self.query(), self.home(), ASKED);
         let second = first.first().map(|record| self.list_elsewhere(record)).unwrap_or_default();
         let (mut asked, elsewhere) = self.ask_in_order(first, second).await;
         // Engines of other zones come last in the order, so that they are taken only if prompts wait in this one.
@@ -166,7 +166,7 @@
         second: Vec<EndpointRecord>,
     ) -> (Vec<EngineCandidate>, Vec<EngineCandidate>) {
         let mut rest = first.split_off(1.min(first.len()));
-        // Asked twice at once, an engine was left out for half a second by the slower answer, and its copy not gone on from.
+        // Asked twice at once, an engine would be left out for the slower answer, and its copy not gone on from.
         rest.retain(|record| second.iter().all(|listed| listed.id != record.id));
         let (mut asked, elsewhere) = join(ask_all(self.context, first), ask_all(self.context, second)).await;
         if !asked.first().is_some_and(|best| is_settled(best, self.needed_tokens())) {
@@ -215,7 +215,7 @@
     /// copy knows where it lies.
     fn list_elsewhere(&self, record: &EndpointRecord) -> Vec<EndpointRecord> {
         let rested = self.context.pool.rested(COPY_REST);
-        let query = self.query(self.tried).avoid_zone(&record.zone).prefer(&rested).repeatable(false);
+        let query = self.query().avoid_zone(&record.zone).prefer(&rested).repeatable(false);
         let mut list = self.context.endpoints.shortlist(&query, self.home(), usize::MAX);
         let mut zones = BTreeSet::new();
         list.retain(|record| zones.insert(ZoneName::clone(&record.zone)));
@@ -248,11 +248,9 @@
     }
 
     /// A query for an engine, whose memory binds before its slots do.
-    fn query<'q>(&'q self, avoid: &'q [EndpointId]) -> RouteQuery<'q> {
-        let is_repeatable =
-            self.caller.route.kind.is_repeatable() && avoid.is_empty() && self.caller.route.most_attempts > 1;
-        let query =
-            RouteQuery::new(&self.caller.service).avoid(avoid).versions(self.versions).repeatable(is_repeatable);
+    fn query(&self) -> RouteQuery<'_> {
+        let query = RouteQuery::new(&self.caller.service).avoid(self.tried).versions(self.versions);
+        let query = query.repeatable(self.caller.route.has_second_attempt());
         match self.caller.engine {
             Some(engine) => query.places((engine.capacity_tokens / self.needed_tokens()).max(1) as u32),
             None => query,
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -106,8 +106,8 @@
     /// Why there is none.
     fn place(&self) -> std::result::Result<EndpointPlace, EndpointLack> {
         let rule = self.context.rollouts.rule(&self.caller.service, self.tried.is_empty()).unwrap_or_default();
-        let is_repeatable = self.caller.route.kind.is_repeatable() && self.tried.is_empty() && !self.ledger.is_last();
-        let query = RouteQuery::new(&self.caller.service).avoid(&self.tried).versions(&rule).repeatable(is_repeatable);
+        let query = RouteQuery::new(&self.caller.service).avoid(&self.tried).versions(&rule);
+        let query = query.repeatable(self.caller.route.has_second_attempt());
         EndpointPlace::take_any(self.context, &query).ok_or_else(|| self.context.endpoints.lack(&query))
     }
 
