--- a/crates/hollyhook_core/tests/gateway/terms.rs
+++ b/crates/hollyhook_core/tests/gateway/terms.rs
@@ -42,7 +42,7 @@
     (1.5 * rate * SPAN_MS as f64 / 1_000.0 + 5.0) as usize
 }
 
-/// Without a share each told host sent what it had: 41 in 4 s where 1.6 a second were named.
+/// Without a share each told host sends what it has.
 #[test]
 fn rate_share_sum_within_limit() {
     let cases =
--- a/crates/hollyhook_core/tests/gateway/trials.rs
+++ b/crates/hollyhook_core/tests/gateway/trials.rs
@@ -80,7 +80,7 @@
 
 const SEEDS: Range<u64> = 0..8;
 
-/// Under evidence that only answers change it got 0.02 to 0.07 of all calls, a quarter being its share.
+/// Where only answers change the evidence, what is not asked is never found well.
 #[test]
 fn well_again_endpoint_gets_its_share() {
     for repeatable in [30, 100] {
