A rate limit that an engine named is not ended by the reports that it gives

Callers saw: nothing; engines of streams that had named a limit got more than one and a half times that (eight real hosts, 2.1 a second: 22 new streams in 4 s from hosts that had been told, 18 allowed). The same with plain calls held.

Cause: a host asks an engine for its report before it places a stream there, and took that answer, which names no limit, for the end of the limit. From the moment a host's slot came until the next stream's head arrived, all of its streams passed, and the next slot was drawn anew. Ruled out: sends that pass the share by (every send opens its place at the table; the second engine asked and copies only ask engines that are open), a slot used twice (each opening in the trace has its own report before it).

Trace before: the limit heard at 314 ms, ended by a report at 1,437 ms, eight streams until the next head at 1,737 ms, and so at each slot.

Mend: only the answer to a caller's request ends a limit. What a report says of limits, pauses or leaving is still heard.

Conclusion: a limit ends as late as the next request at that engine, which the share still allows.

--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollyhook_core::{AnswerHead, AttemptFailure, EndpointId, EndpointRecord, Name, RouteQuery, ZoneName};
+use hollyhook_core::{AnswerHead, AttemptFailure, EndpointId, EndpointRecord, Name, RouteQuery, TimePoint, ZoneName};
 use hollyhook_platform::AttemptHeaders;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
@@ -89,6 +89,8 @@
     pub(super) parts: Parts,
     pub(super) body: Incoming,
     connection: PooledConnection,
+    /// When its request was sent.
+    sent_at: TimePoint,
 }
 
 impl OpenAnswer {
@@ -147,7 +149,11 @@
     *request.uri_mut() = origin_form(caller);
     *request.headers_mut() = caller.headers.clone();
     hollyhook_platform::set_attempt_headers(request.headers_mut(), headers);
-    send(context, target, request).await
+    let answer = send(context, target, request).await?;
+    if answer.head.is_from(&target.entry) && answer.head.terms.rate_limit.is_none() {
+        context.endpoints.note_unlimited(&target.id, answer.sent_at);
+    }
+    Ok(answer)
 }
 
 /// Sends any request to an endpoint: on a kept connection, or on a new one if there is none or it was closed.
@@ -169,9 +175,9 @@
                 let (parts, body) = response.into_parts();
                 let head = hollyhook_platform::answer_head(&parts);
                 if head.is_from(&target.entry) {
-                    context.endpoints.note_terms(&target.id, head.terms, sent_at);
+                    context.endpoints.note_terms(&target.id, head.terms);
                 }
-                return Ok(OpenAnswer { head, parts, body, connection });
+                return Ok(OpenAnswer { head, parts, body, connection, sent_at });
             }
             Err(SendFault::Unsent(unsent)) if is_kept => request = *unsent,
             Err(SendFault::Unsent(_)) => return Err(AttemptFailure::NotConnected),
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -175,30 +175,35 @@
         tracing::info!(endpoint = %id, known_ms = self.known_ms(), "endpoint.leaving");
     }
 
-    /// Takes in on which terms an endpoint says that it takes requests, in its answer to one sent at `sent_at`.
-    pub(crate) fn note_terms(&self, id: &EndpointId, terms: StatedTerms, sent_at: TimePoint) {
+    /// Takes in on which terms an endpoint says that it takes requests.
+    pub(crate) fn note_terms(&self, id: &EndpointId, terms: StatedTerms) {
         if terms.is_leaving {
             self.note_leaving(id);
         }
         let now = self.timer.now();
-        let limit = terms.rate_limit.map(|rate| (rate, self.feed.host_count().unwrap_or(UNLISTED_HOSTS)));
-        let mut table = self.table();
-        let is_news = match limit {
-            Some((rate, hosts)) => table.terms_mut().limit(now, id, rate, hosts, &mut rand::rng()),
-            None => table.terms_mut().unlimit(id, sent_at),
-        };
-        if is_news {
-            let hosts = limit.map(|(_, hosts)| hosts);
-            tracing::info!(endpoint = %id, rate = terms.rate_limit, hosts, "endpoint.rate_limit");
+        if let Some(rate) = terms.rate_limit {
+            let hosts = self.feed.host_count().unwrap_or(UNLISTED_HOSTS);
+            if self.table().terms_mut().limit(now, id, rate, hosts, &mut rand::rng()) {
+                tracing::info!(endpoint = %id, rate, hosts, "endpoint.rate_limit");
+            }
         }
         if let Some(span) = terms.pause
-            && table.terms_mut().pause(now, id, span)
+            && self.table().terms_mut().pause(now, id, span)
         {
             self.board.count("endpoint_pauses");
             tracing::info!(endpoint = %id, pause_ms = span.as_millis() as u64, "endpoint.pause");
         }
     }
 
+    /// Takes in that an endpoint named no rate limit in its answer to a caller's request, sent at `sent_at`.
+    ///
+    /// Its answers to this host's own questions name none at any time, and must not end one.
+    pub(crate) fn note_unlimited(&self, id: &EndpointId, sent_at: TimePoint) {
+        if self.table().terms_mut().unlimit(id, sent_at) {
+            tracing::info!(endpoint = %id, "endpoint.unlimited");
+        }
+    }
+
     /// The entry at which hosts note what all of them have to know; the same at all hosts that know the same endpoints.
     pub(crate) fn noting_entry(&self) -> Option<Name> {
         self.table().noting_entry()
