Stored objects are kept as text, and the index of places flat

Cause: what grows with hosts x endpoints is what each host keeps of each endpoint. Of it the tree of maps and strings of the entry's JSON was the largest part, two trees of one element each in the index of places the next. Ruled out: the log of changes (2,048 of 10,000 objects) and kept connections (some twenty a host).

Change: JsonText keeps a value as shared text; pages are stripped as they are read, before the list is whole; the index is two flat sets. What hosts tell each other is unchanged on the wire.

The copies that records and lists still make are the next part.

--- a/crates/hollyhook_core/src/route/place_index.rs
+++ b/crates/hollyhook_core/src/route/place_index.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use super::EndpointRecord;
@@ -10,40 +10,34 @@
 /// would take the square of their number, seconds on small hosts for a first list of thousands.
 #[derive(Debug, Default)]
 pub(super) struct PlaceIndex {
-    by_address: BTreeMap<SocketAddr, BTreeSet<EndpointId>>,
-    by_entry: BTreeMap<Name, BTreeSet<EndpointId>>,
+    by_address: BTreeSet<(SocketAddr, EndpointId)>,
+    by_entry: BTreeSet<(Name, EndpointId)>,
 }
 
 impl PlaceIndex {
     pub(super) fn add(&mut self, record: &EndpointRecord) {
-        let (id, entry) = (EndpointId::clone(&record.id), Name::clone(&record.entry));
-        self.by_address.entry(record.address).or_default().insert(EndpointId::clone(&id));
-        self.by_entry.entry(entry).or_default().insert(id);
+        self.by_address.insert((record.address, EndpointId::clone(&record.id)));
+        self.by_entry.insert((Name::clone(&record.entry), EndpointId::clone(&record.id)));
     }
 
     pub(super) fn remove(&mut self, record: &EndpointRecord) {
-        remove_from(&mut self.by_address, &record.address, &record.id);
-        remove_from(&mut self.by_entry, &record.entry, &record.id);
+        self.by_address.remove(&(record.address, EndpointId::clone(&record.id)));
+        self.by_entry.remove(&(Name::clone(&record.entry), EndpointId::clone(&record.id)));
     }
 
     /// Those that registered under a name.
-    pub(super) fn registered_as(&self, entry: &str) -> impl Iterator<Item = &EndpointId> {
-        self.by_entry.get(entry).into_iter().flatten()
+    pub(super) fn registered_as(&self, entry: &str) -> impl Iterator<Item = &EndpointId> + use<'_> {
+        let entry = Name::from(entry);
+        let from = (Name::clone(&entry), EndpointId::default());
+        let listed = self.by_entry.range(from..).take_while(move |(known, _)| *known == entry);
+        listed.map(|(_, id)| id)
     }
 
     /// Those at the address of a record, or registered under its name, in the order of their names.
     pub(super) fn beside(&self, record: &EndpointRecord) -> BTreeSet<&EndpointId> {
-        let at_address = self.by_address.get(&record.address).into_iter().flatten();
-        at_address.chain(self.registered_as(&record.entry)).collect()
-    }
-}
-
-fn remove_from<K: Ord>(index: &mut BTreeMap<K, BTreeSet<EndpointId>>, key: &K, id: &EndpointId) {
-    let Some(ids) = index.get_mut(key) else {
-        return;
-    };
-    ids.remove(id);
-    if ids.is_empty() {
-        index.remove(key);
+        let address = record.address;
+        let listed = self.by_address.range((address, EndpointId::default())..);
+        let at_address = listed.take_while(|(known, _)| *known == address);
+        at_address.map(|(_, id)| id).chain(self.registered_as(&record.entry)).collect()
     }
 }
--- a/crates/hollyhook_gateway/src/peer/feed_message.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_message.rs
@@ -1,9 +1,8 @@
 use std::time::Duration;
 
 use hollyhook_core::{FeedChange, FeedNews, Name, StoreRevision, TimePoint};
-use hollyhook_platform::{ObjectKind, StoreObject};
+use hollyhook_platform::{JsonText, ObjectKind, StoreObject};
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 
 const CONFIGURATION_PATH: &str = "/feed/configuration";
 const ENDPOINT_PATH: &str = "/feed/endpoints";
@@ -72,9 +71,9 @@
     revision: u64,
     created: u64,
     is_deleting: bool,
-    spec: Value,
-    #[serde(default, skip_serializing_if = "Value::is_null")]
-    status: Value,
+    spec: JsonText,
+    #[serde(default, skip_serializing_if = "JsonText::is_null")]
+    status: JsonText,
 }
 
 impl FeedMessage {
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -5,8 +5,7 @@
 use hollyhook_core::{
     EraVerdict, FeedChange, FeedNews, FeedPlan, Name, PassReason, RosterMember, StoreContact, StoreRevision, TimePoint,
 };
-use hollyhook_platform::{ObjectKind, StoreChange, StoreObject};
-use serde_json::Value;
+use hollyhook_platform::{JsonText, ObjectKind, StoreChange, StoreObject};
 
 use super::page_list::PageList;
 use super::{StoreClient, StoreError};
@@ -302,13 +301,14 @@
         let mut list = begun.unwrap_or_else(|| PageList::new(asked_at));
         let limit = self.contact.call_limit();
         loop {
-            let (era, page) = match self.client.list_page(self.kind, list.after.as_deref(), limit).await {
+            let (era, mut page) = match self.client.list_page(self.kind, list.after.as_deref(), limit).await {
                 Ok(answer) => answer,
                 Err(error) => {
                     self.begun = Some(list).filter(|_| matches!(error, StoreError::Away(_) | StoreError::Throttled));
                     return Err(error);
                 }
             };
+            page.objects = page.objects.into_iter().map(|object| strip(self.kind, object)).collect();
             if !list.take(era, page) {
                 // The store came back from a copy between two pages; together they are the list of no moment.
                 return Err(StoreError::HistoryGone);
@@ -326,8 +326,7 @@
         let PageList { asked_at, objects, revision, .. } = list;
         let revision = revision.unwrap_or_default();
         let present = objects.into_iter().filter(|object| !object.is_deleting);
-        let changes = present
-            .map(|object| FeedChange { name: Name::clone(&object.name), object: Some(strip(self.kind, object)) });
+        let changes = present.map(|object| FeedChange { name: Name::clone(&object.name), object: Some(object) });
         let changes = changes.collect();
         Ok(FeedNews { is_whole: true, changes, revision, heard_until: asked_at, back_at: None, hops: 0 })
     }
@@ -344,6 +343,6 @@
 fn strip(kind: ObjectKind, object: StoreObject) -> StoreObject {
     match kind {
         ObjectKind::Endpoint => hollyhook_platform::strip_endpoint(object),
-        _ => StoreObject { status: Value::Null, ..object },
+        _ => StoreObject { status: JsonText::default(), ..object },
     }
 }
