--- /dev/null
+++ b/crates/hollyhook_core/tests/gateway/large_fleet.rs
@@ -0,0 +1,94 @@
+//! Choices before thousands of endpoints.
+
+use std::collections::BTreeSet;
+
+use hollyhook_core::{
+    EndpointId, EndpointRecord, EndpointTable, HomeCounts, LoadReport, Name, RouteQuery, TimePoint, ZoneName,
+};
+use rand_pcg::Pcg64;
+use rand_pcg::rand_core::SeedableRng;
+
+const ENDPOINTS: u32 = 20_000;
+const ZONES: u32 = 6;
+const PLACES: u32 = 10;
+const NOW: TimePoint = TimePoint::from_millis(5_000);
+
+fn zone(number: u32) -> ZoneName {
+    format!("zone-{}", number % ZONES).into()
+}
+
+fn id(number: u32) -> EndpointId {
+    format!("i-{number}").into()
+}
+
+/// A table of a host in the first zone.
+fn table(endpoints: u32) -> EndpointTable {
+    let mut table = EndpointTable::new(zone(0));
+    for number in 0..endpoints {
+        let address = ([10, 0, (number >> 8) as u8, number as u8], 8_000 + (number >> 16) as u16).into();
+        let record = EndpointRecord::new(id(number), Name::from("model"), zone(number), address);
+        table.upsert(record.capacity(PLACES));
+    }
+    table
+}
+
+fn fill(table: &mut EndpointTable, number: u32) {
+    table.report(&id(number), LoadReport { running: PLACES, waiting: 0, capacity: PLACES });
+}
+
+#[test]
+fn shortlist_finds_free_endpoint_where_nine_in_ten_are_full() {
+    let mut table = table(ENDPOINTS);
+    (0..ENDPOINTS).filter(|number| number % 10 != 0).for_each(|number| fill(&mut table, number));
+    for prompt in 0..200_u64 {
+        let list = table.shortlist(NOW, &RouteQuery::new("model"), prompt << 54, 2);
+        assert!(list.iter().all(|record| record.load.running == 0), "prompt {prompt}");
+    }
+}
+
+#[test]
+fn choice_finds_last_live_endpoint() {
+    let mut table = table(ENDPOINTS);
+    let gone: Vec<EndpointId> = (0..ENDPOINTS).filter(|number| *number != 7_777).map(id).collect();
+    for id in &gone[..ENDPOINTS as usize / 2] {
+        table.remove(id);
+    }
+    for id in &gone[ENDPOINTS as usize / 2..] {
+        table.leave(NOW, id);
+    }
+    let mut rng = Pcg64::seed_from_u64(1);
+    assert_eq!(table.choose(NOW, &RouteQuery::new("model"), &mut rng), Some(id(7_777)));
+}
+
+/// A caller who comes back through another host of the zone finds the endpoint that read its prompt.
+#[test]
+fn homes_hold_what_another_host_chose() {
+    let (first, second) = (table(ENDPOINTS), table(ENDPOINTS));
+    let query = RouteQuery::new("model");
+    for prompt in 0..200_u64 {
+        let number = prompt.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let chosen = &first.shortlist(NOW, &query, number, 1)[0].id;
+        let homes = second.homes(NOW, &query, number, HomeCounts { own: 3, far: 1 });
+        assert!(homes.iter().any(|home| home.id == *chosen), "prompt {prompt}");
+    }
+}
+
+#[test]
+fn kept_connections_go_first_wherever_they_lead() {
+    let table = table(ENDPOINTS);
+    let kept = [id(17_003)];
+    let own = zone(0);
+    let query = RouteQuery::new("model").avoid_zone(&own).prefer(&kept);
+    assert_eq!(table.shortlist(NOW, &query, 1, 1)[0].id, kept[0]);
+}
+
+#[test]
+fn random_choices_meet_all_endpoints() {
+    let (table, mut rng) = (table(2_000), Pcg64::seed_from_u64(2));
+    let mut met = BTreeSet::new();
+    for micros in 0..40_000_u64 {
+        let now = TimePoint::from_millis(1_000 + micros * 7);
+        met.insert(table.choose(now, &RouteQuery::new("model"), &mut rng).unwrap());
+    }
+    assert!(met.len() > 300, "{} of the 334 of the host's zone", met.len());
+}
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod contact;
 mod copies;
 mod feeding;
+mod large_fleet;
 mod membership;
 mod quarantine;
 mod quarantine_play;
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -77,7 +77,7 @@
             FeedPlan::Alone => {}
         }
         let most = self.context.drain_bound().mul_f64(MOST_GATHER);
-        let each = GATHER_EACH * self.context.endpoints.table().iter().count() as u32;
+        let each = GATHER_EACH * self.context.endpoints.table().len() as u32;
         each.max(LEAST_GATHER).min(most)
     }
 
