A first list of many pages is told by a host of the zone, and hosts with larger links carry for others

Callers saw: after a loss of power of all hosts of the whole fleet, nothing for tens of seconds by arithmetic: each of 985 hosts read 10,000 entries of some 400 bytes over the store's one link of 1 Gbit/s, 4 GB in all.

Cause: no host told more than 1,000 objects at once, so everybody read the store; that grows with hosts x endpoints. And relays were those that rendezvous names, with links of 20 Mbit/s beside hosts with 1,000, so that nobody could have told more.

Change: a host states its link when it registers. Leaders and relays are taken by link first, followers choose among relays by weighted rendezvous, and a host tells as many objects as its link carries to all that may ask at once within two seconds. A host that starts serves with its first page from the store and asks the host that it follows for all; only where that one can't tell does it read on. Where a list fits a page, and at hosts that don't say their link, all is as before.

--- a/crates/hollyhook_core/src/feed/feed_log.rs
+++ b/crates/hollyhook_core/src/feed/feed_log.rs
@@ -6,9 +6,23 @@
 /// Changes that are kept for those who ask from an earlier revision; at 280 endpoints that change every second or so,
 /// about ten seconds of them. Whoever asks from before gets everything.
 const KEPT_CHANGES: usize = 2_048;
-/// Objects up to which everything is told at once, some 250 KB. A leader of 3,000 endpoints would send for seconds on the
-/// links of the smallest hosts; whoever would need it reads the store and comes back with a later revision.
-const MOST_TOLD: usize = 1_000;
+/// Objects up to which any host tells everything at once.
+const LEAST_TOLD: usize = 1_000;
+/// What an object takes in a message, in bytes.
+const OBJECT_BYTES: u64 = 250;
+/// Hosts that may ask for everything at the same moment, as after a loss of power of a zone.
+const ASKING_AT_ONCE: u64 = 24;
+/// Within that time all of them are to have it.
+const TELLING_S: u64 = 2;
+const BYTES_PER_MBIT: u64 = 125_000;
+
+/// Objects up to which a host tells everything at once whose link carries `link_mbps` Mbit/s.
+///
+/// What a host can't tell in time, others read in the store and come back with a later revision.
+pub fn most_told(link_mbps: u32) -> usize {
+    let bytes = u64::from(link_mbps) * BYTES_PER_MBIT * TELLING_S;
+    ((bytes / ASKING_AT_ONCE / OBJECT_BYTES) as usize).max(LEAST_TOLD)
+}
 
 /// Lists of everything between which changes are kept.
 const KEPT_GAPS: usize = 32;
@@ -77,6 +91,7 @@
     /// Hosts that told on what is known.
     hops: u32,
     is_known: bool,
+    most_told: usize,
 }
 
 impl<T> Default for FeedLog<T> {
@@ -91,11 +106,19 @@
             back_at: None,
             hops: 0,
             is_known: false,
+            most_told: LEAST_TOLD,
         }
     }
 }
 
 impl<T: Clone + PartialEq> FeedLog<T> {
+    /// The same log that tells up to so many objects at once.
+    #[must_use]
+    pub fn most_told(mut self, objects: usize) -> Self {
+        self.most_told = objects;
+        self
+    }
+
     /// Takes news in.
     pub fn take(&mut self, news: &FeedNews<T>) {
         // What a store said before it came back from an older copy replaces nothing of what it says since.
@@ -108,7 +131,8 @@
         let is_of_other_store = news.revision.era == self.revision.era && news.revision < self.revision;
         if news.is_whole && (!self.is_known || is_of_other_store) {
             // The first that is known, or of another store, whose revisions mean something else.
-            *self = Self { hops: news.hops, back_at: self.back_at, heard_until: self.heard_until, ..Self::default() };
+            let fresh = Self::default().most_told(self.most_told);
+            *self = Self { hops: news.hops, back_at: self.back_at, heard_until: self.heard_until, ..fresh };
             self.is_known = true;
             self.kept_from = news.revision;
             self.objects = news.changes.iter().filter_map(known_object).collect();
@@ -178,7 +202,7 @@
             return None;
         }
         let known = revision.filter(|revision| self.is_known_from(*revision));
-        if known.is_none() && self.objects.len() > MOST_TOLD {
+        if known.is_none() && self.objects.len() > self.most_told {
             return None;
         }
         let changes = match known {
--- a/crates/hollyhook_core/src/feed/feed_roster.rs
+++ b/crates/hollyhook_core/src/feed/feed_roster.rs
@@ -44,6 +44,18 @@
     pub zone: ZoneName,
     /// Where it answers other hosts.
     pub address: SocketAddr,
+    /// What its network link carries, in Mbit/s; zero if it does not say.
+    pub link_mbps: u32,
+}
+
+impl RosterMember {
+    /// How near it is to being asked by a host, among all that could be; the least is asked first.
+    ///
+    /// Weighted rendezvous hashing: of all hosts, each is asked by a part that is as large as its link.
+    fn distance(&self, asking: &Name) -> f64 {
+        let fraction = (weight(asking.as_bytes(), &self.host) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        -fraction.ln() / f64::from(self.link_mbps.max(1))
+    }
 }
 
 /// From whom a host learns what the store holds.
@@ -72,7 +84,8 @@
 /// The hosts of a zone, and which of them read the store for the others.
 ///
 /// The first in an order read it, in larger zones the next are relays, and the others follow these. So a zone costs the store
-/// the same whatever its size, and no host tells more than a dozen or two.
+/// the same whatever its size, and no host tells more than a dozen or two. Hosts with larger links come first in the order,
+/// and carry more.
 ///
 /// The order is the same on every host that knows the same members (rendezvous by their names), so nobody is elected: a host
 /// whose view differs reads the store although it need not, or asks one that refuses and goes on to the next.
@@ -111,7 +124,8 @@
     /// Takes in all hosts that are registered.
     pub fn list(&mut self, members: Vec<RosterMember>) {
         let (mut own, mut others): (Vec<_>, Vec<_>) = members.into_iter().partition(|member| member.zone == self.zone);
-        own.sort_by_cached_key(|member| Reverse(weight(self.zone.as_bytes(), &member.host)));
+        let rank = |member: &RosterMember| (member.link_mbps, weight(self.zone.as_bytes(), &member.host));
+        own.sort_by_cached_key(|member| Reverse(rank(member)));
         others.sort_by_cached_key(|member| Reverse(weight(self.host.as_bytes(), &member.host)));
         self.members = own;
         self.others = others;
@@ -198,10 +212,10 @@
         members.iter().any(|member| member.host == self.host)
     }
 
-    /// Whom this host asks of those; all hosts together part evenly between them.
+    /// Whom this host asks of those; all hosts together part between them as their links are.
     fn sources_of(&self, members: &[&RosterMember]) -> Vec<RosterMember> {
         let mut sources: Vec<RosterMember> = members.iter().copied().cloned().collect();
-        sources.sort_by_cached_key(|source| Reverse(weight(self.host.as_bytes(), &source.host)));
+        sources.sort_by(|a, b| a.distance(&self.host).total_cmp(&b.distance(&self.host)));
         sources.truncate(MOST_ASKED);
         sources
     }
--- a/crates/hollyhook_core/src/feed/feed_timing.rs
+++ b/crates/hollyhook_core/src/feed/feed_timing.rs
@@ -6,6 +6,10 @@
 const RELAY_WAIT: Duration = Duration::from_millis(300);
 /// How much longer an answer may take: hosts of a zone are a millisecond apart, with an eighth of a core each.
 const PEER_SLACK: Duration = Duration::from_millis(250);
+/// How long a host that starts waits for another one to read the store, whose link tells several zones' readers at once.
+const LIST_WAIT: Duration = Duration::from_millis(1_500);
+/// What a list of ten thousand endpoints takes on the link of a small host, and to be read with an eighth of a core.
+const LIST_TRANSFER: Duration = Duration::from_secs(2);
 /// What reading the store, and sending what was just placed, take after the last host that was asked was silent: a list of
 /// 326 endpoints comes within 0.05 s, and a request may wait for its connection for 0.25 s.
 const READ_AND_SEND: Duration = Duration::from_millis(300);
@@ -73,6 +77,16 @@
         wait + PEER_SLACK
     }
 
+    /// How long a host waits at another one that has yet to hear of the objects of which it wants all.
+    pub fn list_wait(&self) -> Duration {
+        LIST_WAIT
+    }
+
+    /// How long an answer with all objects may take.
+    pub fn list_limit(&self) -> Duration {
+        LIST_WAIT + LIST_TRANSFER
+    }
+
     /// Whether what another host knows is too old to rely on, after `hops` hosts told it on to that one.
     ///
     /// Each of them may have waited for changes meanwhile.
--- a/crates/hollyhook_core/src/feed/mod.rs
+++ b/crates/hollyhook_core/src/feed/mod.rs
@@ -8,7 +8,7 @@
 mod store_revision;
 
 pub use era_ledger::{EraLedger, EraVerdict};
-pub use feed_log::{FeedChange, FeedLog, FeedNews};
+pub use feed_log::{FeedChange, FeedLog, FeedNews, most_told};
 pub use feed_roster::{FeedPlan, FeedRoster, PassReason, RosterMember};
 pub use feed_timing::{FeedTiming, is_stale_help};
 pub use store_contact::StoreContact;
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -30,7 +30,7 @@
 pub use error::{Answer, Error, ErrorKind, Result, RunState, answer_for};
 pub use feed::{
     EraLedger, EraVerdict, FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, FeedTiming, PassReason, RosterMember,
-    StoreContact, StoreRevision, is_stale_help,
+    StoreContact, StoreRevision, is_stale_help, most_told,
 };
 pub use forward::{
     AnswerHead, AnswerVerdict, AttemptFailure, AttemptLedger, CallerHead, PromptSize, StopReason, judge_answer,
--- a/crates/hollyhook_core/tests/gateway/feeding.rs
+++ b/crates/hollyhook_core/tests/gateway/feeding.rs
@@ -5,7 +5,7 @@
 
 use hollyhook_core::{
     FeedChange, FeedLog, FeedNews, FeedPlan, FeedRoster, FeedTiming, Name, PassReason, RosterMember, StoreContact,
-    StoreRevision, TimePoint,
+    StoreRevision, TimePoint, most_told,
 };
 
 const NOW: TimePoint = TimePoint::from_millis(10_000);
@@ -263,6 +263,7 @@
         host: format!("host-{number}").into(),
         zone: zone.into(),
         address: SocketAddr::from(([10, 0, 0, 1], number)),
+        link_mbps: 20,
     }
 }
 
@@ -308,6 +309,49 @@
     }
 }
 
+/// A zone in which ten hosts have a larger link than the rest.
+fn mixed_rosters(hosts: u16) -> Vec<FeedRoster> {
+    let strength = |number: u16| if number % 16 == 3 { 1_000 } else { 20 };
+    let members = || (0..hosts).map(|number| RosterMember { link_mbps: strength(number), ..member(number, "z0") });
+    let rosters = (0..hosts).map(|host| {
+        let mut roster = FeedRoster::new(member(host, "z0").host, "z0".into());
+        roster.list(members().collect());
+        roster
+    });
+    rosters.collect()
+}
+
+/// A host with a small link that told eight others of ten thousand endpoints would do so for seconds.
+#[test]
+fn plan_with_strong_hosts_that_carry() {
+    for hosts in [160, 320] {
+        let rosters = mixed_rosters(hosts);
+        let plans: Vec<FeedPlan> = rosters.iter().map(|roster| roster.plan(NOW)).collect();
+        let sources = plans.iter().filter(|plan| matches!(plan, FeedPlan::Follow(_))).map(|plan| &plan.sources()[0]);
+        let strong = sources.clone().filter(|source| source.link_mbps == 1_000).count();
+        assert!(strong * 10 > sources.count() * 9, "{strong} of {hosts} ask strong hosts");
+        let strong = |plan: &FeedPlan, number: usize| number % 16 == 3 || !matches!(plan, FeedPlan::Lead);
+        assert!(plans.iter().enumerate().all(|(number, plan)| strong(plan, number)));
+        let mut asked: Vec<&Name> = plans.iter().filter_map(|plan| plan.sources().first()).map(|s| &s.host).collect();
+        asked.sort();
+        let most = asked.chunk_by(|a, b| a == b).map(<[&Name]>::len).max().unwrap();
+        assert!(most <= 40, "{most} of {hosts} ask one host");
+    }
+}
+
+#[test]
+fn most_told_by_link() {
+    assert_eq!(most_told(20), 1_000);
+    assert!(most_told(1_000) > 20_000, "{} of twice the largest fleet", most_told(1_000));
+    let mut log = FeedLog::default().most_told(2);
+    let objects = (0..3).map(|number| FeedChange { name: format!("o-{number}").into(), object: Some(number) });
+    let revision = StoreRevision::new(1, 1);
+    let changes = objects.collect();
+    log.take(&FeedNews { is_whole: true, changes, revision, heard_until: NOW, back_at: None, hops: 0 });
+    assert_eq!(log.after(None), None);
+    assert!(log.most_told(3).after(None).is_some());
+}
+
 /// In a large zone relays ask leaders and the others ask relays; nobody asks itself.
 #[test]
 fn plan_in_two_levels() {
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -34,6 +34,9 @@
 /// entries within 0.4 s of each other, and read them half a second later. What changes meanwhile is heard that much later,
 /// well within the bounds of any site.
 const LISTING_WAIT: Duration = Duration::from_millis(1_200);
+/// The same before it reads the rest of a first list of many pages, with the first of which it serves. Where hundreds of hosts
+/// start at once, the store's link takes some seconds to tell all of them of each other.
+const TELLER_WAIT: Duration = Duration::from_secs(3);
 /// How often the first list of endpoints looks; callers wait for it, and both are read at the same time.
 const SITE_CHECK: Duration = Duration::from_millis(2);
 
@@ -68,7 +71,7 @@
     pub(crate) fn register(registry: &ServiceRegistry, settings: &GatewaySettings) -> Result<()> {
         let timer = registry.register(TimerService::NAME, TimerService::from(WallClock::start()))?;
         registry.register(ConnectionPool::NAME, ConnectionPool::new(TimerService::clone(&timer)))?;
-        let feed = FeedBoard::new(Name::clone(&settings.host), ZoneName::clone(&settings.zone));
+        let feed = FeedBoard::new(Name::clone(&settings.host), ZoneName::clone(&settings.zone), settings.link_mbps);
         registry.register(FeedBoard::NAME, feed)?;
         registry.register(MetricBoard::NAME, MetricBoard::default())?;
         registry.register(RequestLoad::NAME, RequestLoad::new(settings.memory_bytes))?;
@@ -176,6 +179,11 @@
         self.wait_until(TimePoint::ZERO + LISTING_WAIT, START_CHECK, || !self.feed.is_listing()).await;
     }
 
+    /// Waits until the other hosts are listed, for longer: one of them may tell what would be read in many pages.
+    pub(crate) async fn wait_for_tellers(&self) {
+        self.wait_until(TimePoint::ZERO + TELLER_WAIT, START_CHECK, || !self.feed.is_listing()).await;
+    }
+
     /// Waits until something holds, which is looked at so often, or the process is no longer new.
     async fn wait_while_starting(&self, check: Duration, holds: impl Fn() -> bool) {
         self.wait_until(TimePoint::ZERO + START_WAIT, check, holds).await;
--- a/crates/hollyhook_gateway/src/gateway/gateway_process.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -113,7 +113,12 @@
     };
     let listener = bind(address, "peer_listen")?;
     let address = listener.local_addr().unwrap_or(address);
-    let own = RosterMember { host: Name::clone(&context.host), zone: ZoneName::clone(&context.zone), address };
+    let own = RosterMember {
+        host: Name::clone(&context.host),
+        zone: ZoneName::clone(&context.zone),
+        address,
+        link_mbps: settings.link_mbps,
+    };
     context.feed.begin_listing();
     task::spawn(serve_peers(listener, Arc::clone(context)));
     task::spawn(HostRegister::new(Arc::clone(context), own).run());
--- a/crates/hollyhook_gateway/src/peer/feed_board.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_board.rs
@@ -5,7 +5,7 @@
 use futures::channel::oneshot;
 use hollyhook_core::{
     EraLedger, EraVerdict, FeedLog, FeedNews, FeedPlan, FeedRoster, Name, PassReason, RosterMember, StoreRevision,
-    TimePoint, ZoneName,
+    TimePoint, ZoneName, most_told,
 };
 use hollyhook_platform::{ObjectKind, StoreObject};
 
@@ -21,19 +21,23 @@
     /// Whether the other hosts are being listed for the first time.
     is_listing: AtomicBool,
     eras: Mutex<EraLedger>,
+    /// Objects up to which all of a kind are told at once.
+    most_told: usize,
 }
 
 impl FeedBoard {
     /// The name that the service is registered under.
     pub(crate) const NAME: &'static str = "feed";
 
-    pub(crate) fn new(host: Name, zone: ZoneName) -> Self {
+    /// The board of a host whose link carries `link_mbps` Mbit/s.
+    pub(crate) fn new(host: Name, zone: ZoneName, link_mbps: u32) -> Self {
         Self {
             roster: Mutex::new(FeedRoster::new(host, zone)),
             logs: Mutex::default(),
             waiters: WakeList::default(),
             is_listing: AtomicBool::new(false),
             eras: Mutex::default(),
+            most_told: most_told(link_mbps),
         }
     }
 
@@ -99,7 +103,7 @@
 
     /// Takes news in.
     pub(crate) fn take(&self, kind: ObjectKind, news: &FeedNews<StoreObject>) {
-        lock(&self.logs).entry(kind).or_default().take(news);
+        lock(&self.logs).entry(kind).or_insert_with(|| FeedLog::default().most_told(self.most_told)).take(news);
         if news.is_empty() {
             return;
         }
--- a/crates/hollyhook_gateway/src/peer/peer_client.rs
+++ b/crates/hollyhook_gateway/src/peer/peer_client.rs
@@ -15,6 +15,8 @@
     Leader,
     /// It tells this one what the store holds: it waits for changes if there are none.
     Source,
+    /// It tells all objects to this one, which has just started, as soon as it knows them.
+    Teller,
     /// It reads the store for itself, which gives this host no answer: it answers at once.
     Helper,
 }
@@ -24,14 +26,23 @@
         match self {
             Self::Leader => timing.relay_wait(),
             Self::Source => timing.peer_wait(),
+            Self::Teller => timing.list_wait(),
             Self::Helper => Duration::ZERO,
         }
     }
 
+    /// How long the answer may take.
+    fn limit(self, timing: FeedTiming) -> Duration {
+        match self {
+            Self::Teller => timing.list_limit(),
+            Self::Leader | Self::Source | Self::Helper => timing.peer_limit(self.wait(timing)),
+        }
+    }
+
     fn is_too_old(self, timing: FeedTiming, message: &FeedMessage) -> bool {
         let age = Duration::from_millis(message.age_ms);
         match self {
-            Self::Leader | Self::Source => timing.is_stale(age, message.hops),
+            Self::Leader | Self::Source | Self::Teller => timing.is_stale(age, message.hops),
             Self::Helper => is_stale_help(age),
         }
     }
@@ -89,9 +100,10 @@
         question: PeerQuestion,
     ) -> Result<FeedNews<StoreObject>, PeerFault> {
         let PeerQuestion { role, kind, after, timing, asked_at } = question;
-        let query = FeedQuery { kind, after, wait: role.wait(timing) };
+        let wait = role.wait(timing);
+        let query = FeedQuery { kind, after, wait };
         let request = line_request(Method::GET, host.address, &query.to_path(), "")?;
-        let response = self.line.call(host.address, request, timing.peer_limit(query.wait)).await?;
+        let response = self.line.call(host.address, request, role.limit(timing)).await?;
         if response.status() != StatusCode::OK {
             return Err(PeerFault::outdated("it does not read the store"));
         }
@@ -100,6 +112,6 @@
         if role.is_too_old(timing, &message) {
             return Err(PeerFault::outdated("what it knows is too old"));
         }
-        Ok(message.into_news(asked_at, query.wait))
+        Ok(message.into_news(asked_at, wait))
     }
 }
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -23,6 +23,10 @@
 /// longer.
 const LIST_KEPT: Duration = Duration::from_secs(5);
 
+/// Endpoints above which a list is long: one of so many takes a few pages of the store, and the smallest host sends it in a
+/// quarter of a second.
+const LONG_LIST: usize = 1_000;
+
 /// Takes what is read of the first list before it is whole: the objects so far.
 struct PartTaker(Box<TakePart>);
 
@@ -106,7 +110,9 @@
         }
         let plan = self.plan();
         let role = if matches!(plan, FeedPlan::Relay(_)) { PeerRole::Leader } else { PeerRole::Source };
-        if let Some(news) = self.ask_hosts(role, plan.sources()).await {
+        // In a first list, or a new one, of many pages another host is asked for the rest.
+        let sources = if self.has_long_list() { &[] } else { plan.sources() };
+        if let Some(news) = self.ask_hosts(role, sources).await {
             self.contact.heard(self.context.timer.now());
             self.take(&news);
             return Ok(news);
@@ -136,6 +142,12 @@
         }
     }
 
+    /// Whether all objects have to be read, more than any host tells within the usual time.
+    fn has_long_list(&self) -> bool {
+        let is_endpoints = self.kind == ObjectKind::Endpoint;
+        self.revision.is_none() && is_endpoints && self.context.endpoints.table().len() > LONG_LIST
+    }
+
     /// Whom to ask when the store gives no answer.
     fn helpers(&self) -> Vec<RosterMember> {
         self.context.feed.helpers(self.context.timer.now())
@@ -190,6 +202,20 @@
         None
     }
 
+    /// All objects as another host knows them; none if this host reads the store for others, or if that one can't tell.
+    ///
+    /// Where hundreds of hosts read thousands of entries each, as after a loss of power of all, the store's one link is busy for
+    /// minutes, and each page is a call.
+    async fn ask_whole(&mut self) -> Option<FeedNews<StoreObject>> {
+        if self.kind != ObjectKind::Endpoint {
+            return None;
+        }
+        self.context.wait_for_tellers().await;
+        let plan = self.plan();
+        let source = plan.sources().first().cloned()?;
+        self.ask_hosts(PeerRole::Teller, &[source]).await
+    }
+
     /// Takes in the era of the store that another host heard of.
     fn note_era(&self, host: &RosterMember, news: &FeedNews<StoreObject>) {
         let (before, era) = (self.context.feed.era(), news.revision.era);
@@ -201,7 +227,7 @@
     fn pass_over(&self, role: PeerRole, host: &RosterMember, fault: PeerFault) {
         let now = self.context.timer.now();
         match role {
-            PeerRole::Leader | PeerRole::Source => {
+            PeerRole::Leader | PeerRole::Source | PeerRole::Teller => {
                 tracing::info!(leader = %host.host, kind = self.kind.as_str(), reason = fault.why, "leader.passed_over");
                 self.context.board.count("leaders_passed_over");
                 self.context.feed.pass_over(now, &host.host, fault.reason);
@@ -241,11 +267,12 @@
                 self.note_regained(asked_at);
                 let (now, bound) = (self.context.timer.now(), self.context.contact_bound());
                 let has_come_back = self.heard_until > TimePoint::ZERO && news.revision.era > self.era;
-                news.back_at = if has_come_back {
+                let back_at = if has_come_back {
                     Some(self.contact.came_back(now, bound))
                 } else {
                     self.contact.answered(now, bound)
                 };
+                news.back_at = news.back_at.max(back_at);
             }
             Err(StoreError::HistoryGone) => self.note_regained(asked_at),
             Err(error) => {
@@ -300,6 +327,7 @@
         let begun = self.begun.take().filter(|list| asked_at.since(list.asked_at) < LIST_KEPT);
         let mut list = begun.unwrap_or_else(|| PageList::new(asked_at));
         let limit = self.contact.call_limit();
+        let mut has_asked = false;
         loop {
             let (era, mut page) = match self.client.list_page(self.kind, list.after.as_deref(), limit).await {
                 Ok(answer) => answer,
@@ -322,6 +350,11 @@
             if let Some(PartTaker(take)) = self.part_taker.as_mut().filter(|_| self.heard_until == TimePoint::ZERO) {
                 take(&list.objects);
             }
+            if !std::mem::replace(&mut has_asked, true)
+                && let Some(news) = self.ask_whole().await
+            {
+                return Ok(news);
+            }
         }
         let PageList { asked_at, objects, revision, .. } = list;
         let revision = revision.unwrap_or_default();
--- a/crates/hollyhook_settings/src/gateway/gateway_settings.rs
+++ b/crates/hollyhook_settings/src/gateway/gateway_settings.rs
@@ -27,6 +27,8 @@
     pub store: SocketAddr,
     /// The most bytes of memory that the process may take.
     pub memory_bytes: usize,
+    /// What its network link carries, in Mbit/s; zero if that is not said. Hosts with larger links carry more for others.
+    pub link_mbps: u32,
     /// What it is held to.
     pub bounds: GatewayBounds,
     /// How log lines are written.
@@ -75,6 +77,7 @@
     let zone = reader.required("zone", value::name);
     let most = value::bytes(16 << 20, 1 << 40);
     let memory_bytes = reader.default("memory", DEFAULT_MEMORY_MIB << 20, most);
+    let link_mbps = reader.default("link", 0, value::link_mbps);
     reader.finish();
 
     let section = file.section("gateway");
@@ -110,6 +113,7 @@
         peer_listen,
         store: store?,
         memory_bytes,
+        link_mbps,
         bounds,
         log_format,
         log_level: log_level.into(),
--- a/crates/hollyhook_settings/src/value/mod.rs
+++ b/crates/hollyhook_settings/src/value/mod.rs
@@ -3,6 +3,6 @@
 mod value_parsers;
 
 pub(crate) use value_parsers::{
-    ValueFault, address, addresses, bytes, choice, count, file, fraction, hex_32, hex_digest, name, names, path, ratio,
-    share, span, tokens,
+    ValueFault, address, addresses, bytes, choice, count, file, fraction, hex_32, hex_digest, link_mbps, name, names,
+    path, ratio, share, span, tokens,
 };
--- a/crates/hollyhook_settings/src/value/value_parsers.rs
+++ b/crates/hollyhook_settings/src/value/value_parsers.rs
@@ -96,6 +96,15 @@
     }
 }
 
+/// What a link carries, in Mbit/s; a part of one counts as one.
+pub(crate) fn link_mbps(text: &str) -> Parsed<u32> {
+    const MOST: f64 = 1_000_000.0;
+    match text.parse::<f64>() {
+        Ok(number) if (0.0..=MOST).contains(&number) && number > 0.0 => Ok(number.ceil() as u32),
+        _ => fault(format!("`{text}` is not a link's speed"), "give Mbit/s from above 0 to 1000000, such as `200`"),
+    }
+}
+
 /// A number of things for each thing, such as `0.8`.
 pub(crate) fn ratio(text: &str) -> Parsed<f64> {
     const MOST: f64 = 100.0;
