A plain call prefers an endpoint to which a connection is kept

Change: among endpoints that cost about the same, one with a kept connection goes first, as it does for copies. One request more at it, or another zone, outweighs that. Records are boxed, since the map that holds them keeps up to half of its places free.

Measured: core tests (a busier endpoint, another zone).

--- a/crates/hollyhook_core/src/route/endpoint_choice.rs
+++ b/crates/hollyhook_core/src/route/endpoint_choice.rs
@@ -123,8 +123,8 @@
             query.is_met_by(record) && self.terms.is_open(now, &record.id) && is_wanted(record)
         };
         let zones = self.rings.after_number(query.service, number);
-        let near = zones.flat_map(|ring| ring.filter_map(|id| self.records.get(id)).filter(is_fit).take(WINDOW));
-        let preferred = query.preferred.iter().filter_map(|id| self.records.get(id)).filter(is_fit);
+        let near = zones.flat_map(|ring| ring.filter_map(|id| self.get(id)).filter(is_fit).take(WINDOW));
+        let preferred = query.preferred.iter().filter_map(|id| self.get(id)).filter(is_fit);
         let mut window: Vec<&EndpointRecord> = near.chain(preferred).collect();
         window.sort_by(|a, b| a.id.cmp(&b.id));
         window.dedup_by(|a, b| a.id == b.id);
@@ -132,7 +132,7 @@
     }
 
     fn of_service(&self, service: &str) -> impl Iterator<Item = &EndpointRecord> + use<'_> {
-        self.rings.of_service(service).filter_map(|id| self.records.get(id))
+        self.rings.of_service(service).filter_map(|id| self.get(id))
     }
 
     /// The zones of the endpoints that the request has left, and those that lost several endpoints just now.
@@ -150,8 +150,13 @@
         rng: &mut impl Rng,
     ) -> Option<&'t EndpointRecord> {
         let suspect = self.suspect_zones(now, query);
-        let cost = |record| self.cost(now, record, query, &suspect);
-        let drawn = pool.choose_multiple(rng, DRAWS).copied();
+        let is_preferred = |record: &EndpointRecord| query.preferred.contains(&record.id);
+        let cost = |record: &EndpointRecord| {
+            let slack = if is_preferred(record) { HOME_SLACK } else { 0.0 };
+            self.cost(now, record, query, &suspect) - slack
+        };
+        let preferred = pool.iter().copied().filter(|record| is_preferred(record));
+        let drawn = pool.choose_multiple(rng, DRAWS).copied().chain(preferred);
         drawn.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -18,7 +18,8 @@
 pub struct EndpointTable {
     pub(super) zone: ZoneName,
     pub(super) zone_preference: f64,
-    pub(super) records: BTreeMap<EndpointId, EndpointRecord>,
+    /// Boxed, since the map keeps up to half of its places free.
+    pub(super) records: BTreeMap<EndpointId, Box<EndpointRecord>>,
     places: PlaceIndex,
     pub(super) rings: RingIndex,
     names: NameSet,
@@ -74,7 +75,7 @@
                 self.remove(&id);
                 self.places.add(&record);
                 self.rings.add(&record);
-                self.records.insert(EndpointId::clone(&id), record);
+                self.records.insert(EndpointId::clone(&id), Box::new(record));
             }
         }
         &self.records[&id]
@@ -106,7 +107,7 @@
 
     /// The endpoints that share the name or the address of a registration.
     fn beside(&self, record: &EndpointRecord) -> impl Iterator<Item = &EndpointRecord> {
-        self.places.beside(record).into_iter().filter_map(|id| self.records.get(id))
+        self.places.beside(record).into_iter().filter_map(|id| self.get(id))
     }
 
     /// The endpoints that registered under a name.
@@ -136,7 +137,7 @@
 
     /// One endpoint.
     pub fn get(&self, id: &str) -> Option<&EndpointRecord> {
-        self.records.get(id)
+        self.records.get(id).map(|record| &**record)
     }
 
     /// One endpoint, with the sends that no report of it can show yet.
@@ -146,7 +147,7 @@
 
     /// One endpoint, to learn something of it.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut EndpointRecord> {
-        self.records.get_mut(id)
+        self.records.get_mut(id).map(|record| &mut **record)
     }
 
     /// The terms on which endpoints take requests, to learn something of them.
@@ -174,7 +175,7 @@
 
     /// All endpoints by name.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointRecord> {
-        self.records.values()
+        self.records.values().map(|record| &**record)
     }
 
     /// Takes a load report in.
--- a/crates/hollyhook_core/tests/gateway/large_fleet.rs
+++ b/crates/hollyhook_core/tests/gateway/large_fleet.rs
@@ -92,3 +92,19 @@
     }
     assert!(met.len() > 300, "{} of the 334 of the host's zone", met.len());
 }
+
+/// Before hundreds of endpoints a host that drew at random would hardly ever use a connection twice.
+#[test]
+fn choice_uses_kept_connection_unless_its_endpoint_is_busier() {
+    let (mut table, mut rng) = (table(186), Pcg64::seed_from_u64(3));
+    let kept = [id(60)];
+    let query = RouteQuery::new("model").prefer(&kept);
+    assert_eq!(table.choose(NOW, &query, &mut rng), Some(id(60)));
+    table.report(&id(60), LoadReport { running: 2, waiting: 0, capacity: PLACES });
+    assert_ne!(table.choose(NOW, &query, &mut rng), Some(id(60)));
+    let far = [id(61)];
+    let query = RouteQuery::new("model").prefer(&far);
+    let near = |id: &EndpointId| table.get(id).is_some_and(|record| record.zone == zone(0));
+    let chosen: Vec<EndpointId> = (0..50).filter_map(|_| table.choose(NOW, &query, &mut rng)).collect();
+    assert!(chosen.iter().filter(|id| near(id)).count() > 20, "the own zone goes before a connection");
+}
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -107,7 +107,8 @@
     fn place(&self) -> std::result::Result<EndpointPlace, EndpointLack> {
         let rule = self.context.rollouts.rule(&self.caller.service, self.tried.is_empty()).unwrap_or_default();
         let query = RouteQuery::new(&self.caller.service).avoid(&self.tried).versions(&rule);
-        let query = query.repeatable(self.caller.route.has_second_attempt());
+        let kept = self.context.pool.rested(Duration::ZERO);
+        let query = query.repeatable(self.caller.route.has_second_attempt()).prefer(&kept);
         EndpointPlace::take_any(self.context, &query).ok_or_else(|| self.context.endpoints.lack(&query))
     }
 
