Hosts register in a kind of their zone, and list the other zones later

Callers saw nothing of it yet; it bound the time until hosts know endpoints. Each of 985 hosts listed all 985 three times in its first seconds, some 0.7 GB over the store's link of 1 Gbit/s in all (by arithmetic, 250 bytes an entry): what grows with hosts x hosts.

Change: one kind a zone. The own zone is listed at once and each 20 s, the others once after 3 s and then one each 20 s: they are asked for help only when the store gives no answer.

Tests: those of sharing, whose hosts of another zone are found as before.

--- a/crates/hollyhook_gateway/src/peer/host_register.rs
+++ b/crates/hollyhook_gateway/src/peer/host_register.rs
@@ -1,8 +1,9 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyhook_core::RosterMember;
-use hollyhook_platform::ObjectKind;
+use hollyhook_core::{RosterMember, ZoneName};
 
 use crate::gateway::GatewayContext;
 use crate::store::{StoreClient, StoreError};
@@ -12,13 +13,14 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// The pause until they are read again, for those that came later, and since the list may be some seconds old.
 const SECOND_PAUSE: Duration = Duration::from_secs(3);
-/// How often the others are read again. Hosts come and go a few times an hour, and what is missed meanwhile costs calls to
-/// the store but serves callers no worse.
+/// How often the others are read again, those of the own zone and of one other. Hosts come and go a few times an hour, and what
+/// is missed meanwhile costs calls to the store but serves callers no worse.
 const LIST_INTERVAL: Duration = Duration::from_secs(20);
 /// The pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_secs(2);
 
-/// Makes this host known to the others through the store, and learns of them.
+/// Makes this host known to the others through the store, and learns of them: at once of those of its zone, from whom it
+/// learns what the store holds, and of the others later.
 ///
 /// Entries of hosts that are gone stay; who asks such a host passes it over.
 #[derive(Debug)]
@@ -26,12 +28,16 @@
     context: Arc<GatewayContext>,
     client: StoreClient,
     own: RosterMember,
+    /// The hosts of each zone as they were last listed.
+    zones: BTreeMap<ZoneName, Vec<RosterMember>>,
+    /// The other zone that was listed last.
+    last_listed: ZoneName,
 }
 
 impl HostRegister {
     pub(crate) fn new(context: Arc<GatewayContext>, own: RosterMember) -> Self {
         let client = StoreClient::new(&context);
-        Self { context, client, own }
+        Self { context, client, own, zones: BTreeMap::new(), last_listed: ZoneName::default() }
     }
 
     /// Registers and lists until the process ends.
@@ -45,10 +51,11 @@
             is_registered = self.register().await;
         }
         self.context.feed.end_listing();
-        let mut pause = SECOND_PAUSE;
+        self.context.timer.wait(SECOND_PAUSE).await;
+        for zone in self.other_zones() {
+            self.list_other(zone).await;
+        }
         loop {
-            self.context.timer.wait(pause).await;
-            pause = LIST_INTERVAL;
             let is_older = self.context.feed.era() > era;
             era = self.context.feed.era();
             let is_listed = loop {
@@ -61,6 +68,34 @@
             if is_older && !is_listed {
                 while !self.register().await {}
             }
+            self.context.timer.wait(LIST_INTERVAL).await;
+            if let Some(zone) = self.next_zone() {
+                self.list_other(zone).await;
+            }
+        }
+    }
+
+    /// The other zones, as far as their endpoints are known.
+    fn other_zones(&self) -> BTreeSet<ZoneName> {
+        let table = self.context.endpoints.table();
+        let zones = table.iter().map(|record| &record.zone).filter(|zone| **zone != self.own.zone);
+        zones.cloned().collect()
+    }
+
+    /// The other zone that is to be listed next, one after the other.
+    fn next_zone(&self) -> Option<ZoneName> {
+        let zones = self.other_zones();
+        let later = zones.range::<str, _>((Bound::Excluded(&*self.last_listed), Bound::Unbounded)).next();
+        later.or(zones.first()).cloned()
+    }
+
+    /// Lists the hosts of another zone. They are asked only when the store gives no answer, and counted; what is known of them
+    /// stays if it gives none now.
+    async fn list_other(&mut self, zone: ZoneName) {
+        self.last_listed = ZoneName::clone(&zone);
+        match self.list(&zone).await {
+            Ok(members) => self.take(zone, members),
+            Err(error) => tracing::info!(%error, %zone, "hosts.not_listed"),
         }
     }
 
@@ -79,24 +114,34 @@
         true
     }
 
-    /// Lists all hosts; tells whether this one's entry is there as it should be. None if the store did not answer.
+    /// Lists the hosts of the own zone; tells whether this one's entry is there as it should be. None if the store did not
+    /// answer.
     async fn try_list(&mut self) -> Option<bool> {
-        let listed = self.list().await;
-        listed.inspect_err(|error| tracing::info!(%error, "hosts.not_listed")).ok()
+        let zone = ZoneName::clone(&self.own.zone);
+        let listed = self.list(&zone).await;
+        let members = listed.inspect_err(|error| tracing::info!(%error, %zone, "hosts.not_listed")).ok()?;
+        let is_listed = members.contains(&self.own);
+        self.take(zone, members);
+        Some(is_listed)
+    }
+
+    fn take(&mut self, zone: ZoneName, members: Vec<RosterMember>) {
+        self.zones.insert(zone, members);
+        let members: Vec<RosterMember> = self.zones.values().flatten().cloned().collect();
+        tracing::debug!(hosts = members.len(), "hosts.listed");
+        self.context.feed.list_members(members);
     }
 
-    async fn list(&mut self) -> Result<bool, StoreError> {
-        let objects = self.client.list_old(ObjectKind::Host).await?;
+    async fn list(&mut self, zone: &ZoneName) -> Result<Vec<RosterMember>, StoreError> {
+        let objects = self.client.list_hosts(zone).await?;
         let mut members = Vec::with_capacity(objects.len());
         for object in objects.iter().filter(|object| !object.is_deleting) {
             match hollyhook_platform::decode_host(object) {
-                Ok(member) => members.push(member),
+                Ok(member) if member.zone == *zone => members.push(member),
+                Ok(member) => tracing::error!(host = %member.host, zone = %member.zone, "host.misplaced"),
                 Err(error) => tracing::error!(%error, host = %object.name, "host.malformed"),
             }
         }
-        tracing::debug!(hosts = members.len(), "hosts.listed");
-        let is_listed = members.contains(&self.own);
-        self.context.feed.list_members(members);
-        Ok(is_listed)
+        Ok(members)
     }
 }
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -114,10 +114,10 @@
         Ok((era, page))
     }
 
-    /// All objects of a kind as they were some seconds ago.
-    pub(crate) async fn list_old(&mut self, kind: ObjectKind) -> Result<Vec<StoreObject>, StoreError> {
+    /// The hosts of an availability zone as they were registered some seconds ago.
+    pub(crate) async fn list_hosts(&mut self, zone: &str) -> Result<Vec<StoreObject>, StoreError> {
         let (objects, _revision) =
-            self.pages(|after| hollyhook_platform::old_list_path(kind, after), HOST_TIMEOUT).await?;
+            self.pages(|after| hollyhook_platform::host_list_path(zone, after), HOST_TIMEOUT).await?;
         Ok(objects)
     }
 
@@ -174,23 +174,23 @@
     /// Writes this host's entry, whether there is one or not.
     pub(crate) async fn register_host(&mut self, member: &RosterMember) -> Result<(), StoreError> {
         let body = hollyhook_platform::encode_host(member).map_err(StoreError::Malformed)?;
-        self.write_own(ObjectKind::Host, &member.host, Bytes::from(body)).await
+        let create = hollyhook_platform::host_create_path(&member.zone);
+        let replace = hollyhook_platform::host_path(&member.zone, &member.host);
+        self.write_own(&create, &replace, Bytes::from(body)).await
     }
 
     /// Writes what this host saw of versions on trial, whether there is an object for it or not.
     pub(crate) async fn write_trials(&mut self, host: &Name, reports: &[TrialReport]) -> Result<(), StoreError> {
         let body = hollyhook_platform::encode_trials(host, reports).map_err(StoreError::Malformed)?;
-        self.write_own(ObjectKind::Trial, host, Bytes::from(body)).await
+        let create = hollyhook_platform::create_path(ObjectKind::Trial);
+        let replace = hollyhook_platform::object_path(ObjectKind::Trial, host);
+        self.write_own(create, &replace, Bytes::from(body)).await
     }
 
     /// Creates an object that no other host writes, or replaces it.
-    async fn write_own(&mut self, kind: ObjectKind, name: &str, body: Bytes) -> Result<(), StoreError> {
-        let path = hollyhook_platform::create_path(kind);
-        match self.call(Method::POST, path, body.clone(), HOST_TIMEOUT).await {
-            Err(StoreError::Exists) => {
-                let path = hollyhook_platform::object_path(kind, name);
-                self.call(Method::PUT, &path, body, HOST_TIMEOUT).await.map(|_answer| ())
-            }
+    async fn write_own(&mut self, create: &str, replace: &str, body: Bytes) -> Result<(), StoreError> {
+        match self.call(Method::POST, create, body.clone(), HOST_TIMEOUT).await {
+            Err(StoreError::Exists) => self.call(Method::PUT, replace, body, HOST_TIMEOUT).await.map(|_answer| ()),
             outcome => outcome.map(|_answer| ()),
         }
     }
