Plain calls are drawn from the own zone first, and one of eight not by its connections

Two faults of the choice before many endpoints. 1. Four drawn from six zones together hold none of the own one half of the time, so half of all plain calls crossed zones, and were lost when one was cut: it holds only while a zone has one or two endpoints. Now four of the own zone are drawn and four of the others. 2. One choice of eight now does not look at connections.

--- a/crates/hollyhook_core/src/route/endpoint_choice.rs
+++ b/crates/hollyhook_core/src/route/endpoint_choice.rs
@@ -21,9 +21,13 @@
 /// Differences of cost below this, in requests a place, do not go before the order that all hosts share: about one
 /// generation, whose prompt delays the first event by less than reading this one again would.
 const HOME_SLACK: f64 = 0.12;
-/// Endpoints drawn at random, of which the best is taken. Two leave some full while others have places; all of them
-/// would send every host that has the same reports to the same one.
+/// Endpoints drawn at random from the own zone, and as many from the others, of which the best is taken. Two leave some full
+/// while others have places; all of them would send every host that has the same reports to the same one. Drawn from all zones
+/// together, half of the time none would be of the own one of six.
 const DRAWS: usize = 4;
+/// Of so many choices that prefer some endpoints, one does not: else a host would hear nothing of the others' load, and those
+/// that join would wait for work.
+const UNBOUND: u32 = 8;
 
 /// The choice among the endpoints that this host knows.
 impl EndpointTable {
@@ -150,13 +154,17 @@
         rng: &mut impl Rng,
     ) -> Option<&'t EndpointRecord> {
         let suspect = self.suspect_zones(now, query);
-        let is_preferred = |record: &EndpointRecord| query.preferred.contains(&record.id);
+        let is_drawn_only = query.preferred.is_empty() || rng.random_ratio(1, UNBOUND);
+        let is_preferred = |record: &EndpointRecord| !is_drawn_only && query.preferred.contains(&record.id);
         let cost = |record: &EndpointRecord| {
             let slack = if is_preferred(record) { HOME_SLACK } else { 0.0 };
             self.cost(now, record, query, &suspect) - slack
         };
         let preferred = pool.iter().copied().filter(|record| is_preferred(record));
-        let drawn = pool.choose_multiple(rng, DRAWS).copied().chain(preferred);
+        let (near, far): (Vec<_>, Vec<_>) = pool.iter().copied().partition(|record| record.zone == self.zone);
+        let near: Vec<_> = near.choose_multiple(rng, DRAWS).copied().collect();
+        let far = far.choose_multiple(rng, DRAWS).copied();
+        let drawn = near.into_iter().chain(far).chain(preferred);
         drawn.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
