A host takes a list of twice the largest fleet from another one

By arithmetic, before it was seen: an endpoint takes some 280 bytes in a message, so 10,000 are 2.8 MB, and from 15,000 on the answer of a host that tells all of them would have been cut off at 4 MB, and each host would have read the store again. 41,666 endpoints, the most that a link of 1 Gbit/s tells at once, are 11.7 MB, so the limit is 16 MB.

--- a/crates/hollyhook_gateway/src/net/kept_line.rs
+++ b/crates/hollyhook_gateway/src/net/kept_line.rs
@@ -12,8 +12,9 @@
 
 /// How long a connection may take; the store and other hosts answer within milliseconds from within the region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// The most bytes of one answer; the store states about 1 MB a page.
-const MOST_BYTES: usize = 4 << 20;
+/// The most bytes of one answer: the store states about 1 MB a page, and a host with a link of 1 Gbit/s tells some forty thousand
+/// endpoints at once, in up to 300 bytes each.
+const MOST_BYTES: usize = 16 << 20;
 
 /// Why a call gave nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
