--- a/crates/hollyhook_core/src/route/endpoint_choice.rs
+++ b/crates/hollyhook_core/src/route/endpoint_choice.rs
@@ -25,6 +25,8 @@
 /// while others have places; all of them would send every host that has the same reports to the same one. Drawn from all zones
 /// together, half of the time none would be of the own one of six.
 const DRAWS: usize = 4;
+/// By how many requests an endpoint that goes first may be busier than others.
+const PREFERRED_PLACES: f64 = 1.1;
 /// Of so many choices that prefer some endpoints, one does not: else a host would hear nothing of the others' load, and those
 /// that join would wait for work.
 const UNBOUND: u32 = 8;
@@ -157,7 +159,9 @@
         let is_drawn_only = query.preferred.is_empty() || rng.random_ratio(1, UNBOUND);
         let is_preferred = |record: &EndpointRecord| !is_drawn_only && query.preferred.contains(&record.id);
         let cost = |record: &EndpointRecord| {
-            let slack = if is_preferred(record) { HOME_SLACK } else { 0.0 };
+            let places = query.places.unwrap_or(record.load.capacity).max(1);
+            // Its last report counts the request that it came with.
+            let slack = if is_preferred(record) { PREFERRED_PLACES / f64::from(places) } else { 0.0 };
             self.cost(now, record, query, &suspect) - slack
         };
         let preferred = pool.iter().copied().filter(|record| is_preferred(record));
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -202,18 +202,16 @@
         None
     }
 
-    /// All objects as another host knows them; none if this host reads the store for others, or if that one can't tell.
+    /// The host to ask for all objects, of many pages; none if this host reads the store for others, or knows no other yet.
     ///
     /// Where hundreds of hosts read thousands of entries each, as after a loss of power of all, the store's one link is busy for
     /// minutes, and each page is a call.
-    async fn ask_whole(&mut self) -> Option<FeedNews<StoreObject>> {
+    async fn find_teller(&self) -> Option<RosterMember> {
         if self.kind != ObjectKind::Endpoint {
             return None;
         }
         self.context.wait_for_tellers().await;
-        let plan = self.plan();
-        let source = plan.sources().first().cloned()?;
-        self.ask_hosts(PeerRole::Teller, &[source]).await
+        self.plan().sources().first().cloned()
     }
 
     /// Takes in the era of the store that another host heard of.
@@ -350,10 +348,12 @@
             if let Some(PartTaker(take)) = self.part_taker.as_mut().filter(|_| self.heard_until == TimePoint::ZERO) {
                 take(&list.objects);
             }
-            if !std::mem::replace(&mut has_asked, true)
-                && let Some(news) = self.ask_whole().await
-            {
-                return Ok(news);
+            // Those who could tell may become known while the store is busy with the lists of all who start.
+            if !has_asked && let Some(teller) = self.find_teller().await {
+                has_asked = true;
+                if let Some(news) = self.ask_hosts(PeerRole::Teller, &[teller]).await {
+                    return Ok(news);
+                }
             }
         }
         let PageList { asked_at, objects, revision, .. } = list;
