In a zone with relays a host that starts asks for all endpoints before it reads any page

Cause: the first pages of 985 hosts (220 MB by arithmetic) held up the pages of the six readers, for whom all others waited.

Change: where the zone's hosts are so many that relays tell them, a host first waits for the list of hosts and asks the one that it follows; only then does it read pages. Zones of up to 26 hosts are as before, but for the list of hosts before the first page.

--- a/crates/hollyhook_core/src/feed/feed_roster.rs
+++ b/crates/hollyhook_core/src/feed/feed_roster.rs
@@ -202,6 +202,11 @@
         }
     }
 
+    /// Whether the zone is so large that leaders can't tell everyone.
+    pub fn has_relays(&self) -> bool {
+        self.relay_count() > 0
+    }
+
     /// Relays of the zone; none where leaders can tell everyone.
     fn relay_count(&self) -> usize {
         let told = self.members.len().saturating_sub(LEADERS);
--- a/crates/hollyhook_gateway/src/peer/feed_board.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_board.rs
@@ -76,6 +76,11 @@
         lock(&self.roster).plan(now)
     }
 
+    /// Whether the hosts of the zone are so many that some tell on what one reads.
+    pub(crate) fn has_relays(&self) -> bool {
+        lock(&self.roster).has_relays()
+    }
+
     /// Whom to ask when the store gives no answer.
     pub(crate) fn helpers(&self, now: TimePoint) -> Vec<RosterMember> {
         lock(&self.roster).helpers(now)
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -202,16 +202,26 @@
         None
     }
 
-    /// The host to ask for all objects, of many pages; none if this host reads the store for others, or knows no other yet.
+    /// Whether the hosts of the zone are so many that some tell on what one reads.
+    async fn has_relays(&self) -> bool {
+        if self.kind != ObjectKind::Endpoint {
+            return false;
+        }
+        self.context.wait_for_tellers().await;
+        self.context.feed.has_relays()
+    }
+
+    /// All objects, as the host knows them that this one follows; none if it reads the store for others, or if that one can't
+    /// tell.
     ///
     /// Where hundreds of hosts read thousands of entries each, as after a loss of power of all, the store's one link is busy for
     /// minutes, and each page is a call.
-    async fn find_teller(&self) -> Option<RosterMember> {
+    async fn ask_teller(&mut self) -> Option<FeedNews<StoreObject>> {
         if self.kind != ObjectKind::Endpoint {
             return None;
         }
-        self.context.wait_for_tellers().await;
-        self.plan().sources().first().cloned()
+        let teller = self.plan().sources().first().cloned()?;
+        self.ask_hosts(PeerRole::Teller, &[teller]).await
     }
 
     /// Takes in the era of the store that another host heard of.
@@ -325,7 +335,11 @@
         let begun = self.begun.take().filter(|list| asked_at.since(list.asked_at) < LIST_KEPT);
         let mut list = begun.unwrap_or_else(|| PageList::new(asked_at));
         let limit = self.contact.call_limit();
-        let mut has_asked = false;
+        // Where many hosts start at once, the first pages of all would hold up the list of the one that reads it for them.
+        let mut has_asked = list.after.is_none() && self.has_relays().await;
+        if has_asked && let Some(news) = self.ask_teller().await {
+            return Ok(news);
+        }
         loop {
             let (era, mut page) = match self.client.list_page(self.kind, list.after.as_deref(), limit).await {
                 Ok(answer) => answer,
@@ -349,9 +363,10 @@
                 take(&list.objects);
             }
             // Those who could tell may become known while the store is busy with the lists of all who start.
-            if !has_asked && let Some(teller) = self.find_teller().await {
-                has_asked = true;
-                if let Some(news) = self.ask_hosts(PeerRole::Teller, &[teller]).await {
+            if !has_asked {
+                self.context.wait_for_tellers().await;
+                has_asked = !self.plan().sources().is_empty();
+                if let Some(news) = self.ask_teller().await {
                     return Ok(news);
                 }
             }
