Reading whole lists has a file of its own; what another host tells is no answer of the store

One fault with it, found by reading: a first list that another host told was counted as an answer of the store, so that a host that starts in an outage would have taken the store for back, and the grace of entries that lapse in it would have begun too soon. It now counts as word of another host, as other news of theirs do. No test of its own.

--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -1,12 +1,12 @@
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hollyhook_core::{
     EraVerdict, FeedChange, FeedNews, FeedPlan, Name, PassReason, RosterMember, StoreContact, StoreRevision, TimePoint,
 };
-use hollyhook_platform::{JsonText, ObjectKind, StoreChange, StoreObject};
+use hollyhook_platform::{ObjectKind, StoreChange, StoreObject};
 
+use super::list_reading::{PartTaker, strip};
 use super::page_list::PageList;
 use super::{StoreClient, StoreError};
 use crate::gateway::GatewayContext;
@@ -19,31 +19,16 @@
 /// The pause after another host helped out; each try of the store in between is charged, and what is learnt so is that old.
 const HELP_PAUSE: Duration = Duration::from_millis(500);
 
-/// How long after its first page a list may go on that got no answer for a page; the store keeps what changed meanwhile for
-/// longer.
-const LIST_KEPT: Duration = Duration::from_secs(5);
-
 /// Endpoints above which a list is long: one of so many takes a few pages of the store, and the smallest host sends it in a
 /// quarter of a second.
 const LONG_LIST: usize = 1_000;
 
-/// Takes what is read of the first list before it is whole: the objects so far.
-struct PartTaker(Box<TakePart>);
-
-type TakePart = dyn FnMut(&[StoreObject]) + Send + Sync;
-
-impl fmt::Debug for PartTaker {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("PartTaker")
-    }
-}
-
 /// Follows one kind of object, from the store or from a host that reads it for others.
 #[derive(Debug)]
 pub(crate) struct FeedReader {
-    context: Arc<GatewayContext>,
-    kind: ObjectKind,
-    client: StoreClient,
+    pub(super) context: Arc<GatewayContext>,
+    pub(super) kind: ObjectKind,
+    pub(super) client: StoreClient,
     peers: PeerClient,
     /// How long one watch waits at a host that reads for itself.
     wait: Duration,
@@ -52,14 +37,14 @@
     /// The newest era in which news came.
     era: u64,
     /// Until when the last news were certain.
-    heard_until: TimePoint,
-    contact: StoreContact,
+    pub(super) heard_until: TimePoint,
+    pub(super) contact: StoreContact,
     /// When the first call began that the store did not answer; none while it answers.
     lost_at: Option<TimePoint>,
     /// A list of which a page got no answer.
-    begun: Option<PageList>,
+    pub(super) begun: Option<PageList>,
     /// Who is told of the first list page by page.
-    part_taker: Option<PartTaker>,
+    pub(super) part_taker: Option<PartTaker>,
     /// Whether the last news came from a host that was asked because the store gave no answer.
     is_helped: bool,
 }
@@ -178,7 +163,7 @@
     }
 
     /// What the first of these hosts knows that is of use; the others are passed over for a while.
-    async fn ask_hosts(&mut self, role: PeerRole, hosts: &[RosterMember]) -> Option<FeedNews<StoreObject>> {
+    pub(super) async fn ask_hosts(&mut self, role: PeerRole, hosts: &[RosterMember]) -> Option<FeedNews<StoreObject>> {
         for host in hosts {
             let question = PeerQuestion {
                 role,
@@ -202,28 +187,6 @@
         None
     }
 
-    /// Whether the hosts of the zone are so many that some tell on what one reads.
-    async fn has_relays(&self) -> bool {
-        if self.kind != ObjectKind::Endpoint {
-            return false;
-        }
-        self.context.wait_for_tellers().await;
-        self.context.feed.has_relays()
-    }
-
-    /// All objects, as the host knows them that this one follows; none if it reads the store for others, or if that one can't
-    /// tell.
-    ///
-    /// Where hundreds of hosts read thousands of entries each, as after a loss of power of all, the store's one link is busy for
-    /// minutes, and each page is a call.
-    async fn ask_teller(&mut self) -> Option<FeedNews<StoreObject>> {
-        if self.kind != ObjectKind::Endpoint {
-            return None;
-        }
-        let teller = self.plan().sources().first().cloned()?;
-        self.ask_hosts(PeerRole::Teller, &[teller]).await
-    }
-
     /// Takes in the era of the store that another host heard of.
     fn note_era(&self, host: &RosterMember, news: &FeedNews<StoreObject>) {
         let (before, era) = (self.context.feed.era(), news.revision.era);
@@ -271,16 +234,17 @@
             None => self.list(asked_at).await,
         };
         match &mut outcome {
+            // Another host told it, which says nothing of the store's way to this one.
+            Ok(news) if news.hops > 0 => self.contact.heard(self.context.timer.now()),
             Ok(news) => {
                 self.note_regained(asked_at);
                 let (now, bound) = (self.context.timer.now(), self.context.contact_bound());
                 let has_come_back = self.heard_until > TimePoint::ZERO && news.revision.era > self.era;
-                let back_at = if has_come_back {
+                news.back_at = if has_come_back {
                     Some(self.contact.came_back(now, bound))
                 } else {
                     self.contact.answered(now, bound)
                 };
-                news.back_at = news.back_at.max(back_at);
             }
             Err(StoreError::HistoryGone) => self.note_regained(asked_at),
             Err(error) => {
@@ -330,54 +294,6 @@
         let changes = changes.into_iter().map(|known| change(self.kind, known)).collect();
         Ok(FeedNews { is_whole: false, changes, revision, heard_until, back_at: None, hops: 0 })
     }
-
-    async fn list(&mut self, asked_at: TimePoint) -> Result<FeedNews<StoreObject>, StoreError> {
-        let begun = self.begun.take().filter(|list| asked_at.since(list.asked_at) < LIST_KEPT);
-        let mut list = begun.unwrap_or_else(|| PageList::new(asked_at));
-        let limit = self.contact.call_limit();
-        // Where many hosts start at once, the first pages of all would hold up the list of the one that reads it for them.
-        let mut has_asked = list.after.is_none() && self.has_relays().await;
-        if has_asked && let Some(news) = self.ask_teller().await {
-            return Ok(news);
-        }
-        loop {
-            let (era, mut page) = match self.client.list_page(self.kind, list.after.as_deref(), limit).await {
-                Ok(answer) => answer,
-                Err(error) => {
-                    self.begun = Some(list).filter(|_| matches!(error, StoreError::Away(_) | StoreError::Throttled));
-                    return Err(error);
-                }
-            };
-            page.objects = page.objects.into_iter().map(|object| strip(self.kind, object)).collect();
-            if !list.take(era, page) {
-                // The store came back from a copy between two pages; together they are the list of no moment.
-                return Err(StoreError::HistoryGone);
-            }
-            if list.after.is_none() {
-                break;
-            }
-            if self.heard_until == TimePoint::ZERO && self.part_taker.is_some() {
-                self.context.wait_for_site().await;
-            }
-            if let Some(PartTaker(take)) = self.part_taker.as_mut().filter(|_| self.heard_until == TimePoint::ZERO) {
-                take(&list.objects);
-            }
-            // Those who could tell may become known while the store is busy with the lists of all who start.
-            if !has_asked {
-                self.context.wait_for_tellers().await;
-                has_asked = !self.plan().sources().is_empty();
-                if let Some(news) = self.ask_teller().await {
-                    return Ok(news);
-                }
-            }
-        }
-        let PageList { asked_at, objects, revision, .. } = list;
-        let revision = revision.unwrap_or_default();
-        let present = objects.into_iter().filter(|object| !object.is_deleting);
-        let changes = present.map(|object| FeedChange { name: Name::clone(&object.name), object: Some(object) });
-        let changes = changes.collect();
-        Ok(FeedNews { is_whole: true, changes, revision, heard_until: asked_at, back_at: None, hops: 0 })
-    }
 }
 
 /// An object that is being deleted counts as gone.
@@ -386,11 +302,3 @@
     let is_gone = change.is_gone || change.object.is_deleting;
     FeedChange { name, object: (!is_gone).then(|| strip(kind, change.object)) }
 }
-
-/// What is kept of an object, and told to others.
-fn strip(kind: ObjectKind, object: StoreObject) -> StoreObject {
-    match kind {
-        ObjectKind::Endpoint => hollyhook_platform::strip_endpoint(object),
-        _ => StoreObject { status: JsonText::default(), ..object },
-    }
-}
--- a/crates/hollyhook_gateway/src/store/mod.rs
+++ b/crates/hollyhook_gateway/src/store/mod.rs
@@ -6,6 +6,7 @@
 
 mod endpoint_watch;
 mod feed_reader;
+mod list_reading;
 mod page_list;
 mod quarantine_writer;
 mod rollout_watch;
