--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -36,7 +36,7 @@
 const LISTING_WAIT: Duration = Duration::from_millis(1_200);
 /// The same before it reads the rest of a first list of many pages, with the first of which it serves. Where hundreds of hosts
 /// start at once, the store's link takes some seconds to tell all of them of each other.
-const TELLER_WAIT: Duration = Duration::from_secs(3);
+const FIRST_LIST_WAIT: Duration = Duration::from_secs(3);
 /// How often the first list of endpoints looks; callers wait for it, and both are read at the same time.
 const SITE_CHECK: Duration = Duration::from_millis(2);
 
@@ -180,8 +180,8 @@
     }
 
     /// Waits until the other hosts are listed, for longer: one of them may tell what would be read in many pages.
-    pub(crate) async fn wait_for_tellers(&self) {
-        self.wait_until(TimePoint::ZERO + TELLER_WAIT, START_CHECK, || !self.feed.is_listing()).await;
+    pub(crate) async fn wait_for_list_source(&self) {
+        self.wait_until(TimePoint::ZERO + FIRST_LIST_WAIT, START_CHECK, || !self.feed.is_listing()).await;
     }
 
     /// Waits until something holds, which is looked at so often, or the process is no longer new.
--- a/crates/hollyhook_gateway/src/peer/peer_client.rs
+++ b/crates/hollyhook_gateway/src/peer/peer_client.rs
@@ -16,7 +16,7 @@
     /// It tells this one what the store holds: it waits for changes if there are none.
     Source,
     /// It tells all objects to this one, which has just started, as soon as it knows them.
-    Teller,
+    ListSource,
     /// It reads the store for itself, which gives this host no answer: it answers at once.
     Helper,
 }
@@ -26,7 +26,7 @@
         match self {
             Self::Leader => timing.relay_wait(),
             Self::Source => timing.peer_wait(),
-            Self::Teller => timing.list_wait(),
+            Self::ListSource => timing.list_wait(),
             Self::Helper => Duration::ZERO,
         }
     }
@@ -34,7 +34,7 @@
     /// How long the answer may take.
     fn limit(self, timing: FeedTiming) -> Duration {
         match self {
-            Self::Teller => timing.list_limit(),
+            Self::ListSource => timing.list_limit(),
             Self::Leader | Self::Source | Self::Helper => timing.peer_limit(self.wait(timing)),
         }
     }
@@ -42,7 +42,7 @@
     fn is_too_old(self, timing: FeedTiming, message: &FeedMessage) -> bool {
         let age = Duration::from_millis(message.age_ms);
         match self {
-            Self::Leader | Self::Source | Self::Teller => timing.is_stale(age, message.hops),
+            Self::Leader | Self::Source | Self::ListSource => timing.is_stale(age, message.hops),
             Self::Helper => is_stale_help(age),
         }
     }
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -198,7 +198,7 @@
     fn pass_over(&self, role: PeerRole, host: &RosterMember, fault: PeerFault) {
         let now = self.context.timer.now();
         match role {
-            PeerRole::Leader | PeerRole::Source | PeerRole::Teller => {
+            PeerRole::Leader | PeerRole::Source | PeerRole::ListSource => {
                 tracing::info!(leader = %host.host, kind = self.kind.as_str(), reason = fault.why, "leader.passed_over");
                 self.context.board.count("leaders_passed_over");
                 self.context.feed.pass_over(now, &host.host, fault.reason);
--- a/crates/hollyhook_gateway/src/store/list_reading.rs
+++ b/crates/hollyhook_gateway/src/store/list_reading.rs
@@ -32,7 +32,7 @@
         let limit = self.contact.call_limit();
         // Where many hosts start at once, the first pages of all would hold up the list of the one that reads it for them.
         let mut has_asked = list.after.is_none() && self.has_relays().await;
-        if has_asked && let Some(news) = self.ask_teller().await {
+        if has_asked && let Some(news) = self.ask_list_source().await {
             return Ok(news);
         }
         loop {
@@ -54,9 +54,9 @@
             self.tell_part(&list).await;
             // Those who could tell may become known while the store is busy with the lists of all who start.
             if !has_asked {
-                self.context.wait_for_tellers().await;
+                self.context.wait_for_list_source().await;
                 has_asked = !self.plan().sources().is_empty();
-                if let Some(news) = self.ask_teller().await {
+                if let Some(news) = self.ask_list_source().await {
                     return Ok(news);
                 }
             }
@@ -80,7 +80,7 @@
         if self.kind != ObjectKind::Endpoint {
             return false;
         }
-        self.context.wait_for_tellers().await;
+        self.context.wait_for_list_source().await;
         self.context.feed.has_relays()
     }
 
@@ -89,12 +89,12 @@
     ///
     /// Where hundreds of hosts read thousands of entries each, as after a loss of power of all, the store's one link is busy for
     /// minutes, and each page is a call.
-    async fn ask_teller(&mut self) -> Option<FeedNews<StoreObject>> {
+    async fn ask_list_source(&mut self) -> Option<FeedNews<StoreObject>> {
         if self.kind != ObjectKind::Endpoint {
             return None;
         }
-        let teller = self.plan().sources().first().cloned()?;
-        self.ask_hosts(PeerRole::Teller, &[teller]).await
+        let source = self.plan().sources().first().cloned()?;
+        self.ask_hosts(PeerRole::ListSource, &[source]).await
     }
 }
 
