--- a/crates/hollyhook_core/src/route/endpoint_choice.rs
+++ b/crates/hollyhook_core/src/route/endpoint_choice.rs
@@ -23,7 +23,8 @@
 const HOME_SLACK: f64 = 0.12;
 /// Endpoints drawn at random from the own zone, and as many from the others, of which the best is taken. Two leave some full
 /// while others have places; all of them would send every host that has the same reports to the same one. Drawn from all zones
-/// together, half of the time none would be of the own one of six.
+/// together, half of the time none would be of the own one of six. Where the own zone has fewer, they are drawn from all together:
+/// one that just ended there would be met each time.
 const DRAWS: usize = 4;
 /// By how many requests an endpoint that goes first may be busier than others.
 const PREFERRED_PLACES: f64 = 1.1;
@@ -166,9 +167,13 @@
         };
         let preferred = pool.iter().copied().filter(|record| is_preferred(record));
         let (near, far): (Vec<_>, Vec<_>) = pool.iter().copied().partition(|record| record.zone == self.zone);
-        let near: Vec<_> = near.choose_multiple(rng, DRAWS).copied().collect();
-        let far = far.choose_multiple(rng, DRAWS).copied();
-        let drawn = near.into_iter().chain(far).chain(preferred);
+        let drawn: Vec<&EndpointRecord> = if near.len() >= DRAWS {
+            let near = near.choose_multiple(rng, DRAWS).copied().collect::<Vec<_>>();
+            near.into_iter().chain(far.choose_multiple(rng, DRAWS).copied()).collect()
+        } else {
+            pool.choose_multiple(rng, DRAWS).copied().collect()
+        };
+        let drawn = drawn.into_iter().chain(preferred);
         drawn.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
