--- a/crates/hollyhook_core/src/feed/feed_timing.rs
+++ b/crates/hollyhook_core/src/feed/feed_timing.rs
@@ -6,7 +6,7 @@
 const RELAY_WAIT: Duration = Duration::from_millis(300);
 /// How much longer an answer may take: hosts of a zone are a millisecond apart, with an eighth of a core each.
 const PEER_SLACK: Duration = Duration::from_millis(250);
-/// How long a host that starts waits for another one to read the store, whose link tells several zones' readers at once.
+/// How long a host that starts waits for another one to read the store, which starts at the same moment after a loss of all.
 const LIST_WAIT: Duration = Duration::from_millis(1_500);
 /// What a list of ten thousand endpoints takes on the link of a small host, and to be read with an eighth of a core.
 const LIST_TRANSFER: Duration = Duration::from_secs(2);
--- a/crates/hollyhook_core/src/route/endpoint_choice.rs
+++ b/crates/hollyhook_core/src/route/endpoint_choice.rs
@@ -22,9 +22,9 @@
 /// generation, whose prompt delays the first event by less than reading this one again would.
 const HOME_SLACK: f64 = 0.12;
 /// Endpoints drawn at random from the own zone, and as many from the others, of which the best is taken. Two leave some full
-/// while others have places; all of them would send every host that has the same reports to the same one. Drawn from all zones
-/// together, half of the time none would be of the own one of six. Where the own zone has fewer, they are drawn from all together:
-/// one that just ended there would be met each time.
+/// while others have places; all of them would send every host that has the same reports to the same one. Drawn from all of many
+/// zones together, often none would be of the own one. Where the own zone has fewer, they are drawn from all together: one that
+/// just ended there would be met each time.
 const DRAWS: usize = 4;
 /// By how many requests an endpoint that goes first may be busier than others.
 const PREFERRED_PLACES: f64 = 1.1;
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -176,12 +176,17 @@
     /// Waits until the other hosts are listed, for a while: most learn from these, and each watch before that is a call to the
     /// store more.
     pub(crate) async fn wait_for_hosts(&self) {
-        self.wait_until(TimePoint::ZERO + LISTING_WAIT, START_CHECK, || !self.feed.is_listing()).await;
+        self.wait_while_listing(LISTING_WAIT).await;
     }
 
     /// Waits until the other hosts are listed, for longer: one of them may tell what would be read in many pages.
     pub(crate) async fn wait_for_list_source(&self) {
-        self.wait_until(TimePoint::ZERO + FIRST_LIST_WAIT, START_CHECK, || !self.feed.is_listing()).await;
+        self.wait_while_listing(FIRST_LIST_WAIT).await;
+    }
+
+    /// Waits while the other hosts are being listed for the first time, until so long after the start of the process.
+    async fn wait_while_listing(&self, most: Duration) {
+        self.wait_until(TimePoint::ZERO + most, START_CHECK, || !self.feed.is_listing()).await;
     }
 
     /// Waits until something holds, which is looked at so often, or the process is no longer new.
