A gap behind events of the same read ends an attempt, not the stream

What callers saw: a stream whose engine skipped an event ended as whole if events before the gap were ready at the same read and the body ended there. Events 1 to 7 and 9 in one write: the caller got 1 to 7 and a proper end; 1 and 9: event 1 alone.

Cause: LiveAttempt delivered what stood before the gap, dropped the event behind it and remembered neither; an end of the body behind a whole event was taken for the end of the stream wherever the attempt stood. The same for ids that run backwards, a resumed attempt that ends before the caller's last event, events without a readable id, and a first event that is not the first. A stream without ids was begun again behind what its caller had. An id of u64::MAX overflowed.

Ruled out: events lost before an oversized one with the sizes that sockets give (they come in an earlier read; the property test has them in one); the daemon's relay, which handles one event at a time and whose end event names the count.

Change: EventReader in hollyhook_core reads one attempt, stays faulty from its first fault on, and believes an end only where the attempt stands at the caller's last event. Streams are numbered from their first event on, or not at all and then not resumed. A body that fails is pending once before it fails, since hyper drops what it has buffered with an error.

Why it holds: no event can be delivered past a fault, and Complete needs a reader without a fault at the caller's last event.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -57,7 +57,9 @@
     SiteConfig, SiteIndex, SiteState,
 };
 pub use stop::{StopPhase, StopPlan};
-pub use stream::{EventSequencer, EventSplitter, LivenessChecker, LivenessVerdict, RawEvent, SequenceVerdict};
+pub use stream::{
+    EventBatch, EventReader, EventSequencer, EventSplitter, LivenessChecker, LivenessVerdict, RawEvent, SequenceVerdict,
+};
 pub use terms::{AdvertisedTerms, RateShare, TermsTable};
 pub use time::TimePoint;
 pub use trace::{RelayTrace, TraceEnd, TraceLine, TraceOutcome, TraceReplay, TraceStart};
--- a/crates/hollyhook_core/src/stream/event_sequencer.rs
+++ b/crates/hollyhook_core/src/stream/event_sequencer.rs
@@ -7,14 +7,18 @@
     Deliver,
     /// The event is a duplicate of one that the caller has: drop it.
     Drop,
-    /// An event before this one is missing: abandon the attempt.
+    /// The event can't follow those that the caller has, most often because one before it is missing: abandon the
+    /// attempt.
     Gap,
 }
 
+/// The highest number that the first event of a stream may have.
+const MAX_FIRST_ID: u64 = 1;
+
 /// Delivers numbered events to one caller exactly once and in order, over all attempts at the stream.
 ///
-/// Event numbers increase by one. For a caller without a cursor, the first event of the first attempt sets the number
-/// to start from.
+/// Event numbers increase by one and count the events of the generation, from 0 or 1. If the first event has no number,
+/// no event of the stream may have one; such a stream can't be resumed.
 ///
 /// ```
 /// use hollyhook_core::{EventSequencer, RawEvent, SequenceVerdict};
@@ -40,12 +44,16 @@
 
     /// Classifies the next event of the current attempt, and records the event as delivered if it is to be.
     pub fn classify(&mut self, event: &RawEvent) -> SequenceVerdict {
+        if event.is_comment() {
+            // Before the first event a caller gets nothing, so that another attempt may still answer in another way.
+            return if self.delivered > 0 { SequenceVerdict::Deliver } else { SequenceVerdict::Drop };
+        }
         let verdict = match (event.id, self.last) {
-            // An event without a number can't be put in order; only an attempt that was never resumed may send one.
-            (None, _) | (Some(_), None) => SequenceVerdict::Deliver,
             (Some(id), Some(last)) if id <= last => SequenceVerdict::Drop,
             (Some(id), Some(last)) if id == last + 1 => SequenceVerdict::Deliver,
-            (Some(_), Some(_)) => SequenceVerdict::Gap,
+            (Some(id), None) if self.delivered == 0 && id <= MAX_FIRST_ID => SequenceVerdict::Deliver,
+            (None, None) => SequenceVerdict::Deliver,
+            _ => SequenceVerdict::Gap,
         };
         if verdict == SequenceVerdict::Deliver {
             self.delivered += 1;
@@ -54,6 +62,11 @@
         verdict
     }
 
+    /// Whether another attempt can continue the stream; not if the caller has events without numbers.
+    pub fn can_resume(&self) -> bool {
+        self.last.is_some() || self.delivered == 0
+    }
+
     /// The number of the last event that the caller has, if known.
     pub fn last(&self) -> Option<u64> {
         self.last
--- a/crates/hollyhook_core/src/stream/event_splitter.rs
+++ b/crates/hollyhook_core/src/stream/event_splitter.rs
@@ -12,6 +12,14 @@
     pub bytes: Bytes,
 }
 
+impl RawEvent {
+    /// Whether the event has no field, only comments, which keep a connection from being idle.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        self.id.is_none() && lines.all(|line| matches!(line, b"" | b"\r" | [b':', ..]))
+    }
+}
+
 /// Splits a byte stream into whole events and buffers the incomplete rest.
 ///
 /// ```
@@ -26,7 +34,9 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     bytes: BytesMut,
-    /// The number of leading bytes that are known to contain no end of an event.
+    /// Where the first line that is not known to be whole begins.
+    line_start: usize,
+    /// The number of leading bytes that have been searched for line ends.
     searched: usize,
 }
 
@@ -40,6 +50,7 @@
     pub fn next_event(&mut self) -> Option<RawEvent> {
         let end = self.find_end()?;
         let bytes = self.bytes.split_to(end).freeze();
+        self.line_start = 0;
         self.searched = 0;
         Some(RawEvent { id: find_id(&bytes), bytes })
     }
@@ -55,16 +66,16 @@
     }
 
     fn find_end(&mut self) -> Option<usize> {
-        let mut line_start = self.searched;
-        while let Some(length) = self.bytes[line_start..].iter().position(|byte| *byte == b'\n') {
-            let line = &self.bytes[line_start..line_start + length];
-            let next = line_start + length + 1;
+        while let Some(length) = self.bytes[self.searched..].iter().position(|byte| *byte == b'\n') {
+            let line_end = self.searched + length;
+            let line = &self.bytes[self.line_start..line_end];
             if matches!(line, b"" | b"\r") {
-                return Some(next);
+                return Some(line_end + 1);
             }
-            line_start = next;
+            self.line_start = line_end + 1;
+            self.searched = line_end + 1;
         }
-        self.searched = line_start;
+        self.searched = self.bytes.len();
         None
     }
 }
--- a/crates/hollyhook_core/src/stream/mod.rs
+++ b/crates/hollyhook_core/src/stream/mod.rs
@@ -1,9 +1,11 @@
 //! Relaying of event streams whose events are passed on unparsed.
 
+mod event_reader;
 mod event_sequencer;
 mod event_splitter;
 mod liveness_checker;
 
+pub use event_reader::{EventBatch, EventReader};
 pub use event_sequencer::{EventSequencer, SequenceVerdict};
 pub use event_splitter::{EventSplitter, RawEvent};
 pub use liveness_checker::{LivenessChecker, LivenessVerdict};
--- a/crates/hollyhook_core/tests/fuzz/main.rs
+++ b/crates/hollyhook_core/tests/fuzz/main.rs
@@ -12,3 +12,4 @@
 mod relay_simulation;
 mod route_fuzz;
 mod store_fuzz;
+mod stream_fuzz;
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::task;
 use bytes::Bytes;
 use futures::stream;
 use hollyhook_core::{
@@ -68,6 +69,10 @@
         Some(first) => Some(Ok(first)),
         None => state.run.next().await,
     };
+    if matches!(next, Some(Err(_))) {
+        // The connection sends what it has buffered only while the body is pending, and drops it after an error.
+        task::yield_now().await;
+    }
     next.map(|outcome| (outcome.map(Frame::data), state))
 }
 
@@ -197,7 +202,13 @@
         self.context.endpoints.record_outcome(id, Some(failure));
         request_log::attempt_failed(&self.context, &self.caller, id, failure, self.sequencer.last());
         self.tried.push(EndpointId::clone(id));
-        match end_attempt(&self.context, &self.caller, &mut self.ledger, failure) {
+        let reason = if self.sequencer.can_resume() {
+            end_attempt(&self.context, &self.caller, &mut self.ledger, failure)
+        } else {
+            self.ledger.record_failure(failure);
+            Some(StopReason::NotRepeatable)
+        };
+        match reason {
             Some(reason) => Err(self.stop_error(reason)),
             None => Ok(()),
         }
--- a/crates/hollyhook_gateway/src/forward/live_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -1,8 +1,7 @@
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use hollyhook_core::{AttemptFailure, EventSequencer, EventSplitter, SequenceVerdict, TimePoint};
+use hollyhook_core::{AttemptFailure, EventReader, EventSequencer, TimePoint};
 use http_body_util::BodyExt;
 
 use super::attempt::{EndpointSlot, OpenResponse};
@@ -28,7 +27,7 @@
     pub(super) slot: EndpointSlot,
     pub(super) response: OpenResponse,
     pub(super) replicator: Option<BackupReplicator>,
-    splitter: EventSplitter,
+    reader: EventReader,
     start: AttemptStart,
     first_event_at: Option<TimePoint>,
     last_event_at: Option<TimePoint>,
@@ -39,7 +38,7 @@
 pub(super) enum ReadResult {
     /// Whole events for the caller.
     Bytes(Bytes),
-    /// The response body ended after a whole event.
+    /// The response body ended, and the caller has the whole stream.
     Complete,
     /// The attempt failed and sends no more events.
     Failure(AttemptFailure),
@@ -56,7 +55,7 @@
             slot,
             response,
             replicator,
-            splitter: EventSplitter::default(),
+            reader: EventReader::default(),
             start,
             first_event_at: None,
             last_event_at: None,
@@ -86,19 +85,22 @@
             LivenessWatch::before_first(caller.head.prompt.unwrap_or_default().prompt_tokens)
         };
         loop {
-            if let Some(result) = self.drain_events(sequencer, context.timer.now()) {
-                return result;
+            if let Some(bytes) = self.take_events(sequencer, context.timer.now()) {
+                return ReadResult::Bytes(bytes);
+            }
+            if self.reader.is_faulty() {
+                return ReadResult::Failure(AttemptFailure::Garbled);
             }
             let limit = watch.limit(caller.time_left(context.timer.now()));
             match context.timer.within(limit, self.response.body.frame()).await {
                 Some(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
-                        self.splitter.feed(&data);
+                        self.reader.feed(&data);
                     }
                 }
                 Some(Some(Err(_error))) => return ReadResult::Failure(AttemptFailure::Broken),
-                Some(None) if self.splitter.has_partial_event() => return ReadResult::Failure(AttemptFailure::Garbled),
-                Some(None) => return ReadResult::Complete,
+                Some(None) if self.reader.has_whole_stream(sequencer) => return ReadResult::Complete,
+                Some(None) => return ReadResult::Failure(AttemptFailure::Garbled),
                 None => {
                     let delivered = self.delivered(sequencer);
                     if let Err(failure) = watch.check(context, caller, &self.slot.target, delivered).await {
@@ -121,33 +123,21 @@
     }
 
     /// Takes the buffered whole events and returns those that the caller does not have yet.
-    fn drain_events(&mut self, sequencer: &mut EventSequencer, now: TimePoint) -> Option<ReadResult> {
-        let mut ready = VecDeque::new();
-        while let Some(event) = self.splitter.next_event() {
+    fn take_events(&mut self, sequencer: &mut EventSequencer, now: TimePoint) -> Option<Bytes> {
+        let batch = self.reader.take_events(sequencer);
+        if batch.received > 0 {
             self.first_event_at.get_or_insert(now);
             self.last_event_at = Some(now);
-            self.events += 1;
-            match sequencer.classify(&event) {
-                SequenceVerdict::Deliver => ready.push_back(event.bytes),
-                SequenceVerdict::Drop => {}
-                SequenceVerdict::Gap if ready.is_empty() => {
-                    return Some(ReadResult::Failure(AttemptFailure::Garbled));
-                }
-                // The events before the gap are delivered first. The later events of this attempt are gaps too, so that
-                // the attempt fails at the next of them.
-                SequenceVerdict::Gap => break,
-            }
-        }
-        if self.splitter.is_oversized() {
-            return Some(ReadResult::Failure(AttemptFailure::Garbled));
+            self.events += batch.received;
         }
-        join(ready).map(ReadResult::Bytes)
+        join(batch.events)
     }
 }
 
-fn join(mut events: VecDeque<Bytes>) -> Option<Bytes> {
-    let first = events.pop_front()?;
-    if events.is_empty() {
+fn join(events: Vec<Bytes>) -> Option<Bytes> {
+    let mut events = events.into_iter();
+    let first = events.next()?;
+    if events.len() == 0 {
         return Some(first);
     }
     let mut joined = BytesMut::from(first);
