Reset the connection of a truncated response to an HTTP/1.0 caller

What callers saw: a stream that could not be resumed ended, for a caller of HTTP/1.0, with the end of its connection, as a whole one does.

Cause: without chunks and without a length only the end of the connection ends a response, and a body that failed closed it in the ordinary way.

Ruled out: HTTP/1.1, whose last chunk is missing then; the daemon, whose HTTP library takes no HTTP/1.0.

Change: the connection of such a caller ends with a reset if its response fails.

Evidence: gap_of_caller_without_chunks_reset failed before (a plain end) and passes after; caller_without_chunks_gets_whole_stream passed before and after.

--- a/crates/hollyhook_gateway/src/front/front_server.rs
+++ b/crates/hollyhook_gateway/src/front/front_server.rs
@@ -10,6 +10,7 @@
 use hollyhook_core::StopPhase;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use socket2::SockRef;
 
 use super::idle_watch::IdleWatch;
 use super::request_handler::handle;
@@ -50,6 +51,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let socket = stream.clone();
     let watch = Arc::new(IdleWatch::new(context.timer.now()));
     let service = service_fn(|request| {
         let (context, watch) = (Arc::clone(&context), Arc::clone(&watch));
@@ -62,7 +64,12 @@
     loop {
         let tick = pin!(context.timer.wait(WATCH_INTERVAL).fuse());
         match futures::future::select(connection.as_mut(), tick).await {
-            futures::future::Either::Left((_outcome, _)) => return,
+            futures::future::Either::Left((outcome, _)) => {
+                if outcome.is_err() && watch.is_ended_by_close() {
+                    reset_on_close(&socket);
+                }
+                return;
+            }
             futures::future::Either::Right(((), _)) => {}
         }
         let now = context.timer.now();
@@ -73,3 +80,10 @@
         }
     }
 }
+
+/// Makes the connection end with a reset, as a truncated response that ends with its connection would look complete.
+fn reset_on_close(socket: &TcpStream) {
+    if let Err(error) = SockRef::from(socket).set_linger(Some(Duration::ZERO)) {
+        tracing::warn!(%error, "caller.reset_failed");
+    }
+}
--- a/crates/hollyhook_gateway/src/front/request_handler.rs
+++ b/crates/hollyhook_gateway/src/front/request_handler.rs
@@ -2,7 +2,7 @@
 
 use hollyhook_core::StopPhase;
 use http::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -19,6 +19,9 @@
     watch: Arc<IdleWatch>,
 ) -> Response<ResponseBody> {
     watch.begin();
+    if request.version() < Version::HTTP_11 {
+        watch.mark_ended_by_close();
+    }
     let active = ActiveGuard { context: Arc::clone(context), watch };
     let (parts, body) = request.into_parts();
     // The parser removes a `Content-Length` next to `Transfer-Encoding: chunked` (RFC 9112, 6.3), so that it can't be
