Bound what a host holds for a stream whose caller does not read

What callers saw: nothing, while few of them paused. One paused stream took up to 12 MB of a host, so that eight would end a host of 88 MB with all its streams. slow_caller_slows_engine_and_gets_whole_stream was red for it in half of its runs on a busy machine.

Cause: no socket had a bound of its own. Socket queues while the caller pauses, on: 4.16 MB towards the caller in each run, and 1.96, 4.48 and 7.80 MB from the engine (events sent: fewer than 200, 203, 255); the kernel had let that receive buffer grow to 2.2, 5.0 and 8.0 MB. It grows with what is read in a round trip as the kernel sees it, which a busy machine stretches.

Ruled out: buffers of several attempts (one connection while the caller pauses); reading ahead in the process.

Change: a receive buffer of 128 KiB and a read buffer of 64 KiB on connections to endpoints; at most 64 KiB unsent in the kernel towards callers and endpoints. The same in the daemon. Gauge streams_waiting_for_callers.

Throughput over a link of 20 ms one way was not measured; by the buffer it is at least 3.2 MB a second from an endpoint.

Why it holds: each buffer on the way has a bound that does not depend on timing.

--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -26,7 +26,7 @@
 use super::request_log;
 use super::stream_timing::StreamTiming;
 use crate::front::{CallerRequest, ResponseBody};
-use crate::gateway::GatewayContext;
+use crate::gateway::{GatewayContext, StreamWaitGuard};
 
 /// Maximum number of attempts that engines reject, or that fail to connect, before the caller is told to retry later.
 const MAX_REJECTED: u32 = 4;
@@ -53,7 +53,7 @@
     remove_hop_headers(&mut parts.headers);
     // The length is that of one attempt, and the stream may resume at another engine.
     parts.headers.remove(CONTENT_LENGTH);
-    let state = StreamState { first: Some(first), run };
+    let state = StreamState { first: Some(first), run, waiting: None };
     let body = StreamBody::new(stream::unfold(state, next_frame)).boxed_unsync();
     Ok(Response::from_parts(parts, body))
 }
@@ -61,9 +61,12 @@
 struct StreamState {
     first: Option<Bytes>,
     run: StreamRun,
+    /// Present from when events are ready until the caller's connection asks for more.
+    waiting: Option<StreamWaitGuard>,
 }
 
 async fn next_frame(mut state: StreamState) -> Option<(Result<Frame<Bytes>>, StreamState)> {
+    state.waiting = None;
     let next = match state.first.take() {
         Some(first) if first.is_empty() => None,
         Some(first) => Some(Ok(first)),
@@ -73,6 +76,7 @@
         // The connection sends what it has buffered only while the body is pending, and drops it after an error.
         task::yield_now().await;
     }
+    state.waiting = Some(state.run.context.load.wait_for_caller());
     next.map(|outcome| (outcome.map(Frame::data), state))
 }
 
--- a/crates/hollyhook_gateway/src/front/front_server.rs
+++ b/crates/hollyhook_gateway/src/front/front_server.rs
@@ -8,6 +8,7 @@
 use async_std::task;
 use futures::FutureExt;
 use hollyhook_core::StopPhase;
+use hollyhook_wire::bound_caller_buffers;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use socket2::SockRef;
@@ -51,6 +52,9 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    if let Err(error) = bound_caller_buffers(&stream) {
+        tracing::debug!(%error, "caller.buffers_not_bounded");
+    }
     let socket = stream.clone();
     let watch = Arc::new(IdleWatch::new(context.timer.now()));
     let service = service_fn(|request| {
--- a/crates/hollyhook_gateway/src/front/status_server.rs
+++ b/crates/hollyhook_gateway/src/front/status_server.rs
@@ -50,11 +50,12 @@
     empty(if context.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
 }
 
-/// Responds with the counters and histograms.
+/// Responds with the counters, gauges and histograms.
 pub(crate) fn metrics_response(context: &GatewayContext, path: &str) -> Response<Full<Bytes>> {
     if path != METRICS_PATH {
         return empty(StatusCode::NOT_FOUND);
     }
+    context.recorder.set_gauge("streams_waiting_for_callers", context.load.waiting_streams() as u64);
     match context.recorder.to_text() {
         Ok(text) => {
             let mut response = Response::new(Full::from(text));
--- a/crates/hollyhook_gateway/src/gateway/request_load.rs
+++ b/crates/hollyhook_gateway/src/gateway/request_load.rs
@@ -1,12 +1,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// The number of requests that a host is processing, and the memory reserved for their bodies.
+/// The number of requests that a host is processing, the memory reserved for their bodies, and the number of streams that
+/// wait for their callers.
 #[derive(Debug)]
 pub(crate) struct RequestLoad {
     requests: AtomicUsize,
     body_bytes: AtomicUsize,
     body_limit: usize,
+    waiting_streams: AtomicUsize,
 }
 
 impl RequestLoad {
@@ -16,7 +18,8 @@
     /// An empty load, for a process that may use `memory_bytes` of memory in total.
     pub(crate) fn new(memory_bytes: usize) -> Self {
         // Bodies may use a quarter of the memory; the rest is for connections and data that is being sent.
-        Self { requests: AtomicUsize::new(0), body_bytes: AtomicUsize::new(0), body_limit: memory_bytes / 4 }
+        let body_limit = memory_bytes / 4;
+        Self { requests: 0.into(), body_bytes: 0.into(), body_limit, waiting_streams: 0.into() }
     }
 
     /// The number of requests that are being processed.
@@ -24,6 +27,17 @@
         self.requests.load(Ordering::Relaxed)
     }
 
+    /// The number of streams whose last events the caller's connection has not yet accepted.
+    pub(crate) fn waiting_streams(&self) -> usize {
+        self.waiting_streams.load(Ordering::Relaxed)
+    }
+
+    /// Counts a stream as waiting for its caller until the guard is dropped.
+    pub(crate) fn wait_for_caller(self: &Arc<Self>) -> StreamWaitGuard {
+        self.waiting_streams.fetch_add(1, Ordering::Relaxed);
+        StreamWaitGuard { load: Arc::clone(self) }
+    }
+
     /// Counts a request as being processed until the guard is dropped.
     pub(crate) fn begin(self: &Arc<Self>) -> RequestGuard {
         self.requests.fetch_add(1, Ordering::Relaxed);
@@ -48,6 +62,18 @@
     }
 }
 
+/// Counts a stream as waiting for its caller while it exists.
+#[derive(Debug)]
+pub(crate) struct StreamWaitGuard {
+    load: Arc<RequestLoad>,
+}
+
+impl Drop for StreamWaitGuard {
+    fn drop(&mut self) {
+        self.load.waiting_streams.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Memory that is reserved for a request body until the reservation is dropped.
 #[derive(Debug)]
 pub(crate) struct BodyReservation {
--- a/crates/hollyhook_gateway/src/net/persistent_client.rs
+++ b/crates/hollyhook_gateway/src/net/persistent_client.rs
@@ -16,6 +16,9 @@
 /// forty thousand endpoints at once, in up to 300 bytes each.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Size of the read buffer of a connection; a page fits in a few reads.
+const READ_BUFFER_BYTES: usize = 400 << 10;
+
 /// Why an HTTP exchange failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ExchangeError(pub(crate) &'static str);
@@ -81,8 +84,8 @@
     async fn connect(&self, address: SocketAddr) -> Result<ClientConnection, ExchangeError> {
         let stream = dial(&self.timer, address, CONNECT_TIMEOUT).await;
         let stream = stream.map_err(|_error| ExchangeError("connecting failed"))?;
-        let inner =
-            PooledConnection::start(stream).await.map_err(|_error| ExchangeError("the HTTP/1.1 handshake failed"))?;
+        let inner = PooledConnection::start(stream, READ_BUFFER_BYTES).await;
+        let inner = inner.map_err(|_error| ExchangeError("the HTTP/1.1 handshake failed"))?;
         Ok(ClientConnection { address, inner })
     }
 }
--- a/crates/hollyhook_gateway/src/pool/connection_pool.rs
+++ b/crates/hollyhook_gateway/src/pool/connection_pool.rs
@@ -5,6 +5,7 @@
 
 use hollyhook_core::EndpointId;
 use hollyhook_kernel::TimerService;
+use hollyhook_wire::bound_endpoint_buffers;
 use http::HeaderMap;
 use http::header::HeaderName;
 
@@ -20,6 +21,8 @@
 /// Maximum number of idle connections kept for one endpoint. Endpoints of the smallest services accept about a hundred
 /// connections from all hosts together.
 const MAX_IDLE_PER_ENDPOINT: usize = 6;
+/// Size of the read buffer of a connection to an endpoint, which is held while the caller does not read.
+const READ_BUFFER_BYTES: usize = 64 << 10;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Pool of idle connections, by the incarnation of the endpoint that they lead to.
@@ -57,7 +60,10 @@
     /// If the connection can't be established within `limit`, or the HTTP/1.1 handshake fails.
     pub(crate) async fn connect(&self, address: SocketAddr, limit: Duration) -> std::io::Result<PooledConnection> {
         let stream = dial(&self.timer, address, limit).await?;
-        PooledConnection::start(stream).await.map_err(std::io::Error::other)
+        if let Err(error) = bound_endpoint_buffers(stream.get_ref()) {
+            tracing::debug!(%address, %error, "endpoint.buffers_not_bounded");
+        }
+        PooledConnection::start(stream, READ_BUFFER_BYTES).await.map_err(std::io::Error::other)
     }
 
     /// Returns a connection to the pool for `keep`, or closes it if the pool of the endpoint is full.
--- a/crates/hollyhook_gateway/src/pool/pooled_connection.rs
+++ b/crates/hollyhook_gateway/src/pool/pooled_connection.rs
@@ -38,8 +38,12 @@
 
 impl PooledConnection {
     /// Performs the HTTP/1.1 handshake on a new connection and spawns the task that drives it.
-    pub(crate) async fn start(stream: Async<TcpStream>) -> hyper::Result<Self> {
-        let (sender, connection) = http1::handshake::<WireStream, Full<Bytes>>(wire_stream(stream)).await?;
+    ///
+    /// Up to `buffer_bytes` of a response are read ahead.
+    pub(crate) async fn start(stream: Async<TcpStream>, buffer_bytes: usize) -> hyper::Result<Self> {
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(buffer_bytes);
+        let (sender, connection) = builder.handshake::<WireStream, Full<Bytes>>(wire_stream(stream)).await?;
         let (driver, handle) = abortable(connection);
         task::spawn(async move {
             // A connection error is reported to the request that is waiting for a response.
--- a/crates/hollyhook_telemetry/src/metric/metric_recorder.rs
+++ b/crates/hollyhook_telemetry/src/metric/metric_recorder.rs
@@ -94,10 +94,11 @@
     pub(super) name: Name,
 }
 
-/// Records the counters and latency histograms of a process.
+/// Records the counters, gauges and latency histograms of a process.
 #[derive(Debug, Default)]
 pub struct MetricRecorder {
     counters: Mutex<BTreeMap<&'static str, u64>>,
+    gauges: Mutex<BTreeMap<&'static str, u64>>,
     histograms: Mutex<BTreeMap<HistogramKey, Histogram<u32>>>,
     statsd: Option<StatsdClient>,
 }
@@ -138,6 +139,16 @@
         }
     }
 
+    /// Sets the current value of a gauge, which [`to_text`](Self::to_text) contains.
+    pub fn set_gauge(&self, gauge: &'static str, value: u64) {
+        lock(&self.gauges).insert(gauge, value);
+    }
+
+    /// Returns the values of all gauges.
+    pub(super) fn gauges(&self) -> BTreeMap<&'static str, u64> {
+        lock(&self.gauges).clone()
+    }
+
     /// Sends the metrics buffered for statsd, which are otherwise sent only when they fill a datagram.
     pub fn flush(&self) {
         if let Some(statsd) = &self.statsd {
--- a/crates/hollyhook_telemetry/src/metric/metric_text.rs
+++ b/crates/hollyhook_telemetry/src/metric/metric_text.rs
@@ -19,7 +19,7 @@
 const MICROS_PER_SECOND: f64 = 1e6;
 
 impl MetricRecorder {
-    /// Encodes all counters and histograms, and the process's memory and processor time, in the Prometheus text format.
+    /// Encodes all counters, gauges and histograms, and the process's memory and processor time, in the Prometheus text format.
     ///
     /// # Errors
     ///
@@ -38,6 +38,7 @@
 #[derive(Debug)]
 struct MetricSnapshot {
     counters: Vec<(String, u64)>,
+    gauges: BTreeMap<&'static str, u64>,
     histograms: BTreeMap<MetricMeasure, Vec<HistogramSnapshot>>,
     usage: ProcessUsage,
 }
@@ -60,7 +61,7 @@
         recorder.visit_histograms(|key, histogram| {
             histograms.entry(key.measure).or_default().push(snapshot_histogram(key, histogram));
         });
-        Self { counters, histograms, usage: ProcessUsage::read() }
+        Self { counters, gauges: recorder.gauges(), histograms, usage: ProcessUsage::read() }
     }
 }
 
@@ -88,6 +89,10 @@
             let counter = ConstCounter::new(*value);
             counter.encode(encoder.encode_descriptor(name, "See docs/OPERATIONS.md", None, MetricType::Counter)?)?;
         }
+        for (name, value) in &self.gauges {
+            let gauge = ConstGauge::new(value.cast_signed());
+            gauge.encode(encoder.encode_descriptor(name, "See docs/OPERATIONS.md", None, MetricType::Gauge)?)?;
+        }
         for (measure, rows) in &self.histograms {
             let name = format!("{}_seconds", measure.label());
             let mut family = encoder.encode_descriptor(&name, "See docs/OPERATIONS.md", None, MetricType::Histogram)?;
--- a/crates/hollyhook_wire/src/http/http_client.rs
+++ b/crates/hollyhook_wire/src/http/http_client.rs
@@ -7,6 +7,8 @@
 use hollyhook_core::{Error, ErrorKind, Result};
 use http_types::{Request, Response};
 
+use super::bound_endpoint_buffers;
+
 /// An HTTP client that opens a new connection for each request.
 ///
 /// It never reuses a connection: on a reused one that has failed unnoticed, a request that was not sent could not be
@@ -34,6 +36,7 @@
         match select(connect, limit).await {
             Either::Left((Ok(stream), _)) => {
                 let _unsupported = stream.set_nodelay(true);
+                let _unsupported = bound_endpoint_buffers(&stream);
                 Ok(stream)
             }
             Either::Left((Err(error), _)) => Err(unreachable(&error.to_string())),
--- a/crates/hollyhook_wire/src/http/http_server.rs
+++ b/crates/hollyhook_wire/src/http/http_server.rs
@@ -12,6 +12,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 use super::ConnectionGate;
+use super::bound_caller_buffers;
 use super::limited_stream::{HeadOutcome, LimitedStream};
 use crate::api::ApiErrorBody;
 
@@ -143,6 +144,7 @@
         task::spawn(async move {
             // A token is a small write, which Nagle's algorithm would hold back to combine it with the next write.
             let _unsupported = stream.set_nodelay(true);
+            let _unsupported = bound_caller_buffers(&stream);
             if permit.is_none() {
                 let error = Error::new(ErrorKind::Overloaded, "this host has too many open connections")
                     .retry_after(Duration::from_secs(1));
--- a/crates/hollyhook_wire/src/lib.rs
+++ b/crates/hollyhook_wire/src/lib.rs
@@ -13,7 +13,8 @@
     EngineUsage, EngineWork, GenerationState, LOAD_HEADER, RequestLimits, StreamItem, StreamWriter, completion_body,
 };
 pub use http::{
-    BodySender, ClientResponse, ConnectionGate, HttpClient, HttpServer, ServerLimits, body_channel, listen, read_body,
+    BodySender, ClientResponse, ConnectionGate, HttpClient, HttpServer, ServerLimits, body_channel,
+    bound_caller_buffers, bound_endpoint_buffers, listen, read_body,
 };
 pub use peer::{
     CounterRow, EndpointRow, HistogramRow, HostReport, PeerCallsClient, PeerServer, StatusReport, connect_peer,
