Stop the daemon's write timer with each write that succeeds

What callers saw: one that reads steadily but slowly was cut off in the middle of its answer after the write timeout.

Cause: LimitedStream started the timer at the first blocked write and stopped it at a flush only; the HTTP library flushes once, at the end of a body. The timer measured the body, not the blocked write.

Ruled out: the read timer, which stops with each read; the gateway, which has no write timeout.

Change: a write that succeeds stops the timer.

--- a/crates/hollyhook_wire/src/http/limited_stream.rs
+++ b/crates/hollyhook_wire/src/http/limited_stream.rs
@@ -43,7 +43,7 @@
     write_timeout: Duration,
     /// Runs while a read is pending.
     read_timer: Option<Timer>,
-    /// Runs from the first pending write until the next flush.
+    /// Runs while a write is pending.
     write_timer: Option<Timer>,
 }
 
@@ -172,18 +172,18 @@
 impl Write for LimitedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        if let Poll::Ready(outcome) = Pin::new(&mut this.stream).poll_write(cx, buf) {
-            return Poll::Ready(outcome);
-        }
+        let outcome = Pin::new(&mut this.stream).poll_write(cx, buf);
         let mut state = this.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if outcome.is_ready() {
+            state.write_timer = None;
+            return outcome;
+        }
         let timeout = state.write_timeout;
         poll_timeout(&mut state.write_timer, timeout, cx)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        this.lock().write_timer = None;
-        Pin::new(&mut this.stream).poll_flush(cx)
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
     }
 
     fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- /dev/null
+++ b/crates/hollyhook_wire/tests/server/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the HTTP server over real sockets.
+
+mod slow_callers;
