Route to versions that were looked up, not around those that were not

Cause: the filter of a request named the unchecked versions among the endpoints known when it was made; an endpoint that was added before the choice was of none of them. check_versions runs after the endpoint is visible, too.

Ruled out: that the malformed order was taken for none (one request, not a share; such versions are blocked).

Change: the filter names the checked versions and allows no other. filter_version_added_later_not_allowed could not be written before: there was no such field.

--- a/crates/hollyhook_core/src/rollout/version_filter.rs
+++ b/crates/hollyhook_core/src/rollout/version_filter.rs
@@ -9,6 +9,8 @@
 pub struct VersionFilter {
     /// The only allowed version; `None` allows all versions.
     pub only: Option<Name>,
+    /// The versions that have been looked up among the roll-out orders; `None` allows others too.
+    pub checked: Option<BTreeSet<Name>>,
     /// The only allowed endpoints; `None` allows all endpoints of the allowed versions.
     pub endpoints: Option<BTreeSet<EndpointId>>,
     /// Versions that are not allowed.
@@ -42,7 +44,8 @@
     pub fn allows(&self, id: &EndpointId, version: &Name) -> bool {
         let is_only = self.only.as_ref().is_none_or(|only| only == version);
         let is_chosen = self.endpoints.as_ref().is_none_or(|endpoints| endpoints.contains(id));
-        is_only && is_chosen && !self.except.contains(version)
+        let is_checked = self.checked.as_ref().is_none_or(|checked| checked.contains(version));
+        is_only && is_checked && is_chosen && !self.except.contains(version)
     }
 
     /// Chooses the endpoints of the target that take part in its trial, the same at all hosts that know the same
--- a/crates/hollyhook_core/tests/gateway/rollouts.rs
+++ b/crates/hollyhook_core/tests/gateway/rollouts.rs
@@ -248,3 +248,14 @@
     assert_eq!(share(20_100), TargetShare::All);
     assert_eq!(share(60_000), TargetShare::Unrestricted);
 }
+
+/// A request whose filter was made before an endpoint of a new version was added does not reach that version.
+#[test]
+fn filter_version_added_later_not_allowed() {
+    let [checked, added] = ["v1", "v2"].map(Name::from);
+    let filter = VersionFilter { checked: Some([Name::clone(&checked)].into()), ..VersionFilter::any() };
+    let id = EndpointId::from("i-1");
+    assert!(filter.allows(&id, &checked));
+    assert!(!filter.allows(&id, &added));
+    assert!(VersionFilter::any().allows(&id, &added));
+}
--- a/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
+++ b/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
@@ -125,20 +125,23 @@
 
     /// Which versions a request may be routed to; `None` allows all versions.
     ///
+    /// It names the checked versions, not the unchecked ones: an endpoint of a new version may be added between this call
+    /// and the choice of an endpoint.
+    ///
     /// A small share of the requests is drawn at random for a version on trial, on their first attempt only
     /// (`is_first`): a request that is retried has already been delayed.
     pub(crate) fn version_filter(&self, service: &Name, is_first: bool) -> Option<VersionFilter> {
         let state = lock(&self.state);
         let exposure = state.exposure?;
-        let unchecked_versions = state.unchecked_versions.get(service).cloned();
+        let checked = state.checked_versions(service);
         let now = self.timer.now();
         let rollout = state.rollouts.get(service);
         let is_confirmed = state.confirmed.is_some_and(|at| now.since(at) <= MAX_CONFIRMATION_AGE);
         let target = rollout.map(|rollout| (Name::clone(&rollout.order.target), rollout.plan().share(now)));
         drop(state);
         let others = |version: Option<Name>| {
-            let except: BTreeSet<Name> = unchecked_versions.clone().into_iter().flatten().chain(version).collect();
-            (!except.is_empty()).then(|| VersionFilter { except, ..VersionFilter::any() })
+            let except = version.into_iter().collect();
+            Some(VersionFilter { checked: checked.clone(), except, ..VersionFilter::any() })
         };
         match target {
             None | Some((_, TargetShare::Unrestricted)) => others(None),
@@ -365,6 +368,13 @@
 }
 
 impl TrackerState {
+    /// The versions of a service that have been looked up; `None` before the first.
+    fn checked_versions(&self, service: &Name) -> Option<BTreeSet<Name>> {
+        let of_service = self.checked_versions.iter().filter(|(checked, _)| checked == service);
+        let versions: BTreeSet<Name> = of_service.map(|(_, version)| Name::clone(version)).collect();
+        (!versions.is_empty()).then_some(versions)
+    }
+
     /// Finds the unchecked versions of a service, given the number of endpoints of each version.
     fn check_service(&mut self, service: Name, versions: &BTreeMap<Name, usize>) {
         let is_checked =
