Pass on long plain answers at their caller's speed

What callers saw: nothing; a host held each plain answer whole until its caller had read it, whatever its length, so that a few paused callers of long answers would take a host's memory.

Cause: an answer is read to its end before its head is sent, so that another attempt can replace one that breaks off.

Change: that holds up to 256 KiB. Of a longer answer the rest is read while it is sent. If it breaks off then, its caller gets it visibly incomplete, and it is counted (responses_truncated). An error answer as long as that is passed on instead of tried elsewhere.

Evidence: long_answers_of_paused_callers_bounded, long_answer_broken_off_truncated, long_answer_without_length_relayed; all 166 tests of the gateway passed. The first was not run on the code before, which reads the whole body by its construction.

--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -288,7 +288,7 @@
                 self.live = Some(LiveAttempt::new(slot, response, replicator, start));
                 Ok(())
             }
-            AnswerVerdict::Pass if self.sequencer.delivered() == 0 => self.forward_buffered(&slot, response).await,
+            AnswerVerdict::Pass if self.sequencer.delivered() == 0 => self.forward_buffered(slot, response).await,
             AnswerVerdict::Pass | AnswerVerdict::PassOrRetry => Err(AttemptFailure::Failed),
             AnswerVerdict::Fail(failure) => Err(failure),
         }
@@ -305,13 +305,15 @@
         is_needed.then(|| BackupReplicator::start(&self.context, &self.caller, slot.target.clone(), first))
     }
 
-    /// Buffers a response that is not a stream, to be returned to the caller.
+    /// Takes a response that is not a stream, to be returned to the caller.
     async fn forward_buffered(
         &mut self,
-        slot: &EndpointSlot,
+        slot: EndpointSlot,
         response: OpenResponse,
     ) -> std::result::Result<(), AttemptFailure> {
-        self.plain_response = Some(response.read_to_end(&self.context, slot.id()).await?);
+        let mut response = response.read_for_caller(&self.context, &self.caller, slot.id()).await?;
+        response.hold_slot(slot);
+        self.plain_response = Some(response);
         Ok(())
     }
 
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -12,6 +12,7 @@
 mod liveness_watch;
 mod plain_call;
 mod request_log;
+mod response_rest;
 mod stream_timing;
 
 use std::sync::Arc;
@@ -31,7 +32,7 @@
     let outcome = if caller.route.kind.is_stream() {
         event_stream::forward_stream(context, caller).await
     } else {
-        plain_call::forward_call(context, &caller).await
+        plain_call::forward_call(context, &Arc::new(caller)).await
     };
     outcome.unwrap_or_else(|error| error_response(&error))
 }
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -35,7 +35,7 @@
 /// Forwards a plain call and returns the endpoint's response.
 pub(super) async fn forward_call(
     context: &Arc<GatewayContext>,
-    caller: &CallerRequest,
+    caller: &Arc<CallerRequest>,
 ) -> Result<Response<ResponseBody>> {
     let ledger = AttemptLedger::for_route(&caller.route, MAX_REJECTED);
     let mut run = CallRun { context, caller, tried: Vec::new(), ledger, fallback: None, last: CallTrace::default() };
@@ -59,7 +59,7 @@
 
 struct CallRun<'a> {
     context: &'a Arc<GatewayContext>,
-    caller: &'a CallerRequest,
+    caller: &'a Arc<CallerRequest>,
     tried: Vec<EndpointId>,
     ledger: AttemptLedger,
     fallback: Option<BufferedResponse>,
@@ -76,7 +76,10 @@
             self.last = CallTrace { endpoint: Some(EndpointId::clone(slot.id())), known_ms: slot.known_ms };
             let outcome = self.attempt(&slot).await;
             let failure = match outcome {
-                CallOutcome::Response(response) => return Ok(response.into_response()),
+                CallOutcome::Response(mut response) => {
+                    response.hold_slot(slot);
+                    return Ok(response.into_response());
+                }
                 CallOutcome::Fallback(response) => {
                     self.fallback = Some(response);
                     AttemptFailure::Failed
@@ -164,13 +167,14 @@
         if verdict == AnswerVerdict::Fail(AttemptFailure::Garbled) {
             return CallOutcome::Failure(AttemptFailure::Garbled);
         }
-        let buffered = match response.read_to_end(self.context, slot.id()).await {
+        let buffered = match response.read_for_caller(self.context, caller, slot.id()).await {
             Ok(buffered) => buffered,
             Err(failure) => return CallOutcome::Failure(failure),
         };
         match verdict {
             AnswerVerdict::Pass => CallOutcome::Response(buffered),
-            AnswerVerdict::PassOrRetry => CallOutcome::Fallback(buffered),
+            AnswerVerdict::PassOrRetry if buffered.is_whole() => CallOutcome::Fallback(buffered),
+            AnswerVerdict::PassOrRetry => CallOutcome::Response(buffered),
             AnswerVerdict::Fail(failure) => CallOutcome::Failure(failure),
         }
     }
