Cover all that changes an answer in a request's digest

What callers saw: a cursor or an idempotency key of one request was accepted with another that differed in temperature, seed, stop text and the like; the answer was that to the first.

Cause: the digest covered the call, the model, the number of tokens and the prompt.

Ruled out: the gateway's digest and the fingerprint of plain calls, which cover the body.

Change: the digest covers every field but stream, stream_options and user.

--- a/crates/hollyhook_daemon/src/front/generate.rs
+++ b/crates/hollyhook_daemon/src/front/generate.rs
@@ -109,7 +109,7 @@
         return Err(Error::new(ErrorKind::InvalidRequest, message).param("Last-Event-ID"));
     }
     let cursor = context.seal.open(&account.name, text, context.timer.unix_secs())?;
-    if cursor.request != caller.digest() {
+    if !caller.has_digest(cursor.request) {
         let message = "the cursor is of another request; send the request unchanged";
         return Err(Error::new(ErrorKind::CursorInvalid, message).param("Last-Event-ID"));
     }
--- a/crates/hollyhook_wire/src/api/caller_request.rs
+++ b/crates/hollyhook_wire/src/api/caller_request.rs
@@ -5,6 +5,9 @@
 /// The maximum number of output tokens of a request that does not set one.
 const DEFAULT_MAX_TOKENS: u64 = 256;
 
+/// Fields of a body that its digest does not cover: they do not change the answer, or are covered in another form.
+const UNCOVERED_FIELDS: [&str; 5] = ["stream", "stream_options", "user", "max_tokens", "max_completion_tokens"];
+
 /// Which of the API's two generation calls a request uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum ApiStyle {
@@ -118,22 +121,49 @@
         Err(Error::new(ErrorKind::ContextTooLong, message).param("max_tokens"))
     }
 
-    /// A digest of the call, the model, the maximum number of output tokens and the prompt.
+    /// A digest of all that can change the answer: the call and every field of the body, other than those that decide
+    /// only how the answer is sent or labelled.
     ///
-    /// It ties a cursor or an idempotency key to its request, so that neither can be used with a request that differs
-    /// in these.
+    /// It ties a cursor or an idempotency key to its request, so that neither can be used with a request that has
+    /// another answer.
     pub fn digest(&self) -> u64 {
+        let is_covered =
+            |(name, value): &(&String, &Value)| !value.is_null() && !UNCOVERED_FIELDS.contains(&name.as_str());
+        let fields: Vec<(&String, &Value)> = self.body.iter().filter(is_covered).collect();
+        let mut hash = Sha256::new();
+        hash.update(self.style.path());
+        hash.update(self.max_tokens.to_be_bytes());
+        for (name, value) in fields {
+            let field = format!("{}:{value}\n", Value::from(name.as_str()));
+            hash.update(field);
+        }
+        first_bits(hash)
+    }
+
+    /// Whether a digest, as a cursor holds it, is of this request.
+    ///
+    /// Cursors of the version before, whose digest covered the call, the model, the maximum number of output tokens and
+    /// the prompt, stay valid until they are too old.
+    pub fn has_digest(&self, digest: u64) -> bool {
+        digest == self.digest() || digest == self.earlier_digest()
+    }
+
+    fn earlier_digest(&self) -> u64 {
         let mut hash = Sha256::new();
         hash.update(self.style.path());
         hash.update(&*self.model);
         hash.update(self.max_tokens.to_be_bytes());
         hash.update(&self.prompt);
-        let mut bytes = [0; 8];
-        bytes.copy_from_slice(&hash.finalize()[..8]);
-        u64::from_be_bytes(bytes)
+        first_bits(hash)
     }
 }
 
+fn first_bits(hash: Sha256) -> u64 {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&hash.finalize()[..8]);
+    u64::from_be_bytes(bytes)
+}
+
 /// Reads typed fields of a JSON object; a null field counts as absent.
 struct FieldReader<'a> {
     body: &'a Map<String, Value>,
