Wait for room when a shard has none for a call's release or answer

What callers saw: while the platform answers slowly, a key could stay claimed for key_age after a call that was not run, or whose answer had come.

Cause: releases and answers were sent to the shard's queue without waiting, and dropped if it was full; neither counted nor logged.

Ruled out: claims, which a full queue refuses as not run.

Change: Mailbox::post_or_wait, whose message waits in a task for room; counter claim_outcome_waited.

Not run: a platform that stalls with 1,024 commands before one shard.

--- a/crates/hollyhook_daemon/src/call/claim_service.rs
+++ b/crates/hollyhook_daemon/src/call/claim_service.rs
@@ -8,7 +8,7 @@
     ClaimAction, ClaimAnswer, ClaimCommand, ClaimEvent, ClaimLedger, ClaimPolicy, ClaimRecord, ClaimRefusal,
     ClaimShard, ClaimVerdict, Error, ErrorKind, Name, Result, TimePoint,
 };
-use hollyhook_kernel::TimerService;
+use hollyhook_kernel::{Mailbox, TimerService};
 use hollyhook_wire::{ObjectVersion, PlatformClient, PlatformError, WriteCondition};
 use sha2::{Digest, Sha256};
 
@@ -49,7 +49,8 @@
 /// host has written the object since it was read.
 #[derive(Debug)]
 pub(crate) struct ClaimService {
-    shards: Vec<Sender<ShardCommand>>,
+    shards: Vec<Mailbox<ShardCommand>>,
+    recorder: Arc<MetricRecorder>,
     timer: TimerService,
 }
 
@@ -65,20 +66,21 @@
         key_age: Duration,
     ) -> Self {
         let shards = (0..SHARD_COUNT).map(|shard| {
-            let (sender, commands) = async_channel::bounded(QUEUE_CAPACITY);
+            let name = format!("shard-{shard:02}");
+            let (mailbox, commands) = Mailbox::bounded(&*name, QUEUE_CAPACITY);
             let worker = ShardWorker {
                 platform: platform.cloned(),
                 recorder: Arc::clone(recorder),
                 timer: timer.clone(),
-                name: format!("shard-{shard:02}"),
+                name,
                 shard: ClaimShard::new(ClaimPolicy { key_age, ..ClaimPolicy::default() }),
                 replies: BTreeMap::new(),
                 timer_due: None,
             };
             task::spawn(worker.run(commands));
-            sender
+            mailbox
         });
-        Self { shards: shards.collect(), timer: timer.clone() }
+        Self { shards: shards.collect(), recorder: Arc::clone(recorder), timer: timer.clone() }
     }
 
     /// Claims a key for a call.
@@ -91,7 +93,7 @@
         let (sender, reply) = async_channel::bounded(1);
         let shard = self.shard_of(&record);
         let command = ShardCommand { command: ClaimCommand::Claim(record), reply: Some(sender) };
-        shard.try_send(command).map_err(|_full| overloaded_error("too many claims wait"))?;
+        shard.post(command).map_err(|_full| overloaded_error("too many claims wait"))?;
         reply.recv().await.map_err(|_closed| overloaded_error("the host is stopping"))?
     }
 
@@ -115,17 +117,24 @@
             return;
         };
         record.answer = Some(ClaimAnswer { status, content_type: content_type.into(), body: body.into() });
-        let _dropped =
-            self.shard_of(&record).try_send(ShardCommand { command: ClaimCommand::Answer(record), reply: None });
+        let shard = self.shard_of(&record);
+        self.post_outcome(shard, ClaimCommand::Answer(record));
     }
 
     /// Releases the key of a call that certainly was not sent.
     pub(crate) fn release(&self, record: ClaimRecord) {
-        let _dropped =
-            self.shard_of(&record).try_send(ShardCommand { command: ClaimCommand::Release(record), reply: None });
+        let shard = self.shard_of(&record);
+        self.post_outcome(shard, ClaimCommand::Release(record));
+    }
+
+    /// Sends a command of a call that has ended. If it were lost, the key would stay claimed without an answer.
+    fn post_outcome(&self, shard: &Mailbox<ShardCommand>, command: ClaimCommand) {
+        if !shard.post_or_wait(ShardCommand { command, reply: None }) {
+            self.recorder.count("claim_outcome_waited");
+        }
     }
 
-    fn shard_of(&self, record: &ClaimRecord) -> &Sender<ShardCommand> {
+    fn shard_of(&self, record: &ClaimRecord) -> &Mailbox<ShardCommand> {
         let first = record.key.bytes().next().unwrap_or_default();
         let digit = char::from(first).to_digit(16).unwrap_or_default();
         &self.shards[digit as usize % self.shards.len()]
--- a/crates/hollyhook_kernel/src/registry/mailbox.rs
+++ b/crates/hollyhook_kernel/src/registry/mailbox.rs
@@ -1,4 +1,5 @@
 use async_channel::{Receiver, Sender, TrySendError};
+use async_std::task;
 use hollyhook_core::{Error, ErrorKind, Name};
 
 /// The sending end of a bounded channel of messages to a service.
@@ -31,6 +32,23 @@
     }
 }
 
+impl<M: Send + 'static> Mailbox<M> {
+    /// Sends a message that must not be lost; if the mailbox is full, a task waits for room.
+    ///
+    /// Returns whether there was room at once. The number of messages that wait is for the sender to bound.
+    pub fn post_or_wait(&self, message: M) -> bool {
+        let Err(TrySendError::Full(message)) = self.sender.try_send(message) else {
+            return true;
+        };
+        let sender = self.sender.clone();
+        task::spawn(async move {
+            // The service drops its receiver only when the process ends.
+            let _closed = sender.send(message).await;
+        });
+        false
+    }
+}
+
 impl<M> Clone for Mailbox<M> {
     fn clone(&self) -> Self {
         Self { name: Name::clone(&self.name), sender: self.sender.clone() }
