Serve calls elsewhere if a version on trial has no room for them

What callers saw: plain calls drawn for a version on trial were refused with 503 while its endpoints paused, beside old endpoints with room.

Cause: a plain call had no second choice; that of streams asked for the same filter again while all requests move.

Ruled out: endpoints that are full: they still get a call if the filter leaves no other (a test with them passed before, through trial and move; not kept).

Change: without an endpoint that admits a request, any looked up version but one on trial is allowed.

The streams' second choice is by reading.

--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -232,9 +232,9 @@
                 EngineChooser { context: &self.context, caller: &self.caller, tried: &self.tried, versions: &filter };
             let mut choice = chooser.choose(resume_from).await;
             if choice.is_err() && filter.only.is_some() {
-                // If the few endpoints of the version on trial are full, the request is not refused, but placed at an
-                // endpoint of another version.
-                let filter = self.context.rollouts.version_filter(&self.caller.service, false).unwrap_or_default();
+                // If the endpoints of the target version are full, the request is not refused, but placed at an endpoint
+                // of another version.
+                let filter = self.context.rollouts.fallback_filter(&self.caller.service).unwrap_or_default();
                 choice = EngineChooser { versions: &filter, ..chooser }.choose(None).await;
             }
             let choice = choice.map_err(|failure| {
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -113,6 +113,11 @@
         let query = RouteQuery::new(&self.caller.service).avoid(&self.tried).versions(&filter);
         let idle = self.context.pool.idle_for(Duration::ZERO);
         let query = query.repeatable(self.caller.route.is_retryable()).prefer(&idle);
+        if let Some(slot) = EndpointSlot::reserve_any(self.context, &query) {
+            return Ok(slot);
+        }
+        let fallback = self.context.rollouts.fallback_filter(&self.caller.service).unwrap_or_default();
+        let query = query.versions(&fallback);
         EndpointSlot::reserve_any(self.context, &query).ok_or_else(|| self.context.endpoints.routing_failure(&query))
     }
 
@@ -172,9 +177,8 @@
             Err(failure) => return CallOutcome::Failure(failure),
         };
         match verdict {
-            AnswerVerdict::Pass => CallOutcome::Response(buffered),
             AnswerVerdict::PassOrRetry if buffered.is_whole() => CallOutcome::Fallback(buffered),
-            AnswerVerdict::PassOrRetry => CallOutcome::Response(buffered),
+            AnswerVerdict::Pass | AnswerVerdict::PassOrRetry => CallOutcome::Response(buffered),
             AnswerVerdict::Fail(failure) => CallOutcome::Failure(failure),
         }
     }
--- a/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
+++ b/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
@@ -161,6 +161,22 @@
         }
     }
 
+    /// Which versions a request may be routed to if no endpoint that [`version_filter`](Self::version_filter) allows
+    /// admits it; `None` allows all versions.
+    ///
+    /// A version on trial is left out: its share is drawn, not filled up with what has no room elsewhere.
+    pub(crate) fn fallback_filter(&self, service: &Name) -> Option<VersionFilter> {
+        let state = lock(&self.state);
+        state.exposure?;
+        let now = self.timer.now();
+        let target = state.rollouts.get(service).map(|rollout| (&rollout.order.target, rollout.plan().share(now)));
+        let except = match target {
+            Some((version, TargetShare::Trial | TargetShare::None)) => BTreeSet::from([Name::clone(version)]),
+            Some((_, TargetShare::All | TargetShare::Unrestricted)) | None => BTreeSet::new(),
+        };
+        Some(VersionFilter { checked: state.checked_versions(service), except, ..VersionFilter::any() })
+    }
+
     /// Draws a request for the version on trial; `None` if it is not drawn, or the version has no live endpoint.
     fn draw_trial(&self, service: &Name, version: &Name, share: f64) -> Option<VersionFilter> {
         if !rand::rng().random_bool(share.clamp(0.0, 1.0)) {
