Keep the numbers of a host's attempts below its successor's

What callers saw: after several long losses a host that was paused and woke could cancel the work of the host that had taken the generation over.

Cause: a successor's numbers begin 64 on, while connections that nobody accepts, some forty a loss, count without a bound over several losses.

Ruled out: max_attempts, which bounds accepted attempts only.

Change: 65,536 numbers a host, and no attempt beyond them.

--- a/crates/hollyhook_core/src/generation/generation_id.rs
+++ b/crates/hollyhook_core/src/generation/generation_id.rs
@@ -75,6 +75,9 @@
     }
 }
 
+/// Maximum number of attempts that one host makes at a generation.
+const ATTEMPTS_PER_HOST: u32 = 1 << 16;
+
 /// The number of an attempt at one generation, counted across all hosts that have relayed it; the first is 1.
 ///
 /// An endpoint sends the output only to the attempt with the highest number.
@@ -98,12 +101,16 @@
 
     /// The number of the first attempt on a host that takes the generation over from the host of this attempt.
     ///
-    /// The step is larger than the number of attempts that one host makes, so that a host that was paused and
-    /// recovers can't reuse a number of its successor, and its cancellations can't stop the successor's work.
+    /// One host makes no more attempts than the step, so that a host that was paused and recovers can't reuse a number
+    /// of its successor, and its cancellations can't stop the successor's work.
     #[must_use]
     pub const fn takeover(self) -> Self {
-        const STEP: u32 = 64;
-        Self(self.0 + STEP)
+        Self(self.0.saturating_add(ATTEMPTS_PER_HOST))
+    }
+
+    /// Whether the host whose first attempt is `first` may make this one.
+    pub const fn is_of_host(self, first: Self) -> bool {
+        self.0 - first.0 < ATTEMPTS_PER_HOST
     }
 
     /// The attempt number as an integer.
--- a/crates/hollyhook_core/src/generation/generation_relay/mod.rs
+++ b/crates/hollyhook_core/src/generation/generation_relay/mod.rs
@@ -18,6 +18,8 @@
     policy: RelayPolicy,
     phase: RelayPhase,
     attempt: AttemptNumber,
+    /// The first attempt of this host.
+    first_attempt: AttemptNumber,
     /// Attempts that count towards `max_attempts` of the policy.
     attempts: u32,
     /// Attempts that no endpoint accepted since the last token.
@@ -53,6 +55,7 @@
             policy,
             phase: RelayPhase::Idle,
             attempt: AttemptNumber::FIRST,
+            first_attempt: AttemptNumber::FIRST,
             attempts: 0,
             unaccepted: 0,
             search_rounds: 0,
@@ -88,6 +91,7 @@
     ) -> Self {
         self.endpoint = endpoint;
         self.attempt = attempt;
+        self.first_attempt = attempt;
         self.log_start = delivered;
         self.received = delivered;
         self.delivered = delivered;
--- a/crates/hollyhook_core/src/generation/generation_relay/search.rs
+++ b/crates/hollyhook_core/src/generation/generation_relay/search.rs
@@ -91,7 +91,9 @@
     ///
     /// After a loss, only the resume window limits such attempts, since they cost the endpoints no work.
     pub(super) fn not_accepted(&mut self, now: TimePoint) {
-        self.attempt = self.attempt.next();
+        if !self.advance_attempt() {
+            return;
+        }
         self.unaccepted += 1;
         match self.lost_at {
             None if self.unaccepted >= self.policy.max_attempts => self.fail(ErrorKind::NoEndpoint),
@@ -107,7 +109,17 @@
             return false;
         }
         self.attempts += 1;
-        self.attempt = self.attempt.next();
+        self.advance_attempt()
+    }
+
+    /// Advances to the next number, or fails the generation and returns false if the number belongs to another host.
+    fn advance_attempt(&mut self) -> bool {
+        let next = self.attempt.next();
+        if !next.is_of_host(self.first_attempt) {
+            self.fail(ErrorKind::GenerationLost);
+            return false;
+        }
+        self.attempt = next;
         true
     }
 }
--- a/crates/hollyhook_core/tests/fuzz/relay_cases.rs
+++ b/crates/hollyhook_core/tests/fuzz/relay_cases.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    AttemptNumber, EndReason, EndpointId, ErrorKind, GenerationRelay, ProbeReport, RelayAction, RelayEvent,
+    AttemptNumber, EndReason, EndpointId, ErrorKind, GenerationRelay, ProbeReport, RelayAction, RelayEvent, RelayPhase,
     RelayPolicy, StreamTimeouts, TimePoint,
 };
 
@@ -83,3 +83,41 @@
     assert_eq!(at, TimePoint::from_millis(1), "the error was delayed");
     assert!(open_count <= 8);
 }
+
+/// However long its endpoints refuse, a host uses no attempt number of the host that takes the generation over.
+#[test]
+fn attempts_below_successor() {
+    let policy = RelayPolicy {
+        search_interval: Duration::ZERO,
+        ..RelayPolicy::favour_latency().resume_window(Duration::from_hours(1))
+    };
+    let mut relay = GenerationRelay::new(policy);
+    let now = TimePoint::from_millis(1);
+    let successor = AttemptNumber::FIRST.takeover();
+    let mut queue = vec![RelayEvent::Started];
+    let mut is_first = true;
+    while let Some(event) = queue.pop() {
+        for action in relay.on(now, event) {
+            match action {
+                RelayAction::Assign { attempt, .. } => {
+                    assert!(attempt < successor, "{attempt} is the number of a successor, {successor} its first");
+                    queue.push(RelayEvent::Assigned { attempt, endpoint: EndpointId::from("e") });
+                }
+                RelayAction::Open { attempt, .. } => {
+                    queue.extend(open_result(attempt, false, std::mem::take(&mut is_first)));
+                }
+                RelayAction::Probe { attempt, .. } => {
+                    queue.push(RelayEvent::Probed { attempt, report: ProbeReport::Dead });
+                }
+                RelayAction::SetTimer { .. } if relay.phase() == RelayPhase::BackingOff => {
+                    queue.push(RelayEvent::TimerFired { timeouts: TIMEOUTS });
+                }
+                RelayAction::Fail { kind, delivered } => {
+                    return assert_eq!((kind, delivered), (ErrorKind::GenerationLost, 1));
+                }
+                _ => {}
+            }
+        }
+    }
+    panic!("the relay waits for nothing");
+}
