Probe an endpoint that is slow to accept an attach before leaving it

What callers saw: one who came back while the endpoint was slow to accept waited for the whole generation to be done again; the work that the endpoint held was cancelled.

Cause: a connection that is not accepted in time counted as one without work behind it, also when it attaches to work.

Ruled out: a probe for every slow open: a new attempt has no work that could be saved.

Evidence: slow_attach_probed (cancelled at once) and slow_attach_without_work_left (no probe) failed before and pass after, with all tests of the core.

--- a/crates/hollyhook_core/src/generation/generation_relay/loss.rs
+++ b/crates/hollyhook_core/src/generation/generation_relay/loss.rs
@@ -109,8 +109,13 @@
             return self.actions.push(RelayAction::SetTimer { at: suspected_at });
         }
         if !self.is_accepted {
-            // No probe: an endpoint that has not accepted the attempt has done no work for it that could be saved.
             self.count(RelayCounter::OpenTimedOut);
+            if self.is_attach {
+                // The endpoint may still hold the work, which would be done again elsewhere.
+                self.mark_lost(now);
+                return self.probe(now, self.policy.probe_timeout);
+            }
+            // No probe: an endpoint that has not accepted the attempt has done no work for it that could be saved.
             return self.fail_over(now, true);
         }
         self.count(RelayCounter::SilenceSuspected);
--- a/crates/hollyhook_core/src/generation/generation_relay/mod.rs
+++ b/crates/hollyhook_core/src/generation/generation_relay/mod.rs
@@ -42,6 +42,8 @@
     /// When the current attempt was opened or sent a new token.
     last_progress: TimePoint,
     is_accepted: bool,
+    /// Whether the current attempt attaches to work that its endpoint holds.
+    is_attach: bool,
     has_token: bool,
     /// When the current attempt or an earlier one was lost, if no token has followed since.
     lost_at: Option<TimePoint>,
@@ -70,6 +72,7 @@
             last_activity: TimePoint::ZERO,
             last_progress: TimePoint::ZERO,
             is_accepted: false,
+            is_attach: false,
             has_token: false,
             lost_at: None,
             actions: Vec::new(),
--- a/crates/hollyhook_core/src/generation/generation_relay/search.rs
+++ b/crates/hollyhook_core/src/generation/generation_relay/search.rs
@@ -51,6 +51,7 @@
         self.phase = RelayPhase::Streaming;
         self.has_token = false;
         self.is_accepted = false;
+        self.is_attach = matches!(mode, OpenMode::Attach { .. });
         self.last_activity = now;
         self.last_progress = now;
         self.endpoint = Some(EndpointId::clone(&endpoint));
--- a/crates/hollyhook_core/tests/fuzz/relay_cases.rs
+++ b/crates/hollyhook_core/tests/fuzz/relay_cases.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    AttemptNumber, EndReason, EndpointId, ErrorKind, GenerationRelay, ProbeReport, RelayAction, RelayEvent, RelayPhase,
-    RelayPolicy, StreamTimeouts, TimePoint,
+    AttemptNumber, EndReason, EndpointId, ErrorKind, GenerationRelay, OpenMode, PrefixDigest, ProbeReport, RelayAction,
+    RelayEvent, RelayPhase, RelayPolicy, StreamTimeouts, TimePoint,
 };
 
 const TIMEOUTS: StreamTimeouts =
@@ -121,3 +121,39 @@
     }
     panic!("the relay waits for nothing");
 }
+
+/// An endpoint that holds the work, but is slow to accept the connection that attaches to it, is probed before the work
+/// is given up.
+#[test]
+fn slow_attach_probed() {
+    let policy = RelayPolicy::favour_latency();
+    let (endpoint, attempt) = (EndpointId::from("e"), AttemptNumber::new(70));
+    let mut relay =
+        GenerationRelay::new(policy.clone()).taken_over(Some(endpoint), attempt, 3, PrefixDigest::default());
+    let mut now = TimePoint::from_millis(1);
+    relay.on(now, RelayEvent::Started);
+    now = now + policy.open_timeout;
+    let actions = relay.on(now, RelayEvent::TimerFired { timeouts: TIMEOUTS });
+    assert!(actions.iter().any(|action| matches!(action, RelayAction::Probe { .. })), "{actions:?}");
+    assert!(!actions.iter().any(|action| matches!(action, RelayAction::Cancel { .. })), "{actions:?}");
+    let report = ProbeReport::Holds { produced: 3, is_finished: false };
+    let actions = relay.on(now, RelayEvent::Probed { attempt, report });
+    let attaches = |action: &RelayAction| matches!(action, RelayAction::Open { mode: OpenMode::Attach { position: 3 }, attempt: next, .. } if *next > attempt);
+    assert!(actions.iter().any(attaches), "{actions:?}");
+}
+
+/// An endpoint that is slow to accept an attach, and no longer holds the work, is left.
+#[test]
+fn slow_attach_without_work_left() {
+    let policy = RelayPolicy::favour_latency();
+    let (endpoint, attempt) = (EndpointId::from("e"), AttemptNumber::new(70));
+    let mut relay =
+        GenerationRelay::new(policy.clone()).taken_over(Some(endpoint), attempt, 3, PrefixDigest::default());
+    let mut now = TimePoint::from_millis(1);
+    relay.on(now, RelayEvent::Started);
+    now = now + policy.open_timeout;
+    relay.on(now, RelayEvent::TimerFired { timeouts: TIMEOUTS });
+    let actions = relay.on(now, RelayEvent::Probed { attempt, report: ProbeReport::Lives });
+    assert!(actions.iter().any(|action| matches!(action, RelayAction::Cancel { .. })), "{actions:?}");
+    assert!(actions.iter().any(|action| matches!(action, RelayAction::Assign { .. })), "{actions:?}");
+}
