--- a/crates/hollyhook_core/tests/fuzz/stream_fuzz.rs
+++ b/crates/hollyhook_core/tests/fuzz/stream_fuzz.rs
@@ -78,19 +78,21 @@
     if fault_at > count {
         return (text, true);
     }
-    match attempt.fault {
-        Fault::Gap { ahead } if fault_at + ahead <= count => text.extend((fault_at + 1..=fault_at + ahead).map(event)),
-        Fault::Backwards { by } if fault_at > by + 1 => text += &event(fault_at - 1 - by),
-        // The first event of a stream decides whether its events are numbered, and from where.
-        Fault::NoId | Fault::UnreadableId | Fault::ZeroId if fault_at == 1 => text += "id: 1\ndata: tok",
-        Fault::NoId => text += &format!("data: token-{fault_at}\n\n"),
-        Fault::UnreadableId => text += &format!("id: x{fault_at}\ndata: token-{fault_at}\n\n"),
-        Fault::ZeroId => text += &format!("id: 0\ndata: token-{fault_at}\n\n"),
-        Fault::HighestId => text += &event(u64::MAX),
-        Fault::Oversized => text += &format!("id: {fault_at}\ndata: {}", "x".repeat(OVERSIZED_BYTES)),
-        Fault::Partial | Fault::Gap { .. } | Fault::Backwards { .. } => text += &format!("id: {fault_at}\ndata: tok"),
+    let partial = |id: u64| format!("id: {id}\ndata: tok");
+    let faulty = match attempt.fault {
         Fault::Cut => return (text, false),
-    }
+        Fault::Gap { ahead } if fault_at + ahead <= count => (fault_at + 1..=fault_at + ahead).map(event).collect(),
+        Fault::Backwards { by } if fault_at > by + 1 => event(fault_at - 1 - by),
+        // The first event of a stream decides whether its events are numbered, and from where.
+        Fault::NoId | Fault::UnreadableId | Fault::ZeroId if fault_at == 1 => partial(1),
+        Fault::NoId => format!("data: token-{fault_at}\n\n"),
+        Fault::UnreadableId => format!("id: x{fault_at}\ndata: token-{fault_at}\n\n"),
+        Fault::ZeroId => format!("id: 0\ndata: token-{fault_at}\n\n"),
+        Fault::HighestId => event(u64::MAX),
+        Fault::Oversized => format!("id: {fault_at}\ndata: {}", "x".repeat(OVERSIZED_BYTES)),
+        Fault::Partial | Fault::Gap { .. } | Fault::Backwards { .. } => partial(fault_at),
+    };
+    text += &faulty;
     (text, true)
 }
 
