Refuse a head over the limit also if it arrives in one read

What callers saw: the daemon accepted a head that is larger than its limit if it ended in the read that passed the limit.

Cause: the end of the head was looked for before its size.

Ruled out: the gateway, whose HTTP library bounds its read buffer.

Change: the size of the head is checked before it is accepted.

Evidence: head_over_limit_in_one_read_refused failed before and passes after; head_within_limit_accepted passes before and after.

--- a/crates/hollyhook_wire/src/http/limited_stream.rs
+++ b/crates/hollyhook_wire/src/http/limited_stream.rs
@@ -65,20 +65,21 @@
     ///
     /// # Errors
     ///
-    /// `HeadTooLarge` if the head is incomplete after more than `limit` bytes, `RequestTimeout` if the rest does not
+    /// `HeadTooLarge` if the head has more than `limit` bytes, `RequestTimeout` if the rest does not
     /// arrive in time, and the errors of [`RequestHead::parse`].
     pub(super) async fn next_head(&self, limit: usize, idle: Duration) -> Result<HeadOutcome> {
         let mut bytes = self.take_buffered();
         let mut deadline = Timer::after(if bytes.is_empty() { idle } else { self.lock().read_timeout });
         let mut chunk = [0; 2_048];
         loop {
-            if let Some(end) = head_end(&bytes) {
-                return self.accept_head(bytes, end);
-            }
-            if bytes.len() > limit {
+            let end = head_end(&bytes);
+            if end.unwrap_or(bytes.len()) > limit {
                 let message = format!("the head is larger than the limit of {limit} bytes");
                 return Err(Error::new(ErrorKind::HeadTooLarge, message).param("head"));
             }
+            if let Some(end) = end {
+                return self.accept_head(bytes, end);
+            }
             let was_empty = bytes.is_empty();
             match read_until(&self.stream, &mut chunk, &mut deadline).await {
                 Some(Ok(count)) if count > 0 => bytes.extend_from_slice(&chunk[..count]),
