relay_caller_disconnects checks what is left once the caller has gone

It returned as soon as the caller had left, so that it could not fail. Now, when every host knows of it, no relay may run on or open a connection, and no engine may hold unfinished work.

It bites: with the cancellation taken out of caller_left (a trial) it fails, "an engine holds work of a caller that has left".

--- a/crates/hollyhook_core/tests/fuzz/relay_simulation.rs
+++ b/crates/hollyhook_core/tests/fuzz/relay_simulation.rs
@@ -548,7 +548,7 @@
             self.engines[number].is_full = false;
         }
         if self.caller.has_left {
-            return;
+            return self.check_cancelled();
         }
         self.resume_former_hosts();
         let mut last_progress = self.now;
@@ -581,6 +581,26 @@
         }
     }
 
+    /// Verifies that nothing is left of a generation whose caller has left, once every host knows of it: no relay runs on,
+    /// none opens a connection, and no engine holds unfinished work.
+    fn check_cancelled(&mut self) {
+        const ROUNDS: usize = 20;
+        self.resume_former_hosts();
+        let connections = self.connections.len();
+        for _ in 0..ROUNDS {
+            self.deliver(true);
+            self.deliver(false);
+            self.advance(1_000);
+        }
+        let is_running = |host: &Host| host.relay.phase() != RelayPhase::Done || !host.searches.is_empty();
+        assert!(!self.hosts.iter().any(is_running), "a relay runs on though its caller has left");
+        assert_eq!(self.connections.len(), connections, "a connection was opened for a caller that has left");
+        let unfinished = |held: &HeldGeneration| held.produced < output_len(held.sample);
+        let held = self.engines.iter().filter_map(|engine| engine.held.as_ref()).find(|held| unfinished(held));
+        assert!(held.is_none(), "an engine holds work of a caller that has left: {held:?}");
+        self.tally.count("cancelled");
+    }
+
     fn drop_former_hosts(&mut self) {
         let number = self.hosts.len();
         if number > 4 {
