Say once how a connection flushes before its body fails; ask for a second choice only where there is one

The wait that lets a connection send what it has buffered stood in two files with its comment. A plain call asked its second filter also where the first names no single version, which gives the same answer twice when all endpoints are full; it now asks as streams do. A list in the digest and the set-up of two relay tests are written once; the assertions are the same.

--- a/crates/hollyhook_core/tests/fuzz/relay_cases.rs
+++ b/crates/hollyhook_core/tests/fuzz/relay_cases.rs
@@ -122,18 +122,25 @@
     panic!("the relay waits for nothing");
 }
 
-/// An endpoint that holds the work, but is slow to accept the connection that attaches to it, is probed before the work
-/// is given up.
-#[test]
-fn slow_attach_probed() {
+/// A relay that attaches to an endpoint until its open timeout passes; returns it with the time and its actions then.
+fn run_slow_attach() -> (GenerationRelay, TimePoint, Vec<RelayAction>) {
     let policy = RelayPolicy::favour_latency();
     let (endpoint, attempt) = (EndpointId::from("e"), AttemptNumber::new(70));
     let mut relay =
         GenerationRelay::new(policy.clone()).taken_over(Some(endpoint), attempt, 3, PrefixDigest::default());
-    let mut now = TimePoint::from_millis(1);
-    relay.on(now, RelayEvent::Started);
-    now = now + policy.open_timeout;
+    let start = TimePoint::from_millis(1);
+    relay.on(start, RelayEvent::Started);
+    let now = start + policy.open_timeout;
     let actions = relay.on(now, RelayEvent::TimerFired { timeouts: TIMEOUTS });
+    (relay, now, actions)
+}
+
+/// An endpoint that holds the work, but is slow to accept the connection that attaches to it, is probed before the work
+/// is given up.
+#[test]
+fn slow_attach_probed() {
+    let (mut relay, now, actions) = run_slow_attach();
+    let attempt = relay.attempt();
     assert!(actions.iter().any(|action| matches!(action, RelayAction::Probe { .. })), "{actions:?}");
     assert!(!actions.iter().any(|action| matches!(action, RelayAction::Cancel { .. })), "{actions:?}");
     let report = ProbeReport::Holds { produced: 3, is_finished: false };
@@ -145,14 +152,8 @@
 /// An endpoint that is slow to accept an attach, and no longer holds the work, is left.
 #[test]
 fn slow_attach_without_work_left() {
-    let policy = RelayPolicy::favour_latency();
-    let (endpoint, attempt) = (EndpointId::from("e"), AttemptNumber::new(70));
-    let mut relay =
-        GenerationRelay::new(policy.clone()).taken_over(Some(endpoint), attempt, 3, PrefixDigest::default());
-    let mut now = TimePoint::from_millis(1);
-    relay.on(now, RelayEvent::Started);
-    now = now + policy.open_timeout;
-    relay.on(now, RelayEvent::TimerFired { timeouts: TIMEOUTS });
+    let (mut relay, now, _) = run_slow_attach();
+    let attempt = relay.attempt();
     let actions = relay.on(now, RelayEvent::Probed { attempt, report: ProbeReport::Lives });
     assert!(actions.iter().any(|action| matches!(action, RelayAction::Cancel { .. })), "{actions:?}");
     assert!(actions.iter().any(|action| matches!(action, RelayAction::Assign { .. })), "{actions:?}");
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -1,7 +1,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_std::task;
 use bytes::Bytes;
 use futures::stream;
 use hollyhook_core::{
@@ -21,6 +20,7 @@
 use super::backup_replicator::BackupReplicator;
 use super::crash_check::{SURVIVAL_TIME, check_crash, record_given_up, record_survival};
 use super::engine_choice::{BackupLocation, EngineChoice, EngineChooser};
+use super::let_connection_flush;
 use super::live_attempt::{AttemptStart, LiveAttempt, ReadResult};
 use super::liveness_watch::LivenessWatch;
 use super::request_log;
@@ -73,8 +73,7 @@
         None => state.run.next().await,
     };
     if matches!(next, Some(Err(_))) {
-        // The connection sends what it has buffered only while the body is pending, and drops it after an error.
-        task::yield_now().await;
+        let_connection_flush().await;
     }
     state.waiting = Some(state.run.context.load.wait_for_caller());
     next.map(|outcome| (outcome.map(Frame::data), state))
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -17,6 +17,7 @@
 
 use std::sync::Arc;
 
+use async_std::task;
 use http::Response;
 
 use crate::front::{CallerRequest, ResponseBody, error_response};
@@ -36,3 +37,10 @@
     };
     outcome.unwrap_or_else(|error| error_response(&error))
 }
+
+/// Lets a caller's connection send what it has buffered, before its response body fails.
+///
+/// The connection sends only while the body is pending, and drops what is left after an error.
+async fn let_connection_flush() {
+    task::yield_now().await;
+}
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -116,6 +116,9 @@
         if let Some(slot) = EndpointSlot::reserve_any(self.context, &query) {
             return Ok(slot);
         }
+        if filter.only.is_none() {
+            return Err(self.context.endpoints.routing_failure(&query));
+        }
         let fallback = self.context.rollouts.fallback_filter(&self.caller.service).unwrap_or_default();
         let query = query.versions(&fallback);
         EndpointSlot::reserve_any(self.context, &query).ok_or_else(|| self.context.endpoints.routing_failure(&query))
--- a/crates/hollyhook_gateway/src/forward/response_rest.rs
+++ b/crates/hollyhook_gateway/src/forward/response_rest.rs
@@ -1,6 +1,5 @@
 use std::sync::Arc;
 
-use async_std::task;
 use bytes::Bytes;
 use futures::stream;
 use hollyhook_core::{Error, ErrorKind, Result};
@@ -8,6 +7,7 @@
 use hyper::body::Frame;
 
 use super::attempt::{EndpointSlot, OpenResponse};
+use super::let_connection_flush;
 use crate::front::{CallerRequest, ResponseBody};
 use crate::gateway::GatewayContext;
 
@@ -84,8 +84,7 @@
             tracing::info!(request = %rest.caller.head.attempt_id, reason = %error.message(), "response.truncated");
             rest.context.recorder.count("responses_truncated");
             drop(rest);
-            // The connection sends what it has buffered only while the body is pending, and drops it after an error.
-            task::yield_now().await;
+            let_connection_flush().await;
             Some((Err(error), state))
         }
     }
--- a/crates/hollyhook_wire/src/api/caller_request.rs
+++ b/crates/hollyhook_wire/src/api/caller_request.rs
@@ -129,11 +129,10 @@
     pub fn digest(&self) -> u64 {
         let is_covered =
             |(name, value): &(&String, &Value)| !value.is_null() && !UNCOVERED_FIELDS.contains(&name.as_str());
-        let fields: Vec<(&String, &Value)> = self.body.iter().filter(is_covered).collect();
         let mut hash = Sha256::new();
         hash.update(self.style.path());
         hash.update(self.max_tokens.to_be_bytes());
-        for (name, value) in fields {
+        for (name, value) in self.body.iter().filter(is_covered) {
             let field = format!("{}:{value}\n", Value::from(name.as_str()));
             hash.update(field);
         }
