Log the software version of endpoints, and which client attempt began a stream

endpoint.state and attempt.placed name the version, attempt.placed the client attempt that the caller names in Resumes; streams_resumed_by_callers counts the streams that callers take up. No decision is changed; the tests build.

--- a/crates/hollyhook_core/src/forward/caller_head.rs
+++ b/crates/hollyhook_core/src/forward/caller_head.rs
@@ -32,6 +32,8 @@
     pub key: Option<Name>,
     /// The number of the last event that the caller received of an interrupted stream, if any.
     pub cursor: Option<u64>,
+    /// The client attempt that brought the first event of an interrupted stream, if the caller names one.
+    pub first_attempt: Option<Name>,
     /// The size of the generation; `None` if the caller states none, as for a plain call.
     pub prompt: Option<PromptSize>,
 }
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -102,6 +102,9 @@
     fn new(context: Arc<GatewayContext>, caller: Arc<CallerRequest>) -> Self {
         let sequencer = EventSequencer::new(caller.head.cursor);
         let is_resumed = caller.head.cursor.is_some();
+        if is_resumed {
+            context.recorder.count("streams_resumed_by_callers");
+        }
         let timing = if is_resumed { StreamTiming::resumed_by_caller(caller.arrived) } else { StreamTiming::default() };
         let ledger = AttemptLedger::for_route(&caller.route, MAX_REJECTED);
         Self {
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -31,8 +31,8 @@
     let own_part = caller.head.prompt.and_then(|prompt| prompt.own_part);
     let prompt = own_part.map(|part| format!("{part:x}"));
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %slot.target.id,
-        zone = %slot.target.group.zone, open = slot.open, known_ms = slot.known_ms,
-        left_ms = headers.time_left.as_millis() as u64, cursor = headers.cursor,
+        zone = %slot.target.group.zone, version = %slot.target.version, open = slot.open, known_ms = slot.known_ms,
+        first_attempt = caller.head.first_attempt.as_deref(), left_ms = headers.time_left.as_millis() as u64, cursor = headers.cursor,
         is_from_backup = headers.backup_from.is_some(), backup_at, prompt_at, prompt, age_ms, "attempt.placed");
 }
 
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -123,7 +123,7 @@
         let record = table.upsert(record);
         if known != Some(record.state) {
             tracing::info!(endpoint = %record.id, service = %record.service, zone = %record.zone,
-                address = %record.address, state = ?record.state, "endpoint.state");
+                address = %record.address, version = %record.version, state = ?record.state, "endpoint.state");
         }
         if record.state == EndpointState::Leaving {
             self.pool.close_idle(&record.id);
