Continue a stream only at the software version that began it

Cause: the version was looked at for roll-outs only. Neither the next attempt within an answer nor a host that a caller came back to knew or asked which version wrote the events before; backups and prompts were taken across versions too. Class: what must be the same over all attempts at one stream was kept with the attempt, as weights were until they were pinned. Ruled out: lists of endpoints with wrong versions (the case shown has both ends right).

Change: - A stream is bound to the version of its first delivered event: attempts, backups and fetched prompts come from engines of that version only. - A host tells three others, each of another zone, found by rendezvous of the client attempt, at which version a stream began, while the service has several versions; a host to which a caller comes back asks them. - If no host knows (all were lost), the engines that hold the stream's prompt tell, if they are of one version; else the stream is refused as not run. - Where one version has served for the last minute, nothing is sent or refused. - A host that restarts lists the hosts of all zones at once, not after 3 s.

Why it holds: the version is decided once, from the event that was delivered, and every later choice is filtered by it; a host that does not know it asks those that were told, and refuses rather than guesses.

--- a/crates/hollyhook_core/src/feed/feed_topology.rs
+++ b/crates/hollyhook_core/src/feed/feed_topology.rs
@@ -146,9 +146,19 @@
         HostPosition { index, count: self.host_count() }
     }
 
+    /// The registered hosts, this host included.
+    pub fn hosts(&self) -> impl Iterator<Item = &HostRecord> {
+        self.zone_hosts.iter().chain(&self.remote_hosts)
+    }
+
+    /// Whether a record is that of this host.
+    pub fn is_own(&self, record: &HostRecord) -> bool {
+        record.host == self.host
+    }
+
     /// The registered hosts, this host excluded.
     pub fn other_hosts(&self) -> impl Iterator<Item = &HostRecord> {
-        self.zone_hosts.iter().chain(&self.remote_hosts).filter(|record| record.host != self.host)
+        self.hosts().filter(|record| !self.is_own(record))
     }
 
     /// The hosts to ask when the store does not answer, best first: one in this host's zone, which stays reachable when
--- a/crates/hollyhook_core/src/forward/attempt_ledger.rs
+++ b/crates/hollyhook_core/src/forward/attempt_ledger.rs
@@ -22,6 +22,8 @@
     Throttled,
     /// Even the best endpoint would serve the request after the caller's deadline.
     Overloaded,
+    /// Which software version began the stream is not known, and no other may continue it.
+    OriginUnknown,
     /// The request is quarantined, because endpoints crashed while running it.
     Quarantined,
 }
@@ -37,6 +39,7 @@
             Self::BudgetExhausted => "the retry budget of the service is spent",
             Self::NoEndpoint => "no endpoint of the service is left",
             Self::Throttled => "the endpoints of the service take no more requests for now",
+            Self::OriginUnknown => "which software version began the stream is not known, and no other may continue it",
             Self::Quarantined => "endpoints that began to run the same request ended",
             Self::Overloaded => "the endpoints have more before this request than its caller's time allows",
         }
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod generation;
 mod name;
+mod origin;
 mod path;
 mod quarantine;
 mod retry;
@@ -41,6 +42,7 @@
     ProbeReport, RelayAction, RelayCounter, RelayEvent, RelayPhase, RelayPolicy, StreamTimeouts, TokenLog,
 };
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
+pub use origin::{OriginAnswer, OriginLedger, StreamOrigin, origin_holders};
 pub use path::{ConnectOrder, EndpointGroup, PathMonitor, TunnelDirectory};
 pub use quarantine::{CrashLedger, CrashRecord, CrashRecords, DigestError, QuarantineChange, RequestDigest};
 pub use retry::{ProbeAdmission, ProbeGate, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
@@ -51,8 +53,8 @@
 pub use route::{
     EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
     EngineRun, HeldPromptPart, HolderLimits, HostPosition, LoadReport, MAX_REPORT_AGE, PromptPlacement, RouteQuery,
-    choose_backup_engine, choose_engine, excess_wait, has_holder, is_certain_choice, place_held_prompt,
-    time_to_first_event,
+    choose_backup_engine, choose_engine, excess_wait, has_holder, holder_of_most, is_certain_choice, is_of_one_version,
+    place_held_prompt, time_to_first_event,
 };
 pub use site::{
     AccountConfig, CallerLimits, ConfigAdoption, EngineMemory, RequestKind, RouteConfig, ServiceConfig, ServiceShare,
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::name_interner::NameInterner;
@@ -6,6 +6,7 @@
 use super::rendezvous::rendezvous_weight;
 use super::ring_index::RingIndex;
 use super::room_report::RoomReport;
+use super::version_index::VersionIndex;
 use super::zone_failures::ZoneFailures;
 use super::{EndpointRecord, EndpointState, HostPosition, LoadReport};
 use crate::{EndpointGroup, EndpointId, Name, TermsTable, TimePoint, ZoneName};
@@ -39,6 +40,7 @@
     pub(super) records: BTreeMap<EndpointId, Box<EndpointRecord>>,
     registrations: RegistrationIndex,
     pub(super) rings: RingIndex,
+    versions: VersionIndex,
     names: NameInterner,
     pub(super) zone_failures: BTreeMap<ZoneName, ZoneFailures>,
     pub(super) terms: TermsTable,
@@ -56,6 +58,7 @@
             records: BTreeMap::new(),
             registrations: RegistrationIndex::default(),
             rings: RingIndex::default(),
+            versions: VersionIndex::default(),
             names: NameInterner::default(),
             zone_failures: BTreeMap::new(),
             terms: TermsTable::default(),
@@ -87,6 +90,7 @@
         }
         match self.records.get_mut(&id) {
             Some(known) if known.address == record.address => {
+                self.versions.remove(known);
                 if known.service != record.service {
                     self.rings.remove(known);
                     known.service = record.service;
@@ -95,11 +99,13 @@
                 known.state = record.state;
                 known.binding = record.binding;
                 known.version = record.version;
+                self.versions.add(known);
             }
             _ => {
                 self.remove(&id);
                 self.registrations.add(&record);
                 self.rings.add(&record);
+                self.versions.add(&record);
                 self.records.insert(EndpointId::clone(&id), Box::new(record));
             }
         }
@@ -161,6 +167,12 @@
     fn remove_from_indexes(&mut self, record: &EndpointRecord) {
         self.registrations.remove(record);
         self.rings.remove(record);
+        self.versions.remove(record);
+    }
+
+    /// The software versions of a service whose endpoints may have begun streams that are still running.
+    pub fn recent_versions(&mut self, now: TimePoint, service: &str) -> BTreeSet<Name> {
+        self.versions.recent(now, service)
     }
 
     /// The record of an endpoint.
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -16,6 +16,7 @@
 mod ring_index;
 mod room_report;
 mod route_query;
+mod version_index;
 mod zone_failures;
 
 pub use backup_placement::choose_backup_engine;
@@ -28,6 +29,8 @@
     time_to_first_event,
 };
 pub use host_position::HostPosition;
-pub use prompt_placement::{HeldPromptPart, PromptPlacement, has_holder, place_held_prompt};
+pub use prompt_placement::{
+    HeldPromptPart, PromptPlacement, has_holder, holder_of_most, is_of_one_version, place_held_prompt,
+};
 pub(crate) use rendezvous::rendezvous_weight;
 pub use route_query::{HolderLimits, RouteQuery};
--- a/crates/hollyhook_core/src/route/prompt_placement.rs
+++ b/crates/hollyhook_core/src/route/prompt_placement.rs
@@ -42,6 +42,15 @@
     holder_of_most(candidates).is_some()
 }
 
+/// Whether engines hold enough of the prompt to be worth using, all of one software version.
+pub fn is_of_one_version(candidates: &[EngineCandidate]) -> bool {
+    let mut versions = holders(candidates).map(|candidate| &candidate.record.version);
+    let Some(first) = versions.next() else {
+        return false;
+    };
+    versions.all(|version| version == first)
+}
+
 /// Places a generation whose caller has reconnected; `None` if no engine that answered holds enough of its prompt.
 ///
 /// After a loss of hosts, dozens of callers reconnect at almost the same time with prompts that engines have just read.
@@ -63,8 +72,12 @@
     Some(PromptPlacement { candidate, holder })
 }
 
-fn holder_of_most(candidates: &[EngineCandidate]) -> Option<&EngineCandidate> {
+/// The engine that holds the most tokens of the prompt; `None` if none holds enough of it to be worth using.
+pub fn holder_of_most(candidates: &[EngineCandidate]) -> Option<&EngineCandidate> {
+    holders(candidates).max_by_key(|candidate| candidate.held_tokens)
+}
+
+fn holders(candidates: &[EngineCandidate]) -> impl Iterator<Item = &EngineCandidate> {
     let answered = candidates.iter().filter(|candidate| candidate.report.is_some());
-    let holders = answered.filter(|candidate| candidate.held_tokens >= MIN_HELD_TOKENS);
-    holders.max_by_key(|candidate| candidate.held_tokens)
+    answered.filter(|candidate| candidate.held_tokens >= MIN_HELD_TOKENS)
 }
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -6,8 +6,8 @@
 use futures::future::join;
 use hollyhook_core::{
     EndpointId, EndpointRecord, EndpointState, EngineCandidate, HolderLimits, Name, RouteQuery, StopReason,
-    VersionFilter, ZoneName, choose_backup_engine, choose_engine, excess_wait, has_holder, is_certain_choice,
-    place_held_prompt,
+    VersionFilter, ZoneName, choose_backup_engine, choose_engine, excess_wait, has_holder, holder_of_most,
+    is_certain_choice, is_of_one_version, place_held_prompt,
 };
 use hollyhook_platform::BackupSource;
 use rand::Rng;
@@ -93,6 +93,23 @@
         }
     }
 
+    /// Chooses an engine for a stream of which no host knows the version that began it.
+    ///
+    /// The engines that hold the prompt read it for this stream, so that their version tells, if it is only one.
+    ///
+    /// # Errors
+    ///
+    /// `OriginUnknown` if no engine holds the prompt, or engines of several versions do.
+    pub(super) async fn choose_first_holder(&self) -> Result<EngineChoice, RoutingFailure> {
+        let unknown = RoutingFailure { reason: StopReason::OriginUnknown, pause: Duration::ZERO, awaits_room: false };
+        let part = self.returning_prompt_part().ok_or(unknown)?;
+        let holders = self.probe_likely_holders(part, ALL_HOLDER_LIMITS, &[]).await;
+        if !is_of_one_version(&holders) {
+            return Err(unknown);
+        }
+        self.place_at_holder(holders).ok_or(unknown)
+    }
+
     /// Chooses an engine without probing any.
     ///
     /// When an engine crashes, all its requests are placed again at the same moment. If all were placed by the same
@@ -117,6 +134,14 @@
             let rest = self.probe_likely_holders(part, ALL_HOLDER_LIMITS, &holders).await;
             holders.extend(rest);
         }
+        self.place_at_holder(holders)
+    }
+
+    /// Places the request at an engine that holds its prompt, or at one that fetches the prompt from there.
+    fn place_at_holder(&self, mut holders: Vec<EngineCandidate>) -> Option<EngineChoice> {
+        // What engines of two versions keep does not fit together.
+        let version = Name::clone(&holder_of_most(&holders)?.record.version);
+        holders.retain(|candidate| candidate.record.version == version);
         let placement = place_held_prompt(&holders, self.needed_tokens(), &self.context.zone)?;
         let (record, holder) = (&placement.candidate.record, &placement.holder.record);
         tracing::info!(request = %self.caller.head.attempt_id, endpoint = %holder.id,
@@ -218,12 +243,14 @@
         let record = self.context.endpoints.table().get(&backup.id).cloned()?;
         let is_fit = record.state == EndpointState::Live
             && !record.is_ejected(now)
+            && self.versions.only.as_ref().is_none_or(|only| *only == record.version)
             && self.context.rollouts.may_continue_at(&record.service, &record.version);
         is_fit.then(|| (record, backup.source.clone()))
     }
 
     /// Lists engines outside the zone of `record`, mainly to hold the backup of a generation, since a zone often fails as
-    /// a whole; one engine per zone, since another zone may just have failed too.
+    /// a whole; one engine per zone, since another zone may just have failed too. All are of the same software version,
+    /// since no other could resume from the backup.
     ///
     /// Engines to which a pooled connection has been idle for `BACKUP_MIN_IDLE` are preferred. The order that all hosts
     /// share is not needed here: whoever resumes from a backup knows its location.
@@ -232,7 +259,8 @@
         let query = self.query().avoid_zone(&record.zone).prefer(&idle).repeatable(false);
         let mut list = self.context.endpoints.shortlist(&query, self.rendezvous_key(), usize::MAX);
         let mut zones = BTreeSet::new();
-        list.retain(|record| zones.insert(ZoneName::clone(&record.zone)));
+        let is_same_version = |listed: &EndpointRecord| listed.version == record.version;
+        list.retain(|listed| is_same_version(listed) && zones.insert(ZoneName::clone(&listed.zone)));
         list.truncate(PROBED_ENGINES);
         list
     }
@@ -254,7 +282,9 @@
         if !self.has_backups() {
             return None;
         }
-        let other_zones = candidates.iter().filter(|candidate| candidate.record.zone != slot.target.group.zone);
+        let target = &slot.target;
+        let is_usable = |record: &EndpointRecord| record.zone != target.group.zone && record.version == target.version;
+        let other_zones = candidates.iter().filter(|candidate| is_usable(&candidate.record));
         let best = choose_backup_engine(other_zones, self.needed_tokens())?;
         let attempt_id = Name::clone(&self.caller.head.attempt_id);
         let source = BackupSource { address: best.record.address, name: attempt_id };
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -5,7 +5,7 @@
 use futures::stream;
 use hollyhook_core::{
     AnswerVerdict, AttemptFailure, AttemptLedger, EndpointId, Error, ErrorKind, EventSequencer, Name, Result,
-    StopReason, evaluate_answer,
+    StopReason, StreamOrigin, evaluate_answer,
 };
 use hollyhook_platform::{AttemptHeaders, remove_hop_headers};
 use http::Response;
@@ -26,7 +26,8 @@
 use super::request_log;
 use super::stream_timing::StreamTiming;
 use crate::front::{CallerRequest, ResponseBody};
-use crate::gateway::{GatewayContext, StreamWaitGuard};
+use crate::gateway::{GatewayContext, RoutingFailure, StreamWaitGuard};
+use crate::origin::{OriginSharer, find_origin};
 
 /// Maximum number of attempts that engines reject, or that fail to connect, before the caller is told to retry later.
 const MAX_REJECTED: u32 = 4;
@@ -91,6 +92,9 @@
     first_head: Option<Parts>,
     /// Version of the weights that generated the events so far; other weights would not continue the same text.
     weights: Option<u64>,
+    /// The software versions that may write the next events; `None` until it has been looked up.
+    origin: Option<StreamOrigin>,
+    has_recorded_origin: bool,
     /// An endpoint's response that is not a stream, to be returned to the caller unchanged.
     plain_response: Option<BufferedResponse>,
     tried: Vec<EndpointId>,
@@ -116,6 +120,8 @@
             resume_from: None,
             first_head: None,
             weights: None,
+            origin: (!is_resumed).then_some(StreamOrigin::Open),
+            has_recorded_origin: false,
             plain_response: None,
             tried: Vec::new(),
             ledger,
@@ -141,6 +147,8 @@
             };
             match live.next_events(&self.context, &self.caller, &mut self.sequencer).await {
                 ReadResult::Bytes(bytes) => {
+                    let version = Name::clone(&live.slot.target.version);
+                    self.record_origin(version);
                     if let Some(resume) = self.timing.record_event(self.context.timer.now()) {
                         request_log::resumed(&self.context, &self.caller, &resume);
                     }
@@ -159,6 +167,17 @@
         }
     }
 
+    /// Records the version of the first event that this host delivers, from when on only this version may go on.
+    fn record_origin(&mut self, version: Name) {
+        if self.has_recorded_origin {
+            return;
+        }
+        self.has_recorded_origin = true;
+        self.origin = Some(StreamOrigin::Version(Name::clone(&version)));
+        let (first_attempt, service) = (self.caller.first_attempt(), &self.caller.service);
+        OriginSharer::record(&self.context, Name::clone(first_attempt), Name::clone(service), version);
+    }
+
     fn complete(&mut self) {
         self.has_ended = true;
         if let Some(live) = self.live.take() {
@@ -227,22 +246,7 @@
     /// Opens attempts until one streams or a response that is not a stream is to be returned.
     async fn ensure_live(&mut self) -> Result<()> {
         while self.live.is_none() && self.plain_response.is_none() {
-            let resume_from = self.resume_from.take();
-            let filter =
-                self.context.rollouts.version_filter(&self.caller.service, self.is_first()).unwrap_or_default();
-            let chooser =
-                EngineChooser { context: &self.context, caller: &self.caller, tried: &self.tried, versions: &filter };
-            let mut choice = chooser.choose(resume_from).await;
-            if choice.is_err() && filter.only.is_some() {
-                // If the endpoints of the target version are full, the request is not refused, but placed at an endpoint
-                // of another version.
-                let filter = self.context.rollouts.fallback_filter(&self.caller.service).unwrap_or_default();
-                choice = EngineChooser { versions: &filter, ..chooser }.choose(None).await;
-            }
-            let choice = choice.map_err(|failure| {
-                let retry = failure.pause.max(BUSY_RETRY_AFTER);
-                self.ledger.final_error(failure.reason, self.sequencer.delivered(), retry)
-            })?;
+            let choice = self.choose_engine().await?;
             let target = choice.slot.target.clone();
             let sent_at = self.context.timer.now();
             if let Err(failure) = self.open(choice).await {
@@ -262,6 +266,64 @@
         Ok(())
     }
 
+    /// Chooses the engine of the next attempt.
+    ///
+    /// # Errors
+    ///
+    /// The error for the caller if no engine may continue the stream or admits the request.
+    async fn choose_engine(&mut self) -> Result<EngineChoice> {
+        let resume_from = self.resume_from.take();
+        let origin = self.origin().await;
+        let (service, context) = (&self.caller.service, &self.context);
+        let filter = match &origin {
+            StreamOrigin::Version(version) => {
+                let filter = context.rollouts.continuation_filter(service, version);
+                filter.ok_or_else(|| self.stop_error(StopReason::NoEndpoint))?
+            }
+            StreamOrigin::Open | StreamOrigin::Unknown => {
+                context.rollouts.version_filter(service, self.is_first()).unwrap_or_default()
+            }
+        };
+        let chooser = EngineChooser { context, caller: &self.caller, tried: &self.tried, versions: &filter };
+        let choice = match origin {
+            StreamOrigin::Unknown => chooser.choose_first_holder().await,
+            StreamOrigin::Open if filter.only.is_some() => self.choose_any_version(chooser, resume_from).await,
+            StreamOrigin::Open | StreamOrigin::Version(_) => chooser.choose(resume_from).await,
+        };
+        let choice = choice.map_err(|failure| {
+            let retry = failure.pause.max(BUSY_RETRY_AFTER);
+            self.ledger.final_error(failure.reason, self.sequencer.delivered(), retry)
+        })?;
+        if origin == StreamOrigin::Unknown {
+            self.origin = Some(StreamOrigin::Version(Name::clone(&choice.slot.target.version)));
+        }
+        Ok(choice)
+    }
+
+    /// Chooses an engine of the version that a roll-out moves requests to, or of another one if it has no room.
+    async fn choose_any_version(
+        &self,
+        chooser: EngineChooser<'_>,
+        resume_from: Option<BackupLocation>,
+    ) -> std::result::Result<EngineChoice, RoutingFailure> {
+        if let Ok(choice) = chooser.choose(resume_from).await {
+            return Ok(choice);
+        }
+        let filter = self.context.rollouts.fallback_filter(&self.caller.service).unwrap_or_default();
+        EngineChooser { versions: &filter, ..chooser }.choose(None).await
+    }
+
+    /// Which versions may write the next events.
+    async fn origin(&mut self) -> StreamOrigin {
+        if let Some(origin) = &self.origin {
+            return origin.clone();
+        }
+        let caller = &self.caller;
+        let origin = find_origin(&self.context, &caller.service, caller.head.first_attempt.as_ref()).await;
+        request_log::origin_found(&self.context, caller, &origin);
+        self.origin.insert(origin).clone()
+    }
+
     async fn open(&mut self, choice: EngineChoice) -> std::result::Result<(), AttemptFailure> {
         let EngineChoice { slot, from, backup, prompt_at } = choice;
         let headers = AttemptHeaders {
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -1,6 +1,6 @@
 //! Log events and metrics of a request's life cycle, with the same fields for every kind of request.
 
-use hollyhook_core::{AccountName, AttemptFailure, EndpointId, Error, RunState};
+use hollyhook_core::{AccountName, AttemptFailure, EndpointId, Error, RunState, StreamOrigin};
 use hollyhook_platform::AttemptHeaders;
 use hollyhook_telemetry::MetricMeasure;
 
@@ -36,6 +36,18 @@
         is_from_backup = headers.backup_from.is_some(), backup_at, prompt_at, prompt, age_ms, "attempt.placed");
 }
 
+/// Records which software versions may continue a stream that its caller takes up.
+pub(super) fn origin_found(context: &GatewayContext, caller: &CallerRequest, origin: &StreamOrigin) {
+    let (counter, version) = match origin {
+        StreamOrigin::Open => ("origins_open", None),
+        StreamOrigin::Version(version) => ("origins_found", Some(&**version)),
+        StreamOrigin::Unknown => ("origins_unknown", None),
+    };
+    context.recorder.count(counter);
+    tracing::info!(request = %caller.head.attempt_id, first_attempt = caller.head.first_attempt.as_deref(), version,
+        outcome = counter, "stream.origin");
+}
+
 /// Logs that an attempt at an endpoint failed.
 pub(super) fn attempt_failed(
     context: &GatewayContext,
--- a/crates/hollyhook_gateway/src/front/caller_request.rs
+++ b/crates/hollyhook_gateway/src/front/caller_request.rs
@@ -36,6 +36,11 @@
         self.deadline.since(now)
     }
 
+    /// The client attempt that brought the first event of the stream: an earlier one if the caller names it, else this.
+    pub(crate) fn first_attempt(&self) -> &Name {
+        self.head.first_attempt.as_ref().unwrap_or(&self.head.attempt_id)
+    }
+
     /// Digest of path, account and body, which identifies the request across the caller's attempts.
     pub(crate) fn digest(&self) -> RequestDigest {
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -17,6 +17,7 @@
 use super::request_load::RequestLoad;
 use super::retry_budgets::RetryBudgets;
 use super::rollout_tracker::RolloutTracker;
+use crate::origin::OriginTracker;
 use crate::path::{EndpointConnector, PathTracker};
 use crate::peer::FeedState;
 use crate::pool::ConnectionPool;
@@ -60,6 +61,7 @@
     pub(crate) connector: Arc<EndpointConnector>,
     pub(crate) quarantine: Arc<QuarantineTracker>,
     pub(crate) rollouts: Arc<RolloutTracker>,
+    pub(crate) origins: Arc<OriginTracker>,
     live: Arc<Mutex<LiveSettings>>,
     site: Arc<Mutex<SiteState>>,
     retries: Arc<RetryBudgets>,
@@ -90,6 +92,7 @@
         registry.register(EndpointConnector::NAME, EndpointConnector::new(registry)?)?;
         registry.register(QuarantineTracker::NAME, QuarantineTracker::new(registry)?)?;
         registry.register(RolloutTracker::NAME, RolloutTracker::new(registry, settings.bounds.exposure)?)?;
+        registry.register(OriginTracker::NAME, OriginTracker::new(registry)?)?;
         registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
         Ok(())
     }
@@ -115,6 +118,7 @@
             connector: registry.find(EndpointConnector::NAME)?,
             quarantine: registry.find(QuarantineTracker::NAME)?,
             rollouts: registry.find(RolloutTracker::NAME)?,
+            origins: registry.find(OriginTracker::NAME)?,
             retries: registry.find(RetryBudgets::NAME)?,
             has_endpoints: AtomicBool::new(false),
         })
--- a/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
+++ b/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
@@ -205,6 +205,11 @@
         }
     }
 
+    /// Restricts a stream to the version that wrote its events; `None` if it may not continue there.
+    pub(crate) fn continuation_filter(&self, service: &Name, version: &Name) -> Option<VersionFilter> {
+        self.may_continue_at(service, version).then(|| VersionFilter::only(version))
+    }
+
     fn live_endpoints(&self, service: &Name, target: &Name) -> Vec<EndpointId> {
         let table = self.endpoints.table();
         let live = table.iter().filter(|record| record.state == EndpointState::Live);
--- a/crates/hollyhook_gateway/src/lib.rs
+++ b/crates/hollyhook_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod front;
 mod gateway;
 mod net;
+mod origin;
 mod path;
 mod peer;
 mod pool;
--- /dev/null
+++ b/crates/hollyhook_gateway/src/origin/origin_message.rs
@@ -0,0 +1,42 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use hollyhook_core::{Name, OriginAnswer};
+use serde::{Deserialize, Serialize};
+
+/// The path at which a host takes copies of origins.
+pub(super) const COPY_PATH: &str = "/origins";
+/// The path at which a host tells what it knows of one origin.
+pub(super) const FIND_PATH: &str = "/origins/find";
+
+/// Copies of origins: the version at which the stream of each client attempt began.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(super) struct OriginCopies {
+    pub(super) origins: BTreeMap<Name, Name>,
+}
+
+/// A question about the origin of one stream.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct OriginQuestion {
+    pub(super) service: Name,
+    /// The client attempt that brought the stream's first event.
+    pub(super) first_attempt: Name,
+}
+
+/// What a host knows of the origin asked for.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct OriginReply {
+    version: Option<Name>,
+    versions: BTreeSet<Name>,
+}
+
+impl From<OriginAnswer> for OriginReply {
+    fn from(answer: OriginAnswer) -> Self {
+        Self { version: answer.version, versions: answer.versions }
+    }
+}
+
+impl From<OriginReply> for OriginAnswer {
+    fn from(reply: OriginReply) -> Self {
+        Self { version: reply.version, versions: reply.versions }
+    }
+}
--- a/crates/hollyhook_gateway/src/path/path_tracker.rs
+++ b/crates/hollyhook_gateway/src/path/path_tracker.rs
@@ -146,7 +146,7 @@
     }
 
     /// Whether a host is registered at this address.
-    pub(super) fn is_host(&self, address: IpAddr) -> bool {
+    pub(crate) fn is_host(&self, address: IpAddr) -> bool {
         self.feed.with_topology(|topology| topology.other_hosts().any(|record| record.address.ip() == address))
     }
 
--- a/crates/hollyhook_gateway/src/peer/feed_server.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_server.rs
@@ -17,12 +17,14 @@
 use crate::front::ACCEPT_PAUSE;
 use crate::gateway::GatewayContext;
 use crate::net::wire_stream;
+use crate::origin::{answer_origin_request, is_origin_request};
 use crate::path::{TunnelServer, is_tunnel_request};
 
 /// Longest time for which a request of another host waits for an update.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
-/// Serves this host's copy of the store's contents, and tunnels to endpoints, to other hosts until the process ends.
+/// Serves this host's copy of the store's contents, tunnels to endpoints and origins of streams to other hosts until
+/// the process ends.
 pub(crate) async fn serve_peers(listener: TcpListener, context: Arc<GatewayContext>) {
     let tunnels = Arc::new(TunnelServer::new(Arc::clone(&context)));
     loop {
@@ -40,6 +42,9 @@
                     if is_tunnel_request(&request) {
                         return Ok::<_, Infallible>(tunnels.answer(request, sender.ip()).await);
                     }
+                    if is_origin_request(&request) {
+                        return Ok(answer_origin_request(&context, request, sender.ip()).await);
+                    }
                     Ok(answer(&context, &request).await)
                 }
             });
--- a/crates/hollyhook_gateway/src/peer/host_registrar.rs
+++ b/crates/hollyhook_gateway/src/peer/host_registrar.rs
@@ -45,15 +45,21 @@
     /// The first step is a list, which costs a tenth of a call. A host that restarts finds its own entry in it, and the
     /// hosts to follow: all hosts of a site may lose power and start at once.
     pub(crate) async fn run(mut self) {
-        let mut is_registered = self.try_list().await.is_some_and(|is_listed| is_listed);
+        let has_restarted = self.try_list().await.is_some_and(|is_listed| is_listed);
+        let mut is_registered = has_restarted;
         let mut era = self.context.feed.era();
         while !is_registered {
             is_registered = self.register().await;
         }
         self.context.feed.end_listing();
+        if has_restarted {
+            // Callers come back at once with streams of which hosts of other zones know the origin.
+            self.context.wait_for_start().await;
+            self.list_others().await;
+        }
         self.context.timer.wait(SECOND_LIST_DELAY).await;
-        for zone in self.other_zones() {
-            self.list_other(zone).await;
+        if !has_restarted {
+            self.list_others().await;
         }
         loop {
             let has_new_era = self.context.feed.era() > era;
@@ -82,6 +88,13 @@
         zones.cloned().collect()
     }
 
+    /// Lists the hosts of all other zones.
+    async fn list_others(&mut self) {
+        for zone in self.other_zones() {
+            self.list_other(zone).await;
+        }
+    }
+
     /// The other zone to list next, in the order of the zones' names.
     fn next_zone(&self) -> Option<ZoneName> {
         let zones = self.other_zones();
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -8,6 +8,7 @@
 
 use super::{FeedReader, QuarantineWriter, StoreError};
 use crate::gateway::GatewayContext;
+use crate::origin::OriginSharer;
 use crate::sync::lock;
 
 /// Longest time that a watch waits for changes. A longer wait costs fewer calls; the reader shortens it where a dead
@@ -109,6 +110,7 @@
         self.context.quarantine.confirm_crashes(&self.context.endpoints.take_lost());
         self.context.rollouts.check_versions();
         QuarantineWriter::spawn_if_needed(&self.context);
+        OriginSharer::spawn_if_needed(&self.context);
         if update.is_snapshot {
             self.context.wait_for_versions().await;
             self.context.mark_endpoints_listed();
