--- a/crates/hollyhook_core/src/forward/caller_head.rs
+++ b/crates/hollyhook_core/src/forward/caller_head.rs
@@ -36,4 +36,6 @@
     pub first_attempt: Option<Name>,
     /// The size of the generation; `None` if the caller states none, as for a plain call.
     pub prompt: Option<PromptSize>,
+    /// The ids of the prompt's parts but for the last one, which other requests may share.
+    pub shared_parts: Vec<u64>,
 }
