Refuse prompts by a part that crashes the engines which run them

Cause: crashes were counted by whole request, and no two of these requests are alike, so that each could crash three engines. Class: evidence kept by a key that the fault does not follow.

Change: crash records name the parts of the prompt that other requests may share. A part is refused if at least two requests with it crashed at least four endpoints, more than any one of them did, and none with it has run well since, or runs well now, at any host; one second passes before, for the word of other hosts. Parts that were there at the same crashes are refused only together, so that sound requests with one of them still run and tell them apart. What a refused part explains counts against no request. Records are shared as before, and besides as soon as a second request with a part in common is known.

Why it holds: the part is what all the crashes have in common, and no request with it can survive; any part that sound requests have is acquitted by them.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -44,7 +44,9 @@
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
 pub use origin::{OriginAnswer, OriginLedger, StreamOrigin, origin_holders};
 pub use path::{ConnectOrder, EndpointGroup, PathMonitor, TunnelDirectory};
-pub use quarantine::{CrashLedger, CrashRecord, CrashRecords, DigestError, QuarantineChange, RequestDigest};
+pub use quarantine::{
+    CrashLedger, CrashRecord, CrashRecords, DigestError, QuarantineChange, RequestDigest, SuspectRequest,
+};
 pub use retry::{ProbeAdmission, ProbeGate, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
 pub use rollout::{
     RolloutOrder, RolloutPlan, RolloutState, RolloutStep, TargetShare, TimeTally, TrialEvidence, VersionFault,
--- a/crates/hollyhook_core/src/quarantine/crash_ledger.rs
+++ b/crates/hollyhook_core/src/quarantine/crash_ledger.rs
@@ -2,8 +2,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::part_evidence::find_suspect_parts;
+use super::part_watch::PartWatch;
 use super::unanswered_list::UnansweredList;
-use super::{CrashRecord, RequestDigest};
+use super::{CrashRecord, RequestDigest, SuspectRequest};
 use crate::Name;
 
 /// Number of endpoint crashes from which a request is refused. One or two may coincide with the request by chance.
@@ -29,6 +31,9 @@
 /// attributed to the request with the most of them don't count against other requests; and a request is refused only
 /// from three crashes on.
 ///
+/// Different requests may crash endpoints by a part of a prompt that they share. A part is refused if several requests
+/// with it crashed endpoints, more than any one of them did, and none has run well since.
+///
 /// ```
 /// use hollyhook_core::{CrashLedger, RequestDigest};
 ///
@@ -46,6 +51,7 @@
     stored: CrashRecords,
     refused: BTreeSet<RequestDigest>,
     unanswered: UnansweredList,
+    parts: PartWatch,
 }
 
 #[derive(Debug, Default)]
@@ -64,6 +70,10 @@
     pub refused: Vec<RequestDigest>,
     /// Requests that are no longer refused.
     pub cleared: Vec<RequestDigest>,
+    /// Sets of prompt parts such that requests with all parts of one are refused soon.
+    pub refused_parts: Vec<BTreeSet<u64>>,
+    /// Sets of prompt parts that are no longer refused.
+    pub cleared_parts: Vec<BTreeSet<u64>>,
 }
 
 impl CrashLedger {
@@ -73,8 +83,8 @@
     }
 
     /// Records that an endpoint crashed while running a request.
-    pub fn record_crash(&mut self, now: u64, digest: RequestDigest, endpoint: Name) -> QuarantineChange {
-        self.add_crash(digest, endpoint, now, false);
+    pub fn record_crash(&mut self, now: u64, suspect: impl Into<SuspectRequest>, endpoint: Name) -> QuarantineChange {
+        self.add_crash(&suspect.into(), endpoint, now, false);
         self.update_refused(now)
     }
 
@@ -82,8 +92,8 @@
     ///
     /// Counts as a crash once [`confirm_crash`](Self::confirm_crash) reports that the endpoint is gone, unless an
     /// endpoint has run the request without crashing in between.
-    pub fn record_unanswered(&mut self, now: u64, digest: RequestDigest, endpoint: Name) {
-        self.unanswered.add(now, digest, endpoint);
+    pub fn record_unanswered(&mut self, now: u64, suspect: impl Into<SuspectRequest>, endpoint: Name) {
+        self.unanswered.add(now, suspect.into(), endpoint);
     }
 
     /// Records that an endpoint is gone without having announced that it leaves.
@@ -91,7 +101,7 @@
     /// Each request that it left unanswered shortly before counts as a crash.
     pub fn confirm_crash(&mut self, now: u64, endpoint: &str) -> QuarantineChange {
         for request in self.unanswered.take(now, endpoint) {
-            self.add_crash(request.digest, request.endpoint, request.at, request.is_given_up);
+            self.add_crash(&request.suspect, request.endpoint, request.at, request.is_given_up);
         }
         self.update_refused(now)
     }
@@ -113,16 +123,29 @@
     }
 
     /// Records that an endpoint ran a request without crashing.
-    pub fn record_survival(&mut self, now: u64, digest: &RequestDigest) -> QuarantineChange {
-        self.unanswered.remove(digest);
-        let Some(entry) = self.entries.get_mut(digest) else {
-            return QuarantineChange::default();
-        };
-        entry.record.survived_at = now;
-        if !entry.is_shared {
-            self.entries.remove(digest);
+    pub fn record_survival(&mut self, now: u64, suspect: impl Into<SuspectRequest>) -> QuarantineChange {
+        let suspect = suspect.into();
+        self.unanswered.remove(&suspect.digest);
+        let is_accused = suspect.parts.iter().filter(|part| self.acquit_part(now, **part)).count() > 0;
+        let is_known = self.entries.contains_key(&suspect.digest);
+        if let Some(entry) = self.entries.get_mut(&suspect.digest) {
+            entry.record.survived_at = now;
+            if !entry.is_shared {
+                self.entries.remove(&suspect.digest);
+            }
         }
-        self.update_refused(now)
+        if is_accused || is_known { self.update_refused(now) } else { QuarantineChange::default() }
+    }
+
+    /// Counts an attempt that has run a request without crashing for a while, until [`end_run`](Self::end_run).
+    pub fn begin_run(&mut self, now: u64, suspect: &SuspectRequest) -> QuarantineChange {
+        self.parts.begin_run(&suspect.parts);
+        self.record_survival(now, suspect.clone())
+    }
+
+    /// Counts an attempt as ended.
+    pub fn end_run(&mut self, suspect: &SuspectRequest) {
+        self.parts.end_run(&suspect.parts);
     }
 
     /// Merges the records read from the platform's store.
@@ -164,27 +187,84 @@
     ///
     /// Short while records of other hosts may still arrive and attribute the crashes to another request; after that,
     /// the time until this request's record expires.
-    pub fn refusal(&self, now: u64, digest: &RequestDigest) -> Option<Duration> {
+    pub fn refusal(&self, now: u64, suspect: impl Into<SuspectRequest>) -> Option<Duration> {
+        let suspect = suspect.into();
+        let age = self.parts.refusal_age(now, &suspect.parts);
+        let by_parts = age.map(|age| if age < SETTLE_TIME { SETTLE_TIME } else { PartWatch::time_left(age) });
+        by_parts.or_else(|| self.refusal_as_whole(now, &suspect.digest))
+    }
+
+    fn refusal_as_whole(&self, now: u64, digest: &RequestDigest) -> Option<Duration> {
         let entry = self.entries.get(digest).filter(|_| self.refused.contains(digest))?;
         let age = Duration::from_millis(now.saturating_sub(entry.record.updated_at()));
         let left = RECORD_LIFETIME.checked_sub(age).filter(|left| !left.is_zero())?;
         Some(if age < SETTLE_TIME { SETTLE_TIME } else { left })
     }
 
-    fn add_crash(&mut self, digest: RequestDigest, endpoint: Name, at: u64, is_given_up: bool) {
-        let entry = self.entries.entry(digest).or_default();
+    fn add_crash(&mut self, suspect: &SuspectRequest, endpoint: Name, at: u64, is_given_up: bool) {
+        let has_companion = self.share_companions(suspect);
+        let entry = self.entries.entry(suspect.digest).or_default();
         entry.record.crashes.insert(endpoint, at);
+        entry.record.parts.extend(&suspect.parts);
         entry.is_local = true;
-        entry.is_shared |= is_given_up || entry.record.recent_crashes().count() >= SHARE_THRESHOLD;
+        entry.is_shared |= is_given_up || has_companion || entry.record.recent_crashes().count() >= SHARE_THRESHOLD;
+    }
+
+    /// Shares the crashes of other requests that have a part in common with a request; returns whether there are any.
+    ///
+    /// Crashes of different requests with one part count together, and each host may see only one of each request.
+    fn share_companions(&mut self, suspect: &SuspectRequest) -> bool {
+        let mut has_companion = false;
+        for (digest, entry) in &mut self.entries {
+            let is_accused = entry.record.recent_crashes().next().is_some();
+            if *digest != suspect.digest && is_accused && !entry.record.parts.is_disjoint(&suspect.parts) {
+                entry.is_shared = true;
+                has_companion = true;
+            }
+        }
+        has_companion
+    }
+
+    /// Records that a request with a part ran well, if crashes are charged to the part; returns whether some are.
+    fn acquit_part(&mut self, now: u64, part: u64) -> bool {
+        let digest = RequestDigest::of_part(part);
+        let survived_at = self.entries.get(&digest).map_or(0, |entry| entry.record.survived_at);
+        let with_part = self.entries.values().filter(|entry| entry.record.parts.contains(&part));
+        let accusing: Vec<&LedgerEntry> =
+            with_part.filter(|entry| entry.record.crashes.values().any(|at| *at > survived_at)).collect();
+        let Some(crashed_at) = accusing.iter().flat_map(|entry| entry.record.crashes.values().copied()).max() else {
+            return false;
+        };
+        let is_shared = accusing.iter().any(|entry| entry.is_shared);
+        let acquitted = self.entries.entry(digest).or_default();
+        // The clock of the host that saw the crash may be ahead.
+        acquitted.record.survived_at = now.max(crashed_at);
+        acquitted.is_local = true;
+        acquitted.is_shared |= is_shared;
+        true
+    }
+
+    /// Records a survival of each part that crashes are charged to and with which requests run well at this host.
+    fn acquit_running_parts(&mut self, now: u64) {
+        let accused: BTreeSet<u64> = self.entries.values().flat_map(|entry| &entry.record.parts).copied().collect();
+        for part in accused.into_iter().filter(|part| self.parts.runs_well(*part)).collect::<Vec<_>>() {
+            self.acquit_part(now, part);
+        }
     }
 
     /// Recomputes which requests are refused, and returns the difference.
     fn update_refused(&mut self, now: u64) -> QuarantineChange {
         self.evict_records(now);
-        let refused = self.find_refused();
+        self.acquit_running_parts(now);
+        let records: CrashRecords =
+            self.entries.iter().map(|(digest, entry)| (*digest, entry.record.clone())).collect();
+        let (refused_parts, cleared_parts) = self.parts.update(now, find_suspect_parts(&records));
+        let refused = self.find_refused(now);
         let change = QuarantineChange {
             refused: refused.difference(&self.refused).copied().collect(),
             cleared: self.refused.difference(&refused).copied().collect(),
+            refused_parts,
+            cleared_parts,
         };
         self.refused = refused;
         change
@@ -208,8 +288,8 @@
     /// The requests with enough crashes that no other request explains.
     ///
     /// Requests with the same number of crashes are treated alike: which of them is the cause is not known until
-    /// another endpoint crashes.
-    fn find_refused(&self) -> BTreeSet<RequestDigest> {
+    /// another endpoint crashes. Crashes that a refused part explains count against no request.
+    fn find_refused(&self, now: u64) -> BTreeSet<RequestDigest> {
         let suspects = self.entries.iter().map(|(digest, entry)| {
             let crashes: BTreeSet<&Name> = entry.record.recent_crashes().collect();
             (*digest, crashes)
@@ -217,7 +297,7 @@
         let mut suspects: Vec<_> = suspects.filter(|(_, crashes)| crashes.len() >= CRASH_THRESHOLD).collect();
         suspects.sort_by_key(|(_, crashes)| Reverse(crashes.len()));
         let mut refused = BTreeSet::new();
-        let mut explained: BTreeSet<&Name> = BTreeSet::new();
+        let mut explained = self.parts.explained(now);
         for group in suspects.chunk_by(|(_, left), (_, right)| left.len() == right.len()) {
             let is_cause =
                 |(_, crashes): &&(_, BTreeSet<&Name>)| crashes.difference(&explained).count() >= CRASH_THRESHOLD;
--- a/crates/hollyhook_core/src/quarantine/crash_record.rs
+++ b/crates/hollyhook_core/src/quarantine/crash_record.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::Name;
 
@@ -12,16 +12,19 @@
     pub crashes: BTreeMap<Name, u64>,
     /// When an endpoint last ran the request without crashing; zero if none has.
     pub survived_at: u64,
+    /// The parts of the request's prompt that other requests may share.
+    pub parts: BTreeSet<u64>,
 }
 
 impl CrashRecord {
-    /// Merges another record of the same request: the latest time of each endpoint, and the latest survival.
+    /// Merges another record of the same request: the latest time of each endpoint, the latest survival, all parts.
     pub fn merge(&mut self, other: &Self) {
         for (endpoint, at) in &other.crashes {
             let known = self.crashes.entry(Name::clone(endpoint)).or_default();
             *known = (*known).max(*at);
         }
         self.survived_at = self.survived_at.max(other.survived_at);
+        self.parts.extend(&other.parts);
     }
 
     /// The endpoints that crashed since an endpoint last ran the request without crashing.
--- a/crates/hollyhook_core/src/quarantine/mod.rs
+++ b/crates/hollyhook_core/src/quarantine/mod.rs
@@ -1,10 +1,15 @@
-//! Quarantine: finds requests that crash the endpoints which run them, so that all hosts refuse them.
+//! Quarantine: finds requests, and parts of prompts, that crash the endpoints which run them, so that all hosts refuse
+//! them.
 
 mod crash_ledger;
 mod crash_record;
+mod part_evidence;
+mod part_watch;
 mod request_digest;
+mod suspect_request;
 mod unanswered_list;
 
 pub use crash_ledger::{CrashLedger, CrashRecords, QuarantineChange};
 pub use crash_record::CrashRecord;
 pub use request_digest::{DigestError, RequestDigest};
+pub use suspect_request::SuspectRequest;
--- /dev/null
+++ b/crates/hollyhook_core/src/quarantine/part_evidence.rs
@@ -0,0 +1,85 @@
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{CrashRecords, RequestDigest};
+use crate::Name;
+
+/// Number of endpoint crashes from which requests with a part are refused.
+const CRASH_THRESHOLD: usize = 4;
+/// Number of different requests that the crashes must come from; those of one request are charged to that request.
+const REQUEST_THRESHOLD: usize = 2;
+/// A part is as suspect as another one if it was there at all but one in this many of the other's crashes.
+const TIE_FRACTION: usize = 4;
+
+/// Parts of prompts that may crash endpoints, and the endpoints that crashed while running requests with all of them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct SuspectParts {
+    pub(super) parts: BTreeSet<u64>,
+    pub(super) crashes: BTreeSet<Name>,
+    /// The time of the latest crash, in Unix milliseconds.
+    pub(super) crashed_at: u64,
+}
+
+#[derive(Debug, Default)]
+struct PartCrashes {
+    crashes: BTreeSet<Name>,
+    requests: usize,
+    crashed_at: u64,
+}
+
+/// Finds the parts whose crashes neither survivals nor a single request explain.
+///
+/// Parts that were there at about the same crashes can't be told apart: requests that have only some of them are still
+/// run, and tell which part it is.
+pub(super) fn find_suspect_parts(records: &CrashRecords) -> Vec<SuspectParts> {
+    let mut candidates: Vec<(u64, PartCrashes)> = crashes_by_part(records).into_iter().collect();
+    candidates.retain(|(_, part)| is_suspect(part, records));
+    candidates.sort_by_key(|(_, part)| Reverse(part.crashes.len()));
+    let mut found: Vec<SuspectParts> = Vec::new();
+    for (_, part) in &candidates {
+        let explained = |crash: &&Name| found.iter().any(|suspect| suspect.crashes.contains(*crash));
+        if part.crashes.iter().filter(|crash| !explained(crash)).count() >= CRASH_THRESHOLD {
+            found.push(join_ties(part, &candidates));
+        }
+    }
+    found
+}
+
+/// The crashes of each part that came after the last survival of a request with it.
+fn crashes_by_part(records: &CrashRecords) -> BTreeMap<u64, PartCrashes> {
+    let mut parts: BTreeMap<u64, PartCrashes> = BTreeMap::new();
+    for record in records.values() {
+        for part in &record.parts {
+            let survived_at = records.get(&RequestDigest::of_part(*part)).map_or(0, |record| record.survived_at);
+            let recent: Vec<_> =
+                record.crashes.iter().filter(|(_, at)| **at > survived_at.max(record.survived_at)).collect();
+            let Some(crashed_at) = recent.iter().map(|(_, at)| **at).max() else {
+                continue;
+            };
+            let known = parts.entry(*part).or_default();
+            known.crashes.extend(recent.into_iter().map(|(endpoint, _)| Name::clone(endpoint)));
+            known.requests += 1;
+            known.crashed_at = known.crashed_at.max(crashed_at);
+        }
+    }
+    parts
+}
+
+fn is_suspect(part: &PartCrashes, records: &CrashRecords) -> bool {
+    let has_enough = part.crashes.len() >= CRASH_THRESHOLD && part.requests >= REQUEST_THRESHOLD;
+    let is_explained =
+        || records.values().any(|record| part.crashes.iter().all(|crash| record.crashes.contains_key(crash)));
+    has_enough && !is_explained()
+}
+
+fn join_ties(part: &PartCrashes, candidates: &[(u64, PartCrashes)]) -> SuspectParts {
+    let is_tie = |other: &PartCrashes| {
+        let absent = part.crashes.difference(&other.crashes).count();
+        absent * TIE_FRACTION <= part.crashes.len()
+    };
+    SuspectParts {
+        parts: candidates.iter().filter(|(_, other)| is_tie(other)).map(|(id, _)| *id).collect(),
+        crashes: part.crashes.clone(),
+        crashed_at: part.crashed_at,
+    }
+}
--- /dev/null
+++ b/crates/hollyhook_core/src/quarantine/part_watch.rs
@@ -0,0 +1,99 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::part_evidence::SuspectParts;
+use crate::Name;
+
+/// How long this host waits after it has found a part suspect before it refuses requests with it, in milliseconds: the
+/// word of hosts where requests with the part run well may still arrive.
+const SETTLE_MS: u64 = 1_000;
+/// How long after its last crash a part is refused. By then its endpoints may run another version.
+const LIFETIME: Duration = Duration::from_mins(10);
+
+/// The parts of prompts that are refused, and those that run well at this host.
+#[derive(Debug, Default)]
+pub(super) struct PartWatch {
+    /// Number of attempts of this host that run well, by part.
+    runs: BTreeMap<u64, u32>,
+    suspects: Vec<WatchedParts>,
+}
+
+#[derive(Debug)]
+struct WatchedParts {
+    suspect: SuspectParts,
+    /// When this host found the parts suspect, in Unix milliseconds.
+    since: u64,
+}
+
+impl WatchedParts {
+    fn is_settled(&self, now: u64) -> bool {
+        now.saturating_sub(self.since) >= SETTLE_MS
+    }
+}
+
+impl PartWatch {
+    /// Counts an attempt that has run well for a while.
+    pub(super) fn begin_run(&mut self, parts: &BTreeSet<u64>) {
+        for part in parts {
+            *self.runs.entry(*part).or_default() += 1;
+        }
+    }
+
+    /// Counts an attempt that ran well as ended.
+    pub(super) fn end_run(&mut self, parts: &BTreeSet<u64>) {
+        for part in parts {
+            if let Some(count) = self.runs.get_mut(part) {
+                *count -= 1;
+                if *count == 0 {
+                    self.runs.remove(part);
+                }
+            }
+        }
+    }
+
+    /// Whether a request with a part runs well at this host now.
+    pub(super) fn runs_well(&self, part: u64) -> bool {
+        self.runs.contains_key(&part)
+    }
+
+    /// Replaces the suspect parts; returns those that are new and those that are suspect no longer.
+    pub(super) fn update(&mut self, now: u64, suspects: Vec<SuspectParts>) -> (Vec<BTreeSet<u64>>, Vec<BTreeSet<u64>>) {
+        let since: BTreeMap<BTreeSet<u64>, u64> =
+            self.suspects.drain(..).map(|watched| (watched.suspect.parts, watched.since)).collect();
+        let began = suspects.iter().filter(|suspect| !since.contains_key(&suspect.parts));
+        let began = began.map(|suspect| suspect.parts.clone()).collect();
+        let ended = since.keys().filter(|parts| suspects.iter().all(|suspect| suspect.parts != **parts));
+        let ended = ended.cloned().collect();
+        // A unit of which a part turned out to be harmless was watched before, under more parts.
+        let known_since =
+            |parts: &BTreeSet<u64>| since.iter().filter(|(known, _)| known.is_superset(parts)).map(|(_, at)| *at).min();
+        let watched = suspects.into_iter().map(|suspect| {
+            let since = known_since(&suspect.parts).unwrap_or(now);
+            WatchedParts { suspect, since }
+        });
+        self.suspects = watched.collect();
+        (began, ended)
+    }
+
+    /// How long ago the last crash under parts was that a request has and for which it is refused; `None` if it is not.
+    pub(super) fn refusal_age(&self, now: u64, parts: &BTreeSet<u64>) -> Option<Duration> {
+        let mut refused = self.suspects.iter().filter(|watched| watched.is_settled(now));
+        let found = refused.find(|watched| watched.suspect.parts.is_subset(parts))?;
+        let age = Duration::from_millis(now.saturating_sub(found.suspect.crashed_at));
+        (age < LIFETIME).then_some(age)
+    }
+
+    /// The time until a refusal of parts whose last crash was `age` ago ends.
+    pub(super) fn time_left(age: Duration) -> Duration {
+        LIFETIME.saturating_sub(age)
+    }
+
+    /// The crashes that refused parts explain.
+    pub(super) fn explained(&self, now: u64) -> BTreeSet<&Name> {
+        self.suspects
+            .iter()
+            .filter(|watched| watched.is_settled(now))
+            .flat_map(|watched| &watched.suspect.crashes)
+            .collect()
+    }
+}
--- a/crates/hollyhook_core/src/quarantine/request_digest.rs
+++ b/crates/hollyhook_core/src/quarantine/request_digest.rs
@@ -33,6 +33,12 @@
         digest.copy_from_slice(&hash.finalize()[..LENGTH]);
         Self(digest)
     }
+
+    /// The digest under which survivals of requests with a prompt part are recorded.
+    pub fn of_part(part: u64) -> Self {
+        // No path is equal to this one: paths begin with a slash.
+        Self::new("part", None, &part.to_be_bytes())
+    }
 }
 
 impl fmt::Display for RequestDigest {
--- a/crates/hollyhook_core/src/quarantine/unanswered_list.rs
+++ b/crates/hollyhook_core/src/quarantine/unanswered_list.rs
@@ -1,4 +1,4 @@
-use super::RequestDigest;
+use super::{RequestDigest, SuspectRequest};
 use crate::Name;
 
 /// How long after a request was left unanswered a restart of its endpoint, or the removal of the endpoint's entry, is
@@ -10,7 +10,7 @@
 /// A request that an endpoint left without an answer.
 #[derive(Debug)]
 pub(super) struct UnansweredRequest {
-    pub(super) digest: RequestDigest,
+    pub(super) suspect: SuspectRequest,
     pub(super) endpoint: Name,
     /// When the attempt failed, in Unix milliseconds.
     pub(super) at: u64,
@@ -33,10 +33,10 @@
     }
 
     /// Adds a request, unless the list is full.
-    pub(super) fn add(&mut self, now: u64, digest: RequestDigest, endpoint: Name) {
+    pub(super) fn add(&mut self, now: u64, suspect: SuspectRequest, endpoint: Name) {
         self.expire(now);
         if self.requests.len() < MAX_REQUESTS {
-            self.requests.push(UnansweredRequest { digest, endpoint, at: now, is_given_up: false });
+            self.requests.push(UnansweredRequest { suspect, endpoint, at: now, is_given_up: false });
         }
     }
 
@@ -48,12 +48,12 @@
 
     /// Removes a request that an endpoint has run without crashing since.
     pub(super) fn remove(&mut self, digest: &RequestDigest) {
-        self.requests.retain(|request| request.digest != *digest);
+        self.requests.retain(|request| request.suspect.digest != *digest);
     }
 
     /// Marks a request that this host no longer retries.
     pub(super) fn mark_given_up(&mut self, digest: &RequestDigest) {
-        for request in self.requests.iter_mut().filter(|request| request.digest == *digest) {
+        for request in self.requests.iter_mut().filter(|request| request.suspect.digest == *digest) {
             request.is_given_up = true;
         }
     }
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod paths;
 mod quarantine;
+mod quarantine_parts;
 mod quarantine_simulation;
 mod retries;
 mod rollouts;
--- a/crates/hollyhook_core/tests/gateway/quarantine.rs
+++ b/crates/hollyhook_core/tests/gateway/quarantine.rs
@@ -29,7 +29,7 @@
 }
 
 fn is_refused(ledger: &CrashLedger, path: &str) -> bool {
-    ledger.refusal(NOW, &digest(path)).is_some()
+    ledger.refusal(NOW, digest(path)).is_some()
 }
 
 #[test]
@@ -96,7 +96,7 @@
             ledger.record_unanswered(at, digest(&format!("/{}", number % 20)), (**endpoint).into());
         }
         for path in 0..20 {
-            ledger.record_survival(at + 1_500, &digest(&format!("/{path}")));
+            ledger.record_survival(at + 1_500, digest(&format!("/{path}")));
         }
         for endpoint in &endpoints {
             let change = ledger.confirm_crash(at + 3_000, endpoint);
@@ -161,7 +161,7 @@
 #[test]
 fn survival_resets_crashes() {
     let mut ledger = ledger(&[("/a", &["x", "y"])]);
-    ledger.record_survival(NOW + 1, &digest("/a"));
+    ledger.record_survival(NOW + 1, digest("/a"));
     record_crashes(&mut ledger, NOW + 2, &[("/a", &["z", "w"])]);
     assert!(!is_refused(&ledger, "/a"));
     record_crashes(&mut ledger, NOW + 3, &[("/a", &["v"])]);
@@ -187,7 +187,11 @@
 #[test]
 fn crashes_of_hosts_added() {
     let mut ledger = ledger(&[("/a", &["x"])]);
-    let record = CrashRecord { crashes: [("y".into(), NOW), ("z".into(), NOW)].into(), survived_at: 0 };
+    let record = CrashRecord {
+        crashes: [("y".into(), NOW), ("z".into(), NOW)].into(),
+        survived_at: 0,
+        ..CrashRecord::default()
+    };
     ledger.merge_stored(NOW, [(digest("/a"), record)].into());
     assert!(is_refused(&ledger, "/a"));
     assert_eq!(ledger.records_to_write(true).unwrap()[&digest("/a")].crashes.len(), 3);
@@ -206,7 +210,11 @@
 #[test]
 fn lost_record_written_again_by_readers() {
     let mut ledger = CrashLedger::default();
-    let record = CrashRecord { crashes: [("x".into(), NOW), ("y".into(), NOW)].into(), survived_at: 0 };
+    let record = CrashRecord {
+        crashes: [("x".into(), NOW), ("y".into(), NOW)].into(),
+        survived_at: 0,
+        ..CrashRecord::default()
+    };
     ledger.merge_stored(NOW, [(digest("/a"), record)].into());
     ledger.merge_stored(NOW, CrashRecords::new());
     assert_eq!(ledger.records_to_write(false), None);
@@ -231,22 +239,22 @@
 #[test]
 fn recent_refusal_has_short_delay() {
     let mut ledger = ledger(&[("/beside", &["x", "y", "z"])]);
-    assert_eq!(ledger.refusal(NOW, &digest("/beside")), Some(Duration::from_secs(2)));
-    assert!(ledger.refusal(NOW + 2_000, &digest("/beside")).unwrap() > Duration::from_mins(59));
+    assert_eq!(ledger.refusal(NOW, digest("/beside")), Some(Duration::from_secs(2)));
+    assert!(ledger.refusal(NOW + 2_000, digest("/beside")).unwrap() > Duration::from_mins(59));
     let crashes = ["w", "x", "y", "z"].map(|endpoint| (endpoint.into(), NOW)).into();
-    ledger.merge_stored(NOW + 500, [(digest("/deadly"), CrashRecord { crashes, survived_at: 0 })].into());
-    assert_eq!(ledger.refusal(NOW + 2_000, &digest("/beside")), None);
+    ledger.merge_stored(NOW + 500, [(digest("/deadly"), CrashRecord { crashes, ..CrashRecord::default() })].into());
+    assert_eq!(ledger.refusal(NOW + 2_000, digest("/beside")), None);
 }
 
 #[test]
 fn refusal_expires_after_an_hour() {
     let mut ledger = ledger(&[("/a", &["x", "y", "z"])]);
-    assert!(ledger.refusal(NOW + HOUR - 1, &digest("/a")).is_some());
-    assert_eq!(ledger.refusal(NOW + HOUR, &digest("/a")), None);
+    assert!(ledger.refusal(NOW + HOUR - 1, digest("/a")).is_some());
+    assert_eq!(ledger.refusal(NOW + HOUR, digest("/a")), None);
     record_crashes(&mut ledger, NOW + HOUR, &[("/a", &["w"])]);
-    assert!(ledger.refusal(NOW + HOUR, &digest("/a")).is_some(), "refused again after another crash");
+    assert!(ledger.refusal(NOW + HOUR, digest("/a")).is_some(), "refused again after another crash");
     record_crashes(&mut ledger, NOW + 3 * HOUR, &[("/b", &["w"])]);
-    assert_eq!(ledger.refusal(NOW + 3 * HOUR, &digest("/a")), None);
+    assert_eq!(ledger.refusal(NOW + 3 * HOUR, digest("/a")), None);
 }
 
 /// The number of records is bounded; records of refused requests are kept over those of suspected ones.
@@ -268,7 +276,7 @@
     fn records_merge_in_any_order(parts in proptest::collection::vec((0_usize..4, 0_u64..50, 0_u64..50), 1..12)) {
         let names = ["v", "w", "x", "y"];
         let records: Vec<CrashRecord> = parts.iter().map(|(name, at, survived_at)| {
-            CrashRecord { crashes: [(names[*name].into(), *at)].into(), survived_at: *survived_at }
+            CrashRecord { crashes: [(names[*name].into(), *at)].into(), survived_at: *survived_at, ..CrashRecord::default() }
         }).collect();
         let (mut forward, mut backward) = (CrashRecord::default(), CrashRecord::default());
         for record in &records {
--- a/crates/hollyhook_core/tests/gateway/quarantine_simulation.rs
+++ b/crates/hollyhook_core/tests/gateway/quarantine_simulation.rs
@@ -145,7 +145,7 @@
 
     /// Sends a request to an engine, unless its host refuses the request or no engine or send is left.
     fn send(&mut self, request: u64, host: usize, earlier_sends: u32, engine: Option<usize>) {
-        let is_refused = self.hosts[host].refusal(self.now, &digest(request)).is_some();
+        let is_refused = self.hosts[host].refusal(self.now, digest(request)).is_some();
         match engine.filter(|_| !is_refused && earlier_sends < MAX_SENDS) {
             Some(engine) => self.running.push(Attempt { request, host, engine, sent_at: self.now, earlier_sends }),
             None => return self.give_up(request, host, is_refused),
@@ -165,7 +165,7 @@
             return;
         }
         // Callers try again once, if the refusal's delay is within their limit.
-        let delay = self.hosts[host].refusal(self.now, &digest(request)).filter(|delay| *delay <= MAX_RETRY_DELAY);
+        let delay = self.hosts[host].refusal(self.now, digest(request)).filter(|delay| *delay <= MAX_RETRY_DELAY);
         if let Some(delay) = delay.filter(|_| self.retried.insert(request)) {
             self.retrying.insert(self.now + delay.as_millis() as u64, request);
         } else {
@@ -202,7 +202,7 @@
         let done = self.running.extract_if(.., |attempt| now >= attempt.sent_at + PREFILL_TIME + DECODE_TIME);
         let done: Vec<Attempt> = done.collect();
         for attempt in done {
-            self.hosts[attempt.host].record_survival(now, &digest(attempt.request));
+            self.hosts[attempt.host].record_survival(now, digest(attempt.request));
             self.outcome.served += 1;
         }
     }
@@ -224,7 +224,7 @@
             if self.now < attempt.sent_at + PREFILL_TIME + SURVIVAL_TIME {
                 self.hosts[attempt.host].record_crash(self.now, digest, name.as_str().into());
             } else {
-                self.hosts[attempt.host].record_survival(self.now, &digest);
+                self.hosts[attempt.host].record_survival(self.now, digest);
             }
             let engine = if self.placement == Placement::Together { best } else { self.pick_engine() };
             self.send(attempt.request, attempt.host, attempt.earlier_sends + 1, engine);
--- a/crates/hollyhook_gateway/src/forward/attempt_end.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt_end.rs
@@ -14,7 +14,7 @@
 ) -> Option<StopReason> {
     ledger.record_failure(failure);
     let reason = ledger.stop_reason(caller.time_left(context.timer.now()));
-    let is_quarantined = || context.quarantine.refusal(|| caller.digest()).is_some();
+    let is_quarantined = || context.quarantine.refusal(|| caller.suspect()).is_some();
     let reason = reason.or_else(|| is_quarantined().then_some(StopReason::Quarantined));
     let is_budget_spent = || failure.has_arrived() && !context.try_retry(&caller.service);
     reason.or_else(|| is_budget_spent().then_some(StopReason::BudgetExhausted))
--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -7,7 +7,7 @@
 
 use super::request_log;
 use crate::front::CallerRequest;
-use crate::gateway::GatewayContext;
+use crate::gateway::{GatewayContext, SurvivingRun};
 use crate::path::EndpointTarget;
 use crate::pool::{PooledConnection, SendError};
 use crate::store::QuarantineWriter;
@@ -39,22 +39,33 @@
     let is_cut_off = matches!(failure, AttemptFailure::Broken | AttemptFailure::Garbled);
     let has_crashed = is_cut_off && has_crashed(context, caller, target).await;
     if !has_crashed && (is_cut_off || failure == AttemptFailure::Silent) {
-        context.quarantine.record_unanswered(caller.digest(), &target.id);
+        context.quarantine.record_unanswered(caller.suspect(), &target.id);
     }
     if has_crashed {
         context.recorder.count("endpoint_crashes");
         request_log::crashed(context, caller, &target.id);
-        context.quarantine.record_crash(caller.digest(), &target.id);
+        context.quarantine.record_crash(caller.suspect(), &target.id);
         QuarantineWriter::spawn_if_needed(context);
     }
 }
 
 /// Records that an endpoint ran a request without crashing.
 pub(super) fn record_survival(context: &Arc<GatewayContext>, caller: &CallerRequest) {
-    context.quarantine.record_survival(|| caller.digest());
+    context.quarantine.record_survival(|| caller.suspect());
     QuarantineWriter::spawn_if_needed(context);
 }
 
+/// Counts an attempt that has sent events for [`SURVIVAL_TIME`] as one that runs well, until the guard is dropped;
+/// `None` if its prompt has no part that other requests may share.
+pub(super) fn record_running(context: &Arc<GatewayContext>, caller: &CallerRequest) -> Option<SurvivingRun> {
+    if caller.head.shared_parts.is_empty() {
+        return None;
+    }
+    let run = context.quarantine.begin_run(caller.suspect());
+    QuarantineWriter::spawn_if_needed(context);
+    Some(run)
+}
+
 /// Records that no further attempt is made for a request.
 pub(super) fn record_given_up(context: &Arc<GatewayContext>, caller: &CallerRequest) {
     context.quarantine.record_given_up(|| caller.digest());
@@ -66,7 +77,7 @@
 /// Each crash also ends the requests of other callers that run at the endpoint, so that a further attempt would harm
 /// them too.
 pub(super) fn quarantine_error(context: &GatewayContext, caller: &CallerRequest) -> Option<Error> {
-    let left = context.quarantine.refusal(|| caller.digest())?;
+    let left = context.quarantine.refusal(|| caller.suspect())?;
     let error = Error::new(ErrorKind::Quarantined, StopReason::Quarantined.as_str());
     Some(error.retry_after(left))
 }
--- a/crates/hollyhook_gateway/src/forward/live_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -7,9 +8,10 @@
 use super::attempt::{EndpointSlot, OpenResponse};
 use super::attempt_times::AttemptTimes;
 use super::backup_replicator::BackupReplicator;
+use super::crash_check::{SURVIVAL_TIME, record_running};
 use super::liveness_watch::LivenessWatch;
 use crate::front::CallerRequest;
-use crate::gateway::GatewayContext;
+use crate::gateway::{GatewayContext, SurvivingRun};
 
 /// Minimum number of events for which the mean gap between them is recorded.
 const GAP_EVENTS: u32 = 8;
@@ -32,6 +34,8 @@
     first_event_at: Option<TimePoint>,
     last_event_at: Option<TimePoint>,
     events: u32,
+    /// Present once the attempt has sent events for long enough to show that its request crashes no endpoint.
+    run: Option<SurvivingRun>,
 }
 
 /// Result of reading the next events of an attempt.
@@ -60,6 +64,7 @@
             first_event_at: None,
             last_event_at: None,
             events: 0,
+            run: None,
         }
     }
 
@@ -75,7 +80,7 @@
     /// Waits for the next whole events that the caller does not have yet.
     pub(super) async fn next_events(
         &mut self,
-        context: &GatewayContext,
+        context: &Arc<GatewayContext>,
         caller: &CallerRequest,
         sequencer: &mut EventSequencer,
     ) -> ReadResult {
@@ -86,6 +91,7 @@
         };
         loop {
             if let Some(bytes) = self.take_events(sequencer, context.timer.now()) {
+                self.check_survival(context, caller);
                 return ReadResult::Bytes(bytes);
             }
             if self.reader.is_faulty() {
@@ -118,6 +124,12 @@
         }
     }
 
+    fn check_survival(&mut self, context: &Arc<GatewayContext>, caller: &CallerRequest) {
+        if self.run.is_none() && self.event_span(context.timer.now()) >= SURVIVAL_TIME {
+            self.run = record_running(context, caller);
+        }
+    }
+
     /// Events that the caller has, for comparison with the count in the engine's report; zero before the first event of
     /// this attempt.
     fn delivered(&self, sequencer: &EventSequencer) -> u64 {
--- a/crates/hollyhook_gateway/src/front/caller_request.rs
+++ b/crates/hollyhook_gateway/src/front/caller_request.rs
@@ -2,7 +2,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollyhook_core::{AccountConfig, CallerHead, EngineMemory, Name, RequestDigest, RouteConfig, TimePoint};
+use hollyhook_core::{
+    AccountConfig, CallerHead, EngineMemory, Name, RequestDigest, RouteConfig, SuspectRequest, TimePoint,
+};
 use http::{HeaderMap, Method, Uri};
 
 use crate::gateway::{BodyReservation, RequestGuard};
@@ -48,6 +50,11 @@
         RequestDigest::new(path, account, &self.body)
     }
 
+    /// The request as a suspect of crashing the endpoints that run it.
+    pub(crate) fn suspect(&self) -> SuspectRequest {
+        SuspectRequest::new(self.digest(), self.head.shared_parts.iter().copied())
+    }
+
     /// Priority of the request, 0 first: the account's if it has one, else the route's.
     pub(crate) fn priority(&self) -> u8 {
         self.account.as_ref().and_then(|account| account.priority).unwrap_or(self.route.priority)
--- a/crates/hollyhook_gateway/src/gateway/mod.rs
+++ b/crates/hollyhook_gateway/src/gateway/mod.rs
@@ -15,5 +15,6 @@
 pub(crate) use gateway_context::GatewayContext;
 pub use gateway_process::Gateway;
 pub(crate) use known_rollout::KnownRollout;
+pub(crate) use quarantine_tracker::SurvivingRun;
 pub(crate) use request_load::{BodyReservation, RequestGuard, StreamWaitGuard};
 pub(crate) use rollout_tracker::VersionAnswer;
--- a/crates/hollyhook_gateway/src/gateway/quarantine_tracker.rs
+++ b/crates/hollyhook_gateway/src/gateway/quarantine_tracker.rs
@@ -3,7 +3,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hollyhook_core::{CrashLedger, CrashRecords, EndpointId, Name, QuarantineChange, RequestDigest, Result};
+use hollyhook_core::{
+    CrashLedger, CrashRecords, EndpointId, Name, QuarantineChange, RequestDigest, Result, SuspectRequest,
+};
 use hollyhook_kernel::ServiceRegistry;
 use hollyhook_platform::StoreObject;
 use hollyhook_telemetry::MetricRecorder;
@@ -22,6 +24,19 @@
     is_writing: AtomicBool,
 }
 
+/// Counts an attempt as one that runs well while it exists.
+#[derive(Debug)]
+pub(crate) struct SurvivingRun {
+    tracker: Arc<QuarantineTracker>,
+    suspect: SuspectRequest,
+}
+
+impl Drop for SurvivingRun {
+    fn drop(&mut self) {
+        lock(&self.tracker.ledger).end_run(&self.suspect);
+    }
+}
+
 impl QuarantineTracker {
     /// The name that the service is registered under.
     pub(crate) const NAME: &'static str = "quarantine";
@@ -42,13 +57,13 @@
 
     /// How long a refused request should wait before it is tried again; `None` if the request is not refused.
     ///
-    /// The digest is computed only if there are crash records or unanswered requests.
-    pub(crate) fn refusal(&self, digest: impl FnOnce() -> RequestDigest) -> Option<Duration> {
+    /// The request is described only if there are crash records or unanswered requests.
+    pub(crate) fn refusal(&self, suspect: impl FnOnce() -> SuspectRequest) -> Option<Duration> {
         let ledger = lock(&self.ledger);
         if ledger.is_empty() {
             return None;
         }
-        ledger.refusal(unix_millis(), &digest())
+        ledger.refusal(unix_millis(), suspect())
     }
 
     /// Whether an endpoint crashed while running a request since an endpoint last ran the request without crashing.
@@ -58,14 +73,14 @@
     }
 
     /// Records that an endpoint crashed while running a request.
-    pub(crate) fn record_crash(&self, digest: RequestDigest, endpoint: &str) {
-        let change = lock(&self.ledger).record_crash(unix_millis(), digest, Name::from(endpoint));
+    pub(crate) fn record_crash(&self, suspect: SuspectRequest, endpoint: &str) {
+        let change = lock(&self.ledger).record_crash(unix_millis(), suspect, Name::from(endpoint));
         self.log(&change);
     }
 
     /// Records that an endpoint left a request without an answer, and may have crashed.
-    pub(crate) fn record_unanswered(&self, digest: RequestDigest, endpoint: &str) {
-        lock(&self.ledger).record_unanswered(unix_millis(), digest, Name::from(endpoint));
+    pub(crate) fn record_unanswered(&self, suspect: SuspectRequest, endpoint: &str) {
+        lock(&self.ledger).record_unanswered(unix_millis(), suspect, Name::from(endpoint));
     }
 
     /// Counts unanswered requests as crashes, for endpoints that are gone without having announced that they leave.
@@ -92,16 +107,23 @@
     }
 
     /// Records that an endpoint ran a request without crashing.
-    pub(crate) fn record_survival(&self, digest: impl FnOnce() -> RequestDigest) {
+    pub(crate) fn record_survival(&self, suspect: impl FnOnce() -> SuspectRequest) {
         let mut ledger = lock(&self.ledger);
         if ledger.is_empty() {
             return;
         }
-        let change = ledger.record_survival(unix_millis(), &digest());
+        let change = ledger.record_survival(unix_millis(), suspect());
         drop(ledger);
         self.log(&change);
     }
 
+    /// Counts an attempt that has run a request without crashing for a while, until the returned guard is dropped.
+    pub(crate) fn begin_run(self: &Arc<Self>, suspect: SuspectRequest) -> SurvivingRun {
+        let change = lock(&self.ledger).begin_run(unix_millis(), &suspect);
+        self.log(&change);
+        SurvivingRun { tracker: Arc::clone(self), suspect }
+    }
+
     /// Reads the crash records that hosts stored at an endpoint's entry.
     pub(crate) fn load_entry(&self, object: &StoreObject) {
         match hollyhook_platform::decode_crashes(object) {
@@ -179,6 +201,13 @@
             self.recorder.count("requests_quarantined");
             tracing::warn!(%digest, "quarantine.begun");
         }
+        for parts in &change.refused_parts {
+            self.recorder.count("prompt_parts_quarantined");
+            tracing::warn!(parts = format!("{parts:x?}"), "quarantine.parts_begun");
+        }
+        for parts in &change.cleared_parts {
+            tracing::info!(parts = format!("{parts:x?}"), "quarantine.parts_ended");
+        }
         for digest in &change.cleared {
             tracing::info!(%digest, "quarantine.ended");
         }
