Wait for the verdict on a part before sending a request with it

Cause: while the second passed that hosts wait for each other's word on a part that looks deadly, requests with it still went to engines and crashed them.

Change: such a request waits until the part is refused or cleared, at most that second, before its first attempt and before it is repeated; a part that runs well anywhere is cleared within milliseconds.

--- a/crates/hollyhook_core/src/quarantine/crash_ledger.rs
+++ b/crates/hollyhook_core/src/quarantine/crash_ledger.rs
@@ -194,6 +194,11 @@
         by_parts.or_else(|| self.refusal_as_whole(now, &suspect.digest))
     }
 
+    /// The time until it is decided whether a request is refused for a part of its prompt; `None` if it is decided.
+    pub fn verdict_due(&self, now: u64, suspect: &SuspectRequest) -> Option<Duration> {
+        self.parts.verdict_due(now, &suspect.parts)
+    }
+
     fn refusal_as_whole(&self, now: u64, digest: &RequestDigest) -> Option<Duration> {
         let entry = self.entries.get(digest).filter(|_| self.refused.contains(digest))?;
         let age = Duration::from_millis(now.saturating_sub(entry.record.updated_at()));
--- a/crates/hollyhook_core/src/quarantine/part_watch.rs
+++ b/crates/hollyhook_core/src/quarantine/part_watch.rs
@@ -83,6 +83,13 @@
         (age < LIFETIME).then_some(age)
     }
 
+    /// The time until it is decided whether a request with these parts is refused; `None` if it is decided.
+    pub(super) fn verdict_due(&self, now: u64, parts: &BTreeSet<u64>) -> Option<Duration> {
+        let pending = self.suspects.iter().filter(|watched| watched.suspect.parts.is_subset(parts));
+        let left = pending.map(|watched| (watched.since + SETTLE_MS).saturating_sub(now)).max();
+        left.filter(|left| *left > 0).map(|left| Duration::from_millis(left.min(SETTLE_MS)))
+    }
+
     /// The time until a refusal of parts whose last crash was `age` ago ends.
     pub(super) fn time_left(age: Duration) -> Duration {
         LIFETIME.saturating_sub(age)
--- a/crates/hollyhook_core/tests/gateway/quarantine_parts.rs
+++ b/crates/hollyhook_core/tests/gateway/quarantine_parts.rs
@@ -33,6 +33,8 @@
     assert!(!is_refused(&ledger, SETTLED, &[DEADLY]));
     crash(&mut ledger, 3..4, &[DEADLY]);
     assert!(!is_refused(&ledger, SETTLED - 1, &[DEADLY]));
+    assert_eq!(ledger.verdict_due(NOW, &request(9, &[DEADLY])), Some(Duration::from_secs(1)));
+    assert_eq!(ledger.verdict_due(SETTLED, &request(9, &[DEADLY])), None);
     assert!(is_refused(&ledger, SETTLED, &[SHARED, DEADLY]));
     assert!(!is_refused(&ledger, SETTLED, &[SHARED]));
     assert!(!is_refused(&ledger, NOW + Duration::from_mins(10).as_millis() as u64, &[DEADLY]));
--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -21,10 +21,14 @@
 /// such an instance can't be probed without taking a slot there.
 const HOLD_TIME: Duration = Duration::from_millis(10);
 
+/// How often a request that waits for the verdict on a part of its prompt checks whether there is one.
+const VERDICT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// How long an attempt must have sent events before its request is no longer suspected of crashing endpoints.
 pub(super) const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 
-/// Records a crash against a request if the endpoint that ran it has crashed.
+/// Records a crash against a request if the endpoint that ran it has crashed, and waits until it is decided whether the
+/// request may be sent again.
 ///
 /// A broken connection alone proves little: live endpoints and network links reset some. An endpoint whose process has
 /// ended refuses the next connections or breaks each of them. If neither is seen, a lost attempt (`Broken`, `Garbled`,
@@ -47,6 +51,7 @@
         context.quarantine.record_crash(caller.suspect(), &target.id);
         QuarantineWriter::spawn_if_needed(context);
     }
+    await_verdict(context, caller).await;
 }
 
 /// Records that an endpoint ran a request without crashing.
@@ -72,6 +77,19 @@
     QuarantineWriter::spawn_if_needed(context);
 }
 
+/// Waits until it is decided whether a part of the request's prompt crashes endpoints.
+///
+/// Most parts are cleared within milliseconds, by requests that run well with them.
+pub(super) async fn await_verdict(context: &GatewayContext, caller: &CallerRequest) {
+    while let Some(left) = context.quarantine.verdict_due(|| caller.suspect()) {
+        let time_left = caller.time_left(context.timer.now());
+        if time_left.is_zero() {
+            return;
+        }
+        context.timer.wait(left.min(VERDICT_CHECK_INTERVAL).min(time_left)).await;
+    }
+}
+
 /// Returns the error for a quarantined request: one that crashed endpoints, at this host or at others.
 ///
 /// Each crash also ends the requests of other callers that run at the endpoint, so that a further attempt would harm
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -25,6 +25,7 @@
 
 /// Forwards an admitted request; returns the endpoint's response, or an error response.
 pub(crate) async fn forward(context: &Arc<GatewayContext>, caller: CallerRequest) -> Response<ResponseBody> {
+    crash_check::await_verdict(context, &caller).await;
     if let Some(error) = crash_check::quarantine_error(context, &caller) {
         request_log::ended(context, &caller, &error, 0);
         return error_response(&error);
--- a/crates/hollyhook_gateway/src/gateway/quarantine_tracker.rs
+++ b/crates/hollyhook_gateway/src/gateway/quarantine_tracker.rs
@@ -66,6 +66,15 @@
         ledger.refusal(unix_millis(), suspect())
     }
 
+    /// The time until it is decided whether a request is refused for a part of its prompt; `None` if it is decided.
+    pub(crate) fn verdict_due(&self, suspect: impl FnOnce() -> SuspectRequest) -> Option<Duration> {
+        let ledger = lock(&self.ledger);
+        if ledger.is_empty() {
+            return None;
+        }
+        ledger.verdict_due(unix_millis(), &suspect())
+    }
+
     /// Whether an endpoint crashed while running a request since an endpoint last ran the request without crashing.
     pub(crate) fn is_suspected(&self, digest: impl FnOnce() -> RequestDigest) -> bool {
         let ledger = lock(&self.ledger);
