Count a crash only if a second connection fails a moment later

What callers saw: nothing lasting; a request whose endpoints were only cut off could be charged with crashes, of which three refuse it at all hosts.

Cause: when hosts lose their links, those that are asked whether an endpoint is down are losing theirs too, and for some 10 ms reach one endpoint of a group and not another. One refused connection and their word were enough; a connection that was opened and broke, followed at once by a refused one, too.

Change: both checks must fail, 20 ms apart, whatever the first one showed.

--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -15,8 +15,11 @@
 /// Time limit for an endpoint to refuse a connection or to break it. The machine of a crashed process refuses within
 /// one round trip, and so does a proxy that accepts connections in its place.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(60);
-/// Consecutive connections that must break before an endpoint counts as crashed: live endpoints reset some connections.
+/// Consecutive connections that must break or be refused before an endpoint counts as crashed: live endpoints reset some connections.
 const CRASH_CHECKS: usize = 2;
+/// Delay between two of these connections. When hosts lose their links, one that is asked still reaches some endpoints
+/// for some milliseconds, and takes the others for crashed.
+const RECHECK_DELAY: Duration = Duration::from_millis(20);
 /// How long a connection to a plain service instance must stay open to show that the process lives. Unlike an engine,
 /// such an instance can't be probed without taking a slot there.
 const HOLD_TIME: Duration = Duration::from_millis(10);
@@ -101,7 +104,10 @@
 }
 
 async fn has_crashed(context: &GatewayContext, caller: &CallerRequest, target: &EndpointTarget) -> bool {
-    for _check in 0..CRASH_CHECKS {
+    for check in 0..CRASH_CHECKS {
+        if check > 0 {
+            context.timer.wait(RECHECK_DELAY).await;
+        }
         let Some(connected) = context.timer.within(CHECK_TIMEOUT, context.connector.connect(target)).await else {
             return false;
         };
@@ -111,8 +117,7 @@
                 context.timer.wait(HOLD_TIME).await;
                 !connection.is_ready()
             }
-            Err(error) if error.is_refused_by_endpoint() => return true,
-            Err(error) => error.is_reset_by_endpoint(),
+            Err(error) => error.is_refused_by_endpoint() || error.is_reset_by_endpoint(),
         };
         if !is_broken {
             return false;
