--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -42,7 +42,7 @@
     ProbeReport, RelayAction, RelayCounter, RelayEvent, RelayPhase, RelayPolicy, StreamTimeouts, TokenLog,
 };
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
-pub use origin::{OriginAnswer, OriginLedger, StreamOrigin, origin_holders};
+pub use origin::{OriginAnswer, OriginCopy, OriginLedger, StreamOrigin, origin_holders};
 pub use path::{ConnectOrder, EndpointGroup, PathMonitor, TunnelDirectory};
 pub use quarantine::{
     CrashLedger, CrashRecord, CrashRecords, DigestError, QuarantineChange, RequestDigest, SuspectRequest,
--- a/crates/hollyhook_core/src/origin/mod.rs
+++ b/crates/hollyhook_core/src/origin/mod.rs
@@ -5,5 +5,5 @@
 mod stream_origin;
 
 pub use origin_holders::origin_holders;
-pub use origin_ledger::OriginLedger;
+pub use origin_ledger::{OriginCopy, OriginLedger};
 pub use stream_origin::{OriginAnswer, StreamOrigin};
--- a/crates/hollyhook_core/src/origin/origin_holders.rs
+++ b/crates/hollyhook_core/src/origin/origin_holders.rs
@@ -4,8 +4,8 @@
 use crate::route::rendezvous_weight;
 use crate::{HostRecord, Name, ZoneName};
 
-/// Number of hosts, each of another availability zone, that keep a copy of a stream's origin. With three of eight hosts
-/// lost at once, two copies would be lost in one case of ten, three in one of fifty.
+/// Number of hosts, each of another availability zone, that keep a copy of a stream's origin: losses of several hosts, or
+/// of a zone, rarely take all of them.
 const COPIES: usize = 3;
 
 /// The hosts that keep copies of the origin of a stream; all hosts that know the same hosts find the same ones.
--- a/crates/hollyhook_core/src/origin/origin_ledger.rs
+++ b/crates/hollyhook_core/src/origin/origin_ledger.rs
@@ -15,7 +15,7 @@
 /// let mut ledger = OriginLedger::default();
 /// ledger.record_own(TimePoint::ZERO, "a1".into(), "model".into(), "v1".into());
 /// assert_eq!(ledger.version(TimePoint::ZERO, "a1").as_deref(), Some("v1"));
-/// assert_eq!(ledger.take_unshared(TimePoint::ZERO, |_service| true), [("a1".into(), "v1".into())]);
+/// assert_eq!(&*ledger.take_unshared(TimePoint::ZERO, |_service| true)[0].first_attempt, "a1");
 /// assert!(ledger.take_unshared(TimePoint::ZERO, |_service| true).is_empty());
 /// assert_eq!(ledger.version(TimePoint::ZERO + OriginLedger::LIFETIME, "a1"), None);
 /// ```
@@ -28,6 +28,15 @@
     unshared: BTreeMap<Name, BTreeSet<Name>>,
 }
 
+/// A copy of an origin for another host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OriginCopy {
+    /// The client attempt that brought the stream's first event.
+    pub first_attempt: Name,
+    /// The version at which the stream began.
+    pub version: Name,
+}
+
 #[derive(Debug)]
 struct OriginRecord {
     version: Name,
@@ -63,12 +72,12 @@
     }
 
     /// Takes the origins of services that need copies at other hosts, which are then taken for shared.
-    pub fn take_unshared(&mut self, now: TimePoint, needs_copies: impl Fn(&Name) -> bool) -> Vec<(Name, Name)> {
+    pub fn take_unshared(&mut self, now: TimePoint, needs_copies: impl Fn(&Name) -> bool) -> Vec<OriginCopy> {
         self.expire(now);
         let taken = self.unshared.extract_if(.., |service, _| needs_copies(service)).flat_map(|(_, ids)| ids);
-        let taken = taken.filter_map(|id| {
-            let version = Name::clone(&self.origins.get(&id)?.version);
-            Some((id, version))
+        let taken = taken.filter_map(|first_attempt| {
+            let version = Name::clone(&self.origins.get(&first_attempt)?.version);
+            Some(OriginCopy { first_attempt, version })
         });
         taken.collect()
     }
--- a/crates/hollyhook_core/src/quarantine/crash_ledger.rs
+++ b/crates/hollyhook_core/src/quarantine/crash_ledger.rs
@@ -39,10 +39,10 @@
 ///
 /// let (mut ledger, digest) = (CrashLedger::default(), RequestDigest::new("/draft/a", None, b""));
 /// for endpoint in ["a", "b", "c"] {
-///     assert_eq!(ledger.refusal(1_000, &digest), None);
+///     assert_eq!(ledger.refusal(1_000, digest), None);
 ///     ledger.record_crash(1_000, digest, endpoint.into());
 /// }
-/// assert!(ledger.refusal(1_000, &digest).is_some());
+/// assert!(ledger.refusal(1_000, digest).is_some());
 /// ```
 #[derive(Debug, Default)]
 pub struct CrashLedger {
@@ -126,7 +126,10 @@
     pub fn record_survival(&mut self, now: u64, suspect: impl Into<SuspectRequest>) -> QuarantineChange {
         let suspect = suspect.into();
         self.unanswered.remove(&suspect.digest);
-        let is_accused = suspect.parts.iter().filter(|part| self.acquit_part(now, **part)).count() > 0;
+        let mut is_accused = false;
+        for part in &suspect.parts {
+            is_accused |= self.acquit_part(now, *part);
+        }
         let is_known = self.entries.contains_key(&suspect.digest);
         if let Some(entry) = self.entries.get_mut(&suspect.digest) {
             entry.record.survived_at = now;
@@ -252,8 +255,10 @@
     /// Records a survival of each part that crashes are charged to and with which requests run well at this host.
     fn acquit_running_parts(&mut self, now: u64) {
         let accused: BTreeSet<u64> = self.entries.values().flat_map(|entry| &entry.record.parts).copied().collect();
-        for part in accused.into_iter().filter(|part| self.parts.runs_well(*part)).collect::<Vec<_>>() {
-            self.acquit_part(now, part);
+        for part in accused {
+            if self.parts.runs_well(part) {
+                self.acquit_part(now, part);
+            }
         }
     }
 
@@ -263,13 +268,13 @@
         self.acquit_running_parts(now);
         let records: CrashRecords =
             self.entries.iter().map(|(digest, entry)| (*digest, entry.record.clone())).collect();
-        let (refused_parts, cleared_parts) = self.parts.update(now, find_suspect_parts(&records));
+        let parts = self.parts.update(now, find_suspect_parts(&records));
         let refused = self.find_refused(now);
         let change = QuarantineChange {
             refused: refused.difference(&self.refused).copied().collect(),
             cleared: self.refused.difference(&refused).copied().collect(),
-            refused_parts,
-            cleared_parts,
+            refused_parts: parts.began,
+            cleared_parts: parts.ended,
         };
         self.refused = refused;
         change
--- a/crates/hollyhook_core/src/quarantine/part_watch.rs
+++ b/crates/hollyhook_core/src/quarantine/part_watch.rs
@@ -25,6 +25,13 @@
     since: u64,
 }
 
+/// The sets of parts that an update found suspect, and those that are suspect no longer.
+#[derive(Debug, Default)]
+pub(super) struct PartChange {
+    pub(super) began: Vec<BTreeSet<u64>>,
+    pub(super) ended: Vec<BTreeSet<u64>>,
+}
+
 impl WatchedParts {
     fn is_settled(&self, now: u64) -> bool {
         now.saturating_sub(self.since) >= SETTLE_MS
@@ -56,15 +63,15 @@
         self.runs.contains_key(&part)
     }
 
-    /// Replaces the suspect parts; returns those that are new and those that are suspect no longer.
-    pub(super) fn update(&mut self, now: u64, suspects: Vec<SuspectParts>) -> (Vec<BTreeSet<u64>>, Vec<BTreeSet<u64>>) {
+    /// Replaces the suspect parts.
+    pub(super) fn update(&mut self, now: u64, suspects: Vec<SuspectParts>) -> PartChange {
         let since: BTreeMap<BTreeSet<u64>, u64> =
             self.suspects.drain(..).map(|watched| (watched.suspect.parts, watched.since)).collect();
         let began = suspects.iter().filter(|suspect| !since.contains_key(&suspect.parts));
-        let began = began.map(|suspect| suspect.parts.clone()).collect();
         let ended = since.keys().filter(|parts| suspects.iter().all(|suspect| suspect.parts != **parts));
-        let ended = ended.cloned().collect();
-        // A unit of which a part turned out to be harmless was watched before, under more parts.
+        let change =
+            PartChange { began: began.map(|suspect| suspect.parts.clone()).collect(), ended: ended.cloned().collect() };
+        // Parts that are left after others turned out to be harmless were watched before, together with these.
         let known_since =
             |parts: &BTreeSet<u64>| since.iter().filter(|(known, _)| known.is_superset(parts)).map(|(_, at)| *at).min();
         let watched = suspects.into_iter().map(|suspect| {
@@ -72,7 +79,7 @@
             WatchedParts { suspect, since }
         });
         self.suspects = watched.collect();
-        (began, ended)
+        change
     }
 
     /// How long ago the last crash under parts was that a request has and for which it is refused; `None` if it is not.
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -92,8 +92,9 @@
     first_head: Option<Parts>,
     /// Version of the weights that generated the events so far; other weights would not continue the same text.
     weights: Option<u64>,
-    /// The software versions that may write the next events; `None` until it has been looked up.
+    /// The software versions that may write the next events; `None` until they have been looked up.
     origin: Option<StreamOrigin>,
+    /// Whether the version of an event that this host delivered has been recorded for other hosts.
     has_recorded_origin: bool,
     /// An endpoint's response that is not a stream, to be returned to the caller unchanged.
     plain_response: Option<BufferedResponse>,
@@ -167,7 +168,7 @@
         }
     }
 
-    /// Records the version of the first event that this host delivers, from when on only this version may go on.
+    /// Binds the stream to the version of the first event that this host delivers, and records it for other hosts.
     fn record_origin(&mut self, version: Name) {
         if self.has_recorded_origin {
             return;
--- a/crates/hollyhook_gateway/src/origin/origin_sharer.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_sharer.rs
@@ -5,7 +5,7 @@
 
 use async_std::task;
 use futures::future::join_all;
-use hollyhook_core::Name;
+use hollyhook_core::{Name, OriginCopy};
 use http::{Method, StatusCode};
 
 use super::origin_message::{COPY_PATH, OriginCopies};
@@ -53,12 +53,12 @@
         Self::spawn_if_needed(&self.context);
     }
 
-    async fn send(&self, origins: Vec<(Name, Name)>) {
+    async fn send(&self, origins: Vec<OriginCopy>) {
         let mut batches: BTreeMap<SocketAddr, OriginCopies> = BTreeMap::new();
-        for (first_attempt, version) in &origins {
-            for holder in self.context.origins.holders(first_attempt) {
+        for copy in &origins {
+            for holder in self.context.origins.holders(&copy.first_attempt) {
                 let copies = batches.entry(holder.address).or_default();
-                copies.origins.insert(Name::clone(first_attempt), Name::clone(version));
+                copies.origins.insert(Name::clone(&copy.first_attempt), Name::clone(&copy.version));
             }
         }
         join_all(batches.into_iter().map(|(address, copies)| self.send_to(address, copies))).await;
--- a/crates/hollyhook_gateway/src/origin/origin_tracker.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_tracker.rs
@@ -1,7 +1,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
-use hollyhook_core::{HostRecord, Name, OriginAnswer, OriginLedger, Result, TimePoint, origin_holders};
+use hollyhook_core::{HostRecord, Name, OriginAnswer, OriginCopy, OriginLedger, Result, TimePoint, origin_holders};
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 
 use crate::gateway::EndpointDirectory;
@@ -73,7 +73,7 @@
     }
 
     /// Takes the origins that other hosts need copies of: those of services with several versions.
-    pub(super) fn take_unshared(&self) -> Vec<(Name, Name)> {
+    pub(super) fn take_unshared(&self) -> Vec<OriginCopy> {
         let now = self.timer.now();
         lock(&self.ledger).take_unshared(now, |service| self.has_versions(service))
     }
