Less work for each stream and each wait; one piece where logic stood twice

From reading the whole change once more; behaviour stays. No check, bound or expected value changed; two calls in quarantine_parts follow their signatures.

- A stream that has sent events for a second no longer hashes its body to be counted as one that runs well, and a wait for the verdict on a part no longer hashes it every 20 ms: both need the parts only.
Records are evaluated in place, where all had been copied at each change.
- The version of a stream is taken from its first event, not copied at each.
- Which engines can use a kept prompt is decided in place_held_prompt, in the core; the shell had filtered the candidates before it and looked for the holder twice.
- One exchange of messages about origins, one answer of a status with a text: each stood two to four times, the latter also outside this change.
- Lines over 120 columns, which the formatter leaves in comments and macros.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -55,7 +55,7 @@
 pub use route::{
     EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
     EngineRun, HeldPromptPart, HolderLimits, HostPosition, LoadReport, MAX_REPORT_AGE, PromptPlacement, RouteQuery,
-    choose_backup_engine, choose_engine, excess_wait, has_holder, holder_of_most, is_certain_choice, is_of_one_version,
+    choose_backup_engine, choose_engine, excess_wait, has_holder, is_certain_choice, is_of_one_version,
     place_held_prompt, time_to_first_event,
 };
 pub use site::{
--- a/crates/hollyhook_core/src/quarantine/crash_ledger.rs
+++ b/crates/hollyhook_core/src/quarantine/crash_ledger.rs
@@ -140,15 +140,14 @@
         if is_accused || is_known { self.update_refused(now) } else { QuarantineChange::default() }
     }
 
-    /// Counts an attempt that has run a request without crashing for a while, until [`end_run`](Self::end_run).
-    pub fn begin_run(&mut self, now: u64, suspect: &SuspectRequest) -> QuarantineChange {
-        self.parts.begin_run(&suspect.parts);
-        self.record_survival(now, suspect.clone())
+    /// Counts an attempt that has run a request with these parts for a while, until [`end_run`](Self::end_run).
+    pub fn begin_run(&mut self, parts: &BTreeSet<u64>) {
+        self.parts.begin_run(parts);
     }
 
     /// Counts an attempt as ended.
-    pub fn end_run(&mut self, suspect: &SuspectRequest) {
-        self.parts.end_run(&suspect.parts);
+    pub fn end_run(&mut self, parts: &BTreeSet<u64>) {
+        self.parts.end_run(parts);
     }
 
     /// Merges the records read from the platform's store.
@@ -197,9 +196,9 @@
         by_parts.or_else(|| self.refusal_as_whole(now, &suspect.digest))
     }
 
-    /// The time until it is decided whether a request is refused for a part of its prompt; `None` if it is decided.
-    pub fn verdict_due(&self, now: u64, suspect: &SuspectRequest) -> Option<Duration> {
-        self.parts.verdict_due(now, &suspect.parts)
+    /// The time until it is decided whether a request with these parts is refused for them; `None` if it is decided.
+    pub fn verdict_due(&self, now: u64, parts: &BTreeSet<u64>) -> Option<Duration> {
+        self.parts.verdict_due(now, parts)
     }
 
     fn refusal_as_whole(&self, now: u64, digest: &RequestDigest) -> Option<Duration> {
@@ -266,8 +265,7 @@
     fn update_refused(&mut self, now: u64) -> QuarantineChange {
         self.evict_records(now);
         self.acquit_running_parts(now);
-        let records: CrashRecords =
-            self.entries.iter().map(|(digest, entry)| (*digest, entry.record.clone())).collect();
+        let records = self.entries.iter().map(|(digest, entry)| (*digest, &entry.record)).collect();
         let parts = self.parts.update(now, find_suspect_parts(&records));
         let refused = self.find_refused(now);
         let change = QuarantineChange {
--- a/crates/hollyhook_core/src/quarantine/part_evidence.rs
+++ b/crates/hollyhook_core/src/quarantine/part_evidence.rs
@@ -1,7 +1,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{CrashRecords, RequestDigest};
+use super::{CrashRecord, RequestDigest};
 use crate::Name;
 
 /// Number of endpoint crashes from which requests with a part are refused.
@@ -11,6 +11,9 @@
 /// A part is as suspect as another one if it was there at all but one in this many of the other's crashes.
 const TIE_FRACTION: usize = 4;
 
+/// The records of one host, its own and those of others.
+type KnownRecords<'a> = BTreeMap<RequestDigest, &'a CrashRecord>;
+
 /// Parts of prompts that may crash endpoints, and the endpoints that crashed while running requests with all of them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct SuspectParts {
@@ -31,7 +34,7 @@
 ///
 /// Parts that were there at about the same crashes can't be told apart: requests that have only some of them are still
 /// run, and tell which part it is.
-pub(super) fn find_suspect_parts(records: &CrashRecords) -> Vec<SuspectParts> {
+pub(super) fn find_suspect_parts(records: &KnownRecords<'_>) -> Vec<SuspectParts> {
     let mut candidates: Vec<(u64, PartCrashes)> = crashes_by_part(records).into_iter().collect();
     candidates.retain(|(_, part)| is_suspect(part, records));
     candidates.sort_by_key(|(_, part)| Reverse(part.crashes.len()));
@@ -46,7 +49,7 @@
 }
 
 /// The crashes of each part that came after the last survival of a request with it.
-fn crashes_by_part(records: &CrashRecords) -> BTreeMap<u64, PartCrashes> {
+fn crashes_by_part(records: &KnownRecords<'_>) -> BTreeMap<u64, PartCrashes> {
     let mut parts: BTreeMap<u64, PartCrashes> = BTreeMap::new();
     for record in records.values() {
         for part in &record.parts {
@@ -65,7 +68,7 @@
     parts
 }
 
-fn is_suspect(part: &PartCrashes, records: &CrashRecords) -> bool {
+fn is_suspect(part: &PartCrashes, records: &KnownRecords<'_>) -> bool {
     let has_enough = part.crashes.len() >= CRASH_THRESHOLD && part.requests >= REQUEST_THRESHOLD;
     let is_explained =
         || records.values().any(|record| part.crashes.iter().all(|crash| record.crashes.contains_key(crash)));
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -29,8 +29,6 @@
     time_to_first_event,
 };
 pub use host_position::HostPosition;
-pub use prompt_placement::{
-    HeldPromptPart, PromptPlacement, has_holder, holder_of_most, is_of_one_version, place_held_prompt,
-};
+pub use prompt_placement::{HeldPromptPart, PromptPlacement, has_holder, is_of_one_version, place_held_prompt};
 pub(crate) use rendezvous::rendezvous_weight;
 pub use route_query::{HolderLimits, RouteQuery};
--- a/crates/hollyhook_core/src/route/prompt_placement.rs
+++ b/crates/hollyhook_core/src/route/prompt_placement.rs
@@ -55,15 +55,17 @@
 ///
 /// After a loss of hosts, dozens of callers reconnect at almost the same time with prompts that engines have just read.
 /// Reading all of them again takes each engine seconds, and every caller waits for it. If the holder is reading other
-/// prompts, which it does not interrupt, fetching the prompt from it costs less than waiting there.
+/// prompts, which it does not interrupt, fetching the prompt from it costs less than waiting there. Only an engine of the
+/// holder's software version can use what the holder keeps.
 pub fn place_held_prompt<'a>(
     candidates: &'a [EngineCandidate],
     needed_tokens: u64,
     zone: &str,
 ) -> Option<PromptPlacement<'a>> {
-    let answered = || candidates.iter().filter_map(|candidate| Some((candidate, candidate.report.as_ref()?)));
     let holder = holder_of_most(candidates)?;
-    let costs = answered().map(|(candidate, report)| {
+    let compatible = candidates.iter().filter(|candidate| candidate.record.version == holder.record.version);
+    let answered = compatible.filter_map(|candidate| Some((candidate, candidate.report.as_ref()?)));
+    let costs = answered.map(|(candidate, report)| {
         let fetch = if candidate.record.id == holder.record.id { 0.0 } else { FETCH_COST };
         let distance = if &*candidate.record.zone == zone { 0.0 } else { DISTANCE_COST };
         (engine_cost(candidate, report, needed_tokens) + fetch + distance, candidate)
@@ -73,7 +75,7 @@
 }
 
 /// The engine that holds the most tokens of the prompt; `None` if none holds enough of it to be worth using.
-pub fn holder_of_most(candidates: &[EngineCandidate]) -> Option<&EngineCandidate> {
+fn holder_of_most(candidates: &[EngineCandidate]) -> Option<&EngineCandidate> {
     holders(candidates).max_by_key(|candidate| candidate.held_tokens)
 }
 
--- a/crates/hollyhook_core/tests/gateway/quarantine_parts.rs
+++ b/crates/hollyhook_core/tests/gateway/quarantine_parts.rs
@@ -33,8 +33,8 @@
     assert!(!is_refused(&ledger, SETTLED, &[DEADLY]));
     crash(&mut ledger, 3..4, &[DEADLY]);
     assert!(!is_refused(&ledger, SETTLED - 1, &[DEADLY]));
-    assert_eq!(ledger.verdict_due(NOW, &request(9, &[DEADLY])), Some(Duration::from_secs(1)));
-    assert_eq!(ledger.verdict_due(SETTLED, &request(9, &[DEADLY])), None);
+    assert_eq!(ledger.verdict_due(NOW, &request(9, &[DEADLY]).parts), Some(Duration::from_secs(1)));
+    assert_eq!(ledger.verdict_due(SETTLED, &request(9, &[DEADLY]).parts), None);
     assert!(is_refused(&ledger, SETTLED, &[SHARED, DEADLY]));
     assert!(!is_refused(&ledger, SETTLED, &[SHARED]));
     assert!(!is_refused(&ledger, NOW + Duration::from_mins(10).as_millis() as u64, &[DEADLY]));
@@ -56,7 +56,7 @@
 #[test]
 fn part_that_runs_well_not_refused() {
     let mut ledger = CrashLedger::default();
-    ledger.begin_run(NOW - 2_000, &request(100, &[SHARED]));
+    ledger.begin_run(&request(100, &[SHARED]).parts);
     crash(&mut ledger, 0..20, &[SHARED]);
     assert!(!is_refused(&ledger, SETTLED, &[SHARED]));
 }
@@ -65,7 +65,7 @@
 #[test]
 fn part_that_runs_well_elsewhere_not_refused() {
     let (mut ledger, mut other) = (CrashLedger::default(), CrashLedger::default());
-    other.begin_run(NOW - 2_000, &request(100, &[SHARED]));
+    other.begin_run(&request(100, &[SHARED]).parts);
     crash(&mut ledger, 0..20, &[SHARED]);
     other.merge_stored(NOW + 300, ledger.records_to_write(false).unwrap());
     ledger.merge_stored(NOW + 600, other.records_to_write(false).unwrap());
--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -38,7 +38,8 @@
         Some(Self::new(context, &record))
     }
 
-    /// Reserves a slot at a given endpoint, which can process `slots` requests of this size at a time; `None` if the endpoint admits no request now.
+    /// Reserves a slot at a given endpoint, which can process `slots` requests of this size at a time; `None` if the
+    /// endpoint admits no request now.
     pub(super) fn reserve(context: &Arc<GatewayContext>, record: &EndpointRecord, slots: Option<u32>) -> Option<Self> {
         context.endpoints.try_open(&record.id, slots).then(|| Self::new(context, record))
     }
--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -15,7 +15,8 @@
 /// Time limit for an endpoint to refuse a connection or to break it. The machine of a crashed process refuses within
 /// one round trip, and so does a proxy that accepts connections in its place.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(60);
-/// Consecutive connections that must break or be refused before an endpoint counts as crashed: live endpoints reset some connections.
+/// Consecutive connections that must break or be refused before an endpoint counts as crashed: live endpoints reset some
+/// connections.
 const CRASH_CHECKS: usize = 2;
 /// Delay between two of these connections. When hosts lose their links, one that is asked still reaches some endpoints
 /// for some milliseconds, and takes the others for crashed.
@@ -69,8 +70,8 @@
     if caller.head.shared_parts.is_empty() {
         return None;
     }
-    let run = context.quarantine.begin_run(caller.suspect());
-    QuarantineWriter::spawn_if_needed(context);
+    let run = context.quarantine.begin_run(&caller.head.shared_parts);
+    record_survival(context, caller);
     Some(run)
 }
 
@@ -84,7 +85,7 @@
 ///
 /// Most parts are cleared within milliseconds, by requests that run well with them.
 pub(super) async fn await_verdict(context: &GatewayContext, caller: &CallerRequest) {
-    while let Some(left) = context.quarantine.verdict_due(|| caller.suspect()) {
+    while let Some(left) = context.quarantine.verdict_due(&caller.head.shared_parts) {
         let time_left = caller.time_left(context.timer.now());
         if time_left.is_zero() {
             return;
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -6,8 +6,8 @@
 use futures::future::join;
 use hollyhook_core::{
     EndpointId, EndpointRecord, EndpointState, EngineCandidate, HolderLimits, Name, RouteQuery, StopReason,
-    VersionFilter, ZoneName, choose_backup_engine, choose_engine, excess_wait, has_holder, holder_of_most,
-    is_certain_choice, is_of_one_version, place_held_prompt,
+    VersionFilter, ZoneName, choose_backup_engine, choose_engine, excess_wait, has_holder, is_certain_choice,
+    is_of_one_version, place_held_prompt,
 };
 use hollyhook_platform::BackupSource;
 use rand::Rng;
@@ -107,7 +107,7 @@
         if !is_of_one_version(&holders) {
             return Err(unknown);
         }
-        self.place_at_holder(holders).ok_or(unknown)
+        self.place_at_holder(&holders).ok_or(unknown)
     }
 
     /// Chooses an engine without probing any.
@@ -134,21 +134,18 @@
             let rest = self.probe_likely_holders(part, ALL_HOLDER_LIMITS, &holders).await;
             holders.extend(rest);
         }
-        self.place_at_holder(holders)
+        self.place_at_holder(&holders)
     }
 
     /// Places the request at an engine that holds its prompt, or at one that fetches the prompt from there.
-    fn place_at_holder(&self, mut holders: Vec<EngineCandidate>) -> Option<EngineChoice> {
-        // What engines of two versions keep does not fit together.
-        let version = Name::clone(&holder_of_most(&holders)?.record.version);
-        holders.retain(|candidate| candidate.record.version == version);
-        let placement = place_held_prompt(&holders, self.needed_tokens(), &self.context.zone)?;
+    fn place_at_holder(&self, holders: &[EngineCandidate]) -> Option<EngineChoice> {
+        let placement = place_held_prompt(holders, self.needed_tokens(), &self.context.zone)?;
         let (record, holder) = (&placement.candidate.record, &placement.holder.record);
         tracing::info!(request = %self.caller.head.attempt_id, endpoint = %holder.id,
             tokens = placement.holder.held_tokens, is_fetched = placement.is_fetched(), "prompt.found");
         let prompt_at = placement.is_fetched().then_some(holder.address);
         let slot = EndpointSlot::reserve(self.context, record, self.slots())?;
-        let backup = self.best_backup(&slot, &holders);
+        let backup = self.best_backup(&slot, holders);
         Some(EngineChoice { slot, from: None, backup, prompt_at })
     }
 
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -148,8 +148,10 @@
             };
             match live.next_events(&self.context, &self.caller, &mut self.sequencer).await {
                 ReadResult::Bytes(bytes) => {
-                    let version = Name::clone(&live.slot.target.version);
-                    self.record_origin(version);
+                    if !self.has_recorded_origin {
+                        let version = Name::clone(&live.slot.target.version);
+                        self.record_origin(version);
+                    }
                     if let Some(resume) = self.timing.record_event(self.context.timer.now()) {
                         request_log::resumed(&self.context, &self.caller, &resume);
                     }
@@ -170,9 +172,6 @@
 
     /// Binds the stream to the version of the first event that this host delivers, and records it for other hosts.
     fn record_origin(&mut self, version: Name) {
-        if self.has_recorded_origin {
-            return;
-        }
         self.has_recorded_origin = true;
         self.origin = Some(StreamOrigin::Version(Name::clone(&version)));
         let (first_attempt, service) = (self.caller.first_attempt(), &self.caller.service);
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -32,7 +32,8 @@
     let prompt = own_part.map(|part| format!("{part:x}"));
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %slot.target.id,
         zone = %slot.target.group.zone, version = %slot.target.version, open = slot.open, known_ms = slot.known_ms,
-        first_attempt = caller.head.first_attempt.as_deref(), left_ms = headers.time_left.as_millis() as u64, cursor = headers.cursor,
+        first_attempt = caller.head.first_attempt.as_deref(), left_ms = headers.time_left.as_millis() as u64,
+        cursor = headers.cursor,
         is_from_backup = headers.backup_from.is_some(), backup_at, prompt_at, prompt,
         parts = format!("{:x?}", caller.head.shared_parts), age_ms, "attempt.placed");
 }
@@ -66,7 +67,8 @@
 pub(super) fn crashed(context: &GatewayContext, caller: &CallerRequest, endpoint: &EndpointId) {
     let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %endpoint,
-        digest = %caller.digest(), parts = format!("{:x?}", caller.head.shared_parts), age_ms, "request.crashed_endpoint");
+        digest = %caller.digest(), parts = format!("{:x?}", caller.head.shared_parts), age_ms,
+        "request.crashed_endpoint");
 }
 
 /// Records that a stream resumed after an attempt was lost.
--- a/crates/hollyhook_gateway/src/front/status_server.rs
+++ b/crates/hollyhook_gateway/src/front/status_server.rs
@@ -13,7 +13,7 @@
 
 use super::front_server::ACCEPT_PAUSE;
 use crate::gateway::GatewayContext;
-use crate::net::wire_stream;
+use crate::net::{text_response, wire_stream};
 
 const METRICS_PATH: &str = "/metrics";
 /// Content type of the exposition format that scrapers expect.
@@ -45,15 +45,15 @@
 /// Responds to the balancer's readiness check: 200 if this host admits callers, 503 if not, 404 for another path.
 pub(crate) fn readiness_response(context: &GatewayContext, path: &str) -> Response<Full<Bytes>> {
     if !hollyhook_platform::is_readiness_path(path) {
-        return empty(StatusCode::NOT_FOUND);
+        return text_response(StatusCode::NOT_FOUND, "");
     }
-    empty(if context.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+    text_response(if context.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
 }
 
 /// Responds with the counters, gauges and histograms.
 pub(crate) fn metrics_response(context: &GatewayContext, path: &str) -> Response<Full<Bytes>> {
     if path != METRICS_PATH {
-        return empty(StatusCode::NOT_FOUND);
+        return text_response(StatusCode::NOT_FOUND, "");
     }
     context.recorder.set_gauge("streams_waiting_for_callers", context.load.waiting_streams() as u64);
     context.recorder.set_gauge("tunnels_open", context.paths.open_tunnels().into());
@@ -65,13 +65,7 @@
         }
         Err(error) => {
             tracing::error!(%error, "metrics.not_written");
-            empty(StatusCode::INTERNAL_SERVER_ERROR)
+            text_response(StatusCode::INTERNAL_SERVER_ERROR, "")
         }
     }
 }
-
-fn empty(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
--- a/crates/hollyhook_gateway/src/gateway/quarantine_tracker.rs
+++ b/crates/hollyhook_gateway/src/gateway/quarantine_tracker.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -28,12 +28,12 @@
 #[derive(Debug)]
 pub(crate) struct SurvivingRun {
     tracker: Arc<QuarantineTracker>,
-    suspect: SuspectRequest,
+    parts: BTreeSet<u64>,
 }
 
 impl Drop for SurvivingRun {
     fn drop(&mut self) {
-        lock(&self.tracker.ledger).end_run(&self.suspect);
+        lock(&self.tracker.ledger).end_run(&self.parts);
     }
 }
 
@@ -66,13 +66,9 @@
         ledger.refusal(unix_millis(), suspect())
     }
 
-    /// The time until it is decided whether a request is refused for a part of its prompt; `None` if it is decided.
-    pub(crate) fn verdict_due(&self, suspect: impl FnOnce() -> SuspectRequest) -> Option<Duration> {
-        let ledger = lock(&self.ledger);
-        if ledger.is_empty() {
-            return None;
-        }
-        ledger.verdict_due(unix_millis(), &suspect())
+    /// The time until it is decided whether a request with these parts is refused for them; `None` if it is decided.
+    pub(crate) fn verdict_due(&self, parts: &[u64]) -> Option<Duration> {
+        lock(&self.ledger).verdict_due(unix_millis(), &parts.iter().copied().collect())
     }
 
     /// Whether an endpoint crashed while running a request since an endpoint last ran the request without crashing.
@@ -126,11 +122,11 @@
         self.log(&change);
     }
 
-    /// Counts an attempt that has run a request without crashing for a while, until the returned guard is dropped.
-    pub(crate) fn begin_run(self: &Arc<Self>, suspect: SuspectRequest) -> SurvivingRun {
-        let change = lock(&self.ledger).begin_run(unix_millis(), &suspect);
-        self.log(&change);
-        SurvivingRun { tracker: Arc::clone(self), suspect }
+    /// Counts an attempt that has run a request with these parts for a while, until the returned guard is dropped.
+    pub(crate) fn begin_run(self: &Arc<Self>, parts: &[u64]) -> SurvivingRun {
+        let parts: BTreeSet<u64> = parts.iter().copied().collect();
+        lock(&self.ledger).begin_run(&parts);
+        SurvivingRun { tracker: Arc::clone(self), parts }
     }
 
     /// Reads the crash records that hosts stored at an endpoint's entry.
--- a/crates/hollyhook_gateway/src/net/mod.rs
+++ b/crates/hollyhook_gateway/src/net/mod.rs
@@ -5,6 +5,7 @@
 mod driver_guard;
 mod persistent_client;
 mod reset_on_close;
+mod text_response;
 mod wire_stream;
 
 pub(crate) use dead_peer::detect_dead_peer;
@@ -12,4 +13,5 @@
 pub(crate) use driver_guard::DriverGuard;
 pub(crate) use persistent_client::{ExchangeError, PersistentClient, build_request};
 pub(crate) use reset_on_close::reset_on_close;
+pub(crate) use text_response::text_response;
 pub(crate) use wire_stream::{WireIo, WireStream, wire_stream};
--- a/crates/hollyhook_gateway/src/origin/origin_lookup.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_lookup.rs
@@ -3,11 +3,11 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use hollyhook_core::{HostRecord, Name, OriginAnswer, StreamOrigin};
-use http::{Method, StatusCode};
+use http::StatusCode;
 
-use super::origin_message::{FIND_PATH, OriginQuestion, OriginReply};
+use super::origin_message::{FIND_PATH, OriginQuestion, OriginReply, post_message};
 use crate::gateway::GatewayContext;
-use crate::net::{ExchangeError, PersistentClient, build_request};
+use crate::net::ExchangeError;
 
 /// Time limit for the answers of other hosts. A host that is lost does not answer at all, and the caller of a stream
 /// that has stopped waits.
@@ -62,10 +62,7 @@
     holder: &HostRecord,
     question: &OriginQuestion,
 ) -> Result<OriginAnswer, ExchangeError> {
-    let body = serde_json::to_vec(question).map_err(|_error| ExchangeError("the question can't be encoded"))?;
-    let request = build_request(Method::POST, holder.address, FIND_PATH, body)?;
-    let mut client = PersistentClient::new((*context.timer).clone());
-    let response = client.call(holder.address, request, FIND_TIMEOUT).await?;
+    let response = post_message(&context.timer, holder.address, FIND_PATH, question, FIND_TIMEOUT).await?;
     if response.status() != StatusCode::OK {
         return Err(ExchangeError("the host refuses to answer"));
     }
--- a/crates/hollyhook_gateway/src/origin/origin_message.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_message.rs
@@ -1,8 +1,15 @@
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
 
+use bytes::Bytes;
 use hollyhook_core::{Name, OriginAnswer};
+use hollyhook_kernel::TimerService;
+use http::{Method, Response};
 use serde::{Deserialize, Serialize};
 
+use crate::net::{ExchangeError, PersistentClient, build_request};
+
 /// The path at which a host takes copies of origins.
 pub(super) const COPY_PATH: &str = "/origins";
 /// The path at which a host tells what it knows of one origin.
@@ -40,3 +47,20 @@
         Self { version: reply.version, versions: reply.versions }
     }
 }
+
+/// Sends a message about origins to another host; returns its response.
+///
+/// # Errors
+///
+/// If the message can't be encoded, or the exchange fails or takes longer than `limit`.
+pub(super) async fn post_message(
+    timer: &TimerService,
+    address: SocketAddr,
+    path: &str,
+    message: &impl Serialize,
+    limit: Duration,
+) -> Result<Response<Bytes>, ExchangeError> {
+    let body = serde_json::to_vec(message).map_err(|_error| ExchangeError("the message can't be encoded"))?;
+    let request = build_request(Method::POST, address, path, body)?;
+    PersistentClient::new(timer.clone()).call(address, request, limit).await
+}
--- a/crates/hollyhook_gateway/src/origin/origin_server.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_server.rs
@@ -7,6 +7,7 @@
 
 use super::origin_message::{COPY_PATH, FIND_PATH, OriginCopies, OriginQuestion, OriginReply};
 use crate::gateway::GatewayContext;
+use crate::net::text_response;
 
 /// Maximum size of a message: the copies of some ten thousand origins.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -23,14 +24,14 @@
     sender: IpAddr,
 ) -> Response<Full<Bytes>> {
     if request.method() != Method::POST {
-        return text(StatusCode::METHOD_NOT_ALLOWED, "origins are copied and asked for with POST");
+        return text_response(StatusCode::METHOD_NOT_ALLOWED, "origins are copied and asked for with POST");
     }
     let is_copy = request.uri().path() == COPY_PATH;
     if is_copy && !context.paths.is_host(sender) {
-        return text(StatusCode::FORBIDDEN, "only registered hosts may copy origins");
+        return text_response(StatusCode::FORBIDDEN, "only registered hosts may copy origins");
     }
     let Ok(body) = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await else {
-        return text(StatusCode::BAD_REQUEST, "the body must be whole and have at most 1 MB");
+        return text_response(StatusCode::BAD_REQUEST, "the body must be whole and have at most 1 MB");
     };
     let body = body.to_bytes();
     if is_copy { take_copies(context, &body) } else { answer_question(context, &body) }
@@ -38,30 +39,24 @@
 
 fn take_copies(context: &GatewayContext, body: &[u8]) -> Response<Full<Bytes>> {
     let Ok(copies) = serde_json::from_slice::<OriginCopies>(body) else {
-        return text(StatusCode::BAD_REQUEST, "the body must be a JSON object of origins");
+        return text_response(StatusCode::BAD_REQUEST, "the body must be a JSON object of origins");
     };
     for (first_attempt, version) in copies.origins {
         context.origins.record_copy(first_attempt, version);
     }
-    text(StatusCode::NO_CONTENT, "")
+    text_response(StatusCode::NO_CONTENT, "")
 }
 
 fn answer_question(context: &GatewayContext, body: &[u8]) -> Response<Full<Bytes>> {
     let Ok(question) = serde_json::from_slice::<OriginQuestion>(body) else {
-        return text(StatusCode::BAD_REQUEST, "the body must name a service and the first client attempt");
+        return text_response(StatusCode::BAD_REQUEST, "the body must name a service and the first client attempt");
     };
     let answer = context.origins.answer(&question.service, &question.first_attempt);
     match serde_json::to_vec(&OriginReply::from(answer)) {
         Ok(body) => Response::new(Full::from(body)),
         Err(error) => {
             tracing::error!(%error, "origin.not_written");
-            text(StatusCode::INTERNAL_SERVER_ERROR, "the answer can't be encoded")
+            text_response(StatusCode::INTERNAL_SERVER_ERROR, "the answer can't be encoded")
         }
     }
 }
-
-fn text(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::from(text));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/hollyhook_gateway/src/origin/origin_sharer.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_sharer.rs
@@ -6,11 +6,11 @@
 use async_std::task;
 use futures::future::join_all;
 use hollyhook_core::{Name, OriginCopy};
-use http::{Method, StatusCode};
+use http::StatusCode;
 
-use super::origin_message::{COPY_PATH, OriginCopies};
+use super::origin_message::{COPY_PATH, OriginCopies, post_message};
 use crate::gateway::GatewayContext;
-use crate::net::{ExchangeError, PersistentClient, build_request};
+use crate::net::ExchangeError;
 
 /// Delay after copies were sent, in which those of further streams are collected.
 const BATCH_DELAY: Duration = Duration::from_millis(50);
@@ -73,10 +73,7 @@
     }
 
     async fn try_send(&self, address: SocketAddr, copies: &OriginCopies) -> Result<(), ExchangeError> {
-        let body = serde_json::to_vec(copies).map_err(|_error| ExchangeError("the copies can't be encoded"))?;
-        let request = build_request(Method::POST, address, COPY_PATH, body)?;
-        let mut client = PersistentClient::new((*self.context.timer).clone());
-        let response = client.call(address, request, COPY_TIMEOUT).await?;
+        let response = post_message(&self.context.timer, address, COPY_PATH, copies, COPY_TIMEOUT).await?;
         if response.status() != StatusCode::NO_CONTENT {
             return Err(ExchangeError("the host takes no copies from this one"));
         }
--- a/crates/hollyhook_gateway/src/path/tunnel_server.rs
+++ b/crates/hollyhook_gateway/src/path/tunnel_server.rs
@@ -15,7 +15,7 @@
 use super::tunnel_request::{requested_endpoint, switching_protocols};
 use super::tunnel_traffic::TunnelTraffic;
 use crate::gateway::GatewayContext;
-use crate::net::dial;
+use crate::net::{dial, text_response};
 use crate::sync::{CountGuard, CountLimit};
 
 /// Time limit for connecting to an endpoint for another host.
@@ -58,9 +58,7 @@
     };
 
     fn into_response(self) -> Response<Full<Bytes>> {
-        let mut response = Response::new(Full::from(self.reason));
-        *response.status_mut() = self.status;
-        response
+        text_response(self.status, self.reason)
     }
 }
 
--- a/crates/hollyhook_gateway/src/peer/feed_server.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_server.rs
@@ -16,7 +16,7 @@
 use super::feed_message::{FeedMessage, FeedQuery};
 use crate::front::ACCEPT_PAUSE;
 use crate::gateway::GatewayContext;
-use crate::net::wire_stream;
+use crate::net::{text_response, wire_stream};
 use crate::origin::{answer_origin_request, is_origin_request};
 use crate::path::{TunnelServer, is_tunnel_request};
 
@@ -56,18 +56,18 @@
 
 async fn answer(context: &GatewayContext, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let Some(query) = FeedQuery::from_path(request.uri().path(), request.uri().query()) else {
-        return empty(StatusCode::NOT_FOUND);
+        return text_response(StatusCode::NOT_FOUND, "");
     };
     let received_at = context.timer.now();
     let Some(update) = wait_for_update(context, &query).await else {
-        return empty(StatusCode::SERVICE_UNAVAILABLE);
+        return text_response(StatusCode::SERVICE_UNAVAILABLE, "");
     };
     let message = FeedMessage::new(update, received_at, context.timer.now());
     match serde_json::to_vec(&message) {
         Ok(body) => Response::new(Full::from(body)),
         Err(error) => {
             tracing::error!(%error, "feed.not_written");
-            empty(StatusCode::INTERNAL_SERVER_ERROR)
+            text_response(StatusCode::INTERNAL_SERVER_ERROR, "")
         }
     }
 }
@@ -91,9 +91,3 @@
         let _signal = context.timer.within(time_left, signal).await;
     }
 }
-
-fn empty(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = status;
-    response
-}
