--- a/crates/hollyhook_command/src/load/placement/engine_model.rs
+++ b/crates/hollyhook_command/src/load/placement/engine_model.rs
@@ -87,7 +87,9 @@
         let runs = self.running.iter().filter(|run| run.produced_tokens >= EVENT_TOKENS);
         let runs = runs.map(|run| EngineRun {
             attempt_id: run.index.to_string().into(),
+            tokens: 0,
             events: run.produced_tokens / EVENT_TOKENS,
+            priority: None,
         });
         EngineReport {
             started: None,
--- a/crates/hollyhook_command/src/load/placement/host_model.rs
+++ b/crates/hollyhook_command/src/load/placement/host_model.rs
@@ -1,5 +1,6 @@
 use hollyhook_core::{
-    EndpointId, EndpointRecord, EndpointTable, EngineCandidate, RouteQuery, TimePoint, ZoneName, choose_engine,
+    EndpointId, EndpointRecord, EndpointTable, EngineCandidate, EngineSpeed, RouteQuery, TimePoint, ZoneName,
+    choose_engine,
 };
 use rand::Rng;
 use rand::rngs::StdRng;
@@ -106,7 +107,12 @@
             .into_iter()
             .map(|record| {
                 let engine = engine_index(&record.id);
-                EngineCandidate { report: reports.report(engine, now), record, held_tokens: 0 }
+                EngineCandidate {
+                    report: reports.report(engine, now),
+                    record,
+                    held_tokens: 0,
+                    speed: EngineSpeed::default(),
+                }
             })
             .collect();
         let chosen = choose_engine(&candidates, tokens).or(candidates.first());
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -12,6 +12,7 @@
 mod generation;
 mod name;
 mod origin;
+mod pace;
 mod path;
 mod quarantine;
 mod retry;
@@ -43,6 +44,7 @@
 };
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
 pub use origin::{OriginAnswer, OriginCopy, OriginLedger, StreamOrigin, origin_holders};
+pub use pace::EngineSpeed;
 pub use path::{ConnectOrder, EndpointGroup, PathMonitor, TunnelDirectory};
 pub use quarantine::{
     CrashLedger, CrashRecord, CrashRecords, DigestError, QuarantineChange, RequestDigest, SuspectRequest,
--- /dev/null
+++ b/crates/hollyhook_core/src/pace/mod.rs
@@ -0,0 +1,5 @@
+//! Estimates how fast endpoints work.
+
+mod engine_speed;
+
+pub use engine_speed::EngineSpeed;
--- a/crates/hollyhook_core/src/route/engine_report.rs
+++ b/crates/hollyhook_core/src/route/engine_report.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::EndpointRecord;
-use crate::Name;
+use crate::{EngineSpeed, Name};
 
 /// The load report of a model engine; up to a few hundred milliseconds old.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -45,8 +45,12 @@
 pub struct EngineRun {
     /// The identifier of the client attempt that the request belongs to.
     pub attempt_id: Name,
+    /// The tokens that the request has in memory: its prompt and what it has generated.
+    pub tokens: u64,
     /// The number of events produced so far.
     pub events: u64,
+    /// The priority of the request, 0 being the highest; `None` if the report does not contain it.
+    pub priority: Option<u8>,
 }
 
 /// The maximum age of a load report; requests that this host sent within this time may be missing from the report.
@@ -97,6 +101,8 @@
     /// Tokens of the request's own prompt part that the engine still holds; zero if the engine was not queried for
     /// them.
     pub held_tokens: u64,
+    /// How fast the engine is expected to work.
+    pub speed: EngineSpeed,
 }
 
 /// Chooses the engine of the lowest cost from candidates in the order that all hosts share; `None` if no engine
--- a/crates/hollyhook_core/tests/gateway/backups.rs
+++ b/crates/hollyhook_core/tests/gateway/backups.rs
@@ -1,6 +1,6 @@
 //! Backups of runs under a load that fills the engines' memory, simulated without a network.
 
-use hollyhook_core::{EndpointRecord, EngineCandidate, EngineReport, choose_backup_engine, choose_engine};
+use hollyhook_core::{EndpointRecord, EngineCandidate, EngineReport, EngineSpeed, choose_backup_engine, choose_engine};
 
 const ENGINES: usize = 16;
 const ENGINE_TOKENS: u64 = 88_000;
@@ -33,7 +33,7 @@
     let used_tokens = held_runs as u64 * RUN_TOKENS;
     let report =
         EngineReport { waiting: waiting as u32, used_tokens, total_tokens: ENGINE_TOKENS, ..EngineReport::default() };
-    EngineCandidate { record, report: Some(report), held_tokens: 0 }
+    EngineCandidate { record, report: Some(report), held_tokens: 0, speed: EngineSpeed::default() }
 }
 
 /// Simulates the arrival of `requests_per_second`; `choose_backup` chooses among the engines of other zones.
--- a/crates/hollyhook_core/tests/gateway/choosing.rs
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    EndpointId, EndpointRecord, EndpointTable, EngineCandidate, EngineReport, EngineRun, HolderLimits, RouteQuery,
-    StoreRevision, TimePoint, choose_engine, excess_wait, is_certain_choice, place_held_prompt,
+    EndpointId, EndpointRecord, EndpointTable, EngineCandidate, EngineReport, EngineRun, EngineSpeed, HolderLimits,
+    RouteQuery, StoreRevision, TimePoint, choose_engine, excess_wait, is_certain_choice, place_held_prompt,
 };
 use rand_pcg::Pcg64;
 use rand_pcg::rand_core::SeedableRng;
@@ -218,11 +218,20 @@
     assert!(!table.is_displaced(&record("z0-0", "z0", 1_000, 1), |service| service == "model"));
 }
 
+fn run(id: &str, events: u64) -> EngineRun {
+    EngineRun { attempt_id: id.into(), tokens: 0, events, priority: None }
+}
+
 fn candidate(id: &str, running: u64, waiting: u32, used_tokens: u64) -> EngineCandidate {
-    let runs = (0..running).map(|number| EngineRun { attempt_id: number.to_string().into(), events: 9 });
+    let runs = (0..running).map(|number| run(&number.to_string(), 9));
     let report =
         EngineReport { waiting, used_tokens, total_tokens: 88_000, runs: runs.collect(), ..EngineReport::default() };
-    EngineCandidate { record: record(id, "z0", 1, 1), report: Some(report), held_tokens: 0 }
+    EngineCandidate {
+        record: record(id, "z0", 1, 1),
+        report: Some(report),
+        held_tokens: 0,
+        speed: EngineSpeed::default(),
+    }
 }
 
 fn reading(mut candidate: EngineCandidate, prompts: u32) -> EngineCandidate {
@@ -286,7 +295,7 @@
     let as_of = |millis| {
         let known = |id| {
             let record = table.as_of(after(millis), id).unwrap();
-            EngineCandidate { record, report: report.clone(), held_tokens: 0 }
+            EngineCandidate { record, report: report.clone(), held_tokens: 0, speed: EngineSpeed::default() }
         };
         [known("z0-0"), known("z0-1")]
     };
--- a/crates/hollyhook_core/tests/gateway/liveness.rs
+++ b/crates/hollyhook_core/tests/gateway/liveness.rs
@@ -1,7 +1,12 @@
 use hollyhook_core::{EngineReport, EngineRun, LivenessChecker, LivenessVerdict};
 
 fn report(waiting: u32, runs: &[(&str, u64)]) -> EngineReport {
-    let runs = runs.iter().map(|(id, events)| EngineRun { attempt_id: (*id).into(), events: *events });
+    let runs = runs.iter().map(|(id, events)| EngineRun {
+        attempt_id: (*id).into(),
+        tokens: 0,
+        events: *events,
+        priority: None,
+    });
     EngineReport { waiting, runs: runs.collect(), ..EngineReport::default() }
 }
 
