Streams that would miss their deadline at a slow engine continue elsewhere

Cause: a stream stayed at its engine until its deadline ended it, also when the engine had turned slow and its backup was at a faster one. Change: from the time between its events over 2 s and the events that may be left, a host sees that the stream will not end in time; it has the engine stop the run and resumes from the backup, if the engine that holds it reports no prompts ahead and would end the stream in time. Ruled out: a dropped connection in place of a stop, since the engine may work on beside the other one.

--- a/crates/hollyhook_core/src/forward/attempt_ledger.rs
+++ b/crates/hollyhook_core/src/forward/attempt_ledger.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Records an attempt that ended because its stream migrated to another endpoint.
+    pub fn record_migration(&mut self) {
+        self.runs += 1;
+    }
+
     /// The number of failed attempts.
     pub fn attempts(&self) -> u32 {
         self.runs + self.not_run + self.misdirected
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -44,7 +44,7 @@
 };
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
 pub use origin::{OriginAnswer, OriginCopy, OriginLedger, StreamOrigin, origin_holders};
-pub use pace::EngineSpeed;
+pub use pace::{EngineSpeed, MigrationGate, MigrationPlan, ProgressMeter};
 pub use path::{ConnectOrder, EndpointGroup, PathMonitor, TunnelDirectory};
 pub use quarantine::{
     CrashLedger, CrashRecord, CrashRecords, DigestError, QuarantineChange, RequestDigest, SuspectRequest,
--- a/crates/hollyhook_core/src/site/service_config.rs
+++ b/crates/hollyhook_core/src/site/service_config.rs
@@ -5,6 +5,8 @@
 pub struct EngineMemory {
     /// The capacity in tokens, counting prompts and output.
     pub capacity_tokens: u64,
+    /// The tokens of an event of a stream; `None` if the configuration does not state it.
+    pub event_tokens: Option<u64>,
     /// Whether an engine can keep a backup of the KV cache of a run at another engine.
     pub has_backups: bool,
     /// Whether an engine copies the KV cache of a run to another engine on request.
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod large_fleet;
 mod liveness;
 mod membership;
+mod migrations;
 mod origins;
 mod paths;
 mod quarantine;
--- a/crates/hollyhook_gateway/src/forward/backup_replicator.rs
+++ b/crates/hollyhook_gateway/src/forward/backup_replicator.rs
@@ -72,6 +72,11 @@
         Self { context: Arc::clone(context), run_target, state, task: handle }
     }
 
+    /// The location of the backup, if there is one.
+    pub(super) fn location(&self) -> Option<BackupLocation> {
+        lock(&self.state).location.clone()
+    }
+
     /// Takes the location of the backup, to resume the generation from it; the replicator no longer frees this backup.
     pub(super) fn take_location(&self) -> Option<BackupLocation> {
         lock(&self.state).location.take()
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -24,6 +24,7 @@
 use super::live_attempt::{AttemptStart, LiveAttempt, ReadResult};
 use super::liveness_watch::LivenessWatch;
 use super::request_log;
+use super::stream_migration::StreamMigration;
 use super::stream_timing::StreamTiming;
 use crate::front::{CallerRequest, ResponseBody};
 use crate::gateway::{GatewayContext, RoutingFailure, StreamWaitGuard};
@@ -86,6 +87,7 @@
     caller: Arc<CallerRequest>,
     sequencer: EventSequencer,
     timing: StreamTiming,
+    migration: StreamMigration,
     live: Option<LiveAttempt>,
     /// Backup of the lost attempt's KV cache, for the next attempt to resume from.
     resume_from: Option<BackupLocation>,
@@ -117,6 +119,7 @@
             caller,
             sequencer,
             timing,
+            migration: StreamMigration::default(),
             live: None,
             resume_from: None,
             first_head: None,
@@ -143,6 +146,9 @@
                 self.has_ended = true;
                 return None;
             }
+            if self.migrate_if_late().await {
+                continue;
+            }
             let Some(live) = self.live.as_mut() else {
                 continue;
             };
@@ -170,6 +176,28 @@
         }
     }
 
+    /// Ends the live attempt if the stream would end in time only at another engine; returns whether it did.
+    async fn migrate_if_late(&mut self) -> bool {
+        if self.ledger.is_last() || !self.sequencer.can_resume() {
+            return false;
+        }
+        let Some(live) = self.live.as_ref() else {
+            return false;
+        };
+        let last_event = self.sequencer.last();
+        let Some(location) = self.migration.try_migrate(&self.context, &self.caller, live, last_event).await else {
+            return false;
+        };
+        // The replicator frees the backup that it still has when the attempt is dropped.
+        let _used = live.replicator.as_ref().and_then(BackupReplicator::take_location);
+        self.timing.record_loss("migrated");
+        self.tried.push(EndpointId::clone(live.slot.id()));
+        self.ledger.record_migration();
+        self.resume_from = Some(location);
+        self.live = None;
+        true
+    }
+
     /// Binds the stream to the version of the first event that this host delivers, and records it for other hosts.
     fn record_origin(&mut self, version: Name) {
         self.has_recorded_origin = true;
--- a/crates/hollyhook_gateway/src/forward/live_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use hollyhook_core::{AttemptFailure, EventReader, EventSequencer, TimePoint};
+use hollyhook_core::{AttemptFailure, EventReader, EventSequencer, ProgressMeter, TimePoint};
 use http_body_util::BodyExt;
 
 use super::attempt::{EndpointSlot, OpenResponse};
@@ -29,6 +29,7 @@
     pub(super) slot: EndpointSlot,
     pub(super) response: OpenResponse,
     pub(super) replicator: Option<BackupReplicator>,
+    pub(super) meter: ProgressMeter,
     reader: EventReader,
     start: AttemptStart,
     first_event_at: Option<TimePoint>,
@@ -59,6 +60,7 @@
             slot,
             response,
             replicator,
+            meter: ProgressMeter::default(),
             reader: EventReader::default(),
             start,
             first_event_at: None,
@@ -148,6 +150,7 @@
             self.first_event_at.get_or_insert(now);
             self.last_event_at = Some(now);
             self.events += batch.received;
+            self.meter.record(now, batch.received);
         }
         join(batch.events)
     }
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -13,6 +13,7 @@
 mod plain_call;
 mod request_log;
 mod response_rest;
+mod stream_migration;
 mod stream_timing;
 
 use std::sync::Arc;
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    ConfigAdoption, FeedTiming, Name, RequestKind, Result, SiteConfig, SiteIndex, SiteState, StopPhase, StopPlan,
-    TimePoint, ZoneName,
+    ConfigAdoption, EndpointId, FeedTiming, MigrationGate, Name, RequestKind, Result, SiteConfig, SiteIndex, SiteState,
+    StopPhase, StopPlan, TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, SystemClock, TimerService};
 use hollyhook_settings::GatewaySettings;
@@ -65,12 +65,14 @@
     live: Arc<Mutex<LiveSettings>>,
     site: Arc<Mutex<SiteState>>,
     retries: Arc<RetryBudgets>,
+    migrations: Arc<Mutex<MigrationGate>>,
     has_endpoints: AtomicBool,
 }
 
 impl GatewayContext {
     const SITE: &'static str = "site";
     const SETTINGS: &'static str = "settings";
+    const MIGRATIONS: &'static str = "migrations";
 
     /// Registers the services that the parts of a gateway share.
     ///
@@ -94,6 +96,7 @@
         registry.register(RolloutTracker::NAME, RolloutTracker::new(registry, settings.bounds.exposure)?)?;
         registry.register(OriginTracker::NAME, OriginTracker::new(registry)?)?;
         registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
+        registry.register(Self::MIGRATIONS, Mutex::new(MigrationGate::default()))?;
         Ok(())
     }
 
@@ -120,6 +123,7 @@
             rollouts: registry.find(RolloutTracker::NAME)?,
             origins: registry.find(OriginTracker::NAME)?,
             retries: registry.find(RetryBudgets::NAME)?,
+            migrations: registry.find(Self::MIGRATIONS)?,
             has_endpoints: AtomicBool::new(false),
         })
     }
@@ -278,4 +282,9 @@
     pub(crate) fn try_retry(&self, service: &Name) -> bool {
         self.retries.try_spend(service, self.timer.now())
     }
+
+    /// Whether a stream may migrate from an engine now; if so, the migration is counted.
+    pub(crate) fn begin_migration(&self, engine: &EndpointId) -> bool {
+        lock(&self.migrations).try_begin(self.timer.now(), engine)
+    }
 }
