Demand exchange: measure, merge and divide demand

Each host knew only the demand of its own callers, so hosts before a few endpoints could not act as one queue.

`hollyhook_core::demand` measures a host's demand by service and priority, sees which services are overloaded, merges summaries with their ages, chooses the collector of a zone and derives the fraction of each priority's requests that every host sends.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod call;
 mod cursor;
+mod demand;
 mod error;
 mod feed;
 mod forward;
@@ -30,6 +31,11 @@
     ClaimPolicy, ClaimRecord, ClaimRefusal, ClaimShard, ClaimVerdict,
 };
 pub use cursor::{CursorKey, CursorSeal, StreamCursor};
+pub use demand::{
+    CollectorChoice, DemandBoard, DemandExchange, DemandLedger, DemandMessage, DemandReply, DemandRound, DemandShare,
+    DemandSummary, DemandTotal, OverloadDetector, PaceReading, ServiceDemand, ZoneDemand, collector_order,
+    service_capacity,
+};
 pub use error::{Answer, Error, ErrorKind, Result, RunState, answer_for};
 pub use feed::{
     EraTracker, EraVerdict, FeedChange, FeedLog, FeedPlan, FeedTiming, FeedTopology, FeedUpdate, HostRecord,
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod brittle;
 mod choosing;
 mod contact;
+mod demand;
 mod feeding;
 mod large_fleet;
 mod liveness;
