Gateway: hosts exchange demand while a service is overloaded

Hosts before an overloaded service knew nothing of each other's demand.

The service `demand` counts requests, completions, rejections and load reports. While a service is overloaded, a task sends what this host measured to the collector of its zone at most once in 500 ms, and shares follow from the answer. `/demand` beside `/origins` answers only hosts that are registered at the sender's address, and refuses malformed messages with 400. Nothing is sent while no service is overloaded, and nothing by a host that is not registered.

--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -20,6 +20,7 @@
 use async_std::task;
 use http::Response;
 
+use crate::demand::DemandCall;
 use crate::front::{CallerRequest, ResponseBody, error_response};
 use crate::gateway::GatewayContext;
 
@@ -31,11 +32,13 @@
         return error_response(&error);
     }
     context.count_first_send(&caller.service);
+    let call = DemandCall::begin(context, &caller);
     let outcome = if caller.route.kind.is_stream() {
         event_stream::forward_stream(context, caller).await
     } else {
         plain_call::forward_call(context, &Arc::new(caller)).await
     };
+    call.finish(&outcome);
     outcome.unwrap_or_else(|error| error_response(&error))
 }
 
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -9,6 +9,7 @@
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_telemetry::MetricRecorder;
 
+use crate::demand::DemandTracker;
 use crate::path::PathTracker;
 use crate::peer::FeedState;
 use crate::pool::ConnectionPool;
@@ -39,6 +40,7 @@
     recorder: Arc<MetricRecorder>,
     feed: Arc<FeedState>,
     paths: Arc<PathTracker>,
+    demand: Arc<DemandTracker>,
     site: Arc<Mutex<SiteState>>,
     table: Mutex<EndpointTable>,
     /// Time until which the table is known to hold all changes; `None` before the first list.
@@ -65,6 +67,7 @@
             recorder: registry.find(MetricRecorder::NAME)?,
             feed: registry.find(FeedState::NAME)?,
             paths: registry.find(PathTracker::NAME)?,
+            demand: registry.find(DemandTracker::NAME)?,
             site: registry.find(site)?,
             table: Mutex::new(EndpointTable::new(ZoneName::clone(zone)).zone_preference(ZONE_PREFERENCE)),
             confirmed: Mutex::default(),
@@ -287,6 +290,7 @@
     pub(crate) fn record_load(&self, id: &str, load: LoadReport) {
         let used = f64::from(load.running + load.waiting) / f64::from(load.capacity.max(1));
         let mut table = self.table();
+        self.demand.record_load(table.get(id), load);
         table.update_load(id, load);
         table.update_room(self.timer.now(), id, 1.0 - used);
     }
@@ -306,6 +310,7 @@
     pub(crate) fn record_outcome(&self, id: &EndpointId, failure: Option<AttemptFailure>) {
         self.recorder.count(failure.map_or("attempts_succeeded", attempt_counter));
         let mut table = self.table();
+        self.demand.record_outcome(table.get(id), failure);
         match failure {
             None => {
                 table.record_success(id);
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -17,6 +17,7 @@
 use super::request_load::RequestLoad;
 use super::retry_budgets::RetryBudgets;
 use super::rollout_tracker::RolloutTracker;
+use crate::demand::DemandTracker;
 use crate::origin::OriginTracker;
 use crate::path::{EndpointConnector, PathTracker};
 use crate::peer::FeedState;
@@ -62,6 +63,7 @@
     pub(crate) quarantine: Arc<QuarantineTracker>,
     pub(crate) rollouts: Arc<RolloutTracker>,
     pub(crate) origins: Arc<OriginTracker>,
+    pub(crate) demand: Arc<DemandTracker>,
     live: Arc<Mutex<LiveSettings>>,
     site: Arc<Mutex<SiteState>>,
     retries: Arc<RetryBudgets>,
@@ -87,6 +89,8 @@
         registry.register(Self::SETTINGS, Mutex::new(LiveSettings::from(settings)))?;
         registry.register(Self::SITE, Mutex::new(SiteState::default()))?;
         registry.register(PathTracker::NAME, PathTracker::new(registry)?)?;
+        let demand = DemandTracker::new(registry, &settings.host, &settings.zone)?;
+        registry.register(DemandTracker::NAME, demand)?;
         let endpoints = EndpointDirectory::new(registry, Self::SITE, &settings.zone)?;
         registry.register(EndpointDirectory::NAME, endpoints)?;
         registry.register(EndpointConnector::NAME, EndpointConnector::new(registry)?)?;
@@ -119,6 +123,7 @@
             quarantine: registry.find(QuarantineTracker::NAME)?,
             rollouts: registry.find(RolloutTracker::NAME)?,
             origins: registry.find(OriginTracker::NAME)?,
+            demand: registry.find(DemandTracker::NAME)?,
             retries: registry.find(RetryBudgets::NAME)?,
             has_endpoints: AtomicBool::new(false),
         })
--- a/crates/hollyhook_gateway/src/lib.rs
+++ b/crates/hollyhook_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! engine. It stores nothing locally. [`Gateway::start`] runs a gateway; its decisions are made by `hollyhook_core`,
 //! and the platform's names and formats are defined in `hollyhook_platform`.
 
+mod demand;
 mod forward;
 mod front;
 mod gateway;
--- a/crates/hollyhook_gateway/src/peer/feed_server.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_server.rs
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 
 use super::feed_message::{FeedMessage, FeedQuery};
+use crate::demand::{answer_demand_request, is_demand_request};
 use crate::front::ACCEPT_PAUSE;
 use crate::gateway::GatewayContext;
 use crate::net::{text_response, wire_stream};
@@ -23,8 +24,8 @@
 /// Longest time for which a request of another host waits for an update.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
-/// Serves this host's copy of the store's contents, tunnels to endpoints and origins of streams to other hosts until
-/// the process ends.
+/// Serves this host's copy of the store's contents, tunnels to endpoints, origins of streams and sums of
+/// demand to other hosts until the process ends.
 pub(crate) async fn serve_peers(listener: TcpListener, context: Arc<GatewayContext>) {
     let tunnels = Arc::new(TunnelServer::new(Arc::clone(&context)));
     loop {
@@ -45,6 +46,9 @@
                     if is_origin_request(&request) {
                         return Ok(answer_origin_request(&context, request, sender.ip()).await);
                     }
+                    if is_demand_request(&request) {
+                        return Ok(answer_demand_request(&context, request, sender.ip()).await);
+                    }
                     Ok(answer(&context, &request).await)
                 }
             });
