Demand exchange: paces are told every two seconds

Each message and answer held up to 64 paces.

Paces are now told to each host at most once in 1.9 s and count for 5 s.

--- a/crates/hollyhook_core/src/demand/demand_board.rs
+++ b/crates/hollyhook_core/src/demand/demand_board.rs
@@ -9,6 +9,8 @@
 
 /// Age above which what a host or a zone told no longer counts: four intervals of the exchange.
 const MAX_AGE: Duration = Duration::from_secs(2);
+/// Age above which paces no longer count. They are told less often than demand, and change more slowly.
+const MAX_PACE_AGE: Duration = Duration::from_secs(5);
 /// How long the sum of a lost collector may count instead of a newer one over fewer hosts: all hosts of the zone have
 /// found the next collector by then.
 const TAKEOVER_TIME: Duration = Duration::from_secs(1);
@@ -51,8 +53,16 @@
     /// The hosts that sent their summaries to this one.
     members: BTreeMap<Name, MemberEntry>,
     zones: BTreeMap<ZoneName, ZoneEntry>,
-    /// The merged paces that the collector told.
-    paces: Option<(TimePoint, Vec<PaceReading>)>,
+    /// The paces that hosts of this zone, and collectors of other zones, told last, and the merged ones that the
+    /// collector of this zone told.
+    paces: BTreeMap<PaceTeller, (TimePoint, Vec<PaceReading>)>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum PaceTeller {
+    Member(Name),
+    Zone(ZoneName),
+    Collector,
 }
 
 #[derive(Debug)]
@@ -73,7 +83,14 @@
 impl DemandBoard {
     /// An empty board for a host of a zone.
     pub fn new(zone: ZoneName) -> Self {
-        Self { zone, began_at: None, heard_at: None, members: BTreeMap::new(), zones: BTreeMap::new(), paces: None }
+        Self {
+            zone,
+            began_at: None,
+            heard_at: None,
+            members: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            paces: BTreeMap::new(),
+        }
     }
 
     /// Records that the exchange is under way.
@@ -91,11 +108,12 @@
         &mut self,
         now: TimePoint,
         host: &Name,
-        own: DemandSummary,
+        mut own: DemandSummary,
         collected: BTreeMap<Name, DemandSummary>,
     ) {
         self.members.retain(|_, entry| now.since(entry.at) <= MAX_AGE);
         self.heard_at = Some(now);
+        self.keep_paces(now, PaceTeller::Member(Name::clone(host)), std::mem::take(&mut own.paces));
         self.members.insert(Name::clone(host), MemberEntry { at: now, own, collected });
     }
 
@@ -105,14 +123,34 @@
     }
 
     /// Records the sum of a zone that `teller` told at `now`, and that was made `age` earlier.
-    pub fn record_zone(&mut self, now: TimePoint, zone: &ZoneName, teller: &Name, age: Duration, sum: DemandSummary) {
+    pub fn record_zone(
+        &mut self,
+        now: TimePoint,
+        zone: &ZoneName,
+        teller: &Name,
+        age: Duration,
+        mut sum: DemandSummary,
+    ) {
         self.heard_at = Some(now);
+        self.keep_paces(now - age, PaceTeller::Zone(ZoneName::clone(zone)), std::mem::take(&mut sum.paces));
         self.insert_zone(now - age, zone, teller, sum);
     }
 
     /// Records the merged paces that the collector told.
     pub fn record_paces(&mut self, now: TimePoint, paces: Vec<PaceReading>) {
-        self.paces = Some((now, paces));
+        self.keep_paces(now, PaceTeller::Collector, paces);
+    }
+
+    fn keep_paces(&mut self, at: TimePoint, teller: PaceTeller, paces: Vec<PaceReading>) {
+        self.paces.retain(|_, (told_at, _)| at.since(*told_at) <= MAX_PACE_AGE);
+        if !paces.is_empty() {
+            self.paces.insert(teller, (at, paces));
+        }
+    }
+
+    fn fresh_paces(&self, now: TimePoint) -> impl Iterator<Item = (&PaceTeller, &Vec<PaceReading>)> {
+        let fresh = self.paces.iter().filter(move |(_, (at, _))| now.since(*at) <= MAX_PACE_AGE);
+        fresh.map(|(teller, (_, paces))| (teller, paces))
     }
 
     /// When this host last made the sum of its zone.
@@ -143,7 +181,10 @@
         let collected = members.clone().flat_map(|(_, entry)| &entry.collected);
         let mut told: BTreeMap<&Name, &DemandSummary> = collected.collect();
         told.extend(members.map(|(host, entry)| (host, &entry.own)));
-        DemandSummary::sum(std::iter::once(own).chain(told.values().copied()))
+        let sum = DemandSummary::sum(std::iter::once(own).chain(told.values().copied()));
+        let members = self.fresh_paces(now).filter(|(teller, _)| matches!(teller, PaceTeller::Member(_)));
+        let paces = merge_paces(own.paces.iter().chain(members.flat_map(|(_, paces)| paces)));
+        DemandSummary { paces, ..sum }.bounded()
     }
 
     /// What hosts sent this one, for `recipient`, another collector of the zone.
@@ -188,8 +229,9 @@
 
     /// The merged paces of all zones.
     pub fn paces(&self, now: TimePoint) -> Vec<PaceReading> {
-        let told = self.paces.iter().filter(|(at, _)| now.since(*at) <= MAX_AGE).flat_map(|(_, paces)| paces);
-        merge_paces(told.chain(self.fresh_zones(now).flat_map(|(_, _, sum)| &sum.paces)))
+        let told = self.fresh_paces(now).filter(|(teller, _)| !matches!(teller, PaceTeller::Member(_)));
+        let own = self.fresh_zones(now).flat_map(|(_, _, sum)| &sum.paces);
+        merge_paces(told.flat_map(|(_, paces)| paces).chain(own))
     }
 
     /// The demand at all hosts; `zone_sizes` has the number of registered hosts of each zone.
--- a/crates/hollyhook_core/src/demand/demand_exchange.rs
+++ b/crates/hollyhook_core/src/demand/demand_exchange.rs
@@ -19,6 +19,9 @@
 const INVITATION_TIME: Duration = Duration::from_secs(5);
 /// How long a host takes part after another zone told of an overload.
 const TOLD_TIME: Duration = Duration::from_secs(2);
+/// Time between two messages with paces to the same host. Sixty-four paces take 3 KB; every 500 ms they would use up the
+/// budget of a host for all control messages.
+const PACE_INTERVAL: Duration = Duration::from_millis(1_900);
 /// How long the collector's sum of its zone is used for further answers: a zone may have hundreds of hosts.
 const SUM_TIME: Duration = Duration::from_millis(200);
 
@@ -57,6 +60,8 @@
     told_at: Option<TimePoint>,
     /// When this host invited others.
     invitations: BTreeMap<Name, TimePoint>,
+    /// When this host last told others paces.
+    paces_told: BTreeMap<Name, TimePoint>,
 }
 
 impl DemandExchange {
@@ -77,6 +82,7 @@
             invitation: (TimePoint::ZERO, BTreeSet::new()),
             told_at: None,
             invitations: BTreeMap::new(),
+            paces_told: BTreeMap::new(),
         }
     }
 
@@ -223,10 +229,30 @@
         let host = Name::clone(&self.host);
         if recipient.zone != self.zone {
             let sum = self.board.own_zone_sum(now).unwrap_or_default();
-            return DemandMessage { host, own: sum, invites: false, collected: BTreeMap::new() };
+            let own = self.limit_paces(now, &recipient.host, sum);
+            return DemandMessage { host, own, invites: false, collected: BTreeMap::new() };
         }
         let collected = self.board.collected_for(now, &recipient.host);
-        DemandMessage { host, own: self.own_summary(now), invites: false, collected }
+        let summary = self.own_summary(now);
+        let own = self.limit_paces(now, &recipient.host, summary);
+        DemandMessage { host, own, invites: false, collected }
+    }
+
+    /// Removes the paces of a summary for a host that was told some lately.
+    fn limit_paces(&mut self, now: TimePoint, recipient: &Name, mut summary: DemandSummary) -> DemandSummary {
+        if !self.may_tell_paces(now, recipient) {
+            summary.paces.clear();
+        }
+        summary
+    }
+
+    fn may_tell_paces(&mut self, now: TimePoint, recipient: &Name) -> bool {
+        self.paces_told.retain(|_, at| now.since(*at) < PACE_INTERVAL);
+        if self.paces_told.contains_key(recipient) {
+            return false;
+        }
+        self.paces_told.insert(Name::clone(recipient), now);
+        true
     }
 
     /// The message that invites hosts of the zone; its summary names the services and has no figures.
@@ -267,12 +293,13 @@
             self.board.record_own(now, &self.host, &own);
         }
         if is_member {
-            return DemandReply { zones: self.board.zone_sums(now), paces: self.board.paces(now) };
+            let paces = if self.may_tell_paces(now, &sender.host) { self.board.paces(now) } else { Vec::new() };
+            return DemandReply { zones: self.board.zone_sums(now), paces };
         }
         let mut zones = self.board.zone_sums(now);
         zones.retain(|zone, _| *zone == self.zone);
         if let Some((demand, sum)) = zones.values_mut().next().zip(self.board.own_zone_sum(now)) {
-            demand.sum = sum;
+            demand.sum = self.limit_paces(now, &sender.host, sum);
         }
         DemandReply { zones, paces: Vec::new() }
     }
--- a/crates/hollyhook_core/tests/gateway/demand.rs
+++ b/crates/hollyhook_core/tests/gateway/demand.rs
@@ -17,6 +17,11 @@
 const FAULT_MS: u64 = 6_000;
 const END_MS: u64 = 12_000;
 
+/// Bytes of the heads of a request and its response.
+const HTTP_BYTES: usize = 200;
+/// Time over which bytes are measured.
+const MEASURED_MS: u64 = 5_000;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fault {
     None,
@@ -104,6 +109,8 @@
     /// The collector of the first zone before the fault.
     collector: Name,
     is_faulty: bool,
+    /// Bytes that each host sent and received as JSON; empty unless they are measured.
+    bytes: Vec<usize>,
 }
 
 fn zone_name(number: usize) -> ZoneName {
@@ -148,7 +155,33 @@
         }
         let order = hollyhook_core::collector_order(records.iter(), "zone-0");
         let collector = Name::clone(&order[0].host);
-        Self { case, rng, hosts, records, sizes, collector, is_faulty: false }
+        Self { case, rng, hosts, records, sizes, collector, is_faulty: false, bytes: Vec::new() }
+    }
+
+    /// Runs to the end; returns the bytes per second of the median host and the most of any.
+    fn run_measured(mut self, paces: usize) -> (f64, f64) {
+        self.bytes = vec![0; self.hosts.len()];
+        for host in &mut self.hosts {
+            // Endpoints of which several hosts measured the pace, at a site with 10,000.
+            let readings = (0..paces).map(|_| PaceReading {
+                endpoint: format!("i-f76532{:04}@1764806400000", self.rng.random_range(0..10_000)).into(),
+                factor: self.rng.random_range(0.5..2.0),
+                weight: self.rng.random_range(1.0..50.0),
+            });
+            host.exchange.set_paces(readings.collect());
+        }
+        for millis in (0..MEASURED_MS).step_by(STEP_MS as usize) {
+            self.send_requests(millis, &mut [0.0; 3]);
+            let now = TimePoint::from_millis(10_000 + millis);
+            for host in 0..self.hosts.len() {
+                if millis % INTERVAL_MS == self.hosts[host].phase {
+                    self.run_round(now, host);
+                }
+            }
+        }
+        let rate = |bytes: usize| bytes as f64 / (MEASURED_MS as f64 / 1e3);
+        self.bytes.sort_unstable();
+        (rate(self.bytes[self.bytes.len() / 2]), rate(*self.bytes.last().unwrap()))
     }
 
     /// Runs to the end; the outcome covers the time from `from_ms`.
@@ -318,8 +351,14 @@
             return false;
         }
         let sender = self.hosts[from].record.clone();
+        let sent = message.clone();
         let reply = self.hosts[to].exchange.receive(now, &sender, message);
         assert!(reply.is_valid(), "{reply:?}");
+        if !self.bytes.is_empty() {
+            let bytes = serde_json::to_vec(&sent).unwrap().len() + serde_json::to_vec(&reply).unwrap().len();
+            self.bytes[from] += bytes + HTTP_BYTES;
+            self.bytes[to] += bytes + HTTP_BYTES;
+        }
         self.hosts[from].exchange.record_reply(now, host, reply);
         true
     }
@@ -452,3 +491,14 @@
     assert_eq!(sum.paces[0], reading(99, 0.25, 1.0));
     assert_eq!(sum.paces[1], reading(63, 2.657, 4.0));
 }
+
+/// A host's budget for all control work is 8 KB per second.
+#[test]
+fn bytes_within_budget() {
+    for (hosts, zones, paces) in [(84, 4, 0), (84, 4, 4), (1_000, 7, 0), (1_000, 7, 64)] {
+        let case = DemandCase { zones, largest_share: 0.0, ..DemandCase::draw(1, hosts, Fault::None) };
+        let (median, most) = DemandSimulation::new(case).run_measured(paces);
+        println!("bytes per second, {hosts} hosts, {zones} zones, {paces} paces: median {median:.0}, most {most:.0}");
+        assert!(median <= 8_000.0, "{hosts} hosts, {paces} paces: {median}");
+    }
+}
