Pace of endpoints: measured, and load shared by it

Cause: hosts choose the endpoint whose last report was best. Reports are older than the calls that they count, so that hosts follow them together and prefer the only endpoint of their zone until it is full; the paces of endpoints are not known at all.

Change: EndpointPace and ServicePace measure paces from the fourth figure of the load header and from times. Where endpoints report the figure or show different paces for 2 s, choose draws an endpoint by slots over pace and the expected wait, load reports count less the older they are, the shortlist follows pace, and an attempt's time limit is derived from the expected time. Other services are served as before, draw for draw (choice_unchanged_without_paces).

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -44,7 +44,7 @@
 };
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
 pub use origin::{OriginAnswer, OriginCopy, OriginLedger, StreamOrigin, origin_holders};
-pub use pace::EngineSpeed;
+pub use pace::{EndpointPace, EngineSpeed, PaceChange, ServicePace};
 pub use path::{ConnectOrder, EndpointGroup, PathMonitor, TunnelDirectory};
 pub use quarantine::{
     CrashLedger, CrashRecord, CrashRecords, DigestError, QuarantineChange, RequestDigest, SuspectRequest,
@@ -56,8 +56,8 @@
 };
 pub use route::{
     EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
-    EngineRun, HeldPromptPart, HolderLimits, HostPosition, LoadReport, MAX_REPORT_AGE, PromptPlacement, RouteQuery,
-    choose_backup_engine, choose_engine, excess_wait, has_holder, is_certain_choice, is_of_one_version,
+    EngineRun, HeldPromptPart, HolderLimits, HostPosition, LoadReport, MAX_REPORT_AGE, PromptPlacement, PromptRead,
+    RouteQuery, choose_backup_engine, choose_engine, excess_wait, has_holder, is_certain_choice, is_of_one_version,
     place_held_prompt, time_to_first_event,
 };
 pub use site::{
--- /dev/null
+++ b/crates/hollyhook_core/src/pace/load_trend.rs
@@ -0,0 +1,53 @@
+use std::time::Duration;
+
+use crate::TimePoint;
+
+/// The load that an endpoint reports, in requests per slot: its last report and a smoothed mean.
+///
+/// A report of a single moment says little about an endpoint whose calls take less time than the report is old; the mean
+/// of several reports says how busy the endpoint usually is.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct LoadTrend {
+    last: f64,
+    mean: f64,
+    at: Option<TimePoint>,
+}
+
+impl LoadTrend {
+    /// Time in which the weight of earlier reports in the mean falls to 1/e.
+    const MEAN_TIME: Duration = Duration::from_millis(1_500);
+    /// Weight of a report in the mean if it follows the one before it at once.
+    const MIN_GAIN: f64 = 0.1;
+    /// Time in which the weight of an endpoint's mean falls to 1/e against that of its service.
+    const FORGET_TIME: Duration = Duration::from_secs(4);
+
+    /// Adds a report.
+    pub(crate) fn add(&mut self, now: TimePoint, load: f64) {
+        let gain = match self.at {
+            Some(at) => (1.0 - decay(now.since(at), Self::MEAN_TIME)).max(Self::MIN_GAIN),
+            None => 1.0,
+        };
+        self.mean += gain * (load - self.mean);
+        self.last = load;
+        self.at = Some(now);
+    }
+
+    /// The load expected now of an endpoint whose requests take `run_time`, where its service has the mean load
+    /// `usual`.
+    ///
+    /// The last report has less weight the older it is: the requests that it counted have ended after `run_time`. So has
+    /// the mean, over seconds.
+    pub(crate) fn expected(&self, now: TimePoint, run_time: Duration, usual: f64) -> f64 {
+        let Some(at) = self.at else {
+            return usual;
+        };
+        let age = now.since(at);
+        let deviation = (self.mean - usual) * decay(age, Self::FORGET_TIME);
+        usual + deviation + (self.last - self.mean) * decay(age, run_time)
+    }
+}
+
+/// The weight left after `age` if it falls to 1/e in `time`.
+fn decay(age: Duration, time: Duration) -> f64 {
+    (-age.as_secs_f64() / time.as_secs_f64().max(1e-6)).exp()
+}
--- a/crates/hollyhook_core/src/route/endpoint_choice.rs
+++ b/crates/hollyhook_core/src/route/endpoint_choice.rs
@@ -7,6 +7,7 @@
 
 use super::rendezvous::rendezvous_weight;
 use super::{EndpointRecord, EndpointTable, HolderLimits, RouteQuery};
+use crate::pace::ServicePace;
 use crate::{EndpointId, TimePoint, ZoneName};
 
 /// The number of endpoints per zone among which a choice is made. Even if nine in ten are full, a few of them have free
@@ -31,6 +32,15 @@
 /// own zone. If the own zone has fewer endpoints than this, one sample is taken from all zones together: otherwise, an
 /// endpoint of the own zone that has just stopped would be in every sample.
 const SAMPLE_SIZE: usize = 4;
+/// The number of endpoints among which one is drawn by pace.
+const DRAWN_FROM: usize = 16;
+/// An endpoint is drawn less often by a factor of e to the power of this for each request per slot of load cost. From
+/// 1.0, hosts that learn of the load seconds late overload the endpoints in turn.
+const LOAD_SLOPE: f64 = 0.5;
+/// The same for the cost of failures, after which an endpoint should get few requests at once.
+const FAULT_SLOPE: f64 = 4.0;
+/// Exponent of the load in the expected wait for a slot.
+const QUEUE_EXPONENT: i32 = 6;
 /// By how many requests a preferred endpoint may be busier than others and still be chosen.
 const PREFERRED_ALLOWANCE: f64 = 1.1;
 /// On average, one in this many choices ignores the query's preferred endpoints. Otherwise, a host would not learn the
@@ -57,7 +67,10 @@
         if let Some(due) = due_for_trial(now, query, &pool) {
             return Some(EndpointId::clone(&due.id));
         }
-        let best = self.best_of_sample(now, &pool, query, rng)?;
+        let best = match self.uneven_service(now, query.service) {
+            Some(service) => self.draw_by_pace(now, &pool, query, service, rng)?,
+            None => self.best_of_sample(now, &pool, query, rng)?,
+        };
         Some(EndpointId::clone(&best.id))
     }
 
@@ -70,6 +83,7 @@
     pub fn shortlist(&self, now: TimePoint, query: &RouteQuery<'_>, key: u64, limit: usize) -> Vec<EndpointRecord> {
         let eligible = self.window(now, query, key, |record| !record.is_ejected(now));
         let suspect = self.suspect_zones(now, query);
+        let is_uneven = self.uneven_service(now, query.service).is_some();
         let mut costs: Vec<(f64, &EndpointRecord)> =
             eligible.into_iter().map(|record| (self.cost(now, record, query, &suspect), record)).collect();
         let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp).unwrap_or_default();
@@ -77,7 +91,9 @@
             let steps = ((cost - least) / COST_STEP) as u64;
             let is_preferred = query.preferred.contains(&record.id);
             let is_due = query.may_be_trial() && record.errors.is_trial_due(now);
-            (Reverse(is_due), steps, Reverse(is_preferred), Reverse(rendezvous_weight(&key.to_be_bytes(), &record.id)))
+            let weight = rendezvous_weight(&key.to_be_bytes(), &record.id);
+            let weight = if is_uneven { paced_weight(weight, record.pace.factor(now)) } else { weight };
+            (Reverse(is_due), steps, Reverse(is_preferred), Reverse(weight))
         };
         costs.sort_by_cached_key(|(cost, record)| rank(*cost, record));
         costs.into_iter().take(limit).map(|(_, record)| record.as_of(now)).collect()
@@ -188,14 +204,90 @@
         sample.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
+    /// Draws an endpoint at random, with a probability by its slots, pace and cost.
+    ///
+    /// Endpoints of the same cost get calls in proportion to what they can process. Hosts with the same reports do not
+    /// all choose the same endpoint, whatever their number and the age of the reports.
+    fn draw_by_pace<'t>(
+        &self,
+        now: TimePoint,
+        pool: &[&'t EndpointRecord],
+        query: &RouteQuery<'_>,
+        service: &ServicePace,
+        rng: &mut impl Rng,
+    ) -> Option<&'t EndpointRecord> {
+        let suspect = self.suspect_zones(now, query);
+        let sample: Vec<&EndpointRecord> = if pool.len() > DRAWN_FROM {
+            let preferred = pool.iter().copied().filter(|record| query.preferred.contains(&record.id));
+            preferred.take(DRAWN_FROM / 2).chain(pool.choose_multiple(rng, DRAWN_FROM).copied()).collect()
+        } else {
+            pool.to_vec()
+        };
+        let weigh = |record: &EndpointRecord| {
+            let slots = f64::from(query.slots.unwrap_or(record.load.capacity).max(1));
+            let load_cost = self.load_cost(now, record, query, service);
+            let fault_cost = fault_cost(now, record, &suspect);
+            slots / record.pace.factor(now) * (-load_cost * LOAD_SLOPE - fault_cost * FAULT_SLOPE).exp()
+        };
+        // The least weight keeps the draw possible where all costs are high.
+        let weighted: Vec<(f64, &EndpointRecord)> =
+            sample.into_iter().map(|record| (weigh(record).max(f64::MIN_POSITIVE), record)).collect();
+        weighted.choose_weighted(rng, |(weight, _)| *weight).ok().map(|(_, record)| *record)
+    }
+
     /// The cost of sending a request to an endpoint, in requests per slot.
     fn cost(&self, now: TimePoint, record: &EndpointRecord, query: &RouteQuery<'_>, suspect: &[&ZoneName]) -> f64 {
-        let pressure = record.pressure(query.slots);
-        let distance = if record.zone == self.zone { 0.0 } else { self.zone_preference };
-        let full = if pressure >= 1.0 { FULL_COST } else { 0.0 };
-        let suspicion = if suspect.contains(&&record.zone) { SUSPECT_ZONE_COST } else { 0.0 };
-        pressure + distance + full + suspicion + FAILURE_COST * record.errors.share(now)
+        let load_cost = match self.uneven_service(now, query.service) {
+            Some(service) => self.load_cost(now, record, query, service),
+            None => {
+                let pressure = record.pressure(query.slots);
+                pressure + self.distance(record) + if pressure >= 1.0 { FULL_COST } else { 0.0 }
+            }
+        };
+        load_cost + fault_cost(now, record, suspect)
+    }
+
+    /// The expected time until an endpoint of a service whose endpoints differ in pace begins with a request, and the
+    /// cost of its zone, in requests per slot.
+    ///
+    /// The time that the request itself takes is not part of it: requests are shared out in proportion to the paces
+    /// among endpoints of the same cost.
+    fn load_cost(&self, now: TimePoint, record: &EndpointRecord, query: &RouteQuery<'_>, service: &ServicePace) -> f64 {
+        let run_time = service.run_time(now);
+        let slots = f64::from(query.slots.unwrap_or(record.load.capacity).max(1));
+        let reported = record.trend.expected(now, run_time, service.load());
+        let own = f64::from(record.open) / slots;
+        let load = (reported + f64::from(record.sent_since_report) / slots).max(own);
+        let queue = record.pace.factor(now) * queue_time(load);
+        let network = self.network_time(record).as_secs_f64() / run_time.as_secs_f64().max(1e-3);
+        load + queue + network + self.distance(record)
     }
+
+    /// The cost of the zone of an endpoint.
+    fn distance(&self, record: &EndpointRecord) -> f64 {
+        if record.zone == self.zone { 0.0 } else { self.zone_preference }
+    }
+}
+
+/// The cost of recent failures of an endpoint and its zone.
+fn fault_cost(now: TimePoint, record: &EndpointRecord, suspect: &[&ZoneName]) -> f64 {
+    let suspicion = if suspect.contains(&&record.zone) { SUSPECT_ZONE_COST } else { 0.0 };
+    suspicion + FAILURE_COST * record.errors.share(now)
+}
+
+/// The expected wait for a slot of an endpoint with this mean load, as a multiple of the time that a call takes.
+///
+/// Below one request per slot it rises steeply towards the last slots, since the load varies about its mean.
+fn queue_time(load: f64) -> f64 {
+    if load < 1.0 { load.powi(QUEUE_EXPONENT) } else { 1.0 + f64::from(QUEUE_EXPONENT) * (load - 1.0) }
+}
+
+/// The rendezvous weight by which an endpoint is first for a share of keys that is in proportion to what it processes.
+/// The order of endpoints of the same pace is that of their plain weights.
+fn paced_weight(weight: u64, pace: f64) -> u64 {
+    let uniform = (weight as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    // The score of weighted rendezvous hashing, mapped to the range of a weight.
+    (uniform.powf(pace) * u64::MAX as f64) as u64
 }
 
 /// The endpoint whose trial has been due the longest, if the request can be retried at another endpoint.
--- a/crates/hollyhook_core/src/route/endpoint_record.rs
+++ b/crates/hollyhook_core/src/route/endpoint_record.rs
@@ -7,7 +7,8 @@
 use super::MAX_REPORT_AGE;
 use super::failure_record::FailureRecord;
 use super::room_report::RoomReport;
-use crate::{EndpointId, LatencyEstimator, ModelBinding, Name, StoreRevision, TimePoint, ZoneName};
+use crate::pace::LoadTrend;
+use crate::{EndpointId, EndpointPace, LatencyEstimator, ModelBinding, Name, StoreRevision, TimePoint, ZoneName};
 
 /// Whether an endpoint receives new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -28,6 +29,10 @@
     pub waiting: u32,
     /// The number of slots in the batch.
     pub capacity: u32,
+    /// How long work currently takes on the endpoint's machine, in percent of normal; `None` if the endpoint does not
+    /// report it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pace_percent: Option<u32>,
 }
 
 /// What this host knows about one endpoint.
@@ -65,6 +70,10 @@
     pub sent_recently: u32,
     /// Estimates the latency of the endpoint's first and later tokens, over all streams of this host.
     pub latency_estimator: LatencyEstimator,
+    /// How fast the endpoint works.
+    pub pace: EndpointPace,
+    /// The load that the endpoint reported over time.
+    pub(super) trend: LoadTrend,
     /// The share of the endpoint's answers that were failures of its own.
     pub(super) errors: FailureRecord,
     /// The free share that the endpoint last reported.
@@ -99,6 +108,8 @@
             room: None,
             sends: VecDeque::new(),
             latency_estimator: LatencyEstimator::default(),
+            pace: EndpointPace::default(),
+            trend: LoadTrend::default(),
             errors: FailureRecord::default(),
             failures: 0,
             ejected_until: TimePoint::ZERO,
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -9,6 +9,7 @@
 use super::version_index::VersionIndex;
 use super::zone_failures::ZoneFailures;
 use super::{EndpointRecord, EndpointState, HostPosition, LoadReport};
+use crate::pace::{NetworkTime, ServicePace};
 use crate::{EndpointGroup, EndpointId, Name, TermsTable, TimePoint, ZoneName};
 
 /// Hash key by which hosts choose the entry for crash records.
@@ -45,6 +46,8 @@
     pub(super) zone_failures: BTreeMap<ZoneName, ZoneFailures>,
     pub(super) terms: TermsTable,
     position: HostPosition,
+    pub(super) service_paces: BTreeMap<Name, ServicePace>,
+    pub(super) network_times: BTreeMap<ZoneName, NetworkTime>,
     /// When this host last had a request for which no brittle endpoint of a service had room.
     pressed: BTreeMap<Name, TimePoint>,
 }
@@ -63,6 +66,8 @@
             zone_failures: BTreeMap::new(),
             terms: TermsTable::default(),
             position: HostPosition::default(),
+            service_paces: BTreeMap::new(),
+            network_times: BTreeMap::new(),
             pressed: BTreeMap::new(),
         }
     }
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -3,6 +3,7 @@
 mod backup_placement;
 mod endpoint_choice;
 mod endpoint_membership;
+mod endpoint_pacing;
 mod endpoint_record;
 mod endpoint_subset;
 mod endpoint_table;
@@ -21,6 +22,7 @@
 
 pub use backup_placement::choose_backup_engine;
 pub use endpoint_membership::EndpointMembership;
+pub use endpoint_pacing::PromptRead;
 pub use endpoint_record::{EndpointRecord, EndpointState, LoadReport};
 pub use endpoint_subset::EndpointSubset;
 pub use endpoint_table::EndpointTable;
--- a/crates/hollyhook_core/tests/fuzz/route_fuzz.rs
+++ b/crates/hollyhook_core/tests/fuzz/route_fuzz.rs
@@ -61,7 +61,10 @@
         let zone = format!("zone-{}", number % 2).into();
         let record = EndpointRecord::new(name(number), "tutor".into(), zone, address);
         table.upsert(record.binding(ModelBinding::new("t", version)));
-        table.update_load(&name(number), LoadReport { running: 0, waiting: 0, capacity: SLOTS });
+        table.update_load(
+            &name(number),
+            LoadReport { running: 0, waiting: 0, capacity: SLOTS, ..LoadReport::default() },
+        );
         models.insert(number, EndpointModel { is_other_version, ..EndpointModel::default() });
     }
     (table, models)
--- a/crates/hollyhook_core/tests/gateway/brittle.rs
+++ b/crates/hollyhook_core/tests/gateway/brittle.rs
@@ -172,7 +172,7 @@
         let id = endpoint_id(endpoint);
         let table = &mut self.hosts[host].table;
         table.record_close(&id);
-        table.update_load(&id, LoadReport { running, waiting: 0, capacity: self.case.slots });
+        table.update_load(&id, LoadReport { running, waiting: 0, capacity: self.case.slots, ..LoadReport::default() });
         table.update_room(now, &id, 1.0 - f64::from(running) / f64::from(self.case.slots));
         let (limit, hosts) = (self.case.limit, self.case.hosts);
         table.terms_mut().set_brittle(now, &id, limit, hosts, &mut self.rng);
--- a/crates/hollyhook_core/tests/gateway/large_fleet.rs
+++ b/crates/hollyhook_core/tests/gateway/large_fleet.rs
@@ -33,7 +33,7 @@
 }
 
 fn fill(table: &mut EndpointTable, number: u32) {
-    table.update_load(&id(number), LoadReport { running: SLOTS, waiting: 0, capacity: SLOTS });
+    table.update_load(&id(number), LoadReport { running: SLOTS, waiting: 0, capacity: SLOTS, ..LoadReport::default() });
 }
 
 #[test]
@@ -108,7 +108,7 @@
         (70..100).contains(&pooled_if_idle),
         "{pooled_if_idle} of 100; some choices must go to other endpoints, to learn their load"
     );
-    table.update_load(&id(60), LoadReport { running: 2, waiting: 0, capacity: SLOTS });
+    table.update_load(&id(60), LoadReport { running: 2, waiting: 0, capacity: SLOTS, ..LoadReport::default() });
     assert_eq!(pooled_of_100(&table), 0, "the other endpoints are idle");
     let far = [id(61)];
     let query = RouteQuery::new("model").prefer(&far);
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod liveness;
 mod membership;
 mod origins;
+mod paces;
 mod paths;
 mod quarantine;
 mod quarantine_parts;
--- a/crates/hollyhook_standin/src/engine/engine_batch.rs
+++ b/crates/hollyhook_standin/src/engine/engine_batch.rs
@@ -236,6 +236,7 @@
             running: count(is_running),
             waiting: count(|sequence| sequence.state == SequenceState::Waiting),
             capacity: self.options.capacity,
+            pace_percent: None,
         }
     }
 
