Gateway: samples of pace from calls, streams and connections

Change: plain calls, events and first events of streams, and new connections give samples to EndpointTable through EndpointDirectory; a candidate engine has the speed that was measured; the time limit of an attempt at an idempotent call comes from the pace where paces differ.

--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -69,7 +69,7 @@
     pub(super) body: Incoming,
     pub(super) connection: PooledConnection,
     /// When the request was sent.
-    sent_at: TimePoint,
+    pub(super) sent_at: TimePoint,
 }
 
 impl OpenResponse {
@@ -233,7 +233,11 @@
 }
 
 async fn connect(context: &GatewayContext, target: &EndpointTarget) -> Result<PooledConnection, AttemptFailure> {
+    let begin = context.timer.now();
     let connected = context.connector.connect(target).await;
+    if connected.as_ref().is_ok_and(|connection| !connection.is_tunnel()) {
+        context.endpoints.record_network_time(&target.group.zone, context.timer.now().since(begin));
+    }
     connected.map_err(|error| {
         context.recorder.count(error.counter());
         tracing::info!(endpoint = %target.id, address = %target.address, zone = %target.group.zone, cause = error.cause(),
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use futures::future::join_all;
-use hollyhook_core::{AttemptFailure, EndpointRecord, EngineCandidate, EngineReport, EngineSpeed};
+use hollyhook_core::{AttemptFailure, EndpointRecord, EngineCandidate, EngineReport};
 use http::{Request, header};
 use http_body_util::Full;
 
@@ -54,7 +54,8 @@
 async fn probe_each(context: &GatewayContext, list: Vec<EndpointRecord>, limit: Duration) -> Vec<EngineCandidate> {
     let probes = list.into_iter().map(|record| async move {
         let report = fetch_report(context, &EndpointTarget::from(&record), limit).await;
-        EngineCandidate { record, report, held_tokens: 0, speed: EngineSpeed::default() }
+        let speed = context.endpoints.engine_speed(&record.id);
+        EngineCandidate { record, report, held_tokens: 0, speed }
     });
     let mut candidates = join_all(probes).await;
     // A host that was partitioned learns it from the report seconds before its endpoint list shows it.
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -182,6 +182,7 @@
         self.has_ended = true;
         if let Some(live) = self.live.take() {
             self.context.endpoints.record_outcome(live.slot.id(), None);
+            live.record_run(&self.context);
             let times = live.times(self.context.timer.now());
             record_version_outcome(&self.context, &self.caller, &live.slot.target, None, times);
             live.response.release(&self.context, live.slot.id());
--- a/crates/hollyhook_gateway/src/forward/live_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use hollyhook_core::{AttemptFailure, EventReader, EventSequencer, TimePoint};
+use hollyhook_core::{AttemptFailure, EventReader, EventSequencer, PromptRead, TimePoint};
 use http_body_util::BodyExt;
 
 use super::attempt::{EndpointSlot, OpenResponse};
@@ -16,6 +16,10 @@
 /// Minimum number of events for which the mean gap between them is recorded.
 const GAP_EVENTS: u32 = 8;
 
+/// A caller that took longer than this to ask for more events has made them wait at the engine or on the way, so that
+/// their times say nothing about the engine.
+const MAX_CALLER_PAUSE: Duration = Duration::from_millis(10);
+
 /// How an attempt was started.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct AttemptStart {
@@ -34,6 +38,8 @@
     first_event_at: Option<TimePoint>,
     last_event_at: Option<TimePoint>,
     events: u32,
+    /// The first event since the last sample of the time between events, and the number of events after it.
+    sampled: Option<(TimePoint, u32)>,
     /// Present once the attempt has sent events for long enough to show that its request crashes no endpoint.
     run: Option<SurvivingRun>,
 }
@@ -64,6 +70,7 @@
             first_event_at: None,
             last_event_at: None,
             events: 0,
+            sampled: None,
             run: None,
         }
     }
@@ -89,8 +96,14 @@
         } else {
             LivenessWatch::before_first(caller.head.prompt.unwrap_or_default().prompt_tokens)
         };
+        self.drop_sample_after_pause(context.timer.now());
         loop {
+            let is_begun = self.first_event_at.is_some();
             if let Some(bytes) = self.take_events(sequencer, context.timer.now()) {
+                if !is_begun {
+                    self.record_read(context, caller);
+                }
+                self.record_event_time(context);
                 self.check_survival(context, caller);
                 return ReadResult::Bytes(bytes);
             }
@@ -124,6 +137,40 @@
         }
     }
 
+    /// Starts the next sample of the time between events anew if the caller has not asked for events for a while.
+    fn drop_sample_after_pause(&mut self, now: TimePoint) {
+        if self.last_event_at.is_some_and(|last| now.since(last) > MAX_CALLER_PAUSE) {
+            self.sampled = None;
+        }
+    }
+
+    /// Records when the engine had read the prompt.
+    fn record_read(&self, context: &GatewayContext, caller: &CallerRequest) {
+        if let Some(first) = self.first_event_at.filter(|_| self.start.is_first) {
+            let tokens = caller.head.prompt.unwrap_or_default().prompt_tokens;
+            let read = PromptRead { took: first.since(self.start.sent_at), tokens, load: self.response.head.load };
+            context.endpoints.record_read(self.slot.id(), read);
+        }
+    }
+
+    /// Records the mean time between the last events as a sample of the engine's pace.
+    fn record_event_time(&mut self, context: &GatewayContext) {
+        let Some((first, count)) = self.sampled.filter(|(_, count)| *count >= GAP_EVENTS) else {
+            return;
+        };
+        if let Some(last) = self.last_event_at {
+            context.endpoints.record_event_time(self.slot.id(), last.since(first) / count);
+            self.sampled = Some((last, 0));
+        }
+    }
+
+    /// Records how long the whole stream took after its first event.
+    pub(super) fn record_run(&self, context: &GatewayContext) {
+        if let Some((first, last)) = self.first_event_at.zip(self.last_event_at).filter(|_| self.events >= GAP_EVENTS) {
+            context.endpoints.record_run(self.slot.id(), last.since(first));
+        }
+    }
+
     fn check_survival(&mut self, context: &Arc<GatewayContext>, caller: &CallerRequest) {
         if self.run.is_none() && self.event_span(context.timer.now()) >= SURVIVAL_TIME {
             self.run = record_running(context, caller);
@@ -148,6 +195,7 @@
             self.first_event_at.get_or_insert(now);
             self.last_event_at = Some(now);
             self.events += batch.received;
+            self.sampled = Some(self.sampled.map_or((now, 0), |(first, count)| (first, count + batch.received)));
         }
         join(batch.events)
     }
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -147,7 +147,7 @@
 
     async fn attempt(&self, slot: &EndpointSlot) -> CallOutcome {
         let left = self.caller.time_left(self.context.timer.now());
-        let limit = self.attempt_limit(left);
+        let limit = self.attempt_limit(slot.id(), left);
         let sent_at = self.context.timer.now();
         let timeout_failure = if limit < left { AttemptFailure::Silent } else { AttemptFailure::Expired };
         let outcome = self.context.timer.within(limit, self.exchange_watched(slot)).await;
@@ -170,11 +170,13 @@
     }
 
     /// Time limit of the next attempt: all the time left, unless a further attempt may follow.
-    fn attempt_limit(&self, left: Duration) -> Duration {
+    fn attempt_limit(&self, id: &EndpointId, left: Duration) -> Duration {
         if self.caller.route.kind != RequestKind::Idempotent || self.ledger.is_last() {
             return left;
         }
-        left.min(self.caller.route.latency_objective.mul_f64(ATTEMPT_TIMEOUT_FACTOR))
+        let objective = self.caller.route.latency_objective;
+        let paced = self.context.endpoints.attempt_limit(id, objective);
+        left.min(paced.unwrap_or_else(|| objective.mul_f64(ATTEMPT_TIMEOUT_FACTOR)))
     }
 
     /// Exchanges request and response, and checks the path to the endpoint if the response takes unusually long.
@@ -205,6 +207,8 @@
         if let Some(load) = response.head.load {
             self.context.endpoints.record_load(slot.id(), load);
         }
+        let load = response.head.load;
+        let head_took = self.context.timer.now().since(response.sent_at);
         let verdict = evaluate_answer(caller.route.kind, &caller.head.attempt_id, &slot.target.entry, &response.head);
         if verdict == AnswerVerdict::Fail(AttemptFailure::Garbled) {
             return CallOutcome::Failure(AttemptFailure::Garbled);
@@ -215,7 +219,12 @@
         };
         match verdict {
             AnswerVerdict::PassOrRetry if buffered.is_whole() => CallOutcome::Fallback(buffered),
-            AnswerVerdict::Pass | AnswerVerdict::PassOrRetry => CallOutcome::Response(buffered),
+            AnswerVerdict::Pass | AnswerVerdict::PassOrRetry => {
+                if buffered.parts.status.is_success() {
+                    self.context.endpoints.record_call_time(slot.id(), head_took, load);
+                }
+                CallOutcome::Response(buffered)
+            }
             AnswerVerdict::Fail(failure) => CallOutcome::Failure(failure),
         }
     }
