--- a/crates/hollyhook_core/src/pace/endpoint_pace.rs
+++ b/crates/hollyhook_core/src/pace/endpoint_pace.rs
@@ -144,6 +144,6 @@
 /// The weight of an estimate by the age of its last sample, from 1.0 to zero.
 fn freshness(now: TimePoint, average: &LogAverage) -> f64 {
     let age = now.since(average.last_at()).as_secs_f64();
-    let span = (EndpointPace::STALE_TIME - EndpointPace::FRESH_TIME).as_secs_f64();
+    let span = EndpointPace::STALE_TIME.as_secs_f64() - EndpointPace::FRESH_TIME.as_secs_f64();
     ((EndpointPace::STALE_TIME.as_secs_f64() - age) / span).clamp(0.0, 1.0)
 }
--- a/crates/hollyhook_core/src/route/endpoint_choice.rs
+++ b/crates/hollyhook_core/src/route/endpoint_choice.rs
@@ -237,16 +237,18 @@
 
     /// The cost of sending a request to an endpoint, in requests per slot.
     fn cost(&self, now: TimePoint, record: &EndpointRecord, query: &RouteQuery<'_>, suspect: &[&ZoneName]) -> f64 {
-        let load_cost = match self.uneven_service(now, query.service) {
-            Some(service) => self.load_cost(now, record, query, service),
-            None => {
-                let pressure = record.pressure(query.slots);
-                pressure + self.distance(record) + if pressure >= 1.0 { FULL_COST } else { 0.0 }
-            }
-        };
+        let load_cost = self
+            .uneven_service(now, query.service)
+            .map_or_else(|| self.plain_load_cost(record, query), |service| self.load_cost(now, record, query, service));
         load_cost + fault_cost(now, record, suspect)
     }
 
+    /// The cost of the load and the zone of an endpoint of a service whose endpoints are not known to differ in pace.
+    fn plain_load_cost(&self, record: &EndpointRecord, query: &RouteQuery<'_>) -> f64 {
+        let pressure = record.pressure(query.slots);
+        pressure + self.distance(record) + if pressure >= 1.0 { FULL_COST } else { 0.0 }
+    }
+
     /// The expected time until an endpoint of a service whose endpoints differ in pace begins with a request, and the
     /// cost of its zone, in requests per slot.
     ///
--- a/crates/hollyhook_core/src/route/endpoint_pacing.rs
+++ b/crates/hollyhook_core/src/route/endpoint_pacing.rs
@@ -2,14 +2,14 @@
 
 use super::{EndpointRecord, EndpointTable, LoadReport};
 use crate::pace::{EndpointPace, NetworkTime, PaceChange, ServicePace};
-use crate::{EngineSpeed, TimePoint, ZoneName};
+use crate::{EngineSpeed, Name, TimePoint, ZoneName};
 
 /// Least number of prompt tokens for which the time to the first event says how fast an engine reads.
 const MIN_READ_TOKENS: u64 = 500;
 /// Weight of a time to the first event as a sample: it depends on what else the engine reads.
 const READ_WEIGHT: f64 = 0.5;
-/// Greatest part of a measured time that is attributed to the network.
-const MAX_NETWORK_SHARE: f64 = 0.75;
+/// Least part of a measured time that is attributed to the endpoint.
+const MIN_WORK_SHARE: f64 = 0.25;
 /// An attempt at a call may take this multiple of the time that is expected of its endpoint.
 const ATTEMPT_TIME_FACTOR: f64 = 8.0;
 /// Bounds of the time limit of an attempt, as multiples of the route's latency objective; the upper one is multiplied by
@@ -37,7 +37,7 @@
         let pressure = requests / f64::from(load.capacity.max(1));
         record.trend.add(now, pressure);
         record.pace.set_concurrent(load.running);
-        let service = self.service_paces.entry(record.service.clone()).or_default();
+        let service = self.service_paces.entry(Name::clone(&record.service)).or_default();
         service.add_load(now, pressure);
         let percent = load.pace_percent?;
         record.pace.add_report(now, percent);
@@ -89,7 +89,7 @@
     /// Records the time from the first to the last event of a stream.
     pub fn record_run(&mut self, now: TimePoint, id: &str, took: Duration) {
         if let Some(record) = self.records.get(id) {
-            self.service_paces.entry(record.service.clone()).or_default().add_run(now, took);
+            self.service_paces.entry(Name::clone(&record.service)).or_default().add_run(now, took);
         }
     }
 
@@ -107,7 +107,7 @@
     ) -> Option<PaceChange> {
         let network = self.records.get(id).map(|record| self.network_time(record))?;
         let record = self.records.get_mut(id)?;
-        let service = self.service_paces.entry(record.service.clone()).or_default();
+        let service = self.service_paces.entry(Name::clone(&record.service)).or_default();
         record.pace.add_time(now, ratio(service, &record.pace, network)?, weight);
         if record.pace.check_unusual(now) {
             service.mark_uneven(now);
@@ -154,5 +154,5 @@
 
 /// A measured time without the round trip.
 fn less_network(took: Duration, network: Duration) -> Duration {
-    took - network.min(took.mul_f64(MAX_NETWORK_SHARE))
+    took.saturating_sub(network).max(took.mul_f64(MIN_WORK_SHARE))
 }
--- a/crates/hollyhook_core/tests/gateway/paces.rs
+++ b/crates/hollyhook_core/tests/gateway/paces.rs
@@ -103,8 +103,8 @@
     /// The share of each endpoint in the calls of some seconds.
     fn shares(&self, seconds: std::ops::Range<usize>) -> Vec<f64> {
         let mut counts = BTreeMap::new();
-        for second in &self.starts[seconds] {
-            second.iter().for_each(|(endpoint, count)| *counts.entry(*endpoint).or_insert(0) += count);
+        for (endpoint, count) in self.starts[seconds].iter().flatten() {
+            *counts.entry(*endpoint).or_insert(0) += count;
         }
         let total: u64 = counts.values().sum();
         counts.values().map(|count| *count as f64 / total as f64).collect()
@@ -420,7 +420,7 @@
         let (running, gap) = if endpoint == 1 { (16, 60) } else { (2, 30) };
         table.record_concurrent(&id(endpoint), running);
         table.record_event_time(now, &id(endpoint), Duration::from_millis(gap));
-        let read = PromptRead { took: Duration::from_millis(1_000), tokens: 5_000, load: Some(USUAL_LOAD) };
+        let read = PromptRead { took: Duration::from_secs(1), tokens: 5_000, load: Some(USUAL_LOAD) };
         table.record_read(now, &id(endpoint), read);
     }
     let (few, many) = (table.engine_speed(now, &id(0)), table.engine_speed(now, &id(1)));
