--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -50,7 +50,7 @@
 };
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
 pub use origin::{OriginAnswer, OriginCopy, OriginLedger, StreamOrigin, origin_holders};
-pub use pace::{EngineSpeed, MigrationGate, MigrationPlan, ProgressMeter};
+pub use pace::{EndpointPace, EngineSpeed, MigrationGate, MigrationPlan, PaceChange, ProgressMeter, ServicePace};
 pub use path::{ConnectOrder, EndpointGroup, PathMonitor, TunnelDirectory};
 pub use quarantine::{
     CrashLedger, CrashRecord, CrashRecords, DigestError, QuarantineChange, RequestDigest, SuspectRequest,
@@ -62,8 +62,8 @@
 };
 pub use route::{
     EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
-    EngineRun, HeldPromptPart, HolderLimits, HostPosition, LoadReport, MAX_REPORT_AGE, PromptPlacement, RouteQuery,
-    choose_backup_engine, choose_engine, excess_wait, has_holder, is_certain_choice, is_of_one_version,
+    EngineRun, HeldPromptPart, HolderLimits, HostPosition, LoadReport, MAX_REPORT_AGE, PromptPlacement, PromptRead,
+    RouteQuery, choose_backup_engine, choose_engine, excess_wait, has_holder, is_certain_choice, is_of_one_version,
     place_held_prompt, time_to_first_event,
 };
 pub use site::{
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod membership;
 mod migrations;
 mod origins;
+mod paces;
 mod paths;
 mod quarantine;
 mod quarantine_parts;
