Priorities of a service from its configuration; expected times of an engine by its speed

Cause: the decisions on engines used fixed speeds, and nothing told which priorities and objectives the requests of a service have.

Change: engine_report.rs was split by job. time_to_first_event and excess_wait take an EngineSpeed, whose defaults give the former constants. SiteIndex has an index of the priorities of each service, computed once per configuration.

--- a/crates/hollyhook_core/src/forward/caller_head.rs
+++ b/crates/hollyhook_core/src/forward/caller_head.rs
@@ -9,6 +9,8 @@
     pub prompt_tokens: u64,
     /// Most tokens that may be generated.
     pub output_tokens: u64,
+    /// Tokens that the caller expects to be generated; `None` if it gives no estimate.
+    pub expected_tokens: Option<u64>,
     /// Identifies the last part of the prompt, which is specific to the request or its session; engines cache prompts
     /// by their parts.
     pub own_part: Option<u64>,
@@ -19,6 +21,11 @@
     pub fn memory_tokens(self) -> u64 {
         self.prompt_tokens + self.output_tokens
     }
+
+    /// The output that is expected, in tokens: the caller's estimate if it gives one, else the most that is allowed.
+    pub fn expected_output(self) -> u64 {
+        self.expected_tokens.map_or(self.output_tokens, |expected| expected.min(self.output_tokens))
+    }
 }
 
 /// The parts of a caller's request head that hollyhook evaluates.
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -61,8 +61,8 @@
     place_held_prompt, time_to_first_event,
 };
 pub use site::{
-    AccountConfig, CallerLimits, ConfigAdoption, EngineMemory, RequestKind, RouteConfig, ServiceConfig, ServiceShare,
-    SiteConfig, SiteIndex, SiteState,
+    AccountConfig, AccountPriorities, CallerLimits, ConfigAdoption, EngineMemory, RequestKind, RouteConfig,
+    ServiceConfig, ServicePriorities, ServiceShare, SiteConfig, SiteIndex, SiteState,
 };
 pub use stop::{StopPhase, StopPlan};
 pub use stream::{
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -6,7 +6,10 @@
 mod endpoint_record;
 mod endpoint_subset;
 mod endpoint_table;
+mod engine_candidate;
+mod engine_cost;
 mod engine_report;
+mod engine_wait;
 mod failure_record;
 mod host_position;
 mod name_interner;
@@ -24,10 +27,10 @@
 pub use endpoint_record::{EndpointRecord, EndpointState, LoadReport};
 pub use endpoint_subset::EndpointSubset;
 pub use endpoint_table::EndpointTable;
-pub use engine_report::{
-    EngineCandidate, EngineReport, EngineRun, MAX_REPORT_AGE, choose_engine, excess_wait, is_certain_choice,
-    time_to_first_event,
-};
+pub use engine_candidate::EngineCandidate;
+pub use engine_cost::{choose_engine, is_certain_choice};
+pub use engine_report::{EngineReport, EngineRun, MAX_REPORT_AGE};
+pub use engine_wait::{excess_wait, time_to_first_event};
 pub use host_position::HostPosition;
 pub use prompt_placement::{HeldPromptPart, PromptPlacement, has_holder, is_of_one_version, place_held_prompt};
 pub(crate) use rendezvous::rendezvous_weight;
--- a/crates/hollyhook_core/src/route/prompt_placement.rs
+++ b/crates/hollyhook_core/src/route/prompt_placement.rs
@@ -1,5 +1,5 @@
 use super::EngineCandidate;
-use super::engine_report::engine_cost;
+use super::engine_cost::engine_cost;
 
 /// A part of a prompt that an engine still holds in its KV cache.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/hollyhook_core/src/site/mod.rs
+++ b/crates/hollyhook_core/src/site/mod.rs
@@ -3,6 +3,7 @@
 mod account_config;
 mod route_config;
 mod service_config;
+mod service_priorities;
 mod site_config;
 mod site_index;
 mod site_state;
@@ -10,6 +11,7 @@
 pub use account_config::AccountConfig;
 pub use route_config::{RequestKind, RouteConfig, ServiceShare};
 pub use service_config::{EngineMemory, ServiceConfig};
+pub use service_priorities::{AccountPriorities, ServicePriorities};
 pub use site_config::{CallerLimits, SiteConfig};
 pub use site_index::SiteIndex;
 pub use site_state::{ConfigAdoption, SiteState};
--- a/crates/hollyhook_core/src/site/site_index.rs
+++ b/crates/hollyhook_core/src/site/site_index.rs
@@ -1,7 +1,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::{AccountConfig, CallerLimits, RouteConfig, ServiceConfig, SiteConfig};
+use super::{
+    AccountConfig, AccountPriorities, CallerLimits, RouteConfig, ServiceConfig, ServicePriorities, SiteConfig,
+};
 use crate::{Error, ErrorKind, Name, Result};
 
 /// One version of the site configuration, indexed for lookups.
@@ -12,6 +14,8 @@
     /// Routes by host, longest prefix first.
     routes: HashMap<Name, Vec<Arc<RouteConfig>>>,
     services: HashMap<Name, ServiceConfig>,
+    /// The priorities of the requests of each service that a route leads to.
+    priorities: HashMap<Name, Arc<ServicePriorities>>,
     /// Accounts by API key; `None` if the site uses no API keys.
     accounts: Option<HashMap<Name, Arc<AccountConfig>>>,
 }
@@ -42,6 +46,11 @@
         self.services.keys()
     }
 
+    /// The priorities that requests of a service may have; `None` if no route leads to the service.
+    pub fn priorities(&self, service: &str) -> Option<Arc<ServicePriorities>> {
+        self.priorities.get(service).map(Arc::clone)
+    }
+
     /// The route of `host` with the longest prefix that matches `path`.
     ///
     /// # Errors
@@ -78,6 +87,7 @@
 
 impl From<SiteConfig> for SiteIndex {
     fn from(config: SiteConfig) -> Self {
+        let priorities = index_priorities(&config);
         let mut routes: HashMap<Name, Vec<Arc<RouteConfig>>> = HashMap::new();
         for route in config.routes {
             routes.entry(Name::clone(&route.host)).or_default().push(Arc::new(route));
@@ -87,8 +97,19 @@
         }
         let services = config.services.into_iter().map(|service| (Name::clone(&service.name), service)).collect();
         let accounts = config.accounts.map(index_accounts);
-        Self { version: config.version, limits: config.limits, routes, services, accounts }
+        Self { version: config.version, limits: config.limits, routes, services, priorities, accounts }
+    }
+}
+
+fn index_priorities(config: &SiteConfig) -> HashMap<Name, Arc<ServicePriorities>> {
+    let accounts = AccountPriorities::new(config.accounts.as_deref());
+    let mut index: HashMap<Name, ServicePriorities> = HashMap::new();
+    for route in &config.routes {
+        for share in &route.shares {
+            index.entry(Name::clone(&share.service)).or_default().add_route(route, &accounts);
+        }
     }
+    index.into_iter().map(|(service, priorities)| (service, Arc::new(priorities))).collect()
 }
 
 fn index_accounts(accounts: Vec<AccountConfig>) -> HashMap<Name, Arc<AccountConfig>> {
--- a/crates/hollyhook_core/tests/gateway/choosing.rs
+++ b/crates/hollyhook_core/tests/gateway/choosing.rs
@@ -309,7 +309,7 @@
 fn excess_wait_by_waiting_prompts() {
     let wait = |waiting, left| {
         let report = candidate("a", 4, waiting, 0).report.unwrap();
-        excess_wait(&report, 7_000, Duration::from_secs(left))
+        excess_wait(&report, EngineSpeed::default(), 7_000, Duration::from_secs(left))
     };
     assert_eq!(wait(0, 25), None);
     assert_eq!(wait(19, 25), None, "a late answer is better than none");
--- a/crates/hollyhook_core/tests/gateway/site.rs
+++ b/crates/hollyhook_core/tests/gateway/site.rs
@@ -68,6 +68,29 @@
     assert!(keyless.account(&private, None).unwrap().is_none());
 }
 
+/// Placement by priority applies only to services whose requests differ in priority.
+#[test]
+fn priorities_of_service_by_routes_and_accounts() {
+    let account = |name: &str, priority| AccountConfig { name: name.into(), keys: Vec::new(), priority };
+    let above = |config: SiteConfig| -> Vec<(u8, u64)> {
+        let priorities = SiteIndex::from(config).priorities("desk").unwrap();
+        assert_eq!(priorities.is_mixed(), priorities.above(u8::MAX).count() > 1);
+        priorities.above(u8::MAX).map(|(priority, objective)| (priority, objective.as_millis() as u64)).collect()
+    };
+    assert_eq!(above(config(1, &[])), [(1, 150)]);
+    let mut by_route = config(1, &[]);
+    by_route.routes[0].priority = 0;
+    by_route.routes[0].latency_objective = Duration::from_millis(90);
+    assert_eq!(above(by_route.clone()), [(0, 90), (1, 150)]);
+    // No request has the priority of a route if all accounts have their own; a public route has no accounts.
+    by_route.accounts = Some(vec![account("a", Some(2))]);
+    assert_eq!(above(by_route.clone()), [(1, 150), (2, 90)], "the public route and the account's requests");
+    by_route.accounts = Some(vec![account("a", Some(2)), account("b", None)]);
+    assert_eq!(above(by_route.clone()), [(0, 90), (1, 150), (2, 90)]);
+    by_route.routes[0].shares[0].service = "other".into();
+    assert_eq!(above(by_route), [(1, 150), (2, 150)], "a route to another service");
+}
+
 /// An older version from a store that was restored from an older copy is not put in force, but confirms the version in
 /// force: the store holds nothing newer.
 #[test]
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -228,7 +228,7 @@
         let time_left = self.caller.time_left(self.context.timer.now());
         let prompt_tokens = self.caller.head.prompt.unwrap_or_default().prompt_tokens;
         let report = candidate.report.as_ref();
-        match report.and_then(|report| excess_wait(report, prompt_tokens, time_left)) {
+        match report.and_then(|report| excess_wait(report, candidate.speed, prompt_tokens, time_left)) {
             Some(excess) => Err(RoutingFailure { reason: StopReason::Overloaded, pause: excess, awaits_room: false }),
             None => Ok(()),
         }
