Decision: placement of generations by priority

Cause: an engine reads all prompts that it has admitted in turn, whatever their priority, so that prompts of low priority delayed those of high priority most when demand exceeded the capacity.

Change: place_by_priority forecasts first event and memory of the polled engines and keeps headroom for a new request of each higher priority. A request that would lose its objective by waiting leaves less of it.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -55,10 +55,11 @@
     VersionFilter, VersionTally, VersionVerdict, evaluate_version,
 };
 pub use route::{
-    EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
-    EngineRun, HeldPromptPart, HolderLimits, HostPosition, LoadReport, MAX_REPORT_AGE, PromptPlacement, RouteQuery,
-    choose_backup_engine, choose_engine, excess_wait, has_holder, is_certain_choice, is_of_one_version,
-    place_held_prompt, time_to_first_event,
+    CapacityShortage, EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable,
+    EngineCandidate, EngineReport, EngineRun, HeldPromptPart, HolderLimits, HostPosition, LoadReport, MAX_REPORT_AGE,
+    MemoryForecast, PlacementRequest, PlacementVerdict, PromptPlacement, ReportCache, RouteQuery, choose_backup_engine,
+    choose_engine, excess_wait, excess_wait_by_priority, has_holder, is_certain_choice, is_of_one_version,
+    place_by_priority, place_held_prompt, time_to_first_event,
 };
 pub use site::{
     AccountConfig, AccountPriorities, CallerLimits, ConfigAdoption, EngineMemory, RequestKind, RouteConfig,
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -12,6 +12,8 @@
 mod membership;
 mod origins;
 mod paths;
+mod priorities;
+mod priority_engine;
 mod quarantine;
 mod quarantine_parts;
 mod quarantine_simulation;
