Gateway: generations placed by priority; reports of engines used again for 0.1 s

Change: where the requests of a service differ in priority, choose_new uses place_by_priority with the caller's length hint, refuses only what no polled engine would finish in time, and uses reports of the last 0.1 s again. HAS_REQUEST_QUEUE is the one place that turns a lack of capacity into awaits_room; it is false, so that such a request goes to the best polled engine. Log lines and counters name the engine and what it lacks. The run time in the forecast follows the expected output.

--- a/crates/hollyhook_core/src/route/engine_forecast.rs
+++ b/crates/hollyhook_core/src/route/engine_forecast.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use super::engine_cost::READING_COST;
-use super::engine_wait::run_time;
-use super::memory_forecast::{MemoryForecast, typical_output};
+use super::engine_wait::TYPICAL_EVENTS;
+use super::memory_forecast::{EVENT_TOKENS, MemoryForecast, typical_output};
 use super::{EngineCandidate, EngineReport};
 
 /// By how much the events of an engine that reads prompts one after another come more slowly than those of one that
@@ -89,9 +89,11 @@
         wait.max(self.read_time(READING_COST * f64::from(self.report.reading.min(1)) * self.typical_tokens))
     }
 
-    /// The expected time from a first event to the end of a generation, while the engine reads prompts all the time.
-    pub(super) fn busy_run_time(&self) -> Duration {
-        run_time(self.candidate.speed) * BUSY_FACTOR
+    /// The expected time from a first event to the end of a generation of so many tokens, but not more than a typical
+    /// one, while the engine reads prompts all the time.
+    pub(super) fn busy_run_time(&self, output_tokens: u64) -> Duration {
+        let events = output_tokens.div_ceil(EVENT_TOKENS).min(u64::from(TYPICAL_EVENTS));
+        self.candidate.speed.event_time * BUSY_FACTOR * events as u32
     }
 
     /// Tokens of the prompts that the engine reads before or together with a prompt of this priority.
--- a/crates/hollyhook_core/src/route/memory_forecast.rs
+++ b/crates/hollyhook_core/src/route/memory_forecast.rs
@@ -2,7 +2,7 @@
 use super::engine_wait::TYPICAL_EVENTS;
 
 /// Tokens that one event of a generation adds to the memory of its engine.
-const EVENT_TOKENS: u64 = 9;
+pub(super) const EVENT_TOKENS: u64 = 9;
 
 /// A request that takes memory at an engine until it ends.
 #[derive(Debug, Clone, Copy)]
--- a/crates/hollyhook_core/src/route/priority_placement.rs
+++ b/crates/hollyhook_core/src/route/priority_placement.rs
@@ -137,7 +137,8 @@
 
     /// Whether waiting longer would cost the request its objective, or its deadline if the objective is lost.
     fn is_urgent(&self, option: &PlacementOption<'_>) -> bool {
-        option.first_event + MIN_PAUSE >= self.first_event_limit(option.forecast.busy_run_time())
+        option.first_event + MIN_PAUSE
+            >= self.first_event_limit(option.forecast.busy_run_time(self.size.expected_output()))
     }
 }
 
@@ -160,7 +161,7 @@
         let (prompt_tokens, output_tokens) = (request.size.prompt_tokens, request.size.expected_output());
         let first_event = forecast.first_event(request.priority, prompt_tokens, output_tokens);
         let rank_cost = forecast.candidate.speed.read_time(prompt_tokens).mul_f64(RANK_COST * rank as f64);
-        let is_late = first_event > request.first_event_limit(forecast.busy_run_time());
+        let is_late = first_event > request.first_event_limit(forecast.busy_run_time(output_tokens));
         let is_full = forecast.memory_with(prompt_tokens, output_tokens).excess_tokens() > 0;
         let shortage = if is_full {
             Some(CapacityShortage::Memory)
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -44,6 +44,25 @@
     candidates
 }
 
+/// Probes the engines of a shortlist that have not reported to this host a moment ago; an engine that does not report
+/// is recorded as not connected.
+pub(super) async fn probe_unless_recent(
+    context: &GatewayContext,
+    shortlist: Vec<EndpointRecord>,
+) -> Vec<EngineCandidate> {
+    let probes = shortlist.into_iter().map(|record| async move {
+        match context.endpoints.recent_report(&record.id) {
+            Some(report) => {
+                context.recorder.count("reports_reused");
+                let report = Some(report);
+                vec![EngineCandidate { record, report, held_tokens: 0, speed: EngineSpeed::default() }]
+            }
+            None => probe_all(context, vec![record]).await,
+        }
+    });
+    join_all(probes).await.into_iter().flatten().collect()
+}
+
 /// Probes all engines of a shortlist concurrently within the short limit of a resume. An engine that misses this limit
 /// is not recorded as failed.
 pub(super) async fn probe_quickly(context: &GatewayContext, shortlist: Vec<EndpointRecord>) -> Vec<EngineCandidate> {
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -5,15 +5,17 @@
 
 use futures::future::join;
 use hollyhook_core::{
-    EndpointId, EndpointRecord, EndpointState, EngineCandidate, HolderLimits, Name, RouteQuery, StopReason,
-    VersionFilter, ZoneName, choose_backup_engine, choose_engine, excess_wait, has_holder, is_certain_choice,
-    is_of_one_version, place_held_prompt,
+    EndpointId, EndpointRecord, EndpointState, EngineCandidate, HolderLimits, Name, PlacementRequest, PlacementVerdict,
+    RouteQuery, ServicePriorities, StopReason, VersionFilter, ZoneName, choose_backup_engine, choose_engine,
+    excess_wait, excess_wait_by_priority, has_holder, is_certain_choice, is_of_one_version, place_by_priority,
+    place_held_prompt,
 };
 use hollyhook_platform::BackupSource;
 use rand::Rng;
 
 use super::attempt::EndpointSlot;
-use super::endpoint_probe::{probe_all, probe_holdings, probe_quickly};
+use super::endpoint_probe::{probe_all, probe_holdings, probe_quickly, probe_unless_recent};
+use super::request_log;
 use crate::front::CallerRequest;
 use crate::gateway::{GatewayContext, RoutingFailure};
 use crate::path::EndpointTarget;
@@ -22,12 +24,20 @@
 /// choice removes most of the waiting behind other prompts, a third removes little more.
 const PROBED_ENGINES: usize = 2;
 
+/// Whether a stream that has not begun waits in the request queue if no probed engine has capacity for its priority.
+///
+/// Without a queue the caller would be refused instead, so that such a stream goes to the best probed engine.
+const HAS_REQUEST_QUEUE: bool = false;
+
 /// Number of engines, in the own zone and in each other zone, that are probed first for the prompt of a generation
 /// whose caller comes back. Most such generations last ran at one of these.
 const FIRST_HOLDER_LIMITS: HolderLimits = HolderLimits { own_zone: 3, other_zone: 1 };
 /// Number of engines, in the own zone and in each other zone, that are probed if none of the first holds the prompt.
 const ALL_HOLDER_LIMITS: HolderLimits = HolderLimits { own_zone: 6, other_zone: 3 };
 
+/// How long a generation has waited when it is placed in a new order of the engines rather than that of its prompt.
+const REORDER_AGE: Duration = Duration::from_millis(100);
+
 /// How long a connection to an engine of another zone must have been idle for that engine to be preferred as the holder
 /// of a backup. A host that starts a generation every 3 s then probes the same two engines each time. A host that starts
 /// many spreads their backups: it sends each engine one backup in 2 s, so that an engine holds three or four at a time
@@ -172,16 +182,15 @@
     }
 
     async fn choose_new(&self) -> Result<EngineChoice, RoutingFailure> {
-        let first = self.context.endpoints.shortlist(&self.query(), self.rendezvous_key(), PROBED_ENGINES);
+        let priorities = self.mixed_priorities();
+        let first = self.context.endpoints.shortlist(&self.query(), self.placement_key(), PROBED_ENGINES);
         let second = first.first().map(|record| self.list_other_zones(record)).unwrap_or_default();
-        let (mut probed, other_zones) = self.probe_in_order(first, second).await;
-        // Engines of other zones rank last, so that one is chosen only if prompts wait in the own zone.
-        probed.extend(other_zones);
+        let mut probed = self.probe_in_order(first, second, priorities.is_some()).await;
         self.refresh(&mut probed);
-        let best = choose_engine(&probed, self.needed_tokens());
-        if let Some(best) = best {
-            self.check_wait(best)?;
-        }
+        let best = match &priorities {
+            Some(priorities) => self.choose_by_priority(&probed, priorities)?,
+            None => self.choose_by_load(&probed)?,
+        };
         let slot = match best.and_then(|best| EndpointSlot::reserve(self.context, &best.record, self.slots())) {
             Some(slot) => slot,
             // No probed engine reported, or the best one has no free slot; one that was not probed may have.
@@ -191,6 +200,86 @@
         Ok(EngineChoice { slot, from: None, backup, prompt_at: None })
     }
 
+    /// The priorities of the service's requests, if they differ.
+    fn mixed_priorities(&self) -> Option<Arc<ServicePriorities>> {
+        let priorities = self.context.site()?.priorities(&self.caller.service)?;
+        priorities.is_mixed().then_some(priorities)
+    }
+
+    /// Chooses the engine for a generation of a service whose requests have different priorities; `None` if no probed
+    /// engine reported.
+    ///
+    /// # Errors
+    ///
+    /// `Overloaded` if no probed engine would finish the generation in time; with `awaits_room` if none has capacity for
+    /// its priority yet.
+    fn choose_by_priority<'c>(
+        &self,
+        probed: &'c [EngineCandidate],
+        priorities: &ServicePriorities,
+    ) -> Result<Option<&'c EngineCandidate>, RoutingFailure> {
+        let request = self.placement_request(priorities);
+        if !self.has_begun()
+            && let Some(excess) = excess_wait_by_priority(probed, &request)
+        {
+            return Err(RoutingFailure { reason: StopReason::Overloaded, pause: excess, awaits_room: false });
+        }
+        match place_by_priority(probed, &request) {
+            Some(PlacementVerdict::Place(best)) => Ok(Some(best)),
+            Some(PlacementVerdict::PlaceUrgent(best)) => {
+                request_log::placed_without_headroom(self.context, self.caller, &best.record.id);
+                Ok(Some(best))
+            }
+            Some(PlacementVerdict::Wait { pause, shortage, best }) => {
+                request_log::awaits_capacity(self.context, self.caller, &best.record.id, shortage, pause);
+                if HAS_REQUEST_QUEUE && !self.has_begun() {
+                    return Err(RoutingFailure { reason: StopReason::Overloaded, pause, awaits_room: true });
+                }
+                Ok(Some(best))
+            }
+            None => Ok(None),
+        }
+    }
+
+    fn placement_request<'p>(&self, priorities: &'p ServicePriorities) -> PlacementRequest<'p> {
+        let now = self.context.timer.now();
+        PlacementRequest {
+            size: self.caller.head.prompt.unwrap_or_default(),
+            priority: self.caller.priority(),
+            objective: self.caller.route.latency_objective,
+            waited: now.since(self.caller.arrived),
+            time_left: self.caller.time_left(now),
+            priorities,
+        }
+    }
+
+    /// Chooses the engine of the lowest cost; `None` if no probed engine reported.
+    ///
+    /// # Errors
+    ///
+    /// `Overloaded` if even that engine would not finish the generation in time.
+    fn choose_by_load<'c>(&self, probed: &'c [EngineCandidate]) -> Result<Option<&'c EngineCandidate>, RoutingFailure> {
+        let best = choose_engine(probed, self.needed_tokens());
+        if let Some(best) = best {
+            self.check_wait(best)?;
+        }
+        Ok(best)
+    }
+
+    /// Whether the generation has been sent to an engine before, by this host or another.
+    fn has_begun(&self) -> bool {
+        !self.tried.is_empty() || self.caller.head.cursor.is_some()
+    }
+
+    /// The key by which engines are ordered for a new generation: random for one that has waited, so that it does not
+    /// find the same engines without capacity again.
+    fn placement_key(&self) -> u64 {
+        if self.context.timer.now().since(self.caller.arrived) >= REORDER_AGE && self.mixed_priorities().is_some() {
+            return rand::rng().random();
+        }
+        self.rendezvous_key()
+    }
+
     /// Probes the engines that a prompt may be sent to, best first, and those that may hold its backup.
     ///
     /// The best engine is probed alone at first, since its report settles most choices and each further engine costs a
@@ -199,16 +288,25 @@
         &self,
         mut first: Vec<EndpointRecord>,
         second: Vec<EndpointRecord>,
-    ) -> (Vec<EngineCandidate>, Vec<EngineCandidate>) {
+        has_priorities: bool,
+    ) -> Vec<EngineCandidate> {
         let mut rest = first.split_off(1.min(first.len()));
         // An engine probed twice at once would count as failed if the slower report came too late, and its backup would
         // not be used.
         rest.retain(|record| second.iter().all(|listed| listed.id != record.id));
-        let (mut probed, other_zones) = join(probe_all(self.context, first), probe_all(self.context, second)).await;
+        let (mut probed, other_zones) =
+            join(self.probe(first, has_priorities), self.probe(second, has_priorities)).await;
         if !probed.first().is_some_and(|best| is_certain_choice(best, self.needed_tokens())) {
-            probed.extend(probe_all(self.context, rest).await);
+            probed.extend(self.probe(rest, has_priorities).await);
         }
-        (probed, other_zones)
+        // Engines of other zones rank last, so that one is chosen only if prompts wait in the own zone.
+        probed.extend(other_zones);
+        probed
+    }
+
+    /// Probes engines; where requests differ in priority, so that many may wait, not those that reported a moment ago.
+    async fn probe(&self, list: Vec<EndpointRecord>, has_priorities: bool) -> Vec<EngineCandidate> {
+        if has_priorities { probe_unless_recent(self.context, list).await } else { probe_all(self.context, list).await }
     }
 
     /// Adds the requests that this host sent to the engines during the probes, which no report contains.
@@ -222,7 +320,7 @@
     ///
     /// Applies only to generations that have not begun: how much is left of one that resumes is not known.
     fn check_wait(&self, candidate: &EngineCandidate) -> Result<(), RoutingFailure> {
-        if !self.tried.is_empty() || self.caller.head.cursor.is_some() {
+        if self.has_begun() {
             return Ok(());
         }
         let time_left = self.caller.time_left(self.context.timer.now());
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -1,6 +1,8 @@
 //! Log events and metrics of a request's life cycle, with the same fields for every kind of request.
 
-use hollyhook_core::{AccountName, AttemptFailure, EndpointId, Error, RunState, StreamOrigin};
+use std::time::Duration;
+
+use hollyhook_core::{AccountName, AttemptFailure, CapacityShortage, EndpointId, Error, RunState, StreamOrigin};
 use hollyhook_platform::AttemptHeaders;
 use hollyhook_telemetry::MetricMeasure;
 
@@ -38,6 +40,33 @@
         parts = format!("{:x?}", caller.head.shared_parts), age_ms, "attempt.placed");
 }
 
+/// Records that no probed engine has capacity for the priority of a stream; `endpoint` is the best of them.
+pub(super) fn awaits_capacity(
+    context: &GatewayContext,
+    caller: &CallerRequest,
+    endpoint: &EndpointId,
+    shortage: CapacityShortage,
+    pause: Duration,
+) {
+    context.recorder.count(match shortage {
+        CapacityShortage::Memory => "placements_short_of_memory",
+        CapacityShortage::Reading => "placements_short_of_reading",
+        CapacityShortage::Headroom => "placements_short_of_headroom",
+    });
+    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %endpoint,
+        priority = caller.priority(), shortage = shortage.as_str(), pause_ms = pause.as_millis() as u64, age_ms,
+        "placement.awaits_capacity");
+}
+
+/// Records that a stream is placed without headroom for higher priorities, since it can't wait longer.
+pub(super) fn placed_without_headroom(context: &GatewayContext, caller: &CallerRequest, endpoint: &EndpointId) {
+    context.recorder.count("placements_without_headroom");
+    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %endpoint,
+        priority = caller.priority(), age_ms, "placement.without_headroom");
+}
+
 /// Records which software versions may continue a stream that its caller takes up.
 pub(super) fn origin_found(context: &GatewayContext, caller: &CallerRequest, origin: &StreamOrigin) {
     let (counter, version) = match origin {
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -3,8 +3,8 @@
 
 use hollyhook_core::{
     AdvertisedTerms, AttemptFailure, EndpointGroup, EndpointId, EndpointRecord, EndpointState, EndpointTable,
-    EngineReport, HolderLimits, HostPosition, LoadReport, Name, Result, RouteQuery, SiteIndex, SiteState, StopReason,
-    TimePoint, ZoneName,
+    EngineReport, HolderLimits, HostPosition, LoadReport, Name, ReportCache, Result, RouteQuery, SiteIndex, SiteState,
+    StopReason, TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_telemetry::MetricRecorder;
@@ -41,6 +41,7 @@
     paths: Arc<PathTracker>,
     site: Arc<Mutex<SiteState>>,
     table: Mutex<EndpointTable>,
+    reports: Mutex<ReportCache>,
     /// Time until which the table is known to hold all changes; `None` before the first list.
     confirmed: Mutex<Option<TimePoint>>,
     /// Endpoints that are gone without having announced that they leave, until [`take_lost`](Self::take_lost) returns
@@ -67,6 +68,7 @@
             paths: registry.find(PathTracker::NAME)?,
             site: registry.find(site)?,
             table: Mutex::new(EndpointTable::new(ZoneName::clone(zone)).zone_preference(ZONE_PREFERENCE)),
+            reports: Mutex::default(),
             confirmed: Mutex::default(),
             lost: Mutex::default(),
         })
@@ -300,6 +302,15 @@
     pub(crate) fn record_report(&self, id: &str, report: &EngineReport) {
         let free_share = if report.waiting > 0 { 0.0 } else { report.free_memory_share() };
         self.table().update_room(self.timer.now(), id, free_share);
+        // An engine that leaves gets no requests.
+        if !report.is_leaving {
+            lock(&self.reports).insert(self.timer.now(), id.into(), report.clone());
+        }
+    }
+
+    /// The report that an engine sent so recently that it need not be probed again.
+    pub(crate) fn recent_report(&self, id: &str) -> Option<EngineReport> {
+        lock(&self.reports).recent(self.timer.now(), id).cloned()
     }
 
     /// Records the outcome of an attempt at an endpoint; `failure` is `None` if the attempt succeeded.
