--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -61,14 +61,15 @@
     VersionFilter, VersionTally, VersionVerdict, evaluate_version,
 };
 pub use route::{
-    EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable, EngineCandidate, EngineReport,
-    EngineRun, HeldPromptPart, HolderLimits, HostPosition, LoadReport, MAX_REPORT_AGE, PromptPlacement, PromptRead,
-    RouteQuery, choose_backup_engine, choose_engine, excess_wait, has_holder, is_certain_choice, is_of_one_version,
-    place_held_prompt, time_to_first_event,
+    CapacityShortage, EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable,
+    EngineCandidate, EngineReport, EngineRun, HeldPromptPart, HolderLimits, HostPosition, LoadReport, MAX_REPORT_AGE,
+    MemoryForecast, PlacementRequest, PlacementVerdict, PromptPlacement, PromptRead, ReportCache, RouteQuery,
+    choose_backup_engine, choose_engine, excess_wait, excess_wait_by_priority, has_holder, is_certain_choice,
+    is_of_one_version, place_by_priority, place_held_prompt, time_to_first_event,
 };
 pub use site::{
-    AccountConfig, CallerLimits, ConfigAdoption, EngineMemory, RequestKind, RouteConfig, ServiceConfig, ServiceShare,
-    SiteConfig, SiteIndex, SiteState,
+    AccountConfig, AccountPriorities, CallerLimits, ConfigAdoption, EngineMemory, RequestKind, RouteConfig,
+    ServiceConfig, ServicePriorities, ServiceShare, SiteConfig, SiteIndex, SiteState,
 };
 pub use stop::{StopPhase, StopPlan};
 pub use stream::{
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -15,6 +15,8 @@
 mod origins;
 mod paces;
 mod paths;
+mod priorities;
+mod priority_engine;
 mod quarantine;
 mod quarantine_parts;
 mod quarantine_simulation;
