Placement by priority: pauses by priority, older reports in the model

Cause: the model gave hosts reports of 0 to 100 ms, though reports are 100 to 200 ms old.

Both policies get the same arrivals in the model.

--- a/crates/hollyhook_core/src/route/priority_placement.rs
+++ b/crates/hollyhook_core/src/route/priority_placement.rs
@@ -11,12 +11,14 @@
 const HEADROOM_FRACTION: f64 = 0.5;
 /// The same fraction for a request that would lose its own objective or deadline by waiting longer.
 const URGENT_HEADROOM_FRACTION: f64 = 0.6;
-/// Longest time after which engines are polled again for a request that waits for capacity.
-const MAX_PAUSE: Duration = Duration::from_secs(2);
-/// Shortest time after which they are polled again. A report shows a prompt 100 to 200 ms after it was sent; hosts that
-/// poll more often place several prompts by the same report. A request that would lose its objective by waiting this long
-/// is urgent.
-const MIN_PAUSE: Duration = Duration::from_millis(400);
+/// Shortest time after which engines are polled again for a request of the highest priority that waits for capacity.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// By how much this time is longer for each higher priority. A report shows a prompt 100 to 200 ms after it was sent; if
+/// hosts poll more often than engines get capacity, several place a prompt by the same report.
+const PAUSE_STEP: Duration = Duration::from_secs(1);
+/// Longest time after which engines are polled again, as a multiple of the shortest: the next poll may find other engines,
+/// whose capacity this host does not know.
+const MAX_PAUSE_FACTOR: f64 = 1.5;
 
 /// A generation of a service whose requests have different priorities.
 #[derive(Debug, Clone, Copy)]
@@ -101,9 +103,10 @@
     }
     let best = best_of(&|_| true)?;
     let size = request.size;
+    let shortest = request.shortest_pause();
     let pauses =
         options.iter().map(|option| option.forecast.time_to_capacity(size.prompt_tokens, size.expected_output()));
-    let pause = pauses.min().unwrap_or(MAX_PAUSE).clamp(MIN_PAUSE, MAX_PAUSE);
+    let pause = pauses.min().unwrap_or(shortest).clamp(shortest, shortest.mul_f64(MAX_PAUSE_FACTOR));
     let shortage = best.shortage.unwrap_or(CapacityShortage::Headroom);
     Some(PlacementVerdict::Wait { pause, shortage, best: best.forecast.candidate })
 }
@@ -135,9 +138,15 @@
         }
     }
 
+    /// The shortest time after which engines are polled again.
+    fn shortest_pause(&self) -> Duration {
+        let higher = self.priorities.above(self.priority).count();
+        FIRST_PAUSE + PAUSE_STEP * higher as u32
+    }
+
     /// Whether waiting longer would cost the request its objective, or its deadline if the objective is lost.
     fn is_urgent(&self, option: &PlacementOption<'_>) -> bool {
-        option.first_event + MIN_PAUSE
+        option.first_event + self.shortest_pause()
             >= self.first_event_limit(option.forecast.busy_run_time(self.size.expected_output()))
     }
 }
--- a/crates/hollyhook_core/src/site/service_priorities.rs
+++ b/crates/hollyhook_core/src/site/service_priorities.rs
@@ -39,9 +39,9 @@
 }
 
 impl FromIterator<(u8, Duration)> for ServicePriorities {
-    fn from_iter<I: IntoIterator<Item = (u8, Duration)>>(objectives: I) -> Self {
+    fn from_iter<I: IntoIterator<Item = (u8, Duration)>>(iter: I) -> Self {
         let mut priorities = Self::default();
-        objectives.into_iter().for_each(|(priority, objective)| priorities.add(priority, objective));
+        iter.into_iter().for_each(|(priority, objective)| priorities.add(priority, objective));
         priorities
     }
 }
--- a/crates/hollyhook_core/tests/gateway/priorities.rs
+++ b/crates/hollyhook_core/tests/gateway/priorities.rs
@@ -4,7 +4,7 @@
 
 use hollyhook_core::{
     EndpointRecord, EndpointTable, EngineCandidate, EngineReport, EngineRun, EngineSpeed, MemoryForecast,
-    PlacementRequest, PlacementVerdict, PromptSize, ReportCache, RouteQuery, ServicePriorities, TimePoint,
+    PlacementRequest, PlacementVerdict, PromptSize, ReportCache, RouteQuery, ServicePriorities, TimePoint, ZoneName,
     choose_engine, excess_wait, place_by_priority,
 };
 use rand::rngs::StdRng;
@@ -21,9 +21,7 @@
 const SECONDS: u64 = 60;
 const DEADLINE_MS: u64 = 25_000;
 const OBJECTIVES_MS: [u64; 3] = [4_000, 5_000, 10_000];
-/// Interval at which a host polls engines again for its first waiting request.
-const POLL_MS: u64 = 400;
-/// Time between two reports of an engine; each is also 100 ms old at first.
+/// Time between two reports of an engine; hosts see the one before the newest, of 100 to 200 ms ago.
 const REPORT_MS: u64 = 100;
 /// Time from placing a request to its end, without which a waiting request is refused.
 const MIN_SERVICE_MS: u64 = 13_800;
@@ -88,16 +86,22 @@
 struct Site {
     scenario: Scenario,
     rng: StdRng,
+    /// Draws that only one policy makes, so that both get the same arrivals.
+    retry_rng: StdRng,
     engines: Vec<ModelEngine>,
+    /// The reports that hosts see, and those that they see next.
     reports: Vec<EngineReport>,
+    next_reports: Vec<EngineReport>,
     hosts: Vec<EndpointTable>,
     waiting: Vec<Vec<usize>>,
+    /// When each host polls engines again for its first waiting request.
+    next_poll_ms: Vec<u64>,
     requests: Vec<Request>,
     priorities: ServicePriorities,
 }
 
 fn priorities() -> ServicePriorities {
-    ServicePriorities::from_iter((0..).zip(OBJECTIVES_MS.map(Duration::from_millis)))
+    (0..).zip(OBJECTIVES_MS.map(Duration::from_millis)).collect()
 }
 
 fn simulate(scenario: Scenario) -> Outcome {
@@ -110,12 +114,16 @@
         }
         table
     });
+    let empty = EngineReport { total_tokens: MEMORY_TOKENS, ..EngineReport::default() };
     let mut site = Site {
         rng: StdRng::seed_from_u64(scenario.seed),
+        retry_rng: StdRng::seed_from_u64(scenario.seed),
         engines: vec![ModelEngine::default(); ENGINES],
-        reports: vec![EngineReport { total_tokens: MEMORY_TOKENS, ..EngineReport::default() }; ENGINES],
+        reports: vec![empty.clone(); ENGINES],
+        next_reports: vec![empty; ENGINES],
         hosts: hosts.collect(),
         waiting: vec![Vec::new(); HOSTS],
+        next_poll_ms: vec![0; HOSTS],
         requests: Vec::new(),
         priorities: priorities(),
         scenario,
@@ -147,7 +155,7 @@
             self.lose_half(now_ms);
         }
         for host in 0..HOSTS {
-            if (now_ms + host as u64 * POLL_MS / HOSTS as u64) % POLL_MS == 0 {
+            if now_ms >= self.next_poll_ms[host] {
                 self.poll(now_ms, host);
             }
         }
@@ -173,9 +181,9 @@
             let free = live.filter(|engine| engine.used_tokens() + 10_000 <= MEMORY_TOKENS).count();
             outcome.needless += if free * 4 >= ENGINES { step.preempted } else { 0 };
         }
-        // A report is as old as half of the interval on average, besides the way to the host.
-        if (now_ms + number as u64 * 7) % REPORT_MS == 0 {
-            self.reports[number] = self.engines[number].report();
+        if (now_ms + number as u64 * 7).is_multiple_of(REPORT_MS) {
+            let newest = self.engines[number].report();
+            self.reports[number] = std::mem::replace(&mut self.next_reports[number], newest);
         }
     }
 
@@ -202,7 +210,7 @@
         self.waiting[host].retain(|index| now_ms < requests[*index].arrived_ms + DEADLINE_MS - MIN_SERVICE_MS);
         self.sort_waiting(now_ms, host);
         while let Some(index) = self.waiting[host].first().copied() {
-            self.requests[index].key = self.rng.random();
+            self.requests[index].key = self.retry_rng.random();
             if !self.place(now_ms, index) {
                 break;
             }
@@ -224,10 +232,10 @@
         let table = &self.hosts[host];
         let query = RouteQuery::new("model").slots(9);
         let mut list = table.shortlist(now, &query, key, 2);
-        if let Some(zone) = list.first().map(|record| record.zone.clone()) {
+        if let Some(zone) = list.first().map(|record| ZoneName::clone(&record.zone)) {
             let mut others = table.shortlist(now, &query.avoid_zone(&zone), key, usize::MAX);
             let mut zones = std::collections::BTreeSet::new();
-            others.retain(|record| zones.insert(record.zone.clone()));
+            others.retain(|record| zones.insert(ZoneName::clone(&record.zone)));
             list.extend(others.into_iter().take(2));
         }
         list.dedup_by(|a, b| a.id == b.id);
@@ -258,10 +266,14 @@
             Policy::ByPriority => {
                 let objective = Duration::from_millis(OBJECTIVES_MS[usize::from(request.priority)]);
                 let (priority, priorities) = (request.priority, &self.priorities);
-                let wanted = PlacementRequest { size, priority, objective, waited, time_left, priorities };
-                match place_by_priority(&candidates, &wanted) {
+                let placement = PlacementRequest { size, priority, objective, waited, time_left, priorities };
+                match place_by_priority(&candidates, &placement) {
                     Some(PlacementVerdict::Place(best) | PlacementVerdict::PlaceUrgent(best)) => Some(best),
-                    Some(PlacementVerdict::Wait { .. }) | None => return false,
+                    Some(PlacementVerdict::Wait { pause, .. }) => {
+                        self.next_poll_ms[host] = now_ms + pause.as_millis() as u64;
+                        return false;
+                    }
+                    None => return false,
                 }
             }
         };
@@ -320,17 +332,31 @@
     assert!(outcome.preempted * 2 < present.preempted, "{outcome:?} {present:?}");
 }
 
-/// Requests of low priority must not take the place of higher ones, whatever their number.
+/// Headroom must cost nothing while there is capacity for all, and no more than it gains at the limit.
 #[test]
-fn demand_served_by_priority() {
+fn demand_up_to_capacity_served() {
     let light = compare("0.5", |_| [0.1, 0.2, 0.2], false);
     assert!(light[1].shares().iter().all(|share| *share >= 0.95), "{light:?}");
     assert_eq!(light[1].preempted, 0);
     let full = compare("1", |_| [0.3, 0.3, 0.4], false);
-    assert!(full[1].shares().iter().all(|share| *share >= 0.9), "{full:?}");
+    let [first, second, _] = full[1].shares();
+    assert!(first >= 0.95 && second >= 0.9, "{full:?}");
     assert!(full[1].in_time() >= full[0].in_time(), "{full:?}");
+}
+
+/// Requests of low priority must not take the place of higher ones, whatever their number.
+#[test]
+fn demand_of_twice_the_capacity_served_by_priority() {
     assert_served_by_priority(&compare("2", |_| [0.4, 0.6, 1.0], false));
+}
+
+#[test]
+fn demand_of_four_times_the_capacity_served_by_priority() {
     assert_served_by_priority(&compare("4", |_| [0.5, 0.5, 3.0], false));
+}
+
+#[test]
+fn demand_of_middle_priority_served_by_priority() {
     assert_served_by_priority(&compare("4, most of it of the middle priority", |_| [0.4, 3.0, 0.6], false));
 }
 
@@ -341,6 +367,21 @@
     assert_served_by_priority(&compare("burst", burst, false));
 }
 
+/// The higher priorities alone take 0.7 of the capacity, so that the middle one must be served too.
+#[test]
+fn burst_leaves_headroom_to_the_middle_priority() {
+    let burst: Demand = |now_ms| [0.5, 0.2, if now_ms / 5_000 % 2 == 0 { 4.0 } else { 0.0 }];
+    let outcome = run(Policy::ByPriority, burst, false, 1);
+    assert!(outcome.shares()[1] >= 0.95, "{outcome:?}");
+}
+
+/// An engine must not preempt a request while others have memory for it.
+#[test]
+fn demand_of_twice_the_capacity_preempts_none_beside_memory() {
+    let outcome = run(Policy::ByPriority, |_| [0.4, 0.6, 1.0], false, 1);
+    assert_eq!(outcome.needless, 0, "{outcome:?}");
+}
+
 /// Half of the engines are lost, and what they had not begun is placed again.
 #[test]
 fn loss_of_half_the_engines_served_by_priority() {
@@ -437,3 +478,11 @@
     cache.insert(at(300), "new".into(), EngineReport::default());
     assert!(cache.recent(at(350), "new").is_some() && cache.len() == 1);
 }
+
+/// A lower priority must not starve while a higher one takes nearly all of the capacity.
+#[test]
+fn demand_of_highest_priority_starves_no_other() {
+    let outcome = compare("highest priority 0.9", |_| [0.9, 0.1, 0.1], false);
+    assert!(outcome[1].tallies.iter().all(|tally| tally.ended * 3 >= tally.arrived), "{outcome:?}");
+    compare("highest priority 2", |_| [2.0, 0.5, 0.5], false);
+}
--- a/crates/hollyhook_core/tests/gateway/priority_engine.rs
+++ b/crates/hollyhook_core/tests/gateway/priority_engine.rs
@@ -87,7 +87,7 @@
     /// Completes the steps that end within the millisecond; requests are given up `deadline_ms` after their arrival.
     pub fn advance(&mut self, now_ms: u64, deadline_ms: u64) -> ModelStep {
         let mut step = ModelStep::default();
-        if now_ms % 100 == 0 {
+        if now_ms.is_multiple_of(100) {
             let is_over = |run: &ModelRun| now_ms >= run.arrived_ms + deadline_ms;
             for list in [&mut self.waiting, &mut self.admitted] {
                 step.expired.extend(list.iter().filter(|run| is_over(run)).map(|run| run.index));
