Queue of a service's waiting requests, and the rate at which a host sends them

Calls that three endpoints rejected within milliseconds were refused although their callers had seconds left, and at twice the capacity calls of every priority and account were served by chance.

RequestQueue orders by priority with minimum shares, by account in turns and by the time left, displaces when full, and refuses what can't end in time. DispatchRate follows additive increase and multiplicative decrease, or fractions that other hosts' demand yields. RoomGate spaces searches for room.

Ruled out by simulations of 1 to 48 hosts: a multiplicative decrease for each single rejection left half of the slots of one host unused; a high initial rate, or a floor above the throughput, exhausted the retry budget.

--- a/crates/hollyhook_core/src/forward/attempt_ledger.rs
+++ b/crates/hollyhook_core/src/forward/attempt_ledger.rs
@@ -26,9 +26,18 @@
     OriginUnknown,
     /// The request is quarantined, because endpoints crashed while running it.
     Quarantined,
+    /// The queue of waiting requests was full, and the request had no place in it or lost it to another.
+    QueueFull,
+    /// The host is shutting down, and the request could not end in its grace period.
+    Stopping,
 }
 
 impl StopReason {
+    /// Whether the service has too many requests for its capacity.
+    fn is_overload(self) -> bool {
+        matches!(self, Self::Overloaded | Self::Throttled | Self::QueueFull)
+    }
+
     /// The reason, as stated in the error message to the caller.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -42,6 +51,8 @@
             Self::OriginUnknown => "which software version began the stream is not known, and no other may continue it",
             Self::Quarantined => "endpoints that began to run the same request ended",
             Self::Overloaded => "the endpoints have more before this request than its caller's time allows",
+            Self::QueueFull => "more requests wait for the service than this host has places for",
+            Self::Stopping => "this host is stopping and the request might not end in time",
         }
     }
 }
@@ -125,7 +136,8 @@
     /// "Not run" and the retry delay are stated only if no attempt can have run.
     pub fn final_error(&self, reason: StopReason, delivered: u64, retry_after: Duration) -> Error {
         let kind = match (self.runs, self.not_run + self.misdirected, delivered) {
-            (0, _, _) if matches!(reason, StopReason::Overloaded | StopReason::Throttled) => ErrorKind::Overloaded,
+            (0, _, _) if reason.is_overload() => ErrorKind::Overloaded,
+            (0, _, _) if reason == StopReason::Stopping => ErrorKind::Draining,
             (0, _, _) if reason == StopReason::Quarantined => ErrorKind::Quarantined,
             (0, 0, _) => ErrorKind::NoEndpoint,
             (0, _, _) => ErrorKind::NotRun,
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -15,6 +15,7 @@
 mod pace;
 mod path;
 mod quarantine;
+mod queue;
 mod retry;
 mod rollout;
 mod route;
@@ -49,6 +50,7 @@
 pub use quarantine::{
     CrashLedger, CrashRecord, CrashRecords, DigestError, QuarantineChange, RequestDigest, SuspectRequest,
 };
+pub use queue::{DispatchRate, QueueLimits, QueueRefusal, QueueRequest, RequestQueue, RoomGate};
 pub use retry::{ProbeAdmission, ProbeGate, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
 pub use rollout::{
     RolloutOrder, RolloutPlan, RolloutState, RolloutStep, TargetShare, TimeTally, TrialEvidence, VersionFault,
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -15,6 +15,8 @@
 mod quarantine;
 mod quarantine_parts;
 mod quarantine_simulation;
+mod queue_simulation;
+mod queues;
 mod retries;
 mod rollouts;
 mod site;
