--- a/crates/hollyhook_core/src/queue/request_queue.rs
+++ b/crates/hollyhook_core/src/queue/request_queue.rs
@@ -122,7 +122,7 @@
         self.insert(now, request);
         if let Some(refusal) = self.lateness_of(now, id, rate) {
             self.remove(id);
-            displaced.into_iter().for_each(|request| self.insert(now, request));
+            self.insert_all(now, displaced);
             return Err(refusal);
         }
         Ok((id, displaced))
@@ -197,6 +197,12 @@
         self.requests.insert(request.id, request);
     }
 
+    fn insert_all(&mut self, now: TimePoint, requests: Vec<QueueRequest>) {
+        for request in requests {
+            self.insert(now, request);
+        }
+    }
+
     /// Counts a turn of a priority, which adds to the credit of all others with demand.
     fn share_turn(&mut self, now: TimePoint, priority: u8) {
         let share = self.limits.minimum_share;
@@ -215,13 +221,11 @@
     fn make_place(&mut self, now: TimePoint, request: &QueueRequest) -> Result<Vec<QueueRequest>, QueueRefusal> {
         let mut displaced = Vec::new();
         while self.len() >= self.limits.requests || self.bytes + request.bytes > self.limits.bytes {
-            match self.victim(request).and_then(|id| self.remove(id)) {
-                Some(victim) => displaced.push(victim),
-                None => {
-                    displaced.into_iter().for_each(|victim| self.insert(now, victim));
-                    return Err(QueueRefusal::Full);
-                }
-            }
+            let Some(victim) = self.victim(request).and_then(|id| self.remove(id)) else {
+                self.insert_all(now, displaced);
+                return Err(QueueRefusal::Full);
+            };
+            displaced.push(victim);
         }
         Ok(displaced)
     }
--- a/crates/hollyhook_core/tests/gateway/queue_simulation.rs
+++ b/crates/hollyhook_core/tests/gateway/queue_simulation.rs
@@ -203,7 +203,9 @@
                 host_state.waiting.insert(id, request);
                 let displaced: Vec<_> =
                     displaced.iter().filter_map(|place| host_state.waiting.remove(&place.id)).collect();
-                displaced.into_iter().for_each(|request| self.refuse(request, QueueRefusal::Displaced));
+                for request in displaced {
+                    self.refuse(request, QueueRefusal::Displaced);
+                }
             }
             Err(refusal) => self.refuse(request, refusal),
         }
--- a/crates/hollyhook_core/tests/gateway/queues.rs
+++ b/crates/hollyhook_core/tests/gateway/queues.rs
@@ -29,7 +29,9 @@
 
 fn queue(requests: &[QueueRequest]) -> RequestQueue {
     let mut queue = RequestQueue::new(QueueLimits { requests: 1_000, ..LIMITS }, at(0));
-    requests.iter().for_each(|request| drop(queue.push(at(0), request.clone(), None).unwrap()));
+    for request in requests {
+        queue.push(at(0), request.clone(), None).unwrap();
+    }
     queue
 }
 
@@ -59,8 +61,8 @@
     let mut requests = vec![request("a", 0); 300];
     requests.extend(vec![request("b", 2); 20]);
     let mut queue = queue(&requests);
-    let first: Vec<u8> = (0..200).map(|_| queue.pop(at(0), |_| true).unwrap().priority).collect();
-    assert_eq!(first.iter().filter(|priority| **priority == 2).count(), 3);
+    let first = (0..200).map(|_| queue.pop(at(0), |_| true).unwrap());
+    assert_eq!(first.filter(|request| request.priority == 2).count(), 3);
 }
 
 /// A full queue refused an urgent request, or let one account fill it.
@@ -120,7 +122,9 @@
     assert_eq!(rate.rate(at(100)), Some(10.0));
     rate.record_rejection(at(200), true);
     assert_eq!(rate.rate(at(200)), Some(8.5));
-    (0..20).for_each(|_| rate.record_rejection(at(210), true));
+    for _ in 0..20 {
+        rate.record_rejection(at(210), true);
+    }
     assert!(rate.rate(at(210)) > Some(1.0));
     rate.record_rejection(at(300), true);
     assert_eq!(rate.rate(at(3_300)), None);
@@ -180,14 +184,18 @@
     for seed in 0..SEEDS {
         let simulation = Simulation::new(seed, hosts, demands);
         let simulation = if is_first_come { simulation.first_come() } else { simulation }.run();
-        outcomes.iter_mut().zip(&simulation.outcomes).for_each(|(sum, outcome)| sum.add(outcome));
+        for (sum, outcome) in outcomes.iter_mut().zip(&simulation.outcomes) {
+            sum.add(outcome);
+        }
     }
     outcomes
 }
 
 fn total(outcomes: &[Outcome]) -> Outcome {
     let mut total = Outcome::default();
-    outcomes.iter().for_each(|outcome| total.add(outcome));
+    for outcome in outcomes {
+        total.add(outcome);
+    }
     total
 }
 
