Plain calls wait in their host's queue instead of being refused

A call that three endpoints rejected, within milliseconds, was refused although its caller had seconds left. It now waits for a turn and is sent again, spaced and charged to the retry budget, until it is served or can't end in time. While a service is overloaded, new calls wait for their turns as well. ServiceQueues carries out what the core's queue decides, one woken task per turn; a caller that leaves loses its place, and a stopping host refuses what waits. Rejections with a stated pause, and the section [queue] with enabled = off, are handled as before.

--- a/crates/hollyhook_gateway/src/front/status_server.rs
+++ b/crates/hollyhook_gateway/src/front/status_server.rs
@@ -57,6 +57,7 @@
     }
     context.recorder.set_gauge("streams_waiting_for_callers", context.load.waiting_streams() as u64);
     context.recorder.set_gauge("tunnels_open", context.paths.open_tunnels().into());
+    context.queues.record_gauges();
     match context.recorder.to_text() {
         Ok(text) => {
             let mut response = Response::new(Full::from(text));
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -21,6 +21,7 @@
 use crate::path::{EndpointConnector, PathTracker};
 use crate::peer::FeedState;
 use crate::pool::ConnectionPool;
+use crate::queue::ServiceQueues;
 use crate::sync::lock;
 
 /// Subtracted from the time for which API keys are accepted without confirmation. Covers how long watches may miss
@@ -62,6 +63,7 @@
     pub(crate) quarantine: Arc<QuarantineTracker>,
     pub(crate) rollouts: Arc<RolloutTracker>,
     pub(crate) origins: Arc<OriginTracker>,
+    pub(crate) queues: Arc<ServiceQueues>,
     live: Arc<Mutex<LiveSettings>>,
     site: Arc<Mutex<SiteState>>,
     retries: Arc<RetryBudgets>,
@@ -93,6 +95,7 @@
         registry.register(QuarantineTracker::NAME, QuarantineTracker::new(registry)?)?;
         registry.register(RolloutTracker::NAME, RolloutTracker::new(registry, settings.bounds.exposure)?)?;
         registry.register(OriginTracker::NAME, OriginTracker::new(registry)?)?;
+        registry.register(ServiceQueues::NAME, ServiceQueues::new(registry, settings.queue)?)?;
         registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
         Ok(())
     }
@@ -119,6 +122,7 @@
             quarantine: registry.find(QuarantineTracker::NAME)?,
             rollouts: registry.find(RolloutTracker::NAME)?,
             origins: registry.find(OriginTracker::NAME)?,
+            queues: registry.find(ServiceQueues::NAME)?,
             retries: registry.find(RetryBudgets::NAME)?,
             has_endpoints: AtomicBool::new(false),
         })
@@ -162,6 +166,7 @@
         let mut live = lock(&self.live);
         self.retries.set_bounds(settings.bounds.retry);
         self.rollouts.set_exposure(settings.bounds.exposure);
+        self.queues.set_settings(settings.queue);
         live.bounds = settings.bounds.clone();
         live.store = settings.store;
     }
@@ -226,7 +231,8 @@
 
     /// Begins the graceful shutdown, unless it has begun.
     pub(crate) fn begin_stop(&self) {
-        lock(&self.live).stop_began_at.get_or_insert(self.timer.now());
+        let began_at = *lock(&self.live).stop_began_at.get_or_insert(self.timer.now());
+        self.queues.close_at(began_at + self.stop_plan().usable_grace());
     }
 
     /// The configuration in force.
--- a/crates/hollyhook_gateway/src/lib.rs
+++ b/crates/hollyhook_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod path;
 mod peer;
 mod pool;
+mod queue;
 mod store;
 mod sync;
 
--- a/crates/hollyhook_settings/src/gateway/gateway_settings.rs
+++ b/crates/hollyhook_settings/src/gateway/gateway_settings.rs
@@ -3,7 +3,7 @@
 
 use hollyhook_core::{Name, ZoneName};
 
-use super::GatewayBounds;
+use super::{GatewayBounds, QueueSettings};
 use crate::file::{SectionReader, SettingError, SettingErrors, SettingFile};
 use crate::process::LogFormat;
 use crate::value;
@@ -32,13 +32,15 @@
     pub link_mbps: u32,
     /// Limits that the operator of the platform sets on the gateway's behaviour.
     pub bounds: GatewayBounds,
+    /// How requests wait for services without free capacity.
+    pub queue: QueueSettings,
     /// How log lines are written.
     pub log_format: LogFormat,
     /// Which log lines are written, as a `tracing` filter.
     pub log_level: Name,
 }
 
-const TITLES: [&str; 5] = ["host", "gateway", "platform", "bounds", "log"];
+const TITLES: [&str; 6] = ["host", "gateway", "platform", "bounds", "queue", "log"];
 const DEFAULT_MEMORY_MIB: usize = 256;
 
 impl GatewaySettings {
@@ -99,6 +101,11 @@
     let bounds = GatewayBounds::read(&mut reader);
     reader.finish();
 
+    let section = file.section("queue");
+    let mut reader = SectionReader::new(&section, errors);
+    let queue = QueueSettings::read(&mut reader);
+    reader.finish();
+
     let section = file.section("log");
     let mut reader = SectionReader::new(&section, errors);
     let log_format = reader.with_default("format", LogFormat::Json, value::choice(LogFormat::CHOICES));
@@ -116,6 +123,7 @@
         memory_bytes,
         link_mbps,
         bounds,
+        queue,
         log_format,
         log_level: log_level.into(),
     })
--- a/crates/hollyhook_settings/src/lib.rs
+++ b/crates/hollyhook_settings/src/lib.rs
@@ -10,7 +10,7 @@
 mod value;
 
 pub use file::{SettingError, SettingErrors, SettingFile};
-pub use gateway::{GatewayBounds, GatewaySettings, RetryBounds};
+pub use gateway::{GatewayBounds, GatewaySettings, QueueSettings, RetryBounds};
 pub use process::{LogFormat, ProcessSettings};
 pub use site::{
     AccountSettings, EndpointSettings, GenerationSettings, LimitSettings, PlainSettings, RequestClass, ServiceKind,
--- a/crates/hollyhook_telemetry/src/metric/metric_recorder.rs
+++ b/crates/hollyhook_telemetry/src/metric/metric_recorder.rs
@@ -23,6 +23,8 @@
     ResumeLatency,
     /// From the arrival of a request to its acceptance by an endpoint.
     QueueWait,
+    /// From the arrival of a request to its refusal by the queue of its service.
+    RefusedWait,
     /// From the arrival of a plain call to its answer.
     PlainCall,
 }
@@ -36,6 +38,7 @@
             Self::LongestGap => "longest_gap",
             Self::ResumeLatency => "resume_latency",
             Self::QueueWait => "queue_wait",
+            Self::RefusedWait => "refused_wait",
             Self::PlainCall => "plain_call",
         }
     }
