--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -20,6 +20,8 @@
 mod quarantine;
 mod quarantine_parts;
 mod quarantine_simulation;
+mod queue_simulation;
+mod queues;
 mod retries;
 mod rollouts;
 mod site;
