Request queues send the share of the demand that all hosts agree on

The demand exchange derives the fraction of each priority that every host sends; its rounds pass the fractions to the rate of the service's queue. Paces are not passed between hosts yet: the summary has room for them, nothing fills it.

--- a/crates/hollyhook_core/src/demand/demand_exchange.rs
+++ b/crates/hollyhook_core/src/demand/demand_exchange.rs
@@ -112,6 +112,11 @@
         Some(share.fraction(priority))
     }
 
+    /// The shares of all overloaded services; none without fresh sums.
+    pub fn shares(&self, now: TimePoint) -> impl Iterator<Item = (&Name, &DemandShare)> {
+        self.shares.iter().filter(move |_| now <= self.expires)
+    }
+
     /// Whether the sums from which shares follow are fresh.
     pub fn has_sums(&self, now: TimePoint) -> bool {
         now <= self.expires
--- a/crates/hollyhook_core/src/demand/demand_share.rs
+++ b/crates/hollyhook_core/src/demand/demand_share.rs
@@ -84,6 +84,11 @@
         if more_urgent >= 1.0 { 1.0 } else { less_urgent.unwrap_or(more_urgent) }
     }
 
+    /// The fractions of the priorities with measured demand.
+    pub fn fractions(&self) -> &BTreeMap<u8, f64> {
+        &self.fractions
+    }
+
     /// The demand as a fraction of the capacity.
     pub fn pressure(&self) -> f64 {
         self.pressure
--- a/crates/hollyhook_gateway/src/demand/demand_sender.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_sender.rs
@@ -51,7 +51,7 @@
             let invitations = round.invited.iter().map(|host| invite(context, host));
             let asked = tell_first(context, collector, &round.collectors);
             join3(join_all(exchanged), join_all(invitations), asked).await;
-            context.demand.update_shares(&context.endpoints);
+            context.demand.update_shares(&context.endpoints, &context.queues);
             context.timer.wait(INTERVAL).await;
         }
         self.context.demand.end_sending();
--- a/crates/hollyhook_gateway/src/demand/demand_tracker.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_tracker.rs
@@ -5,13 +5,14 @@
 
 use hollyhook_core::{
     AttemptFailure, DemandExchange, DemandMessage, DemandReply, DemandRound, EndpointRecord, EndpointState, HostRecord,
-    LoadReport, Name, PaceReading, Result, TimePoint, ZoneName,
+    LoadReport, Name, Result, TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_telemetry::MetricRecorder;
 
 use crate::gateway::EndpointDirectory;
 use crate::peer::FeedState;
+use crate::queue::ServiceQueues;
 use crate::sync::lock;
 
 /// This host's part in the exchange of demand.
@@ -58,25 +59,6 @@
         })
     }
 
-    /// The fraction of a priority's requests to a service that this host sends; `None` without fresh sums of the demand
-    /// at all hosts.
-    #[expect(dead_code, reason = "the request queue reads it")]
-    pub(crate) fn share(&self, service: &str, priority: u8) -> Option<f64> {
-        lock(&self.state).exchange.share(self.timer.now(), service, priority)
-    }
-
-    /// Replaces the paces of endpoints that this host measured.
-    #[expect(dead_code, reason = "the component that measures paces calls it")]
-    pub(crate) fn set_paces(&self, paces: Vec<PaceReading>) {
-        lock(&self.state).exchange.set_paces(paces);
-    }
-
-    /// The paces of endpoints, merged over all hosts that are heard.
-    #[expect(dead_code, reason = "the component that measures paces reads them")]
-    pub(crate) fn merged_paces(&self) -> Vec<PaceReading> {
-        lock(&self.state).exchange.merged_paces(self.timer.now())
-    }
-
     /// Counts a request of a caller.
     pub(super) fn count_request(&self, service: &Name, priority: u8) {
         lock(&self.state).exchange.ledger_mut().count_request(self.timer.now(), service, priority);
@@ -171,8 +153,8 @@
         lock(&self.state).exchange.record_failure(self.timer.now(), host);
     }
 
-    /// Derives the shares at the end of a round, and logs what has changed.
-    pub(super) fn update_shares(&self, endpoints: &EndpointDirectory) {
+    /// Derives the shares at the end of a round, passes them to the request queues, and logs what has changed.
+    pub(super) fn update_shares(&self, endpoints: &EndpointDirectory, queues: &ServiceQueues) {
         let now = self.timer.now();
         let sizes = self.feed.with_topology(|topology| {
             let mut sizes: BTreeMap<ZoneName, usize> = BTreeMap::new();
@@ -188,6 +170,9 @@
         }
         let mut state = lock(&self.state);
         state.exchange.update_shares(now, &sizes, |service| slots.get(service).copied().unwrap_or(0));
+        for (service, share) in state.exchange.shares(now) {
+            queues.set_shares(service, share.fractions());
+        }
         self.log_changes(now, &mut state);
     }
 
--- a/crates/hollyhook_gateway/src/queue/service_queues.rs
+++ b/crates/hollyhook_gateway/src/queue/service_queues.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -96,6 +96,12 @@
         lock(&self.inner).closes_at.map(|at| at.since(self.timer.now()))
     }
 
+    /// Sets the fraction of each priority's requests to a service that this host sends, from the demand at all hosts.
+    pub(crate) fn set_shares(&self, service: &Name, fractions: &BTreeMap<u8, f64>) {
+        let now = self.timer.now();
+        lock(&self.inner).service(now, service).rate.set_shares(now, Some(fractions));
+    }
+
     /// Whether a new request has to wait for its turn, since the service is overloaded or others wait.
     pub(crate) fn must_wait(&self, service: &Name, priority: u8) -> bool {
         let state = lock(&self.inner);
