--- a/crates/hollyhook_core/src/route/endpoint_choice.rs
+++ b/crates/hollyhook_core/src/route/endpoint_choice.rs
@@ -38,7 +38,9 @@
 /// 1.0, hosts that learn of the load seconds late overload the endpoints in turn.
 const LOAD_SLOPE: f64 = 0.5;
 /// The same for the cost of failures, after which an endpoint should get few requests at once.
-const FAULT_SLOPE: f64 = 4.0;
+const FAULT_SLOPE: f64 = 1.5;
+/// Share of failures from which an endpoint is drawn too rarely to show that it has recovered, and gets trials.
+const DRAWN_FAILURES: f64 = 0.5;
 /// Exponent of the load in the expected wait for a slot.
 const QUEUE_EXPONENT: i32 = 6;
 /// By how many requests a preferred endpoint may be busier than others and still be chosen.
@@ -64,10 +66,13 @@
             Some(key) => top_ranked(pool, key),
             None => pool,
         };
-        if let Some(due) = due_for_trial(now, query, &pool) {
+        let uneven = self.uneven_service(now, query.service);
+        // Drawn endpoints get calls while some of their answers are failures, such as rejections of a full endpoint.
+        let needs_trial = |due: &&EndpointRecord| uneven.is_none() || due.errors.share(now) >= DRAWN_FAILURES;
+        if let Some(due) = due_for_trial(now, query, &pool).filter(needs_trial) {
             return Some(EndpointId::clone(&due.id));
         }
-        let best = match self.uneven_service(now, query.service) {
+        let best = match uneven {
             Some(service) => self.draw_by_pace(now, &pool, query, service, rng)?,
             None => self.best_of_sample(now, &pool, query, rng)?,
         };
--- a/crates/hollyhook_core/tests/gateway/paces.rs
+++ b/crates/hollyhook_core/tests/gateway/paces.rs
@@ -32,6 +32,8 @@
     /// Demand of each zone's hosts relative to the mean.
     demand: Vec<f64>,
     reports: PaceReports,
+    /// Whether a full endpoint rejects calls instead of queueing them.
+    rejects: bool,
     /// Whether hosts learn of paces at all.
     has_samples: bool,
     /// Age of the reports in the headers.
@@ -52,6 +54,7 @@
             load: 0.75,
             demand: vec![1.0; 4],
             reports: PaceReports::Usual,
+            rejects: false,
             has_samples: true,
             report_age: Duration::from_millis(200),
             change: None,
@@ -202,22 +205,43 @@
                 break host;
             }
         };
-        let query = RouteQuery::new(SERVICE).repeatable(true);
-        let endpoint = self.tables[host].choose(self.now, &query, &mut self.rng).unwrap();
-        assert!(self.tables[host].try_open(self.now, &endpoint, None));
-        let endpoint = endpoint[2..].parse().unwrap();
-        let call = SentCall { host, endpoint, arrived: self.now, sent: self.now };
-        self.add(self.way(call), SiteEvent::Sent(call));
+        self.send(host, self.now, &[]);
         let speed: f64 = self.case.paces_at(self.now).iter().map(|pace| 1.0 / pace).sum();
         let rate = self.case.load * self.case.slots as f64 * speed / self.case.run_ms;
         let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
         self.add(millis(gap), SiteEvent::Arrival);
     }
 
+    fn send(&mut self, host: usize, arrived: TimePoint, tried: &[EndpointId]) {
+        let query = RouteQuery::new(SERVICE).repeatable(true).avoid(tried);
+        let endpoint = self.tables[host].choose(self.now, &query, &mut self.rng).unwrap();
+        assert!(self.tables[host].try_open(self.now, &endpoint, None));
+        let endpoint = endpoint[2..].parse().unwrap();
+        let call = SentCall { host, endpoint, arrived, sent: self.now };
+        self.add(self.way(call), SiteEvent::Sent(call));
+    }
+
+    /// Rejects a call; its host sends it once more.
+    fn reject(&mut self, call: SentCall) {
+        let running = self.case.slots as u32;
+        let load = LoadReport { running, waiting: 0, capacity: running, pace_percent: None };
+        let (table, id) = (&mut self.tables[call.host], id(call.endpoint));
+        table.record_load(self.now, &id, load);
+        table.record_answer(self.now, &id, true);
+        table.record_close(&id);
+        if call.sent == call.arrived {
+            self.send(call.host, call.arrived, &[id]);
+        }
+    }
+
     fn start_or_queue(&mut self, call: SentCall) {
+        let is_full = self.endpoints[call.endpoint].running >= self.case.slots;
+        if is_full && self.case.rejects {
+            return self.reject(call);
+        }
         let second = (call.arrived.as_micros() / 1_000_000) as usize;
         *self.result.starts[second].entry(call.endpoint).or_default() += 1;
-        if self.endpoints[call.endpoint].running >= self.case.slots {
+        if is_full {
             self.endpoints[call.endpoint].queue.push_back(call);
         } else {
             self.start(call);
@@ -271,6 +295,7 @@
         if self.case.has_samples {
             table.record_call_time(self.now, &id, self.now.since(call.sent), Some(load));
         }
+        table.record_answer(self.now, &id, false);
         table.record_close(&id);
         let took = self.now.since(call.arrived).as_secs_f64() * 1e3;
         self.result.times.push((call.arrived, call.endpoint, took));
@@ -309,6 +334,18 @@
     }
 }
 
+/// Hosts take the rejections of full endpoints for failures, so that those get trials first or hardly any calls.
+#[test]
+fn load_follows_pace_if_full_endpoints_reject() {
+    for seed in 0..4 {
+        let paces = spread_paces(8);
+        let case = SiteCase { rejects: true, ..SiteCase::new(seed, 71, paces.clone()) };
+        let worst = worst_deviation(&SiteRun::new(case).run(30).shares(15..30), &paces);
+        println!("load_follows_pace_if_full_endpoints_reject, seed {seed}: {worst:.3}");
+        assert!(worst < 0.1, "seed {seed}: {worst:.3}");
+    }
+}
+
 /// An endpoint whose pace changes keeps its former share of the load, or one that recovered does not get its share back.
 #[test]
 fn load_follows_changed_pace() {
