Streams that have not begun wait until an engine has room

A stream for which no engine had room was refused at once. It now waits in its host's queue where the choice says that it awaits room, and engines are chosen for again at its turn: only the head of the queue looks, at intervals that grow. Streams that have begun, at this host or an earlier one, are not queued.

--- a/crates/hollyhook/tests/processes/docs.rs
+++ b/crates/hollyhook/tests/processes/docs.rs
@@ -100,7 +100,7 @@
 
 #[test]
 fn operations_page_has_every_setting() {
-    let text = "[host]\nqqq = 1\n[gateway]\nqqq = 1\n[platform]\nqqq = 1\n[bounds]\nqqq = 1\n[log]\nqqq = 1\n";
+    let text = "[host]\nqqq = 1\n[gateway]\nqqq = 1\n[platform]\nqqq = 1\n[bounds]\nqqq = 1\n[queue]\nqqq = 1\n[log]\nqqq = 1\n";
     let errors = GatewaySettings::parse(&SettingFile::parse("gateway", text).unwrap()).unwrap_err();
     let keys = keys(&errors);
     assert!(keys.len() > 12, "{keys:?}");
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -28,6 +28,7 @@
 use crate::front::{CallerRequest, ResponseBody};
 use crate::gateway::{GatewayContext, RoutingFailure, StreamWaitGuard};
 use crate::origin::{OriginSharer, find_origin};
+use crate::queue::{RefusedWait, queue_request};
 
 /// Maximum number of attempts that engines reject, or that fail to connect, before the caller is told to retry later.
 const MAX_REJECTED: u32 = 4;
@@ -186,6 +187,10 @@
             record_version_outcome(&self.context, &self.caller, &live.slot.target, None, times);
             live.response.release(&self.context, live.slot.id());
         }
+        if let Some(first) = self.timing.first() {
+            let took = self.context.timer.now().since(first);
+            self.context.queues.record_success(&self.caller.service, took);
+        }
         record_survival(&self.context, &self.caller);
         request_log::streamed(&self.context, &self.caller, &self.timing, self.ledger.attempts() + 1);
     }
@@ -246,7 +251,7 @@
     /// Opens attempts until one streams or a response that is not a stream is to be returned.
     async fn ensure_live(&mut self) -> Result<()> {
         while self.live.is_none() && self.plain_response.is_none() {
-            let choice = self.choose_engine().await?;
+            let choice = self.choose_at_turn().await?;
             let target = choice.slot.target.clone();
             let sent_at = self.context.timer.now();
             if let Err(failure) = self.open(choice).await {
@@ -266,12 +271,61 @@
         Ok(())
     }
 
-    /// Chooses the engine of the next attempt.
+    /// Chooses the engine of the next attempt; a stream that has not begun waits until there is room for it.
     ///
     /// # Errors
     ///
-    /// The error for the caller if no engine may continue the stream or admits the request.
-    async fn choose_engine(&mut self) -> Result<EngineChoice> {
+    /// The error for the caller if no engine may continue the stream or admits the request in time.
+    async fn choose_at_turn(&mut self) -> Result<EngineChoice> {
+        let queues = Arc::clone(&self.context.queues);
+        let caller = Arc::clone(&self.caller);
+        let (service, priority) = (&caller.service, caller.priority());
+        let may_wait = self.may_wait_for_turn();
+        let mut turn = None;
+        if may_wait && queues.must_wait(service, priority) {
+            let waited = queues.wait(service, queue_request(&caller)).await;
+            turn = Some(waited.map_err(|refused| self.refused_error(refused))?);
+        }
+        loop {
+            let failure = match self.choose_engine().await? {
+                Ok(choice) => {
+                    if let Some(turn) = turn {
+                        turn.end_sent();
+                    }
+                    return Ok(choice);
+                }
+                Err(failure) => failure,
+            };
+            if !may_wait || !failure.awaits_room {
+                let retry = failure.pause.max(BUSY_RETRY_AFTER);
+                return Err(self.ledger.final_error(failure.reason, self.sequencer.delivered(), retry));
+            }
+            let waited = if let Some(turn) = turn.take() {
+                queues.wait_for_room(service, turn).await
+            } else {
+                queues.record_full(service, priority);
+                queues.wait(service, queue_request(&caller)).await
+            };
+            turn = Some(waited.map_err(|refused| self.refused_error(refused))?);
+        }
+    }
+
+    /// Whether the stream may wait for its turn: neither this host nor an earlier one has delivered an event.
+    fn may_wait_for_turn(&self) -> bool {
+        let has_begun = self.caller.head.cursor.is_some() || self.sequencer.delivered() > 0;
+        !has_begun && self.context.queues.is_enabled()
+    }
+
+    fn refused_error(&self, refused: RefusedWait) -> Error {
+        self.ledger.final_error(refused.stop_reason(), self.sequencer.delivered(), refused.retry_after)
+    }
+
+    /// Chooses the engine of the next attempt; the inner error says why no engine admits the request now.
+    ///
+    /// # Errors
+    ///
+    /// The error for the caller if no engine may continue the stream.
+    async fn choose_engine(&mut self) -> Result<std::result::Result<EngineChoice, RoutingFailure>> {
         let resume_from = self.resume_from.take();
         let origin = self.origin().await;
         let (service, context) = (&self.caller.service, &self.context);
@@ -290,14 +344,14 @@
             StreamOrigin::Open if filter.only.is_some() => self.choose_any_version(chooser, resume_from).await,
             StreamOrigin::Open | StreamOrigin::Version(_) => chooser.choose(resume_from).await,
         };
-        let choice = choice.map_err(|failure| {
-            let retry = failure.pause.max(BUSY_RETRY_AFTER);
-            self.ledger.final_error(failure.reason, self.sequencer.delivered(), retry)
-        })?;
+        let choice = match choice {
+            Ok(choice) => choice,
+            Err(failure) => return Ok(Err(failure)),
+        };
         if origin == StreamOrigin::Unknown {
             self.origin = Some(StreamOrigin::Version(Name::clone(&choice.slot.target.version)));
         }
-        Ok(choice)
+        Ok(Ok(choice))
     }
 
     /// Chooses an engine of the version that a roll-out moves requests to, or of another one if it has no room.
