Streams wait in the request queue for capacity of their priority

Placement found no engine with headroom and sent the stream to the best one all the same, since no queue existed when it was built. Where the queue is enabled, such a stream now waits there.

--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -24,11 +24,6 @@
 /// choice removes most of the waiting behind other prompts, a third removes little more.
 const PROBED_ENGINES: usize = 2;
 
-/// Whether a stream that has not begun waits in the request queue if no probed engine has capacity for its priority.
-///
-/// Without a queue the caller would be refused instead, so that such a stream goes to the best probed engine.
-const HAS_REQUEST_QUEUE: bool = false;
-
 /// Number of engines, in the own zone and in each other zone, that are probed first for the prompt of a generation
 /// whose caller comes back. Most such generations last ran at one of these.
 const FIRST_HOLDER_LIMITS: HolderLimits = HolderLimits { own_zone: 3, other_zone: 1 };
@@ -232,7 +227,7 @@
             }
             Some(PlacementVerdict::Wait { pause, shortage, best }) => {
                 request_log::awaits_capacity(self.context, self.caller, &best.record.id, shortage, pause);
-                if HAS_REQUEST_QUEUE && !self.has_begun() {
+                if self.context.queues.is_enabled() && !self.has_begun() {
                     return Err(RoutingFailure { reason: StopReason::Overloaded, pause, awaits_room: true });
                 }
                 Ok(Some(best))
