Generations keep the order of engines that all hosts share

The order in which engines are asked for a generation depended on paces that each host measures for itself, so that a caller who came back through another host did not find its prompt. The order and its costs are again the same at all hosts; the pace counts for plain calls, for the expected times of engines and for migrations.

--- a/crates/hollyhook_core/src/route/endpoint_choice.rs
+++ b/crates/hollyhook_core/src/route/endpoint_choice.rs
@@ -88,7 +88,6 @@
     pub fn shortlist(&self, now: TimePoint, query: &RouteQuery<'_>, key: u64, limit: usize) -> Vec<EndpointRecord> {
         let eligible = self.window(now, query, key, |record| !record.is_ejected(now));
         let suspect = self.suspect_zones(now, query);
-        let is_uneven = self.uneven_service(now, query.service).is_some();
         let mut costs: Vec<(f64, &EndpointRecord)> =
             eligible.into_iter().map(|record| (self.cost(now, record, query, &suspect), record)).collect();
         let least = costs.iter().map(|(cost, _)| *cost).min_by(f64::total_cmp).unwrap_or_default();
@@ -96,9 +95,7 @@
             let steps = ((cost - least) / COST_STEP) as u64;
             let is_preferred = query.preferred.contains(&record.id);
             let is_due = query.may_be_trial() && record.errors.is_trial_due(now);
-            let weight = rendezvous_weight(&key.to_be_bytes(), &record.id);
-            let weight = if is_uneven { paced_weight(weight, record.pace.factor(now)) } else { weight };
-            (Reverse(is_due), steps, Reverse(is_preferred), Reverse(weight))
+            (Reverse(is_due), steps, Reverse(is_preferred), Reverse(rendezvous_weight(&key.to_be_bytes(), &record.id)))
         };
         costs.sort_by_cached_key(|(cost, record)| rank(*cost, record));
         costs.into_iter().take(limit).map(|(_, record)| record.as_of(now)).collect()
@@ -242,16 +239,9 @@
 
     /// The cost of sending a request to an endpoint, in requests per slot.
     fn cost(&self, now: TimePoint, record: &EndpointRecord, query: &RouteQuery<'_>, suspect: &[&ZoneName]) -> f64 {
-        let load_cost = self
-            .uneven_service(now, query.service)
-            .map_or_else(|| self.plain_load_cost(record, query), |service| self.load_cost(now, record, query, service));
-        load_cost + fault_cost(now, record, suspect)
-    }
-
-    /// The cost of the load and the zone of an endpoint of a service whose endpoints are not known to differ in pace.
-    fn plain_load_cost(&self, record: &EndpointRecord, query: &RouteQuery<'_>) -> f64 {
         let pressure = record.pressure(query.slots);
-        pressure + self.distance(record) + if pressure >= 1.0 { FULL_COST } else { 0.0 }
+        let full = if pressure >= 1.0 { FULL_COST } else { 0.0 };
+        pressure + self.distance(record) + full + fault_cost(now, record, suspect)
     }
 
     /// The expected time until an endpoint of a service whose endpoints differ in pace begins with a request, and the
@@ -289,14 +279,6 @@
     if load < 1.0 { load.powi(QUEUE_EXPONENT) } else { 1.0 + f64::from(QUEUE_EXPONENT) * (load - 1.0) }
 }
 
-/// The rendezvous weight by which an endpoint is first for a share of keys that is in proportion to what it processes.
-/// The order of endpoints of the same pace is that of their plain weights.
-fn paced_weight(weight: u64, pace: f64) -> u64 {
-    let uniform = (weight as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-    // The score of weighted rendezvous hashing, mapped to the range of a weight.
-    (uniform.powf(pace) * u64::MAX as f64) as u64
-}
-
 /// The endpoint whose trial has been due the longest, if the request can be retried at another endpoint.
 fn due_for_trial<'t>(
     now: TimePoint,
