The request queue and the demand exchange are off unless settings switch them on

Cause: each host sends some four calls a second, so that one rejection by chance marks the service as overloaded and sets a rate of two to five a second, although the endpoints have room; and streams of lower priority wait for headroom that a full engine never gets back. With few hosts the queue does what it should (tests of queues: 600 of 600 urgent calls at twice the capacity). So it stays a feature for such sites, off by default, and streams go to the best engine without it. Hosts exchange demand only where the queue uses it.

--- a/crates/hollyhook_gateway/src/demand/demand_sender.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_sender.rs
@@ -26,8 +26,10 @@
 
 impl DemandSender {
     /// Starts sending summaries if a service is overloaded, or hosts send theirs to this one, and no task does so.
+    ///
+    /// Without a request queue nothing would use the sums.
     pub(crate) fn spawn_if_needed(context: &Arc<GatewayContext>) {
-        if context.demand.begin_sending() {
+        if context.queues.is_enabled() && context.demand.begin_sending() {
             let collector = Self::client(context);
             let sender = Self { context: Arc::clone(context), collector, others: BTreeMap::new() };
             task::spawn(sender.run());
--- a/crates/hollyhook_settings/src/gateway/queue_settings.rs
+++ b/crates/hollyhook_settings/src/gateway/queue_settings.rs
@@ -22,7 +22,7 @@
     /// With three priorities, two minimum shares of 0.02 leave the highest one 0.96 of the capacity, so that 0.95 of its
     /// requests can be served in time while they alone fit the capacity.
     fn default() -> Self {
-        Self { is_enabled: true, requests: 1_000, memory_bytes: 16 << 20, minimum_share: 0.02 }
+        Self { is_enabled: false, requests: 1_000, memory_bytes: 16 << 20, minimum_share: 0.02 }
     }
 }
 
