--- a/crates/hollyhook_core/src/demand/demand_board.rs
+++ b/crates/hollyhook_core/src/demand/demand_board.rs
@@ -7,18 +7,18 @@
 use super::{DemandMessage, DemandSummary, PaceReading};
 use crate::{Name, TimePoint, ZoneName};
 
-/// Age above which what a host or a zone told no longer counts: four intervals of the exchange.
+/// Age above which a summary of a host or a sum of a zone no longer counts: four intervals of the exchange.
 const MAX_AGE: Duration = Duration::from_secs(2);
-/// Age above which paces no longer count. They are told less often than demand, and change more slowly.
+/// Age above which paces no longer count. They are sent less often than demand, and change more slowly.
 const MAX_PACE_AGE: Duration = Duration::from_secs(5);
-/// How long the sum of a lost collector may count instead of a newer one over fewer hosts: all hosts of the zone have
-/// found the next collector by then.
+/// How long the sum of a lost collector is preferred to a newer sum over fewer hosts: after this time all hosts of the
+/// zone send their summaries to the next collector.
 const TAKEOVER_TIME: Duration = Duration::from_secs(1);
-/// How long the capacity that a zone uses stays reserved for it when nothing is heard of it. A zone that is cut off
-/// goes on sending; of one that is lost, the callers have gone to other zones by then.
+/// How long the capacity that a zone uses stays reserved for it when no sum of it arrives. The hosts of a partitioned
+/// zone go on sending requests; the callers of a lost zone have switched to other zones after this time.
 const SILENT_ZONE_TIME: Duration = Duration::from_secs(10);
 
-/// The demand of a zone, as a host tells it to another.
+/// The demand of a zone, as a host sends it to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ZoneDemand {
     /// How long ago the sum was made, in milliseconds.
@@ -27,34 +27,34 @@
     pub sum: DemandSummary,
 }
 
-/// The demand of all zones from which sums are known.
+/// The demand of all zones whose sums are known.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DemandTotal {
     /// The sum over the zones.
     pub sum: DemandSummary,
-    /// The fraction of the capacity that the hosts in the sum may use. The rest is reserved for zones of which nothing
-    /// is heard, by their number of hosts.
+    /// The fraction of the capacity that the hosts in the sum may use. The rest is reserved for zones without a recent
+    /// sum, in proportion to their numbers of hosts.
     pub coverage: f64,
     /// When the total no longer counts.
     pub expires: TimePoint,
 }
 
-/// What other hosts told this one of the demand, with its age.
+/// The demand that other hosts reported to this one, with its age.
 ///
-/// The collector of a zone merges the summaries of the zone's hosts here, and every host the sums of the zones. Of each
-/// zone one sum counts, so that concurrent collectors make the total smaller, never larger.
+/// The collector of a zone merges the summaries of the zone's hosts here, and every host the sums of the zones. Only
+/// one sum of each zone counts, so that concurrent collectors make the total smaller, never larger.
 #[derive(Debug)]
 pub struct DemandBoard {
     zone: ZoneName,
     /// When the current exchange began; `None` while there is none.
     began_at: Option<TimePoint>,
-    /// When another host was last heard.
+    /// When a message or an answer of another host last arrived.
     heard_at: Option<TimePoint>,
     /// The hosts that sent their summaries to this one.
     members: BTreeMap<Name, MemberEntry>,
     zones: BTreeMap<ZoneName, ZoneEntry>,
-    /// The paces that hosts of this zone, and collectors of other zones, told last, and the merged ones that the
-    /// collector of this zone told.
+    /// The paces last received from hosts of this zone and from collectors of other zones, and the merged paces last
+    /// received from the collector of this zone.
     paces: BTreeMap<PaceTeller, (TimePoint, Vec<PaceReading>)>,
 }
 
@@ -69,14 +69,14 @@
 struct MemberEntry {
     at: TimePoint,
     own: DemandSummary,
-    /// What other hosts sent the member.
+    /// The summaries that other hosts sent to the member.
     collected: BTreeMap<Name, DemandSummary>,
 }
 
 #[derive(Debug, Default)]
 struct ZoneEntry {
     heard_at: TimePoint,
-    /// The zone's sum by the host that made or told it, and when it was made.
+    /// The zone's sums, by the host that computed or sent them, each with the time at which it was computed.
     sums: BTreeMap<Name, (TimePoint, DemandSummary)>,
 }
 
@@ -93,7 +93,7 @@
         }
     }
 
-    /// Records that the exchange is under way.
+    /// Records that an exchange is in progress.
     pub fn begin(&mut self, now: TimePoint) {
         self.began_at.get_or_insert(now);
     }
@@ -103,7 +103,7 @@
         *self = Self::new(ZoneName::clone(&self.zone));
     }
 
-    /// Records the summary of a host of this zone, and what it collected from others.
+    /// Records the summary of a host of this zone, and the summaries that it collected from others.
     pub fn record_member(
         &mut self,
         now: TimePoint,
@@ -117,12 +117,12 @@
         self.members.insert(Name::clone(host), MemberEntry { at: now, own, collected });
     }
 
-    /// Whether a host of this zone sent its summary to this one lately.
+    /// Whether any host of this zone sent its summary to this one recently.
     pub fn has_members(&self, now: TimePoint) -> bool {
         self.fresh_members(now).next().is_some()
     }
 
-    /// Records the sum of a zone that `teller` told at `now`, and that was made `age` earlier.
+    /// Records the sum of a zone that arrived from `teller` at `now`, and that was computed `age` earlier.
     pub fn record_zone(
         &mut self,
         now: TimePoint,
@@ -136,7 +136,7 @@
         self.insert_zone(now - age, zone, teller, sum);
     }
 
-    /// Records the merged paces that the collector told.
+    /// Records the merged paces that the collector sent.
     pub fn record_paces(&mut self, now: TimePoint, paces: Vec<PaceReading>) {
         self.keep_paces(now, PaceTeller::Collector, paces);
     }
@@ -153,12 +153,12 @@
         fresh.map(|(teller, (_, paces))| (teller, paces))
     }
 
-    /// When this host last made the sum of its zone.
+    /// When this host last computed the sum of its zone.
     pub fn own_made_at(&self, host: &Name) -> Option<TimePoint> {
         self.zones.get(&self.zone)?.sums.get(host).map(|(made_at, _)| *made_at)
     }
 
-    /// Records the sum of this zone as this host makes it.
+    /// Records the sum of this zone as this host computed it.
     pub fn record_own(&mut self, now: TimePoint, host: &Name, own: &DemandSummary) {
         let sum = self.zone_sum(now, own);
         let zone = ZoneName::clone(&self.zone);
@@ -172,8 +172,8 @@
         entry.sums.insert(Name::clone(teller), (at, sum));
     }
 
-    /// The sum of this host's own summary and those of the hosts that sent it theirs, or sent them to another collector
-    /// of the zone.
+    /// The sum of this host's own summary and of the summaries that other hosts sent to it or to another collector of
+    /// the zone.
     ///
     /// A host that has changed its collector counts once.
     fn zone_sum(&self, now: TimePoint, own: &DemandSummary) -> DemandSummary {
@@ -187,9 +187,10 @@
         DemandSummary { paces, ..sum }.bounded()
     }
 
-    /// What hosts sent this one, for `recipient`, another collector of the zone.
+    /// The summaries that hosts sent to this one, to be passed on to `recipient`, another collector of the zone.
     ///
-    /// Holds only what hosts told of themselves, so that two hosts that tell each other add nothing.
+    /// Contains only the summaries that hosts made of their own requests, so that two collectors that exchange them
+    /// count no request twice.
     pub fn collected_for(&self, now: TimePoint, recipient: &Name) -> BTreeMap<Name, DemandSummary> {
         let others = self.members.iter().filter(|(host, entry)| *host != recipient && now.since(entry.at) <= MAX_AGE);
         let told =
@@ -212,17 +213,17 @@
         Some(sum.clone())
     }
 
-    /// The services that zones tell of.
+    /// The services in the sums of the zones.
     pub fn services(&self, now: TimePoint) -> BTreeSet<Name> {
         self.fresh_zones(now).flat_map(|(_, _, sum)| sum.services.keys().cloned()).collect()
     }
 
-    /// Whether a host of any zone finds a service overloaded.
+    /// Whether a sum of any zone states that a service is overloaded.
     pub fn tells_overload(&self, now: TimePoint) -> bool {
         self.fresh_zones(now).any(|(_, _, sum)| sum.services.values().any(|demand| demand.is_overloaded))
     }
 
-    /// Whether a host sent its summary to this one lately.
+    /// Whether `host` sent its summary to this host recently.
     pub fn is_member(&self, now: TimePoint, host: &Name) -> bool {
         self.members.get(host).is_some_and(|entry| now.since(entry.at) <= MAX_AGE)
     }
@@ -236,7 +237,7 @@
 
     /// The demand at all hosts; `zone_sizes` has the number of registered hosts of each zone.
     ///
-    /// `None` if the sum of this host's zone is not known, or if this host has not heard any other lately.
+    /// `None` if the sum of this host's zone is not known, or if no message of another host has arrived recently.
     pub fn total(&self, now: TimePoint, zone_sizes: &BTreeMap<ZoneName, usize>) -> Option<DemandTotal> {
         let hosts: usize = zone_sizes.values().sum();
         let heard_at = if hosts > 1 { self.heard_at? } else { now };
@@ -249,7 +250,7 @@
         (now <= expires).then_some(DemandTotal { sum, coverage, expires })
     }
 
-    /// Whether nothing is heard of a zone that may have hosts that send requests.
+    /// Whether no recent sum is known of a zone whose hosts may still send requests.
     fn is_silent(&self, now: TimePoint, zone: &ZoneName) -> bool {
         let entry = self.zones.get(zone);
         if entry.is_some_and(|entry| entry.best(now).is_some()) {
@@ -272,15 +273,15 @@
 }
 
 impl ZoneEntry {
-    /// When the newest sum of the zone was made.
+    /// When the newest sum of the zone was computed.
     fn newest_at(&self) -> Option<TimePoint> {
         self.sums.values().map(|(made_at, _)| *made_at).max()
     }
 
-    /// The sum of the zone that counts, and when it was made.
+    /// The sum that is used for the zone, and when it was computed.
     ///
-    /// While a collector takes over from a lost one, its own sum does not hold all hosts yet: of the sums of the last
-    /// second it is the one over the most hosts, and without any the newest.
+    /// Of the sums of the last second, the one over the most hosts is used, and if there is none, the newest: while a
+    /// collector takes over from a lost one, its sum does not include all hosts yet.
     fn best(&self, now: TimePoint) -> Option<(TimePoint, &DemandSummary)> {
         let rank = |made_at: TimePoint, sum: &DemandSummary| {
             let hosts = if now.since(made_at) <= TAKEOVER_TIME { sum.hosts } else { 0 };
--- a/crates/hollyhook_core/src/demand/demand_exchange.rs
+++ b/crates/hollyhook_core/src/demand/demand_exchange.rs
@@ -7,20 +7,23 @@
 };
 use crate::{HostRecord, Name, TimePoint, ZoneName};
 
-/// Most hosts of its zone that a host asks in one round: a further one only if the first does not answer.
+/// Maximum number of hosts of its zone that a host asks in one round; the second is asked only if the first does not
+/// answer.
 const MAX_ASKED: usize = 2;
-/// Demand as a fraction of the capacity from which the exchange goes on without rejections: the shares prevent these.
+/// Demand, as a fraction of the capacity, from which the exchange continues although no request is rejected: it is the
+/// shares that prevent rejections.
 const PRESSURE_TO_GO_ON: f64 = 0.9;
-/// Most hosts that the collector invites in one round, and how long until it invites one again: the hosts of a large
-/// zone all hear of the overload within a few seconds, and each gets few messages.
+/// Maximum number of hosts that the collector invites in one round, and the time until it invites the same host again.
+/// All hosts of a large zone learn of the overload within a few seconds, and each gets few messages.
 const MAX_INVITED: usize = 24;
 const INVITATION_PAUSE: Duration = Duration::from_secs(4);
-/// How long a host that was invited takes part as soon as it has requests: until the next invitation.
+/// How long an invitation is valid: an invited host takes part if it gets requests within this time. Longer than
+/// `INVITATION_PAUSE`, so that invitations follow each other without a gap.
 const INVITATION_TIME: Duration = Duration::from_secs(5);
-/// How long a host takes part after another zone told of an overload.
+/// How long a host takes part after another zone reported an overload.
 const TOLD_TIME: Duration = Duration::from_secs(2);
-/// Time between two messages with paces to the same host. Sixty-four paces take 3 KB; every 500 ms they would use up the
-/// budget of a host for all control messages.
+/// Minimum time between two messages with paces to the same host. Sixty-four paces take 3 KB; every 500 ms they would
+/// use up the budget of a host for all control messages.
 const PACE_INTERVAL: Duration = Duration::from_millis(1_900);
 /// How long the collector's sum of its zone is used for further answers: a zone may have hundreds of hosts.
 const SUM_TIME: Duration = Duration::from_millis(200);
@@ -32,12 +35,13 @@
     pub collectors: Vec<HostRecord>,
     /// A host of each other zone with which this host, as the collector of its zone, exchanges sums.
     pub others: Vec<HostRecord>,
-    /// Hosts of this host's zone that don't take part and are invited to. Only those that have requests for an
-    /// overloaded service do.
+    /// Hosts of this host's zone that don't take part yet and are invited. An invited host takes part only if it has
+    /// requests for an overloaded service.
     pub invited: Vec<HostRecord>,
 }
 
-/// One host's part in the exchange of demand: what it measured and heard, whom it tells, and the shares that follow.
+/// One host's part in the exchange of demand: the demand that it measured and received, the hosts that it sends
+/// messages to, and the shares derived from the sums.
 #[derive(Debug)]
 pub struct DemandExchange {
     host: Name,
@@ -50,22 +54,22 @@
     shares: BTreeMap<Name, DemandShare>,
     /// When the shares no longer count.
     expires: TimePoint,
-    /// The collector of the zone, as far as known; may be this host.
+    /// The collector of the zone; may be this host. `None` while it is not known.
     collector: Option<Name>,
     /// Whether this host collects the demand of its zone.
     is_collector: bool,
     /// The overloaded services of the last invitation of this host, and when it came.
     invitation: (TimePoint, BTreeSet<Name>),
-    /// When a host of another zone last told of an overload.
+    /// When a host of another zone last reported an overload.
     told_at: Option<TimePoint>,
-    /// When this host invited others.
+    /// When this host last invited each other host.
     invitations: BTreeMap<Name, TimePoint>,
-    /// When this host last told others paces.
+    /// When this host last sent paces to each other host.
     paces_told: BTreeMap<Name, TimePoint>,
 }
 
 impl DemandExchange {
-    /// The exchange of a host that has measured and heard nothing.
+    /// The exchange of a host that has neither measured nor received anything.
     pub fn new(host: Name, zone: ZoneName) -> Self {
         Self {
             host,
@@ -101,7 +105,7 @@
         self.paces = paces;
     }
 
-    /// The paces of endpoints, merged over all hosts that are heard.
+    /// The paces of endpoints, merged over all hosts whose paces are known.
     pub fn merged_paces(&self, now: TimePoint) -> Vec<PaceReading> {
         self.board.paces(now)
     }
@@ -122,13 +126,14 @@
         now <= self.expires
     }
 
-    /// The collector of the zone, as far as known; may be this host.
+    /// The collector of the zone; may be this host. `None` while it is not known.
     pub fn collector(&self) -> Option<&Name> {
         self.collector.as_ref()
     }
 
-    /// Whether this host has to take part: a service is overloaded, hosts send it their summaries, it has requests for
-    /// a service that is overloaded elsewhere, or it collects for a zone in which hosts may have some.
+    /// Whether this host has to take part: a service is overloaded here, other hosts send it their summaries, it has
+    /// requests for a service that is overloaded elsewhere, or it is the collector of a zone whose hosts may have such
+    /// requests.
     pub fn is_active(&self, now: TimePoint) -> bool {
         let (invited_at, services) = &self.invitation;
         let is_invited = now.since(*invited_at) <= INVITATION_TIME
@@ -142,7 +147,7 @@
         self.detector.is_overloaded(now, service) || self.is_pressed(now, service)
     }
 
-    /// Whether the demand is so near the capacity that shares are needed.
+    /// Whether the demand is so near the capacity that requests would be rejected without shares.
     fn is_pressed(&self, now: TimePoint, service: &str) -> bool {
         let is_high = self.shares.get(service).is_some_and(|share| share.pressure() >= PRESSURE_TO_GO_ON);
         is_high && self.has_sums(now) && self.ledger.has_demand(now, service)
@@ -243,7 +248,7 @@
         DemandMessage { host, own, invites: false, collected }
     }
 
-    /// Removes the paces of a summary for a host that was told some lately.
+    /// Removes the paces from a summary if paces were sent to the host within `PACE_INTERVAL`.
     fn limit_paces(&mut self, now: TimePoint, recipient: &Name, mut summary: DemandSummary) -> DemandSummary {
         if !self.may_tell_paces(now, recipient) {
             summary.paces.clear();
@@ -267,7 +272,7 @@
         DemandMessage { host: Name::clone(&self.host), own, invites: true, collected: BTreeMap::new() }
     }
 
-    /// What this host measured itself, of its overloaded services and of those that others tell of.
+    /// The demand that this host measured itself, for the services that it or another host finds overloaded.
     fn own_summary(&mut self, now: TimePoint) -> DemandSummary {
         let mut services = self.overloaded(now);
         services.extend(self.board.services(now));
@@ -335,8 +340,8 @@
 
     /// Derives the shares at the end of a round.
     ///
-    /// `zone_sizes` has the number of registered hosts of each zone, and `slots` returns the slots of the live endpoints
-    /// of a service. Without a measured time of a call, or without endpoints, a service has no shares.
+    /// `zone_sizes` has the number of registered hosts of each zone, and `slots` returns the slots of the live
+    /// endpoints of a service. Without a measured time of a call, or without endpoints, a service has no shares.
     pub fn update_shares(
         &mut self,
         now: TimePoint,
--- a/crates/hollyhook_core/src/demand/demand_ledger.rs
+++ b/crates/hollyhook_core/src/demand/demand_ledger.rs
@@ -4,16 +4,16 @@
 use super::{DemandSummary, ServiceDemand};
 use crate::{Name, TimePoint};
 
-/// Time whose requests are counted together.
+/// Length of the interval whose requests are counted together.
 const BUCKET: Duration = Duration::from_millis(250);
-/// Buckets over which rates are measured, the current one included: two seconds. Long enough for a host with a few
-/// requests per second, and short enough for shares to follow a change of demand within a few seconds.
+/// Buckets over which rates are measured, the current one included: two seconds. Long enough to measure a few requests
+/// per second, and short enough for shares to follow a change of demand within a few seconds.
 const BUCKETS: u64 = 8;
 /// Shortest time over which rates are measured: over less, a few requests would count as a high rate.
 const MIN_SPAN: Duration = Duration::from_millis(500);
 /// How long after its last request a host counts as one that has demand.
 const DEMAND_TIME: Duration = Duration::from_secs(10);
-/// Number of calls over which the mean time of a call is taken; older ones count less and less.
+/// Number of calls over which the mean time of a call is taken; the weight of older ones decreases.
 const MEAN_CALLS: u32 = 200;
 
 /// Measures this host's demand and completed calls by service, over the last two seconds.
@@ -53,7 +53,7 @@
 }
 
 impl DemandLedger {
-    /// Counts a request of a caller.
+    /// Counts an arriving request of a caller.
     pub fn count_request(&mut self, now: TimePoint, service: &Name, priority: u8) {
         let window = self.window(now, service);
         window.requested_at = now;
@@ -65,19 +65,19 @@
         self.window(now, service).bucket(now).completed += 1;
     }
 
-    /// Records how long a call took that met no queue.
+    /// Records how long a call took that did not wait in a queue at its endpoint.
     pub fn record_call_time(&mut self, now: TimePoint, service: &Name, took: Duration) {
         let window = self.window(now, service);
         window.samples = (window.samples + 1).min(MEAN_CALLS);
         window.call_ms += (took.as_secs_f64() * 1e3 - window.call_ms) / f64::from(window.samples);
     }
 
-    /// Whether requests of a service were counted lately.
+    /// Whether requests of a service were counted within `DEMAND_TIME`.
     pub fn has_demand(&self, now: TimePoint, service: &str) -> bool {
         self.services.get(service).is_some_and(|window| now.since(window.requested_at) <= DEMAND_TIME)
     }
 
-    /// The demand for some services, as this host tells it to others.
+    /// The demand for some services, as this host sends it to others.
     pub fn summary(&mut self, now: TimePoint, services: &BTreeSet<Name>) -> DemandSummary {
         let measured = services.iter().filter_map(|service| {
             let window = self.services.get_mut(service)?;
--- a/crates/hollyhook_core/src/demand/demand_message.rs
+++ b/crates/hollyhook_core/src/demand/demand_message.rs
@@ -5,9 +5,9 @@
 use super::{DemandSummary, PaceReading, ZoneDemand};
 use crate::{Name, ZoneName};
 
-/// What a host tells another one of the demand.
+/// A host's report of demand to another host.
 ///
-/// To a host of its own zone it tells its own summary, and to one of another zone the sum of its zone.
+/// A host of the same zone gets the sender's own summary, and a host of another zone gets the sum of the sender's zone.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DemandMessage {
@@ -18,13 +18,13 @@
     /// Whether the collector asks a host of its zone to take part if it has requests for the services of the summary.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub invites: bool,
-    /// What other hosts of the zone sent it although the recipient collects, by host.
+    /// Summaries that other hosts of the zone sent to this one although the recipient is the collector, by host.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub collected: BTreeMap<Name, DemandSummary>,
 }
 
 impl DemandMessage {
-    /// Most hosts whose summaries are passed on.
+    /// Maximum number of hosts whose summaries are passed on in one message.
     pub(super) const MAX_COLLECTED: usize = 64;
 
     /// Whether the message is within its bounds and has only figures that can be used.
@@ -35,9 +35,9 @@
     }
 }
 
-/// What a host answers to a [`DemandMessage`].
+/// A host's answer to a [`DemandMessage`].
 ///
-/// A host of its own zone is told the sums of all zones, and one of another zone the sum of this zone.
+/// A host of the same zone gets the sums of all zones, and a host of another zone gets the sum of this zone.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct DemandReply {
     /// The sums by zone.
@@ -48,7 +48,7 @@
 }
 
 impl DemandReply {
-    /// Most zones in a reply.
+    /// Maximum number of zones in a reply.
     const MAX_ZONES: usize = 64;
 
     /// Whether the reply is within its bounds and has only figures that can be used.
--- a/crates/hollyhook_core/src/demand/demand_share.rs
+++ b/crates/hollyhook_core/src/demand/demand_share.rs
@@ -1,16 +1,17 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// The fraction of the endpoints' capacity that hosts use together. The rest is a margin for requests that coincide.
+/// The fraction of the endpoints' capacity that hosts use together. The rest is a margin for requests that arrive at
+/// the same moment.
 const USED_CAPACITY: f64 = 0.95;
-/// The fraction of the capacity that each priority below the most urgent one gets at least, so that none starves.
+/// Minimum fraction of the capacity for each priority below the most urgent one, so that none starves.
 const MINIMUM_SHARE: f64 = 0.02;
-/// The fraction that all these minimum shares take together at most: a more urgent priority that alone fits the capacity
-/// is served to at least 0.95.
+/// Maximum fraction of the capacity for all these minimum shares together, so that at least 0.95 of the requests of a
+/// more urgent priority are served while they alone fit the capacity.
 const MAX_MINIMUM_SHARES: f64 = 0.04;
 
-/// The number of calls per second that hosts send to endpoints with `slots` slots in total, where a call that meets no
-/// queue takes `call_time`.
+/// The number of calls per second that all hosts together may send to endpoints with `slots` slots in total, if a call
+/// that does not wait in a queue takes `call_time`.
 pub fn service_capacity(slots: u64, call_time: Duration) -> f64 {
     USED_CAPACITY * slots as f64 / call_time.as_secs_f64()
 }
@@ -55,7 +56,7 @@
         Self { fractions: fractions.collect(), pressure: demand / capacity.max(f64::MIN_POSITIVE) }
     }
 
-    /// What each priority gets: a minimum share, and what is left after those of more urgent ones.
+    /// Grants each priority its minimum share, and of the rest what more urgent priorities leave.
     fn grant(rates: &BTreeMap<u8, f64>, capacity: f64) -> Vec<PriorityGroup> {
         let rates: Vec<(u8, f64)> =
             rates.iter().filter(|(_, rate)| **rate > 0.0).map(|(key, rate)| (*key, *rate)).collect();
--- a/crates/hollyhook_core/src/demand/demand_summary.rs
+++ b/crates/hollyhook_core/src/demand/demand_summary.rs
@@ -5,17 +5,17 @@
 
 use crate::{EndpointId, Name};
 
-/// Most services in a summary; those with the least demand are left out.
+/// Maximum number of services in a summary; those with the least demand are left out.
 const MAX_SERVICES: usize = 16;
-/// Most priorities of a service in a summary; the demand of further ones counts as that of the last.
+/// Maximum number of priorities of a service in a summary; the demand of further ones is added to that of the last.
 const MAX_PRIORITIES: usize = 16;
-/// Most paces in a summary: those that differ most from the usual pace.
+/// Maximum number of paces in a summary; those that differ most from the usual pace are kept.
 const MAX_PACES: usize = 64;
 /// Longest name of a service or an endpoint in a summary, in bytes.
 const MAX_NAME_BYTES: usize = 256;
 /// Largest number of requests per second, samples, hosts or milliseconds in a summary.
 const MAX_FIGURE: f64 = 1e7;
-/// Slowest and fastest pace in a summary, as a factor of the usual pace and its inverse.
+/// Bound of the paces in a summary: the largest factor of the usual time, and the inverse of the smallest.
 const MAX_FACTOR: f64 = 1_000.0;
 
 /// The demand for one service, as measured by one or several hosts.
@@ -25,11 +25,12 @@
     pub rates: BTreeMap<u8, f64>,
     /// Completed calls per second.
     pub completed: f64,
-    /// Mean time of a call that met no queue, in milliseconds; zero without samples.
+    /// Mean time of a call that did not wait in a queue at its endpoint, in milliseconds; zero without samples.
     pub call_ms: f64,
     /// The number of calls from which `call_ms` was measured.
     pub samples: u32,
-    /// Whether a host finds the service overloaded, rather than being told so.
+    /// Whether a host considers the service overloaded, by rejections and load reports or by the total demand. A host
+    /// may also report demand only because another host considers the service overloaded.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_overloaded: bool,
 }
@@ -40,7 +41,7 @@
         self.rates.values().sum()
     }
 
-    /// The usual time of a call that meets no queue; `None` if no host has measured it.
+    /// The usual time of a call that does not wait in a queue; `None` if no host has measured it.
     pub fn call_time(&self) -> Option<Duration> {
         (self.samples > 0).then(|| Duration::from_secs_f64(self.call_ms / 1e3))
     }
@@ -109,7 +110,7 @@
 }
 
 impl PaceReading {
-    /// How much the pace differs from the usual one; the same for half and for twice the time.
+    /// How much the pace differs from the usual one; half and twice the usual time differ equally.
     fn deviation(&self) -> f64 {
         self.factor.ln().abs()
     }
@@ -120,7 +121,8 @@
     }
 }
 
-/// What one host, or the hosts of a zone together, tell of the demand for overloaded services and of endpoints' paces.
+/// The demand for overloaded services and the paces of endpoints, as measured by one host or by the hosts of a zone
+/// together.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct DemandSummary {
     /// The number of hosts that the summary covers.
--- a/crates/hollyhook_core/src/demand/mod.rs
+++ b/crates/hollyhook_core/src/demand/mod.rs
@@ -1,5 +1,5 @@
-//! Demand exchange: what hosts tell each other of the demand for overloaded services, so that each sends its share of
-//! what the endpoints can serve.
+//! Demand exchange: hosts report their demand for overloaded services to each other, so that each sends only its share
+//! of the requests that the endpoints can serve.
 
 mod collector_choice;
 mod demand_board;
--- a/crates/hollyhook_core/src/demand/overload_detector.rs
+++ b/crates/hollyhook_core/src/demand/overload_detector.rs
@@ -3,13 +3,13 @@
 
 use crate::{Name, TimePoint};
 
-/// How long a rejection or a load report shows that a service is overloaded.
+/// How long a rejection or a load report counts as evidence of overload.
 const EVIDENCE_TIME: Duration = Duration::from_secs(1);
 
 /// Decides from rejections and load reports which services are overloaded.
 ///
 /// A service is overloaded if an endpoint rejected a request within the last second, or if all load reports of the last
-/// second show requests that wait.
+/// second show waiting requests.
 ///
 /// ```
 /// use hollyhook_core::{OverloadDetector, TimePoint};
--- a/crates/hollyhook_core/src/pace/endpoint_pace.rs
+++ b/crates/hollyhook_core/src/pace/endpoint_pace.rs
@@ -6,20 +6,20 @@
 
 /// Tracks the pace of one endpoint: the factor by which its work takes longer than usual for its service.
 ///
-/// The factor is the product of the percentage that the endpoint reports and of the measured times divided by that
-/// percentage: so it is right whether or not the percentage includes the speed of the machine itself.
+/// The factor is the product of two estimates: the percentage that the endpoint reports, and the measured times divided
+/// by that percentage. It is therefore right whether or not the percentage includes the speed of the machine itself.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointPace {
-    /// Measured times over the usual ones and the reported percentage.
+    /// Measured times, divided by the usual times and by the reported percentage.
     measured: LogAverage,
     /// The mean of the reported percentages, as factors.
     reported: LogAverage,
     /// The last reported percentage.
     percent: Option<u32>,
-    /// The number of requests that the endpoint last reported to process at a time.
+    /// The number of concurrent requests that the endpoint last reported.
     concurrent: u32,
     is_slow: bool,
-    /// Since when the factor has differed from what `is_slow` says.
+    /// Since when the factor has contradicted `is_slow`.
     changing_since: Option<TimePoint>,
     /// Since when measured times have shown a pace that differs from the usual one.
     unusual_since: Option<TimePoint>,
@@ -28,29 +28,30 @@
 impl EndpointPace {
     /// Weight, in samples, of the assumption that the endpoint works at the usual pace.
     const PRIOR_WEIGHT: f64 = 0.25;
-    /// The measured times count up to this number, so that a change shows after a few samples.
+    /// The total weight of measured times is limited, so that a change of pace shows after a few samples.
     const DECAY: LogDecay = LogDecay { half_life: Duration::from_secs(3), max_weight: 8.0 };
     const REPORTED_DECAY: LogDecay = LogDecay { half_life: Duration::from_secs(3), max_weight: 20.0 };
-    /// Logarithm of the largest factor by which a sample may differ from the estimate; longer ones count as this, since a
-    /// single long request or pause says little.
+    /// Logarithm of the largest factor by which a sample may differ from the estimate; a sample beyond it is clamped,
+    /// since a single long request or pause is weak evidence.
     const MAX_DEVIATION: f64 = 0.5;
-    /// The same for the first samples.
+    /// The same for the first samples: the estimate may still be far from the pace.
     const MAX_FIRST_DEVIATION: f64 = 0.7;
     /// Number of samples up to which `MAX_FIRST_DEVIATION` applies.
     const FIRST_SAMPLES: f64 = 2.0;
     /// Time for which an estimate counts in full after its last sample, and time after which it does not count.
     const FRESH_TIME: Duration = Duration::from_secs(2);
     const STALE_TIME: Duration = Duration::from_secs(10);
-    /// Time in which the last reported percentage loses its weight against the mean: slow phases last some 0.6 s.
+    /// Time in which the last reported percentage loses its weight to the mean: slow phases last about 0.6 s.
     const REPORT_TIME: Duration = Duration::from_millis(600);
-    /// Factors from which an endpoint is found slow, and below which it is usual again.
+    /// Factor from which an endpoint counts as slow, and factor below which its pace counts as usual again.
     const SLOW_FACTOR: f64 = 1.5;
     const USUAL_FACTOR: f64 = 1.25;
-    /// How long a factor has to last before the endpoint is found slow or usual; shorter phases are common.
+    /// How long a factor has to last before the endpoint counts as slow or as usual; shorter phases are common.
     const CHANGE_TIME: Duration = Duration::from_secs(2);
     /// Number of samples from which measured times show that an endpoint differs from the others.
     const MIN_EVIDENCE: f64 = 6.0;
-    /// How far the factor has to differ from 1.0 for that, so that calls of different lengths do not look like it.
+    /// An endpoint differs if its factor is above this one or below its inverse; calls of different lengths cause
+    /// smaller deviations.
     const UNUSUAL_FACTOR: f64 = 1.4;
     /// Logarithm of the largest factor, and of the inverse of the smallest one.
     const MAX_LOG_FACTOR: f64 = 2.3;
@@ -79,7 +80,7 @@
         now.since(since) >= Self::CHANGE_TIME
     }
 
-    /// The number of requests that the endpoint last reported to process at a time.
+    /// The number of concurrent requests that the endpoint last reported.
     pub fn concurrent(&self) -> u32 {
         self.concurrent
     }
@@ -111,7 +112,7 @@
         self.reported_log(now).exp()
     }
 
-    /// Whether the endpoint has just been found slow, or usual again; `None` if neither.
+    /// The change to be logged if the endpoint has just become slow, or usual again; `None` if neither.
     pub fn take_change(&mut self, now: TimePoint) -> Option<PaceChange> {
         let pace = self.factor(now);
         let is_changing = if self.is_slow { pace < Self::USUAL_FACTOR } else { pace > Self::SLOW_FACTOR };
--- a/crates/hollyhook_core/src/pace/engine_speed.rs
+++ b/crates/hollyhook_core/src/pace/engine_speed.rs
@@ -10,7 +10,7 @@
 }
 
 impl Default for EngineSpeed {
-    /// The speed that is assumed until one has been measured.
+    /// The speed that is assumed until it has been measured.
     fn default() -> Self {
         Self { read_tokens_per_ms: 7.0, event_time: Duration::from_millis(30) }
     }
--- a/crates/hollyhook_core/src/pace/load_trend.rs
+++ b/crates/hollyhook_core/src/pace/load_trend.rs
@@ -4,8 +4,8 @@
 
 /// The load that an endpoint reports, in requests per slot: its last report and a smoothed mean.
 ///
-/// A report of a single moment says little about an endpoint whose calls take less time than the report is old; the mean
-/// of several reports says how busy the endpoint usually is.
+/// When calls take less time than the age of a report, a single report does not show the present load; the mean of
+/// several reports shows how busy the endpoint usually is.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct LoadTrend {
     last: f64,
@@ -16,9 +16,10 @@
 impl LoadTrend {
     /// Time in which the weight of earlier reports in the mean falls to 1/e.
     const MEAN_TIME: Duration = Duration::from_millis(1_500);
-    /// Weight of a report in the mean if it follows the one before it at once.
+    /// Minimum weight of a report in the mean, for one that immediately follows another.
     const MIN_GAIN: f64 = 0.1;
-    /// Time in which the weight of an endpoint's mean falls to 1/e against that of its service.
+    /// Time after the last report in which the weight of the endpoint's own mean, against that of its service, falls to
+    /// 1/e.
     const FORGET_TIME: Duration = Duration::from_secs(4);
 
     /// Adds a report.
@@ -35,8 +36,8 @@
     /// The load expected now of an endpoint whose requests take `run_time`, where its service has the mean load
     /// `usual`.
     ///
-    /// The last report has less weight the older it is: the requests that it counted have ended after `run_time`. So has
-    /// the mean, over seconds.
+    /// The last report loses its weight within about `run_time`, after which the requests that it counted have ended.
+    /// The endpoint's mean loses its weight more slowly, within seconds.
     pub(crate) fn expected(&self, now: TimePoint, run_time: Duration, usual: f64) -> f64 {
         let Some(at) = self.at else {
             return usual;
--- a/crates/hollyhook_core/src/pace/log_average.rs
+++ b/crates/hollyhook_core/src/pace/log_average.rs
@@ -4,7 +4,7 @@
 
 /// A mean of logarithms in which a sample's weight halves with its age.
 ///
-/// Logarithms, since a time twice as long and one half as long as usual are the same distance from it.
+/// With logarithms, half and twice the usual time differ from it equally.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct LogAverage {
     mean: f64,
--- a/crates/hollyhook_core/src/pace/migration_gate.rs
+++ b/crates/hollyhook_core/src/pace/migration_gate.rs
@@ -3,14 +3,14 @@
 
 use crate::{EndpointId, TimePoint};
 
-/// The most migrations that a host begins in a second. When an engine turns slow, all hosts with streams there notice it
-/// at about the same time, and each migration takes memory and bandwidth of the engine that it leads to.
+/// Maximum number of migrations that a host begins in a second. When an engine turns slow, all hosts with streams there
+/// notice it at about the same time, and each migration takes memory and bandwidth of the target engine.
 const MAX_PER_SECOND: usize = 4;
 const SECOND: Duration = Duration::from_secs(1);
-/// How long an engine from which a stream migrated keeps its other streams: its pace may improve by the migration.
+/// Minimum time between two migrations from the same engine: it may become faster when one stream has left.
 const ENGINE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Limits how many streams of a host migrate at a time.
+/// Limits how often streams of a host migrate, in total and from each engine.
 #[derive(Debug, Default)]
 pub struct MigrationGate {
     /// When a stream last left each engine.
--- a/crates/hollyhook_core/src/pace/migration_plan.rs
+++ b/crates/hollyhook_core/src/pace/migration_plan.rs
@@ -2,19 +2,19 @@
 
 use super::EngineSpeed;
 
-/// Fraction of the time left within which a stream has to be expected to end: its later events may come more slowly, as
-/// the engine gets further requests.
+/// A stream counts as in time if it is expected to end within this fraction of the time left. The rest is a margin:
+/// events come more slowly when the engine gets further requests.
 const SAFE_SHARE: f64 = 0.9;
 /// Expected time from the last event at one engine to the next event at the other: the first engine stops and sends the
 /// rest of the KV cache, and the second one admits the request.
 const MIGRATION_TIME: Duration = Duration::from_millis(400);
-/// Fraction of its present time to the end that a stream must still need elsewhere at most: the other engine's speed is
-/// an estimate, and gets slower by this stream.
+/// A stream migrates only if it would take at most this fraction of its expected remaining time at the other engine.
+/// The speed of that engine is an estimate, and the stream itself slows it down.
 const MAX_SHARE_ELSEWHERE: f64 = 0.7;
-/// The shortest time between two migrations of a stream. A stream that moved takes 2 s to show its new pace.
+/// The shortest time between two migrations of a stream. The pace at the new engine is known only after 2 s.
 const MIN_INTERVAL: Duration = Duration::from_secs(5);
 
-/// What a running stream still needs, from which follows whether it should migrate to another engine.
+/// The expected remaining work of a running stream, by which it is decided whether the stream should migrate.
 ///
 /// ```
 /// use hollyhook_core::{EngineSpeed, MigrationPlan};
@@ -35,8 +35,8 @@
 }
 
 impl MigrationPlan {
-    /// A plan for a stream that may have `events_left` events to come, `event_time` apart where it is, and `time_left`
-    /// until its deadline.
+    /// A plan for a stream with up to `events_left` events to come, which follow each other after `event_time` at its
+    /// present engine, and with `time_left` until its deadline.
     pub fn new(events_left: u64, event_time: Duration, time_left: Duration) -> Self {
         Self { events_left, event_time, time_left, since_last: None }
     }
@@ -48,13 +48,13 @@
         self
     }
 
-    /// Whether the stream would miss its deadline where it is, and may migrate.
+    /// Whether the stream would miss its deadline at its present engine, and has not migrated recently.
     pub fn is_late(&self) -> bool {
         let is_settled = self.since_last.is_none_or(|since| since >= MIN_INTERVAL);
         is_settled && self.time_to_end(self.event_time) > self.time_left.mul_f64(SAFE_SHARE)
     }
 
-    /// Whether the stream would end in time, and much sooner than where it is, at an engine of this speed.
+    /// Whether an engine of this speed would end the stream in time, and much sooner than its present engine.
     pub fn gains_at(&self, speed: EngineSpeed) -> bool {
         let here = self.time_to_end(self.event_time);
         let elsewhere = MIGRATION_TIME + self.time_to_end(speed.event_time);
--- a/crates/hollyhook_core/src/pace/network_time.rs
+++ b/crates/hollyhook_core/src/pace/network_time.rs
@@ -2,7 +2,8 @@
 
 /// The time that a round trip to the endpoints of a zone takes.
 ///
-/// Measured by exchanges in which endpoints do little work; the shortest ones count most, since some wait at the endpoint.
+/// Measured by exchanges in which endpoints do little work. Shorter exchanges have more weight, since longer ones may
+/// include a wait at the endpoint.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct NetworkTime {
     measured: Option<Duration>,
--- a/crates/hollyhook_core/src/pace/pace_change.rs
+++ b/crates/hollyhook_core/src/pace/pace_change.rs
@@ -1,7 +1,7 @@
-/// A change of what an endpoint's pace is taken for, to be logged.
+/// An endpoint's change from the usual pace to a slow one or back, to be logged.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PaceChange {
-    /// Whether the endpoint is now found slow; otherwise its pace is usual again.
+    /// Whether the endpoint now counts as slow; otherwise its pace is usual again.
     pub is_slow: bool,
     /// The endpoint's pace; 2.0 takes twice the usual time.
     pub pace: f64,
--- a/crates/hollyhook_core/src/pace/progress_meter.rs
+++ b/crates/hollyhook_core/src/pace/progress_meter.rs
@@ -2,8 +2,8 @@
 
 use crate::TimePoint;
 
-/// The shortest time over which the events of a stream are counted: pauses for the prompts of other requests last a few
-/// tenths of a second and must not look like a slow engine.
+/// Minimum time over which the events of a stream are counted: pauses for the prompts of other requests last a few
+/// tenths of a second and must not make an engine look slow.
 const MIN_SPAN: Duration = Duration::from_secs(2);
 
 /// Measures the time between the events of a running stream.
@@ -46,8 +46,8 @@
 
     /// The time between recent events; `None` until events have been counted over 2 s.
     ///
-    /// A current span without enough events counts as soon as it is longer than the last one predicts, so that an engine
-    /// that turns slow is noticed before its next event.
+    /// The result is that of the last whole span, or, if it is longer, the time that the current span implies if its
+    /// next event arrived now: so an engine that becomes slow is noticed before its next event.
     pub fn event_time(&self, now: TimePoint) -> Option<Duration> {
         let last = self.last?;
         let span = self.start.map_or(Duration::ZERO, |start| now.since(start));
--- a/crates/hollyhook_core/src/pace/service_pace.rs
+++ b/crates/hollyhook_core/src/pace/service_pace.rs
@@ -4,7 +4,7 @@
 use super::log_average::{LogAverage, LogDecay};
 use crate::TimePoint;
 
-/// Tracks what is usual for the endpoints of one service, as a measure for their paces.
+/// Tracks the usual times of the endpoints of one service, to which the paces of the endpoints relate.
 #[derive(Debug, Clone, Default)]
 pub struct ServicePace {
     /// Seconds that a call takes.
@@ -24,12 +24,13 @@
 impl ServicePace {
     /// Concurrent requests are counted in bands of powers of two: 0 and 1, 2 and 3, 4 to 7, and so on.
     const BANDS: usize = 7;
-    /// Long enough that a slow endpoint does not become what is usual, short enough to follow other software.
+    /// Long enough that a slow endpoint hardly changes the usual times, and short enough to follow a new software
+    /// version.
     const DECAY: LogDecay = LogDecay { half_life: Duration::from_mins(1), max_weight: 2_000.0 };
     const LOAD_DECAY: LogDecay = LogDecay { half_life: Duration::from_secs(2), max_weight: 200.0 };
     /// Number of samples from which a usual time counts as known.
     const MIN_SAMPLES: f64 = 8.0;
-    /// How long a service counts as uneven after its last sign of different paces.
+    /// How long a service counts as uneven after its endpoints last reported or showed different paces.
     const UNEVEN_TIME: Duration = Duration::from_secs(30);
     /// Time that a stream is expected to take until one has been measured: 130 events of 30 ms.
     const RUN_TIME: Duration = Duration::from_secs(4);
--- a/crates/hollyhook_core/src/queue/account_line.rs
+++ b/crates/hollyhook_core/src/queue/account_line.rs
@@ -5,8 +5,8 @@
 
 /// The waiting requests of one account and priority.
 ///
-/// Requests that can still meet their objective come first, the one whose objective ends first before the others. The
-/// rest follow by deadline.
+/// Requests that can still meet their objective come first, in the order in which their objectives end. The others
+/// follow in the order of their deadlines.
 #[derive(Debug, Default)]
 pub(super) struct AccountLine {
     /// Virtual time at which the next request of the account is due.
--- a/crates/hollyhook_core/src/queue/dispatch_rate.rs
+++ b/crates/hollyhook_core/src/queue/dispatch_rate.rs
@@ -9,44 +9,46 @@
 const RECOVERY_TIME: Duration = Duration::from_secs(3);
 /// How long fractions from other hosts apply without being set again.
 const SHARE_RETENTION: Duration = Duration::from_secs(2);
-/// Rejections per served request at which the rate neither grows nor shrinks, while other endpoints run the rejected
-/// requests. One endpoint is often full while another has a free slot: a multiplicative decrease for each such rejection
-/// left half of the slots unused in simulations.
+/// Rejections per served request at which the rate stays the same, as long as other endpoints run the rejected
+/// requests. One endpoint is often full while another has a free slot, so a multiplicative decrease for each such
+/// rejection would leave slots unused.
 const TOLERATED: f64 = 0.25;
-/// Factor by which the rate decreases if no endpoint that was asked ran a request.
+/// Factor by which the rate decreases when none of the endpoints that were asked ran a request.
 const DECREASE: f64 = 0.85;
-/// Fraction of the throughput below which no rejection lowers the rate. With a floor above the throughput, further
-/// rejections exhausted the retry budget in simulations.
+/// Fraction of the throughput below which no rejection lowers the rate. A floor above the throughput would cause
+/// further rejections, which exhaust the retry budget.
 const MIN_THROUGHPUT: f64 = 0.9;
-/// By how many requests per second the rate grows in a second in which it is used, and as a fraction of itself. The
-/// fraction lets a host with hundreds of requests per second regain its rate in seconds as well.
+/// Growth of the rate in a second in which it is fully used: a number of requests per second, and a fraction of the
+/// rate. The fraction lets a host with hundreds of requests per second regain its rate within seconds.
 const INCREASE: f64 = 1.0;
 const INCREASE_FRACTION: f64 = 0.1;
-/// Time without a rejection after which the rate grows faster, and the fraction by which it then grows in a second: the
-/// capacity has become larger, or was underestimated.
+/// Time without a rejection after which the rate grows faster, and the fraction by which it then grows in a second. The
+/// absence of rejections shows that the capacity has grown or was underestimated.
 const QUIET_TIME: Duration = Duration::from_millis(300);
 const QUIET_INCREASE_FRACTION: f64 = 2.0;
-/// Bounds of the rate in requests per second. The initial rate is above the throughput, since one
-/// rejection may be due to chance; a much higher one exhausts the retry budget before it has decreased.
+/// Minimum of the rate and of the initial rate, in requests per second, and the initial rate as a multiple of the
+/// throughput. The initial rate is above the throughput, since one rejection may be due to chance; a much higher rate
+/// would exhaust the retry budget before it has decreased.
 const MIN_RATE: f64 = 1.0;
 const MIN_INITIAL_RATE: f64 = 10.0;
 const INITIAL_FACTOR: f64 = 2.0;
-/// How long after an overload began the rate is a rough estimate, and by which factor it may then be too low.
+/// How long after the start of an overload the rate is only a rough estimate, and the factor by which it may be too low
+/// in this time.
 const SETTLING_TIME: Duration = Duration::from_secs(2);
 const SETTLING_FACTOR: f64 = 3.0;
-/// Minimum time between two decreases: rejections of requests that were sent before a decrease say nothing about the rate
-/// after it.
+/// Minimum time between two decreases of the rate: rejections of requests that were sent before a decrease say nothing
+/// about the rate after it.
 const MIN_ROUND_TRIP: Duration = Duration::from_millis(50);
-/// How long successful calls count towards the throughput.
+/// Time over which successful calls count towards the throughput.
 const THROUGHPUT_MEMORY: Duration = Duration::from_secs(2);
-/// Time for which unused turns accumulate, and how many accumulate at least.
+/// Time for which unused turns accumulate, and the minimum of the number that may accumulate.
 const BURST_TIME: Duration = Duration::from_millis(100);
 const MIN_BURST: f64 = 2.0;
-/// How many turns a request may be sent ahead of time, unless it is of the lowest priority that arrives. A host that
-/// sends ten requests per second has a turn every 100 ms; urgent requests that had to wait for it missed their objective,
-/// while those of lower priority have time to make up for it.
+/// Number of turns that may be used in advance by a request that is not of the lowest arriving priority. A host that
+/// sends ten requests per second has a turn every 100 ms: urgent requests that waited for it would miss their
+/// objectives, while requests of the lowest priority can wait longer.
 const ADVANCE: f64 = 3.0;
-/// Requests per second of a priority from which on it counts as arriving.
+/// Requests per second from which a priority counts as arriving.
 const MIN_ARRIVALS: f64 = 0.1;
 /// Weight of the latest call in the usual time of a call.
 const CALL_TIME_WEIGHT: f64 = 0.1;
@@ -83,7 +85,7 @@
 }
 
 impl DispatchRate {
-    /// The rate of a service that is not overloaded, whose calls take `call_time` until measured.
+    /// The rate of a service that is not overloaded; `call_time` is assumed for its calls until one has been measured.
     pub fn new(now: TimePoint, call_time: Duration) -> Self {
         Self {
             rate: MIN_INITIAL_RATE,
@@ -99,7 +101,7 @@
         }
     }
 
-    /// The usual time of a call, from when it is sent to its end.
+    /// The usual time of a call, from sending it to its end.
     pub fn call_time(&self) -> Duration {
         self.call_time
     }
@@ -121,20 +123,21 @@
         Some(self.rate)
     }
 
-    /// Requests per second that can be counted on when waits are forecast; `None` while the service is not overloaded.
+    /// Requests per second by which waits are forecast; `None` while the service is not overloaded.
     ///
-    /// Shortly after an overload began, the rate is a lower estimate that may double within a second: no request is
-    /// refused because of it alone.
+    /// Shortly after the start of an overload, the rate is a low estimate that may double within a second. It is then
+    /// multiplied by a margin, so that no request is refused only because of the estimate.
     pub fn expected_rate(&self, now: TimePoint) -> Option<f64> {
         self.rate(now).map(|rate| if self.is_settled(now) { rate } else { rate * SETTLING_FACTOR })
     }
 
-    /// Requests per second of each priority that arrived while the service was overloaded, for other hosts.
+    /// Requests per second of each priority that arrived while the service was overloaded, to be reported to other
+    /// hosts.
     pub fn demand(&self, now: TimePoint) -> BTreeMap<u8, f64> {
         self.shares.iter().map(|(priority, share)| (*priority, share.arrivals(now))).collect()
     }
 
-    /// Requests per second that were served, for other hosts.
+    /// Requests per second that were served, to be reported to other hosts.
     pub fn throughput(&self, now: TimePoint) -> f64 {
         self.successes.rough_rate(now)
     }
@@ -163,7 +166,7 @@
         self.share(now, priority).take(now);
     }
 
-    /// Records that an endpoint rejected a request; `is_last` if no further endpoint is asked in its place.
+    /// Records that an endpoint rejected a request; `is_last` states that no further endpoint is asked.
     pub fn record_rejection(&mut self, now: TimePoint, is_last: bool) {
         let was_overloaded = self.is_rejected(now);
         self.rejected_at = Some(now);
@@ -189,7 +192,7 @@
         self.successes.record(now);
         self.call_time = self.call_time.mul_f64(1.0 - CALL_TIME_WEIGHT) + took.mul_f64(CALL_TIME_WEIGHT);
         self.refill(now);
-        // A rate that is not used is not confirmed by successes.
+        // If fewer requests are sent than the rate allows, successes do not show that a higher rate is possible.
         if self.turns < self.burst() / 2.0 {
             let is_quiet = self.rejected_at.is_none_or(|at| now.since(at) >= QUIET_TIME);
             let fraction = if is_quiet { QUIET_INCREASE_FRACTION } else { INCREASE_FRACTION };
@@ -198,7 +201,7 @@
     }
 
     /// Sets the fraction of each priority's requests that this host may send, from the demand at all hosts; `None` when
-    /// there is no fresh information. A priority that is not named is not limited.
+    /// there is no fresh information. A priority without a fraction is not limited.
     ///
     /// The fractions expire two seconds after they were last set.
     pub fn set_shares(&mut self, now: TimePoint, fractions: Option<&BTreeMap<u8, f64>>) {
--- a/crates/hollyhook_core/src/queue/dispatch_share.rs
+++ b/crates/hollyhook_core/src/queue/dispatch_share.rs
@@ -8,7 +8,7 @@
 const ARRIVAL_MEMORY: Duration = Duration::from_secs(1);
 /// Time for which unused turns accumulate.
 const BURST_TIME: Duration = Duration::from_millis(250);
-/// Minimum rate in requests per second, so that waiting requests are sent after the arrivals have ended.
+/// Minimum rate in requests per second, so that waiting requests are still sent when no further ones arrive.
 const MIN_RATE: f64 = 1.0;
 
 /// How many requests of one priority a host sends, as a fraction of those that arrive.
--- a/crates/hollyhook_core/src/queue/priority_level.rs
+++ b/crates/hollyhook_core/src/queue/priority_level.rs
@@ -8,14 +8,14 @@
 
 /// How long arriving requests count towards the rate at which a priority's requests arrive.
 const INFLOW_MEMORY: Duration = Duration::from_secs(2);
-/// How long after its last request a priority still accumulates its minimum share. A request of a low priority whose
-/// predecessors were all refused then gets the turn that they waited for.
+/// How long after its last request a priority still accumulates its minimum share. If all waiting requests of a low
+/// priority are refused, the next one gets the turn that has accumulated.
 const DEMAND_TIME: Duration = Duration::from_secs(5);
 
 /// The waiting requests of one priority, by account.
 ///
-/// Accounts take turns by virtual time (start-time fair queueing with equal weights): each sent request moves its account
-/// one unit ahead, and the account that is least far ahead is next.
+/// Accounts take turns by virtual time (start-time fair queueing with equal weights): each sent request advances the
+/// virtual time of its account by one, and the account with the lowest virtual time is next.
 #[derive(Debug)]
 pub(super) struct PriorityLevel {
     accounts: BTreeMap<AccountName, AccountLine>,
@@ -23,7 +23,7 @@
     order: BTreeSet<(u64, AccountName)>,
     virtual_time: u64,
     len: usize,
-    /// Turns that are owed to this priority for its minimum share; at most one.
+    /// Accumulated turns of this priority's minimum share; at most one.
     pub(super) credit: f64,
     inflow: RateMeter,
     requested_at: TimePoint,
@@ -76,7 +76,7 @@
         self.len += 1;
     }
 
-    /// Inserts a request that was popped and not sent, and returns the turn to its account.
+    /// Inserts a request that was popped but not sent, and credits the turn to its account again.
     pub(super) fn restore(&mut self, request: &QueueRequest, first_end: TimePoint) {
         if let Some(line) = self.accounts.get_mut(&request.account) {
             let key = (line.due, AccountName::clone(&request.account));
@@ -116,8 +116,8 @@
         Some(id)
     }
 
-    /// Forgets which accounts are ahead, unless requests wait. Without waiting requests no account takes another's turn,
-    /// and the memory for accounts stays bounded.
+    /// Removes the state of all accounts if no requests wait: fairness between accounts matters only while requests
+    /// wait, and the memory for accounts stays bounded.
     pub(super) fn forget_if_empty(&mut self) {
         if self.is_empty() {
             self.accounts.clear();
@@ -125,7 +125,8 @@
         }
     }
 
-    /// The request that is displaced first, the last one of the account with the most, and how many that account has.
+    /// The request that is displaced first, the last one of the account with the most waiting requests, and their
+    /// number.
     pub(super) fn last(&self) -> Option<(u64, usize)> {
         let line = self.accounts.values().max_by_key(|line| line.len())?;
         line.last().map(|id| (id, line.len()))
--- a/crates/hollyhook_core/src/queue/queue_request.rs
+++ b/crates/hollyhook_core/src/queue/queue_request.rs
@@ -7,7 +7,7 @@
     pub requests: usize,
     /// Maximum number of bytes that the waiting requests hold.
     pub bytes: usize,
-    /// Fraction of the sent requests that each waiting priority gets at least.
+    /// Minimum fraction of the sent requests for each waiting priority.
     pub minimum_share: f64,
 }
 
--- a/crates/hollyhook_core/src/queue/rate_meter.rs
+++ b/crates/hollyhook_core/src/queue/rate_meter.rs
@@ -2,10 +2,10 @@
 
 use crate::TimePoint;
 
-/// Minimum time over which events are counted before a rate is stated.
+/// Minimum time over which events are counted before a rate is returned.
 const MIN_SPAN: Duration = Duration::from_millis(500);
-/// Minimum number of counted events before a rate is stated. The rate from three events is within a factor of two of the
-/// true one in most cases.
+/// Minimum number of counted events before a rate is returned. The rate from three events is within a factor of two of
+/// the true one in most cases.
 const MIN_EVENTS: f64 = 3.0;
 
 /// Measures the rate of events, with exponentially decreasing weight of older ones.
@@ -19,7 +19,7 @@
 }
 
 impl RateMeter {
-    /// A meter that remembers events for about `memory`.
+    /// A meter in which the weight of an event decays within about `memory`.
     pub(super) fn new(now: TimePoint, memory: Duration) -> Self {
         Self { memory, updated_at: now, events: 0.0, span_secs: 0.0 }
     }
@@ -42,7 +42,7 @@
         is_measured.then(|| meter.events / meter.span_secs)
     }
 
-    /// Events per second, from however few were counted; an average over at least the minimum span.
+    /// Events per second even if few were counted, as an average over at least the minimum span.
     pub(super) fn rough_rate(&self, now: TimePoint) -> f64 {
         let mut meter = self.clone();
         meter.advance(now);
--- a/crates/hollyhook_core/src/queue/request_queue.rs
+++ b/crates/hollyhook_core/src/queue/request_queue.rs
@@ -8,10 +8,11 @@
 
 /// How long sent requests count towards the rate at which requests leave the queue.
 const OUTFLOW_MEMORY: Duration = Duration::from_secs(3);
-/// Fraction of the dispatch rate that is counted on for a priority even if requests of higher priorities arrive as fast
-/// as that. Measured over two seconds, a host's few requests vary by a third, and some of those above are refused.
+/// Minimum fraction of the dispatch rate by which the wait of a priority is forecast, even if requests of higher
+/// priorities arrive at the full rate: the measured arrival rate of a few requests is inexact, and some of those
+/// requests are refused instead of being sent.
 const MIN_FREE: f64 = 0.1;
-/// Multiple of the usual time of a call that a sent request may take.
+/// Multiple of the usual time of a call that is reserved for a request once it is sent.
 const CALL_TIME_MARGIN: f64 = 1.5;
 
 /// The requests of one service that wait at one host for their turn.
@@ -45,8 +46,8 @@
 }
 
 impl RequestQueue {
-    /// Fraction of the caller's time that is left when a waiting request is refused at the latest. A caller that is told
-    /// earlier has time to try another host.
+    /// Minimum fraction of its caller's time limit that is left when a waiting request is refused, so that the caller
+    /// has time to try another host.
     pub const RESERVED_TIME: f64 = 0.2;
 
     /// An empty queue.
@@ -68,12 +69,12 @@
         self.limits = limits;
     }
 
-    /// Sets the usual time of a call, from when it is sent to its end.
+    /// Sets the usual time of a call, from sending it to its end.
     pub fn set_call_time(&mut self, call_time: Duration) {
         self.call_time = call_time;
     }
 
-    /// Refuses the requests that can't end before `at`, when the host stops.
+    /// Sets when the host stops; requests that can't end before `at` are refused.
     pub fn close_at(&mut self, at: TimePoint) {
         self.closes_at = Some(at);
     }
@@ -88,12 +89,12 @@
         self.requests.is_empty()
     }
 
-    /// The arrival of the request that arrived first.
+    /// When the oldest waiting request arrived.
     pub fn oldest_arrival(&self) -> Option<TimePoint> {
         self.requests.values().map(|request| request.arrived).min()
     }
 
-    /// The priorities of which requests wait, the highest first.
+    /// The priorities that have waiting requests, the highest first.
     pub fn priorities(&self) -> impl Iterator<Item = u8> + '_ {
         self.levels.iter().filter(|(_, level)| !level.is_empty()).map(|(priority, _)| *priority)
     }
@@ -128,7 +129,7 @@
         Ok((id, displaced))
     }
 
-    /// Adds a request again that was popped and not sent, at its former place.
+    /// Adds a request that was popped but not sent, at its former place.
     pub fn restore(&mut self, now: TimePoint, request: QueueRequest) {
         let first_end = now + self.call_time;
         self.level(now, request.priority).restore(&request, first_end);
@@ -146,9 +147,9 @@
         Some(request)
     }
 
-    /// Removes the next request to send, of the priorities for which `is_open` returns true.
+    /// Removes and returns the next request to send, of the priorities for which `is_open` returns true.
     ///
-    /// A lower priority to which a turn is owed for its minimum share takes it in place of the open one.
+    /// A lower priority that has accumulated a turn of its minimum share goes before the highest open one.
     pub fn pop(&mut self, now: TimePoint, is_open: impl Fn(u8) -> bool) -> Option<QueueRequest> {
         let open = self.priorities().find(|priority| is_open(*priority))?;
         let is_owed = |priority: &u8| *priority > open && self.levels[priority].credit >= 1.0;
@@ -203,7 +204,7 @@
         }
     }
 
-    /// Counts a turn of a priority, which adds to the credit of all others with demand.
+    /// Counts a turn of a priority, and adds the minimum share of this turn to the credit of all others with demand.
     fn share_turn(&mut self, now: TimePoint, priority: u8) {
         let share = self.limits.minimum_share;
         for (other, level) in &mut self.levels {
@@ -217,7 +218,7 @@
         }
     }
 
-    /// Removes requests until a new one has a place, and returns them.
+    /// Displaces requests until there is space for a new one, and returns them.
     fn make_place(&mut self, now: TimePoint, request: &QueueRequest) -> Result<Vec<QueueRequest>, QueueRefusal> {
         let mut displaced = Vec::new();
         while self.len() >= self.limits.requests || self.bytes + request.bytes > self.limits.bytes {
@@ -230,10 +231,10 @@
         Ok(displaced)
     }
 
-    /// The request that a new one displaces: the last of the lowest priority, if that is lower than its own or if the
-    /// account of that request has more places than the account of the new one would have.
+    /// The request that a new one displaces: the last one of the lowest priority, if that priority is lower than that
+    /// of the new request, or if its account would still have more waiting requests than the account of the new one.
     ///
-    /// Otherwise an account that fills the queue would shut out the others of its priority.
+    /// Otherwise an account that fills the queue would leave no places for the others of its priority.
     fn victim(&self, request: &QueueRequest) -> Option<u64> {
         let (priority, level) = self.levels.iter().rev().find(|(_, level)| !level.is_empty())?;
         let (id, places) = level.last()?;
@@ -260,7 +261,7 @@
 
     /// The expected wait of a request with `ahead` others of its priority before it.
     ///
-    /// Requests of higher priorities that wait or are about to arrive are sent first, but leave the minimum share.
+    /// Requests of higher priorities that wait or are expected to arrive are sent first, except for the minimum share.
     fn wait_behind(&self, now: TimePoint, priority: u8, ahead: usize, rate: Option<f64>) -> Duration {
         let Some(rate) = rate.or_else(|| self.outflow.rate(now)).filter(|rate| *rate > 0.0) else {
             return Duration::ZERO;
--- a/crates/hollyhook_core/src/queue/room_gate.rs
+++ b/crates/hollyhook_core/src/queue/room_gate.rs
@@ -2,21 +2,21 @@
 
 use crate::TimePoint;
 
-/// Bounds of the time between two searches for room. Reports of engines are 100 to 200 ms old, so that searches for
-/// longer requests than that find little that is new in less time.
+/// Bounds of the time between two searches for room. The upper bound applies to engines, whose reports are 100 to 200
+/// ms old: more frequent searches would mostly see the same reports.
 const MIN_INTERVAL: Duration = Duration::from_millis(5);
 const MAX_INTERVAL: Duration = Duration::from_millis(160);
 
-/// When the request at the head of a queue looks for room again after one found none.
+/// Determines when the request at the head of a queue may search for room again after a search found none.
 ///
-/// The interval doubles with each search in vain, up to the time of a call, within which a slot is likely to become free.
-/// A request of a higher priority than those that found no room looks at
-/// once, since room may be kept free for it.
+/// The interval doubles with each unsuccessful search, up to the time of a call, within which a slot is likely to
+/// become free. A request of a higher priority than those that found no room searches at once, since room may be
+/// reserved for it.
 #[derive(Debug, Clone)]
 pub struct RoomGate {
     interval: Duration,
     opens_at: TimePoint,
-    /// The highest priority of a request that found no room since one found some.
+    /// The highest priority of the requests that have found no room since the last successful search.
     full_for: Option<u8>,
 }
 
@@ -27,7 +27,7 @@
 }
 
 impl RoomGate {
-    /// When a request of a priority may look for room.
+    /// When a request of a priority may search for room.
     pub fn opens_at(&self, now: TimePoint, priority: u8) -> TimePoint {
         if self.is_full_for(priority) { self.opens_at.max(now) } else { now }
     }
--- a/crates/hollyhook_core/src/route/endpoint_choice.rs
+++ b/crates/hollyhook_core/src/route/endpoint_choice.rs
@@ -32,16 +32,16 @@
 /// own zone. If the own zone has fewer endpoints than this, one sample is taken from all zones together: otherwise, an
 /// endpoint of the own zone that has just stopped would be in every sample.
 const SAMPLE_SIZE: usize = 4;
-/// The number of endpoints among which one is drawn by pace.
+/// Number of sampled endpoints from which one is drawn, weighted by pace.
 const DRAWN_FROM: usize = 16;
-/// An endpoint is drawn less often by a factor of e to the power of this for each request per slot of load cost. From
-/// 1.0, hosts that learn of the load seconds late overload the endpoints in turn.
+/// For each request per slot of load cost, the probability of an endpoint is divided by e to the power of this slope.
+/// With slopes of 1.0 and more, hosts whose load reports are seconds old overload one endpoint after another.
 const LOAD_SLOPE: f64 = 0.5;
-/// The same for the cost of failures, after which an endpoint should get few requests at once.
+/// The same for the cost of failures; steeper, since an endpoint should get few requests immediately after failures.
 const FAULT_SLOPE: f64 = 1.5;
 /// Share of failures from which an endpoint is drawn too rarely to show that it has recovered, and gets trials.
 const DRAWN_FAILURES: f64 = 0.5;
-/// Exponent of the load in the expected wait for a slot.
+/// Exponent of the load in the expected wait for a slot: the wait is short until few slots are free.
 const QUEUE_EXPONENT: i32 = 6;
 /// By how many requests a preferred endpoint may be busier than others and still be chosen.
 const PREFERRED_ALLOWANCE: f64 = 1.1;
@@ -206,7 +206,7 @@
         sample.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
-    /// Draws an endpoint at random, with a probability by its slots, pace and cost.
+    /// Draws an endpoint at random, with a probability that depends on its slots, pace and cost.
     ///
     /// Endpoints of the same cost get calls in proportion to what they can process. Hosts with the same reports do not
     /// all choose the same endpoint, whatever their number and the age of the reports.
@@ -231,7 +231,7 @@
             let fault_cost = fault_cost(now, record, &suspect);
             slots / record.pace.factor(now) * (-load_cost * LOAD_SLOPE - fault_cost * FAULT_SLOPE).exp()
         };
-        // The least weight keeps the draw possible where all costs are high.
+        // The minimum weight keeps the sum of weights above zero when all costs are high.
         let weighted: Vec<(f64, &EndpointRecord)> =
             sample.into_iter().map(|record| (weigh(record).max(f64::MIN_POSITIVE), record)).collect();
         weighted.choose_weighted(rng, |(weight, _)| *weight).ok().map(|(_, record)| *record)
@@ -244,8 +244,8 @@
         pressure + self.distance(record) + full + fault_cost(now, record, suspect)
     }
 
-    /// The expected time until an endpoint of a service whose endpoints differ in pace begins with a request, and the
-    /// cost of its zone, in requests per slot.
+    /// The expected time until an endpoint begins to process a request plus the cost of the endpoint's zone, in
+    /// requests per slot, for a service whose endpoints differ in pace.
     ///
     /// The time that the request itself takes is not part of it: requests are shared out in proportion to the paces
     /// among endpoints of the same cost.
@@ -274,7 +274,7 @@
 
 /// The expected wait for a slot of an endpoint with this mean load, as a multiple of the time that a call takes.
 ///
-/// Below one request per slot it rises steeply towards the last slots, since the load varies about its mean.
+/// It rises steeply just below one request per slot, since the load varies around its mean.
 fn queue_time(load: f64) -> f64 {
     if load < 1.0 { load.powi(QUEUE_EXPONENT) } else { 1.0 + f64::from(QUEUE_EXPONENT) * (load - 1.0) }
 }
--- a/crates/hollyhook_core/src/route/endpoint_pacing.rs
+++ b/crates/hollyhook_core/src/route/endpoint_pacing.rs
@@ -4,16 +4,16 @@
 use crate::pace::{EndpointPace, NetworkTime, PaceChange, ServicePace};
 use crate::{EngineSpeed, Name, TimePoint, ZoneName};
 
-/// Least number of prompt tokens for which the time to the first event says how fast an engine reads.
+/// Minimum number of prompt tokens for which the time to the first event shows how fast an engine reads.
 const MIN_READ_TOKENS: u64 = 500;
-/// Weight of a time to the first event as a sample: it depends on what else the engine reads.
+/// Weight of a time to the first event as a sample: it also depends on the other prompts that the engine reads.
 const READ_WEIGHT: f64 = 0.5;
-/// Least part of a measured time that is attributed to the endpoint.
+/// Minimum fraction of a measured time that is attributed to the endpoint after the round trip is subtracted.
 const MIN_WORK_SHARE: f64 = 0.25;
 /// An attempt at a call may take this multiple of the time that is expected of its endpoint.
 const ATTEMPT_TIME_FACTOR: f64 = 8.0;
-/// Bounds of the time limit of an attempt, as multiples of the route's latency objective; the upper one is multiplied by
-/// the pace of a slow endpoint.
+/// Bounds of the time limit of an attempt, as multiples of the route's latency objective; the upper one is multiplied
+/// by the pace of a slow endpoint.
 const ATTEMPT_LIMITS: (f64, f64) = (0.6, 1.6);
 
 /// A prompt that an engine has read.
@@ -52,8 +52,8 @@
         }
     }
 
-    /// Records how long a call took, with the load report of its response. A call that may have met a queue says nothing
-    /// about the endpoint's pace.
+    /// Records how long a call took, with the load report of its response. A call that may have waited in a queue is no
+    /// sample of the endpoint's pace.
     pub fn record_call_time(
         &mut self,
         now: TimePoint,
@@ -74,8 +74,8 @@
         })
     }
 
-    /// Records when the first event of a generation arrived. A prompt that may have met a queue says nothing about the
-    /// engine's pace.
+    /// Records when the first event of a generation arrived. A prompt that may have waited in a queue is no sample of
+    /// the engine's pace.
     pub fn record_read(&mut self, now: TimePoint, id: &str, read: PromptRead) -> Option<PaceChange> {
         if read.tokens < MIN_READ_TOKENS || read.load.is_none_or(|load| load.waiting > 0) {
             return None;
@@ -130,8 +130,8 @@
         service.map_or_else(EngineSpeed::default, |service| service.engine_speed(now, pace, record.pace.concurrent()))
     }
 
-    /// The time limit of an attempt at an idempotent call, so that another endpoint can be tried; `None` if the paces of
-    /// the service's endpoints are not known to differ.
+    /// The time limit of an attempt at an idempotent call, so that another endpoint can be tried; `None` if the paces
+    /// of the service's endpoints are not known to differ.
     pub fn attempt_limit(&self, now: TimePoint, id: &str, objective: Duration) -> Option<Duration> {
         let record = self.get(id)?;
         let service = self.uneven_service(now, &record.service)?;
@@ -141,7 +141,7 @@
         Some(expected.mul_f64(ATTEMPT_TIME_FACTOR).clamp(objective.mul_f64(ATTEMPT_LIMITS.0), longest))
     }
 
-    /// What is usual for a service whose endpoints report or show different paces.
+    /// The usual times of a service, if its endpoints report or show different paces.
     pub(super) fn uneven_service(&self, now: TimePoint, service: &str) -> Option<&ServicePace> {
         self.service_paces.get(service).filter(|service| service.is_uneven(now))
     }
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -16,12 +16,12 @@
 /// Hash key by which hosts choose the entry for crash records.
 const CRASH_RECORD_KEY: &[u8] = b"notes";
 
-/// How long after a request had to wait for room this host uses only its own slots of brittle endpoints.
+/// How long this host uses only its own slots of brittle endpoints after a request had to wait for room.
 const PRESSED_TIME: Duration = Duration::from_millis(30);
-/// How long it then relies on reports of room again, whatever waits: a host may have no slots of its own.
+/// How long it then relies on reports of room again, even if requests wait: a host may have no slots of its own.
 const RELIEF_TIME: Duration = Duration::from_millis(300);
-/// Fraction of its share of a service's slots up to which a host relies on reports of room. All hosts may do so at the
-/// same moment, besides those that use slots of their own.
+/// Fraction of its share of a service's slots up to which a host relies on reports of room. All hosts may rely on the
+/// same report at the same moment, while other slots are used by the hosts that own them.
 const REPORTED_SHARE: f64 = 0.35;
 
 /// Default cost of an endpoint of another zone, in requests per slot.
@@ -315,7 +315,7 @@
         }
     }
 
-    /// Lets all endpoints of a service of which one has become brittle count as brittle until they have answered.
+    /// Treats all endpoints of a service as brittle until they have answered, once one of them has become brittle.
     ///
     /// Otherwise a host would send any number of requests to the endpoints that it has not used yet.
     fn spread_brittle(&mut self, now: TimePoint) {
@@ -385,7 +385,7 @@
         if self.terms.has_trial(now, &record.id) { SendAdmission::Trial } else { SendAdmission::Refused }
     }
 
-    /// Whether this host may rely on an endpoint's report of room, whatever the other hosts send at the same time.
+    /// Whether this host may rely on an endpoint's report of room even if all other hosts do so at the same time.
     fn has_reported_room(&self, now: TimePoint, record: &EndpointRecord, capacity: u32, is_own: bool) -> bool {
         if self.pressed.get(&record.service).is_some_and(|at| now.since(*at) < PRESSED_TIME) {
             return false;
--- a/crates/hollyhook_core/src/route/engine_forecast.rs
+++ b/crates/hollyhook_core/src/route/engine_forecast.rs
@@ -5,11 +5,11 @@
 use super::memory_forecast::{EVENT_TOKENS, MemoryForecast, typical_output};
 use super::{EngineCandidate, EngineReport};
 
-/// By how much the events of an engine that reads prompts one after another come more slowly than those of one that
-/// reads none: each decode step then waits for a chunk of a prompt.
+/// Factor by which the time between events is longer at an engine that always reads prompts than at one that reads
+/// none: each decode step then waits for a chunk of a prompt.
 const BUSY_FACTOR: u32 = 3;
 
-/// What a request that is sent to an engine now has to expect there.
+/// The expected times and memory of a request that is sent to an engine now.
 #[derive(Debug)]
 pub(super) struct EngineForecast<'a> {
     pub(super) candidate: &'a EngineCandidate,
@@ -68,7 +68,7 @@
         wait + self.read_time_before_first(priority, prompt_tokens)
     }
 
-    /// The expected time to read a prompt of this priority and what goes before it.
+    /// The expected time to read a prompt of this priority and the prompts before it.
     pub(super) fn read_time_before_first(&self, priority: u8, prompt_tokens: u64) -> Duration {
         self.read_time(prompt_tokens as f64 + self.unread_before(priority))
     }
@@ -89,8 +89,8 @@
         wait.max(self.read_time(READING_COST * f64::from(self.report.reading.min(1)) * self.typical_tokens))
     }
 
-    /// The expected time from a first event to the end of a generation of so many tokens, but not more than a typical
-    /// one, while the engine reads prompts all the time.
+    /// The expected time from the first event to the end of a generation of `output_tokens`, but at most that of a
+    /// typical generation, while the engine always reads prompts.
     pub(super) fn busy_run_time(&self, output_tokens: u64) -> Duration {
         let events = output_tokens.div_ceil(EVENT_TOKENS).min(u64::from(TYPICAL_EVENTS));
         self.candidate.speed.event_time * BUSY_FACTOR * events as u32
@@ -98,8 +98,8 @@
 
     /// Tokens of the prompts that the engine reads before or together with a prompt of this priority.
     ///
-    /// A report does not contain the priorities of prompts; those that wait are assumed to be distributed as the runs.
-    /// Since an engine admits the highest priority first, this is an upper bound on what goes before.
+    /// A report does not contain the priorities of prompts; those that wait are assumed to have the same distribution
+    /// of priorities as the runs. Since an engine admits the highest priority first, this is an upper bound.
     fn unread_before(&self, priority: u8) -> f64 {
         let runs = &self.report.runs;
         let ahead = runs.iter().filter(|run| run.priority.is_none_or(|known| known <= priority)).count();
--- a/crates/hollyhook_core/src/route/priority_placement.rs
+++ b/crates/hollyhook_core/src/route/priority_placement.rs
@@ -7,17 +7,18 @@
 use crate::{PromptSize, ServicePriorities};
 
 /// Fraction of its latency objective within which a new request of a higher priority must still get its first event.
-/// The other half covers what the report does not show yet: prompts that other hosts have sent meanwhile.
+/// The other half covers prompts that the report does not show yet, which other hosts have sent in the meantime.
 const HEADROOM_FRACTION: f64 = 0.5;
 /// The same fraction for a request that would lose its own objective or deadline by waiting longer.
 const URGENT_HEADROOM_FRACTION: f64 = 0.6;
 /// Shortest time after which engines are polled again for a request of the highest priority that waits for capacity.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
-/// By how much this time is longer for each higher priority. A report shows a prompt 100 to 200 ms after it was sent; if
-/// hosts poll more often than engines get capacity, several place a prompt by the same report.
+/// How much longer this time is for each priority of the service above that of the request. A report shows a prompt
+/// only 100 to 200 ms after it was sent: if hosts poll more often than engines get capacity, several hosts place a
+/// prompt by the same report.
 const PAUSE_STEP: Duration = Duration::from_secs(1);
-/// Longest time after which engines are polled again, as a multiple of the shortest: the next poll may find other engines,
-/// whose capacity this host does not know.
+/// Longest time after which engines are polled again, as a multiple of the shortest. It is short because the next poll
+/// may reach other engines, whose capacity this host does not know.
 const MAX_PAUSE_FACTOR: f64 = 1.5;
 
 /// A generation of a service whose requests have different priorities.
@@ -59,7 +60,7 @@
     }
 }
 
-/// Where a generation is placed by its priority.
+/// The decision on where a generation is placed.
 #[derive(Debug, Clone, Copy)]
 pub enum PlacementVerdict<'a> {
     /// At this engine, which has capacity for the priority of the request.
@@ -71,7 +72,7 @@
     Wait {
         /// When to poll engines again.
         pause: Duration,
-        /// What the best polled engine lacks.
+        /// The capacity that the best polled engine lacks.
         shortage: CapacityShortage,
         /// The best polled engine, for a request that can't wait.
         best: &'a EngineCandidate,
@@ -80,8 +81,8 @@
 
 /// Places a generation at one of the polled engines, in the order that all hosts share; `None` if no engine reported.
 ///
-/// A generation of lower priority goes only where new requests of each higher priority would still meet their objectives.
-/// An engine whose report lacks priorities counts as having headroom.
+/// A generation of lower priority goes only where new requests of each higher priority would still meet their
+/// objectives. An engine whose report lacks priorities counts as having headroom.
 pub fn place_by_priority<'a>(
     candidates: &'a [EngineCandidate],
     request: &PlacementRequest<'_>,
@@ -111,10 +112,11 @@
     Some(PlacementVerdict::Wait { pause, shortage, best: best.forecast.candidate })
 }
 
-/// How long after its deadline a generation would end at each of the polled engines, at the least; `None` if it would end
-/// in time at one of them, or none reported.
+/// The shortest time after its deadline at which a generation would end at any of the polled engines; `None` if it
+/// would end in time at one of them, or if none reported.
 ///
-/// Only the prompts that go before its priority count, unless counting all alike gives less.
+/// Only the prompts that are admitted before its priority count, unless counting all prompts alike gives a shorter
+/// time.
 pub fn excess_wait_by_priority(candidates: &[EngineCandidate], request: &PlacementRequest<'_>) -> Option<Duration> {
     let prompt_tokens = request.size.prompt_tokens;
     let excesses = candidates.iter().filter_map(|candidate| {
@@ -128,8 +130,9 @@
 }
 
 impl PlacementRequest<'_> {
-    /// The time to the first event that the request still has: until its objective, or, if that is lost, until its
-    /// deadline less the time that it runs.
+    /// The time left for the first event: until the objective ends, and at most until the latest first event after
+    /// which a generation that runs for `run_time` meets its deadline. An objective that is missed already does not
+    /// count.
     fn first_event_limit(&self, run_time: Duration) -> Duration {
         let until_end = self.time_left.saturating_sub(run_time);
         match self.objective.checked_sub(self.waited) {
@@ -144,7 +147,7 @@
         FIRST_PAUSE + PAUSE_STEP * higher as u32
     }
 
-    /// Whether waiting longer would cost the request its objective, or its deadline if the objective is lost.
+    /// Whether waiting longer would cost the request its objective, or its deadline if the objective is missed already.
     fn is_urgent(&self, option: &PlacementOption<'_>) -> bool {
         option.first_event + self.shortest_pause()
             >= self.first_event_limit(option.forecast.busy_run_time(self.size.expected_output()))
@@ -179,7 +182,7 @@
         } else {
             (!has_headroom(&forecast, request)).then_some(CapacityShortage::Headroom)
         };
-        // A request of the highest priority is the first that a full engine admits.
+        // A full engine admits a request of the highest priority first.
         let is_highest = request.priorities.above(request.priority).next().is_none();
         let is_spared = is_highest || (!is_full && has_urgent_headroom(&forecast, request));
         let has_urgent_capacity = !is_late && is_spared;
@@ -195,7 +198,7 @@
     has_memory(forecast, request) && (forecast.has_read_all() || has_time(forecast, request, HEADROOM_FRACTION))
 }
 
-/// Whether an engine keeps the least headroom, that which urgent requests leave too.
+/// Whether an engine keeps the minimum headroom, which even urgent requests must leave.
 fn has_urgent_headroom(forecast: &EngineForecast<'_>, request: &PlacementRequest<'_>) -> bool {
     has_memory(forecast, request) && has_time(forecast, request, URGENT_HEADROOM_FRACTION)
 }
--- a/crates/hollyhook_core/src/route/report_cache.rs
+++ b/crates/hollyhook_core/src/route/report_cache.rs
@@ -4,7 +4,8 @@
 use super::EngineReport;
 use crate::{EndpointId, TimePoint};
 
-/// How long a report is used again. Engines renew their reports about as often, so that another one tells little more.
+/// How long a report is reused. Engines renew their reports about as often, so that polling again would return little
+/// new.
 const REUSE_TIME: Duration = Duration::from_millis(100);
 /// Maximum number of reports kept. A host that places 500 generations a second polls some 200 engines in `REUSE_TIME`.
 const MAX_REPORTS: usize = 256;
--- a/crates/hollyhook_core/src/route/room_report.rs
+++ b/crates/hollyhook_core/src/route/room_report.rs
@@ -7,8 +7,8 @@
 /// Free share of an endpoint above which there is room for a request whatever other hosts send meanwhile: in the time
 /// that a request takes, about as many arrive as are running.
 const AMPLE_SHARE: f64 = 0.4;
-/// By how much a report of some room counts as more per second: load varies, and a host that relied on no report of an
-/// endpoint would get no further one.
+/// By how much the free share in a report is assumed to grow per second. Load varies, and a host that never used an
+/// endpoint again because of an old report would get no further report from it.
 const RELAXATION: f64 = 1.0;
 /// Free share below which an endpoint counts as full.
 const FULL_SHARE: f64 = 0.1;
--- a/crates/hollyhook_core/src/terms/brittle_share.rs
+++ b/crates/hollyhook_core/src/terms/brittle_share.rs
@@ -9,10 +9,11 @@
 /// The fraction of the rejections that an endpoint bears which trials of all hosts together may cause. The rest is for
 /// requests that hosts send at the same moment on the same report.
 const TRIAL_SHARE: f64 = 0.07;
-/// The fraction of the rejections that an endpoint bears at which all hosts together begin to use further slots of their
-/// own. Hosts that disagree on the number of hosts divide the slots differently, so that each such request may be rejected.
+/// Rate at which all hosts together begin to use further slots of their own, as a fraction of the rate of rejections
+/// that an endpoint bears. Hosts that disagree on the number of hosts divide the slots differently, so that each such
+/// request may be rejected.
 const GROWTH_SHARE: f64 = 0.27;
-/// How long a request may be put off after its host's turn to use a further slot.
+/// How long a host's turn to use a further slot remains valid if the host has no request at that moment.
 const TURN_TIME: Duration = Duration::from_secs(1);
 /// How long a slot counts as held after the answer to the request that used it.
 const HOLD_TIME: Duration = Duration::from_millis(500);
--- a/crates/hollyhook_gateway/src/demand/demand_call.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_call.rs
@@ -24,7 +24,7 @@
         Self { context: Arc::clone(context), service: Name::clone(&caller.service), began_at }
     }
 
-    /// Records how long an answered call took, and has summaries sent if its service is overloaded.
+    /// Records how long an answered call took, and starts the sending of summaries if its service is overloaded.
     pub(crate) fn finish(self, outcome: &Result<Response<ResponseBody>>) {
         let is_answered = outcome.as_ref().is_ok_and(|response| response.status().is_success());
         if let Some(began_at) = self.began_at.filter(|_| is_answered) {
--- a/crates/hollyhook_gateway/src/demand/demand_message.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_message.rs
@@ -6,7 +6,7 @@
 
 use crate::net::{ExchangeError, PersistentClient, build_request};
 
-/// The path at which a host takes summaries of demand.
+/// The path at which a host accepts summaries of demand.
 pub(super) const DEMAND_PATH: &str = "/demand";
 /// Maximum size of a message: a summary with 64 paces, and those of 64 hosts that are passed on.
 pub(super) const MAX_BODY_BYTES: usize = 256 << 10;
--- a/crates/hollyhook_gateway/src/demand/demand_sender.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_sender.rs
@@ -14,7 +14,7 @@
 /// Time between two rounds of the exchange.
 const INTERVAL: Duration = Duration::from_millis(500);
 
-/// Sends what this host measured to other hosts while a service is overloaded.
+/// Sends the demand and the paces that this host measured to other hosts while a service is overloaded.
 #[derive(Debug)]
 pub(crate) struct DemandSender {
     context: Arc<GatewayContext>,
@@ -25,9 +25,10 @@
 }
 
 impl DemandSender {
-    /// Starts sending summaries if a service is overloaded, or hosts send theirs to this one, and no task does so.
+    /// Starts the task that sends summaries if a service is overloaded, or other hosts send theirs to this one, and no
+    /// such task runs.
     ///
-    /// Without a request queue nothing would use the sums.
+    /// Only the request queue uses the sums, so that nothing is sent while it is off.
     pub(crate) fn spawn_if_needed(context: &Arc<GatewayContext>) {
         if context.queues.is_enabled() && context.demand.begin_sending() {
             let collector = Self::client(context);
@@ -60,7 +61,7 @@
     }
 }
 
-/// Sends a message to the first of some hosts that answers.
+/// Sends a message to one host after the other until one answers.
 async fn tell_first(context: &GatewayContext, client: &mut PersistentClient, hosts: &[HostRecord]) {
     for host in hosts {
         if tell(context, client, host).await {
@@ -69,7 +70,7 @@
     }
 }
 
-/// Sends this host's part of the sums to a host, and returns whether the host answered.
+/// Sends this host's message to a host, records the answer, and returns whether the host answered.
 async fn tell(context: &GatewayContext, client: &mut PersistentClient, host: &HostRecord) -> bool {
     let sent_at = context.timer.now();
     let message = context.demand.message(host);
--- a/crates/hollyhook_gateway/src/demand/demand_tracker.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_tracker.rs
@@ -100,7 +100,7 @@
         if self.is_sending.load(Ordering::Acquire) || !lock(&self.state).exchange.is_active(self.timer.now()) {
             return false;
         }
-        // A host that is not registered would be answered by no other.
+        // Other hosts answer only registered hosts.
         if !self.feed.with_topology(|topology| topology.hosts().any(|record| topology.is_own(record))) {
             return false;
         }
@@ -162,7 +162,8 @@
             sizes
         });
         let mut slots: BTreeMap<Name, u64> = BTreeMap::new();
-        // Counted before the state is locked: attempts lock the table of endpoints first, then the state.
+        // Counted before the state is locked: attempts lock the table of endpoints before the state, and the opposite
+        // order could deadlock.
         for record in endpoints.table().iter() {
             if record.state == EndpointState::Live && !record.is_ejected(now) {
                 *slots.entry(Name::clone(&record.service)).or_default() += u64::from(record.load.capacity);
--- a/crates/hollyhook_gateway/src/demand/mod.rs
+++ b/crates/hollyhook_gateway/src/demand/mod.rs
@@ -1,5 +1,5 @@
-//! Exchange of demand between hosts: while a service is overloaded, hosts tell the collector of their zone what they
-//! measured, and derive from the sums which fraction of their requests they send.
+//! Exchange of demand between hosts: while a service is overloaded, hosts report their demand to the collector of their
+//! zone, and derive from the sums the fraction of their requests that they send.
 
 mod demand_call;
 mod demand_message;
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -44,8 +44,8 @@
     candidates
 }
 
-/// Probes the engines of a shortlist that have not reported to this host a moment ago; an engine that does not report
-/// is recorded as not connected.
+/// Probes the engines of a shortlist without a recent report at this host; an engine that does not report is recorded
+/// as not connected.
 pub(super) async fn probe_unless_recent(
     context: &GatewayContext,
     shortlist: Vec<EndpointRecord>,
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -30,7 +30,8 @@
 /// Number of engines, in the own zone and in each other zone, that are probed if none of the first holds the prompt.
 const ALL_HOLDER_LIMITS: HolderLimits = HolderLimits { own_zone: 6, other_zone: 3 };
 
-/// How long a generation has waited when it is placed in a new order of the engines rather than that of its prompt.
+/// Time that a generation has waited from which engines are ordered at random for it and no longer by its prompt, so
+/// that it does not find the same engines without capacity again.
 const REORDER_AGE: Duration = Duration::from_millis(100);
 
 /// How long a connection to an engine of another zone must have been idle for that engine to be preferred as the holder
@@ -266,8 +267,7 @@
         !self.tried.is_empty() || self.caller.head.cursor.is_some()
     }
 
-    /// The key by which engines are ordered for a new generation: random for one that has waited, so that it does not
-    /// find the same engines without capacity again.
+    /// The key by which engines are ordered for a new generation: random for one that has waited for `REORDER_AGE`.
     fn placement_key(&self) -> u64 {
         if self.context.timer.now().since(self.caller.arrived) >= REORDER_AGE && self.mixed_priorities().is_some() {
             return rand::rng().random();
@@ -294,12 +294,13 @@
         if !probed.first().is_some_and(|best| is_certain_choice(best, self.needed_tokens())) {
             probed.extend(self.probe(rest, has_priorities).await);
         }
-        // Engines of other zones rank last, so that one is chosen only if prompts wait in the own zone.
+        // Engines of other zones rank last, so that one is chosen only if prompts wait in this host's zone.
         probed.extend(other_zones);
         probed
     }
 
-    /// Probes engines; where requests differ in priority, so that many may wait, not those that reported a moment ago.
+    /// Probes engines. If `has_priorities`, many requests may wait and probe, so that engines with a recent report are
+    /// not probed again.
     async fn probe(&self, list: Vec<EndpointRecord>, has_priorities: bool) -> Vec<EngineCandidate> {
         if has_priorities { probe_unless_recent(self.context, list).await } else { probe_all(self.context, list).await }
     }
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -177,7 +177,8 @@
         }
     }
 
-    /// Ends the live attempt if the stream would end in time only at another engine; returns whether it did.
+    /// Ends the live attempt if the stream would end in time only at another engine; returns whether the attempt was
+    /// ended.
     async fn migrate_if_late(&mut self) -> bool {
         if self.ledger.is_last() || !self.sequencer.can_resume() {
             return false;
--- a/crates/hollyhook_gateway/src/forward/live_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -16,8 +16,8 @@
 /// Minimum number of events for which the mean gap between them is recorded.
 const GAP_EVENTS: u32 = 8;
 
-/// A caller that took longer than this to ask for more events has made them wait at the engine or on the way, so that
-/// their times say nothing about the engine.
+/// Longest time between two reads of a caller for which the times of events are samples. After a longer one, events
+/// have waited at the engine or in transit, and their times do not show the engine's pace.
 const MAX_CALLER_PAUSE: Duration = Duration::from_millis(10);
 
 /// How an attempt was started.
@@ -139,14 +139,15 @@
         }
     }
 
-    /// Starts the next sample of the time between events anew if the caller has not asked for events for a while.
+    /// Discards the current sample of the time between events if the caller paused for longer than
+    /// `MAX_CALLER_PAUSE`.
     fn drop_sample_after_pause(&mut self, now: TimePoint) {
         if self.last_event_at.is_some_and(|last| now.since(last) > MAX_CALLER_PAUSE) {
             self.sampled = None;
         }
     }
 
-    /// Records when the engine had read the prompt.
+    /// Records how long the engine took to read the prompt.
     fn record_read(&self, context: &GatewayContext, caller: &CallerRequest) {
         if let Some(first) = self.first_event_at.filter(|_| self.start.is_first) {
             let tokens = caller.head.prompt.unwrap_or_default().prompt_tokens;
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -18,16 +18,16 @@
 use crate::gateway::{GatewayContext, RoutingFailure};
 use crate::queue::{QueueTurn, RefusedWait, queue_request};
 
-/// Maximum number of attempts in a row that endpoints reject, or that fail to connect, before a call that was rejected
-/// waits, and the caller of another one is told to retry later.
+/// Maximum number of consecutive attempts that are rejected or fail to connect. After them, a call that was rejected
+/// waits in the queue, and any other call is answered with a request to retry later.
 const MAX_REJECTED: u32 = 3;
-/// Maximum number of such attempts with one turn. One endpoint of a busy service may be full while another
-/// has a free slot.
+/// Maximum number of such attempts in one turn. One endpoint of a busy service may be full while another has a free
+/// slot.
 const MAX_REJECTED_IN_TURN: u32 = 2;
 /// Maximum number of such attempts in all rounds. The caller's time and the retry budget end the rounds of most calls.
 const MAX_REJECTED_TOTAL: u32 = 30;
-/// Time between the first and the second round of a call that endpoints rejected, which doubles with each further round.
-/// A slot of an endpoint becomes free within the time of a call, usually some 10 ms.
+/// Time between the first and the second round of a call that endpoints rejected, which doubles with each further
+/// round. A slot of an endpoint becomes free within the time of a call, usually about 10 ms.
 const ROUND_SPACING: Duration = Duration::from_millis(10);
 /// Maximum number of times that the time between two rounds doubles.
 const MAX_SPACING_DOUBLINGS: u32 = 5;
@@ -169,7 +169,7 @@
         }
     }
 
-    /// Whether the call waits for a further turn, after its endpoints rejected it.
+    /// Whether the call should wait for a further turn, after its endpoints rejected it.
     ///
     /// A call whose retry budget is exhausted waits for the budget to recover.
     fn may_wait_after(&self, reason: Option<StopReason>) -> bool {
@@ -180,13 +180,13 @@
         is_allowed && self.rejections > 0 && self.context.queues.is_enabled()
     }
 
-    /// Whether as many attempts of this round as allowed did not run.
+    /// Whether the limit of this round on attempts that did not run is reached.
     fn is_round_over(&self) -> bool {
         let limit = if self.has_waited { MAX_REJECTED_IN_TURN } else { MAX_REJECTED };
         self.tried.iter().filter(|(_, failure)| counts_in_round(*failure)).count() >= limit as usize
     }
 
-    /// Whether an endpoint has stated for how long it wants no requests of this host.
+    /// Whether an endpoint has stated how long this host is to send it no requests.
     fn is_paused(&self, id: &EndpointId) -> bool {
         let now = self.context.timer.now();
         !self.context.endpoints.table().terms_mut().pause_left(now, id).is_zero()
@@ -218,7 +218,8 @@
         }
     }
 
-    /// Waits until an endpoint may have room for the call; `None` if it shall look again without a turn.
+    /// Waits until an endpoint may have room for the call; `None` if the call may look for an endpoint again without a
+    /// turn.
     ///
     /// # Errors
     ///
--- a/crates/hollyhook_gateway/src/forward/stream_migration.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_migration.rs
@@ -18,7 +18,7 @@
 /// How often a running stream is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// When a stream was last checked and last migrated.
+/// The times at which a stream was last checked and last migrated.
 #[derive(Debug, Default)]
 pub(super) struct StreamMigration {
     checked_at: Option<TimePoint>,
@@ -26,7 +26,7 @@
 }
 
 impl StreamMigration {
-    /// Whether a stream has to be checked now; if so, the check is recorded.
+    /// Whether a check of the stream is due; if so, it is recorded as done.
     fn begin_check(&mut self, now: TimePoint) -> bool {
         if self.checked_at.is_some_and(|at| now.since(at) < CHECK_INTERVAL) {
             return false;
@@ -38,7 +38,7 @@
     /// Stops a stream at its engine if it would miss its deadline there and end in time at the engine that holds its
     /// backup; returns the backup to resume from.
     ///
-    /// The stream continues at its engine if that engine does not stop it, or has no run of it.
+    /// The stream continues at its engine if that engine does not stop it or does not know its run.
     pub(super) async fn try_migrate(
         &mut self,
         context: &Arc<GatewayContext>,
@@ -62,7 +62,7 @@
         location
     }
 
-    /// What the stream still needs; `None` if that is not known.
+    /// The stream's expected remaining work; `None` if it is not known.
     fn plan(
         &self,
         now: TimePoint,
@@ -89,14 +89,14 @@
     let (record, _source) = chooser.usable_backup(backup)?;
     let candidate = probe_quickly(context, vec![record]).await.pop()?;
     let report = candidate.report?;
-    // The stream would wait for the prompts that are ahead of it.
+    // The stream would have to wait for the prompts ahead of it.
     (!report.has_pending_prompts()).then_some(candidate.speed)
 }
 
-/// Has the engine stop the run and send the rest of the KV cache to the engine that holds its backup.
+/// Asks the engine to stop the run and to send the rest of the KV cache to the engine that holds the stream's backup.
 ///
-/// Returns `None` if the run may go on. If the engine stopped the run but the rest did not arrive, the backup that was
-/// made before is used.
+/// Returns `None` if the run may still be in progress. If the engine stopped the run but the rest did not arrive, the
+/// earlier backup is returned.
 async fn stop_run(
     context: &Arc<GatewayContext>,
     caller: &CallerRequest,
--- a/crates/hollyhook_gateway/src/queue/queue_turn.rs
+++ b/crates/hollyhook_gateway/src/queue/queue_turn.rs
@@ -4,9 +4,10 @@
 
 use super::ServiceQueues;
 
-/// The turn of a request: it alone of its host's requests to the service looks for an endpoint now.
+/// The turn of a request: while it exists, no other waiting request of this host to the same service looks for an
+/// endpoint.
 ///
-/// If the turn is dropped, as when the caller disconnects, the next request gets it.
+/// When it is dropped, for example because the caller disconnects, the next request gets a turn.
 #[derive(Debug)]
 pub(crate) struct QueueTurn {
     queues: Option<Arc<ServiceQueues>>,
--- a/crates/hollyhook_gateway/src/queue/queue_verdict.rs
+++ b/crates/hollyhook_gateway/src/queue/queue_verdict.rs
@@ -4,14 +4,14 @@
 
 use super::QueueTurn;
 
-/// What became of a waiting request.
+/// The outcome of a request's wait.
 #[derive(Debug)]
 pub(super) enum QueueVerdict {
     Turn(QueueTurn),
     Refused(RefusedWait),
 }
 
-/// Why a request may not wait, or no longer, for its turn.
+/// Why a request may not wait, or may no longer wait, for its turn.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RefusedWait {
     pub(crate) refusal: QueueRefusal,
--- a/crates/hollyhook_gateway/src/queue/service_queue.rs
+++ b/crates/hollyhook_gateway/src/queue/service_queue.rs
@@ -10,12 +10,12 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// How often a service without waiting requests is checked for whether it is still overloaded.
 const LOAD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Bounds of the Retry-After delay. A shorter one brings the caller back before anything has changed; a longer one says
-/// more than a host knows about the load in some seconds.
+/// Bounds of the Retry-After delay. With a shorter one, the caller would retry before the load has changed; the load
+/// more than a few seconds ahead can't be predicted.
 const MIN_RETRY: Duration = Duration::from_millis(120);
 const MAX_RETRY: Duration = Duration::from_secs(5);
 
-/// The queue of one service, how fast it is sent, and the tasks that wait.
+/// The queue of one service with its dispatch rate and the channels to the tasks that wait.
 #[derive(Debug)]
 pub(super) struct ServiceQueue {
     pub(super) queue: RequestQueue,
@@ -69,7 +69,7 @@
         Ok((id, receiver, self.refuse_all(now, displaced)))
     }
 
-    /// Takes back the turn of a request that found no room; the request waits again.
+    /// Ends the turn of a request that found no room; the request waits again.
     pub(super) fn restore(&mut self, now: TimePoint, request: QueueRequest) -> oneshot::Receiver<QueueVerdict> {
         self.is_turn_taken = false;
         self.record_full(now, request.priority);
@@ -92,13 +92,13 @@
         self.is_turn_taken = false;
     }
 
-    /// Why and until when a request is refused.
+    /// The refusal of a request, with the time after which its caller should retry.
     pub(super) fn refused(&self, now: TimePoint, priority: u8, refusal: QueueRefusal) -> RefusedWait {
         let wait = self.queue.expected_wait(now, priority, self.rate.expected_rate(now));
         RefusedWait { refusal, retry_after: wait.clamp(MIN_RETRY, MAX_RETRY) }
     }
 
-    /// Whether requests wait, or the end of an overload is still to be noticed.
+    /// Whether requests wait, or the end of an overload has not been logged yet.
     pub(super) fn is_active(&self) -> bool {
         !self.queue.is_empty() || self.was_overloaded
     }
@@ -129,7 +129,7 @@
         steps
     }
 
-    /// When the queue has to be looked at again at the latest.
+    /// The latest time at which the queue has to be checked again.
     pub(super) fn next_check(&self, now: TimePoint) -> TimePoint {
         if self.queue.is_empty() {
             return now + LOAD_CHECK_INTERVAL;
--- a/crates/hollyhook_gateway/src/queue/service_queues.rs
+++ b/crates/hollyhook_gateway/src/queue/service_queues.rs
@@ -14,10 +14,10 @@
 use super::{QueueTurn, RefusedWait};
 use crate::sync::lock;
 
-/// Time of a call until one has been measured.
+/// Assumed time of a call until one has been measured.
 const CALL_TIME: Duration = Duration::from_millis(30);
-/// How long before a stopping host cuts off its requests the last ones that wait are refused, so that their callers get
-/// the response.
+/// How long before the end of the grace period a stopping host refuses the requests that still wait, so that their
+/// callers get the response.
 const STOP_MARGIN: Duration = Duration::from_millis(200);
 
 /// The queues of a host, one for each service, with the rates at which their requests are sent.
@@ -169,7 +169,7 @@
         self.drive(service);
     }
 
-    /// Records that a request was served in `took` from when it was sent.
+    /// Records that a request was served `took` after it was sent.
     pub(crate) fn record_success(self: &Arc<Self>, service: &Name, took: Duration) {
         let now = self.timer.now();
         let mut state = lock(&self.inner);
@@ -195,7 +195,7 @@
         self.advance(service);
     }
 
-    /// Gives the turn of a request that left to the next one.
+    /// Gives the turn of a request whose caller has left to the next request.
     pub(super) fn pass_on(self: &Arc<Self>, service: &Name) {
         let now = self.timer.now();
         lock(&self.inner).service(now, service).end_turn();
@@ -209,7 +209,7 @@
         }
     }
 
-    /// Why and until when a request is refused.
+    /// The refusal of a request, with the time after which its caller should retry.
     pub(super) fn refused(&self, service: &Name, priority: u8, refusal: QueueRefusal) -> RefusedWait {
         let now = self.timer.now();
         lock(&self.inner).service(now, service).refused(now, priority, refusal)
