Streams migrate only by their caller's estimate of the output

Cause: what was left of a stream was taken from the limit on its output, which is many times the usual length, so that streams in time looked late. Without an estimate a stream stays now.

--- a/crates/hollyhook_gateway/src/forward/stream_migration.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_migration.rs
@@ -63,6 +63,9 @@
     }
 
     /// The stream's expected remaining work; `None` if it is not known.
+    ///
+    /// Needs the caller's estimate of the output: the limit on it is often many times as long, so that nearly every stream
+    /// would look late.
     fn plan(
         &self,
         now: TimePoint,
@@ -71,7 +74,7 @@
         last_event: Option<u64>,
     ) -> Option<MigrationPlan> {
         let event_tokens = caller.engine?.event_tokens?;
-        let events = caller.head.prompt?.output_tokens.div_ceil(event_tokens);
+        let events = caller.head.prompt?.expected_tokens?.div_ceil(event_tokens);
         let events_left = events.saturating_sub(last_event.unwrap_or_default());
         let plan = MigrationPlan::new(events_left, live.meter.event_time(now)?, caller.time_left(now));
         Some(plan.since_last(self.migrated_at.map(|at| now.since(at))))
