Gateways use only paces that endpoints report; the mend of brittle endpoints is taken back

So measured times alone no longer make a service uneven at a gateway, and speeds of engines are the defaults there. The decision stays in the core, with its tests.

--- a/crates/hollyhook_core/src/route/endpoint_pacing.rs
+++ b/crates/hollyhook_core/src/route/endpoint_pacing.rs
@@ -109,7 +109,7 @@
         let record = self.records.get_mut(id)?;
         let service = self.service_paces.entry(Name::clone(&record.service)).or_default();
         record.pace.add_time(now, ratio(service, &record.pace, network)?, weight);
-        if record.pace.check_unusual(now) {
+        if self.has_measured_paces && record.pace.check_unusual(now) {
             service.mark_uneven(now);
         }
         record.pace.take_change(now)
@@ -126,7 +126,8 @@
             return EngineSpeed::default();
         };
         let pace = record.pace.factor(now);
-        let service = self.service_paces.get(&record.service);
+        let is_known = |service: &&ServicePace| self.has_measured_paces || service.is_uneven(now);
+        let service = self.service_paces.get(&record.service).filter(is_known);
         service.map_or_else(EngineSpeed::default, |service| service.engine_speed(now, pace, record.pace.concurrent()))
     }
 
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -10,19 +10,15 @@
 use super::zone_failures::ZoneFailures;
 use super::{EndpointRecord, EndpointState, HostPosition, LoadReport};
 use crate::pace::{NetworkTime, ServicePace};
-use crate::terms::BrittleShare;
 use crate::{EndpointGroup, EndpointId, Name, TermsTable, TimePoint, ZoneName};
 
 /// Hash key by which hosts choose the entry for crash records.
 const CRASH_RECORD_KEY: &[u8] = b"notes";
 
-/// How long this host uses only its own slots of brittle endpoints after a request had to wait for room.
-const PRESSED_TIME: Duration = Duration::from_millis(30);
-/// How long it then relies on reports of room again, even if requests wait: a host may have no slots of its own.
-const RELIEF_TIME: Duration = Duration::from_millis(300);
-/// Fraction of its share of a service's slots up to which a host relies on reports of room. All hosts may rely on the
-/// same report at the same moment, while other slots are used by the hosts that own them.
-const REPORTED_SHARE: f64 = 0.35;
+/// How long after a request had to wait for room this host uses only its own slots of brittle endpoints.
+const PRESSED_TIME: Duration = Duration::from_secs(1);
+/// How long it then relies on reports of room again, whatever waits: a host may have no slots of its own.
+const RELIEF_TIME: Duration = Duration::from_millis(250);
 
 /// Default cost of an endpoint of another zone, in requests per slot.
 const ZONE_PREFERENCE: f64 = 0.25;
@@ -31,10 +27,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum SendAdmission {
     Open,
-    /// The request goes into a slot that this host holds.
-    Held,
-    /// The request goes into a further slot of this host's own.
-    Growth,
     /// The endpoint may have no room, and the request uses up a trial.
     Trial,
     Refused,
@@ -54,14 +46,12 @@
     pub(super) zone_failures: BTreeMap<ZoneName, ZoneFailures>,
     pub(super) terms: TermsTable,
     position: HostPosition,
+    /// Whether measured times alone show that the endpoints of a service differ in pace.
+    pub(super) has_measured_paces: bool,
     pub(super) service_paces: BTreeMap<Name, ServicePace>,
     pub(super) network_times: BTreeMap<ZoneName, NetworkTime>,
     /// When this host last had a request for which no brittle endpoint of a service had room.
     pressed: BTreeMap<Name, TimePoint>,
-    /// When a brittle endpoint of a service last reported that it was full.
-    full_at: BTreeMap<Name, TimePoint>,
-    /// The number of requests that this host has open by service.
-    open: BTreeMap<Name, u32>,
 }
 
 impl EndpointTable {
@@ -78,11 +68,10 @@
             zone_failures: BTreeMap::new(),
             terms: TermsTable::default(),
             position: HostPosition::default(),
+            has_measured_paces: true,
             service_paces: BTreeMap::new(),
             network_times: BTreeMap::new(),
             pressed: BTreeMap::new(),
-            full_at: BTreeMap::new(),
-            open: BTreeMap::new(),
         }
     }
 
@@ -94,6 +83,14 @@
         self
     }
 
+    /// Sets whether measured times alone show that the endpoints of a service differ in pace; otherwise only paces that
+    /// endpoints report do.
+    #[must_use]
+    pub fn measured_paces(mut self, is_used: bool) -> Self {
+        self.has_measured_paces = is_used;
+        self
+    }
+
     /// Adds an endpoint or updates its service, state, weights and version, and returns its record.
     ///
     /// Its load and failures are kept if its address is unchanged; otherwise the new record replaces the old one. An
@@ -112,10 +109,6 @@
                 self.versions.remove(known);
                 if known.service != record.service {
                     self.rings.remove(known);
-                    self.open
-                        .entry(Name::clone(&known.service))
-                        .and_modify(|open| *open = open.saturating_sub(known.open));
-                    *self.open.entry(Name::clone(&record.service)).or_default() += known.open;
                     known.service = record.service;
                     self.rings.add(known);
                 }
@@ -188,9 +181,6 @@
     }
 
     fn remove_from_indexes(&mut self, record: &EndpointRecord) {
-        if let Some(open) = self.open.get_mut(&record.service) {
-            *open = open.saturating_sub(record.open);
-        }
         self.registrations.remove(record);
         self.rings.remove(record);
         self.versions.remove(record);
@@ -300,35 +290,8 @@
 
     /// Stores which share of an endpoint is free, from 0 to 1, as it has just reported.
     pub fn update_room(&mut self, now: TimePoint, id: &str, free_share: f64) {
-        let Some(record) = self.records.get_mut(id) else {
-            return;
-        };
-        let room = RoomReport::new(now, free_share);
-        record.room = Some(room);
-        let (service, is_full) = (Name::clone(&record.service), room.is_full(record.load.capacity));
-        let Some(share) = self.terms.brittle_mut(id) else {
-            return;
-        };
-        share.record_answer(now);
-        if is_full {
-            self.full_at.insert(service, now);
-        }
-    }
-
-    /// Treats all endpoints of a service as brittle until they have answered, once one of them has become brittle.
-    ///
-    /// Otherwise a host would send any number of requests to the endpoints that it has not used yet.
-    fn spread_brittle(&mut self, now: TimePoint) {
-        let key = (self.position.index as u64).to_be_bytes();
-        for brittle in self.terms.take_new_brittle() {
-            let limit = self.terms.brittle(&brittle).map(BrittleShare::limit);
-            let Some((limit, record)) = limit.zip(self.records.get(&brittle)) else {
-                continue;
-            };
-            for id in self.rings.of_service(&record.service) {
-                let phase = rendezvous_weight(&key, id) as f64 / u64::MAX as f64;
-                self.terms.assume_brittle(now, id, limit, self.position.count, phase);
-            }
+        if let Some(record) = self.records.get_mut(id) {
+            record.room = Some(RoomReport::new(now, free_share));
         }
     }
 
@@ -337,15 +300,12 @@
     /// `slots` is how many requests of this size the endpoint can process at a time, if that is not its reported
     /// capacity.
     pub fn try_open(&mut self, now: TimePoint, id: &str, slots: Option<u32>) -> bool {
-        self.spread_brittle(now);
         let Some(record) = self.get(id) else {
             return false;
         };
         match self.admission(now, record, slots) {
             SendAdmission::Refused => return false,
             SendAdmission::Trial => self.terms.use_trial(now, id),
-            SendAdmission::Held => self.terms.brittle_mut(id).into_iter().for_each(|share| share.use_held(now)),
-            SendAdmission::Growth => self.terms.brittle_mut(id).into_iter().for_each(|share| share.use_growth(now)),
             SendAdmission::Open => {}
         }
         let is_open = self.terms.try_send(now, id);
@@ -368,35 +328,18 @@
         if !self.terms.is_open(now, &record.id) {
             return SendAdmission::Refused;
         }
-        let Some(share) = self.terms.brittle(&record.id) else {
-            return SendAdmission::Open;
-        };
-        let capacity = slots.unwrap_or(record.load.capacity).max(1);
-        let is_own = record.open < self.position.own_slots(&record.id, capacity);
-        if is_own && share.holds_slot(now) {
-            return SendAdmission::Held;
-        }
-        if is_own && share.may_grow(now, self.position.count.clamp(1, capacity as usize)) {
-            return SendAdmission::Growth;
-        }
-        if self.has_reported_room(now, record, capacity, is_own) {
+        if !self.terms.is_brittle(&record.id) || self.has_room(now, record, slots) {
             return SendAdmission::Open;
         }
         if self.terms.has_trial(now, &record.id) { SendAdmission::Trial } else { SendAdmission::Refused }
     }
 
-    /// Whether this host may rely on an endpoint's report of room even if all other hosts do so at the same time.
-    fn has_reported_room(&self, now: TimePoint, record: &EndpointRecord, capacity: u32, is_own: bool) -> bool {
-        if self.pressed.get(&record.service).is_some_and(|at| now.since(*at) < PRESSED_TIME) {
-            return false;
-        }
-        let full_at = self.full_at.get(&record.service).copied();
-        if !record.room.is_some_and(|room| room.is_ample(now, capacity, is_own, full_at)) {
-            return false;
-        }
-        let slots = f64::from(capacity) * self.rings.service_size(&record.service) as f64;
-        let bound = (REPORTED_SHARE * slots / self.position.count.max(1) as f64).max(1.0);
-        f64::from(self.open.get(&record.service).copied().unwrap_or_default()) < bound
+    /// Whether an endpoint has room for a request, whatever the other hosts send at the same time.
+    fn has_room(&self, now: TimePoint, record: &EndpointRecord, slots: Option<u32>) -> bool {
+        let capacity = slots.unwrap_or(record.load.capacity).max(1);
+        let is_pressed = self.pressed.get(&record.service).is_some_and(|at| now.since(*at) < PRESSED_TIME);
+        let is_ample = || record.room.is_some_and(|room| room.is_ample(now, capacity));
+        (!is_pressed && is_ample()) || record.open < self.position.own_slots(&record.id, capacity)
     }
 
     /// Counts a request as open at an endpoint.
@@ -405,19 +348,12 @@
             record.add_send(now);
             record.open += 1;
             record.sent_since_report += 1;
-            *self.open.entry(Name::clone(&record.service)).or_default() += 1;
-        }
-        if let Some(share) = self.terms.brittle_mut(id) {
-            share.record_send();
         }
     }
 
     /// Counts a request as no longer open at an endpoint.
     pub fn record_close(&mut self, id: &str) {
         if let Some(record) = self.records.get_mut(id) {
-            if let Some(open) = self.open.get_mut(&record.service).filter(|_| record.open > 0) {
-                *open = open.saturating_sub(1);
-            }
             record.open = record.open.saturating_sub(1);
             // Most requests that end were sent after the report; without this, a burst of short requests would look
             // like load.
--- a/crates/hollyhook_core/src/route/ring_index.rs
+++ b/crates/hollyhook_core/src/route/ring_index.rs
@@ -48,11 +48,6 @@
         rings.flatten().map(|(_, id)| id)
     }
 
-    /// The number of endpoints of a service.
-    pub(super) fn service_size(&self, service: &str) -> usize {
-        self.rings.get(service).map_or(0, |zones| zones.values().map(BTreeSet::len).sum())
-    }
-
     /// The number of endpoints in a group.
     pub(super) fn group_size(&self, group: &EndpointGroup) -> usize {
         self.ring(group).map_or(0, BTreeSet::len)
--- a/crates/hollyhook_core/src/terms/mod.rs
+++ b/crates/hollyhook_core/src/terms/mod.rs
@@ -6,6 +6,5 @@
 mod terms_table;
 
 pub use advertised_terms::AdvertisedTerms;
-pub(crate) use brittle_share::BrittleShare;
 pub use rate_share::RateShare;
 pub use terms_table::TermsTable;
--- a/crates/hollyhook_core/src/terms/rate_share.rs
+++ b/crates/hollyhook_core/src/terms/rate_share.rs
@@ -40,13 +40,8 @@
 impl RateShare {
     /// The share of one of `hosts` hosts in a limit of `rate` requests per second.
     pub fn new(now: TimePoint, rate: f64, hosts: usize, rng: &mut impl Rng) -> Self {
-        Self::with_phase(now, rate, hosts, rng.random())
-    }
-
-    /// The share of one of `hosts` hosts whose first slot opens after the fraction `phase` of an interval.
-    pub(super) fn with_phase(now: TimePoint, rate: f64, hosts: usize, phase: f64) -> Self {
         let interval = interval(rate, hosts);
-        Self { rate, interval, slot_at: now + interval.mul_f64(phase) }
+        Self { rate, interval, slot_at: now + interval.mul_f64(rng.random::<f64>()) }
     }
 
     /// The rate limit for all hosts together, in requests per second.
--- a/crates/hollyhook_core/src/terms/terms_table.rs
+++ b/crates/hollyhook_core/src/terms/terms_table.rs
@@ -18,8 +18,6 @@
 #[derive(Debug, Default)]
 pub struct TermsTable {
     terms: BTreeMap<EndpointId, EndpointTerms>,
-    /// The endpoints that have become brittle since [`take_new_brittle`](Self::take_new_brittle) was called.
-    new_brittle: Vec<EndpointId>,
 }
 
 #[derive(Debug)]
@@ -81,31 +79,9 @@
             return is_changed;
         }
         terms.brittle = Some(BrittleShare::new(now, limit, hosts, rng));
-        self.new_brittle.push(EndpointId::clone(id));
         true
     }
 
-    /// Treats an endpoint that has advertised no terms as one that fails above `limit` rejections per second, until its
-    /// first answer: another endpoint of its service does.
-    pub(crate) fn assume_brittle(&mut self, now: TimePoint, id: &EndpointId, limit: f64, hosts: usize, phase: f64) {
-        if !self.terms.contains_key(id) {
-            self.refresh(now, id).brittle = Some(BrittleShare::with_phase(now, limit, hosts, phase));
-        }
-    }
-
-    /// The endpoints that have become brittle since the last call.
-    pub(crate) fn take_new_brittle(&mut self) -> Vec<EndpointId> {
-        std::mem::take(&mut self.new_brittle)
-    }
-
-    pub(crate) fn brittle(&self, id: &str) -> Option<&BrittleShare> {
-        self.terms.get(id)?.brittle.as_ref()
-    }
-
-    pub(crate) fn brittle_mut(&mut self, id: &str) -> Option<&mut BrittleShare> {
-        self.terms.get_mut(id)?.brittle.as_mut()
-    }
-
     /// Records that the answer to a request sent at `sent_at` did not state that the endpoint is brittle; returns whether
     /// it was.
     pub fn clear_brittle(&mut self, id: &EndpointId, sent_at: TimePoint) -> bool {
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -70,7 +70,9 @@
             paths: registry.find(PathTracker::NAME)?,
             demand: registry.find(DemandTracker::NAME)?,
             site: registry.find(site)?,
-            table: Mutex::new(EndpointTable::new(ZoneName::clone(zone)).zone_preference(ZONE_PREFERENCE)),
+            table: Mutex::new(
+                EndpointTable::new(ZoneName::clone(zone)).zone_preference(ZONE_PREFERENCE).measured_paces(false),
+            ),
             reports: Mutex::default(),
             confirmed: Mutex::default(),
             lost: Mutex::default(),
