Nothing is measured for queue and demand exchange while they are off

Each request and each attempt counted demand and overload under a lock, and each answer updated a rate, though only the request queue uses them and it is off by default. The tracker of demand now asks the queues whether they are on, in one place, and the queues keep no state while off. A queue that is switched on by a reload starts to measure then.

--- a/crates/hollyhook_gateway/src/demand/demand_call.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_call.rs
@@ -17,11 +17,14 @@
 }
 
 impl DemandCall {
-    /// Counts a request as demand for its service.
-    pub(crate) fn begin(context: &Arc<GatewayContext>, caller: &CallerRequest) -> Self {
+    /// Counts a request as demand for its service; `None` if this host takes no part in the exchange.
+    pub(crate) fn begin(context: &Arc<GatewayContext>, caller: &CallerRequest) -> Option<Self> {
+        if !context.demand.is_enabled() {
+            return None;
+        }
         context.demand.count_request(&caller.service, caller.priority());
         let began_at = (!caller.route.kind.is_stream()).then(|| context.timer.now());
-        Self { context: Arc::clone(context), service: Name::clone(&caller.service), began_at }
+        Some(Self { context: Arc::clone(context), service: Name::clone(&caller.service), began_at })
     }
 
     /// Records how long an answered call took, and starts the sending of summaries if its service is overloaded.
--- a/crates/hollyhook_gateway/src/demand/demand_sender.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_sender.rs
@@ -27,10 +27,8 @@
 impl DemandSender {
     /// Starts the task that sends summaries if a service is overloaded, or other hosts send theirs to this one, and no
     /// such task runs.
-    ///
-    /// Only the request queue uses the sums, so that nothing is sent while it is off.
     pub(crate) fn spawn_if_needed(context: &Arc<GatewayContext>) {
-        if context.queues.is_enabled() && context.demand.begin_sending() {
+        if context.demand.begin_sending() {
             let collector = Self::client(context);
             let sender = Self { context: Arc::clone(context), collector, others: BTreeMap::new() };
             task::spawn(sender.run());
@@ -54,7 +52,7 @@
             let invitations = round.invited.iter().map(|host| invite(context, host));
             let asked = tell_first(context, collector, &round.collectors);
             join3(join_all(exchanged), join_all(invitations), asked).await;
-            context.demand.update_shares(&context.endpoints, &context.queues);
+            context.demand.update_shares(&context.endpoints);
             context.timer.wait(INTERVAL).await;
         }
         self.context.demand.end_sending();
--- a/crates/hollyhook_gateway/src/demand/demand_tracker.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_tracker.rs
@@ -21,6 +21,7 @@
     timer: Arc<TimerService>,
     feed: Arc<FeedState>,
     recorder: Arc<MetricRecorder>,
+    queues: Arc<ServiceQueues>,
     state: Mutex<DemandState>,
     /// Whether a task of this host sends summaries.
     is_sending: AtomicBool,
@@ -54,11 +55,18 @@
             timer: registry.find(TimerService::NAME)?,
             feed: registry.find(FeedState::NAME)?,
             recorder: registry.find(MetricRecorder::NAME)?,
+            queues: registry.find(ServiceQueues::NAME)?,
             state: Mutex::new(DemandState { exchange, logged: LoggedState::default() }),
             is_sending: AtomicBool::new(false),
         })
     }
 
+    /// Whether this host takes part in the exchange. Only the request queues use the sums, so that nothing is measured
+    /// or sent while they are off.
+    pub(super) fn is_enabled(&self) -> bool {
+        self.queues.is_enabled()
+    }
+
     /// Counts a request of a caller.
     pub(super) fn count_request(&self, service: &Name, priority: u8) {
         lock(&self.state).exchange.ledger_mut().count_request(self.timer.now(), service, priority);
@@ -75,7 +83,7 @@
 
     /// Records the outcome of an attempt at an endpoint; `failure` is `None` if the attempt succeeded.
     pub(crate) fn record_outcome(&self, endpoint: Option<&EndpointRecord>, failure: Option<AttemptFailure>) {
-        let Some(EndpointRecord { service, .. }) = endpoint else {
+        let Some(EndpointRecord { service, .. }) = endpoint.filter(|_| self.is_enabled()) else {
             return;
         };
         let now = self.timer.now();
@@ -89,7 +97,7 @@
 
     /// Records the load report of an endpoint.
     pub(crate) fn record_load(&self, endpoint: Option<&EndpointRecord>, load: LoadReport) {
-        if let Some(EndpointRecord { service, .. }) = endpoint {
+        if let Some(EndpointRecord { service, .. }) = endpoint.filter(|_| self.is_enabled()) {
             let now = self.timer.now();
             lock(&self.state).exchange.detector_mut().record_load(now, service, load.waiting);
         }
@@ -97,7 +105,10 @@
 
     /// Whether summaries have to be sent and no task does so yet; if so, the caller has to send them.
     pub(super) fn begin_sending(&self) -> bool {
-        if self.is_sending.load(Ordering::Acquire) || !lock(&self.state).exchange.is_active(self.timer.now()) {
+        if !self.is_enabled()
+            || self.is_sending.load(Ordering::Acquire)
+            || !lock(&self.state).exchange.is_active(self.timer.now())
+        {
             return false;
         }
         // Other hosts answer only registered hosts.
@@ -154,7 +165,7 @@
     }
 
     /// Derives the shares at the end of a round, passes them to the request queues, and logs what has changed.
-    pub(super) fn update_shares(&self, endpoints: &EndpointDirectory, queues: &ServiceQueues) {
+    pub(super) fn update_shares(&self, endpoints: &EndpointDirectory) {
         let now = self.timer.now();
         let sizes = self.feed.with_topology(|topology| {
             let mut sizes: BTreeMap<ZoneName, usize> = BTreeMap::new();
@@ -172,7 +183,7 @@
         let mut state = lock(&self.state);
         state.exchange.update_shares(now, &sizes, |service| slots.get(service).copied().unwrap_or(0));
         for (service, share) in state.exchange.shares(now) {
-            queues.set_shares(service, share.fractions());
+            self.queues.set_shares(service, share.fractions());
         }
         self.log_changes(now, &mut state);
     }
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -39,7 +39,9 @@
     } else {
         plain_call::forward_call(context, &Arc::new(caller)).await
     };
-    call.finish(&outcome);
+    if let Some(call) = call {
+        call.finish(&outcome);
+    }
     outcome.unwrap_or_else(|error| error_response(&error))
 }
 
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -93,6 +93,7 @@
         registry.register(Self::SETTINGS, Mutex::new(LiveSettings::from(settings)))?;
         registry.register(Self::SITE, Mutex::new(SiteState::default()))?;
         registry.register(PathTracker::NAME, PathTracker::new(registry)?)?;
+        registry.register(ServiceQueues::NAME, ServiceQueues::new(registry, settings.queue)?)?;
         let demand = DemandTracker::new(registry, &settings.host, &settings.zone)?;
         registry.register(DemandTracker::NAME, demand)?;
         let endpoints = EndpointDirectory::new(registry, Self::SITE, &settings.zone)?;
@@ -101,7 +102,6 @@
         registry.register(QuarantineTracker::NAME, QuarantineTracker::new(registry)?)?;
         registry.register(RolloutTracker::NAME, RolloutTracker::new(registry, settings.bounds.exposure)?)?;
         registry.register(OriginTracker::NAME, OriginTracker::new(registry)?)?;
-        registry.register(ServiceQueues::NAME, ServiceQueues::new(registry, settings.queue)?)?;
         registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
         registry.register(Self::MIGRATIONS, Mutex::new(MigrationGate::default()))?;
         Ok(())
--- a/crates/hollyhook_gateway/src/queue/service_queues.rs
+++ b/crates/hollyhook_gateway/src/queue/service_queues.rs
@@ -173,6 +173,9 @@
     pub(crate) fn record_success(self: &Arc<Self>, service: &Name, took: Duration) {
         let now = self.timer.now();
         let mut state = lock(&self.inner);
+        if !state.settings.is_enabled {
+            return;
+        }
         let queue = state.service(now, service);
         queue.rate.record_success(now, took);
         queue.gate.record_end(now);
