--- a/crates/hollyhook_gateway/src/demand/demand_message.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_message.rs
@@ -2,9 +2,9 @@
 
 use bytes::Bytes;
 use hollyhook_core::{DemandMessage, DemandReply, HostRecord};
-use http::{Method, StatusCode};
+use http::StatusCode;
 
-use crate::net::{ExchangeError, PersistentClient, build_request};
+use crate::net::{ExchangeError, PersistentClient, encode_message};
 
 /// The path at which a host accepts summaries of demand.
 pub(super) const DEMAND_PATH: &str = "/demand";
@@ -29,10 +29,9 @@
     host: &HostRecord,
     message: &DemandMessage,
 ) -> Result<DemandAnswer, ExchangeError> {
-    let body = serde_json::to_vec(message).map_err(|_error| ExchangeError("the message can't be encoded"))?;
+    let body = encode_message(message)?;
     let sent = body.len();
-    let request = build_request(Method::POST, host.address, DEMAND_PATH, body)?;
-    let response = client.call(host.address, request, MESSAGE_TIMEOUT).await?;
+    let response = client.post(host.address, DEMAND_PATH, body, MESSAGE_TIMEOUT).await?;
     if response.status() != StatusCode::OK {
         return Err(ExchangeError("the host takes no summaries from this one"));
     }
--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -4,7 +4,7 @@
 use bytes::{Bytes, BytesMut};
 use hollyhook_core::{AnswerHead, AttemptFailure, EndpointId, EndpointRecord, RouteQuery, TimePoint};
 use hollyhook_platform::AttemptHeaders;
-use http::header::CONTENT_LENGTH;
+use http::header::{self, CONTENT_LENGTH};
 use http::response::Parts;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
@@ -232,6 +232,21 @@
     context.timer.within(limit, exchange).await?.ok()
 }
 
+/// Sends an engine an order to copy the KV cache of a run, and reads the whole response; `None` as [`call_endpoint`].
+pub(super) async fn order_copy(
+    context: &GatewayContext,
+    engine: &EndpointTarget,
+    order: Vec<u8>,
+    limit: Duration,
+) -> Option<BufferedResponse> {
+    let request = Request::post(hollyhook_platform::backup_path())
+        .header(header::HOST, engine.address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::from(order))
+        .ok()?;
+    call_endpoint(context, engine, request, limit).await
+}
+
 async fn connect(context: &GatewayContext, target: &EndpointTarget) -> Result<PooledConnection, AttemptFailure> {
     let begin = context.timer.now();
     let connected = context.connector.connect(target).await;
--- a/crates/hollyhook_gateway/src/forward/backup_replicator.rs
+++ b/crates/hollyhook_gateway/src/forward/backup_replicator.rs
@@ -8,7 +8,7 @@
 use http::{Request, header};
 use http_body_util::Full;
 
-use super::attempt::call_endpoint;
+use super::attempt::{call_endpoint, order_copy};
 use super::engine_choice::{BackupLocation, EngineChooser};
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
@@ -188,13 +188,8 @@
     }
 
     async fn copy_to(&self, target: &EndpointTarget) -> Option<Name> {
-        let body = hollyhook_platform::encode_backup_request(&self.caller.head.attempt_id, target.address).ok()?;
-        let request = Request::post(hollyhook_platform::backup_path())
-            .header(header::HOST, self.run_target.address.to_string())
-            .header(header::CONTENT_TYPE, "application/json")
-            .body(Full::from(body))
-            .ok()?;
-        let response = call_endpoint(&self.context, &self.run_target, request, BACKUP_TIMEOUT).await?;
+        let order = hollyhook_platform::encode_backup_request(&self.caller.head.attempt_id, target.address).ok()?;
+        let response = order_copy(&self.context, &self.run_target, order, BACKUP_TIMEOUT).await?;
         let is_done = response.parts.status.is_success();
         if is_done { hollyhook_platform::decode_backup_handle(&response.body).ok() } else { None }
     }
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -179,7 +179,8 @@
 
     async fn choose_new(&self) -> Result<EngineChoice, RoutingFailure> {
         let priorities = self.mixed_priorities();
-        let first = self.context.endpoints.shortlist(&self.query(), self.placement_key(), PROBED_ENGINES);
+        let first =
+            self.context.endpoints.shortlist(&self.query(), self.placement_key(priorities.is_some()), PROBED_ENGINES);
         let second = first.first().map(|record| self.list_other_zones(record)).unwrap_or_default();
         let mut probed = self.probe_in_order(first, second, priorities.is_some()).await;
         self.refresh(&mut probed);
@@ -268,8 +269,8 @@
     }
 
     /// The key by which engines are ordered for a new generation: random for one that has waited for `REORDER_AGE`.
-    fn placement_key(&self) -> u64 {
-        if self.context.timer.now().since(self.caller.arrived) >= REORDER_AGE && self.mixed_priorities().is_some() {
+    fn placement_key(&self, has_priorities: bool) -> u64 {
+        if has_priorities && self.context.timer.now().since(self.caller.arrived) >= REORDER_AGE {
             return rand::rng().random();
         }
         self.rendezvous_key()
--- a/crates/hollyhook_gateway/src/forward/stream_migration.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_migration.rs
@@ -3,10 +3,8 @@
 
 use hollyhook_core::{EndpointId, EngineSpeed, MigrationPlan, TimePoint};
 use hollyhook_platform::BackupSource;
-use http::{Request, header};
-use http_body_util::Full;
 
-use super::attempt::call_endpoint;
+use super::attempt::order_copy;
 use super::endpoint_probe::probe_quickly;
 use super::engine_choice::{BackupLocation, EngineChooser};
 use super::live_attempt::LiveAttempt;
@@ -106,17 +104,10 @@
     live: &LiveAttempt,
     backup: &BackupLocation,
 ) -> Option<BackupLocation> {
-    let (address, target) = {
-        let table = context.endpoints.table();
-        (live.slot.target.address, table.get(&backup.id)?.address)
-    };
-    let body = hollyhook_platform::encode_migration_request(&caller.head.attempt_id, target).ok()?;
-    let request = Request::post(hollyhook_platform::backup_path())
-        .header(header::HOST, address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::from(body))
-        .ok()?;
-    let response = call_endpoint(context, &live.slot.target, request, MIGRATION_TIMEOUT).await?;
+    let address = live.slot.target.address;
+    let target = context.endpoints.table().get(&backup.id)?.address;
+    let order = hollyhook_platform::encode_migration_request(&caller.head.attempt_id, target).ok()?;
+    let response = order_copy(context, &live.slot.target, order, MIGRATION_TIMEOUT).await?;
     let handle = hollyhook_platform::decode_backup_handle(&response.body).ok();
     match (response.parts.status.is_success(), handle) {
         (true, Some(name)) => {
--- a/crates/hollyhook_gateway/src/net/mod.rs
+++ b/crates/hollyhook_gateway/src/net/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use dead_peer::detect_dead_peer;
 pub(crate) use dial::dial;
 pub(crate) use driver_guard::DriverGuard;
-pub(crate) use persistent_client::{ExchangeError, PersistentClient, build_request};
+pub(crate) use persistent_client::{ExchangeError, PersistentClient, build_request, encode_message};
 pub(crate) use reset_on_close::reset_on_close;
 pub(crate) use text_response::text_response;
 pub(crate) use wire_stream::{WireIo, WireStream, wire_stream};
--- a/crates/hollyhook_gateway/src/net/persistent_client.rs
+++ b/crates/hollyhook_gateway/src/net/persistent_client.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use hollyhook_kernel::TimerService;
-use http::{Request, Response, header};
+use http::{Method, Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
+use serde::Serialize;
 
 use super::{dial, wire_stream};
 use crate::pool::PooledConnection;
@@ -59,6 +60,22 @@
         })
     }
 
+    /// Sends a JSON body with POST and reads the whole response.
+    ///
+    /// # Errors
+    ///
+    /// As [`call`](Self::call).
+    pub(crate) async fn post(
+        &mut self,
+        address: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let request = build_request(Method::POST, address, path, body)?;
+        self.call(address, request, limit).await
+    }
+
     async fn exchange(
         &mut self,
         address: SocketAddr,
@@ -96,6 +113,15 @@
     }
 }
 
+/// Encodes a message to another host.
+///
+/// # Errors
+///
+/// If the message has no representation in JSON.
+pub(crate) fn encode_message(message: &impl Serialize) -> Result<Vec<u8>, ExchangeError> {
+    serde_json::to_vec(message).map_err(|_error| ExchangeError("the message can't be encoded"))
+}
+
 /// Builds a request with a JSON body, which may be empty.
 pub(crate) fn build_request(
     method: http::Method,
--- a/crates/hollyhook_gateway/src/origin/origin_message.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_message.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use hollyhook_core::{Name, OriginAnswer};
 use hollyhook_kernel::TimerService;
-use http::{Method, Response};
+use http::Response;
 use serde::{Deserialize, Serialize};
 
-use crate::net::{ExchangeError, PersistentClient, build_request};
+use crate::net::{ExchangeError, PersistentClient, encode_message};
 
 /// The path at which a host takes copies of origins.
 pub(super) const COPY_PATH: &str = "/origins";
@@ -60,7 +60,5 @@
     message: &impl Serialize,
     limit: Duration,
 ) -> Result<Response<Bytes>, ExchangeError> {
-    let body = serde_json::to_vec(message).map_err(|_error| ExchangeError("the message can't be encoded"))?;
-    let request = build_request(Method::POST, address, path, body)?;
-    PersistentClient::new(timer.clone()).call(address, request, limit).await
+    PersistentClient::new(timer.clone()).post(address, path, encode_message(message)?, limit).await
 }
