--- a/crates/hollyhook_core/src/queue/dispatch_rate.rs
+++ b/crates/hollyhook_core/src/queue/dispatch_rate.rs
@@ -131,14 +131,8 @@
         self.rate(now).map(|rate| if self.is_settled(now) { rate } else { rate * SETTLING_FACTOR })
     }
 
-    /// Requests per second of each priority that arrived while the service was overloaded, to be reported to other
-    /// hosts.
-    pub fn demand(&self, now: TimePoint) -> BTreeMap<u8, f64> {
-        self.shares.iter().map(|(priority, share)| (*priority, share.arrivals(now))).collect()
-    }
-
-    /// Requests per second that were served, to be reported to other hosts.
-    pub fn throughput(&self, now: TimePoint) -> f64 {
+    /// Requests per second that were served.
+    fn throughput(&self, now: TimePoint) -> f64 {
         self.successes.rough_rate(now)
     }
 
