Lost links are not taken for crashes of endpoints

Hosts whose connections are accepted and reset on the way counted crashes of endpoints that served other hosts, and five of six refused a part that sound requests share.

Cause: connections that open and then break counted as a crash on this host's word alone, and a host that was asked for a second opinion judged its own path by what it had heard on connections opened before. Class: what one host sees from its place is taken for the state of the other side.

An endpoint now counts as crashed if it is gone for this host while a sibling serves it, and for another host that reaches a sibling by a new connection. Both are tested with new connections, and several siblings at a time, since some may have crashed without being known to. Where the path is lost, two other hosts must agree.

--- a/crates/hollyhook_core/src/route/endpoint_choice.rs
+++ b/crates/hollyhook_core/src/route/endpoint_choice.rs
@@ -166,7 +166,7 @@
     }
 
     /// All endpoints of a service.
-    fn of_service(&self, service: &str) -> impl Iterator<Item = &EndpointRecord> + use<'_> {
+    pub(super) fn of_service(&self, service: &str) -> impl Iterator<Item = &EndpointRecord> + use<'_> {
         self.rings.of_service(service).filter_map(|id| self.get(id))
     }
 
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -241,6 +241,26 @@
     pub fn forgive_failures(&mut self, group: &EndpointGroup) {
         self.zone_failures.remove(&group.zone);
         for id in self.rings.of_group(group) {
+    /// Up to `limit` live endpoints other than `id` by which a path to its group can be tested: of its group or, if it has
+    /// no other, of its service; first those that have not just failed.
+    pub fn siblings(
+        &self,
+        now: TimePoint,
+        group: &EndpointGroup,
+        id: &EndpointId,
+        limit: usize,
+    ) -> Vec<&EndpointRecord> {
+        let is_usable = |record: &&EndpointRecord| record.state == EndpointState::Live && record.id != *id;
+        let in_group = self.rings.after_endpoint(group, id).filter_map(|id| self.get(id));
+        let mut siblings: Vec<&EndpointRecord> = in_group.filter(is_usable).collect();
+        if siblings.is_empty() {
+            siblings = self.of_service(&group.service).filter(is_usable).collect();
+        }
+        siblings.sort_by_key(|record| record.is_ejected(now));
+        siblings.truncate(limit);
+        siblings
+    }
+
             if let Some(record) = self.records.get_mut(id) {
                 record.clear_failures();
             }
--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use hollyhook_core::{AttemptFailure, Error, ErrorKind, Name, StopReason};
 use http::{Request, header};
 use http_body_util::Full;
@@ -8,7 +10,7 @@
 use super::request_log;
 use crate::front::CallerRequest;
 use crate::gateway::{GatewayContext, SurvivingRun};
-use crate::path::EndpointTarget;
+use crate::path::{ConnectError, EndpointTarget, RemoteFinding};
 use crate::pool::{PooledConnection, SendError};
 use crate::store::QuarantineWriter;
 
@@ -122,33 +124,120 @@
     Some(error.retry_after(left))
 }
 
-async fn has_crashed(context: &GatewayContext, caller: &CallerRequest, target: &EndpointTarget) -> bool {
-    for check in 0..CRASH_CHECKS {
-        if check > 0 {
+/// Whether an endpoint has crashed, as far as this host can tell now.
+///
+/// A host that loses its links sees the same as one whose endpoint crashes, and so do others that lose theirs with it. So
+/// the endpoint must be gone for this host while a sibling is not, and also for another host that reaches a sibling.
+async fn has_crashed(context: &Arc<GatewayContext>, caller: &CallerRequest, target: &EndpointTarget) -> bool {
+    let check = CrashCheck::new(context, caller, target);
+    let mut asked = Vec::new();
+    if context.paths.is_lost(&target.group) {
+        return check.is_gone_elsewhere(&mut asked).await == Some(true)
+            && check.is_gone_elsewhere(&mut asked).await == Some(true);
+    }
+    for number in 0..CRASH_CHECKS {
+        if number > 0 {
             context.timer.wait(RECHECK_DELAY).await;
         }
-        let Some(connected) = context.timer.within(CHECK_TIMEOUT, context.connector.connect(target)).await else {
+        if !check.is_gone().await {
             return false;
+        }
+    }
+    if !check.has_path().await {
+        return false;
+    }
+    // Without other hosts there is no second opinion.
+    check.is_gone_elsewhere(&mut asked).await.unwrap_or(true)
+}
+
+/// How a new connection is tested.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProbeKind {
+    /// An engine is asked for its report, which needs no slot there.
+    Report,
+    /// A plain service instance, which can't be probed without a slot, must keep the connection open for [`HOLD_TIME`].
+    Hold,
+}
+
+/// The tests that tell a crashed endpoint from a lost path.
+struct CrashCheck<'a> {
+    context: &'a Arc<GatewayContext>,
+    target: &'a EndpointTarget,
+    kind: ProbeKind,
+    /// Other endpoints, by which a path is tested.
+    siblings: Vec<EndpointTarget>,
+}
+
+impl<'a> CrashCheck<'a> {
+    fn new(context: &'a Arc<GatewayContext>, caller: &CallerRequest, target: &'a EndpointTarget) -> Self {
+        let kind = if caller.engine.is_some() { ProbeKind::Report } else { ProbeKind::Hold };
+        Self { context, target, kind, siblings: context.connector.siblings(target) }
+    }
+
+    /// Whether new connections of this host to the endpoint are refused or broken.
+    async fn is_gone(&self) -> bool {
+        match self.connect(self.target).await {
+            Some(Ok(connection)) => self.breaks(self.target, connection).await == Some(true),
+            Some(Err(error)) => error.is_refused(),
+            None => false,
+        }
+    }
+
+    /// Whether this host reaches a sibling. Also true if there is none, or if neither a sibling nor another host can tell.
+    async fn has_path(&self) -> bool {
+        let is_reached = |sibling| async move {
+            match self.connect(sibling).await {
+                Some(Ok(connection)) => self.breaks(sibling, connection).await == Some(false),
+                Some(Err(_)) | None => false,
+            }
         };
-        let is_broken = match connected {
-            Ok(connection) if caller.engine.is_some() => breaks_on_probe(context, target, connection).await,
-            Ok(connection) => {
-                context.timer.wait(HOLD_TIME).await;
-                !connection.is_ready()
+        self.any_sibling(is_reached).await || self.context.connector.choose_host(&[]).is_none()
+    }
+
+    /// Whether the endpoint is gone for another host that is not in `asked` and that reaches a sibling; `None` if no
+    /// other host is known. False if the host does not tell.
+    async fn is_gone_elsewhere(&self, asked: &mut Vec<Name>) -> Option<bool> {
+        let host = &self.context.connector.choose_host(asked)?;
+        asked.push(Name::clone(&host.host));
+        let is_gone = match self.context.connector.connect_through(host, self.target).await {
+            Ok(connection) => self.breaks(self.target, connection).await == Some(true),
+            // Only a host that reaches a sibling says so.
+            Err(finding) => return Some(finding == RemoteFinding::Unreachable),
+        };
+        let is_reached = |sibling| async move {
+            match self.context.connector.connect_through(host, sibling).await {
+                Ok(connection) => self.breaks(sibling, connection).await == Some(false),
+                Err(_) => false,
             }
-            Err(error) => error.is_refused_by_endpoint() || error.is_reset_by_endpoint(),
         };
-        if !is_broken {
-            return false;
+        Some(is_gone && self.any_sibling(is_reached).await)
+    }
+
+    /// Whether a test succeeds with any of the siblings, which are all tested at the same time; true if there are none.
+    async fn any_sibling<'s, F: Future<Output = bool>>(&'s self, test: impl Fn(&'s EndpointTarget) -> F) -> bool {
+        let mut tests: FuturesUnordered<F> = self.siblings.iter().map(test).collect();
+        while let Some(is_reached) = tests.next().await {
+            if is_reached {
+                return true;
+            }
         }
+        self.siblings.is_empty()
     }
-    true
-}
 
-/// Whether a new connection to an engine breaks when the engine's report is requested, which needs no slot there.
-async fn breaks_on_probe(context: &GatewayContext, target: &EndpointTarget, mut connection: PooledConnection) -> bool {
-    let request = Request::get(hollyhook_platform::report_path()).header(header::HOST, target.address.to_string());
-    let request = request.body(Full::default()).ok()?;
-    let sent = context.timer.within(CHECK_TIMEOUT, connection.send(request)).await?;
-    Some(matches!(sent, Err(SendError::Broken | SendError::Unsent(_))))
+    async fn connect(&self, target: &EndpointTarget) -> Option<Result<PooledConnection, ConnectError>> {
+        self.context.timer.within(CHECK_TIMEOUT, self.context.connector.connect(target)).await
+    }
+
+    /// Whether a new connection breaks when it is tested; `None` if the endpoint neither answers nor breaks it.
+    async fn breaks(&self, target: &EndpointTarget, mut connection: PooledConnection) -> Option<bool> {
+        let timer = &self.context.timer;
+        if self.kind == ProbeKind::Hold {
+            timer.wait(HOLD_TIME).await;
+            return Some(!connection.is_ready());
+        }
+        let request = Request::get(hollyhook_platform::report_path()).header(header::HOST, target.address.to_string());
+        let request = request.body(Full::default()).ok()?;
+        let sent = timer.within(CHECK_TIMEOUT, connection.send(request)).await?;
+        Some(matches!(sent, Err(SendError::Broken | SendError::Unsent(_))))
+    }
 }
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -102,10 +102,10 @@
     /// An endpoint's response that is not a stream, to be returned to the caller unchanged.
     plain_response: Option<BufferedResponse>,
     tried: Vec<EndpointId>,
-    ledger: AttemptLedger,
     /// For how long lost attempts had sent events, all together.
     run_time: Duration,
     has_ended: bool,
+    ledger: AttemptLedger,
 }
 
 impl StreamRun {
@@ -131,9 +131,9 @@
             has_recorded_origin: false,
             plain_response: None,
             tried: Vec::new(),
-            ledger,
             run_time: Duration::ZERO,
             has_ended: false,
+            ledger,
         }
     }
 
--- a/crates/hollyhook_gateway/src/path/connect_error.rs
+++ b/crates/hollyhook_gateway/src/path/connect_error.rs
@@ -24,17 +24,9 @@
     /// The connection attempt ended without an outcome.
     pub(super) const NOT_TRIED: Self = Self { direct: io::ErrorKind::NotConnected, elsewhere: RemoteFinding::Unknown };
 
-    /// Whether the endpoint's machine refused the connection, as it does if no process listens.
-    ///
-    /// Another host must have found the endpoint unreachable as well, if there are other hosts: a network in between may
-    /// refuse connections of this host only.
-    pub(crate) fn is_refused_by_endpoint(self) -> bool {
-        self.direct == io::ErrorKind::ConnectionRefused && self.elsewhere != RemoteFinding::Unknown
-    }
-
-    /// Whether a proxy at the endpoint's address reset the connection, as it does if the endpoint's process has ended.
-    pub(crate) fn is_reset_by_endpoint(self) -> bool {
-        self.direct == io::ErrorKind::ConnectionReset && self.elsewhere != RemoteFinding::Unknown
+    /// Whether the endpoint's machine, or something on the way, refused the connection or reset it.
+    pub(crate) fn is_refused(self) -> bool {
+        matches!(self.direct, io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
     }
 
     /// The name used in logs.
--- a/crates/hollyhook_gateway/src/path/endpoint_connector.rs
+++ b/crates/hollyhook_gateway/src/path/endpoint_connector.rs
@@ -4,11 +4,13 @@
 
 use async_std::task;
 use futures::channel::oneshot;
-use hollyhook_core::{EndpointGroup, EndpointId, Name, Result};
+use hollyhook_core::{EndpointGroup, EndpointId, HostRecord, Name, Result};
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_telemetry::MetricRecorder;
 
+use super::connect_error::RemoteFinding;
 use super::connect_race::ConnectRace;
+use super::tunnel_client::{TunnelError, open_tunnel};
 use super::{ConnectError, EndpointTarget, PathTracker};
 use crate::gateway::EndpointDirectory;
 use crate::pool::{ConnectionPool, PooledConnection};
@@ -20,6 +22,8 @@
 const UNUSED_KEEP_ALIVE: Duration = Duration::from_secs(2);
 /// How often lost paths are checked. Direct connections are back within that time of the path's return.
 const LOST_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of endpoints by which a path is tested.
+const TESTED_SIBLINGS: usize = 3;
 /// How long a group must have sent nothing for its path to be checked when the path to another group is lost.
 const GROUP_SILENCE: Duration = Duration::from_millis(50);
 
@@ -89,6 +93,44 @@
         Ok(connection)
     }
 
+    /// Endpoints other than the target by which a path to its group can be tested.
+    ///
+    /// Several, since some may have failed too without being known to.
+    pub(crate) fn siblings(&self, target: &EndpointTarget) -> Vec<EndpointTarget> {
+        let (now, table) = (self.timer.now(), self.endpoints.table());
+        let siblings = table.siblings(now, &target.group, &target.id, TESTED_SIBLINGS);
+        siblings.into_iter().map(EndpointTarget::from).collect()
+    }
+
+    /// Chooses another host to connect through, except those in `asked`; `None` if none is known.
+    pub(crate) fn choose_host(&self, asked: &[Name]) -> Option<HostRecord> {
+        self.paths.choose_host(asked)
+    }
+
+    /// Opens a connection to an endpoint through another host.
+    ///
+    /// # Errors
+    ///
+    /// What the host found if it could not connect.
+    pub(crate) async fn connect_through(
+        &self,
+        host: &HostRecord,
+        target: &EndpointTarget,
+    ) -> std::result::Result<PooledConnection, RemoteFinding> {
+        match open_tunnel(&self.timer, host, &target.id).await {
+            Ok(stream) => {
+                let lease = self.paths.lease(&host.host);
+                self.pool.start_tunnel(stream, lease).await.map_err(|_error| RemoteFinding::Unknown)
+            }
+            Err(TunnelError::Unreachable) => Err(RemoteFinding::Unreachable),
+            Err(TunnelError::Undecided) => Err(RemoteFinding::Unknown),
+            Err(TunnelError::Unavailable) => {
+                self.paths.skip_host(&host.host);
+                Err(RemoteFinding::Unknown)
+            }
+        }
+    }
+
     /// Checks the path to an endpoint by opening a connection, if no endpoint of its group has sent anything for
     /// `silence` and no check was made shortly before.
     pub(crate) fn check_if_silent(self: &Arc<Self>, target: &EndpointTarget, silence: Duration) {
--- a/crates/hollyhook_gateway/src/path/mod.rs
+++ b/crates/hollyhook_gateway/src/path/mod.rs
@@ -10,7 +10,7 @@
 mod tunnel_server;
 mod tunnel_traffic;
 
-pub(crate) use connect_error::ConnectError;
+pub(crate) use connect_error::{ConnectError, RemoteFinding};
 pub(crate) use endpoint_connector::EndpointConnector;
 pub(crate) use endpoint_target::EndpointTarget;
 pub(crate) use path_tracker::{PathTracker, TunnelLease};
--- a/crates/hollyhook_gateway/src/path/tunnel_server.rs
+++ b/crates/hollyhook_gateway/src/path/tunnel_server.rs
@@ -1,3 +1,4 @@
+use std::io;
 use std::net::{IpAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
@@ -5,7 +6,9 @@
 use async_io::Async;
 use async_std::task;
 use bytes::Bytes;
-use hollyhook_core::{EndpointId, StopPhase, TimePoint};
+use futures::FutureExt;
+use futures::future::select_ok;
+use hollyhook_core::{EndpointId, StopPhase};
 use hollyhook_wire::bound_endpoint_buffers;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
@@ -107,9 +110,9 @@
         }
         let guard = self.tunnels.try_acquire().ok_or(TunnelRefusal::FULL)?;
         let began_at = context.timer.now();
-        let endpoint = dial(&context.timer, target.address, CONNECT_TIMEOUT).await;
-        let Ok(endpoint) = endpoint else {
-            return Err(self.refusal(&target, began_at).await);
+        let endpoint = match dial(&context.timer, target.address, CONNECT_TIMEOUT).await {
+            Ok(endpoint) => endpoint,
+            Err(error) => return Err(self.refusal(&target, error.kind()).await),
         };
         context.connector.record_connected(&target, context.timer.now().since(began_at));
         if let Err(error) = bound_endpoint_buffers(endpoint.get_ref()) {
@@ -118,24 +121,19 @@
         Ok((endpoint, guard))
     }
 
-    /// The refusal if this host can't connect to an endpoint, which it has tried since `began_at`.
+    /// The refusal if this host can't connect to an endpoint.
     ///
-    /// The endpoint is at fault only if another one of its group is reached at the same time: all hosts of a zone may
-    /// lose their paths at once.
-    async fn refusal(&self, target: &EndpointTarget, began_at: TimePoint) -> TunnelRefusal {
-        let (context, group) = (&self.context, &target.group);
-        let tried_for = context.timer.now().since(began_at);
-        if !context.paths.is_silent_for(group, tried_for) {
-            return TunnelRefusal::UNREACHABLE;
-        }
-        let other = context.endpoints.table().next_in_group(group, &target.id).map(EndpointTarget::from);
-        let Some(other) = other else {
+    /// The endpoint is at fault only if its machine refuses and another one of its group accepts a new connection
+    /// afterwards: all hosts of a zone may lose their paths at once, and open connections may outlive the loss.
+    async fn refusal(&self, target: &EndpointTarget, error: io::ErrorKind) -> TunnelRefusal {
+        let context = &self.context;
+        if !matches!(error, io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset) {
             return TunnelRefusal::UNDECIDED;
-        };
-        match dial(&context.timer, other.address, CONNECT_TIMEOUT).await {
-            Ok(_connection) => TunnelRefusal::UNREACHABLE,
-            Err(_error) => TunnelRefusal::UNDECIDED,
         }
+        let siblings = context.connector.siblings(target);
+        let dials = siblings.iter().map(|sibling| dial(&context.timer, sibling.address, CONNECT_TIMEOUT).boxed());
+        let has_path = !siblings.is_empty() && select_ok(dials).await.is_ok();
+        if has_path { TunnelRefusal::UNREACHABLE } else { TunnelRefusal::UNDECIDED }
     }
 
     fn find(&self, id: &EndpointId) -> Option<EndpointTarget> {
