Hosts tell each other of crashes while the store does not take them

With the store away, eight hosts let a request and a part of prompts crash 26 and 27 engines, until none of 24 was left for 2,762 and 2,582 sound requests.

Cause: crash records passed between hosts through the store alone, so that each host counted by itself. A write that hung was waited for.

A host whose records the store has not taken within half a second sends them to the first host of its zone that answers, which passes on those of all hosts together: to its zone and to one host of each other zone. Messages grow with hosts, not with their square, also when a zone is lost. Only registered hosts may send records.

--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -104,9 +104,9 @@
     tried: Vec<EndpointId>,
     /// For how long lost attempts had sent events, all together.
     run_time: Duration,
-    has_ended: bool,
     ledger: AttemptLedger,
 }
+    has_ended: bool,
 
 impl StreamRun {
     fn new(context: Arc<GatewayContext>, caller: Arc<CallerRequest>) -> Self {
@@ -132,9 +132,9 @@
             plain_response: None,
             tried: Vec::new(),
             run_time: Duration::ZERO,
-            has_ended: false,
             ledger,
         }
+            has_ended: false,
     }
 
     /// The next bytes for the caller; `None` at the end of the stream.
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -22,6 +22,7 @@
 use crate::path::{EndpointConnector, PathTracker};
 use crate::peer::FeedState;
 use crate::pool::ConnectionPool;
+use crate::quarantine::SpreadQueue;
 use crate::queue::ServiceQueues;
 use crate::sync::lock;
 
@@ -62,6 +63,7 @@
     pub(crate) endpoints: Arc<EndpointDirectory>,
     pub(crate) connector: Arc<EndpointConnector>,
     pub(crate) quarantine: Arc<QuarantineTracker>,
+    pub(crate) crash_spread: Arc<SpreadQueue>,
     pub(crate) rollouts: Arc<RolloutTracker>,
     pub(crate) origins: Arc<OriginTracker>,
     pub(crate) demand: Arc<DemandTracker>,
@@ -100,6 +102,7 @@
         registry.register(EndpointDirectory::NAME, endpoints)?;
         registry.register(EndpointConnector::NAME, EndpointConnector::new(registry)?)?;
         registry.register(QuarantineTracker::NAME, QuarantineTracker::new(registry)?)?;
+        registry.register(SpreadQueue::NAME, SpreadQueue::default())?;
         registry.register(RolloutTracker::NAME, RolloutTracker::new(registry, settings.bounds.exposure)?)?;
         registry.register(OriginTracker::NAME, OriginTracker::new(registry)?)?;
         registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
@@ -127,6 +130,7 @@
             endpoints: registry.find(EndpointDirectory::NAME)?,
             connector: registry.find(EndpointConnector::NAME)?,
             quarantine: registry.find(QuarantineTracker::NAME)?,
+            crash_spread: registry.find(SpreadQueue::NAME)?,
             rollouts: registry.find(RolloutTracker::NAME)?,
             origins: registry.find(OriginTracker::NAME)?,
             demand: registry.find(DemandTracker::NAME)?,
--- a/crates/hollyhook_gateway/src/lib.rs
+++ b/crates/hollyhook_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod path;
 mod peer;
 mod pool;
+mod quarantine;
 mod queue;
 mod store;
 mod sync;
--- a/crates/hollyhook_gateway/src/peer/feed_server.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_server.rs
@@ -20,12 +20,13 @@
 use crate::net::{text_response, wire_stream};
 use crate::origin::{answer_origin_request, is_origin_request};
 use crate::path::{TunnelServer, is_tunnel_request};
+use crate::quarantine::{answer_crash_request, is_crash_request};
 
 /// Longest time for which a request of another host waits for an update.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 
-/// Serves this host's copy of the store's contents, tunnels to endpoints, origins of streams and sums of
-/// demand to other hosts until the process ends.
+/// Serves this host's copy of the store's contents, tunnels to endpoints, origins of streams, crash records
+/// and sums of demand to other hosts until the process ends.
 pub(crate) async fn serve_peers(listener: TcpListener, context: Arc<GatewayContext>) {
     let tunnels = Arc::new(TunnelServer::new(Arc::clone(&context)));
     loop {
@@ -46,6 +47,9 @@
                     if is_origin_request(&request) {
                         return Ok(answer_origin_request(&context, request, sender.ip()).await);
                     }
+                    if is_crash_request(&request) {
+                        return Ok(answer_crash_request(&context, request, sender.ip()).await);
+                    }
                     if is_demand_request(&request) {
                         return Ok(answer_demand_request(&context, request, sender.ip()).await);
                     }
--- a/crates/hollyhook_gateway/src/store/quarantine_writer.rs
+++ b/crates/hollyhook_gateway/src/store/quarantine_writer.rs
@@ -8,10 +8,14 @@
 
 use super::{StoreClient, StoreError, is_reader};
 use crate::gateway::GatewayContext;
+use crate::quarantine::CrashSpreader;
 
 /// Delay in milliseconds before each write, in which further records are collected. It is random, because hosts that
 /// lost the same endpoint would otherwise write at the same moment, and each write makes those of the others fail.
 const BATCH_DELAY_MS: std::ops::Range<u64> = 40..160;
+/// Time limit for reading and writing the entry. After it, the records are sent to the other hosts without the store,
+/// which has to be done well within the bound on contact.
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -41,13 +45,16 @@
             if self.records_to_write().is_none() {
                 break;
             }
-            match self.write().await {
+            let timer = Arc::clone(&self.context.timer);
+            let written = timer.within(STORE_TIMEOUT, self.write()).await;
+            match written.unwrap_or(Err(StoreError::Unavailable("the store did not answer in time"))) {
                 Ok(()) => {}
                 // Another host wrote the entry first; the next write reads its records and merges them with those of
                 // this host.
                 Err(StoreError::Conflict) => tracing::debug!("quarantine.written_by_other"),
                 Err(error) => {
                     tracing::info!(%error, "quarantine.not_written");
+                    CrashSpreader::spread_own(&self.context);
                     self.context.timer.wait(RETRY_PAUSE).await;
                 }
             }
