--- a/crates/hollyhook_gateway/src/store/quarantine_writer.rs
+++ b/crates/hollyhook_gateway/src/store/quarantine_writer.rs
@@ -16,8 +16,11 @@
 /// Time limit for reading and writing the entry. After it, the records are sent to the other hosts without the store,
 /// which has to be done well within the bound on contact.
 const STORE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Delay after a failed call.
+/// How often records of new crashes are sent without the store while it takes none.
+const SPREAD_INTERVAL: Duration = Duration::from_millis(100);
+/// Delay after a failed call, which doubles with each further one: the other hosts have the records already.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(4);
 
 /// Writes the records of requests that crash endpoints to the platform's store, into the status of an endpoint's
 /// entry, so that all hosts receive the records with their updates to the endpoints.
@@ -39,6 +42,7 @@
     }
 
     async fn run(mut self) {
+        let mut pause = RETRY_PAUSE;
         loop {
             let delay = rand::rng().random_range(BATCH_DELAY_MS);
             self.context.timer.wait(Duration::from_millis(delay)).await;
@@ -48,14 +52,14 @@
             let timer = Arc::clone(&self.context.timer);
             let written = timer.within(STORE_TIMEOUT, self.write()).await;
             match written.unwrap_or(Err(StoreError::Unavailable("the store did not answer in time"))) {
-                Ok(()) => {}
+                Ok(()) => pause = RETRY_PAUSE,
                 // Another host wrote the entry first; the next write reads its records and merges them with those of
                 // this host.
                 Err(StoreError::Conflict) => tracing::debug!("quarantine.written_by_other"),
                 Err(error) => {
                     tracing::info!(%error, "quarantine.not_written");
-                    CrashSpreader::spread_own(&self.context);
-                    self.context.timer.wait(RETRY_PAUSE).await;
+                    self.spread_for(pause).await;
+                    pause = (pause * 2).min(MAX_RETRY_PAUSE);
                 }
             }
         }
@@ -64,6 +68,15 @@
         Self::spawn_if_needed(&self.context);
     }
 
+    /// Sends records to the other hosts without the store, also those of crashes within this span of time.
+    async fn spread_for(&self, span: Duration) {
+        let until = self.context.timer.now() + span;
+        while self.context.timer.now() < until {
+            CrashSpreader::spread_own(&self.context);
+            self.context.timer.wait(SPREAD_INTERVAL).await;
+        }
+    }
+
     /// Reads the entry and writes the records that it lacks.
     ///
     /// The read also shows whether an earlier write that was not answered took effect.
