Paths are tested by one sibling after the other

Each test takes a new connection and a report, and the first sibling most often serves; testing three at a time tripled both for every lost attempt.

--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -1,8 +1,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
 use hollyhook_core::{AttemptFailure, Error, ErrorKind, Name, StopReason};
 use http::{Request, header};
 use http_body_util::Full;
@@ -213,11 +211,12 @@
         Some(is_gone && self.any_sibling(is_reached).await)
     }
 
-    /// Whether a test succeeds with any of the siblings, which are all tested at the same time; true if there are none.
+    /// Whether a test succeeds with any of the siblings; true if there are none.
+    ///
+    /// One after the other: most often the first one serves, and each test takes a new connection.
     async fn any_sibling<'s, F: Future<Output = bool>>(&'s self, test: impl Fn(&'s EndpointTarget) -> F) -> bool {
-        let mut tests: FuturesUnordered<F> = self.siblings.iter().map(test).collect();
-        while let Some(is_reached) = tests.next().await {
-            if is_reached {
+        for sibling in &self.siblings {
+            if test(sibling).await {
                 return true;
             }
         }
