Crash records of this host and of others are told apart by name; tests of how they spread

Form only: records of this host were filed under a scope that means something else. The tests check that records reach all of 1 to 1,000 hosts, also beside lost ones, with messages of one host bounded by its zone and the number of zones.

KNOWN-RED: a test of quarantine that failed once beside load; not traced.

--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -26,6 +26,7 @@
 mod retries;
 mod rollouts;
 mod site;
+mod spreading;
 mod stopping;
 mod streams;
 mod terms;
--- a/crates/hollyhook_gateway/src/quarantine/crash_spreader.rs
+++ b/crates/hollyhook_gateway/src/quarantine/crash_spreader.rs
@@ -14,10 +14,18 @@
 /// Delay before records are sent, in which those of further crashes and of other hosts are collected.
 const BATCH_DELAY: Duration = Duration::from_millis(50);
 
-/// The crash records that this host still has to send to others, by how far they have to go.
+/// Whose crash records this host sends on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum RecordSource {
+    Own,
+    /// Another host's, which have to go as far as this.
+    Received(SpreadScope),
+}
+
+/// The crash records that this host still has to send to others.
 #[derive(Debug, Default)]
 pub(crate) struct SpreadQueue {
-    pending: Mutex<BTreeMap<SpreadScope, CrashRecords>>,
+    pending: Mutex<BTreeMap<RecordSource, CrashRecords>>,
     /// Whether a task of this host sends records.
     is_sending: AtomicBool,
 }
@@ -26,15 +34,15 @@
     /// The name that the service is registered under.
     pub(crate) const NAME: &'static str = "crash_spread";
 
-    fn add(&self, scope: SpreadScope, records: &CrashRecords) {
+    fn add(&self, source: RecordSource, records: &CrashRecords) {
         let mut pending = lock(&self.pending);
-        let known = pending.entry(scope).or_default();
+        let known = pending.entry(source).or_default();
         for (digest, record) in records {
             known.entry(*digest).or_default().merge(record);
         }
     }
 
-    fn take(&self) -> BTreeMap<SpreadScope, CrashRecords> {
+    fn take(&self) -> BTreeMap<RecordSource, CrashRecords> {
         std::mem::take(&mut *lock(&self.pending))
     }
 
@@ -58,14 +66,14 @@
         }
         context.recorder.count("crash_records_spread");
         tracing::info!(count = records.len(), "quarantine.spread");
-        context.crash_spread.add(SpreadScope::Host, &records);
+        context.crash_spread.add(RecordSource::Own, &records);
         Self::spawn_if_needed(context);
     }
 
     /// Passes records on that another host sent.
     pub(crate) fn pass_on(context: &Arc<GatewayContext>, scope: SpreadScope, records: &CrashRecords) {
         if scope != SpreadScope::Host && !records.is_empty() {
-            context.crash_spread.add(scope, records);
+            context.crash_spread.add(RecordSource::Received(scope), records);
             Self::spawn_if_needed(context);
         }
     }
@@ -81,15 +89,14 @@
         while self.context.crash_spread.has_pending() {
             self.context.timer.wait(BATCH_DELAY).await;
             let pending = self.context.crash_spread.take();
-            join_all(pending.iter().map(|(scope, records)| self.send(*scope, records))).await;
+            join_all(pending.iter().map(|(source, records)| self.send(*source, records))).await;
         }
         self.context.crash_spread.is_sending.store(false, Ordering::Release);
         // Records may have been added since the last check, when no other task could be started.
         Self::spawn_if_needed(&self.context);
     }
 
-    /// Sends records that have to go as far as `scope`; those of this host itself are filed under [`SpreadScope::Host`].
-    async fn send(&self, scope: SpreadScope, records: &CrashRecords) {
+    async fn send(&self, source: RecordSource, records: &CrashRecords) {
         let (own, hosts) = self.context.feed.with_topology(|topology| {
             let hosts: Vec<HostRecord> = topology.hosts().cloned().collect();
             (hosts.iter().find(|record| topology.is_own(record)).cloned(), hosts)
@@ -98,7 +105,7 @@
         let Some(own) = own else {
             return;
         };
-        if scope != SpreadScope::Host {
+        if let RecordSource::Received(scope) = source {
             return self.send_all(&spread_plan(&own, scope, &hosts), records).await;
         }
         let through = spread_through(&own, &hosts);
