--- a/crates/hollyhook_core/src/quarantine/part_evidence.rs
+++ b/crates/hollyhook_core/src/quarantine/part_evidence.rs
@@ -8,6 +8,9 @@
 const CRASH_THRESHOLD: usize = 4;
 /// Number of different requests that the crashes must come from; those of one request are charged to that request.
 const REQUEST_THRESHOLD: usize = 2;
+/// Crashes after longer runs, in milliseconds, are not charged to parts. Many requests share a part, so that the loss of
+/// many endpoints would make it suspect until one of them has run to its end, and all would wait for the verdict.
+const MAX_RUN_TIME: u64 = 2_000;
 /// A part is as suspect as another one if it was there at all but one in this many of the other's crashes.
 const TIE_FRACTION: usize = 4;
 
@@ -55,7 +58,10 @@
         for part in &record.parts {
             let runs = records.get(&RequestDigest::of_part(*part));
             let is_excused = |endpoint: &Name, at: u64| {
-                record.excuses(record, endpoint, at) || runs.is_some_and(|runs| runs.excuses(record, endpoint, at))
+                let run_time = record.run_times.get(endpoint).copied().unwrap_or_default();
+                run_time > MAX_RUN_TIME
+                    || record.excuses(record, endpoint, at)
+                    || runs.is_some_and(|runs| runs.excuses(record, endpoint, at))
             };
             let recent: Vec<_> = record.crashes.iter().filter(|(endpoint, at)| !is_excused(endpoint, **at)).collect();
             let Some(crashed_at) = recent.iter().map(|(_, at)| **at).max() else {
