Quarantine: one rule for which crashes are charged to a part of prompts

Which crashes count against a part stood twice: for the verdict, and for the runs that hosts record to clear it. The second did not have the bound of two seconds, so that runs were recorded, and written to the store, anew with each update for crashes that no run clears. Both now ask charged_crashes; merge_stored and merge_told share their loop.

Test: late_crashes_write_no_runs_of_part. Checked with the quarantine tests of core.

--- a/crates/hollyhook_core/src/quarantine/crash_ledger.rs
+++ b/crates/hollyhook_core/src/quarantine/crash_ledger.rs
@@ -2,7 +2,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::part_evidence::find_suspect_parts;
+use super::part_evidence::{charged_crashes, find_suspect_parts};
 use super::part_watch::PartWatch;
 use super::unanswered_list::{UnansweredList, UnansweredRequest};
 use super::{CrashRecord, RequestDigest, RunLength, SuspectRequest};
@@ -204,13 +204,9 @@
 
     /// Merges the records read from the platform's store.
     pub fn merge_stored(&mut self, now: u64, stored: CrashRecords) -> QuarantineChange {
-        for (digest, record) in &stored {
-            let entry = self.entries.entry(*digest).or_default();
-            entry.record.merge(record);
-            entry.is_shared = true;
-        }
+        let change = self.merge_told(now, &stored);
         self.stored = stored;
-        self.update_refused(now)
+        change
     }
 
     /// Merges records that another host sent directly.
@@ -310,10 +306,7 @@
     fn acquit_part(&mut self, now: u64, part: u64, length: RunLength) -> bool {
         let digest = RequestDigest::of_part(part);
         let runs = self.entries.get(&digest).map(|entry| &entry.record);
-        let accuses = |record: &CrashRecord| {
-            let is_excused = |endpoint: &Name, at: u64| runs.is_some_and(|runs| runs.excuses(record, endpoint, at));
-            record.crashes.iter().any(|(endpoint, at)| !is_excused(endpoint, *at))
-        };
+        let accuses = |record: &CrashRecord| charged_crashes(record, runs).next().is_some();
         let with_part = self.entries.values().filter(|entry| entry.record.parts.contains(&part));
         let accusing: Vec<&LedgerEntry> = with_part.filter(|entry| accuses(&entry.record)).collect();
         let Some(crashed_at) = accusing.iter().flat_map(|entry| entry.record.crashes.values().copied()).max() else {
--- a/crates/hollyhook_core/src/quarantine/crash_record.rs
+++ b/crates/hollyhook_core/src/quarantine/crash_record.rs
@@ -86,11 +86,16 @@
     /// They do if the request ran to its end later, or for much longer than before the crash. A run that was about as long
     /// shows nothing: some requests crash endpoints only after seconds of events.
     pub(super) fn excuses(&self, record: &Self, endpoint: &Name, at: u64) -> bool {
-        let run_time = record.run_times.get(endpoint).copied().unwrap_or_default();
+        let run_time = record.run_time(endpoint);
         let is_longer = |seconds: u64| seconds >= MIN_RUN_SECONDS && seconds * 1_000 >= run_time * RUN_FACTOR;
         at <= self.survived_at || self.long_runs.iter().any(|(seconds, ran_at)| *ran_at >= at && is_longer(*seconds))
     }
 
+    /// For how many milliseconds an endpoint had sent events when it crashed.
+    pub(super) fn run_time(&self, endpoint: &str) -> u64 {
+        self.run_times.get(endpoint).copied().unwrap_or_default()
+    }
+
     /// The time of the latest crash or run.
     pub(super) fn updated_at(&self) -> u64 {
         let times = self.crashes.values().chain(self.long_runs.values());
--- a/crates/hollyhook_core/src/quarantine/part_evidence.rs
+++ b/crates/hollyhook_core/src/quarantine/part_evidence.rs
@@ -56,19 +56,13 @@
     let mut parts: BTreeMap<u64, PartCrashes> = BTreeMap::new();
     for record in records.values() {
         for part in &record.parts {
-            let runs = records.get(&RequestDigest::of_part(*part));
-            let is_excused = |endpoint: &Name, at: u64| {
-                let run_time = record.run_times.get(endpoint).copied().unwrap_or_default();
-                run_time > MAX_RUN_TIME
-                    || record.excuses(record, endpoint, at)
-                    || runs.is_some_and(|runs| runs.excuses(record, endpoint, at))
-            };
-            let recent: Vec<_> = record.crashes.iter().filter(|(endpoint, at)| !is_excused(endpoint, **at)).collect();
-            let Some(crashed_at) = recent.iter().map(|(_, at)| **at).max() else {
+            let runs = records.get(&RequestDigest::of_part(*part)).copied();
+            let charged: Vec<(&Name, u64)> = charged_crashes(record, runs).collect();
+            let Some(crashed_at) = charged.iter().map(|(_, at)| *at).max() else {
                 continue;
             };
             let known = parts.entry(*part).or_default();
-            known.crashes.extend(recent.into_iter().map(|(endpoint, _)| Name::clone(endpoint)));
+            known.crashes.extend(charged.into_iter().map(|(endpoint, _)| Name::clone(endpoint)));
             known.requests += 1;
             known.crashed_at = known.crashed_at.max(crashed_at);
         }
@@ -76,6 +70,20 @@
     parts
 }
 
+/// The crashes of a request, with their times, that are charged to a part of its prompt; `runs` are the runs without a
+/// crash of all requests with the part.
+pub(super) fn charged_crashes<'a>(
+    record: &'a CrashRecord,
+    runs: Option<&'a CrashRecord>,
+) -> impl Iterator<Item = (&'a Name, u64)> {
+    let is_charged = move |endpoint: &Name, at: u64| {
+        record.run_time(endpoint) <= MAX_RUN_TIME
+            && !record.excuses(record, endpoint, at)
+            && !runs.is_some_and(|runs| runs.excuses(record, endpoint, at))
+    };
+    record.crashes.iter().map(|(endpoint, at)| (endpoint, *at)).filter(move |(endpoint, at)| is_charged(endpoint, *at))
+}
+
 fn is_suspect(part: &PartCrashes, records: &KnownRecords<'_>) -> bool {
     let has_enough = part.crashes.len() >= CRASH_THRESHOLD && part.requests >= REQUEST_THRESHOLD;
     let is_explained =
--- a/crates/hollyhook_core/tests/gateway/quarantine_parts.rs
+++ b/crates/hollyhook_core/tests/gateway/quarantine_parts.rs
@@ -116,3 +116,20 @@
     assert!(ledger.refusal(SETTLED, beside).is_none());
     assert!(is_refused(&ledger, SETTLED, &[DEADLY]));
 }
+
+/// Guards against hosts that write the runs of a shared part anew with each update while streams with it are lost.
+#[test]
+fn late_crashes_write_no_runs_of_part() {
+    let mut ledger = CrashLedger::default();
+    ledger.begin_run(&request(100, &[SHARED]).parts, 4);
+    for number in 0..6 {
+        let (at, endpoint) = (NOW + u64::from(number) * 100, format!("e{number}").into());
+        ledger.record_crash_after(at, request(number, &[SHARED]), endpoint, Duration::from_secs(5));
+        ledger.record_given_up(&request(number, &[SHARED]).digest);
+    }
+    let written = ledger.records_to_write(false).unwrap();
+    assert!(!written.contains_key(&RequestDigest::of_part(SHARED)));
+    ledger.record_long_run(NOW + 2_000, request(100, &[SHARED]), 4);
+    assert_eq!(ledger.records_to_write(false), Some(written));
+    assert!(!is_refused(&ledger, NOW + 5_000, &[SHARED]));
+}
