One way to open a tunnel; endpoints of a service by the method that exists

ConnectRace and connect_through opened tunnels by the same steps; both now use EndpointConnector::open_tunnel. The one difference: a host whose tunnel opens but whose handshake fails is now skipped for a second by the crash check too, as by the race.

--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -376,8 +376,8 @@
             self.quotas.count_send(now, service);
         }
         if self.terms.is_brittle(id) {
-            let brittle = self.rings.of_service(service).filter(|id| self.terms.is_brittle(id));
-            let open = brittle.filter_map(|id| self.get(id)).map(|record| record.open).sum();
+            let brittle = self.of_service(service).filter(|record| self.terms.is_brittle(&record.id));
+            let open = brittle.map(|record| record.open).sum();
             self.quotas.record_open(now, service, open);
         }
     }
@@ -385,7 +385,7 @@
     /// The limits of a service's endpoints that hold for all hosts together.
     fn quota_totals(&self, service: &str) -> QuotaTotals {
         let mut totals = QuotaTotals::default();
-        for record in self.rings.of_service(service).filter_map(|id| self.get(id)) {
+        for record in self.of_service(service) {
             totals.rate += self.terms.rate_limit(&record.id).unwrap_or_default();
             if self.terms.is_brittle(&record.id) {
                 totals.slots += f64::from(record.load.capacity);
--- a/crates/hollyhook_gateway/src/path/connect_race.rs
+++ b/crates/hollyhook_gateway/src/path/connect_race.rs
@@ -8,7 +8,7 @@
 use hollyhook_core::{ConnectOrder, EndpointId, Name};
 
 use super::connect_error::RemoteFinding;
-use super::tunnel_client::{TunnelError, open_tunnel};
+use super::tunnel_client::TunnelError;
 use super::{ConnectError, EndpointConnector, EndpointTarget};
 use crate::pool::PooledConnection;
 use crate::sync::CountGuard;
@@ -134,14 +134,7 @@
         self.asked.push(Name::clone(&record.host));
         let (connector, id) = (Arc::clone(self.connector), EndpointId::clone(&self.target.id));
         let opening = async move {
-            let connection = match open_tunnel(&connector.timer, &record, &id).await {
-                Ok(stream) => {
-                    let lease = connector.paths.lease(&record.host);
-                    let connection = connector.pool.start_tunnel(stream, lease).await;
-                    connection.map_err(|_error| TunnelError::Unavailable)
-                }
-                Err(error) => Err(error),
-            };
+            let connection = connector.open_tunnel(&record, &id).await;
             WayOutcome::Tunnel { host: record.host, connection }
         };
         Some(opening.boxed())
--- a/crates/hollyhook_gateway/src/path/endpoint_connector.rs
+++ b/crates/hollyhook_gateway/src/path/endpoint_connector.rs
@@ -117,18 +117,25 @@
         host: &HostRecord,
         target: &EndpointTarget,
     ) -> std::result::Result<PooledConnection, RemoteFinding> {
-        match open_tunnel(&self.timer, host, &target.id).await {
-            Ok(stream) => {
-                let lease = self.paths.lease(&host.host);
-                self.pool.start_tunnel(stream, lease).await.map_err(|_error| RemoteFinding::Unknown)
-            }
-            Err(TunnelError::Unreachable) => Err(RemoteFinding::Unreachable),
-            Err(TunnelError::Undecided) => Err(RemoteFinding::Unknown),
-            Err(TunnelError::Unavailable) => {
+        self.open_tunnel(host, &target.id).await.map_err(|error| match error {
+            TunnelError::Unreachable => RemoteFinding::Unreachable,
+            TunnelError::Undecided => RemoteFinding::Unknown,
+            TunnelError::Unavailable => {
                 self.paths.skip_host(&host.host);
-                Err(RemoteFinding::Unknown)
+                RemoteFinding::Unknown
             }
-        }
+        })
+    }
+
+    /// Opens a tunnel through another host and a connection to an endpoint in it.
+    pub(super) async fn open_tunnel(
+        &self,
+        host: &HostRecord,
+        endpoint: &EndpointId,
+    ) -> std::result::Result<PooledConnection, TunnelError> {
+        let stream = open_tunnel(&self.timer, host, endpoint).await?;
+        let lease = self.paths.lease(&host.host);
+        self.pool.start_tunnel(stream, lease).await.map_err(|_error| TunnelError::Unavailable)
     }
 
     /// Checks the path to an endpoint by opening a connection, if no endpoint of its group has sent anything for
