Streams with a second of events do not wait for the check of their lost engine

The check stood on the way of each resumed stream since late crashes count, and so did work that nothing had to wait for.

--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_std::task;
 use hollyhook_core::{AttemptFailure, Error, ErrorKind, Name, StopReason};
 use http::{Request, header};
 use http_body_util::Full;
@@ -27,6 +28,9 @@
 /// How often a request that waits for the verdict on a part of its prompt checks whether there is one.
 const VERDICT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How long a stream must have had events for the check of its lost engine not to delay its next attempt.
+const BACKGROUND_RUN_TIME: Duration = Duration::from_secs(1);
+
 /// An attempt whose connection was lost.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct LostRun {
@@ -45,11 +49,30 @@
 /// Records a crash against a request if the endpoint that ran it has crashed, and waits until it is decided whether the
 /// request may be sent again.
 ///
+/// A stream that has had events for [`BACKGROUND_RUN_TIME`] does not wait for the check: its caller would notice the
+/// pause, and most such streams are lost beside the cause of a crash.
+pub(super) async fn check_crash(
+    context: &Arc<GatewayContext>,
+    caller: &Arc<CallerRequest>,
+    target: &EndpointTarget,
+    lost: LostRun,
+) {
+    if lost.run_time >= BACKGROUND_RUN_TIME {
+        let (context, caller, target) = (Arc::clone(context), Arc::clone(caller), target.clone());
+        task::spawn(async move { record_if_crashed(&context, &caller, &target, lost).await });
+    } else {
+        record_if_crashed(context, caller, target, lost).await;
+    }
+    await_verdict(context, caller).await;
+}
+
+/// Records a crash against a request if the endpoint that ran it has crashed.
+///
 /// A broken connection alone proves little: live endpoints and network links reset some. An endpoint whose process has
 /// ended refuses the next connections or breaks each of them. If neither is seen, a lost attempt (`Broken`, `Garbled`,
 /// `Silent`) is remembered for a while, and counts as a crash if the endpoint turns out to have restarted or its
 /// entry in the store is removed.
-pub(super) async fn check_crash(
+async fn record_if_crashed(
     context: &Arc<GatewayContext>,
     caller: &CallerRequest,
     target: &EndpointTarget,
@@ -67,7 +90,6 @@
         context.quarantine.record_crash(caller.suspect(), &target.id, run_time);
         QuarantineWriter::spawn_if_needed(context);
     }
-    await_verdict(context, caller).await;
 }
 
 /// Records that an endpoint ran a request to its end.
