All crashes of a request whose first one came early are charged to its parts

Cause: crashes after more than 2 s of events are not charged to parts, and the run time of a stream that is resumed goes on. So the second and third crash of the same request were never charged, and a part needed four requests instead of two. What counts now is the run time of the request's first crash; streams that were lost late stay excused as before.

part_that_crashes_resumed_streams_refused failed before.

--- a/crates/hollyhook_core/src/quarantine/part_evidence.rs
+++ b/crates/hollyhook_core/src/quarantine/part_evidence.rs
@@ -8,9 +8,10 @@
 const CRASH_THRESHOLD: usize = 4;
 /// Number of different requests that the crashes must come from; those of one request are charged to that request.
 const REQUEST_THRESHOLD: usize = 2;
-/// Crashes after longer runs, in milliseconds, are not charged to parts. Many requests share a part, so that the loss of
-/// many endpoints would make it suspect until one of them has run to its end, and all would wait for the verdict.
-const MAX_RUN_TIME: u64 = 2_000;
+/// Crashes of requests that first crashed an endpoint after a longer run, in milliseconds, are not charged to parts. Many
+/// requests share a part, so that the loss of many endpoints would make it suspect until one of them has run to its end,
+/// and all would wait for the verdict.
+const MAX_FIRST_RUN_TIME: u64 = 2_000;
 /// A part is as suspect as another one if it was there at all but one in this many of the other's crashes.
 const TIE_FRACTION: usize = 4;
 
@@ -76,8 +77,9 @@
     record: &'a CrashRecord,
     runs: Option<&'a CrashRecord>,
 ) -> impl Iterator<Item = (&'a Name, u64)> {
+    let first_run_time = record.crashes.keys().map(|endpoint| record.run_time(endpoint)).min();
     let is_charged = move |endpoint: &Name, at: u64| {
-        record.run_time(endpoint) <= MAX_RUN_TIME
+        first_run_time <= Some(MAX_FIRST_RUN_TIME)
             && !record.excuses(record, endpoint, at)
             && !runs.is_some_and(|runs| runs.excuses(record, endpoint, at))
     };
--- a/crates/hollyhook_core/tests/gateway/quarantine_parts.rs
+++ b/crates/hollyhook_core/tests/gateway/quarantine_parts.rs
@@ -117,6 +117,19 @@
     assert!(is_refused(&ledger, SETTLED, &[DEADLY]));
 }
 
+/// Guards against a part of which each request counts once only, since the run time of a resumed stream goes on.
+#[test]
+fn part_that_crashes_resumed_streams_refused() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..2 {
+        for (endpoint, run_time) in [("a", 1_200), ("b", 2_400), ("c", 3_600)] {
+            let endpoint = format!("{endpoint}{number}").into();
+            ledger.record_crash_after(NOW, request(number, &[DEADLY]), endpoint, Duration::from_millis(run_time));
+        }
+    }
+    assert!(is_refused(&ledger, SETTLED, &[DEADLY]));
+}
+
 /// Guards against hosts that write the runs of a shared part anew with each update while streams with it are lost.
 #[test]
 fn late_crashes_write_no_runs_of_part() {
