A host that can ask no other host now does not take itself for the only one

Callers of all hosts were refused after links of some hosts were reset while no endpoint was down: a host that is cut off takes every endpoint for crashed if no other host can be asked.

Cause: the second opinion on a crash was passed over when none of the other hosts could be asked, which was meant for a site of one host. A host that opened no tunnel is not asked for a second; so where all others are stopping, or starved of processor time, each failure counted as a crash, and records of several hosts then confirmed each other. Class: "cannot tell now" taken for "nobody can tell".

--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -166,8 +166,7 @@
     if !check.has_path().await {
         return false;
     }
-    // Without other hosts there is no second opinion.
-    check.is_gone_elsewhere(&mut asked).await.unwrap_or(true)
+    check.is_gone_elsewhere(&mut asked).await.unwrap_or_else(|| check.is_only_host())
 }
 
 /// How a new connection is tested.
@@ -203,7 +202,12 @@
         }
     }
 
-    /// Whether this host reaches a sibling. Also true if there is none, or if neither a sibling nor another host can tell.
+    /// Whether no other host is known that could give a second opinion, now or later.
+    fn is_only_host(&self) -> bool {
+        !self.context.paths.has_other_hosts()
+    }
+
+    /// Whether this host reaches a sibling. Also true if there is none, or if this host is the only one.
     async fn has_path(&self) -> bool {
         let is_reached = |sibling| async move {
             match self.connect(sibling).await {
@@ -211,11 +215,11 @@
                 Some(Err(_)) | None => false,
             }
         };
-        self.any_sibling(is_reached).await || self.context.connector.choose_host(&[]).is_none()
+        self.any_sibling(is_reached).await || self.is_only_host()
     }
 
     /// Whether the endpoint is gone for another host that is not in `asked` and that reaches a sibling; `None` if no
-    /// other host is known. False if the host does not tell.
+    /// other host can be asked now. False if the host does not tell.
     async fn is_gone_elsewhere(&self, asked: &mut Vec<Name>) -> Option<bool> {
         let host = &self.context.connector.choose_host(asked)?;
         asked.push(Name::clone(&host.host));
--- a/crates/hollyhook_gateway/src/path/path_tracker.rs
+++ b/crates/hollyhook_gateway/src/path/path_tracker.rs
@@ -140,8 +140,8 @@
         self.speculations.try_acquire()
     }
 
-    /// Whether another host is known.
-    pub(super) fn has_other_hosts(&self) -> bool {
+    /// Whether another host is known, whether or not it can be asked for a connection now.
+    pub(crate) fn has_other_hosts(&self) -> bool {
         self.feed.with_topology(|topology| topology.other_hosts().next().is_some())
     }
 
