The path is tested by direct connections, between two tests of the endpoint

Causes: (1) the endpoint was tested twice and its siblings afterwards, so that a cut which ended in between left the endpoint gone and the siblings reached; now the siblings are tested between the two tests. (2) A sibling could be reached through another host, which says nothing of this host's path, once the direct connection was slow; now only direct ones count.

--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -9,18 +9,16 @@
 use super::request_log;
 use crate::front::CallerRequest;
 use crate::gateway::{GatewayContext, SurvivingRun};
-use crate::path::{ConnectError, EndpointTarget, RemoteFinding};
+use crate::path::{EndpointTarget, RemoteFinding};
 use crate::pool::{PooledConnection, SendError};
 use crate::store::QuarantineWriter;
 
 /// Time limit for an endpoint to refuse a connection or to break it. The machine of a crashed process refuses within
 /// one round trip, and so does a proxy that accepts connections in its place.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(60);
-/// Consecutive connections that must break or be refused before an endpoint counts as crashed: live endpoints reset some
-/// connections.
-const CRASH_CHECKS: usize = 2;
-/// Delay between two of these connections. When hosts lose their links, one that is asked still reaches some endpoints
-/// for some milliseconds, and takes the others for crashed.
+/// Delay between the two tests that an endpoint must fail to count as crashed: live endpoints reset some connections.
+/// When hosts lose their links, one that is asked still reaches some endpoints for some milliseconds, and takes the others
+/// for crashed.
 const RECHECK_DELAY: Duration = Duration::from_millis(20);
 /// How long a connection to a plain service instance must stay open to show that the process lives.
 const HOLD_TIME: Duration = Duration::from_millis(10);
@@ -155,15 +153,12 @@
         return check.is_gone_elsewhere(&mut asked).await == Some(true)
             && check.is_gone_elsewhere(&mut asked).await == Some(true);
     }
-    for number in 0..CRASH_CHECKS {
-        if number > 0 {
-            context.timer.wait(RECHECK_DELAY).await;
-        }
-        if !check.is_gone().await {
-            return false;
-        }
+    if !check.is_gone().await {
+        return false;
     }
-    if !check.has_path().await {
+    context.timer.wait(RECHECK_DELAY).await;
+    // The path is tested between two tests of the endpoint: if it is lost or comes back meanwhile, one of them shows it.
+    if !(check.has_path().await && check.is_gone().await) {
         return false;
     }
     check.is_gone_elsewhere(&mut asked).await.unwrap_or_else(|| check.is_only_host())
@@ -193,9 +188,9 @@
         Self { context, target, kind, siblings: context.connector.siblings(target) }
     }
 
-    /// Whether new connections of this host to the endpoint are refused or broken.
+    /// Whether new connections to the endpoint, through another host too, are refused or broken.
     async fn is_gone(&self) -> bool {
-        match self.connect(self.target).await {
+        match self.context.timer.within(CHECK_TIMEOUT, self.context.connector.connect(self.target)).await {
             Some(Ok(connection)) => self.breaks(self.target, connection).await == Some(true),
             Some(Err(error)) => error.is_refused(),
             None => false,
@@ -207,10 +202,11 @@
         !self.context.paths.has_other_hosts()
     }
 
-    /// Whether this host reaches a sibling. Also true if there is none, or if this host is the only one.
+    /// Whether this host reaches a sibling itself. Also true if there is none, or if this host is the only one.
     async fn has_path(&self) -> bool {
+        let connector = &self.context.connector;
         let is_reached = |sibling| async move {
-            match self.connect(sibling).await {
+            match self.context.timer.within(CHECK_TIMEOUT, connector.connect_directly(sibling)).await {
                 Some(Ok(connection)) => self.breaks(sibling, connection).await == Some(false),
                 Some(Err(_)) | None => false,
             }
@@ -249,10 +245,6 @@
         self.siblings.is_empty()
     }
 
-    async fn connect(&self, target: &EndpointTarget) -> Option<Result<PooledConnection, ConnectError>> {
-        self.context.timer.within(CHECK_TIMEOUT, self.context.connector.connect(target)).await
-    }
-
     /// Whether a new connection breaks when it is tested; `None` if the endpoint neither answers nor breaks it.
     async fn breaks(&self, target: &EndpointTarget, mut connection: PooledConnection) -> Option<bool> {
         let timer = &self.context.timer;
--- a/crates/hollyhook_gateway/src/path/endpoint_connector.rs
+++ b/crates/hollyhook_gateway/src/path/endpoint_connector.rs
@@ -86,7 +86,7 @@
     }
 
     /// Opens a connection to an endpoint without another host.
-    pub(super) async fn connect_directly(&self, target: &EndpointTarget) -> io::Result<PooledConnection> {
+    pub(crate) async fn connect_directly(&self, target: &EndpointTarget) -> io::Result<PooledConnection> {
         let began_at = self.timer.now();
         let connection = self.pool.connect(target.address, DIRECT_TIMEOUT).await?;
         self.record_connected(target, self.timer.now().since(began_at));
