One rule each for refused connections, refused tunnels, equal shares and lost runs

Behaviour is as it was. EndpointConnector::choose_host said that no host is known where none can be asked now.

--- a/crates/hollyhook_core/src/quota/quota_ledger.rs
+++ b/crates/hollyhook_core/src/quota/quota_ledger.rs
@@ -72,8 +72,7 @@
 
     /// The fraction of a service's limits that this host may use now; `own` is its place among all hosts.
     pub fn share(&self, now: TimePoint, service: &str, own: HostPosition) -> f64 {
-        let equal = 1.0 / own.count.max(1) as f64;
-        self.services.get(service).map_or(equal, |known| known.quota.share(now, own))
+        self.services.get(service).map_or(own.equal_share(), |known| known.quota.share(now, own))
     }
 
     /// How many of an endpoint's slots this host may use now.
@@ -100,8 +99,8 @@
         totals: QuotaTotals,
     ) -> Option<QuotaLoan> {
         let quota = &mut self.entry(service).quota;
-        let used = quota.usage.fraction(now, totals) * own.count.max(1) as f64;
         let count = own.count.max(1) as f64;
+        let used = quota.usage.fraction(now, totals) * count;
         let whole = QuotaTotals { rate: totals.rate / count, slots: totals.slots / count };
         let part: QuotaPart = quota.lend(now, borrower, wanted, used, whole)?;
         Some(QuotaLoan { position: own, part })
@@ -128,7 +127,7 @@
         }
         wanted = wanted.min(1.0);
         let missing = wanted - quota.share(now + RENEWAL_TIME, own);
-        let equal = 1.0 / own.count.max(1) as f64;
+        let equal = own.equal_share();
         if missing < MIN_MISSING * equal {
             return None;
         }
--- a/crates/hollyhook_core/src/quota/service_quota.rs
+++ b/crates/hollyhook_core/src/quota/service_quota.rs
@@ -103,8 +103,8 @@
     /// The fraction of the limits that this host may use at `at`, with the loans that it has now.
     pub(super) fn share(&self, at: TimePoint, own: HostPosition) -> f64 {
         let borrowed = self.borrowed.values().filter(|borrowed| at < borrowed.until);
-        let borrowed: f64 = borrowed.map(|known| known.loan.part.size() * quota(known.loan.position)).sum();
-        (1.0 - self.lent_at(at)) * quota(own) + borrowed
+        let borrowed: f64 = borrowed.map(|known| known.loan.part.size() * known.loan.position.equal_share()).sum();
+        (1.0 - self.lent_at(at)) * own.equal_share() + borrowed
     }
 
     fn lent_at(&self, at: TimePoint) -> f64 {
@@ -192,11 +192,6 @@
     QuotaPart { from: gap.from.max(gap.to - wanted), ..gap }
 }
 
-/// The quota of a host: an equal share.
-fn quota(position: HostPosition) -> f64 {
-    1.0 / position.count.max(1) as f64
-}
-
 /// The number of a host's slots at an endpoint whose points in the unit interval satisfy `is_held`.
 fn count_slots(position: HostPosition, endpoint: &str, capacity: u32, is_held: impl Fn(f64) -> bool) -> u32 {
     let slots = position.own_slots(endpoint, capacity);
--- a/crates/hollyhook_core/src/route/host_position.rs
+++ b/crates/hollyhook_core/src/route/host_position.rs
@@ -24,6 +24,11 @@
     /// The number of hosts that is assumed before they have been listed.
     pub const UNLISTED_COUNT: usize = 16;
 
+    /// The fraction of a limit for all hosts together that is left to each if they divide it equally.
+    pub(crate) fn equal_share(self) -> f64 {
+        1.0 / self.count.max(1) as f64
+    }
+
     /// How many of an endpoint's `capacity` slots belong to this host.
     ///
     /// All hosts that know the same hosts divide them in the same way: slot after slot goes to host after host, from a
--- a/crates/hollyhook_gateway/src/forward/event_stream.rs
+++ b/crates/hollyhook_gateway/src/forward/event_stream.rs
@@ -254,13 +254,17 @@
         self.run_time += live.event_span(self.context.timer.now());
         self.resume_from = live.replicator.as_ref().and_then(BackupReplicator::take_location);
         drop(live);
-        check_crash(&self.context, &self.caller, &target, LostRun { failure, run_time: self.run_time }).await;
+        check_crash(&self.context, &self.caller, &target, self.lost_run(failure)).await;
         self.record_failure(&target.id, failure)
     }
 
+    fn lost_run(&self, failure: AttemptFailure) -> LostRun {
+        LostRun { failure, run_time: self.run_time }
+    }
+
     fn record_failure(&mut self, id: &EndpointId, failure: AttemptFailure) -> Result<()> {
         self.context.endpoints.record_outcome(id, Some(failure));
-        let lost = LostRun { failure, run_time: self.run_time };
+        let lost = self.lost_run(failure);
         request_log::attempt_failed(&self.context, &self.caller, id, lost, self.sequencer.last());
         self.tried.push(EndpointId::clone(id));
         let reason = if self.sequencer.can_resume() {
@@ -295,7 +299,7 @@
                     Some(failure),
                     AttemptTimes { first, gap: None },
                 );
-                check_crash(&self.context, &self.caller, &target, LostRun { failure, run_time: self.run_time }).await;
+                check_crash(&self.context, &self.caller, &target, self.lost_run(failure)).await;
                 self.record_failure(&target.id, failure)?;
             }
         }
--- a/crates/hollyhook_gateway/src/path/connect_error.rs
+++ b/crates/hollyhook_gateway/src/path/connect_error.rs
@@ -26,7 +26,7 @@
 
     /// Whether the endpoint's machine, or something on the way, refused the connection or reset it.
     pub(crate) fn is_refused(self) -> bool {
-        matches!(self.direct, io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
+        is_refused(self.direct)
     }
 
     /// The name used in logs.
@@ -58,3 +58,8 @@
         }
     }
 }
+
+/// Whether an error says that a connection was refused or reset.
+pub(super) fn is_refused(error: io::ErrorKind) -> bool {
+    matches!(error, io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
+}
--- a/crates/hollyhook_gateway/src/path/connect_race.rs
+++ b/crates/hollyhook_gateway/src/path/connect_race.rs
@@ -183,10 +183,8 @@
 
     fn record_refusal(&mut self, host: &Name, error: TunnelError) {
         self.connector.recorder.count("tunnels_failed");
-        match error {
-            TunnelError::Unreachable => self.elsewhere = RemoteFinding::Unreachable,
-            TunnelError::Undecided => {}
-            TunnelError::Unavailable => self.connector.paths.skip_host(host),
+        if self.connector.record_refusal(host, error) == RemoteFinding::Unreachable {
+            self.elsewhere = RemoteFinding::Unreachable;
         }
     }
 
--- a/crates/hollyhook_gateway/src/path/endpoint_connector.rs
+++ b/crates/hollyhook_gateway/src/path/endpoint_connector.rs
@@ -102,7 +102,7 @@
         siblings.into_iter().map(EndpointTarget::from).collect()
     }
 
-    /// Chooses another host to connect through, except those in `asked`; `None` if none is known.
+    /// Chooses another host to connect through, except those in `asked`; `None` if none can be asked now.
     pub(crate) fn choose_host(&self, asked: &[Name]) -> Option<HostRecord> {
         self.paths.choose_host(asked)
     }
@@ -117,14 +117,19 @@
         host: &HostRecord,
         target: &EndpointTarget,
     ) -> std::result::Result<PooledConnection, RemoteFinding> {
-        self.open_tunnel(host, &target.id).await.map_err(|error| match error {
+        self.open_tunnel(host, &target.id).await.map_err(|error| self.record_refusal(&host.host, error))
+    }
+
+    /// Records why a host opened no tunnel; returns what it found out about the endpoint.
+    pub(super) fn record_refusal(&self, host: &Name, error: TunnelError) -> RemoteFinding {
+        match error {
             TunnelError::Unreachable => RemoteFinding::Unreachable,
             TunnelError::Undecided => RemoteFinding::Unknown,
             TunnelError::Unavailable => {
-                self.paths.skip_host(&host.host);
+                self.paths.skip_host(host);
                 RemoteFinding::Unknown
             }
-        })
+        }
     }
 
     /// Opens a tunnel through another host and a connection to an endpoint in it.
--- a/crates/hollyhook_gateway/src/path/tunnel_server.rs
+++ b/crates/hollyhook_gateway/src/path/tunnel_server.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 
 use super::EndpointTarget;
+use super::connect_error::is_refused;
 use super::tunnel_request::{requested_endpoint, switching_protocols};
 use super::tunnel_traffic::TunnelTraffic;
 use crate::gateway::GatewayContext;
@@ -127,7 +128,7 @@
     /// afterwards: all hosts of a zone may lose their paths at once, and open connections may outlive the loss.
     async fn refusal(&self, target: &EndpointTarget, error: io::ErrorKind) -> TunnelRefusal {
         let context = &self.context;
-        if !matches!(error, io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset) {
+        if !is_refused(error) {
             return TunnelRefusal::UNDECIDED;
         }
         let siblings = context.connector.siblings(target);
