A crash is found by two rounds of several hosts, and paths are proved by answers

What callers saw: sound requests and parts are refused by hosts whose links are reset while no endpoint is down.

Cause: (1) two tests 20 ms apart, while the links of all hosts go down over a longer time, as they do where the machine is busy; (2) a host that is asked took an opened connection to another endpoint for its path to it; (3) beyond eight connections at a time a check rested on the word of one host, and each of the streams that an endpoint lost drew its own. Class: what one host sees from its place is taken for the state of the other side.

Change: one check an endpoint, which all streams that it lost wait for. Two rounds, each with this host's own test and three other hosts, each round others: the endpoint must be gone for all, and reached by none. If connections to other endpoints are lost meanwhile, the rounds are 100 ms apart. Paths, this host's in between and that of each host that is asked, are proved by an answer. The rule is CrashInquiry in the core, without a network; crash.checked says what a check rested on.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -55,8 +55,8 @@
 pub use pace::{EndpointPace, EngineSpeed, MigrationGate, MigrationPlan, PaceChange, ProgressMeter, ServicePace};
 pub use path::{ConnectOrder, EndpointGroup, PathMonitor, TunnelDirectory};
 pub use quarantine::{
-    CrashLedger, CrashRecord, CrashRecords, DigestError, QuarantineChange, RequestDigest, SpreadScope, SpreadStep,
-    SuspectRequest, spread_plan, spread_through,
+    CrashInquiry, CrashLedger, CrashRecord, CrashRecords, DigestError, EndpointFinding, QuarantineChange,
+    RequestDigest, SpreadScope, SpreadStep, SuspectRequest, spread_plan, spread_through,
 };
 pub use queue::{DispatchRate, QueueLimits, QueueRefusal, QueueRequest, RequestQueue, RoomGate};
 pub use quota::{QuotaLedger, QuotaLoan, QuotaPart, QuotaRound, QuotaTotals};
--- a/crates/hollyhook_core/src/quarantine/mod.rs
+++ b/crates/hollyhook_core/src/quarantine/mod.rs
@@ -1,6 +1,7 @@
 //! Quarantine: finds requests, and parts of prompts, that crash the endpoints which run them, so that all hosts refuse
 //! them.
 
+mod crash_inquiry;
 mod crash_ledger;
 mod crash_record;
 mod part_evidence;
@@ -12,6 +13,7 @@
 
 use crash_record::RunLength;
 
+pub use crash_inquiry::{CrashInquiry, EndpointFinding};
 pub use crash_ledger::{CrashLedger, CrashRecords, QuarantineChange};
 pub use crash_record::CrashRecord;
 pub use request_digest::{DigestError, RequestDigest};
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod brittle;
 mod choosing;
 mod contact;
+mod crash_inquiry;
 mod demand;
 mod feeding;
 mod large_fleet;
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -5,6 +5,7 @@
 mod attempt_times;
 mod backup_replicator;
 mod crash_check;
+mod endpoint_check;
 mod endpoint_probe;
 mod engine_choice;
 mod event_stream;
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -22,7 +22,7 @@
 use crate::path::{EndpointConnector, PathTracker};
 use crate::peer::FeedState;
 use crate::pool::ConnectionPool;
-use crate::quarantine::SpreadQueue;
+use crate::quarantine::{CrashChecks, SpreadQueue};
 use crate::queue::ServiceQueues;
 use crate::quota::BorrowState;
 use crate::sync::lock;
@@ -64,6 +64,7 @@
     pub(crate) endpoints: Arc<EndpointDirectory>,
     pub(crate) connector: Arc<EndpointConnector>,
     pub(crate) quarantine: Arc<QuarantineTracker>,
+    pub(crate) crash_checks: Arc<CrashChecks>,
     pub(crate) crash_spread: Arc<SpreadQueue>,
     pub(crate) borrowing: Arc<BorrowState>,
     pub(crate) rollouts: Arc<RolloutTracker>,
@@ -104,6 +105,7 @@
         registry.register(EndpointDirectory::NAME, endpoints)?;
         registry.register(EndpointConnector::NAME, EndpointConnector::new(registry)?)?;
         registry.register(QuarantineTracker::NAME, QuarantineTracker::new(registry)?)?;
+        registry.register(CrashChecks::NAME, CrashChecks::default())?;
         registry.register(SpreadQueue::NAME, SpreadQueue::default())?;
         registry.register(BorrowState::NAME, BorrowState::default())?;
         registry.register(RolloutTracker::NAME, RolloutTracker::new(registry, settings.bounds.exposure)?)?;
@@ -133,6 +135,7 @@
             endpoints: registry.find(EndpointDirectory::NAME)?,
             connector: registry.find(EndpointConnector::NAME)?,
             quarantine: registry.find(QuarantineTracker::NAME)?,
+            crash_checks: registry.find(CrashChecks::NAME)?,
             crash_spread: registry.find(SpreadQueue::NAME)?,
             borrowing: registry.find(BorrowState::NAME)?,
             rollouts: registry.find(RolloutTracker::NAME)?,
--- a/crates/hollyhook_gateway/src/path/connect_error.rs
+++ b/crates/hollyhook_gateway/src/path/connect_error.rs
@@ -24,11 +24,6 @@
     /// The connection attempt ended without an outcome.
     pub(super) const NOT_TRIED: Self = Self { direct: io::ErrorKind::NotConnected, elsewhere: RemoteFinding::Unknown };
 
-    /// Whether the endpoint's machine, or something on the way, refused the connection or reset it.
-    pub(crate) fn is_refused(self) -> bool {
-        is_refused(self.direct)
-    }
-
     /// The name used in logs.
     pub(crate) fn cause(self) -> &'static str {
         match self.direct {
@@ -60,6 +55,6 @@
 }
 
 /// Whether an error says that a connection was refused or reset.
-pub(super) fn is_refused(error: io::ErrorKind) -> bool {
+pub(crate) fn is_refused(error: io::ErrorKind) -> bool {
     matches!(error, io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
 }
--- a/crates/hollyhook_gateway/src/path/endpoint_connector.rs
+++ b/crates/hollyhook_gateway/src/path/endpoint_connector.rs
@@ -196,7 +196,7 @@
     ///
     /// If the path to its group is lost, idle connections of this host's own may be dead without a word and are closed,
     /// and the paths to other groups are checked. If one endpoint proves too little, another one is tried.
-    pub(super) fn record_bypassed(self: &Arc<Self>, target: &EndpointTarget, host: &Name) {
+    pub(crate) fn record_bypassed(self: &Arc<Self>, target: &EndpointTarget, host: &Name) {
         let group = &target.group;
         let size = self.endpoints.table().group_size(group);
         if self.paths.record_bypassed(target, host, size) {
--- a/crates/hollyhook_gateway/src/path/tunnel_server.rs
+++ b/crates/hollyhook_gateway/src/path/tunnel_server.rs
@@ -6,18 +6,16 @@
 use async_io::Async;
 use async_std::task;
 use bytes::Bytes;
-use futures::FutureExt;
-use futures::future::select_ok;
 use hollyhook_core::{EndpointId, StopPhase};
 use hollyhook_wire::bound_endpoint_buffers;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use super::EndpointTarget;
 use super::connect_error::is_refused;
 use super::tunnel_request::{requested_endpoint, switching_protocols};
 use super::tunnel_traffic::TunnelTraffic;
+use super::{ConnectionProbe, EndpointTarget};
 use crate::gateway::GatewayContext;
 use crate::net::{dial, text_response};
 use crate::sync::{CountGuard, CountLimit};
@@ -124,17 +122,27 @@
 
     /// The refusal if this host can't connect to an endpoint.
     ///
-    /// The endpoint is at fault only if its machine refuses and another one of its group accepts a new connection
-    /// afterwards: all hosts of a zone may lose their paths at once, and open connections may outlive the loss.
+    /// The endpoint is at fault only if its machine refuses and another one of its group answers on a new connection
+    /// afterwards: all hosts of a zone may lose their paths at once, and open connections may outlive the loss, as may
+    /// sockets that accept new ones on the way.
     async fn refusal(&self, target: &EndpointTarget, error: io::ErrorKind) -> TunnelRefusal {
         let context = &self.context;
         if !is_refused(error) {
             return TunnelRefusal::UNDECIDED;
         }
-        let siblings = context.connector.siblings(target);
-        let dials = siblings.iter().map(|sibling| dial(&context.timer, sibling.address, CONNECT_TIMEOUT).boxed());
-        let has_path = !siblings.is_empty() && select_ok(dials).await.is_ok();
-        if has_path { TunnelRefusal::UNREACHABLE } else { TunnelRefusal::UNDECIDED }
+        let has_path = context.timer.within(CONNECT_TIMEOUT, self.is_sibling_heard(target)).await;
+        if has_path == Some(true) { TunnelRefusal::UNREACHABLE } else { TunnelRefusal::UNDECIDED }
+    }
+
+    /// Whether another endpoint of the target's group answers this host.
+    async fn is_sibling_heard(&self, target: &EndpointTarget) -> bool {
+        let probe = ConnectionProbe::for_service(&self.context, &target.group.service);
+        for sibling in self.context.connector.siblings(target) {
+            if probe.is_answered(&self.context, &sibling).await {
+                return true;
+            }
+        }
+        false
     }
 
     fn find(&self, id: &EndpointId) -> Option<EndpointTarget> {
