Crash inquiries: answers of hosts by that name, one test of several endpoints, its time limit

Form only: the loop over siblings stood in the check and in the tunnel server, whose limit for siblings was that for connecting. Behaviour is as it was.

--- a/crates/hollyhook_core/src/quarantine/crash_inquiry.rs
+++ b/crates/hollyhook_core/src/quarantine/crash_inquiry.rs
@@ -5,8 +5,8 @@
 /// Number of other hosts that are asked in each round. If half of all hosts lose their paths alike, one inquiry in 64 asks
 /// none but these.
 const HOSTS_PER_ROUND: usize = 3;
-/// How often the endpoint must be gone for another host; each time that one was asked if it was asked less often.
-const REQUIRED_WORDS: u32 = 3;
+/// How many answers of other hosts must say that the endpoint is gone; all of them if there are fewer.
+const REQUIRED_ANSWERS: u32 = 3;
 /// Delay between the two rounds. Live endpoints reset some connections.
 const ROUND_DELAY: Duration = Duration::from_millis(20);
 /// Delay between the two rounds if connections to other endpoints are lost at the same time: the paths of all hosts may be
@@ -37,12 +37,12 @@
 /// let mut inquiry = CrashInquiry::new(false, true);
 /// for _round in 0..CrashInquiry::rounds() {
 ///     inquiry.add_own(EndpointFinding::Gone);
-///     inquiry.add_word(EndpointFinding::Gone);
+///     inquiry.add_answer(EndpointFinding::Gone);
 /// }
 /// assert!(!inquiry.has_crashed());
 /// inquiry.add_path_test(true);
 /// assert!(inquiry.has_crashed());
-/// inquiry.add_word(EndpointFinding::Reached);
+/// inquiry.add_answer(EndpointFinding::Reached);
 /// assert!(!inquiry.has_crashed());
 /// ```
 #[derive(Debug, Clone)]
@@ -53,15 +53,16 @@
     is_refuted: bool,
     /// The number of tests of this host that are still to be added.
     own_tests_left: u32,
-    words: u32,
-    words_gone: u32,
+    /// Answers of other hosts, and how many of them say that the endpoint is gone.
+    answers: u32,
+    answers_gone: u32,
 }
 
 impl CrashInquiry {
     /// An inquiry without findings.
     pub fn new(is_path_lost: bool, has_other_hosts: bool) -> Self {
         let own_tests_left = if is_path_lost { 0 } else { ROUNDS + 1 };
-        Self { is_path_lost, has_other_hosts, is_refuted: false, own_tests_left, words: 0, words_gone: 0 }
+        Self { is_path_lost, has_other_hosts, is_refuted: false, own_tests_left, answers: 0, answers_gone: 0 }
     }
 
     /// The number of rounds of tests.
@@ -97,9 +98,9 @@
     }
 
     /// Adds what another host found.
-    pub fn add_word(&mut self, finding: EndpointFinding) {
-        self.words += 1;
-        self.words_gone += u32::from(finding == EndpointFinding::Gone);
+    pub fn add_answer(&mut self, finding: EndpointFinding) {
+        self.answers += 1;
+        self.answers_gone += u32::from(finding == EndpointFinding::Gone);
         self.is_refuted |= finding == EndpointFinding::Reached;
     }
 
@@ -108,9 +109,9 @@
         self.is_refuted
     }
 
-    /// How often another host found the endpoint gone, and how often one was asked.
-    pub fn words(&self) -> (u32, u32) {
-        (self.words_gone, self.words)
+    /// How many answers of other hosts say that the endpoint is gone, and how many there are.
+    pub fn answers(&self) -> (u32, u32) {
+        (self.answers_gone, self.answers)
     }
 
     /// Whether the endpoint has crashed, as far as all findings tell.
@@ -118,7 +119,7 @@
     /// A host that knows others, of which none can be asked now, can't tell.
     pub fn has_crashed(&self) -> bool {
         let is_confirmed = if self.has_other_hosts {
-            self.words > 0 && self.words_gone >= REQUIRED_WORDS.min(self.words)
+            self.answers > 0 && self.answers_gone >= REQUIRED_ANSWERS.min(self.answers)
         } else {
             !self.is_path_lost
         };
--- a/crates/hollyhook_core/tests/gateway/crash_inquiry.rs
+++ b/crates/hollyhook_core/tests/gateway/crash_inquiry.rs
@@ -19,7 +19,7 @@
             inquiry.add_path_test(true);
         }
         inquiry.add_own(find(0, round));
-        next.by_ref().take(per_round).for_each(|host| inquiry.add_word(find(*host, round)));
+        next.by_ref().take(per_round).for_each(|host| inquiry.add_answer(find(*host, round)));
     }
     inquiry.has_crashed()
 }
@@ -54,7 +54,7 @@
     assert!(count_crashed(8, find) >= SEEDS * 95 / 100);
 }
 
-/// Guards against the word of hosts that have lost the same links.
+/// Guards against the answers of hosts that have lost the same links.
 #[test]
 fn lost_links_of_half_the_hosts_accuse_nothing() {
     let find = |hosts: usize| {
@@ -91,7 +91,7 @@
 fn path_lost_between_rounds_accuses_nothing() {
     let mut inquiry = CrashInquiry::new(false, true);
     inquiry.add_own(EndpointFinding::Gone);
-    inquiry.add_word(EndpointFinding::Gone);
+    inquiry.add_answer(EndpointFinding::Gone);
     inquiry.add_path_test(false);
     assert!(inquiry.is_refuted() && !inquiry.has_crashed());
 }
--- a/crates/hollyhook_gateway/src/forward/endpoint_check.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_check.rs
@@ -43,7 +43,7 @@
             }
         }
         let has_crashed = self.inquiry.has_crashed();
-        let (gone_for, asked) = self.inquiry.words();
+        let (gone_for, asked) = self.inquiry.answers();
         let is_path_lost = !self.inquiry.needs_own_tests();
         tracing::info!(endpoint = %self.target.id, zone = %self.target.group.zone, has_crashed, gone_for, asked,
             is_path_lost, "crash.checked");
@@ -90,13 +90,7 @@
 
     /// Whether a sibling answers this host. Also true if there is none.
     async fn has_path(&self) -> bool {
-        // One after the other: most often the first one answers, and each test takes a new connection.
-        for sibling in &self.siblings {
-            if self.probe.is_answered(&self.context, sibling).await {
-                return true;
-            }
-        }
-        self.siblings.is_empty()
+        self.siblings.is_empty() || self.probe.is_any_answered(&self.context, &self.siblings).await
     }
 
     /// Asks other hosts, at the same time; those of the round before only if there are no others.
@@ -113,7 +107,7 @@
             if finding == EndpointFinding::Reached && self.inquiry.needs_own_tests() {
                 self.context.connector.record_bypassed(&self.target, &host.host);
             }
-            self.inquiry.add_word(finding);
+            self.inquiry.add_answer(finding);
             self.asked.push(host.host);
         }
     }
--- a/crates/hollyhook_gateway/src/path/connection_probe.rs
+++ b/crates/hollyhook_gateway/src/path/connection_probe.rs
@@ -65,8 +65,18 @@
         }
     }
 
-    /// Whether an endpoint answers on a new connection that this host opens itself.
-    pub(crate) async fn is_answered(self, context: &GatewayContext, target: &EndpointTarget) -> bool {
+    /// Whether one of several endpoints answers on a new connection that this host opens itself.
+    pub(crate) async fn is_any_answered(self, context: &GatewayContext, targets: &[EndpointTarget]) -> bool {
+        // One after the other: most often the first one answers, and each test takes a new connection.
+        for target in targets {
+            if self.is_answered(context, target).await {
+                return true;
+            }
+        }
+        false
+    }
+
+    async fn is_answered(self, context: &GatewayContext, target: &EndpointTarget) -> bool {
         let connected = context.timer.within(PROBE_TIMEOUT, context.connector.connect_directly(target)).await;
         match connected {
             Some(Ok(connection)) => self.test(context, target, connection).await == ProbeOutcome::Answered,
--- a/crates/hollyhook_gateway/src/path/tunnel_server.rs
+++ b/crates/hollyhook_gateway/src/path/tunnel_server.rs
@@ -22,6 +22,8 @@
 
 /// Time limit for connecting to an endpoint for another host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time limit for another endpoint to answer this host. The host that asks for the tunnel waits for 250 ms in all.
+const SIBLING_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of tunnels through this host. Each takes two file descriptors, of which a process has 4,100 on the
 /// smallest hosts.
 const MAX_TUNNELS: usize = 300;
@@ -130,19 +132,14 @@
         if !is_refused(error) {
             return TunnelRefusal::UNDECIDED;
         }
-        let has_path = context.timer.within(CONNECT_TIMEOUT, self.is_sibling_heard(target)).await;
+        let has_path = context.timer.within(SIBLING_TIMEOUT, self.is_sibling_heard(target)).await;
         if has_path == Some(true) { TunnelRefusal::UNREACHABLE } else { TunnelRefusal::UNDECIDED }
     }
 
     /// Whether another endpoint of the target's group answers this host.
     async fn is_sibling_heard(&self, target: &EndpointTarget) -> bool {
         let probe = ConnectionProbe::for_service(&self.context, &target.group.service);
-        for sibling in self.context.connector.siblings(target) {
-            if probe.is_answered(&self.context, &sibling).await {
-                return true;
-            }
-        }
-        false
+        probe.is_any_answered(&self.context, &self.context.connector.siblings(target)).await
     }
 
     fn find(&self, id: &EndpointId) -> Option<EndpointTarget> {
