--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -55,9 +55,9 @@
 /// Records a crash against a request if the endpoint that ran it has crashed.
 ///
 /// A broken connection alone proves little: live endpoints and network links reset some. An endpoint whose process has
-/// ended refuses the next connections or breaks each of them, of other hosts too. If that is not seen, a lost attempt (`Broken`, `Garbled`,
-/// `Silent`) is remembered for a while, and counts as a crash if the endpoint turns out to have restarted or its
-/// entry in the store is removed.
+/// ended refuses the next connections or breaks each of them, of other hosts too. If that is not seen, a lost attempt
+/// (`Broken`, `Garbled`, `Silent`) is remembered for a while, and counts as a crash if the endpoint turns out to have
+/// restarted or its entry in the store is removed.
 async fn record_if_crashed(
     context: &Arc<GatewayContext>,
     caller: &CallerRequest,
@@ -80,8 +80,9 @@
 
 /// Whether an endpoint has crashed, as far as this host and others can tell now.
 async fn has_crashed(context: &Arc<GatewayContext>, target: &EndpointTarget) -> bool {
-    let check = EndpointCheck::new(context, target);
-    context.crash_checks.join(&target.id, check.run()).await
+    let (checked_by, checked) = (Arc::clone(context), target.clone());
+    let check = async move { EndpointCheck::new(&checked_by, &checked).run().await };
+    context.crash_checks.join(&target.id, check).await
 }
 
 /// Records that an endpoint ran a request to its end.
--- a/crates/hollyhook_gateway/src/forward/endpoint_check.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_check.rs
@@ -4,7 +4,7 @@
 use hollyhook_core::{CrashInquiry, EndpointFinding, HostRecord, Name};
 
 use crate::gateway::GatewayContext;
-use crate::path::{ConnectionProbe, EndpointTarget, PROBE_TIMEOUT, ProbeOutcome, RemoteFinding, is_refused};
+use crate::path::{ConnectionProbe, EndpointTarget, ProbeOutcome, RemoteFinding};
 
 /// The tests that tell a crashed endpoint from a lost path.
 pub(super) struct EndpointCheck {
@@ -76,15 +76,10 @@
 
     /// What this host finds itself.
     async fn test_directly(&self) -> EndpointFinding {
-        let context = &self.context;
-        match context.timer.within(PROBE_TIMEOUT, context.connector.connect_directly(&self.target)).await {
-            Some(Ok(connection)) => match self.probe.test(context, &self.target, connection).await {
-                ProbeOutcome::Answered => EndpointFinding::Reached,
-                ProbeOutcome::Broken => EndpointFinding::Gone,
-                ProbeOutcome::Silent => EndpointFinding::Unknown,
-            },
-            Some(Err(error)) if is_refused(error.kind()) => EndpointFinding::Gone,
-            Some(Err(_)) | None => EndpointFinding::Unknown,
+        match self.probe.test_directly(&self.context, &self.target).await {
+            ProbeOutcome::Answered => EndpointFinding::Reached,
+            ProbeOutcome::Broken => EndpointFinding::Gone,
+            ProbeOutcome::Silent => EndpointFinding::Unknown,
         }
     }
 
--- a/crates/hollyhook_gateway/src/path/connect_error.rs
+++ b/crates/hollyhook_gateway/src/path/connect_error.rs
@@ -55,6 +55,6 @@
 }
 
 /// Whether an error says that a connection was refused or reset.
-pub(crate) fn is_refused(error: io::ErrorKind) -> bool {
+pub(super) fn is_refused(error: io::ErrorKind) -> bool {
     matches!(error, io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset)
 }
--- a/crates/hollyhook_gateway/src/path/connection_probe.rs
+++ b/crates/hollyhook_gateway/src/path/connection_probe.rs
@@ -4,12 +4,13 @@
 use http_body_util::Full;
 
 use super::EndpointTarget;
+use super::connect_error::is_refused;
 use crate::gateway::GatewayContext;
 use crate::pool::{PooledConnection, SendError};
 
 /// Time limit for an endpoint to refuse a connection, to break it or to answer on it. The machine of a crashed process
 /// refuses within one round trip, and so does a proxy that accepts connections in its place.
-pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
 /// How long a connection to a plain service instance must stay open to show that the process lives.
 const HOLD_TIME: Duration = Duration::from_millis(10);
 
@@ -18,7 +19,7 @@
 pub(crate) enum ProbeOutcome {
     /// The endpoint answered or, where it can't be asked, kept the connection open.
     Answered,
-    /// The connection broke.
+    /// The connection was refused, or broke.
     Broken,
     /// Neither.
     Silent,
@@ -37,8 +38,7 @@
     /// The probe for the endpoints of a service, as the configuration describes them.
     pub(crate) fn for_service(context: &GatewayContext, service: &str) -> Self {
         let site = context.site();
-        let has_engines =
-            site.and_then(|site| site.service(service).map(|service| service.engine.is_some())).unwrap_or_default();
+        let has_engines = site.is_some_and(|site| site.service(service).is_some_and(|known| known.engine.is_some()));
         if has_engines { Self::Report } else { Self::Hold }
     }
 
@@ -69,18 +69,20 @@
     pub(crate) async fn is_any_answered(self, context: &GatewayContext, targets: &[EndpointTarget]) -> bool {
         // One after the other: most often the first one answers, and each test takes a new connection.
         for target in targets {
-            if self.is_answered(context, target).await {
+            if self.test_directly(context, target).await == ProbeOutcome::Answered {
                 return true;
             }
         }
         false
     }
 
-    async fn is_answered(self, context: &GatewayContext, target: &EndpointTarget) -> bool {
+    /// Tests a new connection to an endpoint that this host opens itself.
+    pub(crate) async fn test_directly(self, context: &GatewayContext, target: &EndpointTarget) -> ProbeOutcome {
         let connected = context.timer.within(PROBE_TIMEOUT, context.connector.connect_directly(target)).await;
         match connected {
-            Some(Ok(connection)) => self.test(context, target, connection).await == ProbeOutcome::Answered,
-            Some(Err(_)) | None => false,
+            Some(Ok(connection)) => self.test(context, target, connection).await,
+            Some(Err(error)) if is_refused(error.kind()) => ProbeOutcome::Broken,
+            Some(Err(_)) | None => ProbeOutcome::Silent,
         }
     }
 }
--- a/crates/hollyhook_gateway/src/path/mod.rs
+++ b/crates/hollyhook_gateway/src/path/mod.rs
@@ -11,8 +11,8 @@
 mod tunnel_server;
 mod tunnel_traffic;
 
-pub(crate) use connect_error::{ConnectError, RemoteFinding, is_refused};
-pub(crate) use connection_probe::{ConnectionProbe, PROBE_TIMEOUT, ProbeOutcome};
+pub(crate) use connect_error::{ConnectError, RemoteFinding};
+pub(crate) use connection_probe::{ConnectionProbe, ProbeOutcome};
 pub(crate) use endpoint_connector::EndpointConnector;
 pub(crate) use endpoint_target::EndpointTarget;
 pub(crate) use path_tracker::{PathTracker, TunnelLease};
