A silent attempt stays open beside its successor

Callers lost streams while their engines paused for a second: the attempt was closed 0.45 s after its last event, the next one went to an engine that paused too, and the retry budget ended the stream with 20 of 25 s left.

Cause: a suspicion was acted on as a loss. A missed report (150 ms in a stream, 60 ms at the placement) closed the connection, ejected the engine and spent an attempt before any other engine worked, and each request found out for itself.

Now a silent attempt is only suspected. AttemptRace (core) holds the open attempts at a request: another one is made beside those that are suspected, the first that sends an event wins, the others are cancelled. It goes only to an engine that was heard just now or reports; while most engines are silent, only to one that holds the backup. A spent budget or a used-up number of attempts ends new attempts, not an open one. Resets, refused connections, removed entries and an engine's word that it has no such run still remove an attempt at once. The endpoint table keeps silence apart from failures: the first sign of life ends the ejection, and an answer of a later incarnation is none. Silence is measured since the last whole event.

Plain calls still drop a silent attempt; that is next.

--- a/crates/hollyhook_core/src/forward/attempt_ledger.rs
+++ b/crates/hollyhook_core/src/forward/attempt_ledger.rs
@@ -116,6 +116,11 @@
         self.runs + self.not_run + self.misdirected
     }
 
+    /// Whether another attempt may be made while `open` attempts, which may have run, are still open.
+    pub fn allows_beside(&self, open: usize) -> bool {
+        self.kind.is_repeatable() && self.runs + (open as u32) < self.max_runs && self.not_run < self.max_not_run
+    }
+
     /// Whether the next attempt, if it runs, is the last allowed.
     pub fn is_last(&self) -> bool {
         self.runs + 1 >= self.max_runs
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -44,7 +44,8 @@
     SkipReason, StoreContact, StoreRevision, is_helper_stale, snapshot_limit,
 };
 pub use forward::{
-    AnswerHead, AnswerVerdict, AttemptFailure, AttemptLedger, CallerHead, PromptSize, StopReason, evaluate_answer,
+    AnswerHead, AnswerVerdict, AttemptFailure, AttemptKey, AttemptLedger, AttemptRace, CallerHead, PromptSize,
+    RaceStep, StopReason, evaluate_answer,
 };
 pub use generation::{
     AttemptNumber, EndReason, EndpointRefusal, GenerationId, GenerationRelay, LatencyEstimator, OpenMode, PrefixDigest,
@@ -78,7 +79,8 @@
 };
 pub use stop::{StopPhase, StopPlan};
 pub use stream::{
-    EventBatch, EventReader, EventSequencer, EventSplitter, LivenessChecker, LivenessVerdict, RawEvent, SequenceVerdict,
+    EventBatch, EventReader, EventSequencer, EventSplitter, LivenessChecker, LivenessVerdict, RawEvent,
+    SequenceVerdict, SilenceWatch,
 };
 pub use terms::{AdvertisedTerms, RateShare, TermsTable};
 pub use time::TimePoint;
--- a/crates/hollyhook_core/src/route/endpoint_record.rs
+++ b/crates/hollyhook_core/src/route/endpoint_record.rs
@@ -7,6 +7,7 @@
 use super::MAX_REPORT_AGE;
 use super::failure_record::FailureRecord;
 use super::room_report::RoomReport;
+use super::silence_record::SilenceRecord;
 use crate::pace::LoadTrend;
 use crate::{EndpointId, EndpointPace, LatencyEstimator, ModelBinding, Name, StoreRevision, TimePoint, ZoneName};
 
@@ -80,6 +81,8 @@
     pub(super) room: Option<RoomReport>,
     /// When this host sent its most recent requests.
     pub(super) sends: VecDeque<TimePoint>,
+    /// When the endpoint was last heard or found silent.
+    pub(super) silence: SilenceRecord,
     pub(super) failures: u32,
     pub(super) ejected_until: TimePoint,
 }
@@ -111,6 +114,7 @@
             pace: EndpointPace::default(),
             trend: LoadTrend::default(),
             errors: FailureRecord::default(),
+            silence: SilenceRecord::default(),
             failures: 0,
             ejected_until: TimePoint::ZERO,
         }
@@ -199,5 +203,6 @@
     pub(super) fn clear_failures(&mut self) {
         self.failures = 0;
         self.ejected_until = TimePoint::ZERO;
+        self.silence.forget_silence();
     }
 }
--- /dev/null
+++ b/crates/hollyhook_core/src/route/endpoint_silence.rs
@@ -0,0 +1,64 @@
+use super::EndpointTable;
+use crate::{EndpointId, TimePoint, ZoneName};
+
+/// The number of endpoints that must be silent at once for the silence to count as widespread.
+const MIN_WIDESPREAD: usize = 3;
+
+/// Which endpoints of this host's table are silent.
+impl EndpointTable {
+    /// Records that an endpoint sent nothing in time, which ejects the endpoint until it is heard again or the ejection
+    /// ends; returns whether it was not known to be silent.
+    pub fn record_silence(&mut self, now: TimePoint, id: &str) -> bool {
+        let Some(record) = self.get_mut(id) else {
+            return false;
+        };
+        let is_new = record.silence.add_silence(now);
+        if !record.is_ejected(now) {
+            record.add_failure(now);
+        }
+        if is_new {
+            let (zone, id) = (ZoneName::clone(&record.zone), EndpointId::clone(&record.id));
+            self.record_zone_failure(now, zone, &id);
+        }
+        is_new
+    }
+
+    /// Records that an endpoint sent something; returns whether this ends a silence, and with it the ejection.
+    pub fn record_heard(&mut self, now: TimePoint, id: &str) -> bool {
+        let Some(record) = self.get_mut(id) else {
+            return false;
+        };
+        let was_silent = record.silence.add_sign(now);
+        if was_silent {
+            record.clear_failures();
+        }
+        was_silent
+    }
+
+    /// Whether an endpoint has been found silent and not been heard since.
+    pub fn is_silent(&self, id: &str) -> bool {
+        self.get(id).is_some_and(|record| record.silence.is_silent())
+    }
+
+    /// Whether an endpoint was found silent a moment ago and has not been heard since.
+    pub fn is_just_silent(&self, now: TimePoint, id: &str) -> bool {
+        self.get(id).is_some_and(|record| record.silence.is_just_silent(now))
+    }
+
+    /// Whether an endpoint was heard so recently that it is known to be alive.
+    pub fn is_alive(&self, now: TimePoint, id: &str) -> bool {
+        self.get(id).is_some_and(|record| record.silence.is_alive(now))
+    }
+
+    /// Whether most endpoints of a service that this host has heard recently are silent now.
+    ///
+    /// The cause is then most likely a common one that passes, and the few other endpoints could not take all requests.
+    pub fn is_silence_widespread(&self, now: TimePoint, service: &str) -> bool {
+        let (mut silent, mut heard) = (0, 0);
+        for record in self.of_service(service) {
+            silent += usize::from(record.silence.is_recently_silent(now));
+            heard += usize::from(record.silence.is_recently_heard(now));
+        }
+        silent >= MIN_WIDESPREAD && silent > heard
+    }
+}
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -502,7 +502,12 @@
             return;
         };
         record.add_failure(now);
-        self.zone_failures.entry(ZoneName::clone(&record.zone)).or_default().add(now, &record.id);
+        let (zone, id) = (ZoneName::clone(&record.zone), EndpointId::clone(&record.id));
+        self.record_zone_failure(now, zone, &id);
+    }
+
+    pub(super) fn record_zone_failure(&mut self, now: TimePoint, zone: ZoneName, id: &EndpointId) {
+        self.zone_failures.entry(zone).or_default().add(now, id);
     }
 
     /// Records an endpoint's answer, and whether it was a failure of the endpoint itself.
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -5,6 +5,7 @@
 mod endpoint_membership;
 mod endpoint_pacing;
 mod endpoint_record;
+mod endpoint_silence;
 mod endpoint_subset;
 mod endpoint_table;
 mod engine_candidate;
@@ -24,6 +25,7 @@
 mod ring_index;
 mod room_report;
 mod route_query;
+mod silence_record;
 mod version_index;
 mod zone_failures;
 
--- a/crates/hollyhook_core/src/route/route_query.rs
+++ b/crates/hollyhook_core/src/route/route_query.rs
@@ -14,6 +14,7 @@
     pub(super) preferred: &'a [EndpointId],
     versions: Option<&'a VersionFilter>,
     is_repeatable: bool,
+    is_responsive: bool,
 }
 
 impl<'a> RouteQuery<'a> {
@@ -29,6 +30,7 @@
             preferred: &[],
             versions: None,
             is_repeatable: false,
+            is_responsive: false,
         }
     }
 
@@ -74,6 +76,13 @@
         self
     }
 
+    /// Excludes endpoints that have been found silent and not been heard since, if `is_responsive`.
+    #[must_use]
+    pub fn responsive(mut self, is_responsive: bool) -> Self {
+        self.is_responsive = is_responsive;
+        self
+    }
+
     /// Restricts the choice to the few endpoints that all hosts rank first for an affinity key.
     #[must_use]
     pub fn affinity(mut self, key: u128) -> Self {
@@ -109,7 +118,9 @@
         let is_bound = self.binding.is_none_or(|binding| record.binding.as_ref() == Some(binding));
         let is_zone_allowed = self.avoid_zone.is_none_or(|zone| record.zone != *zone);
         let is_version_allowed = self.versions.is_none_or(|filter| filter.allows(&record.id, &record.version));
+        let is_heard = !(self.is_responsive && record.silence.is_silent());
         is_served
+            && is_heard
             && is_bound
             && is_zone_allowed
             && is_version_allowed
--- a/crates/hollyhook_core/src/stream/liveness_checker.rs
+++ b/crates/hollyhook_core/src/stream/liveness_checker.rs
@@ -9,7 +9,7 @@
 /// Number of reports between two received events after which the run counts as stalled.
 const MAX_STALLED_REPORTS: u32 = 3;
 /// Number of reports, over about ten seconds, after which a request that still waits for its prompt to be processed is
-/// given up. This is only an upper bound, since another engine would have to process the prompt from the start.
+/// suspected. This is only an upper bound, since another engine would have to process the prompt from the start.
 const MAX_QUEUED_REPORTS: u32 = 30;
 
 /// Whether to keep waiting for a silent attempt.
@@ -17,16 +17,19 @@
 pub enum LivenessVerdict {
     /// The engine is still working on the request.
     Wait,
-    /// The engine, the run or the connection is lost.
-    Abandon,
+    /// The engine may have paused or died, the connection may be dead, or the run may have stalled.
+    Suspect,
+    /// The engine reports that it has no such run.
+    Lost,
 }
 
 /// Decides from the engine's reports whether an attempt that is silent is still being worked on.
 ///
 /// Each wait for an event uses a new checker, which counts the reports of that wait only.
 ///
-/// Distinguishes three causes of a silence: a dead engine sends no report; an engine that processes other prompts first
-/// reports queued requests; behind a broken connection, the engine reports more events than were received.
+/// Distinguishes the causes of a silence: a dead or paused engine sends no report; an engine that processes other prompts
+/// first reports queued requests; behind a broken connection, the engine reports more events than were received. Only an
+/// engine that reports no such run proves that the attempt is lost.
 #[derive(Debug, Clone, Default)]
 pub struct LivenessChecker {
     absent: u32,
@@ -41,17 +44,18 @@
     /// before the attempt's first event.
     pub fn check(&mut self, report: Option<&EngineReport>, attempt_id: &str, delivered: u64) -> LivenessVerdict {
         let Some(report) = report else {
-            return LivenessVerdict::Abandon;
+            return LivenessVerdict::Suspect;
         };
         let run = report.runs.iter().find(|run| &*run.attempt_id == attempt_id);
-        let is_lost = match run {
+        let is_suspect = match run {
             Some(run) if run.events > delivered + MAX_EVENTS_IN_FLIGHT => true,
             Some(_) if delivered > 0 => reaches_limit(&mut self.stalled, MAX_STALLED_REPORTS),
             Some(_) => reaches_limit(&mut self.queued, MAX_QUEUED_REPORTS),
             None if report.has_pending_prompts() => reaches_limit(&mut self.queued, MAX_QUEUED_REPORTS),
-            None => reaches_limit(&mut self.absent, MAX_ABSENT_REPORTS),
+            None if reaches_limit(&mut self.absent, MAX_ABSENT_REPORTS) => return LivenessVerdict::Lost,
+            None => false,
         };
-        if is_lost { LivenessVerdict::Abandon } else { LivenessVerdict::Wait }
+        if is_suspect { LivenessVerdict::Suspect } else { LivenessVerdict::Wait }
     }
 }
 
--- a/crates/hollyhook_core/src/stream/mod.rs
+++ b/crates/hollyhook_core/src/stream/mod.rs
@@ -4,8 +4,10 @@
 mod event_sequencer;
 mod event_splitter;
 mod liveness_checker;
+mod silence_watch;
 
 pub use event_reader::{EventBatch, EventReader};
 pub use event_sequencer::{EventSequencer, SequenceVerdict};
 pub use event_splitter::{EventSplitter, RawEvent};
 pub use liveness_checker::{LivenessChecker, LivenessVerdict};
+pub use silence_watch::SilenceWatch;
--- a/crates/hollyhook_core/tests/gateway/liveness.rs
+++ b/crates/hollyhook_core/tests/gateway/liveness.rs
@@ -10,10 +10,19 @@
     EngineReport { waiting, runs: runs.collect(), ..EngineReport::default() }
 }
 
-/// The number of successive equal reports after which a checker still waits for the attempt `r1`.
-fn reports_waited(report: Option<&EngineReport>, delivered: u64) -> u32 {
+/// The number of successive equal reports after which a checker still waits for the attempt `r1`, and its next verdict.
+fn first_verdict(report: Option<&EngineReport>, delivered: u64) -> (u32, LivenessVerdict) {
     let mut checker = LivenessChecker::default();
-    (0..100).find(|_| checker.check(report, "r1", delivered) == LivenessVerdict::Abandon).unwrap()
+    let mut verdicts = (0..100).map(|waited| (waited, checker.check(report, "r1", delivered)));
+    verdicts.find(|(_, verdict)| *verdict != LivenessVerdict::Wait).unwrap()
+}
+
+/// The number of successive equal reports after which a checker still waits for the attempt `r1`, which it then
+/// suspects.
+fn reports_waited(report: Option<&EngineReport>, delivered: u64) -> u32 {
+    let (waited, verdict) = first_verdict(report, delivered);
+    assert_eq!(verdict, LivenessVerdict::Suspect);
+    waited
 }
 
 #[test]
@@ -34,11 +43,11 @@
 #[test]
 fn check_absent_request() {
     assert_eq!(
-        reports_waited(Some(&report(0, &[("other", 9)])), 0),
-        1,
+        first_verdict(Some(&report(0, &[("other", 9)])), 0),
+        (1, LivenessVerdict::Lost),
         "the first report may be older than the request"
     );
-    assert_eq!(reports_waited(Some(&report(0, &[])), 50), 1);
+    assert_eq!(first_verdict(Some(&report(0, &[])), 50), (1, LivenessVerdict::Lost));
 }
 
 /// A connection is broken if the engine has produced events that were not received.
--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -204,6 +204,7 @@
                 let (parts, body) = response.into_parts();
                 let head = hollyhook_platform::answer_head(&parts);
                 if head.is_from(&target.entry) {
+                    context.endpoints.record_heard(&target.id);
                     context.endpoints.apply_terms(&target.id, head.terms);
                 }
                 return Ok(OpenResponse { head, parts, body, connection, sent_at });
@@ -218,21 +219,24 @@
 
 /// Sends a request of hollyhook's own to an endpoint and reads the whole response.
 ///
-/// Returns `None` if that takes longer than `limit`, if no connection could be made, or if the connection fails.
+/// # Errors
+///
+/// `Silent` if that takes longer than `limit`; `NotConnected`, `Broken` or `Garbled` if the connection fails.
 pub(super) async fn call_endpoint(
     context: &GatewayContext,
     target: &EndpointTarget,
     request: Request<Full<Bytes>>,
     limit: Duration,
-) -> Option<BufferedResponse> {
+) -> Result<BufferedResponse, AttemptFailure> {
     let exchange = async {
         let response = send(context, target, request).await?;
         response.read_to_end(context, &target.id).await
     };
-    context.timer.within(limit, exchange).await?.ok()
+    context.timer.within(limit, exchange).await.unwrap_or(Err(AttemptFailure::Silent))
 }
 
-/// Sends an engine an order to copy the KV cache of a run, and reads the whole response; `None` as [`call_endpoint`].
+/// Sends an engine an order to copy the KV cache of a run, and reads the whole response; `None` if there is
+/// none in time.
 pub(super) async fn order_copy(
     context: &GatewayContext,
     engine: &EndpointTarget,
@@ -244,7 +248,7 @@
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::from(order))
         .ok()?;
-    call_endpoint(context, engine, request, limit).await
+    call_endpoint(context, engine, request, limit).await.ok()
 }
 
 async fn connect(context: &GatewayContext, target: &EndpointTarget) -> Result<PooledConnection, AttemptFailure> {
--- a/crates/hollyhook_gateway/src/forward/backup_replicator.rs
+++ b/crates/hollyhook_gateway/src/forward/backup_replicator.rs
@@ -107,7 +107,7 @@
     let Ok(request) = request else {
         return;
     };
-    let is_freed = call_endpoint(&context, &run_target, request, BACKUP_TIMEOUT).await.is_some();
+    let is_freed = call_endpoint(&context, &run_target, request, BACKUP_TIMEOUT).await.is_ok();
     tracing::debug!(endpoint = %run_target.id, is_freed, "backup.freed");
 }
 
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use futures::future::join_all;
-use hollyhook_core::{AttemptFailure, EndpointRecord, EngineCandidate, EngineReport};
+use hollyhook_core::{AttemptFailure, EndpointId, EndpointRecord, EngineCandidate, EngineReport};
 use http::{Request, header};
 use http_body_util::Full;
 
@@ -10,7 +10,7 @@
 use crate::gateway::GatewayContext;
 use crate::path::EndpointTarget;
 
-/// Time limit for the report of an engine that sends no events, after which the engine counts as lost. A live engine
+/// Time limit for the report of an engine that sends no events, after which the engine is suspected. A live engine
 /// reports within milliseconds and needs no free slot to do so.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time limit for the reports of the candidate engines of a request. An engine of another zone reports within the limit
@@ -22,30 +22,59 @@
 /// two round trips of about 3 ms and 1 ms in the engine.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// Requests the report of an engine that sends no events on a stream; `None` if the engine does not report.
+/// Requests the report of an engine that sends no events on a stream; `None` if the engine does not report, which is
+/// recorded.
+///
+/// An engine that has just missed another probe is not probed again: otherwise each of its streams would wait alone.
 pub(super) async fn probe_silent(context: &GatewayContext, target: &EndpointTarget) -> Option<EngineReport> {
+    if context.endpoints.has_just_missed_probe(&target.id) {
+        return None;
+    }
     if context.paths.is_silent_for(&target.group, LIVENESS_TIMEOUT) {
         // Kept connections may be dead without a word; a new one shows whether the path is.
         context.pool.close_idle_direct(&target.id);
     }
-    let report = fetch_report(context, target, LIVENESS_TIMEOUT).await;
+    let outcome = fetch_report(context, target, LIVENESS_TIMEOUT).await;
+    if let Err(failure) = &outcome {
+        record_missed_probe(context, &target.id, *failure);
+    }
+    let report = outcome.ok();
     let known = report.as_ref();
     tracing::info!(endpoint = %target.id, is_alive = known.is_some(), running = known.map(EngineReport::running),
         reading = known.map(|known| known.reading), waiting = known.map(|known| known.waiting), "endpoint.probed");
     report
 }
 
-/// Probes all engines of a shortlist concurrently; an engine that does not report is recorded as not connected.
+/// Records that an engine did not report: in time, which is only a silence, or for another reason.
+fn record_missed_probe(context: &GatewayContext, id: &EndpointId, failure: AttemptFailure) {
+    match failure {
+        AttemptFailure::Silent => context.endpoints.record_silence(id),
+        _ => context.endpoints.record_outcome(id, Some(AttemptFailure::NotConnected)),
+    }
+}
+
+/// Whether an engine is alive: it was heard recently on any connection, or reports in time.
+pub(super) async fn is_alive(context: &GatewayContext, record: &EndpointRecord) -> bool {
+    if context.endpoints.is_alive(&record.id) {
+        return true;
+    }
+    probe_all(context, vec![record.clone()]).await.iter().any(|candidate| candidate.report.is_some())
+}
+
+/// Probes all engines of a shortlist concurrently; an engine that does not report is recorded as silent, or as not
+/// connected if it refuses.
 pub(super) async fn probe_all(context: &GatewayContext, shortlist: Vec<EndpointRecord>) -> Vec<EngineCandidate> {
-    let candidates = probe_each(context, shortlist, PLACEMENT_TIMEOUT).await;
-    for candidate in candidates.iter().filter(|candidate| candidate.report.is_none()) {
-        context.endpoints.record_outcome(&candidate.record.id, Some(AttemptFailure::NotConnected));
+    let probed = probe_each(context, shortlist, PLACEMENT_TIMEOUT).await;
+    for (candidate, failure) in &probed {
+        if let Some(failure) = failure {
+            record_missed_probe(context, &candidate.record.id, *failure);
+        }
     }
-    candidates
+    probed.into_iter().map(|(candidate, _)| candidate).collect()
 }
 
 /// Probes the engines of a shortlist without a recent report at this host; an engine that does not report is recorded
-/// as not connected.
+/// as silent.
 pub(super) async fn probe_unless_recent(
     context: &GatewayContext,
     shortlist: Vec<EndpointRecord>,
@@ -66,20 +95,27 @@
 /// Probes all engines of a shortlist concurrently within the short limit of a resume. An engine that misses this limit
 /// is not recorded as failed.
 pub(super) async fn probe_quickly(context: &GatewayContext, shortlist: Vec<EndpointRecord>) -> Vec<EngineCandidate> {
-    probe_each(context, shortlist, RESUME_TIMEOUT).await
+    let probed = probe_each(context, shortlist, RESUME_TIMEOUT).await;
+    probed.into_iter().map(|(candidate, _)| candidate).collect()
 }
 
-/// Probes all engines of a list concurrently; engines that report that they are draining are left out.
-async fn probe_each(context: &GatewayContext, list: Vec<EndpointRecord>, limit: Duration) -> Vec<EngineCandidate> {
+/// Probes all engines of a list concurrently; engines that report that they are draining are left out. Returns for each
+/// why it did not report, if it did not.
+async fn probe_each(
+    context: &GatewayContext,
+    list: Vec<EndpointRecord>,
+    limit: Duration,
+) -> Vec<(EngineCandidate, Option<AttemptFailure>)> {
     let probes = list.into_iter().map(|record| async move {
-        let report = fetch_report(context, &EndpointTarget::from(&record), limit).await;
+        let outcome = fetch_report(context, &EndpointTarget::from(&record), limit).await;
         let speed = context.endpoints.engine_speed(&record.id);
-        EngineCandidate { record, report, held_tokens: 0, speed }
+        let failure = outcome.as_ref().err().copied();
+        (EngineCandidate { record, report: outcome.ok(), held_tokens: 0, speed }, failure)
     });
-    let mut candidates = join_all(probes).await;
+    let mut outcomes = join_all(probes).await;
     // A host that was partitioned learns it from the report seconds before its endpoint list shows it.
-    candidates.retain(|candidate| !candidate.report.as_ref().is_some_and(|report| report.is_leaving));
-    candidates
+    outcomes.retain(|(candidate, _)| !candidate.report.as_ref().is_some_and(|report| report.is_leaving));
+    outcomes
 }
 
 /// Probes all engines of a list concurrently, then fetches how much of a prompt part each engine that reported holds.
@@ -100,7 +136,8 @@
 /// Fetches how many tokens of a prompt part an engine holds; zero if the engine gives no usable answer, which only costs
 /// another prefill.
 async fn fetch_held_tokens(context: &GatewayContext, target: &EndpointTarget, part: u64) -> u64 {
-    let Some(body) = fetch_path(context, target, hollyhook_platform::held_parts_path(), PLACEMENT_TIMEOUT).await else {
+    let path = hollyhook_platform::held_parts_path();
+    let Ok(body) = fetch_path(context, target, path, PLACEMENT_TIMEOUT).await else {
         return 0;
     };
     match hollyhook_platform::decode_held_parts(&body) {
@@ -112,26 +149,47 @@
     }
 }
 
-async fn fetch_report(context: &GatewayContext, target: &EndpointTarget, limit: Duration) -> Option<EngineReport> {
+/// Fetches an engine's report.
+///
+/// # Errors
+///
+/// `Silent` if the engine does not answer in time, `WrongIncarnation` if a later one does; otherwise why there is no
+/// usable answer.
+async fn fetch_report(
+    context: &GatewayContext,
+    target: &EndpointTarget,
+    limit: Duration,
+) -> Result<EngineReport, AttemptFailure> {
     let body = fetch_path(context, target, hollyhook_platform::report_path(), limit).await?;
-    let report = hollyhook_platform::decode_report(&body).ok()?;
+    let report = hollyhook_platform::decode_report(&body).map_err(|_error| AttemptFailure::Garbled)?;
     if report.is_leaving {
         context.endpoints.record_leaving(&target.id);
     }
     context.endpoints.record_report(&target.id, &report);
     // A report of a later start says nothing about the incarnation that was probed.
-    (!context.endpoints.record_restart(&target.id, report.started)).then_some(report)
+    let is_restarted = context.endpoints.record_restart(&target.id, report.started);
+    if is_restarted { Err(AttemptFailure::WrongIncarnation) } else { Ok(report) }
 }
 
-/// Fetches the body at one of an engine's own paths; `None` if the engine does not respond in time or responds with an
-/// error status.
-async fn fetch_path(context: &GatewayContext, target: &EndpointTarget, path: &str, limit: Duration) -> Option<Bytes> {
-    let mut request = Request::get(path).header(header::HOST, target.address.to_string()).body(Full::default()).ok()?;
+/// Fetches the body at one of an engine's own paths.
+///
+/// # Errors
+///
+/// `Silent` if the engine does not answer in time, `Failed` if it answers with an error status; otherwise why the
+/// connection failed.
+async fn fetch_path(
+    context: &GatewayContext,
+    target: &EndpointTarget,
+    path: &str,
+    limit: Duration,
+) -> Result<Bytes, AttemptFailure> {
+    let request = Request::get(path).header(header::HOST, target.address.to_string()).body(Full::default());
+    let mut request = request.map_err(|_error| AttemptFailure::Failed)?;
     hollyhook_platform::set_expected_endpoint(request.headers_mut(), &target.entry);
     let response = call_endpoint(context, target, request, limit).await?;
     if !response.parts.status.is_success() {
         tracing::info!(endpoint = %target.id, status = response.parts.status.as_u16(), "endpoint.probe_refused");
-        return None;
+        return Err(AttemptFailure::Failed);
     }
-    Some(response.body)
+    Ok(response.body)
 }
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -14,7 +14,7 @@
 use rand::Rng;
 
 use super::attempt::EndpointSlot;
-use super::endpoint_probe::{probe_all, probe_holdings, probe_quickly, probe_unless_recent};
+use super::endpoint_probe::{is_alive, probe_all, probe_holdings, probe_quickly, probe_unless_recent};
 use super::request_log;
 use crate::front::CallerRequest;
 use crate::gateway::{GatewayContext, RoutingFailure};
@@ -99,6 +99,46 @@
         }
     }
 
+    /// Chooses an engine that shows signs of life, for an attempt beside one that is suspected; `None` if there is none.
+    ///
+    /// While most engines are silent, only one that holds the backup is chosen: the few others could not read all
+    /// prompts again, and a pause ends sooner.
+    pub(super) async fn choose_responsive(&self, resume_from: Option<BackupLocation>) -> Option<EngineChoice> {
+        if self.caller.engine.is_none() {
+            let record_query = self.query().responsive(true);
+            let slot = EndpointSlot::reserve_any(self.context, &record_query)?;
+            return Some(EngineChoice { slot, from: None, backup: None, prompt_at: None });
+        }
+        let usable_backup = resume_from.as_ref().and_then(|resume_from| self.usable_backup(resume_from));
+        if let Some((record, source)) = usable_backup {
+            let others = probe_quickly(self.context, self.list_other_zones(&record));
+            let (is_alive, backups) = join(is_alive(self.context, &record), others).await;
+            if is_alive && let Some(slot) = EndpointSlot::reserve(self.context, &record, self.slots()) {
+                let backup = self.best_backup(&slot, &backups);
+                return Some(EngineChoice { slot, from: Some(source), backup, prompt_at: None });
+            }
+        }
+        if self.context.endpoints.is_silence_widespread(&self.caller.service) {
+            return None;
+        }
+        self.choose_reporting().await
+    }
+
+    /// Chooses an engine among those that report now.
+    async fn choose_reporting(&self) -> Option<EngineChoice> {
+        let query = self.query().responsive(true);
+        let list = self.context.endpoints.shortlist(&query, self.rendezvous_key(), PROBED_ENGINES);
+        let others = list.first().map(|record| self.list_other_zones(record)).unwrap_or_default();
+        let (mut probed, others) = join(probe_all(self.context, list), probe_all(self.context, others)).await;
+        probed.extend(others);
+        probed.retain(|candidate| candidate.report.is_some());
+        self.refresh(&mut probed);
+        let best = choose_engine(&probed, self.needed_tokens())?;
+        let slot = EndpointSlot::reserve(self.context, &best.record, self.slots())?;
+        let backup = self.best_backup(&slot, &probed);
+        Some(EngineChoice { slot, from: None, backup, prompt_at: None })
+    }
+
     /// Chooses an engine for a stream of which no host knows the version that began it.
     ///
     /// The engines that hold the prompt read it for this stream, so that their version tells, if it is only one.
@@ -128,7 +168,11 @@
 
     fn reserve_any_slot(&self) -> Result<EndpointSlot, RoutingFailure> {
         let query = self.query();
-        EndpointSlot::reserve_any(self.context, &query).ok_or_else(|| self.context.endpoints.routing_failure(&query))
+        // Only engines are probed when they are not chosen, so that their silence ends without a request.
+        let responsive = self.query().responsive(self.caller.engine.is_some());
+        let slot = EndpointSlot::reserve_any(self.context, &responsive);
+        slot.or_else(|| EndpointSlot::reserve_any(self.context, &query))
+            .ok_or_else(|| self.context.endpoints.routing_failure(&query))
     }
 
     /// Chooses an engine for a caller that comes back with a cursor; `None` if no engine is found that still holds the
--- a/crates/hollyhook_gateway/src/forward/live_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -2,14 +2,12 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use hollyhook_core::{AttemptFailure, EventReader, EventSequencer, ProgressMeter, PromptRead, TimePoint};
-use http_body_util::BodyExt;
+use hollyhook_core::{EventReader, EventSequencer, ProgressMeter, PromptRead, TimePoint};
 
 use super::attempt::{EndpointSlot, OpenResponse};
 use super::attempt_times::AttemptTimes;
 use super::backup_replicator::BackupReplicator;
 use super::crash_check::record_running;
-use super::liveness_watch::LivenessWatch;
 use crate::front::CallerRequest;
 use crate::gateway::{GatewayContext, SurvivingRun};
 
@@ -20,6 +18,9 @@
 /// have waited at the engine or in transit, and their times do not show the engine's pace.
 const MAX_CALLER_PAUSE: Duration = Duration::from_millis(10);
 
+/// Minimum time between two records that an engine has been heard.
+const HEARD_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How an attempt was started.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct AttemptStart {
@@ -39,6 +40,8 @@
     first_event_at: Option<TimePoint>,
     last_event_at: Option<TimePoint>,
     events: u32,
+    /// When it was last recorded that the engine has been heard.
+    heard_at: Option<TimePoint>,
     /// The first event since the last sample of the time between events, and the number of events after it.
     sampled: Option<(TimePoint, u32)>,
     /// Present once the attempt has sent events for a second.
@@ -47,14 +50,13 @@
     next_run_seconds: u64,
 }
 
-/// Result of reading the next events of an attempt.
-pub(super) enum ReadResult {
-    /// Whole events for the caller.
-    Bytes(Bytes),
-    /// The response body ended, and the caller has the whole stream.
-    Complete,
-    /// The attempt failed and sends no more events.
-    Failure(AttemptFailure),
+/// What an attempt has sent since its last events were taken.
+#[derive(Debug, Default)]
+pub(super) struct AttemptProgress {
+    /// Whole events that the caller does not have yet.
+    pub(super) bytes: Option<Bytes>,
+    /// Whether the attempt has sent an event, perhaps one that the caller has already.
+    pub(super) has_advanced: bool,
 }
 
 impl LiveAttempt {
@@ -74,6 +76,7 @@
             first_event_at: None,
             last_event_at: None,
             events: 0,
+            heard_at: None,
             sampled: None,
             run: None,
             next_run_seconds: 1,
@@ -89,62 +92,52 @@
         AttemptTimes { first: Some(first).filter(|_| self.start.is_first), gap }
     }
 
-    /// Waits for the next whole events that the caller does not have yet.
-    pub(super) async fn next_events(
+    /// Takes the whole events that have arrived, after the body has yielded `data`.
+    pub(super) fn receive(
         &mut self,
         context: &Arc<GatewayContext>,
         caller: &CallerRequest,
         sequencer: &mut EventSequencer,
-    ) -> ReadResult {
-        let mut watch = if self.first_event_at.is_some() {
-            LivenessWatch::between_events()
-        } else {
-            LivenessWatch::before_first(caller.head.prompt.unwrap_or_default().prompt_tokens)
-        };
-        self.drop_sample_after_pause(context.timer.now());
-        loop {
-            let is_begun = self.first_event_at.is_some();
-            if let Some(bytes) = self.take_events(sequencer, context.timer.now()) {
-                if !is_begun {
-                    self.record_read(context, caller);
-                }
-                self.record_event_time(context);
-                self.check_run(context, caller);
-                return ReadResult::Bytes(bytes);
-            }
-            if self.reader.is_faulty() {
-                return ReadResult::Failure(AttemptFailure::Garbled);
-            }
-            let limit = watch.limit(caller.time_left(context.timer.now()));
-            match context.timer.within(limit, self.response.body.frame()).await {
-                Some(Some(Ok(frame))) => {
-                    self.record_heard(context);
-                    if let Ok(data) = frame.into_data() {
-                        self.reader.feed(&data);
-                    }
-                }
-                Some(Some(Err(_error))) => return ReadResult::Failure(AttemptFailure::Broken),
-                Some(None) if self.reader.has_whole_stream(sequencer) => return ReadResult::Complete,
-                Some(None) => return ReadResult::Failure(AttemptFailure::Garbled),
-                None => {
-                    let delivered = self.delivered(sequencer);
-                    if let Err(failure) = watch.check(context, caller, &self.slot.target, delivered).await {
-                        return ReadResult::Failure(failure);
-                    }
-                }
+        data: &[u8],
+    ) -> AttemptProgress {
+        let now = context.timer.now();
+        self.record_heard(context, now);
+        self.reader.feed(data);
+        let (is_begun, known_events) = (self.first_event_at.is_some(), self.events);
+        let bytes = self.take_events(sequencer, now);
+        if bytes.is_some() {
+            if !is_begun {
+                self.record_read(context, caller);
             }
+            self.record_event_time(context);
+            self.check_run(context, caller);
         }
+        AttemptProgress { bytes, has_advanced: self.events > known_events }
     }
 
-    fn record_heard(&self, context: &GatewayContext) {
+    /// Whether the attempt sent something that can't follow the events that the caller has.
+    pub(super) fn is_faulty(&self) -> bool {
+        self.reader.is_faulty()
+    }
+
+    /// Whether the caller has the whole stream if the body ends here.
+    pub(super) fn has_whole_stream(&self, sequencer: &EventSequencer) -> bool {
+        self.reader.has_whole_stream(sequencer)
+    }
+
+    fn record_heard(&mut self, context: &GatewayContext, now: TimePoint) {
         if !self.response.connection.is_tunnel() {
             context.paths.record_heard(&self.slot.target);
         }
+        if self.heard_at.is_none_or(|at| now.since(at) >= HEARD_INTERVAL) {
+            self.heard_at = Some(now);
+            context.endpoints.record_heard(self.slot.id());
+        }
     }
 
     /// Discards the current sample of the time between events if the caller paused for longer than
     /// `MAX_CALLER_PAUSE`.
-    fn drop_sample_after_pause(&mut self, now: TimePoint) {
+    pub(super) fn drop_sample_after_pause(&mut self, now: TimePoint) {
         if self.last_event_at.is_some_and(|last| now.since(last) > MAX_CALLER_PAUSE) {
             self.sampled = None;
         }
@@ -186,7 +179,7 @@
 
     /// Events that the caller has, for comparison with the count in the engine's report; zero before the first event of
     /// this attempt.
-    fn delivered(&self, sequencer: &EventSequencer) -> u64 {
+    pub(super) fn delivered(&self, sequencer: &EventSequencer) -> u64 {
         if self.first_event_at.is_some() { sequencer.last().unwrap_or(0).max(sequencer.delivered()) } else { 0 }
     }
 
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -10,11 +10,11 @@
 mod engine_choice;
 mod event_stream;
 mod live_attempt;
-mod liveness_watch;
 mod plain_call;
 mod request_log;
 mod response_rest;
 mod stream_migration;
+mod stream_run;
 mod stream_timing;
 
 use std::sync::Arc;
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -323,6 +323,9 @@
             CallOutcome::Fallback(_) => Some(AttemptFailure::Failed),
             CallOutcome::Failure(failure) => Some(*failure),
         };
+        if failure == Some(AttemptFailure::Silent) {
+            self.context.endpoints.record_silence(slot.id());
+        }
         self.context.endpoints.record_outcome(slot.id(), failure);
         let took = self.context.timer.now().since(sent_at);
         record_version_outcome(
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -94,6 +94,51 @@
         "attempt.failed");
 }
 
+/// Records that an attempt is suspected, because its endpoint has sent nothing for `silent`.
+pub(super) fn attempt_suspected(
+    context: &GatewayContext,
+    caller: &CallerRequest,
+    endpoint: &EndpointId,
+    silent: Duration,
+) {
+    context.recorder.count("attempts_suspected");
+    log_silence(context, caller, endpoint, silent, "attempt.suspected");
+}
+
+/// Records that a suspected attempt has gone on, or that its endpoint still works on it.
+pub(super) fn attempt_trusted(
+    context: &GatewayContext,
+    caller: &CallerRequest,
+    endpoint: &EndpointId,
+    silent: Duration,
+) {
+    context.recorder.count("attempts_trusted_again");
+    log_silence(context, caller, endpoint, silent, "attempt.trusted");
+}
+
+/// Records that an attempt is closed because another one has answered first.
+pub(super) fn attempt_cancelled(
+    context: &GatewayContext,
+    caller: &CallerRequest,
+    endpoint: &EndpointId,
+    silent: Duration,
+) {
+    context.recorder.count("attempts_cancelled");
+    log_silence(context, caller, endpoint, silent, "attempt.cancelled");
+}
+
+fn log_silence(
+    context: &GatewayContext,
+    caller: &CallerRequest,
+    endpoint: &EndpointId,
+    silent: Duration,
+    change: &'static str,
+) {
+    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %endpoint,
+        silent_ms = silent.as_millis() as u64, age_ms, "{change}");
+}
+
 /// Logs that an endpoint crashed while it ran a request.
 pub(super) fn crashed(context: &GatewayContext, caller: &CallerRequest, endpoint: &EndpointId, run_time: Duration) {
     let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -385,6 +385,53 @@
         lock(&self.reports).recent(self.timer.now(), id).cloned()
     }
 
+    /// Records that an endpoint sent nothing in time: it may have paused, or the path to it may be dead.
+    pub(crate) fn record_silence(&self, id: &EndpointId) {
+        self.pool.close_idle(id);
+        let mut table = self.table();
+        let group = table.get(id).map(EndpointGroup::from);
+        if group.is_some_and(|group| self.paths.explains_failure(&group)) {
+            return;
+        }
+        if table.record_silence(self.timer.now(), id) {
+            self.recorder.count("endpoints_found_silent");
+            tracing::info!(endpoint = %id, "endpoint.silent");
+        }
+    }
+
+    /// Records that an endpoint sent something, which ends its silence.
+    pub(crate) fn record_heard(&self, id: &EndpointId) {
+        if self.table().record_heard(self.timer.now(), id) {
+            self.recorder.count("endpoints_heard_again");
+            tracing::info!(endpoint = %id, "endpoint.heard_again");
+        }
+    }
+
+    /// Whether an endpoint was heard so recently that it is known to be alive.
+    pub(crate) fn is_alive(&self, id: &EndpointId) -> bool {
+        self.table().is_alive(self.timer.now(), id)
+    }
+
+    /// Whether an endpoint was found silent a moment ago and has not been heard since.
+    pub(crate) fn has_just_missed_probe(&self, id: &EndpointId) -> bool {
+        self.table().is_just_silent(self.timer.now(), id)
+    }
+
+    /// Whether an endpoint is known, has been found silent and not been heard since.
+    pub(crate) fn is_silent(&self, id: &EndpointId) -> bool {
+        self.table().is_silent(id)
+    }
+
+    /// Whether an endpoint is known. Its entry is removed after some seconds if its process has ended.
+    pub(crate) fn is_known(&self, id: &EndpointId) -> bool {
+        self.table().get(id).is_some()
+    }
+
+    /// Whether most endpoints of a service that this host has heard recently are silent now.
+    pub(crate) fn is_silence_widespread(&self, service: &str) -> bool {
+        self.table().is_silence_widespread(self.timer.now(), service)
+    }
+
     /// Records the outcome of an attempt at an endpoint; `failure` is `None` if the attempt succeeded.
     pub(crate) fn record_outcome(&self, id: &EndpointId, failure: Option<AttemptFailure>) {
         self.recorder.count(failure.map_or("attempts_succeeded", attempt_counter));
@@ -399,6 +446,8 @@
                 table.remove(id);
                 self.pool.close_idle(id);
             }
+            // Recorded when the endpoint was found silent; it may have been heard again since.
+            Some(AttemptFailure::Silent) => {}
             Some(failure) if failure.is_loss() => {
                 self.pool.close_idle(id);
                 let group = table.get(id).map(EndpointGroup::from);
