Engines that report but make no progress are avoided until they send an event

A paused engine may still report. Its runs were suspected as stalled, but the engine stayed first choice: its report ended what had been found, and new prompts and successors went there.

The table now keeps stalls beside silences. A stall ejects the engine as a silence does; only an event ends it, or an answer 2 s later. An engine without prompts to read counts as stalled after two reports instead of three, since nothing delays its runs; a suspicion costs a successor, not the run. An attempt without an event is checked as soon as another stream finds its engine silent, not only after the time to read its prompt.

--- a/crates/hollyhook_core/src/route/endpoint_silence.rs
+++ b/crates/hollyhook_core/src/route/endpoint_silence.rs
@@ -1,4 +1,5 @@
 use super::EndpointTable;
+use super::silence_record::SilenceRecord;
 use crate::{EndpointId, TimePoint, ZoneName};
 
 /// The number of endpoints that must be silent at once for the silence to count as widespread.
@@ -9,10 +10,20 @@
     /// Records that an endpoint sent nothing in time, which ejects the endpoint until it is heard again or the ejection
     /// ends; returns whether it was not known to be silent.
     pub fn record_silence(&mut self, now: TimePoint, id: &str) -> bool {
+        self.record_suspicion(now, id, |silence| silence.add_silence(now))
+    }
+
+    /// Records that a run at an endpoint makes no progress although the endpoint answers, which ejects the endpoint until
+    /// it sends an event or the ejection ends; returns whether this was not known.
+    pub fn record_stall(&mut self, now: TimePoint, id: &str) -> bool {
+        self.record_suspicion(now, id, |silence| silence.add_stall(now))
+    }
+
+    fn record_suspicion(&mut self, now: TimePoint, id: &str, add: impl FnOnce(&mut SilenceRecord) -> bool) -> bool {
         let Some(record) = self.get_mut(id) else {
             return false;
         };
-        let is_new = record.silence.add_silence(now);
+        let is_new = add(&mut record.silence);
         if !record.is_ejected(now) {
             record.add_failure(now);
         }
@@ -23,19 +34,29 @@
         is_new
     }
 
-    /// Records that an endpoint sent something; returns whether this ends a silence, and with it the ejection.
+    /// Records that an endpoint answered; returns whether this ends a silence, and with it the ejection.
     pub fn record_heard(&mut self, now: TimePoint, id: &str) -> bool {
+        self.record_sign(id, |silence| silence.add_answer(now))
+    }
+
+    /// Records that an endpoint sent an event of a stream; returns whether this ends a silence or a stall, and with it the
+    /// ejection.
+    pub fn record_event(&mut self, now: TimePoint, id: &str) -> bool {
+        self.record_sign(id, |silence| silence.add_event(now))
+    }
+
+    fn record_sign(&mut self, id: &str, add: impl FnOnce(&mut SilenceRecord) -> bool) -> bool {
         let Some(record) = self.get_mut(id) else {
             return false;
         };
-        let was_silent = record.silence.add_sign(now);
-        if was_silent {
+        let is_over = add(&mut record.silence);
+        if is_over {
             record.clear_failures();
         }
-        was_silent
+        is_over
     }
 
-    /// Whether an endpoint has been found silent and not been heard since.
+    /// Whether an endpoint has been found silent or stalled, and this has not ended.
     pub fn is_silent(&self, id: &str) -> bool {
         self.get(id).is_some_and(|record| record.silence.is_silent())
     }
--- a/crates/hollyhook_core/src/route/silence_record.rs
+++ b/crates/hollyhook_core/src/route/silence_record.rs
@@ -4,58 +4,77 @@
 
 /// How long a sign of life shows that an endpoint is alive, and a missed probe that it is silent.
 const SIGN_LIFETIME: Duration = Duration::from_millis(200);
-/// How long an endpoint that is neither heard nor found silent again counts when the silent ones are counted.
+/// How long an endpoint that is neither heard nor found silent again counts when the silent ones are counted, and how
+/// long an answer does not end a stall.
 const COUNTED_TIME: Duration = Duration::from_secs(2);
 
-/// When an endpoint was last heard on any connection, and whether it has been found silent since.
+/// When an endpoint was last heard on any connection, and whether it has been found silent or stalled since.
 ///
 /// A silent endpoint may have paused: unlike one that refuses or breaks connections, it is not known to be lost, and its
-/// first sign of life ends the suspicion.
+/// first sign of life ends the suspicion. An engine whose runs stall may still report; only an event shows that it goes
+/// on.
 #[derive(Debug, Clone, Default)]
 pub(super) struct SilenceRecord {
-    heard_at: Option<TimePoint>,
-    silent_at: Option<TimePoint>,
+    last_sign: Option<TimePoint>,
+    silent_since: Option<TimePoint>,
+    stalled_since: Option<TimePoint>,
 }
 
 impl SilenceRecord {
-    /// Records a sign of life; returns whether the endpoint had been found silent.
-    pub(super) fn add_sign(&mut self, now: TimePoint) -> bool {
-        self.heard_at = Some(now);
-        self.silent_at.take().is_some()
+    /// Records an answer; returns whether it ends a silence. It ends no stall that was found recently.
+    pub(super) fn add_answer(&mut self, now: TimePoint) -> bool {
+        self.last_sign = Some(now);
+        let was_silent = self.silent_since.take().is_some();
+        let was_stalled = self.stalled_since.take_if(|at| now.since(*at) > COUNTED_TIME).is_some();
+        (was_silent || was_stalled) && !self.is_silent()
+    }
+
+    /// Records an event of a stream; returns whether it ends a silence or a stall.
+    pub(super) fn add_event(&mut self, now: TimePoint) -> bool {
+        self.last_sign = Some(now);
+        let was_silent = self.is_silent();
+        self.forget_silence();
+        was_silent
+    }
+
+    /// Records that a run makes no progress, although the endpoint answers; returns whether this was not known.
+    pub(super) fn add_stall(&mut self, now: TimePoint) -> bool {
+        self.stalled_since.replace(now).is_none()
     }
 
     /// Records that the endpoint did not answer in time; returns whether it was not known to be silent.
     pub(super) fn add_silence(&mut self, now: TimePoint) -> bool {
-        self.silent_at.replace(now).is_none()
+        self.silent_since.replace(now).is_none()
     }
 
     /// Ends a silence that something else explains.
     pub(super) fn forget_silence(&mut self) {
-        self.silent_at = None;
+        self.silent_since = None;
+        self.stalled_since = None;
     }
 
-    /// Whether the endpoint has been found silent and not been heard since.
+    /// Whether the endpoint has been found silent or stalled, and this has not ended.
     pub(super) fn is_silent(&self) -> bool {
-        self.silent_at.is_some()
+        self.silent_since.is_some() || self.stalled_since.is_some()
     }
 
     /// Whether the endpoint was heard so recently that it is known to be alive.
     pub(super) fn is_alive(&self, now: TimePoint) -> bool {
-        !self.is_silent() && self.heard_at.is_some_and(|at| now.since(at) <= SIGN_LIFETIME)
+        !self.is_silent() && self.last_sign.is_some_and(|at| now.since(at) <= SIGN_LIFETIME)
     }
 
     /// Whether the endpoint was found silent a moment ago.
     pub(super) fn is_just_silent(&self, now: TimePoint) -> bool {
-        self.silent_at.is_some_and(|at| now.since(at) <= SIGN_LIFETIME)
+        self.silent_since.is_some_and(|at| now.since(at) <= SIGN_LIFETIME)
     }
 
-    /// Whether the endpoint was found silent recently.
+    /// Whether the endpoint was found silent or stalled recently.
     pub(super) fn is_recently_silent(&self, now: TimePoint) -> bool {
-        self.silent_at.is_some_and(|at| now.since(at) <= COUNTED_TIME)
+        self.silent_since.max(self.stalled_since).is_some_and(|at| now.since(at) <= COUNTED_TIME)
     }
 
     /// Whether the endpoint was heard recently, and not found silent since.
     pub(super) fn is_recently_heard(&self, now: TimePoint) -> bool {
-        !self.is_silent() && self.heard_at.is_some_and(|at| now.since(at) <= COUNTED_TIME)
+        !self.is_silent() && self.last_sign.is_some_and(|at| now.since(at) <= COUNTED_TIME)
     }
 }
--- a/crates/hollyhook_core/src/stream/liveness_checker.rs
+++ b/crates/hollyhook_core/src/stream/liveness_checker.rs
@@ -6,8 +6,11 @@
 /// Number of events that an engine may have produced but that are still in flight, given that its report is a few
 /// hundred milliseconds old and that the stream was silent for longer.
 const MAX_EVENTS_IN_FLIGHT: u64 = 3;
-/// Number of reports between two received events after which the run counts as stalled.
+/// Number of reports between two received events after which the run counts as stalled, while its engine has prompts to
+/// read, which delays the events of its runs.
 const MAX_STALLED_REPORTS: u32 = 3;
+/// The same for an engine without prompts to read. The first report may be older than the silence.
+const MAX_IDLE_STALLED_REPORTS: u32 = 2;
 /// Number of reports, over about ten seconds, after which a request that still waits for its prompt to be processed is
 /// suspected. This is only an upper bound, since another engine would have to process the prompt from the start.
 const MAX_QUEUED_REPORTS: u32 = 30;
@@ -49,7 +52,13 @@
         let run = report.runs.iter().find(|run| &*run.attempt_id == attempt_id);
         let is_suspect = match run {
             Some(run) if run.events > delivered + MAX_EVENTS_IN_FLIGHT => true,
-            Some(_) if delivered > 0 => reaches_limit(&mut self.stalled, MAX_STALLED_REPORTS),
+            Some(_) if delivered > 0 => {
+                let is_reading = report.has_pending_prompts();
+                reaches_limit(
+                    &mut self.stalled,
+                    if is_reading { MAX_STALLED_REPORTS } else { MAX_IDLE_STALLED_REPORTS },
+                )
+            }
             Some(_) => reaches_limit(&mut self.queued, MAX_QUEUED_REPORTS),
             None if report.has_pending_prompts() => reaches_limit(&mut self.queued, MAX_QUEUED_REPORTS),
             None if reaches_limit(&mut self.absent, MAX_ABSENT_REPORTS) => return LivenessVerdict::Lost,
--- a/crates/hollyhook_core/tests/gateway/liveness.rs
+++ b/crates/hollyhook_core/tests/gateway/liveness.rs
@@ -60,5 +60,6 @@
 
 #[test]
 fn check_stalled_run() {
-    assert_eq!(reports_waited(Some(&report(0, &[("r1", 50)])), 50), 2);
+    assert_eq!(reports_waited(Some(&report(0, &[("r1", 50)])), 50), 1, "nothing delays the run");
+    assert_eq!(reports_waited(Some(&report(1, &[("r1", 50)])), 50), 2, "the engine reads another prompt");
 }
--- a/crates/hollyhook_gateway/src/forward/live_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -101,10 +101,15 @@
         data: &[u8],
     ) -> AttemptProgress {
         let now = context.timer.now();
-        self.record_heard(context, now);
+        if !self.response.connection.is_tunnel() {
+            context.paths.record_heard(&self.slot.target);
+        }
         self.reader.feed(data);
         let (is_begun, known_events) = (self.first_event_at.is_some(), self.events);
         let bytes = self.take_events(sequencer, now);
+        if self.events > known_events {
+            self.record_alive(context, now);
+        }
         if bytes.is_some() {
             if !is_begun {
                 self.record_read(context, caller);
@@ -125,13 +130,10 @@
         self.reader.has_whole_stream(sequencer)
     }
 
-    fn record_heard(&mut self, context: &GatewayContext, now: TimePoint) {
-        if !self.response.connection.is_tunnel() {
-            context.paths.record_heard(&self.slot.target);
-        }
+    fn record_alive(&mut self, context: &GatewayContext, now: TimePoint) {
         if self.heard_at.is_none_or(|at| now.since(at) >= HEARD_INTERVAL) {
             self.heard_at = Some(now);
-            context.endpoints.record_heard(self.slot.id());
+            context.endpoints.record_event(self.slot.id());
         }
     }
 
@@ -183,6 +185,11 @@
         if self.first_event_at.is_some() { sequencer.last().unwrap_or(0).max(sequencer.delivered()) } else { 0 }
     }
 
+    /// Whether the attempt has sent an event.
+    pub(super) fn has_begun(&self) -> bool {
+        self.first_event_at.is_some()
+    }
+
     /// Time since the first event of the attempt; zero before it.
     pub(super) fn event_span(&self, now: TimePoint) -> Duration {
         self.first_event_at.map_or(Duration::ZERO, |first| now.since(first))
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_close.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_close.rs
@@ -17,8 +17,8 @@
 
 /// Closing attempts, and ending the stream.
 impl StreamRun {
-    /// Closes an attempt that another one has outrun.
-    pub(super) fn cancel(&mut self, key: AttemptKey) {
+    /// Closes an attempt that `winner` has outrun.
+    pub(super) fn cancel(&mut self, key: AttemptKey, winner: AttemptKey) {
         let Some(index) = self.attempts.iter().position(|attempt| attempt.key == key) else {
             return;
         };
@@ -32,8 +32,10 @@
         );
         self.ledger.record_failure(AttemptFailure::Silent);
         self.run_time += attempt.event_span(now);
-        if self.context.endpoints.is_silent(&attempt.target.id) {
+        if key < winner {
             self.timing.record_loss(AttemptFailure::Silent.as_str());
+        }
+        if self.context.endpoints.is_silent(&attempt.target.id) {
             let times = attempt.times(now);
             let failure = Some(AttemptFailure::Silent);
             record_version_outcome(&self.context, &self.caller, &attempt.target, failure, times);
--- a/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
@@ -31,7 +31,7 @@
 
 /// Maximum number of attempts that engines reject, or that fail to connect, before the caller is told to retry later.
 const MAX_REJECTED: u32 = 4;
-/// How often a stream whose attempts are all suspected looks for an engine that shows signs of life.
+/// How often a stream whose attempts are suspected, or have sent no event yet, looks at what is known of engines.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A caller's stream over all attempts at its generation.
@@ -177,8 +177,8 @@
     /// How long to wait for a signal at most.
     fn wait_limit(&self) -> Duration {
         let now = self.context.timer.now();
-        let is_suspected = |attempt: &StreamAttempt| self.race.is_suspected(attempt.key);
-        let search_at = self.attempts.iter().any(is_suspected).then_some(now + SEARCH_INTERVAL);
+        let is_due_often = |attempt: &StreamAttempt| self.race.is_suspected(attempt.key) || !attempt.has_begun();
+        let search_at = self.attempts.iter().any(is_due_often).then_some(now + SEARCH_INTERVAL);
         let checks = self.attempts.iter().filter_map(StreamAttempt::check_at);
         let next = checks.chain(search_at).min();
         let time_left = self.caller.time_left(now);
@@ -209,7 +209,7 @@
                 let (now, id) = (self.context.timer.now(), &self.caller.head.attempt_id);
                 match attempt.watch.record_report(now, report.as_ref(), id, delivered) {
                     LivenessVerdict::Wait => self.trust(index),
-                    LivenessVerdict::Suspect => self.suspect(index),
+                    LivenessVerdict::Suspect => self.suspect(index, report.is_some()),
                     LivenessVerdict::Lost => return self.abandon(index, AttemptFailure::Silent).await,
                 }
                 Ok(StreamStep::Continue)
@@ -242,17 +242,24 @@
     fn check_silent(&mut self) {
         let now = self.context.timer.now();
         for attempt in &mut self.attempts {
-            if self.race.is_suspected(attempt.key) && self.context.endpoints.is_alive(&attempt.target.id) {
+            let (id, is_suspected) = (&attempt.target.id, self.race.is_suspected(attempt.key));
+            if is_suspected && self.context.endpoints.is_alive(id) {
                 attempt.watch.record_heard(now);
             }
-            if attempt.check_at().is_some_and(|at| at <= now) {
+            // Another stream has found the engine silent, long before this one could while its prompt is read.
+            let is_found_silent = !is_suspected && !attempt.has_begun() && self.context.endpoints.is_silent(id);
+            if attempt.check_at().is_some_and(|at| at <= now || is_found_silent) {
                 attempt.begin_probe(&self.context);
             }
         }
     }
 
-    fn suspect(&mut self, index: usize) {
+    /// Suspects an attempt, whose engine reports or does not.
+    fn suspect(&mut self, index: usize, is_reported: bool) {
         let attempt = &self.attempts[index];
+        if is_reported && attempt.has_begun() {
+            self.context.endpoints.record_stall(&attempt.target.id);
+        }
         if self.race.suspect(attempt.key) {
             let silent = self.context.timer.now().since(attempt.watch.silent_since());
             request_log::attempt_suspected(&self.context, &self.caller, &attempt.target.id, silent);
@@ -299,7 +306,7 @@
         self.search = None;
         if self.race.open_count() > 1 {
             for loser in self.race.win(key) {
-                self.cancel(loser);
+                self.cancel(loser, key);
             }
         }
         let Some(live) = self.attempts.iter().find(|attempt| attempt.key == key).and_then(StreamAttempt::live) else {
--- a/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
@@ -133,6 +133,11 @@
         )
     }
 
+    /// Whether the attempt has sent an event.
+    pub(super) fn has_begun(&self) -> bool {
+        self.live().is_some_and(LiveAttempt::has_begun)
+    }
+
     /// Time since the first event of the attempt; zero before it.
     pub(super) fn event_span(&self, now: TimePoint) -> Duration {
         self.live().map_or(Duration::ZERO, |live| live.event_span(now))
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -399,9 +399,28 @@
         }
     }
 
-    /// Records that an endpoint sent something, which ends its silence.
+    /// Records that a run at an endpoint makes no progress although the endpoint answers.
+    pub(crate) fn record_stall(&self, id: &EndpointId) {
+        if self.table().record_stall(self.timer.now(), id) {
+            self.recorder.count("endpoints_found_stalled");
+            tracing::info!(endpoint = %id, "endpoint.stalled");
+        }
+    }
+
+    /// Records that an endpoint answered, which ends its silence.
     pub(crate) fn record_heard(&self, id: &EndpointId) {
-        if self.table().record_heard(self.timer.now(), id) {
+        let is_over = self.table().record_heard(self.timer.now(), id);
+        self.log_heard_again(id, is_over);
+    }
+
+    /// Records that an endpoint sent an event of a stream, which ends its silence or stall.
+    pub(crate) fn record_event(&self, id: &EndpointId) {
+        let is_over = self.table().record_event(self.timer.now(), id);
+        self.log_heard_again(id, is_over);
+    }
+
+    fn log_heard_again(&self, id: &EndpointId, is_over: bool) {
+        if is_over {
             self.recorder.count("endpoints_heard_again");
             tracing::info!(endpoint = %id, "endpoint.heard_again");
         }
@@ -417,7 +436,7 @@
         self.table().is_just_silent(self.timer.now(), id)
     }
 
-    /// Whether an endpoint is known, has been found silent and not been heard since.
+    /// Whether an endpoint has been found silent or stalled, and this has not ended.
     pub(crate) fn is_silent(&self, id: &EndpointId) -> bool {
         self.table().is_silent(id)
     }
