Modules of the forwarder name each other in one direction only

Two pairs of files named each other: attempt.rs and response_rest.rs, crash_check.rs and request_log.rs.

BufferedResponse and the reading of bodies stand in buffered_response.rs, hollyhook's own calls to endpoints in endpoint_call.rs, LostRun in lost_run.rs. Code was moved, not changed; other files changed in their imports only.

--- a/crates/hollyhook_gateway/src/forward/backup_replicator.rs
+++ b/crates/hollyhook_gateway/src/forward/backup_replicator.rs
@@ -8,7 +8,7 @@
 use http::{Request, header};
 use http_body_util::Full;
 
-use super::attempt::{call_endpoint, order_copy};
+use super::endpoint_call::{call_endpoint, order_copy};
 use super::engine_choice::{BackupLocation, EngineChooser};
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -5,6 +5,7 @@
 use hollyhook_core::{AttemptFailure, Error, ErrorKind, StopReason};
 
 use super::endpoint_check::EndpointCheck;
+use super::lost_run::LostRun;
 use super::request_log;
 use crate::front::CallerRequest;
 use crate::gateway::{GatewayContext, SurvivingRun};
@@ -17,21 +18,6 @@
 /// How long a stream must have had events for the check of its lost engine not to delay its next attempt.
 const BACKGROUND_RUN_TIME: Duration = Duration::from_secs(1);
 
-/// An attempt whose connection was lost.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct LostRun {
-    pub(super) failure: AttemptFailure,
-    /// For how long the stream had had events, over all attempts of this client attempt.
-    pub(super) run_time: Duration,
-}
-
-impl LostRun {
-    /// An attempt that was lost before it had sent an event.
-    pub(super) fn before_events(failure: AttemptFailure) -> Self {
-        Self { failure, run_time: Duration::ZERO }
-    }
-}
-
 /// Records a crash against a request if the endpoint that ran it has crashed, and waits until it is decided whether the
 /// request may be sent again.
 ///
--- /dev/null
+++ b/crates/hollyhook_gateway/src/forward/endpoint_call.rs
@@ -0,0 +1,45 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollyhook_core::AttemptFailure;
+use http::{Request, header};
+use http_body_util::Full;
+
+use super::attempt::send;
+use super::buffered_response::BufferedResponse;
+use crate::gateway::GatewayContext;
+use crate::path::EndpointTarget;
+
+/// Sends a request of hollyhook's own to an endpoint and reads the whole response.
+///
+/// # Errors
+///
+/// `Silent` if that takes longer than `limit`; `NotConnected`, `Broken` or `Garbled` if the connection fails.
+pub(super) async fn call_endpoint(
+    context: &GatewayContext,
+    target: &EndpointTarget,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<BufferedResponse, AttemptFailure> {
+    let exchange = async {
+        let response = send(context, target, request).await?;
+        response.read_to_end(context, &target.id).await
+    };
+    context.timer.within(limit, exchange).await.unwrap_or(Err(AttemptFailure::Silent))
+}
+
+/// Sends an engine an order to copy the KV cache of a run, and reads the whole response; `None` if there is
+/// none in time.
+pub(super) async fn order_copy(
+    context: &GatewayContext,
+    engine: &EndpointTarget,
+    order: Vec<u8>,
+    limit: Duration,
+) -> Option<BufferedResponse> {
+    let request = Request::post(hollyhook_platform::backup_path())
+        .header(header::HOST, engine.address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::from(order))
+        .ok()?;
+    call_endpoint(context, engine, request, limit).await.ok()
+}
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -6,7 +6,7 @@
 use http::{Request, header};
 use http_body_util::Full;
 
-use super::attempt::call_endpoint;
+use super::endpoint_call::call_endpoint;
 use crate::gateway::GatewayContext;
 use crate::path::EndpointTarget;
 
--- a/crates/hollyhook_gateway/src/forward/plain_call.rs
+++ b/crates/hollyhook_gateway/src/forward/plain_call.rs
@@ -9,10 +9,12 @@
 use hollyhook_platform::AttemptHeaders;
 use http::Response;
 
-use super::attempt::{BufferedResponse, EndpointSlot, send_attempt};
+use super::attempt::{EndpointSlot, send_attempt};
 use super::attempt_end::end_attempt;
 use super::attempt_times::{AttemptTimes, record_version_outcome};
-use super::crash_check::{LostRun, check_crash, record_given_up, record_survival};
+use super::buffered_response::BufferedResponse;
+use super::crash_check::{check_crash, record_given_up, record_survival};
+use super::lost_run::LostRun;
 use super::request_log::{self, CallTrace};
 use crate::front::{CallerRequest, ResponseBody};
 use crate::gateway::{GatewayContext, RoutingFailure};
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -7,7 +7,7 @@
 use hollyhook_telemetry::MetricMeasure;
 
 use super::attempt::EndpointSlot;
-use super::crash_check::LostRun;
+use super::lost_run::LostRun;
 use super::stream_timing::{StreamResume, StreamTiming};
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
--- a/crates/hollyhook_gateway/src/forward/stream_migration.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_migration.rs
@@ -4,7 +4,7 @@
 use hollyhook_core::{EndpointId, EngineSpeed, MigrationPlan, TimePoint};
 use hollyhook_platform::BackupSource;
 
-use super::attempt::order_copy;
+use super::endpoint_call::order_copy;
 use super::endpoint_probe::probe_quickly;
 use super::engine_choice::{BackupLocation, EngineChooser};
 use super::live_attempt::LiveAttempt;
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_close.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_close.rs
@@ -8,7 +8,8 @@
 use super::{StreamRun, StreamStep};
 use crate::forward::attempt_end::end_attempt;
 use crate::forward::attempt_times::record_version_outcome;
-use crate::forward::crash_check::{LostRun, check_crash, record_given_up, record_survival};
+use crate::forward::crash_check::{check_crash, record_given_up, record_survival};
+use crate::forward::lost_run::LostRun;
 use crate::forward::request_log;
 use crate::path::EndpointTarget;
 
--- a/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
@@ -18,8 +18,9 @@
 use hyper::body::Frame;
 
 use self::stream_attempt::{AttemptSignal, AttemptState, OpenedAttempt, OpeningAttempt, StreamAttempt};
-use super::attempt::{BufferedResponse, OpenResponse};
+use super::attempt::OpenResponse;
 use super::backup_replicator::BackupReplicator;
+use super::buffered_response::BufferedResponse;
 use super::engine_choice::{BackupLocation, EngineChoice};
 use super::request_log;
 use super::stream_migration::StreamMigration;
--- a/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
@@ -10,9 +10,10 @@
 use hollyhook_platform::AttemptHeaders;
 use hyper::body::{Body, Frame};
 
-use crate::forward::attempt::{BufferedResponse, EndpointSlot, OpenResponse, send_attempt};
+use crate::forward::attempt::{EndpointSlot, OpenResponse, send_attempt};
 use crate::forward::attempt_times::AttemptTimes;
 use crate::forward::backup_replicator::BackupReplicator;
+use crate::forward::buffered_response::BufferedResponse;
 use crate::forward::endpoint_probe::probe_silent;
 use crate::forward::engine_choice::BackupLocation;
 use crate::forward::live_attempt::{AttemptStart, LiveAttempt};
