--- a/crates/hollyhook_core/src/stream/event_sequencer.rs
+++ b/crates/hollyhook_core/src/stream/event_sequencer.rs
@@ -44,7 +44,7 @@
 
     /// Classifies the next event of the current attempt, and records the event as delivered if it is to be.
     pub fn classify(&mut self, event: &RawEvent) -> SequenceVerdict {
-        if event.is_comment() {
+        if !event.has_event() {
             // Before the first event a caller gets nothing, so that another attempt may still answer in another way.
             return if self.delivered > 0 { SequenceVerdict::Deliver } else { SequenceVerdict::Drop };
         }
--- a/crates/hollyhook_core/src/stream/event_splitter.rs
+++ b/crates/hollyhook_core/src/stream/event_splitter.rs
@@ -3,7 +3,7 @@
 /// The maximum size of one event; a larger one is treated as a fault of the endpoint.
 const MAX_EVENT_BYTES: usize = 256 * 1_024;
 
-/// One whole event, as sent by the endpoint.
+/// One block of an event stream, up to a blank line, as sent by the endpoint: an event, or comments only.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RawEvent {
     /// The event's number, if it has one.
@@ -13,10 +13,11 @@
 }
 
 impl RawEvent {
-    /// Whether the event has no field, only comments, which keep a connection from being idle.
-    pub fn is_comment(&self) -> bool {
+    /// Whether the block has an event. One of comments and blank lines has none, which keep a connection from being
+    /// idle, nor has one that only states the time before a new connection.
+    pub fn has_event(&self) -> bool {
         let mut lines = self.bytes.split(|byte| *byte == b'\n');
-        self.id.is_none() && lines.all(|line| matches!(line, b"" | b"\r" | [b':', ..]))
+        self.id.is_some() || lines.any(|line| !matches!(line, b"" | b"\r" | [b':', ..]) && !line.starts_with(b"retry:"))
     }
 }
 
--- a/crates/hollyhook_core/tests/gateway/streams.rs
+++ b/crates/hollyhook_core/tests/gateway/streams.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use hollyhook_core::{EventSequencer, EventSplitter, RawEvent, SequenceVerdict};
+use hollyhook_core::{EventReader, EventSequencer, EventSplitter, RawEvent, SequenceVerdict};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -28,6 +28,62 @@
     assert!(splitter.is_oversized());
 }
 
+/// More bytes than an attempt may send between two events that carry it on.
+const FLOOD_BYTES: usize = 300 * 1_024;
+
+/// A reader and a sequencer that have taken the events up to `last`.
+fn reader_after(last: u64) -> (EventReader, EventSequencer) {
+    let (mut reader, mut sequencer) = (EventReader::default(), EventSequencer::default());
+    reader.feed((1..=last).map(event_text).collect::<String>().as_bytes());
+    assert_eq!(u64::from(reader.take_events(&mut sequencer).received), last);
+    (reader, sequencer)
+}
+
+#[test]
+fn reader_idle_bytes_bounded() {
+    for text in [": ping\n\n", "\n", "\r\n", "retry: 5\n\n", "id: 2\ndata: t2\n\n"] {
+        for last in [0, 3] {
+            let (mut reader, mut sequencer) = reader_after(last);
+            let (mut fed, mut received) = (0, 0);
+            while !reader.is_faulty() && fed < 2 * FLOOD_BYTES {
+                reader.feed(text.as_bytes());
+                fed += text.len();
+                received += reader.take_events(&mut sequencer).received;
+            }
+            assert!(reader.is_faulty() && fed <= FLOOD_BYTES, "{text:?} after {last} events: {fed} bytes taken");
+            assert_eq!((received, sequencer.delivered()), (0, last), "{text:?} after {last} events");
+            assert!(reader.has_idle_bytes(), "{text:?} after {last} events");
+        }
+    }
+}
+
+/// Comments that keep a connection from being idle are allowed for as long as events arrive between them.
+#[test]
+fn reader_comments_between_events_relayed() {
+    let (mut reader, mut sequencer) = (EventReader::default(), EventSequencer::default());
+    let comments = ": ping\n\n".repeat(1_000);
+    let text = (1..200).map(event_text).collect::<Vec<String>>().join(&comments);
+    let mut relayed = Vec::new();
+    for piece in text.as_bytes().chunks(1_000) {
+        reader.feed(piece);
+        relayed.extend(reader.take_events(&mut sequencer).events.concat());
+    }
+    assert!(reader.has_whole_stream(&sequencer));
+    assert_eq!(String::from_utf8(relayed).unwrap(), text);
+}
+
+/// An attempt that begins anew repeats what the caller has, which is progress.
+#[test]
+fn reader_replay_counts_as_progress() {
+    let mut sequencer = EventSequencer::new(Some(50_000));
+    let mut reader = EventReader::default();
+    for id in 1..=50_001 {
+        reader.feed(event_text(id).as_bytes());
+        assert_eq!(reader.take_events(&mut sequencer).received, 1);
+    }
+    assert!(reader.has_whole_stream(&sequencer));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
 
