An engine that sends a stream what it can't use is at fault, and comments win no race

Faults in the events of a stream, too large ones and gaps too, were taken for connections that were cut off: the engine was checked for a crash, and the request remembered as one that may have caused it. An engine that denied a run and still sent comments on its connection was taken for silent, which records no failure. Comments of a suspected attempt cancelled the others.

Such attempts end as `failed`, which counts against the engine and not against the request. An attempt wins only with an event that the caller does not have.

--- a/crates/hollyhook_gateway/src/forward/live_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -125,6 +125,11 @@
         self.reader.is_faulty()
     }
 
+    /// Whether the attempt has sent bytes since the last event that carried it on.
+    pub(super) fn has_idle_bytes(&self) -> bool {
+        self.reader.has_idle_bytes()
+    }
+
     /// Whether the caller has the whole stream if the body ends here.
     pub(super) fn has_whole_stream(&self, sequencer: &EventSequencer) -> bool {
         self.reader.has_whole_stream(sequencer)
--- a/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
@@ -22,6 +22,7 @@
 use super::backup_replicator::BackupReplicator;
 use super::buffered_response::BufferedResponse;
 use super::engine_choice::{BackupLocation, EngineChoice};
+use super::live_attempt::LiveAttempt;
 use super::request_log;
 use super::stream_migration::StreamMigration;
 use super::stream_timing::StreamTiming;
@@ -211,7 +212,12 @@
                 match attempt.watch.record_report(now, report.as_ref(), id, delivered) {
                     LivenessVerdict::Wait => self.trust(index),
                     LivenessVerdict::Suspect => self.suspect(index, report.is_some()),
-                    LivenessVerdict::Lost => return self.abandon(index, AttemptFailure::Silent).await,
+                    LivenessVerdict::Lost => {
+                        // An engine that denies a run and still sends bytes on its connection is at fault.
+                        let is_at_fault = attempt.live().is_some_and(LiveAttempt::has_idle_bytes);
+                        let failure = if is_at_fault { AttemptFailure::Failed } else { AttemptFailure::Silent };
+                        return self.abandon(index, failure).await;
+                    }
                 }
                 Ok(StreamStep::Continue)
             }
@@ -282,6 +288,7 @@
         let (Some(live), Ok(data)) = (attempt.live_mut(), frame.into_data()) else {
             return Ok(StreamStep::Continue);
         };
+        let known_events = self.sequencer.delivered();
         let progress = live.receive(&context, &caller, &mut self.sequencer, &data);
         let is_faulty = live.is_faulty();
         if progress.has_advanced {
@@ -290,14 +297,17 @@
         }
         let Some(bytes) = progress.bytes else {
             if is_faulty {
-                return self.abandon(index, AttemptFailure::Garbled).await;
+                // A crash cuts a stream off; bytes that can't be delivered are a fault of the engine's own.
+                return self.abandon(index, AttemptFailure::Failed).await;
             }
             if self.is_time_up() {
                 self.handle_timeout().await?;
             }
             return Ok(StreamStep::Continue);
         };
-        self.win(index);
+        if self.sequencer.delivered() > known_events {
+            self.win(index);
+        }
         Ok(StreamStep::Deliver(bytes))
     }
 
