Replies to the gateway's own requests are read up to a limit

Reports, lists of held prompts and replies to orders were collected in memory for as long as they came within their time limit, 60 to 150 ms for a report.

Evidence: an engine whose reports never end, ten requests to the gateway before it and a sound one: 94 MB taken from the engine, and the process grew by 99 MB. All ten were served by the sound engine.

A reply of more than 1 MB is no reply, and its connection is closed.

report_without_end_bounded failed before, with 81 MB taken at its first three requests, where 16 MB are allowed for what sockets hold.

--- a/crates/hollyhook_gateway/src/forward/buffered_response.rs
+++ b/crates/hollyhook_gateway/src/forward/buffered_response.rs
@@ -5,7 +5,7 @@
 use http::Response;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Body;
 
 use super::attempt::{EndpointSlot, OpenResponse};
@@ -55,20 +55,23 @@
 }
 
 impl OpenResponse {
-    /// Reads the body to its end and returns the connection to the pool.
+    /// Reads a body of at most `limit` bytes to its end and returns the connection to the pool.
     ///
     /// # Errors
     ///
-    /// `Broken` if the connection fails before the body is complete.
+    /// `Broken` if the connection fails before the body is complete, `Failed` if the body is larger.
     pub(super) async fn read_to_end(
         self,
         context: &GatewayContext,
         id: &EndpointId,
+        limit: usize,
     ) -> Result<BufferedResponse, AttemptFailure> {
         let Self { parts, body, connection, .. } = self;
-        let body = body.collect().await.map_err(|_error| AttemptFailure::Broken)?.to_bytes();
+        let collected = Limited::new(body, limit).collect().await.map_err(|error| {
+            if error.is::<LengthLimitError>() { AttemptFailure::Failed } else { AttemptFailure::Broken }
+        })?;
         context.pool.put(id, connection, keep_alive_time(&parts.headers));
-        Ok(BufferedResponse { parts, body, rest: None })
+        Ok(BufferedResponse { parts, body: collected.to_bytes(), rest: None })
     }
 
     /// Reads the body up to [`MAX_HELD_BYTES`]; the rest of a longer one is read while it is sent to the caller.
@@ -84,7 +87,7 @@
     ) -> Result<BufferedResponse, AttemptFailure> {
         let is_short = self.body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_HELD_BYTES as u64);
         if is_short {
-            return self.read_to_end(context, id).await;
+            return self.read_to_end(context, id, MAX_HELD_BYTES).await;
         }
         let mut held = BytesMut::new();
         while let Some(frame) = self.body.frame().await {
--- a/crates/hollyhook_gateway/src/forward/endpoint_call.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_call.rs
@@ -10,11 +10,16 @@
 use crate::gateway::GatewayContext;
 use crate::path::EndpointTarget;
 
+/// Maximum size of an endpoint's reply to a request of hollyhook's own. The largest is the list of the prompt parts that
+/// an engine holds, with about 50 bytes for each.
+const MAX_REPLY_BYTES: usize = 1 << 20;
+
 /// Sends a request of hollyhook's own to an endpoint and reads the whole response.
 ///
 /// # Errors
 ///
-/// `Silent` if that takes longer than `limit`; `NotConnected`, `Broken` or `Garbled` if the connection fails.
+/// `Silent` if that takes longer than `limit`; `NotConnected`, `Broken` or `Garbled` if the connection fails;
+/// `Failed` or `Garbled` if the reply is larger than [`MAX_REPLY_BYTES`].
 pub(super) async fn call_endpoint(
     context: &GatewayContext,
     target: &EndpointTarget,
@@ -23,7 +28,7 @@
 ) -> Result<BufferedResponse, AttemptFailure> {
     let exchange = async {
         let response = send(context, target, request).await?;
-        response.read_to_end(context, &target.id).await
+        response.read_to_end(context, &target.id, MAX_REPLY_BYTES).await
     };
     context.timer.within(limit, exchange).await.unwrap_or(Err(AttemptFailure::Silent))
 }
