The body of an error must end soon

The body of an error was passed on to the caller for as long as it came, once it was larger than what is held, and the attempt counted as a success of the endpoint. A slow body kept a request that the endpoint had rejected until the caller's time was up, and that request then got 502 although it had not run.

The body of an error that is passed on must end within 256 KB and 1 s; that of one that is not passed on has 100 ms, and only decides whether the connection is kept. Otherwise the attempt fails as its head says, or as `failed`: a request that may be repeated, or that was rejected, goes elsewhere, any other gets 502. A success is read within the caller's time.

--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use hollyhook_core::{AnswerHead, AttemptFailure, EndpointId, EndpointRecord, RouteQuery, TimePoint};
+use hollyhook_core::{
+    AnswerHead, AnswerVerdict, AttemptFailure, EndpointId, EndpointRecord, Name, RouteQuery, TimePoint, evaluate_answer,
+};
 use hollyhook_platform::AttemptHeaders;
 use http::Request;
 use http::response::Parts;
@@ -61,12 +63,19 @@
     pub(super) head: AnswerHead,
     pub(super) parts: Parts,
     pub(super) body: Incoming,
+    /// The name of the endpoint that the request was addressed to.
+    entry: Name,
     pub(super) connection: PooledConnection,
     /// When the request was sent.
     pub(super) sent_at: TimePoint,
 }
 
 impl OpenResponse {
+    /// Whether the response may be passed on to the caller, by its head.
+    pub(super) fn verdict(&self, caller: &CallerRequest) -> AnswerVerdict {
+        evaluate_answer(caller.route.kind, &caller.head.attempt_id, &self.entry, &self.head)
+    }
+
     /// Returns the connection to the pool. The body must have been read to its end.
     pub(super) fn release(self, context: &GatewayContext, id: &EndpointId) {
         let keep = keep_alive_time(&self.parts.headers);
@@ -120,7 +129,8 @@
                     context.endpoints.record_heard(&target.id);
                     context.endpoints.apply_terms(&target.id, head.terms);
                 }
-                return Ok(OpenResponse { head, parts, body, connection, sent_at });
+                let entry = Name::clone(&target.entry);
+                return Ok(OpenResponse { head, parts, body, entry, connection, sent_at });
             }
             Err(SendError::Unsent(unsent)) if is_pooled => request = *unsent,
             Err(SendError::Unsent(_)) => return Err(AttemptFailure::NotConnected),
--- a/crates/hollyhook_gateway/src/forward/buffered_response.rs
+++ b/crates/hollyhook_gateway/src/forward/buffered_response.rs
@@ -1,7 +1,8 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use hollyhook_core::{AttemptFailure, EndpointId};
+use hollyhook_core::{AnswerVerdict, AttemptFailure, EndpointId};
 use http::Response;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
@@ -16,6 +17,11 @@
 
 /// Maximum size of a response body that is held in memory, so that another attempt can replace it if it breaks off.
 const MAX_HELD_BYTES: usize = 256 << 10;
+/// Time limit for the body of an error response, which is short and follows its head at once. An engine that pauses for
+/// a second between them only costs another attempt, or the wording of the error.
+const ERROR_BODY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for a body that is not passed on, and is read only so that its connection can be used again.
+const UNUSED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// An endpoint's response with its body, or the beginning of a long one, in memory.
 #[derive(Debug)]
@@ -76,10 +82,38 @@
 
     /// Reads the body up to [`MAX_HELD_BYTES`]; the rest of a longer one is read while it is sent to the caller.
     ///
+    /// The body of an error must end within that size and a time limit; otherwise the endpoint may be sending without
+    /// end.
+    ///
     /// # Errors
     ///
-    /// `Broken` if the connection fails before that.
+    /// `Broken` if the connection fails before that, `Expired` if the caller's time is up. For an error whose body does
+    /// not end, the failure that follows from its head, or `Failed`.
     pub(super) async fn read_for_caller(
+        self,
+        context: &Arc<GatewayContext>,
+        caller: &Arc<CallerRequest>,
+        id: &EndpointId,
+    ) -> Result<BufferedResponse, AttemptFailure> {
+        let time_left = caller.time_left(context.timer.now());
+        if self.parts.status.is_success() {
+            let read = context.timer.within(time_left, Box::pin(self.read_held(context, caller, id))).await;
+            return read.unwrap_or(Err(AttemptFailure::Expired));
+        }
+        let (failure, limit) = match self.verdict(caller) {
+            AnswerVerdict::Fail(failure) => (failure, UNUSED_BODY_TIMEOUT),
+            AnswerVerdict::Pass | AnswerVerdict::PassOrRetry => (AttemptFailure::Failed, ERROR_BODY_TIMEOUT),
+        };
+        let reading = Box::pin(self.read_to_end(context, id, MAX_HELD_BYTES));
+        match context.timer.within(limit.min(time_left), reading).await {
+            Some(Err(AttemptFailure::Failed)) => Err(failure),
+            Some(read) => read,
+            None if limit < time_left => Err(failure),
+            None => Err(AttemptFailure::Expired),
+        }
+    }
+
+    async fn read_held(
         mut self,
         context: &Arc<GatewayContext>,
         caller: &Arc<CallerRequest>,
