--- a/crates/hollyhook_gateway/src/forward/endpoint_call.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_call.rs
@@ -19,7 +19,7 @@
 /// # Errors
 ///
 /// `Silent` if that takes longer than `limit`; `NotConnected`, `Broken` or `Garbled` if the connection fails;
-/// `Failed` or `Garbled` if the reply is larger than [`MAX_REPLY_BYTES`].
+/// `Failed` if the reply is larger than [`MAX_REPLY_BYTES`].
 pub(super) async fn call_endpoint(
     context: &GatewayContext,
     target: &EndpointTarget,
