Simulation of the open attempts at streams, in virtual time

Callers saw streams end, or begin again elsewhere, because an engine had paused for a second. Nothing tested the decisions together: AttemptRace, SilenceWatch, EventSequencer, AttemptLedger, RetryWindow and the silence of EndpointTable.

Change: engines in virtual time run, pause, crash, die silently, lose single connections and stall; streams at three hosts take the steps of the gateway's StreamRun. Checked are whole streams once and in order, no end beside a run that goes on, at most MAX_OPEN open attempts and as many runs as the route allows, 0.57 s at most for an engine that is silent alone or dead, one run more for a crash, none for a common pause, and that no two engines work on a stream for more than 0.4 s.

--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision logic behind the gateway, without a network.
 
 mod answers;
+mod attempt_race_simulation;
 mod attempts;
 mod backups;
 mod brittle;
@@ -26,6 +27,8 @@
 mod quotas;
 mod retries;
 mod rollouts;
+mod simulated_engine;
+mod simulated_stream;
 mod site;
 mod spreading;
 mod stopping;
