A suspicion of silence ends when the engine is heard, and the engine is asked once more before its successor begins

What callers saw: as a common pause ended, streams without a recent event were begun at a second engine although their own went on. Two engines then read the same prompt, for more than 0.4 s if it was long, and a run was counted as failed.

Cause: a suspected attempt was trusted again only by an event or by its next probe, up to 1 s later. The search for a successor ended with the first engine that answered after the pause; the suspected engine answered as well, but nobody asked it, and the head of its response did not count.

Change: SilenceWatch remembers whether the suspicion is for silence or for what the engine reports. The head of a response, or a sign of life on another connection, ends a suspicion for silence.

--- a/crates/hollyhook_core/src/stream/silence_watch.rs
+++ b/crates/hollyhook_core/src/stream/silence_watch.rs
@@ -31,6 +31,7 @@
     checker: LivenessChecker,
     silent_since: TimePoint,
     check_at: TimePoint,
+    is_unanswered: bool,
 }
 
 impl SilenceWatch {
@@ -38,7 +39,7 @@
     pub fn before_first(now: TimePoint, prompt_tokens: u64) -> Self {
         let prefill = Duration::from_millis(prompt_tokens / PROMPT_TOKENS_PER_MS);
         let check_at = now + FIRST_EVENT_TIMEOUT + prefill;
-        Self { checker: LivenessChecker::default(), silent_since: now, check_at }
+        Self { checker: LivenessChecker::default(), silent_since: now, check_at, is_unanswered: false }
     }
 
     /// Records that the attempt has sent an event.
@@ -46,6 +47,7 @@
         self.checker = LivenessChecker::default();
         self.silent_since = now;
         self.check_at = now + EVENT_TIMEOUT;
+        self.is_unanswered = false;
     }
 
     /// When the attempt was begun, or sent its last event.
@@ -58,9 +60,16 @@
         self.check_at
     }
 
-    /// Records that a suspected attempt's engine has been heard on another connection, so that its report tells more.
-    pub fn record_heard(&mut self, now: TimePoint) {
+    /// Whether the engine did not answer the last probe. Otherwise, an attempt is suspected for what its engine reports.
+    pub fn is_unanswered(&self) -> bool {
+        self.is_unanswered
+    }
+
+    /// Records that a suspected attempt's engine has been heard on another connection, so that its report tells more;
+    /// returns whether the attempt was suspected only because the engine did not answer.
+    pub fn record_heard(&mut self, now: TimePoint) -> bool {
         self.check_at = self.check_at.min(now + EVENT_TIMEOUT);
+        std::mem::take(&mut self.is_unanswered)
     }
 
     /// Evaluates the engine's report, or its absence; `delivered` as for [`LivenessChecker::check`].
@@ -72,6 +81,7 @@
         delivered: u64,
     ) -> LivenessVerdict {
         self.check_at = now + if report.is_some() { EVENT_TIMEOUT } else { SILENT_PROBE_INTERVAL };
+        self.is_unanswered = report.is_none();
         self.checker.check(report, attempt_id, delivered)
     }
 }
--- a/crates/hollyhook_core/tests/gateway/liveness.rs
+++ b/crates/hollyhook_core/tests/gateway/liveness.rs
@@ -1,4 +1,4 @@
-use hollyhook_core::{EngineReport, EngineRun, LivenessChecker, LivenessVerdict};
+use hollyhook_core::{EngineReport, EngineRun, LivenessChecker, LivenessVerdict, SilenceWatch, TimePoint};
 
 fn report(waiting: u32, runs: &[(&str, u64)]) -> EngineReport {
     let runs = runs.iter().map(|(id, events)| EngineRun {
@@ -63,3 +63,17 @@
     assert_eq!(reports_waited(Some(&report(0, &[("r1", 50)])), 50), 1, "nothing delays the run");
     assert_eq!(reports_waited(Some(&report(1, &[("r1", 50)])), 50), 2, "the engine reads another prompt");
 }
+
+/// Guards against a suspicion that outlives the silence: only one that the engine's silence caused ends when the engine
+/// is heard.
+#[test]
+fn record_heard_ends_suspicion_of_silence() {
+    let (begun, probed) = (TimePoint::ZERO, TimePoint::from_millis(500));
+    for (report, is_ended) in [(None, true), (Some(report(0, &[("r1", 9)])), false)] {
+        let mut watch = SilenceWatch::before_first(begun, 0);
+        assert_eq!(watch.record_report(probed, report.as_ref(), "r1", 1), LivenessVerdict::Suspect);
+        assert_eq!(watch.is_unanswered(), is_ended);
+        assert_eq!(watch.record_heard(probed), is_ended);
+        assert!(!watch.is_unanswered());
+    }
+}
--- a/crates/hollyhook_core/tests/gateway/simulated_stream.rs
+++ b/crates/hollyhook_core/tests/gateway/simulated_stream.rs
@@ -61,10 +61,12 @@
     Backup(SimulatedProbe),
     /// Engines are probed.
     Reports(Vec<SimulatedProbe>, Vec<EngineCandidate>),
+    /// An engine was found, and the silent engines of open attempts are probed once more.
+    Confirm { engine: usize, has_backup: bool, probes: Vec<SimulatedProbe> },
 }
 
 enum Found {
-    Engine { engine: usize, has_backup: bool },
+    Engine { engine: usize, has_backup: bool, is_confirmed: bool },
     Nothing,
 }
 
@@ -163,8 +165,12 @@
         };
         self.search = None;
         match found {
-            Found::Engine { engine, has_backup } => {
+            Found::Engine { engine, has_backup, is_confirmed } => {
                 let is_beside = step == RaceStep::BeginBeside;
+                if is_beside && !is_confirmed {
+                    self.search = Some(self.confirm(world, engine, has_backup));
+                    return false;
+                }
                 if is_beside && !world.host.retries.try_spend(at(world.now)) {
                     return false;
                 }
@@ -242,17 +248,32 @@
         let mut search = self.search.take()?;
         let found = match &mut search {
             Search::Found { engine, has_backup, ready_at } if *ready_at <= world.now => {
-                Some(Found::Engine { engine: *engine, has_backup: *has_backup })
+                Some(Found::Engine { engine: *engine, has_backup: *has_backup, is_confirmed: false })
             }
             Search::Found { .. } => None,
             Search::Backup(probe) => match probe.poll(world) {
                 Poll::Pending => None,
-                Poll::Ready(Some(_)) => Some(Found::Engine { engine: probe.engine, has_backup: true }),
+                Poll::Ready(Some(_)) => {
+                    Some(Found::Engine { engine: probe.engine, has_backup: true, is_confirmed: false })
+                }
                 Poll::Ready(None) => {
                     self.search = self.choose_reporting(world);
                     return self.search.is_none().then_some(Found::Nothing);
                 }
             },
+            Search::Confirm { engine, has_backup, probes } => {
+                let (engine, has_backup) = (*engine, *has_backup);
+                let mut is_heard = false;
+                probes.retain(|probe| match probe.poll(world) {
+                    Poll::Pending => true,
+                    Poll::Ready(report) => {
+                        is_heard |= report.is_some();
+                        false
+                    }
+                });
+                let found = Found::Engine { engine, has_backup, is_confirmed: true };
+                if is_heard { Some(Found::Nothing) } else { probes.is_empty().then_some(found) }
+            }
             Search::Reports(probes, candidates) => {
                 probes.retain(|probe| match probe.poll(world) {
                     Poll::Pending => true,
@@ -276,6 +297,17 @@
         found
     }
 
+    /// As `StreamRun::begin_search`: the silent engines of open attempts may have gone on with the one that was found.
+    fn confirm(&self, world: &StreamWorld<'_>, engine: usize, has_backup: bool) -> Search {
+        let silent = self.attempts.iter().filter(|attempt| attempt.watch.is_unanswered());
+        let probe = |attempt: &SimulatedAttempt| SimulatedProbe {
+            engine: attempt.engine,
+            sent_at: world.now,
+            limit: RESUME_TIMEOUT,
+        };
+        Search::Confirm { engine, has_backup, probes: silent.map(probe).collect() }
+    }
+
     fn choose_probed(&self, world: &mut StreamWorld<'_>, candidates: &[EngineCandidate], step: RaceStep) -> Found {
         let best = choose_engine(candidates, self.prompt_tokens).map(|best| EndpointId::clone(&best.record.id));
         let now = at(world.now);
@@ -285,7 +317,7 @@
             let is_first = step == RaceStep::Begin;
             is_first.then(|| any(&query.clone().responsive(true), world.rng).or_else(|| any(&query, world.rng)))?
         });
-        id.map_or(Found::Nothing, |id| Found::Engine { engine: engine_of(&id), has_backup: false })
+        id.map_or(Found::Nothing, |id| Found::Engine { engine: engine_of(&id), has_backup: false, is_confirmed: false })
     }
 
     fn begin(&mut self, world: &mut StreamWorld<'_>, engine: usize, has_backup: bool) {
@@ -339,7 +371,10 @@
         }
         world.host.table.record_heard(now, &endpoint_id(self.attempts[index].engine));
         match signal {
-            RunSignal::Head => self.attempts[index].watch = SilenceWatch::before_first(now, self.prompt_tokens),
+            RunSignal::Head => {
+                self.attempts[index].watch = SilenceWatch::before_first(now, self.prompt_tokens);
+                self.race.trust(key);
+            }
             RunSignal::Event(number) => self.receive(world, index, number),
             RunSignal::End if self.cursor() == self.last_event => self.complete(world, key),
             RunSignal::End => self.abandon(world, key, AttemptFailure::Garbled),
@@ -456,8 +491,9 @@
         let now = at(world.now);
         for attempt in &mut self.attempts {
             let id = endpoint_id(attempt.engine);
-            if self.race.is_suspected(attempt.key) && world.host.table.is_alive(now, &id) {
-                attempt.watch.record_heard(now);
+            let is_heard = self.race.is_suspected(attempt.key) && world.host.table.is_alive(now, &id);
+            if is_heard && attempt.watch.record_heard(now) {
+                self.race.trust(attempt.key);
             }
             if attempt.probe.is_none() && attempt.watch.check_at() <= now {
                 // An engine that has just missed another probe is not probed again.
@@ -484,7 +520,10 @@
         if !is_over && world.engines[self.engine].state != EngineState::Crashed {
             return Poll::Pending;
         }
-        world.host.table.record_silence(now, &id);
+        // An engine that misses the short limit of a resume is not recorded as silent.
+        if self.limit > RESUME_TIMEOUT {
+            world.host.table.record_silence(now, &id);
+        }
         Poll::Ready(None)
     }
 }
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -61,6 +61,12 @@
     probe_all(context, vec![record.clone()]).await.iter().any(|candidate| candidate.report.is_some())
 }
 
+/// Whether an engine that was silent reports within the short limit of a resume.
+pub(super) async fn has_reporting(context: &GatewayContext, targets: &[EndpointTarget]) -> bool {
+    let probes = targets.iter().map(|target| fetch_report(context, target, RESUME_TIMEOUT));
+    join_all(probes).await.iter().any(Result::is_ok)
+}
+
 /// Probes all engines of a shortlist concurrently; an engine that does not report is recorded as silent, or as not
 /// connected if it refuses.
 pub(super) async fn probe_all(context: &GatewayContext, shortlist: Vec<EndpointRecord>) -> Vec<EngineCandidate> {
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
@@ -1,12 +1,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join;
 use hollyhook_core::{EndpointId, Error, Name, RaceStep, Result, StopReason, StreamOrigin, VersionFilter};
 use hollyhook_platform::AttemptHeaders;
 
 use super::attempt_close::BUSY_RETRY_AFTER;
 use super::stream_attempt::StreamAttempt;
 use super::{SEARCH_INTERVAL, StreamRun};
+use crate::forward::endpoint_probe::has_reporting;
 use crate::forward::engine_choice::{BackupLocation, EngineChoice, EngineChooser};
 use crate::forward::request_log;
 use crate::gateway::RoutingFailure;
@@ -34,9 +36,18 @@
         };
         let tried = self.tried.clone();
         let resume_from = self.attempts.iter().find_map(StreamAttempt::backup).or_else(|| self.resume_from.clone());
+        let unanswered = self.attempts.iter().filter(|attempt| attempt.watch.is_unanswered());
+        let silent: Vec<_> = unanswered.map(|attempt| attempt.target.clone()).collect();
         self.search = Some(OwnedFuture::new(async move {
             let chooser = EngineChooser { context: &context, caller: &caller, tried: &tried, versions: &versions };
-            chooser.choose_responsive(resume_from).await
+            let chosen = join(chooser.choose_responsive(resume_from), has_reporting(&context, &silent)).await;
+            let (Some(choice), false) = chosen else {
+                return None;
+            };
+            // After a common pause, the silent engines have gone on together with the one that was found. Before a prompt
+            // is read again, they are asked once more.
+            let is_paused_over = choice.from.is_none() && has_reporting(&context, &silent).await;
+            (!is_paused_over).then_some(choice)
         }));
     }
 
--- a/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
@@ -248,13 +248,18 @@
     /// Probes the engines of attempts that have been silent for too long.
     fn check_silent(&mut self) {
         let now = self.context.timer.now();
-        for attempt in &mut self.attempts {
-            let (id, is_suspected) = (&attempt.target.id, self.race.is_suspected(attempt.key));
-            if is_suspected && self.context.endpoints.is_alive(id) {
-                attempt.watch.record_heard(now);
+        for index in 0..self.attempts.len() {
+            let attempt = &mut self.attempts[index];
+            let is_heard = self.race.is_suspected(attempt.key) && self.context.endpoints.is_alive(&attempt.target.id);
+            if is_heard && attempt.watch.record_heard(now) {
+                self.trust(index);
             }
+        }
+        for attempt in &mut self.attempts {
             // Another stream has found the engine silent, long before this one could while its prompt is read.
-            let is_found_silent = !is_suspected && !attempt.has_begun() && self.context.endpoints.is_silent(id);
+            let is_suspected = self.race.is_suspected(attempt.key);
+            let is_found_silent =
+                !is_suspected && !attempt.has_begun() && self.context.endpoints.is_silent(&attempt.target.id);
             if attempt.check_at().is_some_and(|at| at <= now || is_found_silent) {
                 attempt.begin_probe(&self.context);
             }
@@ -382,6 +387,7 @@
         let replicator =
             is_replicated.then(|| BackupReplicator::start(&self.context, &self.caller, attempt.target.clone(), backup));
         attempt.begin_events(self.context.timer.now(), &self.caller, slot, response, replicator);
+        self.trust(index);
     }
 
     /// Takes a response that is not a stream, to be returned to the caller, unless the caller has events already.
