Retry window: ask whether a retry is allowed without counting it

A caller of the window that has to reserve something for a retry first, such as a slot at an endpoint with a rate limit, can ask before it reserves. try_spend is unchanged: it asks and then counts.

--- a/crates/hollyhook_core/src/retry/retry_window.rs
+++ b/crates/hollyhook_core/src/retry/retry_window.rs
@@ -50,17 +50,22 @@
         self.current(now).requests += 1;
     }
 
-    /// Whether a request may be sent once more; if so, the retry is counted.
-    pub fn try_spend(&mut self, now: TimePoint) -> bool {
+    /// Whether a request may be sent once more; nothing is counted.
+    pub fn may_spend(&mut self, now: TimePoint) -> bool {
         self.current(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let limit = f64::from(requests) * self.share + f64::from(self.reserve);
-        if f64::from(retries + 1) > limit {
-            return false;
+        f64::from(retries + 1) <= limit
+    }
+
+    /// Whether a request may be sent once more; if so, the retry is counted.
+    pub fn try_spend(&mut self, now: TimePoint) -> bool {
+        let may_spend = self.may_spend(now);
+        if may_spend {
+            self.current(now).retries += 1;
         }
-        self.current(now).retries += 1;
-        true
+        may_spend
     }
 
     fn current(&mut self, now: TimePoint) -> &mut RetryBucket {
--- a/crates/hollyhook_core/tests/gateway/retries.rs
+++ b/crates/hollyhook_core/tests/gateway/retries.rs
@@ -22,6 +22,15 @@
     assert!(!window.try_spend(at(11_000)));
 }
 
+#[test]
+fn may_spend_counts_nothing() {
+    let mut window = RetryWindow::new(Duration::from_secs(10), 1.0, 1);
+    assert!(window.may_spend(at(0)));
+    assert!(window.may_spend(at(0)));
+    assert!(window.try_spend(at(0)));
+    assert!(!window.may_spend(at(0)));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
 
