--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -300,6 +300,11 @@
         self.retries.earn(service, self.timer.now());
     }
 
+    /// Whether the retry budget of a service allows one more retry; nothing is counted.
+    pub(crate) fn may_retry(&self, service: &Name) -> bool {
+        self.retries.may_spend(service, self.timer.now())
+    }
+
     /// Whether the retry budget of a service allows one more retry; if so, the retry is counted.
     pub(crate) fn try_retry(&self, service: &Name) -> bool {
         self.retries.try_spend(service, self.timer.now())
--- a/crates/hollyhook_gateway/src/gateway/retry_budgets.rs
+++ b/crates/hollyhook_gateway/src/gateway/retry_budgets.rs
@@ -46,6 +46,11 @@
         self.with_window(service, |window| window.earn(now));
     }
 
+    /// Whether the budget allows one more retry; nothing is counted.
+    pub(crate) fn may_spend(&self, service: &Name, now: TimePoint) -> bool {
+        self.with_window(service, |window| window.may_spend(now))
+    }
+
     /// Whether the budget allows one more retry; if so, the retry is counted.
     pub(crate) fn try_spend(&self, service: &Name, now: TimePoint) -> bool {
         self.with_window(service, |window| window.try_spend(now))
