One sign of life after a widespread silence ends the ejections of all silent endpoints

An engine heard again now ends the ejections of the others if most were silent. widespread_silence_ends_for_all fails without it.

A stream that resumes from a backup waits no longer for its first event than before its head, and an event drops a probe in flight, whose late miss would have marked a sending engine as silent.

--- a/crates/hollyhook_core/src/route/endpoint_record.rs
+++ b/crates/hollyhook_core/src/route/endpoint_record.rs
@@ -200,9 +200,13 @@
         }
     }
 
-    pub(super) fn clear_failures(&mut self) {
+    pub(super) fn end_ejection(&mut self) {
         self.failures = 0;
         self.ejected_until = TimePoint::ZERO;
+    }
+
+    pub(super) fn clear_failures(&mut self) {
+        self.end_ejection();
         self.silence.forget_silence();
     }
 }
--- a/crates/hollyhook_core/src/route/endpoint_silence.rs
+++ b/crates/hollyhook_core/src/route/endpoint_silence.rs
@@ -1,6 +1,6 @@
 use super::EndpointTable;
 use super::silence_record::SilenceRecord;
-use crate::{EndpointId, TimePoint, ZoneName};
+use crate::{EndpointId, Name, TimePoint, ZoneName};
 
 /// The number of endpoints that must be silent at once for the silence to count as widespread.
 const MIN_WIDESPREAD: usize = 3;
@@ -35,17 +35,24 @@
     }
 
     /// Records that an endpoint answered; returns whether this ends a silence, and with it the ejection.
+    ///
+    /// The end of one silence among many shows that their common cause has passed: it ends the ejections of the other
+    /// silent endpoints too.
     pub fn record_heard(&mut self, now: TimePoint, id: &str) -> bool {
-        self.record_sign(id, |silence| silence.add_answer(now))
+        self.record_sign(now, id, |silence| silence.add_answer(now))
     }
 
     /// Records that an endpoint sent an event of a stream; returns whether this ends a silence or a stall, and with it the
     /// ejection.
     pub fn record_event(&mut self, now: TimePoint, id: &str) -> bool {
-        self.record_sign(id, |silence| silence.add_event(now))
+        self.record_sign(now, id, |silence| silence.add_event(now))
     }
 
-    fn record_sign(&mut self, id: &str, add: impl FnOnce(&mut SilenceRecord) -> bool) -> bool {
+    fn record_sign(&mut self, now: TimePoint, id: &str, add: impl FnOnce(&mut SilenceRecord) -> bool) -> bool {
+        let Some(service) = self.get(id).map(|record| Name::clone(&record.service)) else {
+            return false;
+        };
+        let is_widespread = self.is_silent(id) && self.is_silence_widespread(now, &service);
         let Some(record) = self.get_mut(id) else {
             return false;
         };
@@ -53,9 +60,26 @@
         if is_over {
             record.clear_failures();
         }
+        if is_over && is_widespread {
+            self.readmit_silent(&service);
+        }
         is_over
     }
 
+    /// Ends the ejections of the silent endpoints of a service, which may have gone on like the one just heard.
+    fn readmit_silent(&mut self, service: &str) {
+        let silent: Vec<EndpointId> = self
+            .of_service(service)
+            .filter(|record| record.silence.is_silent())
+            .map(|record| EndpointId::clone(&record.id))
+            .collect();
+        for id in silent {
+            if let Some(record) = self.get_mut(&id) {
+                record.end_ejection();
+            }
+        }
+    }
+
     /// Whether an endpoint has been found silent or stalled, and this has not ended.
     pub fn is_silent(&self, id: &str) -> bool {
         self.get(id).is_some_and(|record| record.silence.is_silent())
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -27,6 +27,7 @@
 mod quotas;
 mod retries;
 mod rollouts;
+mod silences;
 mod simulated_engine;
 mod simulated_stream;
 mod site;
--- a/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
@@ -298,7 +298,7 @@
         let is_faulty = live.is_faulty();
         if progress.has_advanced {
             self.trust(index);
-            self.attempts[index].watch.record_event(context.timer.now());
+            self.attempts[index].record_event(context.timer.now());
         }
         let Some(bytes) = progress.bytes else {
             if is_faulty {
@@ -386,7 +386,7 @@
         let is_replicated = self.caller.route.kind.is_repeatable() && (has_moves || backup.is_some());
         let replicator =
             is_replicated.then(|| BackupReplicator::start(&self.context, &self.caller, attempt.target.clone(), backup));
-        attempt.begin_events(self.context.timer.now(), &self.caller, slot, response, replicator);
+        attempt.begin_events(self.context.timer.now(), slot, response, replicator);
         self.trust(index);
     }
 
--- a/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
@@ -47,6 +47,8 @@
     pub(super) state: AttemptState,
     pub(super) watch: SilenceWatch,
     start: AttemptStart,
+    /// The number of prompt tokens that the engine reads before the first event.
+    tokens_to_read: u64,
     probe: Option<OwnedFuture<Option<EngineReport>>>,
 }
 
@@ -79,7 +81,8 @@
         is_first: bool,
     ) -> Self {
         let now = context.timer.now();
-        let watch = SilenceWatch::before_first(now, tokens_to_read(caller, &headers));
+        let tokens_to_read = tokens_to_read(caller, &headers);
+        let watch = SilenceWatch::before_first(now, tokens_to_read);
         let target = slot.target.clone();
         let response = OwnedFuture::new(open(Arc::clone(context), Arc::clone(caller), target.clone(), headers));
         Self {
@@ -88,6 +91,7 @@
             state: AttemptState::Opening(Box::new(OpeningAttempt { slot, backup, response })),
             watch,
             start: AttemptStart { sent_at: now, is_first },
+            tokens_to_read,
             probe: None,
         }
     }
@@ -96,13 +100,11 @@
     pub(super) fn begin_events(
         &mut self,
         now: TimePoint,
-        caller: &CallerRequest,
         slot: EndpointSlot,
         response: OpenResponse,
         replicator: Option<BackupReplicator>,
     ) {
-        let prompt = caller.head.prompt.unwrap_or_default();
-        self.watch = SilenceWatch::before_first(now, prompt.prompt_tokens);
+        self.watch = SilenceWatch::before_first(now, self.tokens_to_read);
         let live = LiveAttempt::new(slot, response, replicator, self.start);
         self.state = AttemptState::Live(Box::new(live));
     }
@@ -154,6 +156,12 @@
         self.live()?.replicator.as_ref()?.location()
     }
 
+    /// Records that the attempt has sent an event; a report is no longer needed.
+    pub(super) fn record_event(&mut self, now: TimePoint) {
+        self.watch.record_event(now);
+        self.probe = None;
+    }
+
     /// Requests the engine's report.
     pub(super) fn begin_probe(&mut self, context: &Arc<GatewayContext>) {
         let (context, target) = (Arc::clone(context), self.target.clone());
@@ -183,7 +191,6 @@
     }
 }
 
-/// The number of prompt tokens that the engine reads before the first event.
 fn tokens_to_read(caller: &CallerRequest, headers: &AttemptHeaders) -> u64 {
     match headers.backup_from {
         Some(_) => 0,
