Slots are lent whole, and only hosts that own some are asked

What callers saw: eight hosts before four brittle endpoints of four slots, 85 in 100 new connections at one host, a third of the slots in use: the crowded host refused more than half of its callers, and hosts were at 0.86 and 0.89 before it.

Cause: loans are fractions, slots are whole, and with two slots a host on average these differ. - A part of a quota may contain none of the lender's slots; the borrower counted its size as gained all the same. - A lender kept twice the most that it had open at a time in a second, which with one request in that second is two slots, mostly all that it has. - Slots are divided endpoint by endpoint, so that a host has none to four of these 16; hosts without a slot were asked, too. - A borrower wanted twice its peak, so that hosts without a crowd held slots that they had no requests for.

Change: a lender extends the part that is asked for to the rest of a slot, keeps what it had open at a time in the last half second, and lends a single slot that is idle. Up to eight slots a host, borrowers count slots one by one and ask hosts that own some, as many as own twice what is missing; without requests that wait they want what they had open at a time. A round of few questions that yields nothing no longer makes the next ones later and smaller.

The simulation of rate limits records each answer as a round, which gateways do not.

--- a/crates/hollyhook_core/src/quota/lender_choice.rs
+++ b/crates/hollyhook_core/src/quota/lender_choice.rs
@@ -29,12 +29,20 @@
     limit: usize,
     pause: Duration,
     next_round: TimePoint,
+    /// Whether the last round asked only some of the hosts that it might have asked.
+    is_partial: bool,
     skipped: BTreeMap<Name, TimePoint>,
 }
 
 impl Default for LenderChoice {
     fn default() -> Self {
-        Self { limit: FIRST_ASKED, pause: ROUND_TIME, next_round: TimePoint::ZERO, skipped: BTreeMap::new() }
+        Self {
+            limit: FIRST_ASKED,
+            pause: ROUND_TIME,
+            next_round: TimePoint::ZERO,
+            is_partial: false,
+            skipped: BTreeMap::new(),
+        }
     }
 }
 
@@ -47,14 +55,15 @@
     pub(super) fn choose(
         &mut self,
         now: TimePoint,
-        others: &[HostRecord],
+        others: &[&HostRecord],
         loan_state: impl Fn(&HostRecord) -> LoanState,
         rng: &mut impl Rng,
     ) -> Vec<HostRecord> {
         self.next_round = now + self.pause;
+        self.is_partial = false;
         self.skipped.retain(|_, until| now < *until);
         let usable = others.iter().filter(|record| !self.skipped.contains_key(&record.host));
-        let mut chosen: Vec<&HostRecord> = usable.collect();
+        let mut chosen: Vec<&HostRecord> = usable.copied().collect();
         chosen.shuffle(rng);
         chosen.sort_by_cached_key(|record| loan_state(record));
         chosen.truncate(self.limit);
@@ -66,11 +75,26 @@
         self.skipped.insert(Name::clone(host), now + SKIP_TIME);
     }
 
+    /// Records that the hosts to ask are only some of those that were chosen, as many as it takes.
+    pub(super) fn record_partial(&mut self) {
+        self.is_partial = true;
+    }
+
     /// Records how many of the asked hosts lent something.
+    ///
+    /// A round of few questions that yields nothing says little about how many hosts have something to lend.
     pub(super) fn record_round(&mut self, now: TimePoint, asked: usize, lent: usize) {
         let is_fruitful = lent * 2 >= asked && lent > 0;
-        self.limit = if is_fruitful { (self.limit * 2).min(MAX_ASKED) } else { (self.limit / 2).max(MIN_ASKED) };
-        self.pause = if lent > 0 { ROUND_TIME } else { (self.pause * 2).min(MAX_ROUND_TIME) };
+        if is_fruitful {
+            self.limit = (self.limit * 2).min(MAX_ASKED);
+        } else if !self.is_partial || asked * 2 >= self.limit {
+            self.limit = (self.limit / 2).max(MIN_ASKED);
+        }
+        if lent > 0 {
+            self.pause = ROUND_TIME;
+        } else if !self.is_partial || asked >= MIN_ASKED {
+            self.pause = (self.pause * 2).min(MAX_ROUND_TIME);
+        }
         self.next_round = now + self.pause;
     }
 }
--- a/crates/hollyhook_core/src/quota/mod.rs
+++ b/crates/hollyhook_core/src/quota/mod.rs
@@ -6,6 +6,8 @@
 mod quota_loan;
 mod quota_usage;
 mod service_quota;
+mod slot_owners;
+mod slot_points;
 
 pub use quota_ledger::{QuotaLedger, QuotaRound};
 pub use quota_loan::{QuotaLoan, QuotaPart};
--- a/crates/hollyhook_core/src/quota/quota_ledger.rs
+++ b/crates/hollyhook_core/src/quota/quota_ledger.rs
@@ -4,14 +4,15 @@
 
 use super::lender_choice::LenderChoice;
 use super::service_quota::{RENEWAL_TIME, ServiceQuota};
-use super::{QuotaLoan, QuotaPart, QuotaTotals};
+use super::slot_owners::SlotOwners;
+use super::{QuotaLoan, QuotaTotals};
 use crate::{HostPosition, HostRecord, Name, TimePoint};
 
-/// A host wants this multiple of what it uses, for the same reasons for which a lender keeps more than it uses.
+/// A host wants this multiple of the rate that its callers ask for, for the same reasons for which a lender keeps more than it uses.
 const WANTED_FACTOR: f64 = 2.0;
 /// While requests wait for slots, a host wants this multiple of what it has: it does not know how much it lacks.
 const SHORTAGE_FACTOR: f64 = 3.0;
-/// What a host lacks at least before it asks, as a fraction of an equal quota.
+/// What a host lacks at least of a rate before it asks, as a fraction of an equal quota.
 const MIN_MISSING: f64 = 0.05;
 
 /// The questions of one round: how much of its quota at a service each of these hosts should lend.
@@ -96,13 +97,9 @@
         borrower: &Name,
         wanted: f64,
         own: HostPosition,
-        totals: QuotaTotals,
+        totals: &QuotaTotals,
     ) -> Option<QuotaLoan> {
-        let quota = &mut self.entry(service).quota;
-        let count = own.count.max(1) as f64;
-        let used = quota.usage.fraction(now, totals) * count;
-        let whole = QuotaTotals { rate: totals.rate / count, slots: totals.slots / count };
-        let part: QuotaPart = quota.lend(now, borrower, wanted, used, whole)?;
+        let part = self.entry(service).quota.lend(now, borrower, wanted, own, totals)?;
         Some(QuotaLoan { position: own, part })
     }
 
@@ -112,7 +109,7 @@
         now: TimePoint,
         service: &Name,
         own: HostPosition,
-        totals: QuotaTotals,
+        totals: &QuotaTotals,
         others: &[HostRecord],
         rng: &mut impl Rng,
     ) -> Option<QuotaRound> {
@@ -121,18 +118,22 @@
         if !known.choice.is_due(now) || !(quota.is_short(now) || quota.has_borrowed(now)) {
             return None;
         }
-        let mut wanted = quota.usage.fraction(now, totals).max(quota.usage.demand(now, totals)) * WANTED_FACTOR;
-        if quota.is_short_of_slots(now) {
-            wanted = wanted.max(quota.share(now, own) * SHORTAGE_FACTOR);
-        }
-        wanted = wanted.min(1.0);
-        let missing = wanted - quota.share(now + RENEWAL_TIME, own);
-        let equal = own.equal_share();
-        if missing < MIN_MISSING * equal {
+        let (rate, slots) = (missing_rate(now, quota, own, totals), missing_slots(now, quota, own, totals));
+        if rate <= 0.0 && slots <= 0.0 {
             return None;
         }
-        let lenders = known.choice.choose(now, others, |record| quota.loan_state(now, &record.host), rng);
-        let each = missing / (lenders.len().max(1) as f64 * equal);
+        // Where hosts have few slots, most of them may have none to lend.
+        let owners = (rate <= 0.0 && totals.has_few_slots(own)).then(|| SlotOwners::new(own, totals, others));
+        let may_lend = |record: &&HostRecord| owners.as_ref().is_none_or(|owners| owners.contains(&record.host));
+        let usable: Vec<&HostRecord> = others.iter().filter(may_lend).collect();
+        let mut lenders = known.choice.choose(now, &usable, |record| quota.loan_state(now, &record.host), rng);
+        let each = match &owners {
+            Some(owners) => {
+                known.choice.record_partial();
+                owners.keep_enough(&mut lenders, slots * totals.slot_count())
+            }
+            None => rate.max(slots) / (lenders.len().max(1) as f64 * own.equal_share()),
+        };
         let ask = |record: HostRecord| {
             let wanted = (known.quota.borrowed_from(now + RENEWAL_TIME, &record.host) + each).min(1.0);
             (record, wanted)
@@ -162,3 +163,22 @@
         self.services.get_mut(service).expect("the service was just inserted")
     }
 }
+
+/// The fraction of the rate limits that this host lacks; 0 if that is not worth a question.
+fn missing_rate(now: TimePoint, quota: &ServiceQuota, own: HostPosition, totals: &QuotaTotals) -> f64 {
+    let wanted = (quota.usage.demand(now, totals) * WANTED_FACTOR).min(1.0);
+    let missing = wanted - quota.share(now + RENEWAL_TIME, own);
+    if missing < MIN_MISSING * own.equal_share() { 0.0 } else { missing }
+}
+
+/// The fraction of the slots that this host lacks.
+fn missing_slots(now: TimePoint, quota: &ServiceQuota, own: HostPosition, totals: &QuotaTotals) -> f64 {
+    let total = totals.slot_count();
+    let mut wanted = f64::from(quota.usage.most_open(now));
+    if quota.is_short_of_slots(now) {
+        let held = quota.held_slots(now, own, totals);
+        wanted = wanted.max(held * SHORTAGE_FACTOR).max(held + 1.0);
+    }
+    let missing = wanted.min(total) - quota.held_slots(now + RENEWAL_TIME, own, totals);
+    if missing > 0.0 { missing / total } else { 0.0 }
+}
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -388,7 +388,7 @@
         for record in self.of_service(service) {
             totals.rate += self.terms.rate_limit(&record.id).unwrap_or_default();
             if self.terms.is_brittle(&record.id) {
-                totals.slots += f64::from(record.load.capacity);
+                totals.slots.push((EndpointId::clone(&record.id), record.load.capacity));
             }
         }
         totals
@@ -414,12 +414,19 @@
         self.quotas.share(now, service, self.position)
     }
 
+    /// How many of an endpoint's slots this host may use, where slots are divided among hosts.
+    pub fn held_slots(&self, now: TimePoint, id: &str) -> u32 {
+        let slots =
+            |record: &EndpointRecord| self.quotas.slots(now, &record.service, self.position, id, record.load.capacity);
+        self.get(id).map_or(0, slots)
+    }
+
     /// Begins a round of questions to other hosts for each service at which this host lacks something.
     pub fn begin_borrowing(&mut self, now: TimePoint, others: &[HostRecord], rng: &mut impl Rng) -> Vec<QuotaRound> {
         let services: Vec<Name> = self.quotas.services().cloned().collect();
         let rounds = services.iter().filter_map(|service| {
             let totals = self.quota_totals(service);
-            self.quotas.begin_round(now, service, self.position, totals, others, rng)
+            self.quotas.begin_round(now, service, self.position, &totals, others, rng)
         });
         rounds.collect()
     }
@@ -427,7 +434,7 @@
     /// Lends a part of this host's quota at a service, at most the fraction `wanted`; `None` if it has none to spare.
     pub fn lend_quota(&mut self, now: TimePoint, service: &Name, borrower: &Name, wanted: f64) -> Option<QuotaLoan> {
         let totals = self.quota_totals(service);
-        let loan = self.quotas.lend(now, service, borrower, wanted, self.position, totals)?;
+        let loan = self.quotas.lend(now, service, borrower, wanted, self.position, &totals)?;
         // Before the borrower can use it.
         self.apply_quota(now, service);
         Some(loan)
--- a/crates/hollyhook_core/src/route/host_position.rs
+++ b/crates/hollyhook_core/src/route/host_position.rs
@@ -1,6 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::rendezvous::rendezvous_weight;
+use crate::EndpointId;
 
 /// Key under which the first slot of an endpoint's first host is hashed.
 const OFFSET_KEY: &[u8] = b"slots";
@@ -35,11 +36,27 @@
     /// different first host at each endpoint, so that no slot belongs to two hosts.
     pub(crate) fn own_slots(self, endpoint: &str, capacity: u32) -> u32 {
         let count = self.count.max(1) as u64;
-        let first = rendezvous_weight(OFFSET_KEY, endpoint) % count;
+        let first = first_owner(endpoint, count);
         let distance = (self.index as u64 + count - first) % count;
         let capacity = u64::from(capacity);
         (capacity / count + u64::from(distance < capacity % count)) as u32
     }
+
+    /// How many slots of these endpoints belong to each of `count` hosts.
+    pub(crate) fn slot_counts(count: usize, endpoints: &[(EndpointId, u32)]) -> Vec<u32> {
+        let count = count.max(1);
+        let mut counts = vec![0; count];
+        for (endpoint, capacity) in endpoints {
+            let first = first_owner(endpoint, count as u64) as usize;
+            (0..*capacity as usize).for_each(|slot| counts[(first + slot) % count] += 1);
+        }
+        counts
+    }
+}
+
+/// The host of `count` that an endpoint's first slot belongs to.
+fn first_owner(endpoint: &str, count: u64) -> u64 {
+    rendezvous_weight(OFFSET_KEY, endpoint) % count
 }
 
 /// The point of the unit interval by which a slot of a host at an endpoint is lent; the same on every host.
--- a/crates/hollyhook_core/tests/gateway/quotas.rs
+++ b/crates/hollyhook_core/tests/gateway/quotas.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    EndpointId, EndpointRecord, EndpointTable, HostPosition, HostRecord, Name, QuotaLoan, RouteQuery, TimePoint,
+    EndpointId, EndpointRecord, EndpointTable, HostPosition, HostRecord, LoadReport, Name, QuotaLoan, RouteQuery,
+    TimePoint,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -22,6 +23,15 @@
 const LIMIT_SPAN: u64 = 4_000;
 /// Interval at which a host checks whether it has to ask others.
 const ASK_INTERVAL: u64 = 50;
+/// Time limit for the answer to a question.
+const ANSWER_TIMEOUT: u64 = 200;
+/// How long an endpoint with slots processes a request, and how long a request waits for a slot at its host.
+const SERVICE_TIME: u64 = 30;
+const PATIENCE: u64 = 75;
+/// Rejections in a second that an endpoint with slots bears.
+const BRITTLE_LIMIT: f64 = 3.0;
+/// Time that hosts have to learn what endpoints state in their answers.
+const LEARNING_TIME: u64 = 2_000;
 /// What hosts together may hold beyond the whole by rounding.
 const ROUNDING: f64 = 1e-9;
 
@@ -32,6 +42,8 @@
     endpoints: usize,
     /// Requests per second that each endpoint takes.
     rate: f64,
+    /// Slots of each endpoint that are divided among hosts; 0 if the rate is limited instead.
+    slots: u32,
     /// Requests per second of all callers, as a fraction of what the endpoints take.
     load: f64,
     /// Fraction of the callers that the crowded host gets.
@@ -51,6 +63,7 @@
             hosts,
             endpoints: rng.random_range(3..=6),
             rate: rng.random_range(20.0..60.0),
+            slots: 0,
             load: rng.random_range(0.2..0.4),
             crowd: rng.random_range(0.6..1.0),
             crowd_time: 10_000,
@@ -59,6 +72,12 @@
         }
     }
 
+    /// Endpoints with slots of which a third is in use.
+    fn with_slots(seed: u64, hosts: usize, slots: u32) -> Self {
+        let rate = f64::from(slots) * 1_000.0 / SERVICE_TIME as f64;
+        Self { rate, slots, load: 0.33, crowd: 0.85, is_lost: false, ..Self::draw(seed, hosts) }
+    }
+
     fn is_crowded(&self, at: u64) -> bool {
         (CROWD_AT..CROWD_AT + self.crowd_time).contains(&at)
     }
@@ -72,14 +91,42 @@
 /// A message that arrives later.
 #[derive(Clone, Copy)]
 enum Message {
-    Question { borrower: usize, lender: usize, wanted: f64, asked_at: u64 },
-    Answer { borrower: usize, lender: usize, loan: Option<QuotaLoan>, asked_at: u64 },
+    Question {
+        borrower: usize,
+        lender: usize,
+        wanted: f64,
+        asked_at: u64,
+    },
+    Answer {
+        borrower: usize,
+        lender: usize,
+        loan: Option<QuotaLoan>,
+        asked_at: u64,
+    },
+    /// The end of the time for answers to a round of questions.
+    RoundEnd {
+        borrower: usize,
+        asked_at: u64,
+    },
+    /// The end of a request at an endpoint with slots, or its rejection.
+    Response {
+        host: usize,
+        endpoint: usize,
+        running: u32,
+        rejected: Option<u64>,
+    },
 }
 
 #[derive(Debug, Default)]
 struct QuotaOutcome {
     /// Requests sent and served by the second in which they came.
     tries: BTreeMap<u64, (u32, u32)>,
+    /// The same, of host 0.
+    crowded_tries: BTreeMap<u64, (u32, u32)>,
+    /// Rejections by endpoints with slots once hosts had time to learn their limits.
+    rejections: u32,
+    /// The most slots of an endpoint that hosts held together beyond its capacity.
+    most_excess: u32,
     /// The times of the requests that each endpoint got.
     arrivals: Vec<Vec<u64>>,
     /// The most that hosts held together of the whole.
@@ -89,9 +136,7 @@
 
 impl QuotaOutcome {
     fn served_share(&self, from: u64, to: u64) -> f64 {
-        let seconds = self.tries.range(from / 1_000..to / 1_000);
-        let (sent, served) = seconds.fold((0, 0), |sum, (_, count)| (sum.0 + count.0, sum.1 + count.1));
-        f64::from(served) / f64::from(sent.max(1))
+        share_of(&self.tries, from, to)
     }
 
     fn most_in_span(&self) -> usize {
@@ -103,12 +148,32 @@
     }
 }
 
+fn share_of(tries: &BTreeMap<u64, (u32, u32)>, from: u64, to: u64) -> f64 {
+    let seconds = tries.range(from / 1_000..to / 1_000);
+    let (sent, served) = seconds.fold((0, 0), |sum, (_, count)| (sum.0 + count.0, sum.1 + count.1));
+    f64::from(served) / f64::from(sent.max(1))
+}
+
+/// Answers to a round of questions about slots, which a host records together.
+struct PendingRound {
+    asked: Vec<Name>,
+    answers: Vec<(Name, Option<QuotaLoan>)>,
+}
+
 struct QuotaSimulation {
     case: QuotaCase,
+    /// How long it goes on after the crowd.
+    after: u64,
     rng: Pcg64Mcg,
     hosts: Vec<EndpointTable>,
     records: Vec<HostRecord>,
     messages: BTreeMap<u64, Vec<Message>>,
+    /// Rounds of questions under way, by the host that asked and the time.
+    rounds: BTreeMap<(usize, u64), PendingRound>,
+    /// Hosts and arrival times of requests that wait for a slot.
+    waiting: Vec<(usize, u64)>,
+    /// Requests that endpoints with slots process.
+    running: Vec<u32>,
     outcome: QuotaOutcome,
 }
 
@@ -136,33 +201,46 @@
             for endpoint in 0..case.endpoints {
                 let address = ([127, 0, 0, 1], 7_000 + endpoint as u16).into();
                 let record = EndpointRecord::new(id_of(endpoint), SERVICE.into(), "zone-0".into(), address);
-                table.upsert(record.capacity(64));
-                table.terms_mut().set_rate_limit(
-                    TimePoint::from_millis(1),
-                    &id_of(endpoint),
-                    case.rate,
-                    case.hosts,
-                    &mut rng,
-                );
+                table.upsert(record.capacity(if case.slots > 0 { case.slots } else { 64 }));
+                let (start, id) = (TimePoint::from_millis(1), id_of(endpoint));
+                if case.slots > 0 {
+                    table.terms_mut().set_brittle(start, &id, BRITTLE_LIMIT, case.hosts, &mut rng);
+                } else {
+                    table.terms_mut().set_rate_limit(start, &id, case.rate, case.hosts, &mut rng);
+                }
             }
             table
         });
         let hosts = hosts.collect();
         let outcome = QuotaOutcome { arrivals: vec![Vec::new(); case.endpoints], ..QuotaOutcome::default() };
-        Self { case, rng, hosts, records, messages: BTreeMap::new(), outcome }
+        let running = vec![0; case.endpoints];
+        Self {
+            case,
+            after: 0,
+            rng,
+            hosts,
+            records,
+            messages: BTreeMap::new(),
+            rounds: BTreeMap::new(),
+            waiting: Vec::new(),
+            running,
+            outcome,
+        }
     }
 
     fn run(mut self) -> QuotaOutcome {
-        for at in (STEP..CROWD_AT + self.case.crowd_time).step_by(STEP as usize) {
+        for at in (STEP..CROWD_AT + self.case.crowd_time + self.after).step_by(STEP as usize) {
             for message in self.take_messages(at) {
                 self.deliver(at, message);
             }
             self.add_requests(at);
+            self.send_waiting(at);
             if at % ASK_INTERVAL == 0 {
                 (0..self.hosts.len()).for_each(|host| self.ask(at, host));
             }
             let held: f64 = self.hosts.iter().map(|table| table.quota_share(TimePoint::from_millis(at), SERVICE)).sum();
             self.outcome.most_held = self.outcome.most_held.max(held);
+            self.check_slots(at);
         }
         self.outcome
     }
@@ -184,13 +262,88 @@
             let crowded = usize::from(!self.is_up(at, 0));
             let is_crowd = self.case.is_crowded(at) && self.rng.random_bool(self.case.crowd);
             let host = if is_crowd { crowded } else { self.rng.random_range(crowded..self.hosts.len()) };
+            if self.case.slots > 0 {
+                self.waiting.push((host, at));
+                continue;
+            }
             let is_served = self.send(at, host);
-            let tries = self.outcome.tries.entry(at / 1_000).or_default();
+            self.count_try(at, host, is_served);
+        }
+    }
+
+    fn count_try(&mut self, at: u64, host: usize, is_served: bool) {
+        let outcome = &mut self.outcome;
+        let crowded = (host == 0).then_some(&mut outcome.crowded_tries);
+        for counts in std::iter::once(&mut outcome.tries).chain(crowded) {
+            let tries = counts.entry(at / 1_000).or_default();
             tries.0 += 1;
             tries.1 += u32::from(is_served);
         }
     }
 
+    /// Sends the requests that wait for a slot, in the order of their arrival, and refuses those that waited too long.
+    fn send_waiting(&mut self, at: u64) {
+        for (host, arrived) in std::mem::take(&mut self.waiting) {
+            if at - arrived > PATIENCE {
+                self.count_try(arrived, host, false);
+            } else if !self.open(at, host, arrived) {
+                self.waiting.push((host, arrived));
+            }
+        }
+    }
+
+    /// Sends a request to an endpoint with slots; false if it has to wait.
+    fn open(&mut self, at: u64, host: usize, arrived: u64) -> bool {
+        let (now, query, capacity) = (TimePoint::from_millis(at), RouteQuery::new(SERVICE), self.case.slots);
+        let table = &mut self.hosts[host];
+        let chosen = table.choose(now, &query, &mut self.rng);
+        let Some(id) = chosen.filter(|id| table.try_open(now, id, None)) else {
+            if let Some(pause) = table.shortest_pause(now, &query) {
+                table.record_pressure(now, SERVICE);
+                if pause.is_zero() {
+                    table.record_shortage(now, SERVICE, true);
+                }
+            }
+            return false;
+        };
+        let endpoint: usize = id[2..].parse().unwrap();
+        let is_rejected = self.running[endpoint] >= capacity;
+        self.running[endpoint] += u32::from(!is_rejected);
+        self.outcome.rejections += u32::from(is_rejected && at >= LEARNING_TIME);
+        let (running, rejected) = (self.running[endpoint], is_rejected.then_some(arrived));
+        let after = if is_rejected { STEP } else { SERVICE_TIME };
+        let response = Message::Response { host, endpoint, running, rejected };
+        self.messages.entry(at + after).or_default().push(response);
+        if !is_rejected {
+            self.count_try(arrived, host, true);
+        }
+        true
+    }
+
+    fn end_request(&mut self, at: u64, host: usize, endpoint: usize, running: u32, rejected: Option<u64>) {
+        let (now, id, capacity) = (TimePoint::from_millis(at), id_of(endpoint), self.case.slots);
+        let table = &mut self.hosts[host];
+        table.record_close(&id);
+        table.update_load(&id, LoadReport { running, waiting: 0, capacity, ..LoadReport::default() });
+        table.update_room(now, &id, 1.0 - f64::from(running) / f64::from(capacity));
+        if let Some(arrived) = rejected {
+            table.terms_mut().record_rejection(now, &id);
+            self.waiting.push((host, arrived));
+        } else {
+            self.running[endpoint] -= 1;
+        }
+    }
+
+    fn check_slots(&mut self, at: u64) {
+        for endpoint in 0..self.case.endpoints {
+            let id = id_of(endpoint);
+            let held = |table: &EndpointTable| table.held_slots(TimePoint::from_millis(at), &id);
+            let held: u32 = self.hosts.iter().map(held).sum();
+            let capacity = if self.case.slots > 0 { self.case.slots } else { 64 };
+            self.outcome.most_excess = self.outcome.most_excess.max(held.saturating_sub(capacity));
+        }
+    }
+
     fn send(&mut self, at: u64, host: usize) -> bool {
         let (now, query) = (TimePoint::from_millis(at), RouteQuery::new(SERVICE));
         let table = &mut self.hosts[host];
@@ -205,7 +358,8 @@
     }
 
     fn ask(&mut self, at: u64, host: usize) {
-        if !self.is_up(at, host) {
+        let is_asking = self.rounds.range((host, 0)..=(host, at)).next().is_some();
+        if !self.is_up(at, host) || is_asking {
             return;
         }
         let now = TimePoint::from_millis(at);
@@ -213,6 +367,12 @@
             self.records.iter().filter(|record| record.host != name_of(host)).cloned().collect();
         for round in self.hosts[host].begin_borrowing(now, &others, &mut self.rng) {
             self.outcome.questions += round.asks.len() as u32;
+            if self.case.slots > 0 {
+                let asked = round.asks.iter().map(|(record, _)| Name::clone(&record.host)).collect();
+                self.rounds.insert((host, at), PendingRound { asked, answers: Vec::new() });
+                let end = Message::RoundEnd { borrower: host, asked_at: at };
+                self.messages.entry(at + ANSWER_TIMEOUT).or_default().push(end);
+            }
             for (lender, wanted) in round.asks {
                 let lender = lender.host[5..].parse().unwrap();
                 self.post(at, Message::Question { borrower: host, lender, wanted, asked_at: at });
@@ -238,12 +398,35 @@
                     self.post(at, Message::Answer { borrower, lender, loan, asked_at });
                 }
             }
+            Message::Response { host, endpoint, running, rejected } => {
+                self.end_request(at, host, endpoint, running, rejected);
+            }
             Message::Answer { borrower, lender, loan, asked_at } => {
-                let asked_at = TimePoint::from_millis(asked_at);
-                self.hosts[borrower].record_loans(now, asked_at, &SERVICE.into(), &[(name_of(lender), loan)]);
+                if self.case.slots == 0 {
+                    let asked_at = TimePoint::from_millis(asked_at);
+                    self.hosts[borrower].record_loans(now, asked_at, &SERVICE.into(), &[(name_of(lender), loan)]);
+                } else if let Some(round) = self.rounds.get_mut(&(borrower, asked_at)) {
+                    round.answers.push((name_of(lender), loan));
+                    if round.answers.len() == round.asked.len() {
+                        self.end_round(at, borrower, asked_at);
+                    }
+                }
             }
+            Message::RoundEnd { borrower, asked_at } => self.end_round(at, borrower, asked_at),
         }
     }
+
+    /// Records the answers to a round; a host that did not answer lent nothing.
+    fn end_round(&mut self, at: u64, borrower: usize, asked_at: u64) {
+        let Some(PendingRound { asked, mut answers }) = self.rounds.remove(&(borrower, asked_at)) else {
+            return;
+        };
+        let is_silent = |name: &Name| !answers.iter().any(|(lender, _)| lender == name);
+        let silent: Vec<_> = asked.into_iter().filter(is_silent).map(|name| (name, None)).collect();
+        answers.extend(silent);
+        let (now, asked_at) = (TimePoint::from_millis(at), TimePoint::from_millis(asked_at));
+        self.hosts[borrower].record_loans(now, asked_at, &SERVICE.into(), &answers);
+    }
 }
 
 fn crowd_is_served(case: QuotaCase) {
@@ -345,3 +528,56 @@
     }
     assert_eq!(table.lend_quota(TimePoint::from_millis(3_000), &SERVICE.into(), &name_of(1), 1.0), None);
 }
+
+/// The crowd at host 0, and the requests of the others before, meanwhile and after it.
+fn few_slots_outcome(seeds: std::ops::Range<u64>, hosts: usize, slots: u32, loss: f64) -> [f64; 4] {
+    let count = (seeds.end - seeds.start) as f64;
+    let mut means = [0.0; 4];
+    for seed in seeds {
+        let case = QuotaCase { crowd_time: 6_000, endpoints: 4, loss, ..QuotaCase::with_slots(seed, hosts, slots) };
+        let crowd_end = CROWD_AT + case.crowd_time;
+        let mut outcome = QuotaSimulation { after: 6_000, ..QuotaSimulation::new(case) }.run();
+        assert_eq!(outcome.most_excess, 0, "{case:?}: hosts hold more slots than there are");
+        assert!(outcome.rejections <= 12 * BRITTLE_LIMIT as u32, "{case:?}: {} rejections", outcome.rejections);
+        for (second, (sent, served)) in &outcome.crowded_tries {
+            let all = outcome.tries.get_mut(second).unwrap();
+            *all = (all.0 - sent, all.1 - served);
+        }
+        let crowd_from = CROWD_AT + CONTACT_BOUND;
+        let shares = [
+            share_of(&outcome.crowded_tries, crowd_from, crowd_end),
+            share_of(&outcome.tries, LEARNING_TIME, CROWD_AT),
+            share_of(&outcome.tries, crowd_from, crowd_end),
+            share_of(&outcome.tries, crowd_end + 2_000, crowd_end + 6_000),
+        ];
+        means.iter_mut().zip(shares).for_each(|(mean, share)| *mean += share / count);
+    }
+    println!("{hosts} hosts, {slots} slots, loss {loss}: {means:.2?}");
+    means
+}
+
+/// Guards against loans of less than a slot, and lenders that keep slots for which they have hardly any requests.
+#[test]
+fn crowd_served_with_few_slots_8_hosts() {
+    for (slots, least) in [(2, 0.8), (4, 0.9), (6, 0.95), (16, 0.95)] {
+        let [crowd, others @ ..] = few_slots_outcome(600..624, 8, slots, 0.0);
+        assert!(crowd >= least, "{slots} slots: {crowd}");
+        let [_, unlent @ ..] = few_slots_outcome(600..624, 8, slots, 1.0);
+        for (share, unlent) in others.into_iter().zip(unlent) {
+            assert!(share >= unlent - 0.02, "{slots} slots: {share} with loans, {unlent} without");
+        }
+    }
+}
+
+/// A host of many has no slot of its own, so that it has what it borrows.
+#[test]
+fn crowd_served_with_few_slots_71_hosts() {
+    for slots in [6, 16] {
+        let [crowd, others @ ..] = few_slots_outcome(600..606, 71, slots, 0.0);
+        assert!(crowd >= 0.5, "{slots} slots: {crowd}");
+        let [_, unlent @ ..] = few_slots_outcome(600..606, 71, slots, 1.0);
+        for (share, unlent) in others.into_iter().zip(unlent) {
+            assert!(share >= unlent - 0.02, "{slots} slots: {share} with loans, {unlent} without");
+        }
+    }
+}
