Paths that open connections and carry nothing count as lost

Seen by callers: at hosts whose links to the endpoints accept connections and carry nothing, none was served, while hosts beside them reached the endpoints.

Cause: the path monitor took an opened connection for a path, in its checks after a silence, in the test of lost paths and in the order of the ways.

Two mute endpoints of a group, or its only one twice, make the path lost (PathMonitor::record_muted). Such a loss ends with a direct answer, and not with a connection. While it lasts, direct connections are the last resort, and the silence of calls sent before it is not held against endpoints. An engine is asked for its report, any other endpoint gets a request without an attempt id, which it rejects without running it.

Ruled out: one answer for a group of one endpoint.

--- a/crates/hollyhook_core/tests/gateway/paths.rs
+++ b/crates/hollyhook_core/tests/gateway/paths.rs
@@ -83,6 +83,68 @@
     assert!((0..GROUP_SIZE).all(|number| is_direct(&monitor, at(900), &group, &id(number))));
 }
 
+/// A monitor that has found at 100 ms that a group answers only through other hosts.
+fn mute_path(group: &EndpointGroup) -> PathMonitor {
+    let mut monitor = PathMonitor::default();
+    assert!(!monitor.record_muted(at(0), group, &id(0), GROUP_SIZE));
+    assert!(monitor.record_muted(at(100), group, &id(1), GROUP_SIZE));
+    monitor
+}
+
+/// A path on which connections open and carry nothing was taken for present again with each connection.
+#[test]
+fn mute_path_regained_by_answer_only() {
+    let group = group("a");
+    let mut monitor = mute_path(&group);
+    assert_eq!(monitor.record_connected(at(500), &group, &id(2), Duration::from_millis(2)), None);
+    assert!(monitor.is_lost(&group));
+    assert!(matches!(monitor.order(at(5_000), &group, &id(2)), ConnectOrder::TunnelUnlessFailed { .. }));
+    assert_eq!(monitor.record_heard(at(900), &group), Some(Duration::from_millis(800)));
+    assert!(!monitor.is_lost(&group));
+    assert!((0..GROUP_SIZE).all(|number| is_direct(&monitor, at(900), &group, &id(number))));
+}
+
+/// Connections that live on while new ones are refused do not make the path to open new ones.
+#[test]
+fn path_not_regained_by_open_connection() {
+    let group = group("a");
+    let mut monitor = lost_path(&group);
+    assert_eq!(monitor.record_heard(at(900), &group), None);
+    assert!(monitor.is_lost(&group));
+}
+
+/// After a pause, an endpoint may answer another host a moment before it answers this one.
+#[test]
+fn path_kept_if_heard_between_mute_endpoints() {
+    let group = group("a");
+    let mut monitor = PathMonitor::default();
+    assert!(!monitor.record_muted(at(0), &group, &id(0), GROUP_SIZE));
+    assert!(!is_direct(&monitor, at(10), &group, &id(0)));
+    assert_eq!(monitor.record_heard(at(20), &group), None);
+    assert!(is_direct(&monitor, at(30), &group, &id(0)));
+    assert!(!monitor.record_muted(at(40), &group, &id(1), GROUP_SIZE));
+    assert!(!monitor.record_muted(at(2_100), &group, &id(2), GROUP_SIZE), "the evidence is old");
+    assert!(!monitor.record_muted(at(2_200), &group, &id(2), GROUP_SIZE), "one endpoint is no evidence");
+}
+
+/// The answer of the only endpoint may just be late.
+#[test]
+fn path_kept_after_one_late_answer_of_only_endpoint() {
+    let group = group("a");
+    let mut monitor = PathMonitor::default();
+    assert!(!monitor.record_muted(at(0), &group, &id(0), 1));
+    assert!(monitor.record_muted(at(100), &group, &id(0), 1));
+}
+
+/// Calls sent directly before the loss time out later than connections fail.
+#[test]
+fn mute_path_explains_silence_for_two_seconds() {
+    let group = group("a");
+    let (mute, refused) = (mute_path(&group), lost_path(&group));
+    assert!(mute.explains_silence(at(2_000), &group) && !mute.explains_silence(at(2_200), &group));
+    assert!(refused.explains_silence(at(1_000), &group) && !refused.explains_silence(at(1_200), &group));
+}
+
 /// Failures of the first second are the path's; an endpoint that fails later, behind other hosts, is at fault itself.
 #[test]
 fn path_explains_failures_for_a_second() {
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use futures::future::join_all;
-use hollyhook_core::{AttemptFailure, EndpointId, EndpointRecord, EngineCandidate, EngineReport};
+use hollyhook_core::{AttemptFailure, EndpointRecord, EngineCandidate, EngineReport};
 use http::{Request, header};
 use http_body_util::Full;
 
@@ -36,7 +36,7 @@
     }
     let outcome = fetch_report(context, target, LIVENESS_TIMEOUT).await;
     if let Err(failure) = &outcome {
-        record_missed_probe(context, &target.id, *failure);
+        record_missed_probe(context, target, *failure, LIVENESS_TIMEOUT);
     }
     let report = outcome.ok();
     let known = report.as_ref();
@@ -45,11 +45,13 @@
     report
 }
 
-/// Records that an engine did not report: in time, which is only a silence, or for another reason.
-fn record_missed_probe(context: &GatewayContext, id: &EndpointId, failure: AttemptFailure) {
-    match failure {
-        AttemptFailure::Silent => context.endpoints.record_silence(id),
-        _ => context.endpoints.record_outcome(id, Some(AttemptFailure::NotConnected)),
+/// Records that an engine did not report: within `limit`, which is only a silence, or for another reason.
+fn record_missed_probe(context: &GatewayContext, target: &EndpointTarget, failure: AttemptFailure, limit: Duration) {
+    if failure == AttemptFailure::Silent {
+        context.endpoints.record_silence(&target.id);
+        context.connector.check_if_silent(target, limit);
+    } else {
+        context.endpoints.record_outcome(&target.id, Some(AttemptFailure::NotConnected));
     }
 }
 
@@ -73,7 +75,7 @@
     let probed = probe_each(context, shortlist, PLACEMENT_TIMEOUT).await;
     for (candidate, failure) in &probed {
         if let Some(failure) = failure {
-            record_missed_probe(context, &candidate.record.id, *failure);
+            record_missed_probe(context, &EndpointTarget::from(&candidate.record), *failure, PLACEMENT_TIMEOUT);
         }
     }
     probed.into_iter().map(|(candidate, _)| candidate).collect()
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -241,6 +241,11 @@
         self.table().crash_record_entry()
     }
 
+    /// Whether the endpoints of a service are engines, as the configuration describes them.
+    pub(crate) fn has_engines(&self, service: &str) -> bool {
+        self.known_site().is_some_and(|site| site.service(service).is_some_and(|known| known.engine.is_some()))
+    }
+
     /// Whether a live endpoint of a service is known.
     pub(crate) fn has_live(&self, service: &str) -> bool {
         self.table().iter().any(|record| &*record.service == service && record.state == EndpointState::Live)
@@ -390,7 +395,7 @@
         self.pool.close_idle(id);
         let mut table = self.table();
         let group = table.get(id).map(EndpointGroup::from);
-        if group.is_some_and(|group| self.paths.explains_failure(&group)) {
+        if group.is_some_and(|group| self.paths.explains_silence(&group)) {
             return;
         }
         if table.record_silence(self.timer.now(), id) {
--- a/crates/hollyhook_gateway/src/path/connect_race.rs
+++ b/crates/hollyhook_gateway/src/path/connect_race.rs
@@ -13,13 +13,12 @@
 use crate::pool::PooledConnection;
 use crate::sync::CountGuard;
 
-/// Number of hosts that are asked to connect to an endpoint for this one. The first may have lost its path too.
-const ASKED_HOSTS: usize = 2;
-
 /// A way to open a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ConnectWay {
     Direct,
+    /// Directly, once all ways before have failed.
+    LastDirect,
     Tunnel,
 }
 
@@ -73,6 +72,11 @@
     pub(super) async fn run(mut self) -> Result<PooledConnection, ConnectError> {
         let (ways, head_start) = self.ways();
         for way in ways {
+            if way == ConnectWay::LastDirect
+                && let Some(connection) = self.finish_running().await
+            {
+                return Ok(connection);
+            }
             if !self.start(way) {
                 continue;
             }
@@ -82,35 +86,46 @@
                 return Ok(connection);
             }
         }
+        self.finish_running().await.ok_or_else(|| self.error())
+    }
+
+    /// Waits until one of the ways that were started has led to a connection, or all have failed.
+    async fn finish_running(&mut self) -> Option<PooledConnection> {
         while let Some(outcome) = self.running.next().await {
             if let Some(connection) = self.finish(outcome) {
-                return Ok(connection);
+                return Some(connection);
             }
         }
-        Err(self.error())
+        None
     }
 
     /// The ways to try, and how long each may take before the next one is tried.
     fn ways(&mut self) -> (Vec<ConnectWay>, Duration) {
         match self.connector.paths.order(self.target) {
-            ConnectOrder::DirectFirst { head_start } => {
+            ConnectOrder::DirectFirst { head_start, hosts } => {
                 let mut ways = vec![ConnectWay::Direct];
-                ways.resize(1 + ASKED_HOSTS, ConnectWay::Tunnel);
+                ways.resize(1 + hosts, ConnectWay::Tunnel);
                 (ways, head_start)
             }
-            ConnectOrder::TunnelFirst { head_start } => {
+            ConnectOrder::TunnelFirst { head_start, hosts } => {
                 self.is_lost = true;
-                let mut ways = vec![ConnectWay::Tunnel; ASKED_HOSTS];
+                let mut ways = vec![ConnectWay::Tunnel; hosts];
                 ways.push(ConnectWay::Direct);
                 (ways, head_start)
             }
+            ConnectOrder::TunnelUnlessFailed { head_start, hosts } => {
+                self.is_lost = true;
+                let mut ways = vec![ConnectWay::Tunnel; hosts];
+                ways.push(ConnectWay::LastDirect);
+                (ways, head_start)
+            }
         }
     }
 
     /// Starts a way; returns false if there is no host to ask, or none may be asked now.
     fn start(&mut self, way: ConnectWay) -> bool {
         let started = match way {
-            ConnectWay::Direct => {
+            ConnectWay::Direct | ConnectWay::LastDirect => {
                 self.direct = DirectState::Pending;
                 Some(self.open_direct())
             }
--- a/crates/hollyhook_gateway/src/path/endpoint_connector.rs
+++ b/crates/hollyhook_gateway/src/path/endpoint_connector.rs
@@ -10,6 +10,8 @@
 
 use super::connect_error::RemoteFinding;
 use super::connect_race::ConnectRace;
+use super::path_inquiry::PathInquiry;
+use super::path_question::PathQuestion;
 use super::tunnel_client::{TunnelError, open_tunnel};
 use super::{ConnectError, EndpointTarget, PathTracker};
 use crate::gateway::EndpointDirectory;
@@ -37,7 +39,7 @@
     pub(super) pool: Arc<ConnectionPool>,
     pub(super) recorder: Arc<MetricRecorder>,
     pub(super) paths: Arc<PathTracker>,
-    endpoints: Arc<EndpointDirectory>,
+    pub(super) endpoints: Arc<EndpointDirectory>,
 }
 
 impl EndpointConnector {
@@ -79,7 +81,7 @@
         task::spawn(async move {
             let outcome = ConnectRace::new(&connector, &target).run().await;
             if let Err(Ok(connection)) = sender.send(outcome) {
-                connector.pool.put(&target.id, connection, UNUSED_KEEP_ALIVE);
+                connector.keep(&target, connection);
             }
         });
         receiver
@@ -143,24 +145,33 @@
         self.pool.start_tunnel(stream, lease).await.map_err(|_error| TunnelError::Unavailable)
     }
 
-    /// Checks the path to an endpoint by opening a connection, if no endpoint of its group has sent anything for
+    /// Checks the path to an endpoint by a question on a new connection, if no endpoint of its group has sent anything for
     /// `silence` and no check was made shortly before.
     pub(crate) fn check_if_silent(self: &Arc<Self>, target: &EndpointTarget, silence: Duration) {
-        if self.paths.is_silent_for(&target.group, silence) && self.paths.try_check(&target.group) {
+        if self.may_check(target, silence) {
             self.check(target.clone());
         }
     }
 
-    /// Opens a connection to an endpoint, which is kept for the next request.
+    /// Whether no endpoint of the target's group has sent anything for `silence`, and no check was made shortly before.
+    pub(super) fn may_check(&self, target: &EndpointTarget, silence: Duration) -> bool {
+        self.paths.is_silent_for(&target.group, silence) && self.paths.try_check(&target.group)
+    }
+
+    /// Asks an endpoint on a new connection, which is kept for the next request if the endpoint answers.
     fn check(self: &Arc<Self>, target: EndpointTarget) {
-        drop(self.begin(target));
+        let connector = Arc::clone(self);
+        task::spawn(async move { PathInquiry::new(&connector, &target).run().await });
     }
 
-    /// Checks, until the process ends, whether the lost paths are back: by a direct connection to one endpoint of each
-    /// group, a different one each time.
+    /// Checks, until the process ends, whether the lost paths are back: by a question on a direct connection to one
+    /// endpoint of each group, a different one each time.
     pub(crate) async fn run_checks(self: Arc<Self>) {
         for turn in 0.. {
             self.timer.wait(LOST_CHECK_INTERVAL).await;
+            for group in self.paths.take_regained() {
+                self.close_idle_tunnels(&group);
+            }
             for group in self.paths.lost_groups() {
                 let target = self.endpoints.table().nth_in_group(&group, turn).map(EndpointTarget::from);
                 match target {
@@ -171,48 +182,108 @@
         }
     }
 
-    /// Tries to connect directly to an endpoint; the connection is kept for the next request.
+    /// Asks an endpoint on a direct connection, which is kept for the next request if the endpoint answers.
     fn check_direct(self: &Arc<Self>, target: EndpointTarget) {
         let connector = Arc::clone(self);
         task::spawn(async move {
-            if let Ok(connection) = connector.connect_directly(&target).await {
-                connector.pool.put(&target.id, connection, UNUSED_KEEP_ALIVE);
+            let Ok(connection) = connector.connect_directly(&target).await else {
+                return;
+            };
+            if let Some(answered) = PathQuestion::new(&connector, &target).ask_in_time(connection).await {
+                connector.record_answered(&target, answered);
             }
         });
     }
 
+    /// Records that an endpoint answered a question on a direct connection, and keeps the connection.
+    pub(super) fn record_answered(&self, target: &EndpointTarget, connection: PooledConnection) {
+        self.paths.record_heard(target);
+        self.endpoints.record_heard(&target.id);
+        self.keep(target, connection);
+    }
+
+    /// Keeps a connection that nobody waits for.
+    pub(super) fn keep(&self, target: &EndpointTarget, connection: PooledConnection) {
+        self.pool.put(&target.id, connection, UNUSED_KEEP_ALIVE);
+    }
+
     /// Records that this host opened a connection to an endpoint itself.
     ///
     /// If its path had been lost, idle tunnels are closed, so that the next requests are sent directly.
     pub(crate) fn record_connected(&self, target: &EndpointTarget, took: Duration) {
         if self.paths.record_connected(target, took) {
-            for id in self.idle_in(&target.group) {
-                self.pool.close_idle_tunnels(&id);
-            }
+            self.close_idle_tunnels(&target.group);
+        }
+    }
+
+    fn close_idle_tunnels(&self, group: &EndpointGroup) {
+        for id in self.idle_in(group) {
+            self.pool.close_idle_tunnels(&id);
+        }
+    }
+
+    /// Closes the idle connections to a group that this host opened itself: they may be dead without a word.
+    fn close_idle_direct(&self, group: &EndpointGroup) {
+        for id in self.idle_in(group) {
+            self.pool.close_idle_direct(&id);
         }
     }
 
     /// Records that another host reached an endpoint to which this host could open no connection.
     ///
-    /// If the path to its group is lost, idle connections of this host's own may be dead without a word and are closed,
-    /// and the paths to other groups are checked. If one endpoint proves too little, another one is tried.
+    /// If one endpoint proves too little for a loss of the path to its group, another one is tried.
     pub(crate) fn record_bypassed(self: &Arc<Self>, target: &EndpointTarget, host: &Name) {
-        let group = &target.group;
-        let size = self.endpoints.table().group_size(group);
-        if self.paths.record_bypassed(target, host, size) {
-            for id in self.idle_in(group) {
-                self.pool.close_idle_direct(&id);
-            }
-            self.endpoints.forgive_failures(group);
-            self.check_other_groups(group);
-        } else if !self.paths.is_lost(group) {
-            let next = self.endpoints.table().next_in_group(group, &target.id).map(EndpointTarget::from);
-            if let Some(next) = next {
-                self.check(next);
-            }
+        let size = self.endpoints.table().group_size(&target.group);
+        let is_newly_lost = self.paths.record_bypassed(target, host, size);
+        if is_newly_lost {
+            self.react_to_loss(&target.group);
+        } else {
+            self.check_next(target);
+        }
+    }
+
+    /// Records that an endpoint answered a question through another host, but not on a new connection of this host's own.
+    ///
+    /// Unless the path to its group is lost, another endpoint is asked; the same one if the group has no other.
+    pub(super) fn record_muted(self: &Arc<Self>, target: &EndpointTarget, host: &Name) {
+        let size = self.endpoints.table().group_size(&target.group);
+        let is_newly_lost = self.paths.record_muted(target, host, size);
+        self.pool.close_idle_direct(&target.id);
+        self.endpoints.record_heard(&target.id);
+        if is_newly_lost {
+            self.react_to_loss(&target.group);
+        } else if size > 1 {
+            self.check_next(target);
+        } else if !self.paths.is_lost(&target.group) {
+            self.check_again(target.clone());
         }
     }
 
+    /// Asks another endpoint of the target's group, unless the path to the group is lost already.
+    fn check_next(self: &Arc<Self>, target: &EndpointTarget) {
+        if self.paths.is_lost(&target.group) {
+            return;
+        }
+        let next = self.endpoints.table().next_in_group(&target.group, &target.id).map(EndpointTarget::from);
+        if let Some(next) = next {
+            self.check(next);
+        }
+    }
+
+    /// Asks an endpoint once more on a direct connection.
+    fn check_again(self: &Arc<Self>, target: EndpointTarget) {
+        let connector = Arc::clone(self);
+        task::spawn(async move { PathInquiry::new(&connector, &target).run_directly().await });
+    }
+
+    /// Closes idle connections of this host's own to a group to which the path was lost, since they may be dead without a
+    /// word, and checks the paths to other groups.
+    fn react_to_loss(self: &Arc<Self>, group: &EndpointGroup) {
+        self.close_idle_direct(group);
+        self.endpoints.forgive_failures(group);
+        self.check_other_groups(group);
+    }
+
     /// Checks the paths to all other groups to which this host keeps connections.
     fn check_other_groups(self: &Arc<Self>, lost: &EndpointGroup) {
         let targets: Vec<EndpointTarget> = {
--- a/crates/hollyhook_gateway/src/path/mod.rs
+++ b/crates/hollyhook_gateway/src/path/mod.rs
@@ -5,6 +5,8 @@
 mod connection_probe;
 mod endpoint_connector;
 mod endpoint_target;
+mod path_inquiry;
+mod path_question;
 mod path_tracker;
 mod tunnel_client;
 mod tunnel_request;
--- /dev/null
+++ b/crates/hollyhook_gateway/src/path/path_question.rs
@@ -0,0 +1,44 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, header};
+use http_body_util::{BodyExt, Full};
+
+use super::{EndpointConnector, EndpointTarget};
+use crate::pool::PooledConnection;
+
+/// Time limit for the answer to a question on an open connection. A live endpoint answers within milliseconds.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// A question to an endpoint whose answer shows that a connection to it carries bytes.
+///
+/// An engine is asked for its report, which needs no slot. Other endpoints get a request without an attempt id, which they
+/// reject without running it.
+pub(super) struct PathQuestion<'a> {
+    connector: &'a EndpointConnector,
+    target: &'a EndpointTarget,
+}
+
+impl<'a> PathQuestion<'a> {
+    pub(super) fn new(connector: &'a EndpointConnector, target: &'a EndpointTarget) -> Self {
+        Self { connector, target }
+    }
+
+    /// Asks on a connection, which is returned once the endpoint has answered; `None` if the connection breaks.
+    pub(super) async fn ask(&self, mut connection: PooledConnection) -> Option<PooledConnection> {
+        let response = connection.send(self.request()?).await.ok()?;
+        response.into_body().collect().await.ok()?;
+        Some(connection)
+    }
+
+    /// Asks on a connection; `None` also if no answer comes within [`ANSWER_TIMEOUT`].
+    pub(super) async fn ask_in_time(&self, connection: PooledConnection) -> Option<PooledConnection> {
+        self.connector.timer.within(ANSWER_TIMEOUT, self.ask(connection)).await?
+    }
+
+    fn request(&self) -> Option<Request<Full<Bytes>>> {
+        let is_engine = self.connector.endpoints.has_engines(&self.target.group.service);
+        let path = if is_engine { hollyhook_platform::report_path() } else { "/" };
+        Request::get(path).header(header::HOST, self.target.address.to_string()).body(Full::default()).ok()
+    }
+}
--- a/crates/hollyhook_gateway/src/path/path_tracker.rs
+++ b/crates/hollyhook_gateway/src/path/path_tracker.rs
@@ -23,6 +23,8 @@
     recorder: Arc<MetricRecorder>,
     feed: Arc<FeedState>,
     monitor: Mutex<PathMonitor>,
+    /// The groups to which the path is back, until [`take_regained`](Self::take_regained) returns them.
+    regained: Mutex<Vec<EndpointGroup>>,
     tunnels: Arc<Mutex<TunnelDirectory>>,
     speculations: CountLimit,
 }
@@ -56,6 +58,7 @@
             recorder: registry.find(MetricRecorder::NAME)?,
             feed: registry.find(FeedState::NAME)?,
             monitor: Mutex::default(),
+            regained: Mutex::default(),
             tunnels: Arc::default(),
             speculations: CountLimit::new(MAX_SPECULATIONS),
         })
@@ -70,14 +73,26 @@
     pub(crate) fn record_connected(&self, target: &EndpointTarget, took: Duration) -> bool {
         let group = &target.group;
         let lost_for = lock(&self.monitor).record_connected(self.timer.now(), group, &target.id, took);
-        if let Some(lost_for) = lost_for {
-            self.recorder.count("paths_regained");
-            tracing::info!(service = %group.service, zone = %group.zone, endpoint = %target.id,
-                lost_ms = lost_for.as_millis() as u64, "path.regained");
-        }
+        self.report_regained(target, lost_for);
         lost_for.is_some()
     }
 
+    fn report_regained(&self, target: &EndpointTarget, lost_for: Option<Duration>) {
+        let Some(lost_for) = lost_for else {
+            return;
+        };
+        let group = &target.group;
+        self.recorder.count("paths_regained");
+        tracing::info!(service = %group.service, zone = %group.zone, endpoint = %target.id,
+            lost_ms = lost_for.as_millis() as u64, "path.regained");
+        lock(&self.regained).push(group.clone());
+    }
+
+    /// Takes the groups to which the path is back since the last call.
+    pub(super) fn take_regained(&self) -> Vec<EndpointGroup> {
+        std::mem::take(&mut *lock(&self.regained))
+    }
+
     /// Records that another host reached an endpoint to which this host could open no connection; returns whether the
     /// path to its group counts as lost from now on.
     pub(crate) fn record_bypassed(&self, target: &EndpointTarget, host: &Name, group_size: usize) -> bool {
@@ -91,9 +106,24 @@
         is_lost
     }
 
+    /// Records that an endpoint answered another host, but not this one's new connection; returns whether the path to its
+    /// group counts as lost from now on.
+    pub(super) fn record_muted(&self, target: &EndpointTarget, host: &Name, group_size: usize) -> bool {
+        let group = &target.group;
+        let is_lost = lock(&self.monitor).record_muted(self.timer.now(), group, &target.id, group_size);
+        if is_lost {
+            self.recorder.count("paths_lost");
+            self.recorder.count("paths_found_mute");
+            tracing::warn!(service = %group.service, zone = %group.zone, endpoint = %target.id, answered_to = %host,
+                "path.mute");
+        }
+        is_lost
+    }
+
     /// Records that an endpoint sent something on a connection that this host had opened itself.
     pub(crate) fn record_heard(&self, target: &EndpointTarget) {
-        lock(&self.monitor).record_heard(self.timer.now(), &target.group);
+        let lost_for = lock(&self.monitor).record_heard(self.timer.now(), &target.group);
+        self.report_regained(target, lost_for);
     }
 
     /// Whether the endpoints of the target's group have sent nothing for `span` on connections that this host opened
@@ -122,6 +152,11 @@
         lock(&self.monitor).explains_failure(self.timer.now(), group)
     }
 
+    /// Whether the loss of the path explains the silence of an endpoint of this group.
+    pub(crate) fn explains_silence(&self, group: &EndpointGroup) -> bool {
+        lock(&self.monitor).explains_silence(self.timer.now(), group)
+    }
+
     /// Whether the path to a group may be checked now.
     pub(crate) fn try_check(&self, group: &EndpointGroup) -> bool {
         lock(&self.monitor).try_check(self.timer.now(), group)
