Kept connections of a group are closed once a new one answers in their place

Seen by callers: connections that had died without a word were used one after the other, each for a call of its own, though a new connection to the same endpoints had shown that the path was sound.

Cause: a timeout closed the connection that it was seen on, or those to its endpoint; the check of the path added a sound one beside the dead ones.

Change: when an endpoint of a group that was silent answers the question on a new direct connection, the idle direct connections to the group are closed.

--- a/crates/hollyhook_gateway/src/path/endpoint_connector.rs
+++ b/crates/hollyhook_gateway/src/path/endpoint_connector.rs
@@ -223,7 +223,7 @@
     }
 
     /// Closes the idle connections to a group that this host opened itself: they may be dead without a word.
-    fn close_idle_direct(&self, group: &EndpointGroup) {
+    pub(super) fn close_idle_direct(&self, group: &EndpointGroup) {
         for id in self.idle_in(group) {
             self.pool.close_idle_direct(&id);
         }
--- a/crates/hollyhook_gateway/src/path/path_inquiry.rs
+++ b/crates/hollyhook_gateway/src/path/path_inquiry.rs
@@ -94,8 +94,10 @@
         true
     }
 
+    /// Kept connections that were silent while a new one works may be dead.
     fn record_direct(&self, answered: Option<PooledConnection>) {
         if let Some(connection) = answered {
+            self.connector.close_idle_direct(&self.target.group);
             self.connector.record_answered(self.target, connection);
         }
     }
