Review of the mends of silence: probes of their own, no endpoint avoided for ever

An endpoint found silent that nobody asked since was avoided for ever as a successor; now for 2 s (silence_of_unasked_endpoint_tried_after_time fails without it). A stream whose retry budget is spent probes nobody. The crash check of a cancelled attempt no longer holds the caller's request until a verdict.

--- a/crates/hollyhook_core/src/route/route_query.rs
+++ b/crates/hollyhook_core/src/route/route_query.rs
@@ -1,6 +1,6 @@
 use super::{EndpointRecord, EndpointState};
 use crate::rollout::VersionFilter;
-use crate::{EndpointId, ModelBinding, ZoneName};
+use crate::{EndpointId, ModelBinding, TimePoint, ZoneName};
 
 /// The requirements and preferences of a request for its endpoint.
 #[derive(Debug, Clone)]
@@ -14,7 +14,7 @@
     pub(super) preferred: &'a [EndpointId],
     versions: Option<&'a VersionFilter>,
     is_repeatable: bool,
-    is_responsive: bool,
+    responsive_at: Option<TimePoint>,
 }
 
 impl<'a> RouteQuery<'a> {
@@ -30,7 +30,7 @@
             preferred: &[],
             versions: None,
             is_repeatable: false,
-            is_responsive: false,
+            responsive_at: None,
         }
     }
 
@@ -76,10 +76,10 @@
         self
     }
 
-    /// Excludes endpoints that have been found silent and not been heard since, if `is_responsive`.
+    /// Excludes endpoints that have recently been found silent or stalled and not been heard since.
     #[must_use]
-    pub fn responsive(mut self, is_responsive: bool) -> Self {
-        self.is_responsive = is_responsive;
+    pub fn responsive(mut self, now: TimePoint) -> Self {
+        self.responsive_at = Some(now);
         self
     }
 
@@ -118,7 +118,7 @@
         let is_bound = self.binding.is_none_or(|binding| record.binding.as_ref() == Some(binding));
         let is_zone_allowed = self.avoid_zone.is_none_or(|zone| record.zone != *zone);
         let is_version_allowed = self.versions.is_none_or(|filter| filter.allows(&record.id, &record.version));
-        let is_heard = !(self.is_responsive && record.silence.is_silent());
+        let is_heard = self.responsive_at.is_none_or(|now| !record.silence.is_recently_silent(now));
         is_served
             && is_heard
             && is_bound
--- a/crates/hollyhook_core/src/route/silence_record.rs
+++ b/crates/hollyhook_core/src/route/silence_record.rs
@@ -4,8 +4,8 @@
 
 /// How long a sign of life shows that an endpoint is alive, and a missed probe that it is silent.
 const SIGN_LIFETIME: Duration = Duration::from_millis(200);
-/// How long an endpoint that is neither heard nor found silent again counts when the silent ones are counted, and how
-/// long an answer does not end a stall.
+/// How long an endpoint that is neither heard nor found silent again is avoided and counted as silent, and how long an
+/// answer does not end a stall.
 const COUNTED_TIME: Duration = Duration::from_secs(2);
 
 /// When an endpoint was last heard on any connection, and whether it has been found silent or stalled since.
--- a/crates/hollyhook_gateway/src/forward/call_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/call_choice.rs
@@ -8,10 +8,14 @@
 
 /// The choice of the endpoint of a call's next attempt.
 impl CallRun<'_> {
-    /// Reserves a slot for the next attempt, at an endpoint that has not been found silent if `is_responsive`.
+    /// Reserves a slot for the next attempt, at an endpoint that is not silent if `is_responsive`.
     pub(super) fn reserve_slot(&self, is_responsive: bool) -> Option<EndpointSlot> {
         let reserve = |filter: &VersionFilter| {
-            self.with_query(filter, |query| EndpointSlot::reserve_any(self.context, &query.responsive(is_responsive)))
+            self.with_query(filter, |query| {
+                let now = self.context.timer.now();
+                let query = if is_responsive { query.responsive(now) } else { query };
+                EndpointSlot::reserve_any(self.context, &query)
+            })
         };
         let filter = self.version_filter();
         reserve(&filter).or_else(|| filter.only.is_some().then(|| reserve(&self.fallback_filter())).flatten())
--- a/crates/hollyhook_gateway/src/forward/crash_check.rs
+++ b/crates/hollyhook_gateway/src/forward/crash_check.rs
@@ -44,7 +44,7 @@
 /// ended refuses the next connections or breaks each of them, of other hosts too. If that is not seen, a lost attempt
 /// (`Broken`, `Garbled`, `Silent`) is remembered for a while, and counts as a crash if the endpoint turns out to have
 /// restarted or its entry in the store is removed.
-async fn record_if_crashed(
+pub(super) async fn record_if_crashed(
     context: &Arc<GatewayContext>,
     caller: &CallerRequest,
     target: &EndpointTarget,
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -25,9 +25,14 @@
 /// Requests the report of an engine that sends no events on a stream; `None` if the engine does not report, which is
 /// recorded.
 ///
-/// An engine that has just missed another probe is not probed again: otherwise each of its streams would wait alone.
-pub(super) async fn probe_silent(context: &GatewayContext, target: &EndpointTarget) -> Option<EngineReport> {
-    if context.endpoints.has_just_missed_probe(&target.id) {
+/// If `is_shared`, an engine that has just missed another probe is not probed again: otherwise each of its streams would
+/// wait alone.
+pub(super) async fn probe_silent(
+    context: &GatewayContext,
+    target: &EndpointTarget,
+    is_shared: bool,
+) -> Option<EngineReport> {
+    if is_shared && context.endpoints.has_just_missed_probe(&target.id) {
         return None;
     }
     if context.paths.is_silent_for(&target.group, LIVENESS_TIMEOUT) {
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::future::join;
+use futures::future::{join, join3};
 use hollyhook_core::{
     EndpointId, EndpointRecord, EndpointState, EngineCandidate, HolderLimits, Name, PlacementRequest, PlacementVerdict,
     RouteQuery, ServicePriorities, StopReason, VersionFilter, ZoneName, choose_backup_engine, choose_engine,
@@ -14,7 +14,7 @@
 use rand::Rng;
 
 use super::attempt::EndpointSlot;
-use super::endpoint_probe::{is_alive, probe_all, probe_holdings, probe_quickly, probe_unless_recent};
+use super::endpoint_probe::{has_reporting, is_alive, probe_all, probe_holdings, probe_quickly, probe_unless_recent};
 use super::request_log;
 use crate::front::CallerRequest;
 use crate::gateway::{GatewayContext, RoutingFailure};
@@ -99,20 +99,30 @@
         }
     }
 
-    /// Chooses an engine that shows signs of life, for an attempt beside one that is suspected; `None` if there is none.
+    /// Chooses an engine that shows signs of life, for an attempt beside those at `silent` engines; `None` if there is
+    /// none, or if one of the silent engines reports again.
     ///
     /// While most engines are silent, only one that holds the backup is chosen: the few others could not read all
     /// prompts again, and a pause ends sooner.
-    pub(super) async fn choose_responsive(&self, resume_from: Option<BackupLocation>) -> Option<EngineChoice> {
+    pub(super) async fn choose_responsive(
+        &self,
+        resume_from: Option<BackupLocation>,
+        silent: &[EndpointTarget],
+    ) -> Option<EngineChoice> {
         if self.caller.engine.is_none() {
-            let record_query = self.query().responsive(true);
-            let slot = EndpointSlot::reserve_any(self.context, &record_query)?;
+            let query = self.query().responsive(self.context.timer.now());
+            let slot = EndpointSlot::reserve_any(self.context, &query)?;
             return Some(EngineChoice { slot, from: None, backup: None, prompt_at: None });
         }
         let usable_backup = resume_from.as_ref().and_then(|resume_from| self.usable_backup(resume_from));
         if let Some((record, source)) = usable_backup {
             let others = probe_quickly(self.context, self.list_other_zones(&record));
-            let (is_alive, backups) = join(is_alive(self.context, &record), others).await;
+            // After a common pause, the silent engines have gone on together with the one that holds the backup.
+            let probes = join3(is_alive(self.context, &record), has_reporting(self.context, silent), others);
+            let (is_alive, is_pause_over, backups) = probes.await;
+            if is_pause_over {
+                return None;
+            }
             if is_alive && let Some(slot) = EndpointSlot::reserve(self.context, &record, self.slots()) {
                 let backup = self.best_backup(&slot, &backups);
                 return Some(EngineChoice { slot, from: Some(source), backup, prompt_at: None });
@@ -121,12 +131,14 @@
         if self.context.endpoints.is_silence_widespread(&self.caller.service) {
             return None;
         }
-        self.choose_reporting().await
+        let choice = self.choose_reporting().await?;
+        // Asked before a prompt is read again.
+        (!has_reporting(self.context, silent).await).then_some(choice)
     }
 
     /// Chooses an engine among those that report now.
     async fn choose_reporting(&self) -> Option<EngineChoice> {
-        let query = self.query().responsive(true);
+        let query = self.query().responsive(self.context.timer.now());
         let list = self.context.endpoints.shortlist(&query, self.rendezvous_key(), PROBED_ENGINES);
         let others = list.first().map(|record| self.list_other_zones(record)).unwrap_or_default();
         let (mut probed, others) = join(probe_all(self.context, list), probe_all(self.context, others)).await;
@@ -168,8 +180,7 @@
 
     fn reserve_any_slot(&self) -> Result<EndpointSlot, RoutingFailure> {
         let query = self.query();
-        // Only engines are probed when they are not chosen, so that their silence ends without a request.
-        let responsive = self.query().responsive(self.caller.engine.is_some());
+        let responsive = self.query().responsive(self.context.timer.now());
         let slot = EndpointSlot::reserve_any(self.context, &responsive);
         slot.or_else(|| EndpointSlot::reserve_any(self.context, &query))
             .ok_or_else(|| self.context.endpoints.routing_failure(&query))
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_close.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_close.rs
@@ -8,7 +8,7 @@
 use super::{StreamRun, StreamStep};
 use crate::forward::attempt_end::end_attempt;
 use crate::forward::attempt_times::record_version_outcome;
-use crate::forward::crash_check::{check_crash, record_given_up, record_survival};
+use crate::forward::crash_check::{check_crash, record_given_up, record_if_crashed, record_survival};
 use crate::forward::lost_run::LostRun;
 use crate::forward::request_log;
 use crate::path::EndpointTarget;
@@ -107,7 +107,7 @@
     fn check_crash_beside(&self, target: &EndpointTarget, failure: AttemptFailure) {
         let (context, caller, target) = (Arc::clone(&self.context), Arc::clone(&self.caller), target.clone());
         let lost = self.lost_run(failure);
-        task::spawn(async move { check_crash(&context, &caller, &target, lost).await });
+        task::spawn(async move { record_if_crashed(&context, &caller, &target, lost).await });
     }
 
     fn lost_run(&self, failure: AttemptFailure) -> LostRun {
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
@@ -1,14 +1,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::future::join;
 use hollyhook_core::{EndpointId, Error, Name, RaceStep, Result, StopReason, StreamOrigin, VersionFilter};
 use hollyhook_platform::AttemptHeaders;
 
 use super::attempt_close::BUSY_RETRY_AFTER;
 use super::stream_attempt::StreamAttempt;
 use super::{SEARCH_INTERVAL, StreamRun};
-use crate::forward::endpoint_probe::has_reporting;
 use crate::forward::engine_choice::{BackupLocation, EngineChoice, EngineChooser};
 use crate::forward::request_log;
 use crate::gateway::RoutingFailure;
@@ -29,6 +27,10 @@
         if self.search.is_some() || now < self.search_at || !self.sequencer.can_resume() {
             return;
         }
+        if !self.context.may_retry(&self.caller.service) {
+            self.search_at = now + BUDGET_INTERVAL;
+            return;
+        }
         self.search_at = now + SEARCH_INTERVAL;
         let (context, caller) = (Arc::clone(&self.context), Arc::clone(&self.caller));
         let Some(versions) = self.known_versions() else {
@@ -40,14 +42,7 @@
         let silent: Vec<_> = unanswered.map(|attempt| attempt.target.clone()).collect();
         self.search = Some(OwnedFuture::new(async move {
             let chooser = EngineChooser { context: &context, caller: &caller, tried: &tried, versions: &versions };
-            let chosen = join(chooser.choose_responsive(resume_from), has_reporting(&context, &silent)).await;
-            let (Some(choice), false) = chosen else {
-                return None;
-            };
-            // After a common pause, the silent engines have gone on together with the one that was found. Before a prompt
-            // is read again, they are asked once more.
-            let is_paused_over = choice.from.is_none() && has_reporting(&context, &silent).await;
-            (!is_paused_over).then_some(choice)
+            chooser.choose_responsive(resume_from, &silent).await
         }));
     }
 
--- a/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
@@ -261,7 +261,8 @@
             let is_found_silent =
                 !is_suspected && !attempt.has_begun() && self.context.endpoints.is_silent(&attempt.target.id);
             if attempt.check_at().is_some_and(|at| at <= now || is_found_silent) {
-                attempt.begin_probe(&self.context);
+                // What made the engine seem silent may have been a placement probe, which is shorter.
+                attempt.begin_probe(&self.context, !is_found_silent);
             }
         }
     }
--- a/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
@@ -162,10 +162,10 @@
         self.probe = None;
     }
 
-    /// Requests the engine's report.
-    pub(super) fn begin_probe(&mut self, context: &Arc<GatewayContext>) {
+    /// Requests the engine's report, unless the engine has just missed another probe and `is_shared`.
+    pub(super) fn begin_probe(&mut self, context: &Arc<GatewayContext>, is_shared: bool) {
         let (context, target) = (Arc::clone(context), self.target.clone());
-        self.probe = Some(OwnedFuture::new(async move { probe_silent(&context, &target).await }));
+        self.probe = Some(OwnedFuture::new(async move { probe_silent(&context, &target, is_shared).await }));
     }
 
     /// When the engine is to be probed; `None` while it is being probed.
