Endpoints that are no engines are asked about their path once

Each silent plain endpoint got up to four questions without an id, which it has to reject; they also counted as arrivals in the tests of silent endpoints (10 where 2 may be). It is asked once, and again only if the path to engines of its zone is lost. An answer is read up to a limit.

--- a/crates/hollyhook_gateway/src/path/path_inquiry.rs
+++ b/crates/hollyhook_gateway/src/path/path_inquiry.rs
@@ -56,7 +56,7 @@
             if connection.is_tunnel() {
                 return self.connector.keep(self.target, connection);
             }
-            if self.ask(connection).await {
+            if self.ask(connection).await || !self.question.is_repeatable() {
                 return;
             }
         }
--- a/crates/hollyhook_gateway/src/path/path_question.rs
+++ b/crates/hollyhook_gateway/src/path/path_question.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::{Request, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 
 use super::{EndpointConnector, EndpointTarget};
 use crate::pool::PooledConnection;
@@ -10,6 +10,9 @@
 /// Time limit for the answer to a question on an open connection. A live endpoint answers within milliseconds.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Maximum size of an answer, the largest of which is an engine's report.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
 /// A question to an endpoint whose answer shows that a connection to it carries bytes.
 ///
 /// An engine is asked for its report, which needs no slot. Other endpoints get a request without an attempt id, which they
@@ -24,10 +27,20 @@
         Self { connector, target }
     }
 
+    /// Whether the endpoint may be asked several times.
+    ///
+    /// One that is no engine has to reject each question, so that it is asked again only if the path to engines of its
+    /// zone is lost already.
+    pub(super) fn is_repeatable(&self) -> bool {
+        let group = &self.target.group;
+        let is_engine = self.connector.endpoints.has_engines(&group.service);
+        is_engine || self.connector.paths.lost_groups().iter().any(|lost| lost.zone == group.zone)
+    }
+
     /// Asks on a connection, which is returned once the endpoint has answered; `None` if the connection breaks.
     pub(super) async fn ask(&self, mut connection: PooledConnection) -> Option<PooledConnection> {
         let response = connection.send(self.request()?).await.ok()?;
-        response.into_body().collect().await.ok()?;
+        Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await.ok()?;
         Some(connection)
     }
 
