An error's body that pauses is awaited where nobody else can answer

The bound on endless error bodies, 1 s, also hit an endpoint that paused in the middle of its error: the caller of a call that may not be repeated got 502 in place of 404. There the body has all of the caller's time but 0.1 s, which is left for the answer in its place; an endless one is still held against the endpoint.

--- a/crates/hollyhook_gateway/src/forward/buffered_response.rs
+++ b/crates/hollyhook_gateway/src/forward/buffered_response.rs
@@ -17,9 +17,11 @@
 
 /// Maximum size of a response body that is held in memory, so that another attempt can replace it if it breaks off.
 const MAX_HELD_BYTES: usize = 256 << 10;
-/// Time limit for the body of an error response, which is short and follows its head at once. An engine that pauses for
-/// a second between them only costs another attempt, or the wording of the error.
+/// Time limit for the body of an error response to a request that may be sent elsewhere. The body is short and follows
+/// its head at once; an endpoint that pauses for a second between them only costs another attempt.
 const ERROR_BODY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Part of the caller's time that is left for an answer in place of an error whose body does not end.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// Time limit for a body that is not passed on, and is read only so that its connection can be used again.
 const UNUSED_BODY_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -102,7 +104,13 @@
         }
         let (failure, limit) = match self.verdict(caller) {
             AnswerVerdict::Fail(failure) => (failure, UNUSED_BODY_TIMEOUT),
-            AnswerVerdict::Pass | AnswerVerdict::PassOrRetry => (AttemptFailure::Failed, ERROR_BODY_TIMEOUT),
+            AnswerVerdict::Pass | AnswerVerdict::PassOrRetry if caller.route.is_retryable() => {
+                (AttemptFailure::Failed, ERROR_BODY_TIMEOUT)
+            }
+            // Nobody else can answer, and the endpoint may only have paused.
+            AnswerVerdict::Pass | AnswerVerdict::PassOrRetry => {
+                (AttemptFailure::Failed, time_left.saturating_sub(ANSWER_MARGIN))
+            }
         };
         let reading = Box::pin(self.read_to_end(context, id, MAX_HELD_BYTES));
         match context.timer.within(limit.min(time_left), reading).await {
