One piece of code each for a verdict, a load report and what an engine is

The attempts at calls and at streams evaluated the head of a response for themselves beside OpenResponse::verdict, and each recorded its load report; send_attempt does now. ConnectionProbe looked up in the configuration whether a service has engines, beside EndpointDirectory::has_engines.

--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -99,6 +99,9 @@
     if response.head.is_from(&target.entry) {
         context.endpoints.end_terms(&target.id, response.head.terms, response.sent_at);
     }
+    if let Some(load) = response.head.load {
+        context.endpoints.record_load(&target.id, load);
+    }
     Ok(response)
 }
 
--- a/crates/hollyhook_gateway/src/forward/call_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/call_attempt.rs
@@ -3,7 +3,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use hollyhook_core::{AnswerVerdict, AttemptFailure, AttemptKey, EndpointId, Name, TimePoint, evaluate_answer};
+use hollyhook_core::{AnswerVerdict, AttemptFailure, AttemptKey, EndpointId, Name, TimePoint};
 use hollyhook_platform::AttemptHeaders;
 
 use super::attempt::{EndpointSlot, send_attempt};
@@ -139,12 +139,9 @@
             Ok(response) => response,
             Err(failure) => return CallOutcome::Failure(failure),
         };
-        if let Some(load) = response.head.load {
-            context.endpoints.record_load(&target.id, load);
-        }
         let load = response.head.load;
         let head_took = context.timer.now().since(response.sent_at);
-        let verdict = evaluate_answer(caller.route.kind, &caller.head.attempt_id, &target.entry, &response.head);
+        let verdict = response.verdict(caller);
         if verdict == AnswerVerdict::Fail(AttemptFailure::Garbled) {
             return CallOutcome::Failure(AttemptFailure::Garbled);
         }
--- a/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollyhook_core::{
-    AnswerVerdict, AttemptFailure, AttemptKey, EngineReport, SilenceWatch, TimePoint, evaluate_answer,
-};
+use hollyhook_core::{AnswerVerdict, AttemptFailure, AttemptKey, EngineReport, SilenceWatch, TimePoint};
 use hollyhook_platform::AttemptHeaders;
 use hyper::body::{Body, Frame};
 
@@ -206,10 +204,7 @@
     headers: AttemptHeaders,
 ) -> Result<OpenedAttempt, AttemptFailure> {
     let response = send_attempt(&context, &caller, &target, &headers).await?;
-    if let Some(load) = response.head.load {
-        context.endpoints.record_load(&target.id, load);
-    }
-    match evaluate_answer(caller.route.kind, &caller.head.attempt_id, &target.entry, &response.head) {
+    match response.verdict(&caller) {
         AnswerVerdict::Pass if response.parts.status.is_success() => Ok(OpenedAttempt::Stream(Box::new(response))),
         AnswerVerdict::Pass => {
             let response = response.read_for_caller(&context, &caller, &target.id).await?;
--- a/crates/hollyhook_gateway/src/path/connection_probe.rs
+++ b/crates/hollyhook_gateway/src/path/connection_probe.rs
@@ -37,9 +37,7 @@
 impl ConnectionProbe {
     /// The probe for the endpoints of a service, as the configuration describes them.
     pub(crate) fn for_service(context: &GatewayContext, service: &str) -> Self {
-        let site = context.site();
-        let has_engines = site.is_some_and(|site| site.service(service).is_some_and(|known| known.engine.is_some()));
-        if has_engines { Self::Report } else { Self::Hold }
+        if context.endpoints.has_engines(service) { Self::Report } else { Self::Hold }
     }
 
     /// Tests a new connection to an endpoint.
