--- a/crates/hollyhook_core/tests/gateway/quotas.rs
+++ b/crates/hollyhook_core/tests/gateway/quotas.rs
@@ -46,8 +46,12 @@
     slots: u32,
     /// Requests per second of all callers, as a fraction of what the endpoints take.
     load: f64,
-    /// Fraction of the callers that the crowded host gets.
+    /// Fraction of the callers that the crowded hosts get.
     crowd: f64,
+    /// How many hosts are crowded at a time, from host 0 on.
+    crowded_hosts: usize,
+    /// After how long the crowd moves on to the next hosts, if it does.
+    moves_after: Option<u64>,
     crowd_time: u64,
     /// Whether the crowded host is lost after half of the time, and another one gets its callers.
     is_lost: bool,
@@ -66,6 +70,8 @@
             slots: 0,
             load: rng.random_range(0.2..0.4),
             crowd: rng.random_range(0.6..1.0),
+            crowded_hosts: 1,
+            moves_after: None,
             crowd_time: 10_000,
             is_lost: rng.random_bool(0.3),
             loss: if rng.random_bool(0.5) { 0.05 } else { 0.0 },
@@ -78,10 +84,29 @@
         Self { rate, slots, load: 0.33, crowd: 0.85, is_lost: false, ..Self::draw(seed, hosts) }
     }
 
+    /// Eighty hosts before four endpoints of which an eighth is in use.
+    fn with_little_use(seed: u64, slots: u32) -> Self {
+        let drawn = if slots > 0 { Self::with_slots(seed, 80, slots) } else { Self::draw(seed, 80) };
+        Self { endpoints: 4, load: 0.125, crowd: 0.85, crowd_time: 8_000, is_lost: false, loss: 0.0, ..drawn }
+    }
+
     fn is_crowded(&self, at: u64) -> bool {
         (CROWD_AT..CROWD_AT + self.crowd_time).contains(&at)
     }
 
+    /// Whether a host is one of those that get most callers during the crowd.
+    fn is_crowded_host(&self, at: u64, host: usize) -> bool {
+        let moves = self.moves_after.map_or(0, |span| at.saturating_sub(CROWD_AT) / span) as usize;
+        let first = moves * self.crowded_hosts % self.hosts;
+        (first..first + self.crowded_hosts).contains(&host)
+    }
+
+    /// One of the hosts that get most callers at a time.
+    fn crowded_host(&self, at: u64, rng: &mut impl Rng) -> usize {
+        let crowded: Vec<usize> = (0..self.hosts).filter(|host| self.is_crowded_host(at, *host)).collect();
+        crowded[rng.random_range(0..crowded.len())]
+    }
+
     /// When the crowded host is lost, if it is.
     fn lost_at(&self) -> Option<u64> {
         self.is_lost.then_some(CROWD_AT + self.crowd_time / 2)
@@ -121,7 +146,7 @@
 struct QuotaOutcome {
     /// Requests sent and served by the second in which they came.
     tries: BTreeMap<u64, (u32, u32)>,
-    /// The same, of host 0.
+    /// The same, of the crowded hosts.
     crowded_tries: BTreeMap<u64, (u32, u32)>,
     /// Rejections by endpoints with slots once hosts had time to learn their limits.
     rejections: u32,
@@ -259,9 +284,12 @@
         let expected = rate * STEP as f64 / 1_000.0;
         let count = expected.floor() as usize + usize::from(self.rng.random_bool(expected.fract()));
         for _ in 0..count {
-            let crowded = usize::from(!self.is_up(at, 0));
+            let first = usize::from(!self.is_up(at, 0));
             let is_crowd = self.case.is_crowded(at) && self.rng.random_bool(self.case.crowd);
-            let host = if is_crowd { crowded } else { self.rng.random_range(crowded..self.hosts.len()) };
+            let host = match is_crowd {
+                true => self.case.crowded_host(at, &mut self.rng).max(first),
+                false => self.rng.random_range(first..self.hosts.len()),
+            };
             if self.case.slots > 0 {
                 self.waiting.push((host, at));
                 continue;
@@ -273,7 +301,7 @@
 
     fn count_try(&mut self, at: u64, host: usize, is_served: bool) {
         let outcome = &mut self.outcome;
-        let crowded = (host == 0).then_some(&mut outcome.crowded_tries);
+        let crowded = self.case.is_crowded_host(at, host).then_some(&mut outcome.crowded_tries);
         for counts in std::iter::once(&mut outcome.tries).chain(crowded) {
             let tries = counts.entry(at / 1_000).or_default();
             tries.0 += 1;
@@ -574,10 +602,64 @@
 fn crowd_served_with_few_slots_71_hosts() {
     for slots in [6, 16] {
         let [crowd, others @ ..] = few_slots_outcome(600..606, 71, slots, 0.0);
-        assert!(crowd >= 0.5, "{slots} slots: {crowd}");
+        assert!(crowd >= SERVED_SHARE, "{slots} slots: {crowd}");
         let [_, unlent @ ..] = few_slots_outcome(600..606, 71, slots, 1.0);
         for (share, unlent) in others.into_iter().zip(unlent) {
             assert!(share >= unlent - 0.02, "{slots} slots: {share} with loans, {unlent} without");
         }
     }
 }
+
+/// Where hosts outnumber slots, or a limit allows each less than a request per second: nearly all requests are served
+/// before a crowd, at the crowded hosts from the contact bound on, at the other hosts meanwhile, and after it.
+fn little_use_is_served(slots: u32, crowded_hosts: usize, moves_after: Option<u64>) {
+    let mut sums = BTreeMap::new();
+    for seed in 900..904 {
+        let case = QuotaCase { crowded_hosts, moves_after, ..QuotaCase::with_little_use(seed, slots) };
+        let crowd_end = CROWD_AT + case.crowd_time;
+        let mut outcome = QuotaSimulation { after: 6_000, ..QuotaSimulation::new(case) }.run();
+        assert_eq!(outcome.most_excess, 0, "{case:?}: hosts hold more slots than there are");
+        assert!(outcome.rejections <= 12 * BRITTLE_LIMIT as u32, "{case:?}: {} rejections", outcome.rejections);
+        let allowed = (1.5 * case.rate * LIMIT_SPAN as f64 / 1_000.0) as usize + 5;
+        let most = outcome.most_in_span();
+        assert!(slots > 0 || most <= allowed, "{case:?}: {most} requests in a span, {allowed} are allowed");
+        for (second, (sent, served)) in &outcome.crowded_tries {
+            let all = outcome.tries.get_mut(second).unwrap();
+            *all = (all.0 - sent, all.1 - served);
+        }
+        let crowd_from = CROWD_AT + CONTACT_BOUND;
+        let spans = [
+            ("others before", share_of(&outcome.tries, LEARNING_TIME, CROWD_AT)),
+            ("crowded, early", share_of(&outcome.crowded_tries, CROWD_AT, crowd_from)),
+            ("crowded", share_of(&outcome.crowded_tries, crowd_from, crowd_end)),
+            ("others meanwhile", share_of(&outcome.tries, crowd_from, crowd_end)),
+            ("others after", share_of(&outcome.tries, crowd_end + 1_000, crowd_end + 6_000)),
+        ];
+        for (span, share) in spans {
+            *sums.entry(span).or_insert(0.0) += share / 4.0;
+        }
+    }
+    println!("{slots} slots, {crowded_hosts} crowded, moves after {moves_after:?}: {sums:.2?}");
+    for (span, share) in sums {
+        assert!(span == "crowded, early" || share >= SERVED_SHARE, "{slots} slots, {span}: {share}");
+    }
+}
+
+/// Guards against slots that are divided among more hosts than there are slots.
+#[test]
+fn little_use_served_fewer_slots_than_hosts() {
+    [1, 3, 6].into_iter().for_each(|crowded| little_use_is_served(6, crowded, None));
+}
+
+/// Guards against shares that follow callers more slowly than these move.
+#[test]
+fn little_use_served_moving_crowd() {
+    [6, 64].into_iter().for_each(|slots| little_use_is_served(slots, 1, Some(1_500)));
+}
+
+/// Guards against a rate that is divided until each host may send less than its few callers ask for.
+#[test]
+fn little_use_served_low_rate_a_host() {
+    [1, 3, 6].into_iter().for_each(|crowded| little_use_is_served(0, crowded, None));
+    little_use_is_served(0, 1, Some(1_500));
+}
