Limits that are too small to divide are leased by the host that owns them, request by request

Cause: a limit was divided among more hosts than it has units, and shares followed callers by loans of 1.2 s, so that a request of 15 ms blocked a slot for 80 times as long, and a crowd that moves is ahead of its loans.

Each limited endpoint has an owner, one host of its zone by rendezvous hashing, that leases its slots (given back once a request ends) and its sends. A host whose owner does not answer asks the successor, which leases slots only once no lease of the owner can be in force.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -11,6 +11,7 @@
 mod feed;
 mod forward;
 mod generation;
+mod lease;
 mod name;
 mod origin;
 mod pace;
@@ -51,6 +52,7 @@
     AttemptNumber, EndReason, EndpointRefusal, GenerationId, GenerationRelay, LatencyEstimator, OpenMode, PrefixDigest,
     ProbeReport, RelayAction, RelayCounter, RelayEvent, RelayPhase, RelayPolicy, StreamTimeouts, TokenLog,
 };
+pub use lease::{LeaseQuestion, LeaseRound, LeasedLimit};
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
 pub use origin::{OriginAnswer, OriginCopy, OriginLedger, StreamOrigin, origin_holders};
 pub use pace::{EndpointPace, EngineSpeed, MigrationGate, MigrationPlan, PaceChange, ProgressMeter, ServicePace};
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -11,6 +11,7 @@
 use super::version_index::VersionIndex;
 use super::zone_failures::ZoneFailures;
 use super::{EndpointRecord, EndpointState, HostPosition, LoadReport};
+use crate::lease::{LeaseBook, LeaseLedger, LeaseOwners};
 use crate::pace::{NetworkTime, ServicePace};
 use crate::{
     EndpointGroup, EndpointId, HostRecord, Name, QuotaLedger, QuotaLoan, QuotaRound, QuotaTotals, TermsTable,
@@ -50,13 +51,21 @@
     names: NameInterner,
     pub(super) zone_failures: BTreeMap<ZoneName, ZoneFailures>,
     pub(super) terms: TermsTable,
-    position: HostPosition,
+    pub(super) position: HostPosition,
     /// Whether measured times alone show that the endpoints of a service differ in pace.
     pub(super) has_measured_paces: bool,
     pub(super) service_paces: BTreeMap<Name, ServicePace>,
     pub(super) network_times: BTreeMap<ZoneName, NetworkTime>,
     /// What this host may use of limits that hold for all hosts together.
-    quotas: QuotaLedger,
+    pub(super) quotas: QuotaLedger,
+    /// The same where hosts are too many to divide them.
+    pub(super) leases: LeaseBook,
+    /// What this host has leased to others of the limits that it owns.
+    pub(super) leased: LeaseLedger,
+    pub(super) lease_owners: LeaseOwners,
+    /// When another host last asked this one for a lease or answered it, and when this one last asked for a sign.
+    pub(super) lease_contact: TimePoint,
+    pub(super) contact_asked: TimePoint,
     /// The shares of limits that are in force at endpoints, by service, as multiples of equal ones.
     applied_factors: BTreeMap<Name, f64>,
     /// When this host last had a request for which no brittle endpoint of a service had room.
@@ -81,6 +90,11 @@
             service_paces: BTreeMap::new(),
             network_times: BTreeMap::new(),
             quotas: QuotaLedger::default(),
+            leases: LeaseBook::default(),
+            leased: LeaseLedger::default(),
+            lease_owners: LeaseOwners::default(),
+            lease_contact: TimePoint::ZERO,
+            contact_asked: TimePoint::ZERO,
             applied_factors: BTreeMap::new(),
             pressed: BTreeMap::new(),
         }
@@ -335,6 +349,7 @@
             return false;
         };
         self.apply_quota(now, &service);
+        self.apply_lease_mode(id);
         match self.admission(now, &self.records[id], slots) {
             SendAdmission::Refused => return false,
             SendAdmission::Trial => self.terms.use_trial(now, id),
@@ -368,14 +383,22 @@
         if let Some(factor) = factor.copied() {
             self.terms.set_factor(now, id, factor);
         }
+        self.add_lease_owner(id);
+        self.apply_lease_mode(id);
     }
 
     /// Counts what a request uses of limits that hold for all hosts together.
     fn record_usage(&mut self, now: TimePoint, id: &str, service: &Name) {
-        if self.terms.rate_limit(id).is_some() {
+        let (has_rate, is_brittle) = (self.terms.rate_limit(id).is_some(), self.terms.is_brittle(id));
+        if has_rate && self.is_rate_leased(id) {
+            self.leases.count_send(now, service);
+        } else if has_rate {
             self.quotas.count_send(now, service);
         }
-        if self.terms.is_brittle(id) {
+        if is_brittle && self.are_slots_leased(service) {
+            let open = self.of_service(service).map(|record| record.open).sum();
+            self.leases.record_open(now, service, open);
+        } else if is_brittle {
             let brittle = self.of_service(service).filter(|record| self.terms.is_brittle(&record.id));
             let open = brittle.map(|record| record.open).sum();
             self.quotas.record_open(now, service, open);
@@ -397,7 +420,10 @@
     /// Records that a request is held back since this host's share of the limits of a service is used up, and whether it
     /// waits for a slot.
     pub fn record_shortage(&mut self, now: TimePoint, service: &str, awaits_slot: bool) {
-        if awaits_slot {
+        self.apply_lease_modes(service);
+        if self.is_leasing(now, service) {
+            self.leases.record_wait(now, &service.into());
+        } else if awaits_slot {
             self.quotas.record_wait(now, &service.into());
         } else {
             self.quotas.count_refusal(now, &service.into());
@@ -416,9 +442,7 @@
 
     /// How many of an endpoint's slots this host may use, where slots are divided among hosts.
     pub fn held_slots(&self, now: TimePoint, id: &str) -> u32 {
-        let slots =
-            |record: &EndpointRecord| self.quotas.slots(now, &record.service, self.position, id, record.load.capacity);
-        self.get(id).map_or(0, slots)
+        self.get(id).map_or(0, |record| self.slots_of(now, record, record.load.capacity))
     }
 
     /// Begins a round of questions to other hosts for each service at which this host lacks something.
@@ -472,16 +496,21 @@
         if !self.terms.is_brittle(&record.id) || self.has_room(now, record, slots) {
             return SendAdmission::Open;
         }
-        if self.terms.has_trial(now, &record.id) { SendAdmission::Trial } else { SendAdmission::Refused }
+        let may_try = !self.is_slot_leased(record) && self.terms.has_trial(now, &record.id);
+        if may_try { SendAdmission::Trial } else { SendAdmission::Refused }
     }
 
     /// Whether an endpoint has room for a request, whatever the other hosts send at the same time.
     fn has_room(&self, now: TimePoint, record: &EndpointRecord, slots: Option<u32>) -> bool {
         let capacity = slots.unwrap_or(record.load.capacity).max(1);
+        if self.is_slot_leased(record) {
+            let is_late = self.leases.is_slot_answer_late(now, &record.service, &record.id);
+            let is_leased = record.open < self.leases.slots(now, &record.service, &record.id);
+            return is_leased || (is_late && record.room.is_some_and(|room| room.is_ample(now, capacity)));
+        }
         let is_pressed = self.pressed.get(&record.service).is_some_and(|at| now.since(*at) < PRESSED_TIME);
         let is_ample = || record.room.is_some_and(|room| room.is_ample(now, capacity));
-        (!is_pressed && is_ample())
-            || record.open < self.quotas.slots(now, &record.service, self.position, &record.id, capacity)
+        (!is_pressed && is_ample()) || record.open < self.slots_of(now, record, capacity)
     }
 
     /// Counts a request as open at an endpoint.
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -2,6 +2,7 @@
 
 mod backup_placement;
 mod endpoint_choice;
+mod endpoint_leases;
 mod endpoint_membership;
 mod endpoint_pacing;
 mod endpoint_record;
--- a/crates/hollyhook_core/src/terms/rate_share.rs
+++ b/crates/hollyhook_core/src/terms/rate_share.rs
@@ -41,13 +41,30 @@
     factor: f64,
     interval: Duration,
     slot_at: TimePoint,
+    /// What was leased, where the limit is not divided.
+    leased: Option<LeasedSends>,
+}
+
+/// Requests that may be sent until a time.
+#[derive(Debug, Clone, Copy, Default)]
+struct LeasedSends {
+    count: u32,
+    until: TimePoint,
+    /// Until when the divided share may be used, too.
+    divided_until: TimePoint,
+}
+
+impl LeasedSends {
+    fn left(self, now: TimePoint) -> u32 {
+        if now < self.until { self.count } else { 0 }
+    }
 }
 
 impl RateShare {
     /// The share of one of `hosts` hosts in a limit of `rate` requests per second.
     pub fn new(now: TimePoint, rate: f64, hosts: usize, rng: &mut impl Rng) -> Self {
         let interval = interval(rate, hosts, 1.0);
-        Self { rate, hosts, factor: 1.0, interval, slot_at: now + interval.mul_f64(rng.random::<f64>()) }
+        Self { rate, hosts, factor: 1.0, interval, slot_at: now + interval.mul_f64(rng.random::<f64>()), leased: None }
     }
 
     /// The rate limit for all hosts together, in requests per second.
@@ -76,13 +93,53 @@
         self.slot_at = self.slot_at.min(now + self.interval);
     }
 
-    /// The time until a request may be sent; zero if one may be sent now.
+    /// Sets whether sends are leased rather than divided; the first leased ones are still to come.
+    pub fn set_leased(&mut self, is_leased: bool) {
+        if is_leased != self.leased.is_some() {
+            self.leased = is_leased.then(LeasedSends::default);
+        }
+    }
+
+    /// Adds leased sends, which may be used until `until`.
+    pub fn add_leased(&mut self, now: TimePoint, count: u32, until: TimePoint) {
+        if let Some(leased) = &mut self.leased {
+            *leased = LeasedSends { count: leased.left(now) + count, until, ..*leased };
+        }
+    }
+
+    /// Allows the divided share beside what is leased, until `until`.
+    pub fn allow_divided(&mut self, until: TimePoint) {
+        if let Some(leased) = &mut self.leased {
+            leased.divided_until = until;
+        }
+    }
+
+    /// The leased sends that have not been used.
+    pub fn leased_left(&self, now: TimePoint) -> u32 {
+        self.leased.map_or(0, |leased| leased.left(now))
+    }
+
+    /// The time until a request may be sent; zero if one may be sent now. Where sends are leased, it is the interval at
+    /// which the limit would allow them.
     pub fn opens_in(&self, now: TimePoint) -> Duration {
-        self.next_slot(now).since(now)
+        match self.leased {
+            Some(leased) if leased.left(now) > 0 => Duration::ZERO,
+            Some(leased) if now >= leased.divided_until => self.interval,
+            Some(_) | None => self.next_slot(now).since(now),
+        }
     }
 
     /// Whether a request may be sent now; if so, uses up the slot.
     pub fn try_use(&mut self, now: TimePoint) -> bool {
+        if let Some(leased) = &mut self.leased {
+            if leased.left(now) > 0 {
+                leased.count -= 1;
+                return true;
+            }
+            if now >= leased.divided_until {
+                return false;
+            }
+        }
         let slot_at = self.next_slot(now);
         if slot_at > now {
             return false;
--- a/crates/hollyhook_core/src/terms/terms_table.rs
+++ b/crates/hollyhook_core/src/terms/terms_table.rs
@@ -132,6 +132,32 @@
         }
     }
 
+    /// Sets whether the sends to an endpoint with a rate limit are leased rather than divided.
+    pub fn set_leased(&mut self, id: &str, is_leased: bool) {
+        if let Some(share) = self.terms.get_mut(id).and_then(|terms| terms.share.as_mut()) {
+            share.set_leased(is_leased);
+        }
+    }
+
+    /// Adds leased sends to an endpoint, which may be used until `until`.
+    pub fn add_leased(&mut self, now: TimePoint, id: &str, count: u32, until: TimePoint) {
+        if let Some(share) = self.terms.get_mut(id).and_then(|terms| terms.share.as_mut()) {
+            share.add_leased(now, count, until);
+        }
+    }
+
+    /// Allows this host's equal share of a rate limit beside what is leased, until `until`.
+    pub fn allow_divided(&mut self, id: &str, until: TimePoint) {
+        if let Some(share) = self.terms.get_mut(id).and_then(|terms| terms.share.as_mut()) {
+            share.allow_divided(until);
+        }
+    }
+
+    /// The leased sends to an endpoint that have not been used.
+    pub fn leased_left(&self, now: TimePoint, id: &str) -> u32 {
+        self.terms.get(id).and_then(|terms| terms.share.as_ref()).map_or(0, |share| share.leased_left(now))
+    }
+
     /// The requests per second that an endpoint takes from all hosts together; `None` without a limit.
     pub fn rate_limit(&self, id: &str) -> Option<f64> {
         self.terms.get(id)?.share.as_ref().map(RateShare::rate)
--- a/crates/hollyhook_core/tests/gateway/quotas.rs
+++ b/crates/hollyhook_core/tests/gateway/quotas.rs
@@ -1,11 +1,11 @@
 //! Limits that hold for all hosts together while one host gets most of the callers, in virtual time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use hollyhook_core::{
-    EndpointId, EndpointRecord, EndpointTable, HostPosition, HostRecord, LoadReport, Name, QuotaLoan, RouteQuery,
-    TimePoint,
+    EndpointId, EndpointRecord, EndpointTable, HostPosition, HostRecord, LeaseRound, LoadReport, Name, QuotaLoan,
+    RouteQuery, TimePoint, ZoneName,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -104,7 +104,7 @@
     /// One of the hosts that get most callers at a time.
     fn crowded_host(&self, at: u64, rng: &mut impl Rng) -> usize {
         let crowded: Vec<usize> = (0..self.hosts).filter(|host| self.is_crowded_host(at, *host)).collect();
-        crowded[rng.random_range(0..crowded.len())]
+        if crowded.len() == 1 { crowded[0] } else { crowded[rng.random_range(0..crowded.len())] }
     }
 
     /// When the crowded host is lost, if it is.
@@ -114,7 +114,7 @@
 }
 
 /// A message that arrives later.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 enum Message {
     Question {
         borrower: usize,
@@ -133,6 +133,17 @@
         borrower: usize,
         asked_at: u64,
     },
+    /// Questions to the owner of limits.
+    LeaseQuestions {
+        borrower: usize,
+        round: LeaseRound,
+    },
+    /// The answers to them; `None` once the time for them is over.
+    LeaseAnswers {
+        borrower: usize,
+        round: LeaseRound,
+        answers: Option<Vec<u32>>,
+    },
     /// The end of a request at an endpoint with slots, or its rejection.
     Response {
         host: usize,
@@ -195,7 +206,9 @@
     messages: BTreeMap<u64, Vec<Message>>,
     /// Rounds of questions under way, by the host that asked and the time.
     rounds: BTreeMap<(usize, u64), PendingRound>,
-    /// Hosts and arrival times of requests that wait for a slot.
+    /// The numbers of the lease rounds under way, by the host that asked.
+    lease_rounds: BTreeSet<(usize, u64)>,
+    /// Hosts and arrival times of requests that wait for a slot or a send.
     waiting: Vec<(usize, u64)>,
     /// Requests that endpoints with slots process.
     running: Vec<u32>,
@@ -220,9 +233,12 @@
             link_mbps: 1_000,
         });
         let records: Vec<HostRecord> = records.collect();
+        let zones: BTreeMap<Name, ZoneName> =
+            records.iter().map(|record| (Name::clone(&record.host), ZoneName::clone(&record.zone))).collect();
         let hosts = (0..case.hosts).map(|host| {
             let mut table = EndpointTable::new(format!("zone-{}", host % 4).into());
             table.set_position(HostPosition { index: host, count: case.hosts });
+            table.set_hosts(TimePoint::from_millis(1), &name_of(host), zones.clone());
             for endpoint in 0..case.endpoints {
                 let address = ([127, 0, 0, 1], 7_000 + endpoint as u16).into();
                 let record = EndpointRecord::new(id_of(endpoint), SERVICE.into(), "zone-0".into(), address);
@@ -233,6 +249,7 @@
                 } else {
                     table.terms_mut().set_rate_limit(start, &id, case.rate, case.hosts, &mut rng);
                 }
+                table.apply_share(start, &id);
             }
             table
         });
@@ -247,6 +264,7 @@
             records,
             messages: BTreeMap::new(),
             rounds: BTreeMap::new(),
+            lease_rounds: BTreeSet::new(),
             waiting: Vec::new(),
             running,
             outcome,
@@ -260,6 +278,7 @@
             }
             self.add_requests(at);
             self.send_waiting(at);
+            (0..self.hosts.len()).for_each(|host| self.ask_leases(at, host));
             if at % ASK_INTERVAL == 0 {
                 (0..self.hosts.len()).for_each(|host| self.ask(at, host));
             }
@@ -286,16 +305,12 @@
         for _ in 0..count {
             let first = usize::from(!self.is_up(at, 0));
             let is_crowd = self.case.is_crowded(at) && self.rng.random_bool(self.case.crowd);
-            let host = match is_crowd {
-                true => self.case.crowded_host(at, &mut self.rng).max(first),
-                false => self.rng.random_range(first..self.hosts.len()),
+            let host = if is_crowd {
+                self.case.crowded_host(at, &mut self.rng).max(first)
+            } else {
+                self.rng.random_range(first..self.hosts.len())
             };
-            if self.case.slots > 0 {
-                self.waiting.push((host, at));
-                continue;
-            }
-            let is_served = self.send(at, host);
-            self.count_try(at, host, is_served);
+            self.waiting.push((host, at));
         }
     }
 
@@ -309,31 +324,43 @@
         }
     }
 
-    /// Sends the requests that wait for a slot, in the order of their arrival, and refuses those that waited too long.
+    /// Sends the requests that wait, in the order of their arrival, and refuses those that waited too long.
     fn send_waiting(&mut self, at: u64) {
         for (host, arrived) in std::mem::take(&mut self.waiting) {
-            if at - arrived > PATIENCE {
+            if at - arrived > PATIENCE || !self.is_up(at, host) {
                 self.count_try(arrived, host, false);
-            } else if !self.open(at, host, arrived) {
-                self.waiting.push((host, arrived));
+            } else {
+                self.open(at, host, arrived);
             }
         }
     }
 
-    /// Sends a request to an endpoint with slots; false if it has to wait.
-    fn open(&mut self, at: u64, host: usize, arrived: u64) -> bool {
+    /// Sends a request to an endpoint; if there is none, it waits or is refused.
+    fn open(&mut self, at: u64, host: usize, arrived: u64) {
         let (now, query, capacity) = (TimePoint::from_millis(at), RouteQuery::new(SERVICE), self.case.slots);
         let table = &mut self.hosts[host];
         let chosen = table.choose(now, &query, &mut self.rng);
         let Some(id) = chosen.filter(|id| table.try_open(now, id, None)) else {
+            let mut may_wait = capacity > 0;
             if let Some(pause) = table.shortest_pause(now, &query) {
-                table.record_pressure(now, SERVICE);
+                let is_brittle = table.record_pressure(now, SERVICE);
+                may_wait |= table.awaits_lease(now, SERVICE);
                 if pause.is_zero() {
-                    table.record_shortage(now, SERVICE, true);
+                    table.record_shortage(now, SERVICE, is_brittle);
                 }
             }
-            return false;
+            if may_wait {
+                self.waiting.push((host, arrived));
+            } else {
+                self.count_try(arrived, host, false);
+            }
+            return;
         };
+        if capacity == 0 {
+            table.record_close(&id);
+            self.outcome.arrivals[id[2..].parse::<usize>().unwrap()].push(at);
+            return self.count_try(arrived, host, true);
+        }
         let endpoint: usize = id[2..].parse().unwrap();
         let is_rejected = self.running[endpoint] >= capacity;
         self.running[endpoint] += u32::from(!is_rejected);
@@ -345,7 +372,6 @@
         if !is_rejected {
             self.count_try(arrived, host, true);
         }
-        true
     }
 
     fn end_request(&mut self, at: u64, host: usize, endpoint: usize, running: u32, rejected: Option<u64>) {
@@ -372,17 +398,18 @@
         }
     }
 
-    fn send(&mut self, at: u64, host: usize) -> bool {
-        let (now, query) = (TimePoint::from_millis(at), RouteQuery::new(SERVICE));
-        let table = &mut self.hosts[host];
-        let chosen = table.choose(now, &query, &mut self.rng);
-        let Some(id) = chosen.filter(|id| table.try_open(now, id, None)) else {
-            table.record_shortage(now, SERVICE, false);
-            return false;
-        };
-        table.record_close(&id);
-        self.outcome.arrivals[id[2..].parse::<usize>().unwrap()].push(at);
-        true
+    /// Sends the questions that a host has for the owners of limits.
+    fn ask_leases(&mut self, at: u64, host: usize) {
+        if !self.is_up(at, host) {
+            return;
+        }
+        for (_, round) in self.hosts[host].begin_leases(TimePoint::from_millis(at), &mut self.rng) {
+            self.outcome.questions += 1;
+            self.lease_rounds.insert((host, round.number));
+            let end = Message::LeaseAnswers { borrower: host, round: round.clone(), answers: None };
+            self.messages.entry(at + ANSWER_TIMEOUT).or_default().push(end);
+            self.post(at, Message::LeaseQuestions { borrower: host, round });
+        }
     }
 
     fn ask(&mut self, at: u64, host: usize) {
@@ -426,6 +453,19 @@
                     self.post(at, Message::Answer { borrower, lender, loan, asked_at });
                 }
             }
+            Message::LeaseQuestions { borrower, round } => {
+                let owner: usize = round.owner[5..].parse().unwrap();
+                if self.is_up(at, owner) {
+                    let name = name_of(borrower);
+                    let answers = self.hosts[owner].answer_leases(now, &name, round.number, &round.questions);
+                    self.post(at, Message::LeaseAnswers { borrower, round, answers: Some(answers) });
+                }
+            }
+            Message::LeaseAnswers { borrower, round, answers } => {
+                if self.lease_rounds.remove(&(borrower, round.number)) {
+                    self.hosts[borrower].record_leases(now, &SERVICE.into(), &round, answers.as_deref());
+                }
+            }
             Message::Response { host, endpoint, running, rejected } => {
                 self.end_request(at, host, endpoint, running, rejected);
             }
@@ -648,18 +688,24 @@
 /// Guards against slots that are divided among more hosts than there are slots.
 #[test]
 fn little_use_served_fewer_slots_than_hosts() {
-    [1, 3, 6].into_iter().for_each(|crowded| little_use_is_served(6, crowded, None));
+    for crowded in [1, 3, 6] {
+        little_use_is_served(6, crowded, None);
+    }
 }
 
 /// Guards against shares that follow callers more slowly than these move.
 #[test]
 fn little_use_served_moving_crowd() {
-    [6, 64].into_iter().for_each(|slots| little_use_is_served(slots, 1, Some(1_500)));
+    for slots in [6, 64] {
+        little_use_is_served(slots, 1, Some(1_500));
+    }
 }
 
 /// Guards against a rate that is divided until each host may send less than its few callers ask for.
 #[test]
 fn little_use_served_low_rate_a_host() {
-    [1, 3, 6].into_iter().for_each(|crowded| little_use_is_served(0, crowded, None));
+    for crowded in [1, 3, 6] {
+        little_use_is_served(0, crowded, None);
+    }
     little_use_is_served(0, 1, Some(1_500));
 }
--- a/crates/hollyhook_gateway/src/forward/call_wait.rs
+++ b/crates/hollyhook_gateway/src/forward/call_wait.rs
@@ -5,6 +5,7 @@
 
 use super::call_run::{CallRun, CallStop};
 use crate::gateway::RoutingFailure;
+use crate::lease::LeaseBorrower;
 use crate::queue::{QueueTurn, RefusedWait, queue_request};
 use crate::quota::QuotaBorrower;
 
@@ -90,6 +91,7 @@
         turn: Option<QueueTurn>,
     ) -> Result<Option<QueueTurn>, CallStop> {
         QuotaBorrower::spawn_if_needed(self.context);
+        LeaseBorrower::spawn_if_needed(self.context);
         let queues = &Arc::clone(&self.context.queues);
         let no_endpoint = CallStop { reason: failure.reason, retry_after: failure.pause.max(BUSY_RETRY_AFTER) };
         if !queues.is_enabled() {
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
@@ -10,6 +10,7 @@
 use crate::forward::engine_choice::{BackupLocation, EngineChoice, EngineChooser};
 use crate::forward::request_log;
 use crate::gateway::RoutingFailure;
+use crate::lease::LeaseBorrower;
 use crate::origin::find_origin;
 use crate::queue::{RefusedWait, queue_request};
 use crate::quota::QuotaBorrower;
@@ -19,6 +20,11 @@
 /// allowed no further attempt.
 const BUDGET_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How long an attempt waits for a lease of a slot or a send, in a few exchanges with hosts of the region.
+const LEASE_WAIT: Duration = Duration::from_millis(100);
+/// How often it looks whether there is one.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Choosing engines and beginning attempts.
 impl StreamRun {
     /// Begins to look for a responsive engine, unless a search is under way or has just ended.
@@ -87,6 +93,7 @@
         let (service, priority) = (&caller.service, caller.priority());
         let may_wait = self.may_wait_for_turn();
         let mut turn = None;
+        let begun = self.context.timer.now();
         if may_wait && queues.must_wait(service, priority) {
             let waited = queues.wait(service, queue_request(&caller)).await;
             turn = Some(waited.map_err(|refused| self.refused_error(refused))?);
@@ -102,6 +109,11 @@
                 Err(failure) => failure,
             };
             QuotaBorrower::spawn_if_needed(&self.context);
+            LeaseBorrower::spawn_if_needed(&self.context);
+            if failure.awaits_room && !may_wait && self.context.timer.now().since(begun) < LEASE_WAIT {
+                self.context.timer.wait(LEASE_CHECK_INTERVAL).await;
+                continue;
+            }
             if !may_wait || !failure.awaits_room {
                 let retry = failure.pause.max(BUSY_RETRY_AFTER);
                 return Err(self.ledger.final_error(failure.reason, self.sequencer.delivered(), retry));
--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -274,6 +274,7 @@
                     self.recorder.count("requests_held_back_by_share");
                     table.record_shortage(now, query.service_name(), awaits_room);
                 }
+                let awaits_room = awaits_room || table.awaits_lease(now, query.service_name());
                 RoutingFailure { reason: StopReason::Throttled, pause, awaits_room }
             }
             None => RoutingFailure { reason: StopReason::NoEndpoint, pause: Duration::ZERO, awaits_room: false },
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -18,6 +18,7 @@
 use super::retry_budgets::RetryBudgets;
 use super::rollout_tracker::RolloutTracker;
 use crate::demand::DemandTracker;
+use crate::lease::LeaseState;
 use crate::origin::OriginTracker;
 use crate::path::{EndpointConnector, PathTracker};
 use crate::peer::FeedState;
@@ -67,6 +68,7 @@
     pub(crate) crash_checks: Arc<CrashChecks>,
     pub(crate) crash_spread: Arc<SpreadQueue>,
     pub(crate) borrowing: Arc<BorrowState>,
+    pub(crate) leasing: Arc<LeaseState>,
     pub(crate) rollouts: Arc<RolloutTracker>,
     pub(crate) origins: Arc<OriginTracker>,
     pub(crate) demand: Arc<DemandTracker>,
@@ -108,6 +110,7 @@
         registry.register(CrashChecks::NAME, CrashChecks::default())?;
         registry.register(SpreadQueue::NAME, SpreadQueue::default())?;
         registry.register(BorrowState::NAME, BorrowState::default())?;
+        registry.register(LeaseState::NAME, LeaseState::default())?;
         registry.register(RolloutTracker::NAME, RolloutTracker::new(registry, settings.bounds.exposure)?)?;
         registry.register(OriginTracker::NAME, OriginTracker::new(registry)?)?;
         registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
@@ -138,6 +141,7 @@
             crash_checks: registry.find(CrashChecks::NAME)?,
             crash_spread: registry.find(SpreadQueue::NAME)?,
             borrowing: registry.find(BorrowState::NAME)?,
+            leasing: registry.find(LeaseState::NAME)?,
             rollouts: registry.find(RolloutTracker::NAME)?,
             origins: registry.find(OriginTracker::NAME)?,
             demand: registry.find(DemandTracker::NAME)?,
--- a/crates/hollyhook_gateway/src/lib.rs
+++ b/crates/hollyhook_gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod forward;
 mod front;
 mod gateway;
+mod lease;
 mod net;
 mod origin;
 mod path;
--- a/crates/hollyhook_gateway/src/peer/feed_server.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_server.rs
@@ -17,6 +17,7 @@
 use crate::demand::{answer_demand_request, is_demand_request};
 use crate::front::ACCEPT_PAUSE;
 use crate::gateway::GatewayContext;
+use crate::lease::{answer_lease_request, is_lease_request};
 use crate::net::{text_response, wire_stream};
 use crate::origin::{answer_origin_request, is_origin_request};
 use crate::path::{TunnelServer, is_tunnel_request};
@@ -51,6 +52,9 @@
                     if is_crash_request(&request) {
                         return Ok(answer_crash_request(&context, request, sender.ip()).await);
                     }
+                    if is_lease_request(&request) {
+                        return Ok(answer_lease_request(&context, request, sender.ip()).await);
+                    }
                     if is_quota_request(&request) {
                         return Ok(answer_quota_request(&context, request, sender.ip()).await);
                     }
--- a/crates/hollyhook_gateway/src/peer/host_registrar.rs
+++ b/crates/hollyhook_gateway/src/peer/host_registrar.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyhook_core::{FeedTopology, HostRecord, ZoneName};
+use hollyhook_core::{FeedTopology, HostRecord, Name, ZoneName};
 
 use crate::gateway::GatewayContext;
 use crate::store::{StoreClient, StoreError};
@@ -143,10 +143,16 @@
     fn apply(&mut self, zone: ZoneName, records: Vec<HostRecord>) {
         self.zones.insert(zone, records);
         let records: Vec<HostRecord> = self.zones.values().flatten().cloned().collect();
+        let own = std::iter::once(&self.own);
+        let host_of = |record: &HostRecord| (Name::clone(&record.host), ZoneName::clone(&record.zone));
+        let hosts: BTreeMap<Name, ZoneName> = records.iter().chain(own).map(host_of).collect();
         tracing::debug!(hosts = records.len(), "hosts.listed");
         self.context.feed.set_hosts(records);
         let position = self.context.feed.with_topology(FeedTopology::position);
-        self.context.endpoints.table().set_position(position);
+        let mut table = self.context.endpoints.table();
+        table.set_position(position);
+        table.set_hosts(self.context.timer.now(), &self.own.host, hosts);
+        drop(table);
         self.context.recorder.count("hosts_listed");
     }
 
