A host reads new connections only while its link and its processor bear more

Cause: nothing bounds what a host reads. Waits show the lack only after streams have been read that take their share for seconds. Bytes on callers' and endpoints' connections, and the time in which callers' tasks hold a thread, show it from the first half second: 0.06 of the time before the crowd, 0.68 and 0.86 in its first second.

While more than 0.7 of the link or 0.3 of the time is in use, new connections are closed unread but for four a second. The processor counts only where settings state it.

--- /dev/null
+++ b/crates/hollyhook_core/src/capacity/mod.rs
@@ -0,0 +1,7 @@
+//! Which new connections a host reads, by what its link and its processor bear.
+
+mod capacity_gate;
+mod host_capacity;
+
+pub use capacity_gate::{CapacityGate, GateVerdict};
+pub use host_capacity::{HostCapacity, UsageReading};
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -5,6 +5,7 @@
 //! code through this interface, which `docs/design/boundary.md` describes.
 
 mod call;
+mod capacity;
 mod cursor;
 mod demand;
 mod error;
@@ -33,6 +34,7 @@
     CallAction, CallEvent, CallGuard, CallOutcome, ClaimAction, ClaimAnswer, ClaimCommand, ClaimEvent, ClaimLedger,
     ClaimPolicy, ClaimRecord, ClaimRefusal, ClaimShard, ClaimVerdict,
 };
+pub use capacity::{CapacityGate, GateVerdict, HostCapacity, UsageReading};
 pub use cursor::{CursorKey, CursorSeal, StreamCursor};
 pub use demand::{
     CollectorChoice, DemandBoard, DemandExchange, DemandLedger, DemandMessage, DemandReply, DemandRound, DemandShare,
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod backups;
 mod brittle;
+mod capacity;
 mod choosing;
 mod contact;
 mod crash_inquiry;
--- a/crates/hollyhook_gateway/src/front/front_server.rs
+++ b/crates/hollyhook_gateway/src/front/front_server.rs
@@ -7,7 +7,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures::FutureExt;
-use hollyhook_core::StopPhase;
+use hollyhook_core::{GateVerdict, StopPhase};
 use hollyhook_wire::bound_caller_buffers;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -16,7 +16,7 @@
 use super::idle_watch::IdleWatch;
 use super::request_handler::handle;
 use crate::gateway::GatewayContext;
-use crate::net::{reset_on_close, wire_stream};
+use crate::net::{metered_stream, reset_on_close};
 
 /// Delay after a failed accept, which most likely failed because the process has no file descriptors left.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -39,11 +39,16 @@
             tracing::info!(connections = MAX_CONNECTIONS, "caller.connection_refused");
             continue;
         }
+        if context.read_gate.judge(context.timer.now()) != GateVerdict::Read {
+            context.recorder.count("connections_closed_unread");
+            continue;
+        }
         connections.fetch_add(1, Ordering::Relaxed);
         context.recorder.count("caller_connections");
         let (context, connections) = (Arc::clone(&context), Arc::clone(&connections));
         task::spawn(async move {
-            serve(stream, context).await;
+            let meter = Arc::clone(&context.meter);
+            meter.run(serve(stream, context)).await;
             connections.fetch_sub(1, Ordering::Relaxed);
         });
     }
@@ -65,7 +70,7 @@
     let limits = context.site().map(|site| site.limits()).unwrap_or_default();
     let mut builder = http1::Builder::new();
     builder.max_buf_size(limits.head_bytes.max(8_192)).pipeline_flush(false);
-    let mut connection = pin!(builder.serve_connection(wire_stream(stream), service));
+    let mut connection = pin!(builder.serve_connection(metered_stream(stream, &context.meter), service));
     loop {
         let tick = pin!(context.timer.wait(WATCH_INTERVAL).fuse());
         match futures::future::select(connection.as_mut(), tick).await {
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -14,11 +14,13 @@
 use super::EndpointDirectory;
 use super::live_settings::LiveSettings;
 use super::quarantine_tracker::QuarantineTracker;
+use super::read_gate::ReadGate;
 use super::request_load::RequestLoad;
 use super::retry_budgets::RetryBudgets;
 use super::rollout_tracker::RolloutTracker;
 use crate::demand::DemandTracker;
 use crate::lease::LeaseState;
+use crate::net::UsageMeter;
 use crate::origin::OriginTracker;
 use crate::path::{EndpointConnector, PathTracker};
 use crate::peer::FeedState;
@@ -58,6 +60,8 @@
     pub(crate) zone: ZoneName,
     pub(crate) timer: Arc<TimerService>,
     pub(crate) pool: Arc<ConnectionPool>,
+    pub(crate) meter: Arc<UsageMeter>,
+    pub(crate) read_gate: Arc<ReadGate>,
     pub(crate) recorder: Arc<MetricRecorder>,
     pub(crate) load: Arc<RequestLoad>,
     pub(crate) feed: Arc<FeedState>,
@@ -92,7 +96,10 @@
     /// `Conflict` if one of the services is registered already.
     pub(crate) fn register(registry: &ServiceRegistry, settings: &GatewaySettings) -> Result<()> {
         let timer = registry.register(TimerService::NAME, TimerService::from(SystemClock::start()))?;
-        registry.register(ConnectionPool::NAME, ConnectionPool::new(TimerService::clone(&timer)))?;
+        let meter = registry.register(UsageMeter::NAME, UsageMeter::default())?;
+        let pool = ConnectionPool::new(TimerService::clone(&timer), Arc::clone(&meter));
+        registry.register(ConnectionPool::NAME, pool)?;
+        registry.register(ReadGate::NAME, ReadGate::new(settings, meter))?;
         let feed = FeedState::new(Name::clone(&settings.host), ZoneName::clone(&settings.zone), settings.link_mbps);
         registry.register(FeedState::NAME, feed)?;
         registry.register(MetricRecorder::NAME, MetricRecorder::default())?;
@@ -129,6 +136,8 @@
             zone: ZoneName::clone(&settings.zone),
             timer: registry.find(TimerService::NAME)?,
             pool: registry.find(ConnectionPool::NAME)?,
+            meter: registry.find(UsageMeter::NAME)?,
+            read_gate: registry.find(ReadGate::NAME)?,
             recorder: registry.find(MetricRecorder::NAME)?,
             load: registry.find(RequestLoad::NAME)?,
             feed: registry.find(FeedState::NAME)?,
--- a/crates/hollyhook_gateway/src/gateway/mod.rs
+++ b/crates/hollyhook_gateway/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod known_rollout;
 mod live_settings;
 mod quarantine_tracker;
+mod read_gate;
 mod request_load;
 mod retry_budgets;
 mod rollout_tracker;
--- a/crates/hollyhook_gateway/src/pool/connection_pool.rs
+++ b/crates/hollyhook_gateway/src/pool/connection_pool.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use hollyhook_core::EndpointId;
@@ -10,7 +10,7 @@
 use http::header::HeaderName;
 
 use super::PooledConnection;
-use crate::net::{WireStream, dial, wire_stream};
+use crate::net::{UsageMeter, WireStream, dial, metered_stream};
 use crate::path::TunnelLease;
 use crate::sync::lock;
 
@@ -30,6 +30,7 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
     timer: TimerService,
+    meter: Arc<UsageMeter>,
     idle: Mutex<HashMap<EndpointId, Vec<PooledConnection>>>,
 }
 
@@ -37,8 +38,8 @@
     /// The name that the service is registered under.
     pub(crate) const NAME: &'static str = "connections";
 
-    pub(crate) fn new(timer: TimerService) -> Self {
-        Self { timer, idle: Mutex::default() }
+    pub(crate) fn new(timer: TimerService, meter: Arc<UsageMeter>) -> Self {
+        Self { timer, meter, idle: Mutex::default() }
     }
 
     /// Takes an idle connection to an endpoint, the most recently used first; `None` if none is usable.
@@ -64,7 +65,9 @@
         if let Err(error) = bound_endpoint_buffers(stream.get_ref()) {
             tracing::debug!(%address, %error, "endpoint.buffers_not_bounded");
         }
-        PooledConnection::start(wire_stream(stream), READ_BUFFER_BYTES).await.map_err(std::io::Error::other)
+        PooledConnection::start(metered_stream(stream, &self.meter), READ_BUFFER_BYTES)
+            .await
+            .map_err(std::io::Error::other)
     }
 
     /// Performs the HTTP/1.1 handshake on a tunnel to an endpoint; the connection is not in the pool.
--- a/crates/hollyhook_gateway/src/pool/pooled_connection.rs
+++ b/crates/hollyhook_gateway/src/pool/pooled_connection.rs
@@ -4,8 +4,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::rt::{Read, Write};
 
-use crate::net::{DriverGuard, WireStream};
+use crate::net::DriverGuard;
 use crate::path::TunnelLease;
 
 /// Why a request got no response head.
@@ -39,10 +40,13 @@
     /// Performs the HTTP/1.1 handshake on a new connection and spawns the task that drives it.
     ///
     /// Up to `buffer_bytes` of a response are read ahead.
-    pub(crate) async fn start(stream: WireStream, buffer_bytes: usize) -> hyper::Result<Self> {
+    pub(crate) async fn start<S>(stream: S, buffer_bytes: usize) -> hyper::Result<Self>
+    where
+        S: Read + Write + Unpin + Send + 'static,
+    {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(buffer_bytes);
-        let (sender, connection) = builder.handshake::<WireStream, Full<Bytes>>(stream).await?;
+        let (sender, connection) = builder.handshake::<S, Full<Bytes>>(stream).await?;
         let driver = DriverGuard::spawn(connection);
         Ok(Self { _driver: driver, sender, lease: None, usable_until: TimePoint::ZERO, idle_since: TimePoint::ZERO })
     }
