--- a/crates/hollyhook_core/src/capacity/capacity_gate.rs
+++ b/crates/hollyhook_core/src/capacity/capacity_gate.rs
@@ -11,9 +11,6 @@
 /// The used fraction of the link above which no connection is read. The rest is for the bursts of what was read, and for
 /// messages to other hosts and the store.
 const MAX_LINK_USE: f64 = 0.7;
-/// The fraction of the threads' time, held by tasks of callers, above which no connection is read. Connections to
-/// endpoints and the runtime take about as much again, and what was read goes on to take its share.
-const MAX_BUSY_SHARE: f64 = 0.3;
 /// A connection is read at least this often, whatever is in use: a host that reads none seems to be down.
 const LONGEST_PAUSE: Duration = Duration::from_millis(250);
 
@@ -26,12 +23,10 @@
     Close {
         /// The used fraction of the link.
         link_use: f64,
-        /// The fraction of the threads' time that tasks of callers hold.
-        busy_share: f64,
     },
 }
 
-/// Decides whether this host reads a new connection, by what callers use of its link and its processor.
+/// Decides whether this host reads a new connection, by what callers use of its link.
 ///
 /// What requests take shows there from the first moment. Delays show it only once it is too late: streams that were read
 /// take their time for seconds.
@@ -51,8 +46,7 @@
 
     /// Whether a reading is needed for the next verdict.
     pub fn needs_reading(&self, now: TimePoint) -> bool {
-        let is_limited = self.capacity.link_mbps > 0 || self.capacity.processor > 0.0;
-        is_limited && self.readings.back().is_none_or(|(at, _)| now.since(*at) >= READING_INTERVAL)
+        self.capacity.link_mbps > 0 && self.readings.back().is_none_or(|(at, _)| now.since(*at) >= READING_INTERVAL)
     }
 
     /// Adds what the process has used until now.
@@ -65,23 +59,20 @@
 
     /// Whether to read a new connection.
     pub fn judge(&mut self, now: TimePoint) -> GateVerdict {
-        let (link_use, busy_share) = self.uses();
-        let is_over = link_use >= MAX_LINK_USE || busy_share >= MAX_BUSY_SHARE;
-        if is_over && now.since(self.read_at) < LONGEST_PAUSE {
-            return GateVerdict::Close { link_use, busy_share };
+        let link_use = self.link_use();
+        if link_use >= MAX_LINK_USE && now.since(self.read_at) < LONGEST_PAUSE {
+            return GateVerdict::Close { link_use };
         }
         self.read_at = now;
         GateVerdict::Read
     }
 
-    /// The used fractions of the link and of the threads' time.
-    fn uses(&self) -> (f64, f64) {
+    fn link_use(&self) -> f64 {
         let (Some((from, earlier)), Some((to, later))) = (self.readings.front(), self.readings.back()) else {
-            return (0.0, 0.0);
+            return 0.0;
         };
         // Bursts of a moment don't count for more than they would within a whole span.
         let span = to.since(*from).max(SPAN);
-        let capacity = self.capacity;
-        (capacity.link_use(*earlier, *later, span), capacity.busy_share(*earlier, *later, span))
+        self.capacity.link_use(*earlier, *later, span)
     }
 }
--- a/crates/hollyhook_core/src/capacity/host_capacity.rs
+++ b/crates/hollyhook_core/src/capacity/host_capacity.rs
@@ -4,12 +4,10 @@
 const MEGABIT: f64 = 1e6;
 
 /// What a host has for its requests; 0 where that is not known.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct HostCapacity {
     /// Speed of the link in each direction, in Mbit/s.
     pub link_mbps: u32,
-    /// Processor cores, or the fraction of one.
-    pub processor: f64,
 }
 
 /// What a process has used since its start.
@@ -19,8 +17,6 @@
     pub received: u64,
     /// Bytes sent to them.
     pub sent: u64,
-    /// The time in which tasks of callers held a thread.
-    pub busy: Duration,
 }
 
 impl HostCapacity {
@@ -31,11 +27,4 @@
         let available = f64::from(self.link_mbps) * MEGABIT * span.as_secs_f64();
         if available > 0.0 { received.max(sent) as f64 * 8.0 / available } else { 0.0 }
     }
-
-    /// The fraction of the threads' time that tasks of callers held, between two readings `span` apart; a host with a
-    /// fraction of a core has one thread.
-    pub(super) fn busy_share(self, earlier: UsageReading, later: UsageReading, span: Duration) -> f64 {
-        let busy = later.busy.saturating_sub(earlier.busy);
-        if self.processor > 0.0 { busy.as_secs_f64() / (span.as_secs_f64() * self.processor.max(1.0)) } else { 0.0 }
-    }
 }
--- a/crates/hollyhook_core/src/capacity/mod.rs
+++ b/crates/hollyhook_core/src/capacity/mod.rs
@@ -1,4 +1,4 @@
-//! Which new connections a host reads, by what its link and its processor bear.
+//! Which new connections a host reads, by what its link bears.
 
 mod capacity_gate;
 mod host_capacity;
--- a/crates/hollyhook_gateway/src/front/front_server.rs
+++ b/crates/hollyhook_gateway/src/front/front_server.rs
@@ -47,8 +47,7 @@
         context.recorder.count("caller_connections");
         let (context, connections) = (Arc::clone(&context), Arc::clone(&connections));
         task::spawn(async move {
-            let meter = Arc::clone(&context.meter);
-            meter.run(serve(stream, context)).await;
+            serve(stream, context).await;
             connections.fetch_sub(1, Ordering::Relaxed);
         });
     }
--- a/crates/hollyhook_gateway/src/gateway/read_gate.rs
+++ b/crates/hollyhook_gateway/src/gateway/read_gate.rs
@@ -7,7 +7,7 @@
 use crate::net::UsageMeter;
 use crate::sync::lock;
 
-/// Whether this host reads a new connection, by what its callers use of the link and the processor.
+/// Whether this host reads a new connection, by what its callers use of the link.
 #[derive(Debug)]
 pub(crate) struct ReadGate {
     meter: Arc<UsageMeter>,
@@ -30,7 +30,7 @@
     pub(crate) const NAME: &'static str = "read-gate";
 
     pub(crate) fn new(settings: &GatewaySettings, meter: Arc<UsageMeter>) -> Self {
-        let capacity = HostCapacity { link_mbps: settings.link_mbps, processor: settings.processor };
+        let capacity = HostCapacity { link_mbps: settings.link_mbps };
         Self { meter, gate: Mutex::new(CapacityGate::new(capacity)), closed: Mutex::default() }
     }
 
@@ -42,17 +42,17 @@
         }
         let verdict = gate.judge(now);
         drop(gate);
-        if let GateVerdict::Close { link_use, busy_share } = verdict {
-            self.log_closed(now, link_use, busy_share);
+        if let GateVerdict::Close { link_use } = verdict {
+            self.log_closed(now, link_use);
         }
         verdict
     }
 
-    fn log_closed(&self, now: TimePoint, link_use: f64, busy_share: f64) {
+    fn log_closed(&self, now: TimePoint, link_use: f64) {
         let mut closed = lock(&self.closed);
         closed.count += 1;
         if now.since(closed.logged_at) >= LOG_INTERVAL {
-            tracing::info!(connections = closed.count, link_use, busy_share, "callers.closed_unread");
+            tracing::info!(connections = closed.count, link_use, "callers.closed_unread");
             *closed = ClosedCount { count: 0, logged_at: now };
         }
     }
--- a/crates/hollyhook_settings/src/gateway/gateway_settings.rs
+++ b/crates/hollyhook_settings/src/gateway/gateway_settings.rs
@@ -30,8 +30,6 @@
     pub memory_bytes: usize,
     /// Speed of the host's network link in Mbit/s; 0 if not set. Hosts with faster links send more data to other hosts.
     pub link_mbps: u32,
-    /// What the host's processor offers this process, in cores; 0 if that is not said.
-    pub processor: f64,
     /// Limits that the operator of the platform sets on the gateway's behaviour.
     pub bounds: GatewayBounds,
     /// How requests wait for services without free capacity.
@@ -83,7 +81,6 @@
     let memory_range = value::bytes(16 << 20, 1 << 40);
     let memory_bytes = reader.with_default("memory", DEFAULT_MEMORY_MIB << 20, memory_range);
     let link_mbps = reader.with_default("link", 0, value::link_mbps);
-    let processor = reader.with_default("processor", 0.0, value::cores);
     reader.finish();
 
     let section = file.section("gateway");
@@ -125,7 +122,6 @@
         store: store?,
         memory_bytes,
         link_mbps,
-        processor,
         bounds,
         queue,
         log_format,
--- a/crates/hollyhook_settings/src/value/value_parsers.rs
+++ b/crates/hollyhook_settings/src/value/value_parsers.rs
@@ -105,17 +105,6 @@
     }
 }
 
-/// Parses a number of processor cores, or a fraction of one.
-pub(crate) fn cores(text: &str) -> Parsed<f64> {
-    const MAX: f64 = 1_024.0;
-    match text.parse::<f64>() {
-        Ok(number) if (0.0..=MAX).contains(&number) && number > 0.0 => Ok(number),
-        _ => {
-            invalid(format!("`{text}` is not a number of cores"), "give a number from above 0 to 1024, such as `0.25`")
-        }
-    }
-}
-
 /// Parses a ratio from 0 to 100, such as `0.8`.
 pub(crate) fn ratio(text: &str) -> Parsed<f64> {
     const MAX: f64 = 100.0;
