--- a/crates/hollyhook_core/src/lease/lease_book.rs
+++ b/crates/hollyhook_core/src/lease/lease_book.rs
@@ -10,7 +10,7 @@
 
 /// Questions in a row that an owner leaves unanswered before it counts as silent: a single message may be lost.
 const SILENT_FROM: u32 = 2;
-/// How often a silent owner is asked for a sign.
+/// How often a silent owner is probed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// How long an owner is suspected after this host was last asked to take its place.
 const SUSPICION_TIME: Duration = Duration::from_secs(2);
@@ -29,8 +29,10 @@
     sends: SendLeases,
 }
 
+/// The questions that an owner has left unanswered since its last answer.
 #[derive(Debug, Default)]
 struct OwnerSilence {
+    /// When the first of them failed.
     since: TimePoint,
     unanswered: u32,
     probe_at: TimePoint,
@@ -91,7 +93,7 @@
         self.silent.values().any(|silence| silence.is_suspect(now))
     }
 
-    /// The owners that are due to be asked for a sign, which counts as done.
+    /// The owners that are due to be probed; the probes count as sent.
     pub(crate) fn take_due_probes(&mut self, now: TimePoint) -> Vec<Name> {
         let is_wanted = |silence: &OwnerSilence| silence.unanswered >= SILENT_FROM || silence.is_suspect(now);
         let due = self.silent.iter_mut().filter(|(_, silence)| now >= silence.probe_at && is_wanted(silence));
--- a/crates/hollyhook_core/src/lease/lease_ledger.rs
+++ b/crates/hollyhook_core/src/lease/lease_ledger.rs
@@ -30,6 +30,12 @@
 }
 
 impl LeaseLedger {
+    /// Forgets the endpoints for which `is_known` returns false.
+    pub(crate) fn retain(&mut self, is_known: impl Fn(&EndpointId) -> bool) {
+        self.slots.retain(|endpoint, _| is_known(endpoint));
+        self.rates.retain(|endpoint, _| is_known(endpoint));
+    }
+
     /// Leases what a host asks for, as far as there is some, and returns how much it has of slots, or gets of sends.
     ///
     /// `number` orders the questions of a host. One that arrives after a later one changes nothing: the host may already
--- a/crates/hollyhook_core/src/lease/refusal_pause.rs
+++ b/crates/hollyhook_core/src/lease/refusal_pause.rs
@@ -2,9 +2,9 @@
 
 use crate::TimePoint;
 
-/// First and longest pause after an owner leased less than was asked for. While all hosts are short, their questions must
-/// not add to the load.
-const FIRST_PAUSE: Duration = Duration::from_millis(20);
+/// Pause after an owner leased less than was asked for, which doubles with each refusal: while all hosts are short, their
+/// questions must not add to the load.
+const BASE_PAUSE: Duration = Duration::from_millis(20);
 const MAX_DOUBLINGS: u32 = 6;
 /// How long after the last refusal the pause lasts: an owner with more demand than it can meet also leases as much as is
 /// asked for at times.
@@ -27,7 +27,7 @@
     pub(super) fn span(&self) -> Duration {
         match self.refusals {
             0 => Duration::ZERO,
-            refusals => FIRST_PAUSE * 2_u32.pow(refusals.min(MAX_DOUBLINGS)),
+            refusals => BASE_PAUSE * 2_u32.pow(refusals.min(MAX_DOUBLINGS)),
         }
     }
 
--- a/crates/hollyhook_core/src/route/endpoint_leases.rs
+++ b/crates/hollyhook_core/src/route/endpoint_leases.rs
@@ -24,6 +24,7 @@
     pub fn set_hosts(&mut self, now: TimePoint, own: &Name, hosts: BTreeMap<Name, ZoneName>) {
         let records = &self.records;
         self.lease_owners.retain(|id| records.contains_key(id));
+        self.leased.retain(|id| records.contains_key(id));
         self.lease_owners.set(now, own, hosts);
     }
 
@@ -215,7 +216,7 @@
         Some(self.empty_round(now, owner))
     }
 
-    /// A round without questions, whose answer is a sign of the host.
+    /// A round without questions, by which a host is probed.
     fn empty_round(&mut self, now: TimePoint, owner: Name) -> LeaseRound {
         LeaseRound { owner, number: self.leases.next_round(), asked_at: now, questions: Vec::new() }
     }
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -63,7 +63,7 @@
     /// What this host has leased to others of the limits that it owns.
     pub(super) leased: LeaseLedger,
     pub(super) lease_owners: LeaseOwners,
-    /// When another host last asked this one for a lease or answered it, and when this one last asked for a sign.
+    /// When another host last asked this one for a lease or answered it, and when this one last probed another for that.
     pub(super) lease_contact: TimePoint,
     pub(super) contact_asked: TimePoint,
     /// The shares of limits that are in force at endpoints, by service, as multiples of equal ones.
