Slots and sends share what is known of a question about an endpoint's limit

Both kinds of leases kept the question under way, since when, and the pause after refusals, each with the same rules for late answers. OwnerInquiry has them once.

--- a/crates/hollyhook_core/src/lease/mod.rs
+++ b/crates/hollyhook_core/src/lease/mod.rs
@@ -5,6 +5,7 @@
 mod lease_ledger;
 mod lease_message;
 mod lease_owners;
+mod owner_inquiry;
 mod refusal_pause;
 mod send_leases;
 mod slot_leases;
@@ -27,8 +28,6 @@
 pub(crate) const CONTACT_TIME: Duration = Duration::from_millis(1_500);
 /// How long a leased send may wait for its request.
 pub(crate) const SEND_TIME: Duration = Duration::from_millis(500);
-/// How long the answer to a question is counted on. After that, others are asked, too: a message may be lost.
-const EXPECTED_ANSWER_TIME: Duration = Duration::from_millis(30);
 
 /// An endpoint whose limit is leased.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/hollyhook_core/src/lease/send_leases.rs
+++ b/crates/hollyhook_core/src/lease/send_leases.rs
@@ -3,9 +3,9 @@
 
 use rand::Rng;
 
-use super::refusal_pause::RefusalPause;
+use super::owner_inquiry::OwnerInquiry;
 use super::wait_counter::WaitCounter;
-use super::{EXPECTED_ANSWER_TIME, LeaseCandidate, SEND_TIME};
+use super::{LeaseCandidate, SEND_TIME};
 use crate::{EndpointId, TimePoint};
 
 /// Sends for which one owner is asked before a second one is asked for more.
@@ -24,14 +24,7 @@
     sends: f64,
     counted_at: TimePoint,
     waits: WaitCounter,
-    questions: BTreeMap<EndpointId, SendQuestion>,
-}
-
-#[derive(Debug, Default)]
-struct SendQuestion {
-    /// The sends that a question under way asks for, and since when.
-    asked: Option<(u32, TimePoint)>,
-    pause: RefusalPause,
+    inquiries: BTreeMap<EndpointId, OwnerInquiry>,
 }
 
 impl SendLeases {
@@ -51,31 +44,27 @@
 
     /// Sends that this host needs soon, beside those for requests that wait.
     fn ahead(&self, now: TimePoint) -> u32 {
-        let pause = self.questions.values().map(|question| question.pause.span()).max().unwrap_or_default();
+        let pause = self.inquiries.values().map(OwnerInquiry::pause_span).max().unwrap_or_default();
         let span = AHEAD_TIME.max(pause.min(MAX_AHEAD_TIME));
         (self.recent_sends(now) * span.as_secs_f64() / RATE_SPAN.as_secs_f64()) as u32
     }
 
     pub(super) fn is_active(&self, now: TimePoint) -> bool {
-        self.ahead(now) > 0
-            || self.waits.count(now) > 0
-            || self.questions.values().any(|question| question.asked.is_some())
+        self.ahead(now) > 0 || self.waits.count(now) > 0 || self.inquiries.values().any(OwnerInquiry::is_under_way)
     }
 
     /// Whether an owner may still lease a send to a request that waits for one.
     pub(super) fn may_be_leased(&self, now: TimePoint, candidates: &[LeaseCandidate]) -> bool {
         let may_lease = |known: &LeaseCandidate| {
-            let question = self.questions.get(&known.id);
-            known.is_usable && question.is_none_or(|question| question.asked.is_some() || question.pause.is_over(now))
+            let inquiry = self.inquiries.get(&known.id);
+            known.is_usable && inquiry.is_none_or(|inquiry| inquiry.is_under_way() || inquiry.may_ask(now))
         };
         candidates.iter().any(may_lease)
     }
 
     /// The endpoints about which the answer to a question is late.
     pub(super) fn late(&self, now: TimePoint) -> impl Iterator<Item = &EndpointId> {
-        let is_late =
-            move |question: &SendQuestion| question.asked.is_some_and(|(_, at)| now.since(at) >= EXPECTED_ANSWER_TIME);
-        self.questions.iter().filter(move |(_, question)| is_late(question)).map(|(id, _)| id)
+        self.inquiries.iter().filter(move |(_, inquiry)| inquiry.is_late(now)).map(|(id, _)| id)
     }
 
     /// The endpoints about which to ask now, and how many sends to ask for.
@@ -85,11 +74,8 @@
         candidates: &[LeaseCandidate],
         rng: &mut impl Rng,
     ) -> Vec<(EndpointId, u32)> {
-        self.questions
-            .retain(|id, question| question.asked.is_some() || candidates.iter().any(|known| known.id == *id));
-        let expected = self.questions.values().filter_map(|question| question.asked);
-        let expected = expected.filter(|(_, at)| now.since(*at) < EXPECTED_ANSWER_TIME);
-        let asked: u32 = expected.map(|(count, _)| count).sum();
+        self.inquiries.retain(|id, inquiry| inquiry.is_under_way() || candidates.iter().any(|known| known.id == *id));
+        let asked: u32 = self.inquiries.values().filter_map(|inquiry| inquiry.expected(now)).sum();
         let left: u32 = candidates.iter().filter(|known| known.is_usable).map(|known| known.sends_left).sum();
         let (waiting, ahead) = (self.waits.count(now), self.ahead(now));
         if asked + left >= waiting.max(ahead / 2) {
@@ -97,8 +83,7 @@
         }
         let missing = (waiting + ahead).saturating_sub(asked + left);
         let may_ask = |known: &&LeaseCandidate| {
-            let question = self.questions.get(&known.id);
-            known.is_usable && question.is_none_or(|question| question.asked.is_none() && question.pause.is_over(now))
+            known.is_usable && self.inquiries.get(&known.id).is_none_or(|inquiry| inquiry.may_ask(now))
         };
         let mut free: Vec<&LeaseCandidate> = candidates.iter().filter(may_ask).collect();
         // At random, so that hosts don't all ask the same owner; those of the own zone first.
@@ -109,16 +94,15 @@
         let plan: Vec<(EndpointId, u32)> =
             (0..).zip(free).map(|(place, known)| (EndpointId::clone(&known.id), share(place))).collect();
         for (id, wanted) in &plan {
-            self.questions.entry(EndpointId::clone(id)).or_default().asked = Some((*wanted, now));
+            self.inquiries.entry(EndpointId::clone(id)).or_default().begin(now, *wanted);
         }
         plan
     }
 
     /// Records how many sends were leased in answer to a question.
     pub(super) fn record(&mut self, now: TimePoint, endpoint: &EndpointId, leased: Option<u32>) {
-        if let Some(question) = self.questions.get_mut(endpoint) {
-            let asked = question.asked.take().map_or(0, |(asked, _)| asked);
-            question.pause.record(now, leased.unwrap_or_default() < asked);
+        if let Some(inquiry) = self.inquiries.get_mut(endpoint) {
+            inquiry.end(now, leased.unwrap_or_default());
         }
     }
 }
--- a/crates/hollyhook_core/src/lease/slot_leases.rs
+++ b/crates/hollyhook_core/src/lease/slot_leases.rs
@@ -3,9 +3,9 @@
 
 use rand::Rng;
 
-use super::refusal_pause::RefusalPause;
+use super::owner_inquiry::OwnerInquiry;
 use super::wait_counter::WaitCounter;
-use super::{EXPECTED_ANSWER_TIME, LEASE_TIME, LeaseCandidate, LeasedLimit};
+use super::{LEASE_TIME, LeaseCandidate, LeasedLimit};
 use crate::{EndpointId, TimePoint};
 
 /// Leases that end within this time are renewed while they are needed.
@@ -30,9 +30,7 @@
 struct SlotLease {
     count: u32,
     until: TimePoint,
-    /// The slots that a question under way asks for, and since when.
-    asked: Option<(u32, TimePoint)>,
-    pause: RefusalPause,
+    inquiry: OwnerInquiry,
 }
 
 impl SlotLease {
@@ -53,7 +51,8 @@
     }
 
     pub(super) fn is_active(&self, now: TimePoint) -> bool {
-        self.waits.count(now) > 0 || self.leases.values().any(|lease| lease.count(now) > 0 || lease.asked.is_some())
+        self.waits.count(now) > 0
+            || self.leases.values().any(|lease| lease.count(now) > 0 || lease.inquiry.is_under_way())
     }
 
     pub(super) fn count(&self, now: TimePoint, endpoint: &str) -> u32 {
@@ -62,8 +61,7 @@
 
     /// Whether the answer to a question about an endpoint is late.
     pub(super) fn is_late(&self, now: TimePoint, endpoint: &str) -> bool {
-        let asked = self.leases.get(endpoint).and_then(|lease| lease.asked);
-        asked.is_some_and(|(_, at)| now.since(at) >= EXPECTED_ANSWER_TIME)
+        self.leases.get(endpoint).is_some_and(|lease| lease.inquiry.is_late(now))
     }
 
     /// The endpoints about whose slots to ask now, and how many of each to ask for.
@@ -73,7 +71,7 @@
         candidates: &[LeaseCandidate],
         rng: &mut impl Rng,
     ) -> Vec<(EndpointId, u32)> {
-        self.leases.retain(|id, lease| lease.asked.is_some() || candidates.iter().any(|known| known.id == *id));
+        self.leases.retain(|id, lease| lease.inquiry.is_under_way() || candidates.iter().any(|known| known.id == *id));
         let open: u32 = candidates.iter().map(|known| known.open).sum();
         self.usage.update(now, open);
         let kept = (self.usage.mean * KEPT_FACTOR + 0.5) as u32;
@@ -99,7 +97,7 @@
         let lease = self.leases.entry(EndpointId::clone(id)).or_default();
         // What is given back is not used from now on, whenever the owner learns of it.
         lease.count = lease.count.min(target);
-        lease.asked = Some((target, now));
+        lease.inquiry.begin(now, target);
         Some((EndpointId::clone(id), target))
     }
 
@@ -108,12 +106,11 @@
         let Some(lease) = self.leases.get_mut(endpoint) else {
             return;
         };
-        let asked = lease.asked.take().map_or(0, |(asked, _)| asked);
         let leased = leased.unwrap_or_default();
         if leased > 0 {
             (lease.count, lease.until) = (leased, asked_at + LEASE_TIME);
         }
-        lease.pause.record(now, leased < asked);
+        lease.inquiry.end(now, leased);
     }
 }
 
@@ -139,16 +136,14 @@
     ) -> Self {
         let lease = leases.get(&candidate.id);
         let held = lease.map_or(0, |lease| lease.count(now));
-        let asked = lease.and_then(|lease| lease.asked);
-        let expected = asked.filter(|(_, at)| now.since(*at) < EXPECTED_ANSWER_TIME).map(|(count, _)| count);
-        let is_paused = lease.is_some_and(|lease| !lease.pause.is_over(now));
+        let expected = lease.and_then(|lease| lease.inquiry.expected(now));
         Self {
             candidate,
             held,
             until: lease.map_or(TimePoint::ZERO, |lease| lease.until),
             target: expected.unwrap_or(held),
-            is_free: asked.is_none(),
-            may_grow: asked.is_none() && candidate.is_usable && !is_paused,
+            is_free: lease.is_none_or(|lease| !lease.inquiry.is_under_way()),
+            may_grow: candidate.is_usable && lease.is_none_or(|lease| lease.inquiry.may_ask(now)),
             order: rng.random::<f64>(),
         }
     }
