--- a/crates/hollyhook_gateway/src/demand/demand_server.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_server.rs
@@ -34,11 +34,7 @@
     let Some(message) = read_message(&body.to_bytes()) else {
         return refuse(context, StatusCode::BAD_REQUEST, "the body must be a JSON summary of demand within its bounds");
     };
-    let record = context.feed.with_topology(|topology| {
-        let mut others = topology.other_hosts();
-        others.find(|record| record.host == message.host && record.address.ip() == sender).cloned()
-    });
-    let Some(record) = record else {
+    let Some(record) = context.feed.host_at(&message.host, sender) else {
         return refuse(context, StatusCode::FORBIDDEN, "the sender must be registered at its address");
     };
     let reply = context.demand.receive(&record, message);
--- a/crates/hollyhook_gateway/src/lease/lease_server.rs
+++ b/crates/hollyhook_gateway/src/lease/lease_server.rs
@@ -34,10 +34,7 @@
             "the body must name a host, a number and at most 512 endpoints with their limits",
         );
     };
-    let is_registered = context.feed.with_topology(|topology| {
-        topology.other_hosts().any(|record| record.host == message.host && record.address.ip() == sender)
-    });
-    if !is_registered {
+    if context.feed.host_at(&message.host, sender).is_none() {
         return text_response(StatusCode::FORBIDDEN, "limits are leased to registered hosts only, at their addresses");
     }
     let now = context.timer.now();
--- a/crates/hollyhook_gateway/src/peer/feed_state.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_state.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -91,6 +92,12 @@
         read(&lock(&self.topology))
     }
 
+    /// The record of another host, if it is registered at this address.
+    pub(crate) fn host_at(&self, host: &Name, address: IpAddr) -> Option<HostRecord> {
+        let topology = lock(&self.topology);
+        topology.other_hosts().find(|record| record.host == *host && record.address.ip() == address).cloned()
+    }
+
     /// Replaces the registered hosts of all zones.
     pub(crate) fn set_hosts(&self, records: Vec<HostRecord>) {
         lock(&self.topology).set_hosts(records);
--- a/crates/hollyhook_gateway/src/quota/quota_server.rs
+++ b/crates/hollyhook_gateway/src/quota/quota_server.rs
@@ -32,10 +32,7 @@
             "the body must name a host, a service and a fraction from 0 to 1",
         );
     };
-    let is_registered = context.feed.with_topology(|topology| {
-        topology.other_hosts().any(|record| record.host == question.host && record.address.ip() == sender)
-    });
-    if !is_registered {
+    if context.feed.host_at(&question.host, sender).is_none() {
         return text_response(StatusCode::FORBIDDEN, "quota is lent to registered hosts only, at their addresses");
     }
     let now = context.timer.now();
