A lease round names its service, and owners of the present hosts are looked up once

Rounds that only probe a host went by an empty service name. An owner hashed all hosts of a zone for each question, though it keeps the result, and whether a service leases anything built copies of all its endpoints. No behaviour changed; core::quotas is green.

--- a/crates/hollyhook_core/src/lease/lease_message.rs
+++ b/crates/hollyhook_core/src/lease/lease_message.rs
@@ -25,6 +25,8 @@
 /// A host's questions to one owner, sent together.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LeaseRound {
+    /// The service whose endpoints are meant; `None` if the round only probes the host.
+    pub service: Option<Name>,
     /// The host that is asked.
     pub owner: Name,
     /// Higher than in all earlier rounds of the host that asks.
--- a/crates/hollyhook_core/src/lease/lease_owners.rs
+++ b/crates/hollyhook_core/src/lease/lease_owners.rs
@@ -78,7 +78,7 @@
         self.known.get(endpoint).map(|(_, pair)| pair)
     }
 
-    /// The owners of an endpoint's limit, by the hosts known now and by those within the last [`LEASE_TIME`], in which leases
+    /// The owners of an endpoint's limit, which have been looked up, by the hosts known now and by those within the last [`LEASE_TIME`], in which leases
     /// may have been made that are in force; `None` before hosts were known.
     pub(crate) fn lately(
         &self,
@@ -87,8 +87,8 @@
         zone: &ZoneName,
     ) -> impl Iterator<Item = Option<OwnerPair>> {
         let earlier = self.earlier.iter().filter(move |(until, _)| now.since(*until) <= LEASE_TIME);
-        let hosts = std::iter::once(&self.hosts).chain(earlier.map(|(_, hosts)| hosts));
-        hosts.map(move |hosts| owners_among(hosts, endpoint, zone))
+        let earlier = earlier.map(move |(_, hosts)| owners_among(hosts, endpoint, zone));
+        std::iter::once(self.of(endpoint).cloned()).chain(earlier)
     }
 }
 
--- a/crates/hollyhook_core/src/route/endpoint_leases.rs
+++ b/crates/hollyhook_core/src/route/endpoint_leases.rs
@@ -81,12 +81,13 @@
 
     /// Whether limits of a service's endpoints are leased.
     pub(super) fn is_leasing(&self, now: TimePoint, service: &str) -> bool {
-        !self.lease_candidates(now, service).is_empty()
+        self.lease_candidates(now, service).next().is_some()
     }
 
     /// Whether a request that is held back for a rate limit may wait for a leased send.
     pub fn awaits_lease(&self, now: TimePoint, service: &str) -> bool {
-        self.leases.may_lease_send(now, service, &self.lease_candidates(now, service))
+        let candidates: Vec<LeaseCandidate> = self.lease_candidates(now, service).collect();
+        self.leases.may_lease_send(now, service, &candidates)
     }
 
     /// How many of an endpoint's slots this host may use.
@@ -129,14 +130,12 @@
     }
 
     /// The endpoints of a service whose limits are leased, once for each limit.
-    fn lease_candidates(&self, now: TimePoint, service: &str) -> Vec<LeaseCandidate> {
-        if !self.has_few_endpoints(service) {
-            return Vec::new();
-        }
+    fn lease_candidates(&self, now: TimePoint, service: &str) -> impl Iterator<Item = LeaseCandidate> {
+        let endpoints = self.has_few_endpoints(service).then(|| self.of_service(service));
         let has_limit =
             |record: &&EndpointRecord| self.terms.is_brittle(&record.id) || self.terms.rate_limit(&record.id).is_some();
-        let limited: Vec<&EndpointRecord> = self.of_service(service).filter(has_limit).collect();
-        limited.into_iter().flat_map(|record| self.candidates_of(now, record)).collect()
+        let limited = endpoints.into_iter().flatten().filter(has_limit);
+        limited.flat_map(move |record| self.candidates_of(now, record))
     }
 
     fn candidates_of(&self, now: TimePoint, record: &EndpointRecord) -> Vec<LeaseCandidate> {
@@ -167,27 +166,28 @@
     }
 
     /// Begins the questions that are due to the owners of limits; those to this host itself are answered at once.
-    pub fn begin_leases(&mut self, now: TimePoint, rng: &mut impl Rng) -> Vec<(Name, LeaseRound)> {
+    pub fn begin_leases(&mut self, now: TimePoint, rng: &mut impl Rng) -> Vec<LeaseRound> {
         let services: Vec<Name> = self.leases.active(now).cloned().collect();
         let mut rounds = Vec::new();
         for service in services {
             for id in self.leases.late_sends(now, &service) {
                 self.terms.allow_divided(&id, now + LATE_TIME);
             }
-            let candidates = self.lease_candidates(now, &service);
+            let candidates: Vec<LeaseCandidate> = self.lease_candidates(now, &service).collect();
             for (owner, questions) in self.leases.questions(now, &service, &candidates, rng) {
-                let round = LeaseRound { owner, number: self.leases.next_round(), asked_at: now, questions };
+                let service = Some(Name::clone(&service));
+                let round = LeaseRound { service, owner, number: self.leases.next_round(), asked_at: now, questions };
                 if self.lease_owners.is_own(&round.owner) {
                     let answers = self.answer_own(now, &round);
-                    self.record_leases(now, &service, &round, Some(&answers));
-                    rounds.extend(self.contact_round(now, rng).map(|round| (Name::clone(&service), round)));
+                    self.record_leases(now, &round, Some(&answers));
+                    rounds.extend(self.contact_round(now, rng));
                 } else {
-                    rounds.push((Name::clone(&service), round));
+                    rounds.push(round);
                 }
             }
         }
         for owner in self.leases.take_due_probes(now) {
-            rounds.push((Name::from(""), self.empty_round(now, owner)));
+            rounds.push(self.probe_round(now, owner));
         }
         rounds
     }
@@ -213,12 +213,12 @@
         let is_due = now.since(self.lease_contact.max(self.contact_asked)) > CONTACT_TIME / 4;
         let owner = if is_due { self.lease_owners.any_other(rng)? } else { return None };
         self.contact_asked = now;
-        Some(self.empty_round(now, owner))
+        Some(self.probe_round(now, owner))
     }
 
     /// A round without questions, by which a host is probed.
-    fn empty_round(&mut self, now: TimePoint, owner: Name) -> LeaseRound {
-        LeaseRound { owner, number: self.leases.next_round(), asked_at: now, questions: Vec::new() }
+    fn probe_round(&mut self, now: TimePoint, owner: Name) -> LeaseRound {
+        LeaseRound { service: None, owner, number: self.leases.next_round(), asked_at: now, questions: Vec::new() }
     }
 
     /// Leases to another host what it asks for of limits that this host owns; the answers are in the order of the questions.
@@ -248,6 +248,7 @@
         let Some(zone) = self.get(&question.endpoint).map(|record| ZoneName::clone(&record.zone)) else {
             return false;
         };
+        self.lease_owners.add(&question.endpoint, &zone);
         let pairs: Vec<Option<OwnerPair>> = self.lease_owners.lately(now, &question.endpoint, &zone).collect();
         pairs.into_iter().all(|pair| {
             let Some(OwnerPair { owner, successor }) = pair else {
@@ -268,11 +269,14 @@
     }
 
     /// Records the answers to a round of questions; `None` if the owner did not answer.
-    pub fn record_leases(&mut self, now: TimePoint, service: &Name, round: &LeaseRound, answers: Option<&[u32]>) {
+    pub fn record_leases(&mut self, now: TimePoint, round: &LeaseRound, answers: Option<&[u32]>) {
         self.leases.record_contact(now, &round.owner, answers.is_some());
         if answers.is_some() && !self.lease_owners.is_own(&round.owner) {
             self.lease_contact = now;
         }
+        let Some(service) = &round.service else {
+            return;
+        };
         for (place, question) in round.questions.iter().enumerate() {
             let leased = answers.and_then(|answers| answers.get(place).copied());
             // An owner that leased more than it was asked for did not understand the question.
--- a/crates/hollyhook_core/tests/gateway/quotas.rs
+++ b/crates/hollyhook_core/tests/gateway/quotas.rs
@@ -403,7 +403,7 @@
         if !self.is_up(at, host) {
             return;
         }
-        for (_, round) in self.hosts[host].begin_leases(TimePoint::from_millis(at), &mut self.rng) {
+        for round in self.hosts[host].begin_leases(TimePoint::from_millis(at), &mut self.rng) {
             self.outcome.questions += 1;
             self.lease_rounds.insert((host, round.number));
             let end = Message::LeaseAnswers { borrower: host, round: round.clone(), answers: None };
@@ -463,7 +463,7 @@
             }
             Message::LeaseAnswers { borrower, round, answers } => {
                 if self.lease_rounds.remove(&(borrower, round.number)) {
-                    self.hosts[borrower].record_leases(now, &SERVICE.into(), &round, answers.as_deref());
+                    self.hosts[borrower].record_leases(now, &round, answers.as_deref());
                 }
             }
             Message::Response { host, endpoint, running, rejected } => {
--- a/crates/hollyhook_gateway/src/lease/lease_borrower.rs
+++ b/crates/hollyhook_gateway/src/lease/lease_borrower.rs
@@ -84,14 +84,14 @@
     /// Asks the owners of whom something is due, without waiting for their answers.
     fn begin_rounds(&self) {
         let rounds = self.context.endpoints.table().begin_leases(self.context.timer.now(), &mut rand::rng());
-        for (service, round) in rounds {
-            task::spawn(ask(Arc::clone(&self.context), service, round));
+        for round in rounds {
+            task::spawn(ask(Arc::clone(&self.context), round));
         }
     }
 }
 
 /// Asks one owner and records its answer.
-async fn ask(context: Arc<GatewayContext>, service: Name, round: LeaseRound) {
+async fn ask(context: Arc<GatewayContext>, round: LeaseRound) {
     let known = context
         .feed
         .with_topology(|topology| topology.other_hosts().find(|record| record.host == round.owner).cloned());
@@ -99,7 +99,7 @@
         Some(owner) => ask_at(&context, &owner, &round).await,
         None => None,
     };
-    context.endpoints.table().record_leases(context.timer.now(), &service, &round, answers.as_deref());
+    context.endpoints.table().record_leases(context.timer.now(), &round, answers.as_deref());
 }
 
 async fn ask_at(context: &GatewayContext, owner: &HostRecord, round: &LeaseRound) -> Option<Vec<u32>> {
