--- a/crates/hollyhook_core/src/capacity/capacity_gate.rs
+++ b/crates/hollyhook_core/src/capacity/capacity_gate.rs
@@ -1,9 +1,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::{HostCapacity, UsageReading};
+use super::UsageReading;
 use crate::TimePoint;
 
+/// Bits per second of a megabit per second.
+const MEGABIT: f64 = 1e6;
 /// Span over which use is measured, short enough that few streams are read before their events show.
 const SPAN: Duration = Duration::from_millis(200);
 /// Time between two readings.
@@ -32,21 +34,22 @@
 /// take their time for seconds.
 #[derive(Debug)]
 pub struct CapacityGate {
-    capacity: HostCapacity,
+    /// Speed of the link in each direction, in Mbit/s; 0 if it is not known.
+    link_mbps: u32,
     /// Readings of the last [`SPAN`], and one from before.
     readings: VecDeque<(TimePoint, UsageReading)>,
     read_at: TimePoint,
 }
 
 impl CapacityGate {
-    /// The gate of a host with this capacity.
-    pub fn new(capacity: HostCapacity) -> Self {
-        Self { capacity, readings: VecDeque::new(), read_at: TimePoint::ZERO }
+    /// The gate of a host whose link carries `link_mbps` Mbit/s in each direction; 0 if that is not known.
+    pub fn new(link_mbps: u32) -> Self {
+        Self { link_mbps, readings: VecDeque::new(), read_at: TimePoint::ZERO }
     }
 
     /// Whether a reading is needed for the next verdict.
     pub fn needs_reading(&self, now: TimePoint) -> bool {
-        self.capacity.link_mbps > 0 && self.readings.back().is_none_or(|(at, _)| now.since(*at) >= READING_INTERVAL)
+        self.link_mbps > 0 && self.readings.back().is_none_or(|(at, _)| now.since(*at) >= READING_INTERVAL)
     }
 
     /// Adds what the process has used until now.
@@ -67,12 +70,16 @@
         GateVerdict::Read
     }
 
+    /// The used fraction of the link, in the direction that is used more.
     fn link_use(&self) -> f64 {
         let (Some((from, earlier)), Some((to, later))) = (self.readings.front(), self.readings.back()) else {
             return 0.0;
         };
         // Bursts of a moment don't count for more than they would within a whole span.
         let span = to.since(*from).max(SPAN);
-        self.capacity.link_use(*earlier, *later, span)
+        let received = later.received.saturating_sub(earlier.received);
+        let sent = later.sent.saturating_sub(earlier.sent);
+        let available = f64::from(self.link_mbps) * MEGABIT * span.as_secs_f64();
+        if available > 0.0 { received.max(sent) as f64 * 8.0 / available } else { 0.0 }
     }
 }
--- a/crates/hollyhook_core/src/capacity/mod.rs
+++ b/crates/hollyhook_core/src/capacity/mod.rs
@@ -1,7 +1,7 @@
 //! Which new connections a host reads, by what its link bears.
 
 mod capacity_gate;
-mod host_capacity;
+mod usage_reading;
 
 pub use capacity_gate::{CapacityGate, GateVerdict};
-pub use host_capacity::{HostCapacity, UsageReading};
+pub use usage_reading::UsageReading;
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -34,7 +34,7 @@
     CallAction, CallEvent, CallGuard, CallOutcome, ClaimAction, ClaimAnswer, ClaimCommand, ClaimEvent, ClaimLedger,
     ClaimPolicy, ClaimRecord, ClaimRefusal, ClaimShard, ClaimVerdict,
 };
-pub use capacity::{CapacityGate, GateVerdict, HostCapacity, UsageReading};
+pub use capacity::{CapacityGate, GateVerdict, UsageReading};
 pub use cursor::{CursorKey, CursorSeal, StreamCursor};
 pub use demand::{
     CollectorChoice, DemandBoard, DemandExchange, DemandLedger, DemandMessage, DemandReply, DemandRound, DemandShare,
--- a/crates/hollyhook_core/tests/gateway/capacity.rs
+++ b/crates/hollyhook_core/tests/gateway/capacity.rs
@@ -1,6 +1,6 @@
 //! Which new connections a host reads, by what its link bears.
 
-use hollyhook_core::{CapacityGate, GateVerdict, HostCapacity, TimePoint, UsageReading};
+use hollyhook_core::{CapacityGate, GateVerdict, TimePoint, UsageReading};
 
 const LINK_MBPS: u32 = 10;
 /// Step of the simulation, in milliseconds, as are all times here.
@@ -16,10 +16,6 @@
 const EVENT_BYTES: u64 = 47_000;
 const CALL_BYTES: u64 = 1_500;
 
-fn gate(link_mbps: u32) -> CapacityGate {
-    CapacityGate::new(HostCapacity { link_mbps })
-}
-
 /// Judges a connection every 10 ms while the host uses a constant amount; returns the fraction that is read.
 fn read_share(mut gate: CapacityGate, bytes_per_ms: u64) -> f64 {
     let (mut read, mut judged) = (0, 0);
@@ -36,25 +32,25 @@
 #[test]
 fn capacity_reads_all_below_bounds() {
     // 6 Mbit/s.
-    assert!(read_share(gate(LINK_MBPS), 750) >= 1.0);
+    assert!(read_share(CapacityGate::new(LINK_MBPS), 750) >= 1.0);
 }
 
 #[test]
 fn capacity_closes_most_on_full_link() {
-    let share = read_share(gate(LINK_MBPS), 1_200);
+    let share = read_share(CapacityGate::new(LINK_MBPS), 1_200);
     assert!((0.02..0.1).contains(&share), "{share}");
 }
 
 /// A host whose settings say nothing of its link reads what comes.
 #[test]
 fn capacity_reads_all_where_unknown() {
-    assert!(read_share(gate(0), 100_000) >= 1.0);
+    assert!(read_share(CapacityGate::new(0), 100_000) >= 1.0);
 }
 
 /// Guards against streams that are read faster than they end, until the link is full for seconds.
 #[test]
 fn capacity_keeps_link_free_from_first_second() {
-    let (mut gate, mut streams, mut sent) = (gate(LINK_MBPS), Vec::new(), 0_u64);
+    let (mut gate, mut streams, mut sent) = (CapacityGate::new(LINK_MBPS), Vec::new(), 0_u64);
     let (mut number, mut read, mut by_second) = (0, 0_u64, vec![0_u64; (END / 1_000) as usize]);
     for millis in (STEP..END).step_by(STEP as usize) {
         let before = sent;
--- a/crates/hollyhook_gateway/src/forward/call_wait.rs
+++ b/crates/hollyhook_gateway/src/forward/call_wait.rs
@@ -22,8 +22,8 @@
 const MAX_SPACING_DOUBLINGS: u32 = 5;
 /// Minimum Retry-After delay if no endpoint admits a call.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(120);
-/// How often a call that waits for room at endpoints checks whether there is some.
-const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// How often a request that waits for room at endpoints checks whether there is some.
+pub(super) const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Fraction of the route's latency objective for which a call waits for room.
 const ROOM_WAIT_FACTOR: f64 = 0.5;
 
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
@@ -7,6 +7,7 @@
 use super::attempt_close::BUSY_RETRY_AFTER;
 use super::stream_attempt::StreamAttempt;
 use super::{SEARCH_INTERVAL, StreamRun};
+use crate::forward::call_wait::ROOM_CHECK_INTERVAL;
 use crate::forward::engine_choice::{BackupLocation, EngineChoice, EngineChooser};
 use crate::forward::request_log;
 use crate::gateway::RoutingFailure;
@@ -22,8 +23,6 @@
 
 /// How long an attempt waits for a lease of a slot or a send, in a few exchanges with hosts of the region.
 const LEASE_WAIT: Duration = Duration::from_millis(100);
-/// How often it looks whether there is one.
-const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Choosing engines and beginning attempts.
 impl StreamRun {
@@ -111,7 +110,7 @@
             QuotaBorrower::spawn_if_needed(&self.context);
             LeaseBorrower::spawn_if_needed(&self.context);
             if failure.awaits_room && !may_wait && self.context.timer.now().since(begun) < LEASE_WAIT {
-                self.context.timer.wait(LEASE_CHECK_INTERVAL).await;
+                self.context.timer.wait(ROOM_CHECK_INTERVAL).await;
                 continue;
             }
             if !may_wait || !failure.awaits_room {
