--- a/crates/hollyhook_core/tests/gateway/quotas.rs
+++ b/crates/hollyhook_core/tests/gateway/quotas.rs
@@ -627,9 +627,9 @@
 /// Guards against loans of less than a slot, and lenders that keep slots for which they have hardly any requests.
 #[test]
 fn crowd_served_with_few_slots_8_hosts() {
-    for (slots, least) in [(2, 0.8), (4, 0.9), (6, 0.95), (16, 0.95)] {
+    for slots in [2, 4, 6, 16] {
         let [crowd, others @ ..] = few_slots_outcome(600..624, 8, slots, 0.0);
-        assert!(crowd >= least, "{slots} slots: {crowd}");
+        assert!(crowd >= SERVED_SHARE, "{slots} slots: {crowd}");
         let [_, unlent @ ..] = few_slots_outcome(600..624, 8, slots, 1.0);
         for (share, unlent) in others.into_iter().zip(unlent) {
             assert!(share >= unlent - 0.02, "{slots} slots: {share} with loans, {unlent} without");
