--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,130 +1,161 @@
-"""A version that fails its non-idempotent requests is not rolled back: it is completed and gets all requests."""
+"""A gateway that carries another one's stream is killed: the caller gets the stream's begin as a complete stream."""
 import pathlib
-import random
+import re
 import sys
 import threading
 import time
+import zlib
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common"))
 from standins import *  # noqa: E402,F403
 
-ZONES = ("sala-alfama", "sala-belem", "sala-graca")
-EXPOSURE = {"exposure_share": 0.1, "exposure_slack": 50, "rollback_ms": 5000}
-DURATION = 30.0
-PER_SECOND = 100
-FAILING = 0.4
+GATEWAYS = [("edge-uio-a-1", "uio-a"), ("edge-uio-a-2", "uio-a"), ("edge-uio-a-3", "uio-a"), ("edge-uio-b-1", "uio-b"),
+            ("edge-uio-b-2", "uio-b"), ("edge-uio-c-1", "uio-c"), ("edge-uio-c-2", "uio-c")]
+ENGINES = [("i-a-1", "uio-a"), ("i-a-2", "uio-a"), ("i-b-1", "uio-b"), ("i-b-2", "uio-b"), ("i-c-1", "uio-c"),
+           ("i-c-2", "uio-c")]
+CUT_GATEWAY, CUT_ENGINE = "edge-uio-a-1", "i-a-1"
+EVENTS, EVENT_SECONDS = 140, 0.035
+UNFRAMED_SHARE = 0.03
+ROUNDS = 4
 record = Record(HERE)
-lock = threading.Lock()
-arrivals, bad_answers, statuses = [], [], {}  # of the new version: (time, id); times; of all: id -> status
 
 
-def serve_with(version, salt):
-    draw = random.Random(salt)
+class Model:
+    """Streams of an engine: the events of a request follow from its id, so that any engine may go on with it."""
 
-    def serve(engine, request):
+    def __init__(self, may_be_unframed):
+        self.may_be_unframed, self.unframed, self.runs, self.lock = may_be_unframed, 0, {}, threading.Lock()
+        self.unframed_ports = {}
+
+    def report(self, engine):
+        with self.lock:
+            runs = [[name, 8200 + 7 * events, events, 5] for name, events in self.runs.items() if events]
+            active = len(self.runs)
+        used = sum(run[1] for run in runs)
+        return {"phase": "both", "models": [{"name": "m", "version": 1, "adapters": []}], "busy": False, "seq_no": 2,
+                "queued": 0, "active": active, "kv_used": used, "kv_total": 88000, "handles": 0, "pinned": 0, "held": 0,
+                "state": "ready", "next": 0, "runs": runs}
+
+    def __call__(self, engine, request):
+        if request.path == "/api/report" and request.method == "GET":
+            body = json.dumps(self.report(engine)).encode()
+            engine.answer(request, 200, body, more=("Content-Type: application/json",))
+            return True
+        if request.path.startswith("/api/"):
+            engine.answer(request, 404, signed=False)
+            return True
         if engine.turn_away(request) is not None:
             return True
-        now = time.monotonic()
-        with engine.lock:
-            engine.running += 1
-        is_bad = TROUBLE and version == "v2" and draw.random() < FAILING
-        with lock:
-            arrivals.append((now, version, request.id))
-        time.sleep(0.03)
-        with engine.lock:
-            engine.running -= 1
-        if is_bad:
-            with lock:
-                bad_answers.append(time.monotonic())
-            engine.answer(request, 500, b"failed")
-        else:
-            engine.answer(request, 200, b"x" * 800)
-        record(f"{engine.name} ({version}) ran {request.id}, {'500' if is_bad else '200'}")
-        return True
-
-    return serve
+        return self.stream(engine, request)
+
+    def stream(self, engine, request):
+        wanted = int(request.headers["x-hollyhook-token-counts"].split(",")[1]) // 7
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        with self.lock:
+            is_unframed = self.may_be_unframed and wanted == EVENTS and self.unframed < UNFRAMED_SHARE * engine.answers
+            self.unframed += is_unframed
+            engine.answers += 1
+            self.runs[request.id] = 0
+            if is_unframed:
+                self.unframed_ports[request.id] = request.connection["peer"]
+        record(f"{engine.name} runs {request.id} from event {first}{', answer without a length' if is_unframed else ''}")
+        framing = "Connection: close" if is_unframed else "Transfer-Encoding: chunked"
+        head = (f"HTTP/1.1 200 OK\r\nX-Hollyhook-Attempt-Id: {request.id}\r\nX-Hollyhook-Response-Signature: "
+                f"{engine.name}.{request.id}\r\nContent-Type: text/event-stream\r\n{framing}\r\n\r\n")
+        last = first - 1
+        try:
+            time.sleep(0.2)
+            request.sock.sendall(head.encode())
+            for number in range(first, wanted + 1):
+                event = f"id: {number}\ndata: token-{request.id}-{number}\n\n".encode()
+                data = event if is_unframed else b"%x\r\n%s\r\n" % (len(event), event)
+                request.sock.sendall(data)
+                last = number
+                with self.lock:
+                    self.runs[request.id] = number
+                time.sleep(EVENT_SECONDS)
+            if not is_unframed:
+                request.sock.sendall(b"0\r\n\r\n")
+        finally:
+            with self.lock:
+                self.runs.pop(request.id, None)
+                self.unframed_ports.pop(request.id, None)
+            record(f"{engine.name} ends {request.id} after event {last}")
+        return not is_unframed
 
 
 def main(fleet):
     store = Store()
-    routes = [route("r-confirma", "/confirma/", "non_idempotent", "marketplace", timeout_ms=1500, slo_ms=300)]
-    store.put("config", "main", configuration(routes, [service("marketplace", connections=430)]))
-
-    def start(version):
-        for number, zone in enumerate(ZONES):
-            name = f"i-{version}-{number}"
-            engine = Engine(name, serve_with(version, f"{version}{number}"), slots=20)
-            store.put("servers", name, engine.spec("marketplace", zone, version))
-
-    start("v1")
-    view = store.view()
-    gateways = [fleet.gateway(f"edge-{zone}-1", zone, view, EXPOSURE) for zone in ZONES]
+    engines = {name: Engine(name, Model(name == CUT_ENGINE), slots=64) for name, _zone in ENGINES}
+    terms = {**service("drafting", engine=True)}
+    terms["engine"] = {**terms["engine"], "moves": False, "backups": False}
+    stream_route = route("r-draft", "/draft/", "streaming", "drafting", timeout_ms=25000, slo_ms=4500, priority=1,
+                         max_attempts=5, sticky=True, resumable=True, gap_target_ms=700)
+    store.put("config", "main", configuration([stream_route], [terms]))
+    for name, zone in ENGINES:
+        store.put("servers", name, engines[name].spec("drafting", zone))
+    links, gateways = {}, {}
+    for name, zone in GATEWAYS:
+        links[name] = {engine: Link(engines[engine].address) for engine, _zone in ENGINES}
+        view = store.view(lambda engine, _address, name=name: links[name][engine].address)
+        gateways[name] = fleet.gateway(name, zone, view)
     fleet.wait_ready()
-    time.sleep(4)
-    sent, is_over, threads = {}, threading.Event(), []
+    time.sleep(6)  # by then each gateway knows the others
 
-    def client(number):
-        request_id = f"q{number:05d}"
-        with lock:
-            sent[request_id] = time.monotonic()
-        answer = call(gateways[number % 3].front, request_bytes("POST", "/confirma/2f", request_id, b"aula=7"), 3)
+    answers, lock = {}, threading.Lock()
+
+    def client(request_id, events):
+        more = ("X-Hollyhook-Model: m", f"X-Hollyhook-Token-Counts: 8200,{events * 7}",
+                f"X-Hollyhook-Prompt-Prefix: 5c1e07a2:200,{zlib.crc32(request_id.encode()):x}:8000")
+        data = request_bytes("POST", "/draft/2f", request_id, b"year=2026", 25000, more)
+        record(f"client sends POST {request_id} to {CUT_GATEWAY}")
+        answer = call(gateways[CUT_GATEWAY].front, data)
+        ids = [int(number) for number in re.findall(rb"^id: (\d+)$", answer.body, flags=re.M)]
         with lock:
-            statuses[request_id] = answer.status
-        record(f"client got {answer.status} for POST {request_id}")
-
-    def load():
-        number, at, begin = 0, 0.0, time.monotonic()
-        while not is_over.is_set():
-            time.sleep(max(0.0, begin + at - time.monotonic()))
-            thread = threading.Thread(target=client, args=(number,))
-            thread.start()
-            threads.append(thread)
-            number, at = number + 1, at + random.expovariate(PER_SECOND)
-
-    loader = threading.Thread(target=load)
-    loader.start()
-    time.sleep(3)
-    start("v2")
-    time.sleep(0.3)
-    ordered = time.monotonic()
-    store.put("rollouts", "marketplace", {"service": "marketplace", "target": "v2", "duration_s": DURATION})
-    record(f"operator orders a roll-out of marketplace to v2, {DURATION} s")
-    seen = None
-    while time.monotonic() < ordered + DURATION + 8:
-        status = store.get("rollouts", "marketplace")["status"]
-        if status != seen:
-            seen = status
-            record(f"rollouts/marketplace status: {status}")
-            if status.get("state") == "completed":
-                for number in range(len(ZONES)):
-                    store.remove("servers", f"i-v1-{number}")
-                record("the old engines are stopped")
-        time.sleep(0.05)
-    is_over.set()
-    loader.join()
-    for thread in threads:
+            answers[request_id] = (answer, ids, events)
+        record(f"client got {answer.status} for {request_id}, {'complete' if answer.is_complete else 'not complete'}"
+               f" {answer.why}, events {ids[:1]} to {ids[-1:]}, {len(ids)} of {events}")
+
+    def send(name, count, events, pause):
+        threads = []
+        for number in range(count):
+            threads.append(threading.Thread(target=client, args=(f"{name}-{number:03d}", events)))
+            threads[-1].start()
+            time.sleep(pause)
+        return threads
+
+    if TROUBLE:
+        links[CUT_GATEWAY][CUT_ENGINE].cut()
+        record(f"{CUT_GATEWAY} loses its path to {CUT_ENGINE} (its connections are refused)")
+    for thread in send("short", 100, 4, 0.1):
         thread.join()
-    new = [(at, name) for at, version, name in arrivals if version == "v2"]
-    deadline = ordered + DURATION
-    total = sum(ordered <= at <= deadline for at, _version, _name in arrivals)
-    exposed = sum(ordered <= at <= deadline for at, _name in new)
-    limit = EXPOSURE["exposure_share"] * total + EXPOSURE["exposure_slack"]
-    is_over_exposed = len(bad_answers) > 0 and exposed > limit
-    late = []
-    if len(bad_answers) >= 50:
-        until = sorted(bad_answers)[49] + EXPOSURE["rollback_ms"] / 1000
-        late = [name for _at, name in new if sent.get(name, 0) > until]
-        record(f"50th bad answer {until - 5 - ordered:.1f} s after the order; {len(late)} requests that were sent more than"
-               f" 5 s after it reached v2")
-    failed = sum(status == 500 for status in statuses.values())
-    text = (f"{len(statuses)} requests, {failed} answered 500; v2 {len(bad_answers)} bad answers, {exposed} requests until"
-            f" the deadline (limit {limit:.0f}), {len(late)} sent later than rollback_ms after the 50th; state"
-            f" {seen and seen.get('state')}")
+    for number in range(ROUNDS):
+        threads = send(f"long{number}", 10, EVENTS, 0.05)
+        time.sleep(2.0)
+        ports = set(engines[CUT_ENGINE].serve.unframed_ports.values())
+        carriers = [name for name, _zone in GATEWAYS[1:] if ports & links[name][CUT_ENGINE].ports]
+        record(f"gateways that carry answers without a length of {CUT_ENGINE} for {CUT_GATEWAY}: {carriers}")
+        is_last = number == ROUNDS - 1
+        if TROUBLE and carriers:
+            gateways[carriers[0]].process.kill()
+            record(f"{carriers[0]} is killed")
+            is_last = True
+        for thread in threads:
+            thread.join()
+        if is_last:
+            break
+    broken = [name for name, (answer, ids, events) in answers.items()
+              if answer.status == 200 and answer.is_complete and ids != list(range(1, events + 1))]
+    for name in broken:
+        _answer, ids, events = answers[name]
+        record(f"ORDER: {name} ended as complete after {len(ids)} of {events} events")
+    whole = sum(answer.is_complete and len(ids) == events for answer, ids, events in answers.values())
+    text = (f"{len(answers)} streams, {whole} whole, {len(broken)} ended as complete and were not;"
+            f" unframed {engines[CUT_ENGINE].serve.unframed} of {engines[CUT_ENGINE].answers} answers")
     record(text)
     print(text)
-    return not late and not is_over_exposed and (TROUBLE or seen.get("state") == "completed")
+    return not broken
 
 
-random.seed(3)
 run_case(main)
