--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,8 +16,8 @@
            ("i-c-2", "uio-c")]
 CUT_GATEWAY, CUT_ENGINE = "edge-uio-a-1", "i-a-1"
 EVENTS, EVENT_SECONDS = 140, 0.035
-UNFRAMED_SHARE = 0.03
-ROUNDS = 4
+UNFRAMED_SHARE, CUT_SECONDS = 0.02, 5.0
+ROUNDS = 5
 record = Record(HERE)
 
 
@@ -53,12 +53,15 @@
         wanted = int(request.headers["x-hollyhook-token-counts"].split(",")[1]) // 7
         first = int(request.headers.get("last-event-id", 0)) + 1
         with self.lock:
-            is_unframed = self.may_be_unframed and wanted == EVENTS and self.unframed < UNFRAMED_SHARE * engine.answers
+            recent = engine.answers_since(time.monotonic() - 5.0)
+            is_unframed = self.may_be_unframed and wanted == EVENTS and self.unframed + 1 <= UNFRAMED_SHARE * recent
             self.unframed += is_unframed
-            engine.answers += 1
+            if is_unframed:
+                record(f"{engine.name} has sent {recent} answers in the last 5 s, {self.unframed} without a length")
             self.runs[request.id] = 0
             if is_unframed:
                 self.unframed_ports[request.id] = request.connection["peer"]
+        engine.count_answer()
         record(f"{engine.name} runs {request.id} from event {first}{', answer without a length' if is_unframed else ''}")
         framing = "Connection: close" if is_unframed else "Transfer-Encoding: chunked"
         head = (f"HTTP/1.1 200 OK\r\nX-Hollyhook-Attempt-Id: {request.id}\r\nX-Hollyhook-Response-Signature: "
@@ -117,42 +120,55 @@
         record(f"client got {answer.status} for {request_id}, {'complete' if answer.is_complete else 'not complete'}"
                f" {answer.why}, events {ids[:1]} to {ids[-1:]}, {len(ids)} of {events}")
 
+    threads = []
+
     def send(name, count, events, pause):
-        threads = []
         for number in range(count):
             threads.append(threading.Thread(target=client, args=(f"{name}-{number:03d}", events)))
             threads[-1].start()
             time.sleep(pause)
-        return threads
 
-    if TROUBLE:
-        links[CUT_GATEWAY][CUT_ENGINE].cut()
-        record(f"{CUT_GATEWAY} loses its path to {CUT_ENGINE} (its connections are refused)")
-    for thread in send("short", 100, 4, 0.1):
-        thread.join()
+    link, model = links[CUT_GATEWAY][CUT_ENGINE], engines[CUT_ENGINE].serve
     for number in range(ROUNDS):
-        threads = send(f"long{number}", 10, EVENTS, 0.05)
-        time.sleep(2.0)
-        ports = set(engines[CUT_ENGINE].serve.unframed_ports.values())
+        model.unframed = 0
+        load = threading.Thread(target=send, args=(f"short{number}", 200, 4, 0.03))
+        load.start()
+        time.sleep(4.5)
+        if TROUBLE:
+            link.cut()
+            record(f"{CUT_GATEWAY} loses its path to {CUT_ENGINE} for {CUT_SECONDS} s (connections are reset and refused)")
+        cut_at = time.monotonic()
+        time.sleep(0.2)
+        send(f"long{number}", 10, EVENTS, 0.05)
+        time.sleep(1.8)
+        ports = set(model.unframed_ports.values())
         carriers = [name for name, _zone in GATEWAYS[1:] if ports & links[name][CUT_ENGINE].ports]
         record(f"gateways that carry answers without a length of {CUT_ENGINE} for {CUT_GATEWAY}: {carriers}")
-        is_last = number == ROUNDS - 1
         if TROUBLE and carriers:
-            gateways[carriers[0]].process.kill()
-            record(f"{carriers[0]} is killed")
-            is_last = True
-        for thread in threads:
-            thread.join()
-        if is_last:
+            killed = gateways[carriers[0]]
+            killed.process.kill()
+            record(f"{killed.name} is killed")
+            time.sleep(1.0)
+            killed.process.wait()
+            killed.process = fleet.start(killed.name)
+            record(f"{killed.name} is started again")
+        time.sleep(max(0.0, cut_at + CUT_SECONDS - time.monotonic()))
+        if TROUBLE:
+            link.heal()
+            record("the path is back")
+        load.join()
+        while threads:
+            threads.pop().join()
+        if carriers:
             break
+        time.sleep(2.0)
     broken = [name for name, (answer, ids, events) in answers.items()
               if answer.status == 200 and answer.is_complete and ids != list(range(1, events + 1))]
     for name in broken:
         _answer, ids, events = answers[name]
         record(f"ORDER: {name} ended as complete after {len(ids)} of {events} events")
     whole = sum(answer.is_complete and len(ids) == events for answer, ids, events in answers.values())
-    text = (f"{len(answers)} streams, {whole} whole, {len(broken)} ended as complete and were not;"
-            f" unframed {engines[CUT_ENGINE].serve.unframed} of {engines[CUT_ENGINE].answers} answers")
+    text = (f"{len(answers)} streams, {whole} whole, {len(broken)} ended as complete and were not")
     record(text)
     print(text)
     return not broken
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -282,6 +282,7 @@
         self.running, self.lock = 0, threading.Lock()
         self.connections = 0
         self.answers = 0
+        self.answered = []
         self.listener = socket.create_server((LOCAL, 0), backlog=512)
         self.address = f"{LOCAL}:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
@@ -296,10 +297,10 @@
             threading.Thread(target=self.connection, args=(sock, self.connections), daemon=True).start()
 
     def connection(self, sock, number):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         reader = Reader(sock)
-        state = {"number": number, "peer": sock.getpeername()[1]}
         try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            state = {"number": number, "peer": sock.getpeername()[1]}
             while True:
                 head = reader.head()
                 if head is None:
@@ -331,10 +332,19 @@
         lines.append(f"X-Hollyhook-Instance-Load: {self.running},0,{self.slots}")
         lines += [f"Content-Length: {len(body)}", *more]
         data = ("\r\n".join(lines) + "\r\n\r\n").encode() + body
-        self.answers += 1
+        self.count_answer()
         request.sock.sendall(data)
         return data
 
+    def count_answer(self):
+        with self.lock:
+            self.answers += 1
+            self.answered.append(time.monotonic())
+
+    def answers_since(self, at):
+        with self.lock:
+            return sum(answered >= at for answered in self.answered[-2000:])
+
     def turn_away(self, request):
         """Answers what is not run; returns the bytes sent, or None if the request is to be run."""
         if request.headers.get("x-hollyhook-expect-instance", self.name) != self.name:
@@ -349,6 +359,37 @@
                 "models": [{"name": "m", "version": 1, "adapters": []}], "seq_no": 1}
 
 
+class Garble:
+    """When a faulty engine may spoil an answer: in windows of `FOR_S` seconds, at most `X` of its answers.
+
+    The site file's dose: `{ kind = "garble", how = "extra late", share = 0.6, x = 0.03, for_s = 5.0 }`.
+    """
+
+    X, FOR_S = 0.03, 5.0
+
+    def __init__(self, period):
+        self.period, self.begin, self.window, self.spoilt, self.most = period, time.monotonic(), None, 0, []
+
+    def try_spoil(self, engine, count=1, held=0):
+        """Counts a spoilt answer if the dose allows it, and `held` more after it."""
+        now = time.monotonic()
+        window, into = divmod(now - self.begin, self.period)
+        if not TROUBLE or into > self.FOR_S:
+            return False
+        with engine.lock:
+            if window != self.window:
+                self.window, self.spoilt = window, 0
+        answers = engine.answers_since(now - self.FOR_S)
+        if self.spoilt + count + held > self.X * answers:
+            return False
+        self.spoilt += count
+        self.most.append((self.spoilt, answers))
+        return True
+
+    def __str__(self):
+        return f"spoilt in a window, answers in 5 s: {self.most}"
+
+
 # ---------------------------------------------------------------- a proxy
 
 
@@ -356,14 +397,13 @@
     """A proxy before an engine: one gateway's path to it."""
 
     def __init__(self, target):
-        self.target, self.is_cut, self.open, self.ports = target, False, set(), set()
+        self.target, self.open, self.ports = target, set(), set()
         self.listener = socket.create_server((LOCAL, 0), backlog=512)
         self.address = f"{LOCAL}:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
 
     def cut(self):
         """From now on open connections are reset and new ones refused."""
-        self.is_cut = True
         self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         for sock in list(self.open):
@@ -372,10 +412,15 @@
             except OSError:
                 pass
 
+    def heal(self):
+        self.listener = socket.create_server((LOCAL, int(self.address.split(":")[1])), backlog=512)
+        threading.Thread(target=self.accept, daemon=True).start()
+
     def accept(self):
+        listener = self.listener
         while True:
             try:
-                sock, _peer = self.listener.accept()
+                sock, _peer = listener.accept()
             except OSError:
                 return
             host, port = self.target.split(":")
@@ -516,14 +561,17 @@
         text = fill(template, fields).replace(":9464", f":{metrics}")
         settings = self.folder / f"{name}.ini"
         settings.write_text(text)
-        log = open(self.folder / f"{name}.log", "w")
-        process = subprocess.Popen([ROOT / "target/release/hollyhookd", "--settings", settings], cwd=ROOT, stdout=log,
-                                   stderr=log)
-        gateway = Gateway(name, process, fields["listen"]["front"], fields["listen"]["ready"],
+        gateway = Gateway(name, self.start(name), fields["listen"]["front"], fields["listen"]["ready"],
                           f"{LOCAL}:{metrics}", self.folder / f"{name}.log")
         self.gateways.append(gateway)
         return gateway
 
+    def start(self, name):
+        """Starts the process, also again after it was killed."""
+        log = open(self.folder / f"{name}.log", "a")
+        command = [ROOT / "target/release/hollyhookd", "--settings", self.folder / f"{name}.ini"]
+        return subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log)
+
     def wait_ready(self, seconds=15):
         until = time.monotonic() + seconds
         for gateway in self.gateways:
@@ -561,6 +609,11 @@
 def run_case(main):
     """Runs `main(fleet)`, which returns True if the rule held; exits with 0, 1, or 2 if the case could not run."""
     fleet, code = Fleet(), 2
+
+    def end(*_arguments):
+        raise RuntimeError("the time is up")
+
+    signal.signal(signal.SIGTERM, end)
     try:
         code = 0 if main(fleet) else 1
     except Exception as error:  # the case could not run
