--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -551,7 +551,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="hollyhook-review-"))
         self.gateways = []
 
-    def gateway(self, name, zone, store, bounds=None):
+    def gateway(self, name, zone, store, bounds=None, tries=3):
         front, ready, metrics, peer = (free_port() for _ in range(4))
         fields = {"node_name": name, "zone": zone, "ip": LOCAL, "platform": {"address": store},
                   "limits": {"memory_mb": 260, "link_mbps": 1000.0}, "bounds": {**BOUNDS, **(bounds or {})},
@@ -561,7 +561,11 @@
         text = fill(template, fields).replace(":9464", f":{metrics}")
         settings = self.folder / f"{name}.ini"
         settings.write_text(text)
-        gateway = Gateway(name, self.start(name), fields["listen"]["front"], fields["listen"]["ready"],
+        process = self.start(name)
+        time.sleep(0.3)
+        if process.poll() is not None and tries > 0:  # another program took one of the ports meanwhile
+            return self.gateway(name, zone, store, bounds, tries - 1)
+        gateway = Gateway(name, process, fields["listen"]["front"], fields["listen"]["ready"],
                           f"{LOCAL}:{metrics}", self.folder / f"{name}.log")
         self.gateways.append(gateway)
         return gateway
