--- a/review/4/case.py
+++ b/review/4/case.py
@@ -51,10 +51,12 @@
     routes = [route("r-confirma", "/confirma/", "non_idempotent", "marketplace", timeout_ms=1500, slo_ms=300)]
     store.put("config", "main", configuration(routes, [service("marketplace", connections=430)]))
 
+    engines = {}
+
     def start(version):
         for number, zone in enumerate(ZONES):
             name = f"i-{version}-{number}"
-            engine = Engine(name, serve_with(version, f"{version}{number}"), slots=20)
+            engine = engines[name] = Engine(name, serve_with(version, f"{version}{number}"), slots=20)
             store.put("servers", name, engine.spec("marketplace", zone, version))
 
     start("v1")
@@ -98,6 +100,7 @@
             record(f"rollouts/marketplace status: {status}")
             if status.get("state") == "completed":
                 for number in range(len(ZONES)):
+                    engines[f"i-v1-{number}"].stop()
                     store.remove("servers", f"i-v1-{number}")
                 record("the old engines are stopped")
         time.sleep(0.05)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -283,6 +283,7 @@
         self.connections = 0
         self.answers = 0
         self.answered = []
+        self.sockets = []
         self.listener = socket.create_server((LOCAL, 0), backlog=512)
         self.address = f"{LOCAL}:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
@@ -294,6 +295,7 @@
             except OSError:
                 return
             self.connections += 1
+            self.sockets.append(sock)
             threading.Thread(target=self.connection, args=(sock, self.connections), daemon=True).start()
 
     def connection(self, sock, number):
@@ -345,6 +347,16 @@
         with self.lock:
             return sum(answered >= at for answered in self.answered[-2000:])
 
+    def stop(self):
+        """The engine stops at once: it accepts nothing more and its connections are closed."""
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for sock in self.sockets:
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def turn_away(self, request):
         """Answers what is not run; returns the bytes sent, or None if the request is to be run."""
         if request.headers.get("x-hollyhook-expect-instance", self.name) != self.name:
@@ -370,6 +382,9 @@
     def __init__(self, period):
         self.period, self.begin, self.window, self.spoilt, self.most = period, time.monotonic(), None, 0, []
 
+    def is_on(self):
+        return TROUBLE and (time.monotonic() - self.begin) % self.period <= self.FOR_S
+
     def try_spoil(self, engine, count=1, held=0):
         """Counts a spoilt answer if the dose allows it, and `held` more after it."""
         now = time.monotonic()
