--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -96,6 +96,11 @@
     *request.headers_mut() = caller.headers.clone();
     hollyhook_platform::set_attempt_headers(request.headers_mut(), headers);
     let response = send(context, target, request).await?;
+    if response.head.attempt_id.is_none() {
+        context.recorder.count("answers_without_id");
+        tracing::info!(request = %caller.head.attempt_id, endpoint = %target.id, status = response.head.status,
+            is_not_run = response.head.is_not_run, is_signed = response.head.is_signed, "answer.without_id");
+    }
     if response.head.is_from(&target.entry) {
         context.endpoints.end_terms(&target.id, response.head.terms, response.sent_at);
     }
