A stop waits until answers are written, and admits nothing once it has ended

Callers that read slowly got 200 and a body that broke off 3 s after SIGTERM, with 5 s of the grace period left. A request counted as done when its response was made; up to 256 KiB of it were still in the connection's write buffer. It now counts until the connection has flushed, which the HTTP connection does only with an empty buffer. The last count also ends the admission, so that a request that arrives between it and the end of the process is refused as not run.

Before: shutdown_waits_until_answers_are_written and shutdown_ends_although_caller_reads_nothing fail, since the shutdown ends with the answer unwritten; now both pass, with the five other tests of stops.

--- a/crates/hollyhook_gateway/src/front/admission.rs
+++ b/crates/hollyhook_gateway/src/front/admission.rs
@@ -30,7 +30,6 @@
 /// The error for the caller; the request has not run then.
 pub(super) async fn admit(parts: Parts, body: Incoming, context: &Arc<GatewayContext>) -> Result<CallerRequest> {
     let arrived = context.timer.now();
-    let guard = context.load.begin();
     context.wait_for_start().await;
     let site = context.site().ok_or_else(|| unconfirmed_error(None))?;
     check_method(&parts)?;
@@ -57,7 +56,6 @@
         arrived,
         deadline,
         _reservation: reservation,
-        _guard: guard,
     })
 }
 
@@ -108,7 +106,7 @@
 }
 
 fn check_not_stopping(route: &RouteConfig, wait_limit: Duration, context: &GatewayContext) -> Result<()> {
-    if context.is_admitted(route.kind, wait_limit) {
+    if context.is_admitted(route.kind, wait_limit) && !context.load.is_closed() {
         return Ok(());
     }
     let why = "this host is stopping and the request might not end in time";
--- a/crates/hollyhook_gateway/src/front/caller_request.rs
+++ b/crates/hollyhook_gateway/src/front/caller_request.rs
@@ -7,7 +7,7 @@
 };
 use http::{HeaderMap, Method, Uri};
 
-use crate::gateway::{BodyReservation, RequestGuard};
+use crate::gateway::BodyReservation;
 
 /// An admitted request of a caller, with its whole body.
 #[derive(Debug)]
@@ -29,7 +29,6 @@
     /// When the caller's or the route's time limit ends, whichever is sooner.
     pub(crate) deadline: TimePoint,
     pub(crate) _reservation: BodyReservation,
-    pub(crate) _guard: RequestGuard,
 }
 
 impl CallerRequest {
--- a/crates/hollyhook_gateway/src/front/front_server.rs
+++ b/crates/hollyhook_gateway/src/front/front_server.rs
@@ -15,6 +15,7 @@
 
 use super::idle_watch::IdleWatch;
 use super::request_handler::handle;
+use super::unwritten_responses::{FlushedStream, UnwrittenResponses};
 use crate::gateway::GatewayContext;
 use crate::net::{metered_stream, reset_on_close};
 
@@ -62,14 +63,16 @@
     }
     let socket = stream.clone();
     let watch = Arc::new(IdleWatch::new(context.timer.now()));
+    let unwritten = UnwrittenResponses::default();
     let service = service_fn(|request| {
-        let (context, watch) = (Arc::clone(&context), Arc::clone(&watch));
-        async move { Ok::<_, Infallible>(handle(request, &context, watch).await) }
+        let (context, watch, unwritten) = (Arc::clone(&context), Arc::clone(&watch), unwritten.clone());
+        async move { Ok::<_, Infallible>(handle(request, &context, watch, unwritten).await) }
     });
     let limits = context.site().map(|site| site.limits()).unwrap_or_default();
     let mut builder = http1::Builder::new();
     builder.max_buf_size(limits.head_bytes.max(8_192)).pipeline_flush(false);
-    let mut connection = pin!(builder.serve_connection(metered_stream(stream, &context.meter), service));
+    let stream = metered_stream(FlushedStream::new(stream, unwritten.clone()), &context.meter);
+    let mut connection = pin!(builder.serve_connection(stream, service));
     loop {
         let tick = pin!(context.timer.wait(WATCH_INTERVAL).fuse());
         match futures::future::select(connection.as_mut(), tick).await {
--- a/crates/hollyhook_gateway/src/front/mod.rs
+++ b/crates/hollyhook_gateway/src/front/mod.rs
@@ -8,6 +8,7 @@
 mod request_handler;
 mod response_body;
 mod status_server;
+mod unwritten_responses;
 
 pub(crate) use caller_request::CallerRequest;
 pub(crate) use front_server::{ACCEPT_PAUSE, serve_callers};
--- a/crates/hollyhook_gateway/src/front/request_handler.rs
+++ b/crates/hollyhook_gateway/src/front/request_handler.rs
@@ -8,21 +8,24 @@
 
 use super::admission::admit;
 use super::idle_watch::IdleWatch;
+use super::unwritten_responses::UnwrittenResponses;
 use super::{ResponseBody, error_response};
 use crate::forward::forward;
-use crate::gateway::GatewayContext;
+use crate::gateway::{GatewayContext, RequestGuard};
 
 /// Serves one request of a caller.
 pub(super) async fn handle(
     request: Request<Incoming>,
     context: &Arc<GatewayContext>,
     watch: Arc<IdleWatch>,
+    unwritten: UnwrittenResponses,
 ) -> Response<ResponseBody> {
     watch.begin();
     if request.version() < Version::HTTP_11 {
         watch.mark_ended_by_close();
     }
-    let active = ActiveGuard { context: Arc::clone(context), watch };
+    let counted = Some(context.load.begin());
+    let active = ActiveGuard { context: Arc::clone(context), watch, unwritten, counted };
     let (parts, body) = request.into_parts();
     // The parser removes a `Content-Length` next to `Transfer-Encoding: chunked` (RFC 9112, 6.3), so that it can't be
     // detected here. A peer that framed the body by that length would take the rest of it for the next request. So the
@@ -53,14 +56,20 @@
     })
 }
 
-/// Keeps a connection marked as active until the response body is dropped.
+/// Keeps a connection marked as active until the response body is dropped, and the request counted until the response
+/// has been written.
 struct ActiveGuard {
     context: Arc<GatewayContext>,
     watch: Arc<IdleWatch>,
+    unwritten: UnwrittenResponses,
+    counted: Option<RequestGuard>,
 }
 
 impl Drop for ActiveGuard {
     fn drop(&mut self) {
         self.watch.end(self.context.timer.now());
+        if let Some(guard) = self.counted.take() {
+            self.unwritten.add(guard);
+        }
     }
 }
--- a/crates/hollyhook_gateway/src/gateway/gateway_process.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -89,7 +89,7 @@
         tracing::info!(requests = self.context.load.requests(), "gateway.stopping");
         timer.wait(self.context.stop_plan().accept_period()).await;
         while timer.now().since(began_at) < self.context.stop_plan().usable_grace() {
-            if self.context.load.requests() == 0 {
+            if self.context.load.try_close() {
                 tracing::info!("gateway.stopped");
                 return true;
             }
--- a/crates/hollyhook_gateway/src/gateway/request_load.rs
+++ b/crates/hollyhook_gateway/src/gateway/request_load.rs
@@ -1,11 +1,12 @@
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 /// The number of requests that a host is processing, the memory reserved for their bodies, and the number of streams that
 /// wait for their callers.
 #[derive(Debug)]
 pub(crate) struct RequestLoad {
     requests: AtomicUsize,
+    is_closed: AtomicBool,
     body_bytes: AtomicUsize,
     body_limit: usize,
     waiting_streams: AtomicUsize,
@@ -19,10 +20,16 @@
     pub(crate) fn new(memory_bytes: usize) -> Self {
         // Bodies may use a quarter of the memory; the rest is for connections and data that is being sent.
         let body_limit = memory_bytes / 4;
-        Self { requests: 0.into(), body_bytes: 0.into(), body_limit, waiting_streams: 0.into() }
+        Self {
+            requests: 0.into(),
+            is_closed: false.into(),
+            body_bytes: 0.into(),
+            body_limit,
+            waiting_streams: 0.into(),
+        }
     }
 
-    /// The number of requests that are being processed.
+    /// The number of requests that are being processed, until their responses have been written.
     pub(crate) fn requests(&self) -> usize {
         self.requests.load(Ordering::Relaxed)
     }
@@ -40,10 +47,27 @@
 
     /// Counts a request as being processed until the guard is dropped.
     pub(crate) fn begin(self: &Arc<Self>) -> RequestGuard {
-        self.requests.fetch_add(1, Ordering::Relaxed);
+        self.requests.fetch_add(1, Ordering::SeqCst);
         RequestGuard { load: Arc::clone(self) }
     }
 
+    /// Ends the admission of requests if none is being processed; returns whether it has ended.
+    pub(crate) fn try_close(&self) -> bool {
+        self.is_closed.store(true, Ordering::SeqCst);
+        let is_idle = self.requests.load(Ordering::SeqCst) == 0;
+        if !is_idle {
+            self.is_closed.store(false, Ordering::SeqCst);
+        }
+        is_idle
+    }
+
+    /// Whether requests are no longer admitted since the process is about to end.
+    ///
+    /// A request must be counted before it asks: either it then sees the end of the admission, or it prevents the end.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::SeqCst)
+    }
+
     /// An empty reservation of memory, for a body that is about to be read.
     pub(crate) fn reserve_body(self: &Arc<Self>) -> BodyReservation {
         BodyReservation { load: Arc::clone(self), bytes: 0 }
@@ -58,7 +82,7 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.load.requests.fetch_sub(1, Ordering::Relaxed);
+        self.load.requests.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
