Answers that do not echo the request's id are not believed

What callers saw: a call that may not be repeated ran at two endpoints, or its caller got the answer to another request (a 404 without an id), when a late second answer without an id arrived on the connection before the call's own answer.

Cause: evaluate_answer took an answer without an id for the request's own, and send learned loads, terms and signs of life from every answer before any check.

Now an answer belongs to a request only if its attempt id is the request's, and to a request of hollyhook's own only if it has none (AnswerHead::is_foreign). send checks that before anything is learned from the head, fails with Garbled and drops the connection. A call that may not be repeated ends with 502 and outcome unknown; a repeatable one goes on elsewhere.

No other stand-in answered callers' requests without their id.

--- a/crates/hollyhook_core/src/forward/answer_verdict.rs
+++ b/crates/hollyhook_core/src/forward/answer_verdict.rs
@@ -24,6 +24,14 @@
 }
 
 impl AnswerHead {
+    /// Whether this is not the answer to the request with this attempt id; `None` for a request that carries none.
+    ///
+    /// Endpoints echo the id of each request that has one. On a connection on which an earlier request may be answered
+    /// once more, an answer without the id can't be told from that second answer.
+    pub fn is_foreign(&self, attempt_id: Option<&str>) -> bool {
+        self.attempt_id.as_deref() != attempt_id
+    }
+
     /// Whether the answer comes from the addressed incarnation rather than another at the same address.
     ///
     /// An answer that names no incarnation counts as one of the addressed incarnation, unless its status is 421
@@ -102,11 +110,11 @@
 
 /// Decides from an answer's head whether the answer is passed on to the caller.
 ///
-/// A status that promises "not run" is never passed on from an endpoint: unless the endpoint states that it did not run
-/// the request, the promise may be false.
+/// An answer that does not echo `attempt_id` is not the answer to the request, whatever it states. A status that promises
+/// "not run" is never passed on from an endpoint: unless the endpoint states that it did not run the request, the promise
+/// may be false.
 pub fn evaluate_answer(kind: RequestKind, attempt_id: &str, endpoint: &str, head: &AnswerHead) -> AnswerVerdict {
-    let is_foreign = head.attempt_id.as_deref().is_some_and(|id| id != attempt_id);
-    if is_foreign || head.is_encoded {
+    if head.is_foreign(Some(attempt_id)) || head.is_encoded {
         return AnswerVerdict::Fail(AttemptFailure::Garbled);
     }
     if head.status == MISDIRECTED {
--- a/crates/hollyhook_core/tests/gateway/answers.rs
+++ b/crates/hollyhook_core/tests/gateway/answers.rs
@@ -49,6 +49,30 @@
     }
 }
 
+/// A late second answer to a request without an id was believed to be the answer to a caller's request.
+#[test]
+fn evaluate_answer_without_id() {
+    for kind in KINDS {
+        for status in [200, 302, 400, 404, 408, 421, 429, 500, 503] {
+            for is_not_run in [false, true] {
+                let endpoint = Some("i-1".into());
+                let unnamed = AnswerHead { attempt_id: None, is_not_run, endpoint, ..head(status) };
+                assert_eq!(evaluate(kind, &unnamed), AnswerVerdict::Fail(AttemptFailure::Garbled), "{status}");
+            }
+        }
+    }
+}
+
+#[test]
+fn is_foreign_by_id() {
+    let (named, unnamed) = (head(200), AnswerHead { attempt_id: None, ..head(200) });
+    assert!(!named.is_foreign(Some("r1")));
+    assert!(named.is_foreign(Some("r2")));
+    assert!(named.is_foreign(None), "a request without an id is not answered with one");
+    assert!(unnamed.is_foreign(Some("r1")));
+    assert!(!unnamed.is_foreign(None));
+}
+
 #[test]
 fn evaluate_misdirected() {
     let other = AnswerHead { endpoint: Some("i-2".into()), ..head(421) };
--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -95,12 +95,7 @@
     *request.uri_mut() = origin_form(caller);
     *request.headers_mut() = caller.headers.clone();
     hollyhook_platform::set_attempt_headers(request.headers_mut(), headers);
-    let response = send(context, target, request).await?;
-    if response.head.attempt_id.is_none() {
-        context.recorder.count("answers_without_id");
-        tracing::info!(request = %caller.head.attempt_id, endpoint = %target.id, status = response.head.status,
-            is_not_run = response.head.is_not_run, is_signed = response.head.is_signed, "answer.without_id");
-    }
+    let response = send(context, target, request, Some(&caller.head.attempt_id)).await?;
     if response.head.is_from(&target.entry) {
         context.endpoints.end_terms(&target.id, response.head.terms, response.sent_at);
     }
@@ -112,11 +107,18 @@
 
 /// Sends a request to an endpoint on a pooled connection, or on a new one if none is pooled.
 ///
-/// If a pooled connection turns out to be closed before any byte was sent, the request is sent on another connection.
+/// `attempt_id` is that of the request, `None` if it carries none. If a pooled connection turns out to be closed before any
+/// byte was sent, the request is sent on another connection.
+///
+/// # Errors
+///
+/// `Garbled` also if the first answer on the connection is one to another request. Nothing is learned from it, and the
+/// connection is closed.
 pub(super) async fn send(
     context: &GatewayContext,
     target: &EndpointTarget,
     mut request: Request<Full<Bytes>>,
+    attempt_id: Option<&str>,
 ) -> Result<OpenResponse, AttemptFailure> {
     loop {
         let pooled = context.pool.take(&target.id);
@@ -128,11 +130,15 @@
         let sent_at = context.timer.now();
         match connection.send(request).await {
             Ok(response) => {
+                let (parts, body) = response.into_parts();
+                let head = hollyhook_platform::answer_head(&parts);
+                if head.is_foreign(attempt_id) {
+                    record_foreign(context, target, &head, attempt_id);
+                    return Err(AttemptFailure::Garbled);
+                }
                 if !connection.is_tunnel() {
                     context.paths.record_heard(target);
                 }
-                let (parts, body) = response.into_parts();
-                let head = hollyhook_platform::answer_head(&parts);
                 if head.is_from(&target.entry) {
                     context.endpoints.record_heard(&target.id);
                     context.endpoints.apply_terms(&target.id, head.terms);
@@ -148,6 +154,15 @@
     }
 }
 
+/// Records that an answer is not that to the request with `attempt_id`.
+fn record_foreign(context: &GatewayContext, target: &EndpointTarget, head: &AnswerHead, attempt_id: Option<&str>) {
+    if let (None, Some(request)) = (&head.attempt_id, attempt_id) {
+        context.recorder.count("answers_without_id");
+        tracing::info!(request, endpoint = %target.id, status = head.status, is_not_run = head.is_not_run,
+            is_signed = head.is_signed, "answer.without_id");
+    }
+}
+
 async fn connect(context: &GatewayContext, target: &EndpointTarget) -> Result<PooledConnection, AttemptFailure> {
     let begin = context.timer.now();
     let connected = context.connector.connect(target).await;
--- a/crates/hollyhook_gateway/src/forward/endpoint_call.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_call.rs
@@ -18,8 +18,8 @@
 ///
 /// # Errors
 ///
-/// `Silent` if that takes longer than `limit`; `NotConnected`, `Broken` or `Garbled` if the connection fails;
-/// `Failed` if the reply is larger than [`MAX_REPLY_BYTES`].
+/// `Silent` if that takes longer than `limit`; `NotConnected`, `Broken` or `Garbled` if the connection fails; `Garbled`
+/// also for an answer with an attempt id, which the request has none of; `Failed` if the reply is larger than [`MAX_REPLY_BYTES`].
 pub(super) async fn call_endpoint(
     context: &GatewayContext,
     target: &EndpointTarget,
@@ -27,7 +27,7 @@
     limit: Duration,
 ) -> Result<BufferedResponse, AttemptFailure> {
     let exchange = async {
-        let response = send(context, target, request).await?;
+        let response = send(context, target, request, None).await?;
         response.read_to_end(context, &target.id, MAX_REPLY_BYTES).await
     };
     context.timer.within(limit, exchange).await.unwrap_or(Err(AttemptFailure::Silent))
