Connections of questions to plain services are closed after the answer

What callers saw: after a slow call, a call that may not be repeated ended with 502, and ran at two endpoints before answers without an id were rejected.

Cause: the question that tests a path to an endpoint that is no engine is a request without an id, and its connection went into the pool for callers' requests. A late second answer to the question met the next call.

PathQuestion::finish now keeps only connections to engines, which were asked for their report: new connections to them are dear, and an answer without an id is rejected there. The connection to any other endpoint is closed, which costs one new connection a check of a path to a plain service, and none for requests and reports.

--- a/crates/hollyhook_gateway/src/path/endpoint_connector.rs
+++ b/crates/hollyhook_gateway/src/path/endpoint_connector.rs
@@ -158,7 +158,7 @@
         self.paths.is_silent_for(&target.group, silence) && self.paths.try_check(&target.group)
     }
 
-    /// Asks an endpoint on a new connection, which is kept for the next request if the endpoint answers.
+    /// Asks an endpoint on a new connection.
     fn check(self: &Arc<Self>, target: EndpointTarget) {
         let connector = Arc::clone(self);
         task::spawn(async move { PathInquiry::new(&connector, &target).run().await });
@@ -182,24 +182,25 @@
         }
     }
 
-    /// Asks an endpoint on a direct connection, which is kept for the next request if the endpoint answers.
+    /// Asks an endpoint on a new direct connection.
     fn check_direct(self: &Arc<Self>, target: EndpointTarget) {
         let connector = Arc::clone(self);
         task::spawn(async move {
             let Ok(connection) = connector.connect_directly(&target).await else {
                 return;
             };
-            if let Some(answered) = PathQuestion::new(&connector, &target).ask_in_time(connection).await {
-                connector.record_answered(&target, answered);
+            let question = PathQuestion::new(&connector, &target);
+            if let Some(answered) = question.ask_in_time(connection).await {
+                connector.record_answered(&target);
+                question.finish(answered);
             }
         });
     }
 
-    /// Records that an endpoint answered a question on a direct connection, and keeps the connection.
-    pub(super) fn record_answered(&self, target: &EndpointTarget, connection: PooledConnection) {
+    /// Records that an endpoint answered a question on a direct connection.
+    pub(super) fn record_answered(&self, target: &EndpointTarget) {
         self.paths.record_heard(target);
         self.endpoints.record_heard(&target.id);
-        self.keep(target, connection);
     }
 
     /// Keeps a connection that nobody waits for.
--- a/crates/hollyhook_gateway/src/path/path_inquiry.rs
+++ b/crates/hollyhook_gateway/src/path/path_inquiry.rs
@@ -86,7 +86,7 @@
                     self.record_direct(answered);
                 } else {
                     self.connector.record_muted(self.target, &host);
-                    self.connector.keep(self.target, tunnel);
+                    self.question.finish(tunnel);
                 }
             }
             Either::Right((None, _)) => return false,
@@ -98,7 +98,8 @@
     fn record_direct(&self, answered: Option<PooledConnection>) {
         if let Some(connection) = answered {
             self.connector.close_idle_direct(&self.target.group);
-            self.connector.record_answered(self.target, connection);
+            self.connector.record_answered(self.target);
+            self.question.finish(connection);
         }
     }
 
--- a/crates/hollyhook_gateway/src/path/path_question.rs
+++ b/crates/hollyhook_gateway/src/path/path_question.rs
@@ -20,11 +20,13 @@
 pub(super) struct PathQuestion<'a> {
     connector: &'a EndpointConnector,
     target: &'a EndpointTarget,
+    /// Whether the endpoint is asked for its report.
+    is_report: bool,
 }
 
 impl<'a> PathQuestion<'a> {
     pub(super) fn new(connector: &'a EndpointConnector, target: &'a EndpointTarget) -> Self {
-        Self { connector, target }
+        Self { connector, target, is_report: connector.endpoints.has_engines(&target.group.service) }
     }
 
     /// Whether the endpoint may be asked several times.
@@ -32,9 +34,8 @@
     /// One that is no engine has to reject each question, so that it is asked again only if the path to engines of its
     /// zone is lost already.
     pub(super) fn is_repeatable(&self) -> bool {
-        let group = &self.target.group;
-        let is_engine = self.connector.endpoints.has_engines(&group.service);
-        is_engine || self.connector.paths.lost_groups().iter().any(|lost| lost.zone == group.zone)
+        let zone = &self.target.group.zone;
+        self.is_report || self.connector.paths.lost_groups().iter().any(|lost| lost.zone == *zone)
     }
 
     /// Asks on a connection, which is returned once the endpoint has answered; `None` if the connection breaks.
@@ -49,9 +50,18 @@
         self.connector.timer.within(ANSWER_TIMEOUT, self.ask(connection)).await?
     }
 
+    /// Keeps a connection on which the endpoint has answered for the next request, or closes it.
+    ///
+    /// A second answer to the question may arrive late, and the request that is sent then fails. New connections to
+    /// engines are dear, so that theirs are kept all the same; the connection to another endpoint is closed.
+    pub(super) fn finish(&self, answered: PooledConnection) {
+        if self.is_report {
+            self.connector.keep(self.target, answered);
+        }
+    }
+
     fn request(&self) -> Option<Request<Full<Bytes>>> {
-        let is_engine = self.connector.endpoints.has_engines(&self.target.group.service);
-        let path = if is_engine { hollyhook_platform::report_path() } else { "/" };
+        let path = if self.is_report { hollyhook_platform::report_path() } else { "/" };
         Request::get(path).header(header::HOST, self.target.address.to_string()).body(Full::default()).ok()
     }
 }
