Orders to copy or stop a run have connections of their own

What callers saw: a stream went on from the memory of another caller's stream, or went on at another engine while its run continued at the first.

Cause: orders and their answers carry no id, and went over the connections of the pool. A late second answer to an earlier order was taken for the answer to the next one: its handle named another stream's copy, and any answer with a handle proves that a run has stopped.

Each order to copy or stop a run and each DELETE of a copy now gets a new connection, which is closed after the answer, so that no earlier request can be answered on it. It costs one new connection an order; requests and reports keep theirs.

--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -120,36 +120,61 @@
     mut request: Request<Full<Bytes>>,
     attempt_id: Option<&str>,
 ) -> Result<OpenResponse, AttemptFailure> {
-    loop {
-        let pooled = context.pool.take(&target.id);
-        let is_pooled = pooled.is_some();
-        let mut connection = match pooled {
-            Some(connection) => connection,
-            None => connect(context, target).await?,
-        };
-        let sent_at = context.timer.now();
-        match connection.send(request).await {
-            Ok(response) => {
-                let (parts, body) = response.into_parts();
-                let head = hollyhook_platform::answer_head(&parts);
-                if head.is_foreign(attempt_id) {
-                    record_foreign(context, target, &head, attempt_id);
-                    return Err(AttemptFailure::Garbled);
-                }
-                if !connection.is_tunnel() {
-                    context.paths.record_heard(target);
-                }
-                if head.is_from(&target.entry) {
-                    context.endpoints.record_heard(&target.id);
-                    context.endpoints.apply_terms(&target.id, head.terms);
-                }
-                let entry = Name::clone(&target.entry);
-                return Ok(OpenResponse { head, parts, body, entry, connection, sent_at });
-            }
-            Err(SendError::Unsent(unsent)) if is_pooled => request = *unsent,
-            Err(SendError::Unsent(_)) => return Err(AttemptFailure::NotConnected),
-            Err(SendError::Garbled) => return Err(AttemptFailure::Garbled),
-            Err(SendError::Broken) => return Err(AttemptFailure::Broken),
+    while let Some(connection) = context.pool.take(&target.id) {
+        match exchange(context, target, connection, request, attempt_id).await {
+            Err(SendError::Unsent(unsent)) => request = *unsent,
+            outcome => return outcome.map_err(AttemptFailure::from),
+        }
+    }
+    let connection = connect(context, target).await?;
+    exchange(context, target, connection, request, attempt_id).await.map_err(AttemptFailure::from)
+}
+
+/// Sends a request without an attempt id to an endpoint on a new connection, so that no earlier request can be answered
+/// in its place.
+///
+/// # Errors
+///
+/// As [`send`].
+pub(super) async fn send_alone(
+    context: &GatewayContext,
+    target: &EndpointTarget,
+    request: Request<Full<Bytes>>,
+) -> Result<OpenResponse, AttemptFailure> {
+    let connection = connect(context, target).await?;
+    exchange(context, target, connection, request, None).await.map_err(AttemptFailure::from)
+}
+
+async fn exchange(
+    context: &GatewayContext,
+    target: &EndpointTarget,
+    mut connection: PooledConnection,
+    request: Request<Full<Bytes>>,
+    attempt_id: Option<&str>,
+) -> Result<OpenResponse, SendError> {
+    let sent_at = context.timer.now();
+    let (parts, body) = connection.send(request).await?.into_parts();
+    let head = hollyhook_platform::answer_head(&parts);
+    if head.is_foreign(attempt_id) {
+        record_foreign(context, target, &head, attempt_id);
+        return Err(SendError::Garbled);
+    }
+    if !connection.is_tunnel() {
+        context.paths.record_heard(target);
+    }
+    if head.is_from(&target.entry) {
+        context.endpoints.record_heard(&target.id);
+        context.endpoints.apply_terms(&target.id, head.terms);
+    }
+    Ok(OpenResponse { head, parts, body, entry: Name::clone(&target.entry), connection, sent_at })
+}
+
+impl From<SendError> for AttemptFailure {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::Unsent(_) => Self::NotConnected,
+            SendError::Garbled => Self::Garbled,
+            SendError::Broken => Self::Broken,
         }
     }
 }
--- a/crates/hollyhook_gateway/src/forward/backup_replicator.rs
+++ b/crates/hollyhook_gateway/src/forward/backup_replicator.rs
@@ -8,7 +8,7 @@
 use http::{Request, header};
 use http_body_util::Full;
 
-use super::endpoint_call::{call_endpoint, order_copy};
+use super::endpoint_call::{order_copy, order_endpoint};
 use super::engine_choice::{BackupLocation, EngineChooser};
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
@@ -107,7 +107,7 @@
     let Ok(request) = request else {
         return;
     };
-    let is_freed = call_endpoint(&context, &run_target, request, BACKUP_TIMEOUT).await.is_ok();
+    let is_freed = order_endpoint(&context, &run_target, request, BACKUP_TIMEOUT).await.is_ok();
     tracing::debug!(endpoint = %run_target.id, is_freed, "backup.freed");
 }
 
--- a/crates/hollyhook_gateway/src/forward/buffered_response.rs
+++ b/crates/hollyhook_gateway/src/forward/buffered_response.rs
@@ -7,7 +7,7 @@
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 
 use super::attempt::{EndpointSlot, OpenResponse};
 use super::response_rest::ResponseRest;
@@ -75,11 +75,21 @@
         limit: usize,
     ) -> Result<BufferedResponse, AttemptFailure> {
         let Self { parts, body, connection, .. } = self;
-        let collected = Limited::new(body, limit).collect().await.map_err(|error| {
-            if error.is::<LengthLimitError>() { AttemptFailure::Failed } else { AttemptFailure::Broken }
-        })?;
+        let body = collect(body, limit).await?;
         context.pool.put(id, connection, keep_alive_time(&parts.headers));
-        Ok(BufferedResponse { parts, body: collected.to_bytes(), rest: None })
+        Ok(BufferedResponse { parts, body, rest: None })
+    }
+
+    /// Reads a body of at most `limit` bytes to its end and closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`read_to_end`](Self::read_to_end).
+    pub(super) async fn read_and_close(self, limit: usize) -> Result<BufferedResponse, AttemptFailure> {
+        let Self { parts, body, connection, .. } = self;
+        let body = collect(body, limit).await?;
+        drop(connection);
+        Ok(BufferedResponse { parts, body, rest: None })
     }
 
     /// Reads the body up to [`MAX_HELD_BYTES`]; the rest of a longer one is read while it is sent to the caller.
@@ -148,3 +158,10 @@
         Ok(BufferedResponse { parts, body: held.freeze(), rest: None })
     }
 }
+
+async fn collect(body: Incoming, limit: usize) -> Result<Bytes, AttemptFailure> {
+    let collected = Limited::new(body, limit).collect().await.map_err(|error| {
+        if error.is::<LengthLimitError>() { AttemptFailure::Failed } else { AttemptFailure::Broken }
+    })?;
+    Ok(collected.to_bytes())
+}
--- a/crates/hollyhook_gateway/src/forward/endpoint_call.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_call.rs
@@ -5,7 +5,7 @@
 use http::{Request, header};
 use http_body_util::Full;
 
-use super::attempt::send;
+use super::attempt::{send, send_alone};
 use super::buffered_response::BufferedResponse;
 use crate::gateway::GatewayContext;
 use crate::path::EndpointTarget;
@@ -33,6 +33,24 @@
     context.timer.within(limit, exchange).await.unwrap_or(Err(AttemptFailure::Silent))
 }
 
+/// Sends an order of hollyhook's own to an endpoint on a new connection, reads the whole response and closes the connection.
+///
+/// Neither order nor answer carries an id: on a connection that is used again, a late second answer to one order would be
+/// taken for the answer to the next.
+///
+/// # Errors
+///
+/// As [`call_endpoint`].
+pub(super) async fn order_endpoint(
+    context: &GatewayContext,
+    target: &EndpointTarget,
+    order: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<BufferedResponse, AttemptFailure> {
+    let exchange = async { send_alone(context, target, order).await?.read_and_close(MAX_REPLY_BYTES).await };
+    context.timer.within(limit, exchange).await.unwrap_or(Err(AttemptFailure::Silent))
+}
+
 /// Sends an engine an order to copy the KV cache of a run, and reads the whole response; `None` if there is
 /// none in time.
 pub(super) async fn order_copy(
@@ -46,5 +64,5 @@
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::from(order))
         .ok()?;
-    call_endpoint(context, engine, request, limit).await.ok()
+    order_endpoint(context, engine, request, limit).await.ok()
 }
