An attempt id is sent on a connection only once in succession

What callers saw: a call that may not be repeated, rejected once and sent again after its wait in the queue, could run twice.

Cause: the call went to the endpoint again on the connection of the rejection. A late second copy of the rejection carries the call's id, so that it counted as the answer to the second attempt, which ran.

A connection remembers the id of its last request that had one, and ConnectionPool::take passes it over for the same id. One id is enough: a late answer arrives where the next answer is expected, and there any other request rejects it.

Evidence: second_rejection_repeats_no_unsafe_call saw 2 runs of the call on; now 1.

--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -118,9 +118,9 @@
     context: &GatewayContext,
     target: &EndpointTarget,
     mut request: Request<Full<Bytes>>,
-    attempt_id: Option<&str>,
+    attempt_id: Option<&Name>,
 ) -> Result<OpenResponse, AttemptFailure> {
-    while let Some(connection) = context.pool.take(&target.id) {
+    while let Some(connection) = context.pool.take(&target.id, attempt_id) {
         match exchange(context, target, connection, request, attempt_id).await {
             Err(SendError::Unsent(unsent)) => request = *unsent,
             outcome => return outcome.map_err(AttemptFailure::from),
@@ -150,12 +150,15 @@
     target: &EndpointTarget,
     mut connection: PooledConnection,
     request: Request<Full<Bytes>>,
-    attempt_id: Option<&str>,
+    attempt_id: Option<&Name>,
 ) -> Result<OpenResponse, SendError> {
+    if let Some(attempt_id) = attempt_id {
+        connection.record_attempt(attempt_id);
+    }
     let sent_at = context.timer.now();
     let (parts, body) = connection.send(request).await?.into_parts();
     let head = hollyhook_platform::answer_head(&parts);
-    if head.is_foreign(attempt_id) {
+    if head.is_foreign(attempt_id.map(|id| &**id)) {
         record_foreign(context, target, &head, attempt_id);
         return Err(SendError::Garbled);
     }
@@ -180,10 +183,10 @@
 }
 
 /// Records that an answer is not that to the request with `attempt_id`.
-fn record_foreign(context: &GatewayContext, target: &EndpointTarget, head: &AnswerHead, attempt_id: Option<&str>) {
+fn record_foreign(context: &GatewayContext, target: &EndpointTarget, head: &AnswerHead, attempt_id: Option<&Name>) {
     if let (None, Some(request)) = (&head.attempt_id, attempt_id) {
         context.recorder.count("answers_without_id");
-        tracing::info!(request, endpoint = %target.id, status = head.status, is_not_run = head.is_not_run,
+        tracing::info!(%request, endpoint = %target.id, status = head.status, is_not_run = head.is_not_run,
             is_signed = head.is_signed, "answer.without_id");
     }
 }
--- a/crates/hollyhook_gateway/src/pool/connection_pool.rs
+++ b/crates/hollyhook_gateway/src/pool/connection_pool.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hollyhook_core::EndpointId;
+use hollyhook_core::{EndpointId, Name};
 use hollyhook_kernel::TimerService;
 use hollyhook_wire::bound_endpoint_buffers;
 use http::HeaderMap;
@@ -42,17 +42,18 @@
         Self { timer, meter, idle: Mutex::default() }
     }
 
-    /// Takes an idle connection to an endpoint, the most recently used first; `None` if none is usable.
-    pub(crate) fn take(&self, id: &EndpointId) -> Option<PooledConnection> {
+    /// Takes an idle connection to an endpoint for a request, the most recently used first; `None` if none is usable.
+    ///
+    /// A connection on which the request with the same attempt id was answered before is passed over, since a late second
+    /// answer to it would carry the right id.
+    pub(crate) fn take(&self, id: &EndpointId, attempt_id: Option<&Name>) -> Option<PooledConnection> {
         let now = self.timer.now();
         let mut idle = lock(&self.idle);
         let connections = idle.get_mut(id)?;
-        while let Some(connection) = connections.pop() {
-            if connection.is_ready() && now < connection.usable_until {
-                return Some(connection);
-            }
-        }
-        None
+        connections.retain(|connection| connection.is_ready() && now < connection.usable_until);
+        let is_usable = |connection: &PooledConnection| attempt_id.is_none_or(|id| !connection.has_carried(id));
+        let index = connections.iter().rposition(is_usable)?;
+        Some(connections.remove(index))
     }
 
     /// Opens a new connection, which is not in the pool.
--- a/crates/hollyhook_gateway/src/pool/pooled_connection.rs
+++ b/crates/hollyhook_gateway/src/pool/pooled_connection.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use hollyhook_core::TimePoint;
+use hollyhook_core::{Name, TimePoint};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -30,6 +30,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// Present if the connection leads through another host.
     lease: Option<TunnelLease>,
+    /// The attempt id of the last request that had one.
+    last_attempt: Option<Name>,
     /// When the connection expires; set when it is returned to the pool.
     pub(super) usable_until: TimePoint,
     /// When the connection was returned to the pool.
@@ -48,7 +50,14 @@
         builder.max_buf_size(buffer_bytes);
         let (sender, connection) = builder.handshake::<S, Full<Bytes>>(stream).await?;
         let driver = DriverGuard::spawn(connection);
-        Ok(Self { _driver: driver, sender, lease: None, usable_until: TimePoint::ZERO, idle_since: TimePoint::ZERO })
+        Ok(Self {
+            _driver: driver,
+            sender,
+            lease: None,
+            last_attempt: None,
+            usable_until: TimePoint::ZERO,
+            idle_since: TimePoint::ZERO,
+        })
     }
 
     /// Marks the connection as a tunnel through another host.
@@ -63,6 +72,18 @@
         self.lease.is_some()
     }
 
+    /// Records the attempt id of a request that is to be sent.
+    pub(crate) fn record_attempt(&mut self, attempt_id: &Name) {
+        self.last_attempt = Some(Name::clone(attempt_id));
+    }
+
+    /// Whether the last request with an attempt id had this one.
+    ///
+    /// Earlier ones don't matter: a late second answer arrives where the next answer is expected.
+    pub(super) fn has_carried(&self, attempt_id: &Name) -> bool {
+        self.last_attempt.as_ref() == Some(attempt_id)
+    }
+
     /// Whether a request can be sent now.
     pub(crate) fn is_ready(&self) -> bool {
         self.sender.is_ready()
