Streams are not joined of two versions after the loss of all hosts

What callers saw: after all hosts were replaced at once, a stream whose software version had gone went on at an engine of another version, so that its text was joined of two.

Cause: hosts that have just started have seen no version that has gone. One version in their lists and those of the hosts they ask counted as the only one that could have begun the stream. With several versions left in memory, the engines that hold the prompt decided, also if the version that began the stream had no engine left.

Change: a record in the store for each service of model engines with resumable streams names the versions whose streams may still come back (hollyhook-versions/SERVICE). A version is added before it gets its first stream while a recorded one can serve, and removed by a host that has seen none of its endpoints for the lifetime of origins. A take-up of which no host knows the origin resolves against what the hosts have seen and the record. If neither the host nor one that it asked has read the record or seen the whole lifetime, or a possible version has no live endpoint left, the stream is refused as not run. Decisions are VersionRecord, RecordTurn and StreamOrigin in hollyhook_core; VersionTracker and VersionRecorder in the gateway carry them out.

New tests of the gate: a new version gets no stream until the record names it, and serves at once where no recorded version is left.

versions::stream_of_only_version_continued asserted the fault: it took the other version away, replaced all hosts and expected the stream to go on. It is replaced by two tests: with one version all along the stream goes on, and after the other version has just left it is refused and reaches no engine.

The store stand-in now rejects writes that name a revision which is not the object's, and can refuse writes while it answers reads. The doc example of StreamOrigin::resolve names what the answers are now asked for as well.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -56,7 +56,7 @@
 };
 pub use lease::{LeaseQuestion, LeaseRound, LeasedLimit};
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
-pub use origin::{OriginAnswer, OriginCopy, OriginLedger, StreamOrigin, origin_holders};
+pub use origin::{OriginAnswer, OriginCopy, OriginLedger, RecordTurn, StreamOrigin, VersionRecord, origin_holders};
 pub use pace::{EndpointPace, EngineSpeed, MigrationGate, MigrationPlan, PaceChange, ProgressMeter, ServicePace};
 pub use path::{ConnectOrder, EndpointGroup, PathMonitor, TunnelDirectory};
 pub use quarantine::{
--- a/crates/hollyhook_core/src/origin/stream_origin.rs
+++ b/crates/hollyhook_core/src/origin/stream_origin.rs
@@ -5,12 +5,16 @@
 /// Which software versions may continue a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StreamOrigin {
-    /// Any version: the caller has no event yet, or only one version has served lately.
+    /// Any version: the caller has no event yet, or only one version may have begun the stream.
     Open,
     /// Only this version, which wrote the events that the caller has.
     Version(Name),
-    /// Only the version that wrote the events that the caller has, which no host knows.
+    /// Only the version that wrote the events that the caller has, which no host knows. The engines that hold the
+    /// stream's prompt may tell.
     Unknown,
+    /// As [`Unknown`](Self::Unknown), but the engines can't tell either: a version that may have begun the stream has no
+    /// endpoint left, or it is not known which versions may have.
+    Untraceable,
 }
 
 /// What one host knows of a stream's origin.
@@ -18,29 +22,47 @@
 pub struct OriginAnswer {
     /// The version that began the stream, if the host knows it.
     pub version: Option<Name>,
-    /// The versions of the stream's service that the host has seen lately.
+    /// The versions of the stream's service that may have begun streams that come back, as far as the host knows.
     pub versions: BTreeSet<Name>,
+    /// Whether the host knows all such versions. A host that has just started has seen none of those that have gone.
+    pub is_complete: bool,
 }
 
 impl StreamOrigin {
     /// Decides from what this host and others know which versions may continue a stream.
     ///
+    /// `live` are the versions of the service's live endpoints.
+    ///
     /// ```
-    /// use hollyhook_core::{OriginAnswer, StreamOrigin};
+    /// use std::collections::BTreeSet;
+    ///
+    /// use hollyhook_core::{Name, OriginAnswer, StreamOrigin};
     ///
-    /// let seen = |names: &[&str]| names.iter().map(|name| (*name).into()).collect();
-    /// let own = OriginAnswer { version: None, versions: seen(&["v1"]) };
-    /// let other = OriginAnswer { version: None, versions: seen(&["v1", "v2"]) };
+    /// let set = |names: &[&str]| names.iter().map(|name| (*name).into()).collect::<BTreeSet<Name>>();
+    /// let own = OriginAnswer { version: None, versions: set(&["v1"]), is_complete: true };
+    /// let other = OriginAnswer { versions: set(&["v1", "v2"]), ..own.clone() };
     /// let holder = OriginAnswer { version: Some("v2".into()), ..other.clone() };
-    /// assert_eq!(StreamOrigin::resolve([&own]), StreamOrigin::Open);
-    /// assert_eq!(StreamOrigin::resolve([&own, &other]), StreamOrigin::Unknown);
-    /// assert_eq!(StreamOrigin::resolve([&own, &other, &holder]), StreamOrigin::Version("v2".into()));
+    /// let live = set(&["v1", "v2"]);
+    /// assert_eq!(StreamOrigin::resolve([&own], &live), StreamOrigin::Open);
+    /// assert_eq!(StreamOrigin::resolve([&own, &other], &live), StreamOrigin::Unknown);
+    /// assert_eq!(StreamOrigin::resolve([&own, &other, &holder], &live), StreamOrigin::Version("v2".into()));
+    /// // Engines of the other version may hold the prompt for an attempt that failed.
+    /// assert_eq!(StreamOrigin::resolve([&own, &other], &set(&["v2"])), StreamOrigin::Untraceable);
     /// ```
-    pub fn resolve<'a>(answers: impl IntoIterator<Item = &'a OriginAnswer> + Clone) -> Self {
+    pub fn resolve<'a>(answers: impl IntoIterator<Item = &'a OriginAnswer> + Clone, live: &BTreeSet<Name>) -> Self {
         if let Some(version) = answers.clone().into_iter().find_map(|answer| answer.version.clone()) {
             return Self::Version(version);
         }
+        if !answers.clone().into_iter().any(|answer| answer.is_complete) {
+            return Self::Untraceable;
+        }
         let versions: BTreeSet<&Name> = answers.into_iter().flat_map(|answer| &answer.versions).collect();
-        if versions.len() <= 1 { Self::Open } else { Self::Unknown }
+        if versions.len() <= 1 {
+            Self::Open
+        } else if versions.into_iter().all(|version| live.contains(version)) {
+            Self::Unknown
+        } else {
+            Self::Untraceable
+        }
     }
 }
--- a/crates/hollyhook_core/src/rollout/version_filter.rs
+++ b/crates/hollyhook_core/src/rollout/version_filter.rs
@@ -11,6 +11,9 @@
     pub only: Option<Name>,
     /// The versions that have been looked up among the roll-out orders; `None` allows others too.
     pub checked: Option<BTreeSet<Name>>,
+    /// The versions that the durable record of the service names, so that a stream that begins there is not continued at
+    /// another version after the loss of all hosts; `None` allows others too.
+    pub recorded: Option<BTreeSet<Name>>,
     /// The only allowed endpoints; `None` allows all endpoints of the allowed versions.
     pub endpoints: Option<BTreeSet<EndpointId>>,
     /// Versions that are not allowed.
@@ -40,12 +43,20 @@
         self
     }
 
+    /// Restricts the filter to recorded versions; `None` allows all.
+    #[must_use]
+    pub fn recorded(mut self, versions: Option<BTreeSet<Name>>) -> Self {
+        self.recorded = versions;
+        self
+    }
+
     /// Whether the request may be routed to an endpoint of a version.
     pub fn allows(&self, id: &EndpointId, version: &Name) -> bool {
         let is_only = self.only.as_ref().is_none_or(|only| only == version);
+        let is_recorded = self.recorded.as_ref().is_none_or(|recorded| recorded.contains(version));
         let is_chosen = self.endpoints.as_ref().is_none_or(|endpoints| endpoints.contains(id));
         let is_checked = self.checked.as_ref().is_none_or(|checked| checked.contains(version));
-        is_only && is_checked && is_chosen && !self.except.contains(version)
+        is_only && is_checked && is_recorded && is_chosen && !self.except.contains(version)
     }
 
     /// Chooses the endpoints of the target that take part in its trial, the same at all hosts that know the same
--- a/crates/hollyhook_core/src/site/site_index.rs
+++ b/crates/hollyhook_core/src/site/site_index.rs
@@ -1,8 +1,9 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use super::{
-    AccountConfig, AccountPriorities, CallerLimits, RouteConfig, ServiceConfig, ServicePriorities, SiteConfig,
+    AccountConfig, AccountPriorities, CallerLimits, RequestKind, RouteConfig, ServiceConfig, ServicePriorities,
+    SiteConfig,
 };
 use crate::{Error, ErrorKind, Name, Result};
 
@@ -46,6 +47,14 @@
         self.services.keys()
     }
 
+    /// The services of model engines that a route of resumable streams leads to.
+    pub fn resumable_services(&self) -> BTreeSet<&Name> {
+        let routes =
+            self.routes.values().flatten().filter(|route| route.kind == RequestKind::Stream { is_resumable: true });
+        let services = routes.flat_map(|route| &route.shares).map(|share| &share.service);
+        services.filter(|service| self.service(service).is_some_and(|known| known.engine.is_some())).collect()
+    }
+
     /// The priorities that requests of a service may have; `None` if no route leads to the service.
     pub fn priorities(&self, service: &str) -> Option<Arc<ServicePriorities>> {
         self.priorities.get(service).map(Arc::clone)
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -74,6 +74,7 @@
         StreamOrigin::Open => ("origins_open", None),
         StreamOrigin::Version(version) => ("origins_found", Some(&**version)),
         StreamOrigin::Unknown => ("origins_unknown", None),
+        StreamOrigin::Untraceable => ("origins_untraceable", None),
     };
     context.recorder.count(counter);
     tracing::info!(request = %caller.head.attempt_id, first_attempt = caller.head.first_attempt.as_deref(), version,
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
@@ -56,8 +56,8 @@
         let (service, rollouts) = (&self.caller.service, &self.context.rollouts);
         match self.origin.as_ref()? {
             StreamOrigin::Version(version) => rollouts.continuation_filter(service, version),
-            StreamOrigin::Open => Some(rollouts.version_filter(service, false).unwrap_or_default()),
-            StreamOrigin::Unknown => None,
+            StreamOrigin::Open => Some(self.record_filter(rollouts.version_filter(service, false))),
+            StreamOrigin::Unknown | StreamOrigin::Untraceable => None,
         }
     }
 
@@ -151,15 +151,15 @@
                 let filter = context.rollouts.continuation_filter(service, version);
                 filter.ok_or_else(|| self.stop_error(StopReason::NoEndpoint))?
             }
-            StreamOrigin::Open | StreamOrigin::Unknown => {
-                context.rollouts.version_filter(service, self.is_first()).unwrap_or_default()
-            }
+            StreamOrigin::Open => self.record_filter(context.rollouts.version_filter(service, self.is_first())),
+            StreamOrigin::Unknown => context.rollouts.version_filter(service, false).unwrap_or_default(),
+            StreamOrigin::Untraceable => return Err(self.stop_error(StopReason::OriginUnknown)),
         };
         let chooser = EngineChooser { context, caller: &self.caller, tried: &self.tried, versions: &filter };
         let choice = match origin {
             StreamOrigin::Unknown => chooser.choose_first_holder().await,
             StreamOrigin::Open if filter.only.is_some() => self.choose_any_version(chooser, resume_from).await,
-            StreamOrigin::Open | StreamOrigin::Version(_) => chooser.choose(resume_from).await,
+            _ => chooser.choose(resume_from).await,
         };
         let choice = match choice {
             Ok(choice) => choice,
@@ -180,10 +180,15 @@
         if let Ok(choice) = chooser.choose(resume_from).await {
             return Ok(choice);
         }
-        let filter = self.context.rollouts.fallback_filter(&self.caller.service).unwrap_or_default();
+        let filter = self.record_filter(self.context.rollouts.fallback_filter(&self.caller.service));
         EngineChooser { versions: &filter, ..chooser }.choose(None).await
     }
 
+    /// Restricts a filter to versions whose streams can be told from those of others after the loss of all hosts.
+    fn record_filter(&self, filter: Option<VersionFilter>) -> VersionFilter {
+        filter.unwrap_or_default().recorded(self.context.versions.admitted(&self.caller.service))
+    }
+
     /// Which versions may write the next events.
     async fn origin(&mut self) -> StreamOrigin {
         if let Some(origin) = &self.origin {
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -21,7 +21,7 @@
 use crate::demand::DemandTracker;
 use crate::lease::LeaseState;
 use crate::net::UsageMeter;
-use crate::origin::OriginTracker;
+use crate::origin::{OriginTracker, VersionTracker};
 use crate::path::{EndpointConnector, PathTracker};
 use crate::peer::FeedState;
 use crate::pool::ConnectionPool;
@@ -74,6 +74,7 @@
     pub(crate) borrowing: Arc<BorrowState>,
     pub(crate) leasing: Arc<LeaseState>,
     pub(crate) rollouts: Arc<RolloutTracker>,
+    pub(crate) versions: Arc<VersionTracker>,
     pub(crate) origins: Arc<OriginTracker>,
     pub(crate) demand: Arc<DemandTracker>,
     pub(crate) queues: Arc<ServiceQueues>,
@@ -119,6 +120,7 @@
         registry.register(BorrowState::NAME, BorrowState::default())?;
         registry.register(LeaseState::NAME, LeaseState::default())?;
         registry.register(RolloutTracker::NAME, RolloutTracker::new(registry, settings.bounds.exposure)?)?;
+        registry.register(VersionTracker::NAME, VersionTracker::new(registry, Self::SITE, &settings.host)?)?;
         registry.register(OriginTracker::NAME, OriginTracker::new(registry)?)?;
         registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
         registry.register(Self::MIGRATIONS, Mutex::new(MigrationGate::default()))?;
@@ -152,6 +154,7 @@
             borrowing: registry.find(BorrowState::NAME)?,
             leasing: registry.find(LeaseState::NAME)?,
             rollouts: registry.find(RolloutTracker::NAME)?,
+            versions: registry.find(VersionTracker::NAME)?,
             origins: registry.find(OriginTracker::NAME)?,
             demand: registry.find(DemandTracker::NAME)?,
             queues: registry.find(ServiceQueues::NAME)?,
--- a/crates/hollyhook_gateway/src/origin/origin_lookup.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_lookup.rs
@@ -2,7 +2,7 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use hollyhook_core::{HostRecord, Name, OriginAnswer, StreamOrigin};
+use hollyhook_core::{HostRecord, Name, OriginAnswer, StreamOrigin, TimePoint};
 use http::StatusCode;
 
 use super::origin_message::{FIND_PATH, OriginQuestion, OriginReply, post_message};
@@ -12,6 +12,8 @@
 /// Time limit for the answers of other hosts. A host that is lost does not answer at all, and the caller of a stream
 /// that has stopped waits.
 const FIND_TIMEOUT: Duration = Duration::from_millis(250);
+/// How often a stream that waits for the record of its service's versions checks whether it has been read.
+const READ_CHECK: Duration = Duration::from_millis(10);
 
 /// Finds which software versions may continue a stream that its caller takes up.
 ///
@@ -21,18 +23,29 @@
     service: &Name,
     first_attempt: Option<&Name>,
 ) -> StreamOrigin {
-    let own = context.origins.answer(service, first_attempt.map_or("", |id| id));
-    let Some(first_attempt) = first_attempt else {
-        return StreamOrigin::resolve([&own]);
-    };
-    let is_settled = own.version.is_some() || (own.versions.len() <= 1 && context.origins.has_whole_history());
-    if is_settled {
-        return StreamOrigin::resolve([&own]);
+    let own_answer = || context.origins.answer(service, first_attempt.map_or("", |id| id));
+    let own = own_answer();
+    let is_settled = own.version.is_some() || (own.versions.len() <= 1 && context.versions.has_whole_history());
+    let mut answers = vec![own];
+    if !is_settled {
+        let limit = context.timer.now() + FIND_TIMEOUT;
+        if let Some(first_attempt) = first_attempt {
+            answers.extend(ask_holders(context, service, first_attempt).await);
+        }
+        if answers.iter().all(|answer| answer.version.is_none()) {
+            wait_until_read(context, service, limit).await;
+            answers.push(own_answer());
+        }
     }
+    StreamOrigin::resolve(&answers, &context.versions.live(service))
+}
+
+/// What the hosts that keep copies of an origin know of it, up to the first one that knows the version.
+async fn ask_holders(context: &GatewayContext, service: &Name, first_attempt: &Name) -> Vec<OriginAnswer> {
     let holders = context.origins.holders(first_attempt);
     let question = OriginQuestion { service: Name::clone(service), first_attempt: Name::clone(first_attempt) };
     let mut asked: FuturesUnordered<_> = holders.iter().map(|holder| ask(context, holder, &question)).collect();
-    let mut answers = vec![own];
+    let mut answers = Vec::new();
     while let Some(answer) = asked.next().await {
         let Some(answer) = answer else {
             continue;
@@ -43,7 +56,14 @@
             break;
         }
     }
-    StreamOrigin::resolve(&answers)
+    answers
+}
+
+/// Waits, until `limit` at most, for the record of the service's versions, which a host reads when it has started.
+async fn wait_until_read(context: &GatewayContext, service: &Name, limit: TimePoint) {
+    while !context.versions.is_complete(service) && context.timer.now() < limit {
+        context.timer.wait(READ_CHECK).await;
+    }
 }
 
 /// What another host knows of an origin; `None` if it does not answer.
--- a/crates/hollyhook_gateway/src/origin/origin_message.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_message.rs
@@ -34,17 +34,20 @@
 pub(super) struct OriginReply {
     version: Option<Name>,
     versions: BTreeSet<Name>,
+    /// Hosts of earlier releases don't say; what they have seen since their start may not be all.
+    #[serde(default)]
+    is_complete: bool,
 }
 
 impl From<OriginAnswer> for OriginReply {
     fn from(answer: OriginAnswer) -> Self {
-        Self { version: answer.version, versions: answer.versions }
+        Self { version: answer.version, versions: answer.versions, is_complete: answer.is_complete }
     }
 }
 
 impl From<OriginReply> for OriginAnswer {
     fn from(reply: OriginReply) -> Self {
-        Self { version: reply.version, versions: reply.versions }
+        Self { version: reply.version, versions: reply.versions, is_complete: reply.is_complete }
     }
 }
 
--- a/crates/hollyhook_gateway/src/origin/origin_tracker.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_tracker.rs
@@ -1,22 +1,21 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
-use hollyhook_core::{HostRecord, Name, OriginAnswer, OriginCopy, OriginLedger, Result, TimePoint, origin_holders};
+use hollyhook_core::{HostRecord, Name, OriginAnswer, OriginCopy, OriginLedger, Result, origin_holders};
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 
+use super::VersionTracker;
 use crate::gateway::EndpointDirectory;
 use crate::peer::FeedState;
 use crate::sync::lock;
 
-/// The oldest list of endpoints, in milliseconds, that shows all versions whose streams may come back to this host.
-const MAX_LIST_AGE_MS: u64 = 3_000;
-
 /// The software versions at which streams began, at this host and, as copies, at others.
 #[derive(Debug)]
 pub(crate) struct OriginTracker {
     timer: Arc<TimerService>,
     feed: Arc<FeedState>,
     endpoints: Arc<EndpointDirectory>,
+    versions: Arc<VersionTracker>,
     ledger: Mutex<OriginLedger>,
     /// Whether a task of this host sends copies to other hosts.
     is_sharing: AtomicBool,
@@ -36,6 +35,7 @@
             timer: registry.find(TimerService::NAME)?,
             feed: registry.find(FeedState::NAME)?,
             endpoints: registry.find(EndpointDirectory::NAME)?,
+            versions: registry.find(VersionTracker::NAME)?,
             ledger: Mutex::default(),
             is_sharing: AtomicBool::new(false),
         })
@@ -52,16 +52,11 @@
     }
 
     /// What this host knows of a stream's origin.
-    pub(super) fn answer(&self, service: &str, first_attempt: &str) -> OriginAnswer {
+    pub(super) fn answer(&self, service: &Name, first_attempt: &str) -> OriginAnswer {
         let now = self.timer.now();
         let version = lock(&self.ledger).version(now, first_attempt);
-        OriginAnswer { version, versions: self.endpoints.table().recent_versions(now, service) }
-    }
-
-    /// Whether this host has seen all versions whose streams may still come back, so that no other host need be asked.
-    pub(super) fn has_whole_history(&self) -> bool {
-        let is_current = self.endpoints.known_ms().is_some_and(|age| age <= MAX_LIST_AGE_MS);
-        is_current && self.timer.now() >= TimePoint::ZERO + OriginLedger::LIFETIME
+        let versions = self.versions.possible(service);
+        OriginAnswer { version, versions, is_complete: self.versions.is_complete(service) }
     }
 
     /// The other hosts that keep copies of an origin.
--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -109,6 +109,7 @@
         self.accept_suspect_entries();
         self.context.quarantine.confirm_crashes(&self.context.endpoints.take_lost());
         self.context.rollouts.check_versions();
+        self.context.versions.check();
         QuarantineWriter::spawn_if_needed(&self.context);
         OriginSharer::spawn_if_needed(&self.context);
         if update.is_snapshot {
--- a/crates/hollyhook_gateway/src/store/mod.rs
+++ b/crates/hollyhook_gateway/src/store/mod.rs
@@ -1,5 +1,5 @@
 //! Client of the platform's store: watches the configuration, the endpoints and the roll-out orders, and writes crash
-//! records, trial reports and roll-out states.
+//! records, trial reports, roll-out states and the records of versions.
 
 use hollyhook_core::FeedPlan;
 
@@ -14,6 +14,7 @@
 mod rollout_worker;
 mod site_watch;
 mod store_client;
+mod version_recorder;
 
 pub(crate) use endpoint_watch::EndpointWatch;
 pub(crate) use feed_reader::FeedReader;
@@ -21,6 +22,7 @@
 pub(crate) use rollout_watch::RolloutWatch;
 pub(crate) use site_watch::SiteWatch;
 pub(crate) use store_client::{StoreClient, StoreError};
+pub(crate) use version_recorder::VersionRecorder;
 
 /// Whether this host reads endpoints and the configuration from the store rather than from another host.
 fn is_reader(context: &GatewayContext) -> bool {
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -245,6 +246,26 @@
         self.call(Method::PUT, &path, Bytes::from(body), Self::SHARED_RECORD_TIMEOUT).await.map(|_answer| ())
     }
 
+    /// Writes the record of the versions of a service whose streams may still come back; `replaced` is the record as it
+    /// was read.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` if the record was created or changed since it was read; otherwise why the call failed.
+    pub(crate) async fn write_versions(
+        &mut self,
+        service: &Name,
+        replaced: Option<&StoreObject>,
+        versions: &BTreeSet<Name>,
+    ) -> Result<(), StoreError> {
+        let body = hollyhook_platform::encode_versions(service, replaced, versions).map_err(StoreError::Malformed)?;
+        let (method, path) = match replaced {
+            None => (Method::POST, hollyhook_platform::create_path(ObjectKind::Version).to_owned()),
+            Some(object) => (Method::PUT, hollyhook_platform::object_path(ObjectKind::Version, &object.name)),
+        };
+        self.call(method, &path, Bytes::from(body), Self::SHARED_RECORD_TIMEOUT).await.map(|_answer| ())
+    }
+
     /// Sends one call, and returns the era and the body of a successful response.
     async fn call(
         &mut self,
