An engine stops before its stream continues elsewhere

Callers saw nothing; engines did: a stream went on at a second engine from a copy of its KV cache while the engine before still worked on it, for longer than the 400 ms that are allowed.

Cause: a suspected attempt stayed open until one of the open attempts sent an event. A successor may need a second for that. An engine that had paused, or whose bytes were held up, worked on meanwhile, also when it was trusted again.

Now AttemptRace::settle (core) names the attempts to close: the earlier ones as soon as the head of an attempt that continues the stream was accepted, and 250 ms after the request of one that continues from a copy was sent, unless it has failed by then. Until then the earlier attempt's events are not read: with one of them it would win, and its engine would work on after the successor's had begun to continue. An attempt without a copy or a head is closed if an earlier one is trusted again. The reset of our connection is a stop that an engine reads before it works on. attempt.taken_over logs it.

--- a/crates/hollyhook_core/src/forward/attempt_race.rs
+++ b/crates/hollyhook_core/src/forward/attempt_race.rs
@@ -1,9 +1,36 @@
+use std::time::Duration;
+
 use super::AttemptLedger;
+use crate::TimePoint;
+
+/// How long an earlier attempt stays open after the request that continues from its copy was sent, if that one has no
+/// response head. The engines of both may work on the request for 400 ms; the rest is left for the network and timers.
+const TAKEOVER_LIMIT: Duration = Duration::from_millis(250);
 
 /// Identifies one attempt of a race.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptKey(u32);
 
+/// What an attempt begins from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptBasis {
+    /// The request alone.
+    Start,
+    /// The last event that the caller has.
+    Cursor,
+    /// The last event that the caller has, and a copy of an earlier attempt's KV cache.
+    Copy,
+}
+
+/// Open attempts that may not go on beside another one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RaceClosure {
+    /// The attempt that goes on with the request.
+    pub kept: AttemptKey,
+    /// The attempts whose connections are to be closed now.
+    pub closed: Vec<AttemptKey>,
+}
+
 /// What a request's driver does next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RaceStep {
@@ -22,6 +49,11 @@
 /// before another one has answered. While an attempt is open, exhausted limits on further attempts do not end the
 /// request.
 ///
+/// A request must not be worked on at two engines for long once it continues at the second one. An attempt that continues
+/// the request therefore takes it over when its head has been accepted, which shows that its engine lives and has
+/// admitted the request, and one that continues from a copy after 250 ms at the latest: the earlier attempts are then
+/// closed. If the later attempt fails before that, the earlier ones stay open and go on.
+///
 /// ```
 /// use hollyhook_core::{AttemptLedger, AttemptRace, RaceStep, RequestKind};
 ///
@@ -45,21 +77,84 @@
 #[derive(Debug, Clone, Copy)]
 struct OpenAttempt {
     key: AttemptKey,
+    basis: AttemptBasis,
     is_suspected: bool,
+    /// When the request was sent; `None` while there is no connection to send it on.
+    sent_at: Option<TimePoint>,
+    /// Whether the head of the response has been accepted.
+    is_accepted: bool,
+}
+
+impl OpenAttempt {
+    fn has_taken_over(&self, now: TimePoint) -> bool {
+        let is_due = self.takeover_at().is_some_and(|at| at <= now);
+        is_due || self.is_accepted && self.basis != AttemptBasis::Start
+    }
+
+    /// When the attempt takes over without a head.
+    fn takeover_at(&self) -> Option<TimePoint> {
+        self.is_sent_from_copy().then_some(self.sent_at? + TAKEOVER_LIMIT)
+    }
+
+    fn is_sent_from_copy(&self) -> bool {
+        self.basis == AttemptBasis::Copy && self.sent_at.is_some()
+    }
 }
 
 impl AttemptRace {
     /// The maximum number of open attempts at one request, each of which takes a slot and memory at its endpoint.
     pub const MAX_OPEN: usize = 3;
 
-    /// Adds an attempt that is being made.
+    /// Adds an attempt that is being made with the request alone.
     pub fn begin(&mut self) -> AttemptKey {
+        self.begin_from(AttemptBasis::Start)
+    }
+
+    /// Adds an attempt that is being made.
+    pub fn begin_from(&mut self, basis: AttemptBasis) -> AttemptKey {
         let key = AttemptKey(self.next_key);
         self.next_key += 1;
-        self.open.push(OpenAttempt { key, is_suspected: false });
+        self.open.push(OpenAttempt { key, basis, is_suspected: false, sent_at: None, is_accepted: false });
         key
     }
 
+    /// Records when the request of an attempt was sent.
+    pub fn record_sent(&mut self, key: AttemptKey, at: TimePoint) {
+        if let Some(attempt) = self.open.iter_mut().find(|attempt| attempt.key == key) {
+            attempt.sent_at = Some(at);
+        }
+    }
+
+    /// Records that the head of an attempt's response has been accepted.
+    pub fn record_accepted(&mut self, key: AttemptKey) {
+        if let Some(attempt) = self.open.iter_mut().find(|attempt| attempt.key == key) {
+            attempt.is_accepted = true;
+        }
+    }
+
+    /// Removes the attempts that may not go on beside another one, and returns them; `None` if there are none.
+    ///
+    /// These are the ones before an attempt that has taken the request over, and the ones without a head or a copy after
+    /// an attempt that is trusted again.
+    pub fn settle(&mut self, now: TimePoint) -> Option<RaceClosure> {
+        let successor = self.open.iter().rev().find(|attempt| attempt.has_taken_over(now)).map(|attempt| attempt.key);
+        if let Some(kept) = successor {
+            let closed = self.extract(|attempt| attempt.key < kept);
+            if !closed.is_empty() {
+                return Some(RaceClosure { kept, closed });
+            }
+        }
+        let kept = self.open.iter().find(|attempt| !attempt.is_suspected)?.key;
+        let closed =
+            self.extract(|attempt| attempt.key > kept && attempt.basis == AttemptBasis::Cursor && !attempt.is_accepted);
+        (!closed.is_empty()).then_some(RaceClosure { kept, closed })
+    }
+
+    /// When an attempt is going to take the request over from others that are still open.
+    pub fn settle_at(&self) -> Option<TimePoint> {
+        self.open.iter().skip(1).filter_map(OpenAttempt::takeover_at).min()
+    }
+
     /// Marks an attempt as suspected, because its endpoint has been silent for too long; returns whether it was not
     /// suspected before.
     pub fn suspect(&mut self, key: AttemptKey) -> bool {
@@ -82,7 +177,17 @@
     /// attempts, which are to be cancelled.
     pub fn win(&mut self, key: AttemptKey) -> Vec<AttemptKey> {
         self.trust(key);
-        self.open.extract_if(.., |attempt| attempt.key != key).map(|attempt| attempt.key).collect()
+        self.extract(|attempt| attempt.key != key)
+    }
+
+    /// Whether the events of an attempt are not read for now, because the request was sent on with a copy: the attempt
+    /// may win only if that one fails before it takes over.
+    pub fn is_held(&self, key: AttemptKey) -> bool {
+        self.open.iter().any(|attempt| attempt.key > key && attempt.is_sent_from_copy())
+    }
+
+    fn extract(&mut self, is_removed: impl Fn(&OpenAttempt) -> bool) -> Vec<AttemptKey> {
+        self.open.extract_if(.., |attempt| is_removed(attempt)).map(|attempt| attempt.key).collect()
     }
 
     /// Removes an attempt that has failed or was cancelled.
--- a/crates/hollyhook_core/src/forward/mod.rs
+++ b/crates/hollyhook_core/src/forward/mod.rs
@@ -8,5 +8,5 @@
 
 pub use answer_verdict::{AnswerHead, AnswerVerdict, AttemptFailure, evaluate_answer};
 pub use attempt_ledger::{AttemptLedger, StopReason};
-pub use attempt_race::{AttemptKey, AttemptRace, RaceStep};
+pub use attempt_race::{AttemptBasis, AttemptKey, AttemptRace, RaceClosure, RaceStep};
 pub use caller_head::{CallerHead, PromptSize};
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -47,8 +47,8 @@
     SkipReason, StoreContact, StoreRevision, is_helper_stale, snapshot_limit,
 };
 pub use forward::{
-    AnswerHead, AnswerVerdict, AttemptFailure, AttemptKey, AttemptLedger, AttemptRace, CallerHead, PromptSize,
-    RaceStep, StopReason, evaluate_answer,
+    AnswerHead, AnswerVerdict, AttemptBasis, AttemptFailure, AttemptKey, AttemptLedger, AttemptRace, CallerHead,
+    PromptSize, RaceClosure, RaceStep, StopReason, evaluate_answer,
 };
 pub use generation::{
     AttemptNumber, EndReason, EndpointRefusal, GenerationId, GenerationRelay, LatencyEstimator, OpenMode, PrefixDigest,
--- a/crates/hollyhook_core/tests/gateway/attempt_race_simulation.rs
+++ b/crates/hollyhook_core/tests/gateway/attempt_race_simulation.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::simulated_engine::{EVENT_GAP, EngineState, RunSignal, SimulatedEngine, at};
+use super::simulated_engine::{CopyStart, EVENT_GAP, EngineState, RunSignal, SimulatedEngine, at};
 use super::simulated_stream::{MAX_RUNS, SERVICE, SimulatedHost, SimulatedStream, StreamWorld, endpoint_id};
 
 /// Length of a simulation step, in milliseconds, as are all times here.
@@ -45,6 +45,8 @@
     Die(usize),
     LoseLink(usize, usize),
     Stall(usize, usize),
+    /// What this engine sends arrives this much later, while it works on.
+    HoldUp(usize, u64),
 }
 
 struct Simulation {
@@ -90,6 +92,11 @@
         self
     }
 
+    fn with_copy_start(mut self, start: CopyStart) -> Self {
+        self.engines = (0..ENGINES).map(|_| SimulatedEngine::with_copy_start(start)).collect();
+        self
+    }
+
     /// Runs until all streams have ended.
     fn run(mut self) -> Self {
         while self.streams.iter().any(|stream| stream.outcome.is_none()) {
@@ -151,6 +158,7 @@
                 }
                 EngineFault::LoseLink(engine, run) => self.engines[engine].lose_link(run),
                 EngineFault::Stall(engine, run) => self.engines[engine].stall(run),
+                EngineFault::HoldUp(engine, span) => self.engines[engine].hold_up(now, span),
             }
         }
     }
@@ -179,10 +187,22 @@
         }
     }
 
-    /// Two engines do not work on the same stream for long.
+    /// Two engines do not work on the same stream for long, and none does after another one continued from its copy.
     fn check_overlaps(&mut self) {
         for (number, stream) in self.streams.iter().enumerate() {
-            let is_working = |run: &&(u64, AttemptKey, usize)| self.engines[run.2].works_on((number, run.1));
+            let is_over = |begun: u64| self.now > begun + MAX_OVERLAP;
+            for (_, copied) in stream.copied.iter().filter(|(begun, _)| is_over(*begun)) {
+                let mut before = stream.runs.iter().filter(|(_, key, _)| key < copied);
+                let working = before.find(|(_, key, engine)| self.engines[*engine].works_on((number, *key)));
+                assert!(working.is_none(), "seed {}: stream {number} continued at {copied:?}, {working:?}", self.seed);
+            }
+        }
+        for (number, stream) in self.streams.iter().enumerate() {
+            // Nothing is continued before the first event; what a held-up engine has made is not known.
+            let is_begun_twice = |engine: usize| stream.events.is_empty() && self.engines[engine].is_held_up(self.now);
+            let is_working = |run: &&(u64, AttemptKey, usize)| {
+                self.engines[run.2].works_on((number, run.1)) && !is_begun_twice(run.2)
+            };
             let overlap = &mut self.overlaps[number];
             *overlap = if stream.runs.iter().filter(is_working).count() > 1 { *overlap + TICK } else { 0 };
             let (now, seed) = (self.now, self.seed);
@@ -277,6 +297,24 @@
     }
 }
 
+/// The engine before was worked on for up to a second more where the engine with the copy needed that long to its first
+/// event.
+#[test]
+fn engine_before_slow_copy_stopped() {
+    for (seed, engine) in cases() {
+        for is_head_late in [false, true] {
+            for fault in [EngineFault::Pause(vec![engine], 700), EngineFault::HoldUp(engine, 1_200)] {
+                let start = CopyStart { delay: 1_000, is_head_late };
+                let faults = [(FAULT_AT, fault.clone())];
+                let ended = simulation(seed).with_copy_start(start).with_faults(faults).run();
+                assert!(ended.is_whole(), "seed {seed}: {fault:?}");
+                let continued = ended.streams.iter().filter(|stream| !stream.copied.is_empty()).count();
+                assert_eq!(continued, ended.began_at(engine).len(), "seed {seed}: {fault:?}");
+            }
+        }
+    }
+}
+
 #[test]
 fn crashed_engine_left_at_once() {
     for (seed, engine) in cases() {
@@ -344,11 +382,28 @@
 /// one is and the retries are spent. Only one that has no run left and a run that stalled for good waits for its deadline.
 #[test]
 fn random_faults_end_no_sound_run() {
+    check_random_faults(CopyStart::default(), |_| None);
+}
+
+/// The same where engines need long to continue from copies, and the bytes of one are held up.
+#[test]
+fn random_faults_slow_copies_end_no_sound_run() {
+    for is_head_late in [false, true] {
+        check_random_faults(CopyStart { delay: 600, is_head_late }, |rng| {
+            let hold_up = EngineFault::HoldUp(rng.random_range(0..ENGINES), rng.random_range(400..2_500));
+            Some((rng.random_range(200..6_000), hold_up))
+        });
+    }
+}
+
+fn check_random_faults(start: CopyStart, more: impl Fn(&mut Pcg64Mcg) -> Option<(u64, EngineFault)>) {
     for seed in 0..300 {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        let faults: Vec<_> = (0..rng.random_range(1..6)).map(|_| random_fault(&mut rng)).collect();
+        let mut faults: Vec<_> = (0..rng.random_range(1..6)).map(|_| random_fault(&mut rng)).collect();
+        faults.extend(more(&mut rng));
         let retries = if seed % 4 == 0 { 2 } else { 1_000 };
-        let ended = Simulation::new(seed, STREAMS, retries).with_faults(faults.clone()).run();
+        let simulation = Simulation::new(seed, STREAMS, retries).with_copy_start(start);
+        let ended = simulation.with_faults(faults.clone()).run();
         for stream in &ended.streams {
             let is_allowed = match stream.outcome {
                 Some(Ok(())) => true,
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod attempt_race_simulation;
+mod attempt_races;
 mod attempts;
 mod backups;
 mod brittle;
--- a/crates/hollyhook_core/tests/gateway/simulated_engine.rs
+++ b/crates/hollyhook_core/tests/gateway/simulated_engine.rs
@@ -32,14 +32,21 @@
     Lost,
 }
 
+/// When a run sends the head of its response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunHead {
+    AtOnce,
+    WithFirstEvent,
+    Sent,
+}
+
 #[derive(Debug, Clone)]
 pub struct SimulatedRun {
     pub id: RunId,
     link: Link,
     is_closed: bool,
     is_stalled: bool,
-    /// Whether the run has sent the head of its response.
-    is_begun: bool,
+    head: RunHead,
     next_event: u64,
     last_event: u64,
     due: u64,
@@ -60,11 +67,40 @@
     pub runs: Vec<SimulatedRun>,
     /// The state in the past, with its time.
     reports: VecDeque<(u64, EngineReport)>,
+    /// Until when nothing of what the engine sends arrives, while it works on.
+    held_up_until: u64,
+    held_up: Vec<(RunId, RunSignal)>,
+    copy_start: CopyStart,
+}
+
+/// How a run that continues from a copy starts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct CopyStart {
+    /// Time to the first event, beside [`EVENT_GAP`].
+    pub delay: u64,
+    /// Whether the head of the response comes with the first event.
+    pub is_head_late: bool,
 }
 
 impl SimulatedEngine {
     pub fn new() -> Self {
-        Self { state: EngineState::Running, runs: Vec::new(), reports: VecDeque::new() }
+        Self {
+            state: EngineState::Running,
+            runs: Vec::new(),
+            reports: VecDeque::new(),
+            held_up_until: 0,
+            held_up: Vec::new(),
+            copy_start: CopyStart::default(),
+        }
+    }
+
+    pub fn with_copy_start(copy_start: CopyStart) -> Self {
+        Self { copy_start, ..Self::new() }
+    }
+
+    /// Holds up all that the engine sends for this long.
+    pub fn hold_up(&mut self, now: u64, span: u64) {
+        self.held_up_until = now + span;
     }
 
     pub fn is_running(&self) -> bool {
@@ -87,6 +123,10 @@
         self.is_running() && self.is_sound(id)
     }
 
+    pub fn is_held_up(&self, now: u64) -> bool {
+        now < self.held_up_until
+    }
+
     /// Does nothing for this long, if the engine runs.
     pub fn pause(&mut self, now: u64, span: u64) {
         if self.is_running() {
@@ -95,6 +135,16 @@
         }
     }
 
+    /// Begins a run after event `cursor` that continues from a copy.
+    pub fn begin_from_copy(&mut self, now: u64, id: RunId, cursor: u64, last_event: u64) {
+        self.begin(now, id, cursor, last_event, 0);
+        let CopyStart { delay, is_head_late } = self.copy_start;
+        if let Some(run) = self.runs.last_mut() {
+            run.due += delay;
+            run.head = if is_head_late { RunHead::WithFirstEvent } else { RunHead::AtOnce };
+        }
+    }
+
     /// Begins a run after event `cursor` that reads `prompt_tokens` first.
     pub fn begin(&mut self, now: u64, id: RunId, cursor: u64, last_event: u64, prompt_tokens: u64) {
         let begins_at = if let EngineState::PausedUntil(until) = self.state { until } else { now };
@@ -103,7 +153,7 @@
             link: Link::Open,
             is_closed: false,
             is_stalled: false,
-            is_begun: false,
+            head: RunHead::AtOnce,
             next_event: cursor + 1,
             last_event,
             due: begins_at + EVENT_GAP + prompt_tokens / READ_RATE,
@@ -139,8 +189,9 @@
     }
 
     /// The state that the engine reports; `None` while it answers nothing.
-    pub fn report(&self) -> Option<EngineReport> {
-        self.is_running().then(|| self.reports.front().map(|(_, report)| report.clone()).unwrap_or_default())
+    pub fn report(&self, now: u64) -> Option<EngineReport> {
+        (self.is_running() && !self.is_held_up(now))
+            .then(|| self.reports.front().map(|(_, report)| report.clone()).unwrap_or_default())
     }
 
     /// Goes on for one step; returns what the runs send.
@@ -154,18 +205,23 @@
             return Vec::new();
         }
         self.runs.retain(|run| !run.is_closed || run.link == Link::Lost);
-        let mut signals = Vec::new();
+        let mut signals = if self.is_held_up(now) { Vec::new() } else { std::mem::take(&mut self.held_up) };
         for run in &mut self.runs {
             let sent = run.step(now);
             signals.extend(sent.into_iter().map(|signal| (run.id, signal)));
         }
         self.runs.retain(|run| run.next_event <= run.last_event);
         self.record_state(now);
+        if self.is_held_up(now) {
+            self.held_up.extend(signals);
+            return Vec::new();
+        }
         signals
     }
 
     fn record_state(&mut self, now: u64) {
-        let (begun, reading): (Vec<_>, Vec<_>) = self.runs.iter().partition(|run| run.is_begun && run.has_events(now));
+        let (begun, reading): (Vec<_>, Vec<_>) =
+            self.runs.iter().partition(|run| run.head == RunHead::Sent && run.has_events(now));
         let runs = begun.into_iter().map(|run| EngineRun {
             attempt_id: attempt_id(run.id.0).into(),
             tokens: 0,
@@ -188,7 +244,13 @@
 impl SimulatedRun {
     fn step(&mut self, now: u64) -> Vec<RunSignal> {
         let mut signals = Vec::new();
-        if !std::mem::replace(&mut self.is_begun, true) {
+        let is_head_due = match self.head {
+            RunHead::AtOnce => true,
+            RunHead::WithFirstEvent => self.due <= now,
+            RunHead::Sent => false,
+        };
+        if is_head_due {
+            self.head = RunHead::Sent;
             signals.push(RunSignal::Head);
         }
         if self.due <= now && !self.is_stalled {
--- a/crates/hollyhook_core/tests/gateway/simulated_stream.rs
+++ b/crates/hollyhook_core/tests/gateway/simulated_stream.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use hollyhook_core::{
-    AttemptFailure, AttemptKey, AttemptLedger, AttemptRace, EndpointId, EndpointTable, EngineCandidate, EngineReport,
-    EngineSpeed, EventSequencer, LivenessVerdict, RaceStep, RawEvent, RequestKind, RetryWindow, RouteQuery,
-    SequenceVerdict, SilenceWatch, StopReason, choose_engine,
+    AttemptBasis, AttemptFailure, AttemptKey, AttemptLedger, AttemptRace, EndpointId, EndpointTable, EngineCandidate,
+    EngineReport, EngineSpeed, EventSequencer, LivenessVerdict, RaceStep, RawEvent, RequestKind, RetryWindow,
+    RouteQuery, SequenceVerdict, SilenceWatch, StopReason, choose_engine,
 };
 use rand_pcg::Pcg64Mcg;
 
@@ -76,6 +76,8 @@
     prompt_tokens: u64,
     deadline: u64,
     pub signals: Vec<(AttemptKey, RunSignal)>,
+    /// When attempts continued from a copy, without those that have failed.
+    pub copied: Vec<(u64, AttemptKey)>,
     sequencer: EventSequencer,
     race: AttemptRace,
     ledger: AttemptLedger,
@@ -111,6 +113,7 @@
             prompt_tokens,
             deadline,
             signals: Vec::new(),
+            copied: Vec::new(),
             sequencer: EventSequencer::default(),
             race: AttemptRace::default(),
             ledger: AttemptLedger::new(RequestKind::Idempotent, MAX_RUNS, MAX_NOT_RUN),
@@ -139,7 +142,9 @@
     /// Takes all steps that are due.
     pub fn step(&mut self, world: &mut StreamWorld<'_>) {
         for (key, signal) in std::mem::take(&mut self.signals) {
-            if self.outcome.is_none() {
+            if self.race.is_held(key) {
+                self.signals.push((key, signal));
+            } else if self.outcome.is_none() {
                 self.handle_signal(world, key, signal);
             }
         }
@@ -150,6 +155,7 @@
 
     /// Returns whether another step is due at once.
     fn advance(&mut self, world: &mut StreamWorld<'_>) -> bool {
+        self.settle_race(world);
         let step = self.race.next_step(&self.ledger);
         match step {
             RaceStep::Begin if self.search.is_none() => self.search = Some(self.choose(world)),
@@ -185,6 +191,15 @@
         }
     }
 
+    /// As `StreamRun::settle_race`.
+    fn settle_race(&mut self, world: &mut StreamWorld<'_>) {
+        for key in self.race.settle(at(world.now)).map(|closure| closure.closed).unwrap_or_default() {
+            self.ledger.record_failure(AttemptFailure::Silent);
+            let closed = self.close(world, key);
+            self.resume_from = closed.backup.or(self.resume_from);
+        }
+    }
+
     fn query(&self) -> RouteQuery<'_> {
         RouteQuery::new(SERVICE).avoid(&self.tried).repeatable(true).slots(64)
     }
@@ -331,7 +346,12 @@
             world.host.retries.earn(now);
         }
         let tokens = if has_backup { 0 } else { self.prompt_tokens };
-        let key = self.race.begin();
+        let basis = match (has_backup, self.sequencer.last()) {
+            (true, _) => AttemptBasis::Copy,
+            (false, Some(_)) => AttemptBasis::Cursor,
+            (false, None) => AttemptBasis::Start,
+        };
+        let key = self.race.begin_from(basis);
         self.most_open = self.most_open.max(self.race.open_count());
         self.tried.push(EndpointId::clone(&id));
         world.host.table.record_open(now, &id);
@@ -347,6 +367,16 @@
             return self.abandon(world, key, AttemptFailure::NotConnected);
         }
         self.runs.push((world.now, key, engine));
+        self.race.record_sent(key, now);
+        if has_backup {
+            self.copied.push((world.now, key));
+            return world.engines[engine].begin_from_copy(
+                world.now,
+                (self.number, key),
+                self.cursor(),
+                self.last_event,
+            );
+        }
         world.engines[engine].begin(world.now, (self.number, key), self.cursor(), self.last_event, tokens);
     }
 
@@ -373,6 +403,7 @@
         match signal {
             RunSignal::Head => {
                 self.attempts[index].watch = SilenceWatch::before_first(now, self.prompt_tokens);
+                self.race.record_accepted(key);
                 self.race.trust(key);
             }
             RunSignal::Event(number) => self.receive(world, index, number),
@@ -430,6 +461,7 @@
     fn abandon(&mut self, world: &mut StreamWorld<'_>, key: AttemptKey, failure: AttemptFailure) {
         let now = at(world.now);
         self.race.remove(key);
+        self.copied.retain(|(_, copied)| *copied != key);
         let index = self.index(key).unwrap();
         let was_sound = world.engines[self.attempts[index].engine].is_sound((self.number, key));
         let attempt = self.close(world, key);
@@ -511,7 +543,7 @@
         if self.limit == 0 {
             return Poll::Ready(None);
         }
-        let report = world.engines[self.engine].report().filter(|_| world.now >= self.sent_at + ROUND_TRIP);
+        let report = world.engines[self.engine].report(world.now).filter(|_| world.now >= self.sent_at + ROUND_TRIP);
         if report.is_some() {
             world.host.table.record_heard(now, &id);
             return Poll::Ready(report);
--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -84,18 +84,21 @@
 }
 
 /// Sends a caller's request to an endpoint and waits for the head of the response.
+///
+/// `on_send` is called with the time at which the request is sent on a connection.
 pub(super) async fn send_attempt(
     context: &GatewayContext,
     caller: &CallerRequest,
     target: &EndpointTarget,
     headers: &AttemptHeaders,
+    on_send: impl Fn(TimePoint),
 ) -> Result<OpenResponse, AttemptFailure> {
     let mut request = Request::new(Full::new(caller.body.clone()));
     *request.method_mut() = caller.method.clone();
     *request.uri_mut() = origin_form(caller);
     *request.headers_mut() = caller.headers.clone();
     hollyhook_platform::set_attempt_headers(request.headers_mut(), headers);
-    let response = send(context, target, request).await?;
+    let response = send_noted(context, target, request, on_send).await?;
     if response.head.attempt_id.is_none() {
         context.recorder.count("answers_without_id");
         tracing::info!(request = %caller.head.attempt_id, endpoint = %target.id, status = response.head.status,
@@ -114,9 +117,20 @@
 ///
 /// If a pooled connection turns out to be closed before any byte was sent, the request is sent on another connection.
 pub(super) async fn send(
+    context: &GatewayContext,
+    target: &EndpointTarget,
+    request: Request<Full<Bytes>>,
+) -> Result<OpenResponse, AttemptFailure> {
+    send_noted(context, target, request, |_sent_at| {}).await
+}
+
+/// As [`send`]; calls `on_send` with the time at which the request is sent on a connection, again if it is sent on
+/// another one.
+async fn send_noted(
     context: &GatewayContext,
     target: &EndpointTarget,
     mut request: Request<Full<Bytes>>,
+    on_send: impl Fn(TimePoint),
 ) -> Result<OpenResponse, AttemptFailure> {
     loop {
         let pooled = context.pool.take(&target.id);
@@ -126,6 +140,7 @@
             None => connect(context, target).await?,
         };
         let sent_at = context.timer.now();
+        on_send(sent_at);
         match connection.send(request).await {
             Ok(response) => {
                 if !connection.is_tunnel() {
--- a/crates/hollyhook_gateway/src/forward/call_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/call_attempt.rs
@@ -135,7 +135,7 @@
             time_left: caller.time_left(context.timer.now()),
             ..AttemptHeaders::default()
         };
-        let response = match send_attempt(context, caller, target, &headers).await {
+        let response = match send_attempt(context, caller, target, &headers, |_sent_at| {}).await {
             Ok(response) => response,
             Err(failure) => return CallOutcome::Failure(failure),
         };
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -127,6 +127,20 @@
     log_silence(context, caller, endpoint, silent, "attempt.cancelled");
 }
 
+/// Records that an attempt is closed because the one at `successor` has taken the request over.
+pub(super) fn attempt_taken_over(
+    context: &GatewayContext,
+    caller: &CallerRequest,
+    endpoint: &EndpointId,
+    successor: Option<&EndpointId>,
+    silent: Duration,
+) {
+    context.recorder.count("attempts_taken_over");
+    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %endpoint,
+        successor = successor.map(|id| &**id), silent_ms = silent.as_millis() as u64, age_ms, "attempt.taken_over");
+}
+
 fn log_silence(
     context: &GatewayContext,
     caller: &CallerRequest,
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_close.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_close.rs
@@ -2,9 +2,9 @@
 use std::time::Duration;
 
 use async_std::task;
-use hollyhook_core::{AttemptFailure, AttemptKey, EndpointId, Error, Result, StopReason};
+use hollyhook_core::{AttemptFailure, AttemptKey, EndpointId, Error, RaceClosure, Result, StopReason};
 
-use super::stream_attempt::AttemptState;
+use super::stream_attempt::{AttemptState, StreamAttempt};
 use super::{StreamRun, StreamStep};
 use crate::forward::attempt_end::end_attempt;
 use crate::forward::attempt_times::record_version_outcome;
@@ -18,22 +18,63 @@
 
 /// Closing attempts, and ending the stream.
 impl StreamRun {
+    /// Closes the attempts that may not go on beside another one.
+    pub(super) fn settle_race(&mut self) {
+        self.record_sent();
+        let Some(RaceClosure { kept, closed }) = self.race.settle(self.context.timer.now()) else {
+            return;
+        };
+        // It may have found a copy of an attempt that is being closed.
+        self.search = None;
+        for key in closed {
+            let Some(attempt) = self.take_attempt(key) else {
+                continue;
+            };
+            let silent = self.context.timer.now().since(attempt.watch.silent_since());
+            if key < kept {
+                let successor = self.attempts.iter().find(|attempt| attempt.key == kept);
+                let successor = successor.map(|successor| &successor.target.id);
+                let id = &attempt.target.id;
+                request_log::attempt_taken_over(&self.context, &self.caller, id, successor, silent);
+                // One that was made on demand is freed with its attempt.
+                self.resume_from = attempt.backup().filter(|backup| !backup.is_on_demand).or(self.resume_from.take());
+            } else {
+                request_log::attempt_cancelled(&self.context, &self.caller, &attempt.target.id, silent);
+            }
+            self.close(&attempt, kept);
+        }
+    }
+
     /// Closes an attempt that `winner` has outrun.
     pub(super) fn cancel(&mut self, key: AttemptKey, winner: AttemptKey) {
-        let Some(index) = self.attempts.iter().position(|attempt| attempt.key == key) else {
+        let Some(attempt) = self.take_attempt(key) else {
             return;
         };
-        let attempt = self.attempts.remove(index);
+        let silent = self.context.timer.now().since(attempt.watch.silent_since());
+        request_log::attempt_cancelled(&self.context, &self.caller, &attempt.target.id, silent);
+        self.close(&attempt, winner);
+    }
+
+    /// Records which requests have been sent.
+    pub(super) fn record_sent(&mut self) {
+        for attempt in &self.attempts {
+            if let Some(at) = attempt.sent_at() {
+                self.race.record_sent(attempt.key, at);
+            }
+        }
+    }
+
+    fn take_attempt(&mut self, key: AttemptKey) -> Option<StreamAttempt> {
+        let index = self.attempts.iter().position(|attempt| attempt.key == key)?;
+        Some(self.attempts.remove(index))
+    }
+
+    /// Counts an attempt that is being closed in favour of `kept`.
+    fn close(&mut self, attempt: &StreamAttempt, kept: AttemptKey) {
         let now = self.context.timer.now();
-        request_log::attempt_cancelled(
-            &self.context,
-            &self.caller,
-            &attempt.target.id,
-            now.since(attempt.watch.silent_since()),
-        );
         self.ledger.record_failure(AttemptFailure::Silent);
         self.run_time += attempt.event_span(now);
-        if key < winner {
+        if attempt.key < kept {
             self.timing.record_loss(AttemptFailure::Silent.as_str());
         }
         if self.context.endpoints.is_silent(&attempt.target.id) {
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyhook_core::{EndpointId, Error, Name, RaceStep, Result, StopReason, StreamOrigin, VersionFilter};
+use hollyhook_core::{
+    AttemptBasis, EndpointId, Error, Name, RaceStep, Result, StopReason, StreamOrigin, VersionFilter,
+};
 use hollyhook_platform::AttemptHeaders;
 
 use super::attempt_close::BUSY_RETRY_AFTER;
@@ -197,6 +199,11 @@
 
     pub(super) fn begin_attempt(&mut self, choice: EngineChoice) {
         let EngineChoice { slot, from, backup, prompt_at } = choice;
+        let basis = match (&from, self.sequencer.last()) {
+            (Some(_), _) => AttemptBasis::Copy,
+            (None, Some(_)) => AttemptBasis::Cursor,
+            (None, None) => AttemptBasis::Start,
+        };
         let headers = AttemptHeaders {
             endpoint: Some(Name::clone(&slot.target.entry)),
             account: self.caller.account.as_ref().map(|account| Arc::clone(&account.name)),
@@ -211,7 +218,7 @@
         request_log::attempt_placed(&self.context, &self.caller, &slot, &headers);
         let is_first = self.is_first();
         self.tried.push(EndpointId::clone(slot.id()));
-        let key = self.race.begin();
+        let key = self.race.begin_from(basis);
         let attempt = StreamAttempt::send(&self.context, &self.caller, key, slot, backup, headers, is_first);
         self.attempts.push(attempt);
     }
--- a/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
@@ -137,6 +137,7 @@
     ///
     /// The error for the caller if no attempt is open and no further one may be made.
     async fn advance(&mut self) -> Result<StreamStep> {
+        self.settle_race();
         match self.race.next_step(&self.ledger) {
             RaceStep::Begin => {
                 self.search = None;
@@ -165,8 +166,10 @@
     }
 
     fn poll_signal(&mut self, task: &mut Context<'_>) -> Poll<StreamSignal> {
+        self.record_sent();
         for (index, attempt) in self.attempts.iter_mut().enumerate() {
-            if let Poll::Ready(signal) = attempt.poll_signal(task) {
+            let is_held = self.race.is_held(attempt.key);
+            if let Poll::Ready(signal) = attempt.poll_signal(task, is_held) {
                 return Poll::Ready(StreamSignal::Attempt(index, signal));
             }
         }
@@ -182,7 +185,7 @@
         let is_due_often = |attempt: &StreamAttempt| self.race.is_suspected(attempt.key) || !attempt.has_begun();
         let search_at = self.attempts.iter().any(is_due_often).then_some(now + SEARCH_INTERVAL);
         let checks = self.attempts.iter().filter_map(StreamAttempt::check_at);
-        let next = checks.chain(search_at).min();
+        let next = checks.chain(search_at).chain(self.race.settle_at()).min();
         let time_left = self.caller.time_left(now);
         next.map_or(time_left, |at| at.since(now).min(time_left))
     }
@@ -388,6 +391,7 @@
         let replicator =
             is_replicated.then(|| BackupReplicator::start(&self.context, &self.caller, attempt.target.clone(), backup));
         attempt.begin_events(self.context.timer.now(), slot, response, replicator);
+        self.race.record_accepted(attempt.key);
         self.trust(index);
     }
 
--- a/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
@@ -1,5 +1,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -38,6 +39,21 @@
     Report(Option<EngineReport>),
 }
 
+/// When a request was sent, in microseconds of the timer service; 0 before.
+#[derive(Debug, Default)]
+struct SendTime(AtomicU64);
+
+impl SendTime {
+    fn set(&self, sent_at: TimePoint) {
+        self.0.store(sent_at.as_micros().max(1), Ordering::Relaxed);
+    }
+
+    fn get(&self) -> Option<TimePoint> {
+        let micros = self.0.load(Ordering::Relaxed);
+        (micros > 0).then(|| TimePoint::from_micros(micros))
+    }
+}
+
 /// One open attempt at a stream.
 pub(super) struct StreamAttempt {
     pub(super) key: AttemptKey,
@@ -47,6 +63,7 @@
     start: AttemptStart,
     /// The number of prompt tokens that the engine reads before the first event.
     tokens_to_read: u64,
+    sending: Arc<SendTime>,
     probe: Option<OwnedFuture<Option<EngineReport>>>,
 }
 
@@ -82,7 +99,9 @@
         let tokens_to_read = tokens_to_read(caller, &headers);
         let watch = SilenceWatch::before_first(now, tokens_to_read);
         let target = slot.target.clone();
-        let response = OwnedFuture::new(open(Arc::clone(context), Arc::clone(caller), target.clone(), headers));
+        let sending = Arc::new(SendTime::default());
+        let response = open(Arc::clone(context), Arc::clone(caller), target.clone(), headers, Arc::clone(&sending));
+        let response = OwnedFuture::new(response);
         Self {
             key,
             target,
@@ -90,6 +109,7 @@
             watch,
             start: AttemptStart { sent_at: now, is_first },
             tokens_to_read,
+            sending,
             probe: None,
         }
     }
@@ -134,6 +154,11 @@
         )
     }
 
+    /// When the request was sent; `None` while there is no connection to send it on.
+    pub(super) fn sent_at(&self) -> Option<TimePoint> {
+        self.sending.get()
+    }
+
     /// Whether the attempt has sent an event.
     pub(super) fn has_begun(&self) -> bool {
         self.live().is_some_and(LiveAttempt::has_begun)
@@ -171,9 +196,10 @@
         self.probe.is_none().then(|| self.watch.check_at())
     }
 
-    /// Waits for the next signal of the attempt.
-    pub(super) fn poll_signal(&mut self, task: &mut Context<'_>) -> Poll<AttemptSignal> {
+    /// Waits for the next signal of the attempt; only for a report if its response `is_held`.
+    pub(super) fn poll_signal(&mut self, task: &mut Context<'_>, is_held: bool) -> Poll<AttemptSignal> {
         let signal = match &mut self.state {
+            _ if is_held => Poll::Pending,
             AttemptState::Opening(opening) => opening.response.poll(task).map(AttemptSignal::Opened),
             AttemptState::Live(live) => Pin::new(&mut live.response.body).poll_frame(task).map(AttemptSignal::Frame),
             AttemptState::Closed => Poll::Pending,
@@ -202,8 +228,9 @@
     caller: Arc<CallerRequest>,
     target: EndpointTarget,
     headers: AttemptHeaders,
+    sending: Arc<SendTime>,
 ) -> Result<OpenedAttempt, AttemptFailure> {
-    let response = send_attempt(&context, &caller, &target, &headers).await?;
+    let response = send_attempt(&context, &caller, &target, &headers, |sent_at| sending.set(sent_at)).await?;
     match response.verdict(&caller) {
         AnswerVerdict::Pass if response.parts.status.is_success() => Ok(OpenedAttempt::Stream(Box::new(response))),
         AnswerVerdict::Pass => {
