--- a/crates/hollyhook_gateway/src/forward/attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt.rs
@@ -84,18 +84,21 @@
 }
 
 /// Sends a caller's request to an endpoint and waits for the head of the response.
+///
+/// `on_send` is called with the time at which the request is sent on a connection.
 pub(super) async fn send_attempt(
     context: &GatewayContext,
     caller: &CallerRequest,
     target: &EndpointTarget,
     headers: &AttemptHeaders,
+    on_send: impl Fn(TimePoint),
 ) -> Result<OpenResponse, AttemptFailure> {
     let mut request = Request::new(Full::new(caller.body.clone()));
     *request.method_mut() = caller.method.clone();
     *request.uri_mut() = origin_form(caller);
     *request.headers_mut() = caller.headers.clone();
     hollyhook_platform::set_attempt_headers(request.headers_mut(), headers);
-    let response = send(context, target, request, Some(&caller.head.attempt_id)).await?;
+    let response = send(context, target, request, Some(&caller.head.attempt_id), on_send).await?;
     if response.head.is_from(&target.entry) {
         context.endpoints.end_terms(&target.id, response.head.terms, response.sent_at);
     }
@@ -108,7 +111,7 @@
 /// Sends a request to an endpoint on a pooled connection, or on a new one if none is pooled.
 ///
 /// `attempt_id` is that of the request, `None` if it carries none. If a pooled connection turns out to be closed before any
-/// byte was sent, the request is sent on another connection.
+/// byte was sent, the request is sent on another connection, and `on_send` is called again.
 ///
 /// # Errors
 ///
@@ -119,15 +122,16 @@
     target: &EndpointTarget,
     mut request: Request<Full<Bytes>>,
     attempt_id: Option<&Name>,
+    on_send: impl Fn(TimePoint),
 ) -> Result<OpenResponse, AttemptFailure> {
     while let Some(connection) = context.pool.take(&target.id, attempt_id) {
-        match exchange(context, target, connection, request, attempt_id).await {
+        match exchange(context, target, connection, request, attempt_id, &on_send).await {
             Err(SendError::Unsent(unsent)) => request = *unsent,
             outcome => return outcome.map_err(AttemptFailure::from),
         }
     }
     let connection = connect(context, target).await?;
-    exchange(context, target, connection, request, attempt_id).await.map_err(AttemptFailure::from)
+    exchange(context, target, connection, request, attempt_id, &on_send).await.map_err(AttemptFailure::from)
 }
 
 /// Sends a request without an attempt id to an endpoint on a new connection, so that no earlier request can be answered
@@ -142,7 +146,7 @@
     request: Request<Full<Bytes>>,
 ) -> Result<OpenResponse, AttemptFailure> {
     let connection = connect(context, target).await?;
-    exchange(context, target, connection, request, None).await.map_err(AttemptFailure::from)
+    exchange(context, target, connection, request, None, &|_sent_at| {}).await.map_err(AttemptFailure::from)
 }
 
 async fn exchange(
@@ -151,11 +155,13 @@
     mut connection: PooledConnection,
     request: Request<Full<Bytes>>,
     attempt_id: Option<&Name>,
+    on_send: &impl Fn(TimePoint),
 ) -> Result<OpenResponse, SendError> {
     if let Some(attempt_id) = attempt_id {
         connection.record_attempt(attempt_id);
     }
     let sent_at = context.timer.now();
+    on_send(sent_at);
     let (parts, body) = connection.send(request).await?.into_parts();
     let head = hollyhook_platform::answer_head(&parts);
     if head.is_foreign(attempt_id.map(|id| &**id)) {
--- a/crates/hollyhook_gateway/src/forward/endpoint_call.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_call.rs
@@ -27,7 +27,7 @@
     limit: Duration,
 ) -> Result<BufferedResponse, AttemptFailure> {
     let exchange = async {
-        let response = send(context, target, request, None).await?;
+        let response = send(context, target, request, None, |_sent_at| {}).await?;
         response.read_to_end(context, &target.id, MAX_REPLY_BYTES).await
     };
     context.timer.within(limit, exchange).await.unwrap_or(Err(AttemptFailure::Silent))
