Frame the tunnel between hosts towards the asking host

Cause: a tunnel carried raw bytes. The kernel of a killed host closes its connections in order, and an answer without a length ends with its connection, so that the asking host took the close for the endpoint's.

Towards the asking host the bytes are now in frames (length of two bytes, at most 16 KiB); a frame of no bytes states that the endpoint closed its side in order. The end of the connection without it reads as an error, so that hyper reports a broken body. A stopping host that ends a quiet tunnel sends no such frame either. Towards the endpoint no frame is needed: requests have a length, and the carrier resets the endpoint's connection when the asking host's ends. The protocol has another name; a host that knows only the other one refuses with 400, which the asking host takes as "unavailable".

Evidence: the three tests tunnel_closed_* failed before: (200, "half") for both calls, and a stream of 4 of 20 events as complete. The codec has tests for truncation at every byte and any division.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -58,7 +58,9 @@
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
 pub use origin::{OriginAnswer, OriginCopy, OriginLedger, StreamOrigin, origin_holders};
 pub use pace::{EndpointPace, EngineSpeed, MigrationGate, MigrationPlan, PaceChange, ProgressMeter, ServicePace};
-pub use path::{ConnectOrder, EndpointGroup, PathMonitor, TunnelDirectory};
+pub use path::{
+    ConnectOrder, EndpointGroup, FrameBuffer, FrameError, FrameReader, FrameStep, PathMonitor, TunnelDirectory,
+};
 pub use quarantine::{
     CrashInquiry, CrashLedger, CrashRecord, CrashRecords, DigestError, EndpointFinding, QuarantineChange,
     RequestDigest, SpreadScope, SpreadStep, SuspectRequest, spread_plan, spread_through,
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -37,3 +37,4 @@
 mod streams;
 mod terms;
 mod trials;
+mod tunnel_frames;
--- a/crates/hollyhook_gateway/src/path/mod.rs
+++ b/crates/hollyhook_gateway/src/path/mod.rs
@@ -11,6 +11,7 @@
 mod tunnel_client;
 mod tunnel_request;
 mod tunnel_server;
+mod tunnel_stream;
 mod tunnel_traffic;
 
 pub(crate) use connect_error::{ConnectError, RemoteFinding};
@@ -20,3 +21,4 @@
 pub(crate) use path_tracker::{PathTracker, TunnelLease};
 pub(crate) use tunnel_request::is_tunnel_request;
 pub(crate) use tunnel_server::TunnelServer;
+pub(crate) use tunnel_stream::TunnelStream;
--- a/crates/hollyhook_gateway/src/path/tunnel_client.rs
+++ b/crates/hollyhook_gateway/src/path/tunnel_client.rs
@@ -7,7 +7,8 @@
 use hyper::client::conn::http1;
 
 use super::tunnel_request::build_tunnel_request;
-use crate::net::{DriverGuard, WireStream, dial, wire_stream};
+use super::tunnel_stream::TunnelStream;
+use crate::net::{DriverGuard, WireIo, WireStream, dial, wire_stream};
 
 /// Time limit for connecting to another host, which is usually in the same region.
 const HOST_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
@@ -36,7 +37,7 @@
     timer: &TimerService,
     host: &HostRecord,
     endpoint: &EndpointId,
-) -> Result<WireStream, TunnelError> {
+) -> Result<WireIo<TunnelStream>, TunnelError> {
     let opened = timer.within(TUNNEL_TIMEOUT, request_tunnel(timer, host, endpoint)).await;
     opened.unwrap_or(Err(TunnelError::Unavailable))
 }
@@ -45,7 +46,7 @@
     timer: &TimerService,
     host: &HostRecord,
     endpoint: &EndpointId,
-) -> Result<WireStream, TunnelError> {
+) -> Result<WireIo<TunnelStream>, TunnelError> {
     let request = build_tunnel_request(host, endpoint).ok_or(TunnelError::Unavailable)?;
     let stream = dial(timer, host.address, HOST_CONNECT_TIMEOUT).await.map_err(|_error| TunnelError::Unavailable)?;
     if let Err(error) = bound_endpoint_buffers(stream.get_ref()) {
@@ -66,6 +67,5 @@
     }
     let upgraded = hyper::upgrade::on(response).await.map_err(|_error| TunnelError::Unavailable)?;
     let parts = upgraded.downcast::<WireStream>().map_err(|_upgraded| TunnelError::Unavailable)?;
-    // An endpoint sends nothing before a request.
-    if parts.read_buf.is_empty() { Ok(parts.io) } else { Err(TunnelError::Unavailable) }
+    Ok(wire_stream(TunnelStream::new(parts.io.into_inner(), &parts.read_buf)))
 }
--- a/crates/hollyhook_gateway/src/path/tunnel_request.rs
+++ b/crates/hollyhook_gateway/src/path/tunnel_request.rs
@@ -6,8 +6,9 @@
 use hyper::body::Incoming;
 
 const TUNNEL_PATH: &str = "/tunnel";
-/// The protocol that the connection is upgraded to (RFC 9110, 7.8): bytes are carried unchanged in both directions.
-const TUNNEL_PROTOCOL: HeaderValue = HeaderValue::from_static("hollyhook-tunnel");
+/// The protocol that the connection is upgraded to (RFC 9110, 7.8): bytes to the endpoint unchanged, those from it in
+/// frames. A host that knows another protocol only refuses the upgrade.
+const TUNNEL_PROTOCOL: HeaderValue = HeaderValue::from_static("hollyhook-framed-tunnel");
 /// The endpoint that the tunnel is to lead to. Naming it by its id leaves the address to the host that connects to it,
 /// so that tunnels lead to registered endpoints only.
 const ENDPOINT: HeaderName = HeaderName::from_static("hollyhook-endpoint");
--- a/crates/hollyhook_gateway/src/path/tunnel_traffic.rs
+++ b/crates/hollyhook_gateway/src/path/tunnel_traffic.rs
@@ -9,8 +9,8 @@
 use async_std::net::TcpStream as HostStream;
 use bytes::Bytes;
 use futures::future::{Either, select};
-use futures::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use hollyhook_core::{StopPhase, TimePoint};
+use futures::io::{AsyncReadExt, AsyncWriteExt};
+use hollyhook_core::{FrameBuffer, StopPhase, TimePoint};
 use hollyhook_wire::bound_caller_buffers;
 use hyper::upgrade::OnUpgrade;
 use socket2::SockRef;
@@ -84,13 +84,29 @@
     async fn copy_up(&self, mut host: &HostStream, early: &[u8]) -> io::Result<()> {
         let mut endpoint = &self.endpoint;
         endpoint.write_all(early).await?;
-        copy(&mut host, &mut endpoint, || self.note(&self.activity.from_host_us)).await
+        let mut buffer = vec![0; BUFFER_BYTES];
+        loop {
+            let read = host.read(&mut buffer).await?;
+            if read == 0 {
+                return Ok(());
+            }
+            self.note(&self.activity.from_host_us);
+            endpoint.write_all(&buffer[..read]).await?;
+        }
     }
 
-    /// Copies from the endpoint to the host until the endpoint's side ends.
+    /// Copies from the endpoint to the host, in frames, until the endpoint's side ends.
     async fn copy_down(&self, mut host: &HostStream) -> io::Result<()> {
         let mut endpoint = &self.endpoint;
-        copy(&mut endpoint, &mut host, || self.note(&self.activity.from_endpoint_us)).await
+        let mut buffer = FrameBuffer::default();
+        loop {
+            let read = endpoint.read(buffer.payload_mut()).await?;
+            if read == 0 {
+                return host.write_all(FrameBuffer::end_frame()).await;
+            }
+            self.note(&self.activity.from_endpoint_us);
+            host.write_all(buffer.frame(read)).await?;
+        }
     }
 
     fn note(&self, sent_at: &AtomicU64) {
@@ -121,22 +137,6 @@
     detect_dead_peer(&SockRef::from(host))
 }
 
-async fn copy(
-    reader: &mut (impl AsyncRead + Unpin),
-    writer: &mut (impl AsyncWrite + Unpin),
-    note: impl Fn(),
-) -> io::Result<()> {
-    let mut buffer = vec![0; BUFFER_BYTES];
-    loop {
-        let read = reader.read(&mut buffer).await?;
-        if read == 0 {
-            return Ok(());
-        }
-        note();
-        writer.write_all(&buffer[..read]).await?;
-    }
-}
-
 /// Makes the connection end with a reset, so that a truncated response does not look complete.
 fn end_with_reset(host: &HostStream) {
     if let Err(error) = reset_on_close(&SockRef::from(host)) {
--- a/crates/hollyhook_gateway/src/pool/connection_pool.rs
+++ b/crates/hollyhook_gateway/src/pool/connection_pool.rs
@@ -10,8 +10,8 @@
 use http::header::HeaderName;
 
 use super::PooledConnection;
-use crate::net::{UsageMeter, WireStream, dial, metered_stream};
-use crate::path::TunnelLease;
+use crate::net::{UsageMeter, WireIo, dial, metered_stream};
+use crate::path::{TunnelLease, TunnelStream};
 use crate::sync::lock;
 
 /// How long an idle connection is kept if the peer states no keep-alive timeout.
@@ -75,7 +75,11 @@
     /// # Errors
     ///
     /// If the handshake fails.
-    pub(crate) async fn start_tunnel(&self, tunnel: WireStream, lease: TunnelLease) -> hyper::Result<PooledConnection> {
+    pub(crate) async fn start_tunnel(
+        &self,
+        tunnel: WireIo<TunnelStream>,
+        lease: TunnelLease,
+    ) -> hyper::Result<PooledConnection> {
         let connection = PooledConnection::start(tunnel, READ_BUFFER_BYTES).await?;
         Ok(connection.through_host(lease))
     }
