Believe a stream that ends by closing only if its engine lives on

Callers saw: a stream without a length ended as complete in its middle, or as 200 without any event, when its engine was killed, or when it had obeyed an order to stop the run and its answer was lost (ORDER).

Cause: the kernel of a killed process closes its connections in order, which was believed as the engine's end of the stream; so was the close after a stop order.

Such an end is believed only if the engine, of the same incarnation, reports after the close (two exchanges of at most 150 ms), and never after a stop order of this attempt. Otherwise the stream goes on at another engine after its last event; if it was whole, the rest is empty. One that may not be resumed is truncated. Whether the engine still lists the run says nothing, since reports are some hundred ms old. Answers with a length or chunks cost nothing.

Killed after event 8 of 20: 8 events, complete (also behind a proxy that resets, and for a stream that may not be resumed); killed before the first event: 200, none; killed after the last event: no second attempt; stop order without an answer: 6 of 20 events, complete. A dropped connection task of the HTTP library makes the body fail, chunked or without a length (tests/body_ends.rs): no fault.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -85,8 +85,8 @@
 };
 pub use stop::{StopPhase, StopPlan};
 pub use stream::{
-    EventBatch, EventReader, EventSequencer, EventSplitter, LivenessChecker, LivenessVerdict, RawEvent,
-    SequenceVerdict, SilenceWatch,
+    BodyEnd, EndVerdict, EventBatch, EventReader, EventSequencer, EventSplitter, LivenessChecker, LivenessVerdict,
+    RawEvent, SequenceVerdict, SilenceWatch,
 };
 pub use terms::{AdvertisedTerms, RateShare, TermsTable};
 pub use time::TimePoint;
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod attempt_race_simulation;
 mod attempts;
 mod backups;
+mod body_ends;
 mod brittle;
 mod capacity;
 mod choosing;
--- a/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_probe.rs
@@ -74,6 +74,16 @@
     join_all(probes).await.iter().any(Result::is_ok)
 }
 
+/// Whether an engine reports now.
+///
+/// A kept connection may end just as it is used, so that a broken one is followed by another.
+pub(super) async fn is_reporting(context: &GatewayContext, target: &EndpointTarget) -> bool {
+    match fetch_report(context, target, LIVENESS_TIMEOUT).await {
+        Err(AttemptFailure::Broken) => fetch_report(context, target, LIVENESS_TIMEOUT).await.is_ok(),
+        outcome => outcome.is_ok(),
+    }
+}
+
 /// Probes all engines of a shortlist concurrently; an engine that does not report is recorded as silent, or as not
 /// connected if it refuses.
 pub(super) async fn probe_all(context: &GatewayContext, shortlist: Vec<EndpointRecord>) -> Vec<EngineCandidate> {
--- a/crates/hollyhook_gateway/src/forward/live_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/live_attempt.rs
@@ -130,6 +130,11 @@
         self.reader.has_idle_bytes()
     }
 
+    /// When the request was sent.
+    pub(super) fn sent_at(&self) -> TimePoint {
+        self.start.sent_at
+    }
+
     /// Whether the caller has the whole stream if the body ends here.
     pub(super) fn has_whole_stream(&self, sequencer: &EventSequencer) -> bool {
         self.reader.has_whole_stream(sequencer)
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -4,6 +4,7 @@
 mod attempt_end;
 mod attempt_times;
 mod backup_replicator;
+mod body_end;
 mod buffered_response;
 mod call_attempt;
 mod call_choice;
--- a/crates/hollyhook_gateway/src/forward/stream_migration.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_migration.rs
@@ -33,6 +33,11 @@
         true
     }
 
+    /// Whether an engine has been ordered since `sent_at` to stop the run; its answer may have been lost.
+    pub(super) fn has_ordered_since(&self, sent_at: TimePoint) -> bool {
+        self.migrated_at.is_some_and(|at| at >= sent_at)
+    }
+
     /// Stops a stream at its engine if it would miss its deadline there and end in time at the engine that holds its
     /// backup; returns the backup to resume from.
     ///
--- a/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
@@ -11,8 +11,8 @@
 
 use bytes::Bytes;
 use hollyhook_core::{
-    AttemptFailure, AttemptLedger, AttemptRace, EndpointId, EventSequencer, LivenessVerdict, Name, RaceStep, Result,
-    StreamOrigin, TimePoint,
+    AttemptFailure, AttemptLedger, AttemptRace, BodyEnd, EndVerdict, EndpointId, EventSequencer, LivenessVerdict, Name,
+    RaceStep, Result, StreamOrigin, TimePoint,
 };
 use http::response::Parts;
 use hyper::body::Frame;
@@ -20,6 +20,7 @@
 use self::stream_attempt::{AttemptSignal, AttemptState, OpenedAttempt, OpeningAttempt, StreamAttempt};
 use super::attempt::OpenResponse;
 use super::backup_replicator::BackupReplicator;
+use super::body_end::is_engine_alive;
 use super::buffered_response::BufferedResponse;
 use super::engine_choice::{BackupLocation, EngineChoice};
 use super::live_attempt::LiveAttempt;
@@ -197,14 +198,7 @@
             AttemptSignal::Opened(Err(failure)) => self.abandon(index, failure).await,
             AttemptSignal::Frame(Some(Ok(frame))) => self.receive(index, frame).await,
             AttemptSignal::Frame(Some(Err(_error))) => self.abandon(index, AttemptFailure::Broken).await,
-            AttemptSignal::Frame(None) => {
-                let live = self.attempts[index].live();
-                if live.is_some_and(|live| live.has_whole_stream(&self.sequencer)) {
-                    self.complete(index);
-                    return Ok(StreamStep::End);
-                }
-                self.abandon(index, AttemptFailure::Garbled).await
-            }
+            AttemptSignal::Frame(None) => self.end_body(index).await,
             AttemptSignal::Report(report) => {
                 let attempt = &mut self.attempts[index];
                 let delivered = attempt.live().map_or(0, |live| live.delivered(&self.sequencer));
@@ -391,6 +385,29 @@
         self.trust(index);
     }
 
+    /// Evaluates the end of the response body of an attempt.
+    async fn end_body(&mut self, index: usize) -> Result<StreamStep> {
+        let attempt = &self.attempts[index];
+        let Some(live) = attempt.live().filter(|live| live.has_whole_stream(&self.sequencer)) else {
+            return self.abandon(index, AttemptFailure::Garbled).await;
+        };
+        let end = BodyEnd {
+            is_stated: live.response.has_stated_end(),
+            is_stop_ordered: self.migration.has_ordered_since(live.sent_at()),
+        };
+        let is_complete = match end.verdict() {
+            EndVerdict::Complete => true,
+            EndVerdict::Unproven => is_engine_alive(&self.context, &attempt.target).await,
+            EndVerdict::Stopped => false,
+        };
+        if !is_complete {
+            // Another engine sends the rest, which is empty if the stream was complete.
+            return self.abandon(index, AttemptFailure::Broken).await;
+        }
+        self.complete(index);
+        Ok(StreamStep::End)
+    }
+
     /// Takes a response that is not a stream, to be returned to the caller, unless the caller has events already.
     async fn take_plain(&mut self, index: usize, mut response: BufferedResponse) -> Result<StreamStep> {
         if self.sequencer.delivered() > 0 {
--- a/crates/hollyhook_gateway/src/path/connect_error.rs
+++ b/crates/hollyhook_gateway/src/path/connect_error.rs
@@ -24,6 +24,12 @@
     /// The connection attempt ended without an outcome.
     pub(super) const NOT_TRIED: Self = Self { direct: io::ErrorKind::NotConnected, elsewhere: RemoteFinding::Unknown };
 
+    /// Whether the endpoint's machine refuses connections, as it does when the process has ended, here or at another host
+    /// that reaches other endpoints of the group.
+    pub(crate) fn is_process_gone(self) -> bool {
+        self.direct == io::ErrorKind::ConnectionRefused || self.elsewhere == RemoteFinding::Unreachable
+    }
+
     /// The name used in logs.
     pub(crate) fn cause(self) -> &'static str {
         match self.direct {
