Fail calls whose endpoint ended with an answer without a length

Cause: the kernel of the killed endpoint closed the connection in order.

After such an end a new connection is opened. If it is refused, or another host with a path finds so, the answer counts as broken: a call that may be repeated is sent elsewhere, one that may not gets 502, and a long answer that is being passed on is truncated. If it is reset or not opened, only a call that may be repeated is sent again: an endpoint with too many connections resets further ones, and others would lose their answers. Answers with a length or chunks cost nothing.

--- a/crates/hollyhook_gateway/src/forward/body_end.rs
+++ b/crates/hollyhook_gateway/src/forward/body_end.rs
@@ -3,6 +3,7 @@
 
 use super::attempt::OpenResponse;
 use super::endpoint_probe::is_reporting;
+use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
 use crate::path::{ConnectionProbe, EndpointTarget, ProbeOutcome};
 
@@ -14,6 +15,27 @@
         });
         is_chunked || self.body.size_hint().exact().is_some()
     }
+
+    /// Whether the body, which has ended, is whole: its end was stated, or its endpoint outlived it.
+    ///
+    /// A call that may be repeated is sent elsewhere if that is in doubt; one that may not be would lose its answer.
+    pub(super) async fn has_whole_body(
+        &self,
+        context: &GatewayContext,
+        caller: &CallerRequest,
+        target: &EndpointTarget,
+    ) -> bool {
+        if self.has_stated_end() {
+            return true;
+        }
+        let is_whole = match test_process(context, target).await {
+            ProbeOutcome::Answered => true,
+            ProbeOutcome::Broken => false,
+            ProbeOutcome::Silent => !caller.route.is_retryable(),
+        };
+        count(context, is_whole);
+        is_whole
+    }
 }
 
 /// Whether the engine lives that has closed the connection of a stream without a stated end.
--- a/crates/hollyhook_gateway/src/forward/buffered_response.rs
+++ b/crates/hollyhook_gateway/src/forward/buffered_response.rs
@@ -13,6 +13,7 @@
 use super::response_rest::ResponseRest;
 use crate::front::{CallerRequest, ResponseBody, full_body};
 use crate::gateway::GatewayContext;
+use crate::path::EndpointTarget;
 use crate::pool::keep_alive_time;
 
 /// Maximum size of a response body that is held in memory, so that another attempt can replace it if it breaks off.
@@ -89,17 +90,17 @@
     ///
     /// # Errors
     ///
-    /// `Broken` if the connection fails before that, `Expired` if the caller's time is up. For an error whose body does
+    /// `Broken` if the connection fails before that or the endpoint's process has ended, `Expired` if the caller's time is up. For an error whose body does
     /// not end, the failure that follows from its head, or `Failed`.
     pub(super) async fn read_for_caller(
         self,
         context: &Arc<GatewayContext>,
         caller: &Arc<CallerRequest>,
-        id: &EndpointId,
+        target: &EndpointTarget,
     ) -> Result<BufferedResponse, AttemptFailure> {
         let time_left = caller.time_left(context.timer.now());
         if self.parts.status.is_success() {
-            let read = context.timer.within(time_left, Box::pin(self.read_held(context, caller, id))).await;
+            let read = context.timer.within(time_left, Box::pin(self.read_held(context, caller, target))).await;
             return read.unwrap_or(Err(AttemptFailure::Expired));
         }
         let (failure, limit) = match self.verdict(caller) {
@@ -112,7 +113,7 @@
                 (AttemptFailure::Failed, time_left.saturating_sub(ANSWER_MARGIN))
             }
         };
-        let reading = Box::pin(self.read_to_end(context, id, MAX_HELD_BYTES));
+        let reading = Box::pin(self.read_to_end(context, &target.id, MAX_HELD_BYTES));
         match context.timer.within(limit.min(time_left), reading).await {
             Some(Err(AttemptFailure::Failed)) => Err(failure),
             Some(read) => read,
@@ -125,11 +126,11 @@
         mut self,
         context: &Arc<GatewayContext>,
         caller: &Arc<CallerRequest>,
-        id: &EndpointId,
+        target: &EndpointTarget,
     ) -> Result<BufferedResponse, AttemptFailure> {
         let is_short = self.body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_HELD_BYTES as u64);
         if is_short {
-            return self.read_to_end(context, id, MAX_HELD_BYTES).await;
+            return self.read_to_end(context, &target.id, MAX_HELD_BYTES).await;
         }
         let mut held = BytesMut::new();
         while let Some(frame) = self.body.frame().await {
@@ -143,8 +144,11 @@
                 return Ok(BufferedResponse { parts, body: held.freeze(), rest: Some(rest) });
             }
         }
+        if !self.has_whole_body(context, caller, target).await {
+            return Err(AttemptFailure::Broken);
+        }
         let parts = self.parts.clone();
-        self.release(context, id);
+        self.release(context, &target.id);
         Ok(BufferedResponse { parts, body: held.freeze(), rest: None })
     }
 }
--- a/crates/hollyhook_gateway/src/forward/call_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/call_attempt.rs
@@ -145,7 +145,7 @@
         if verdict == AnswerVerdict::Fail(AttemptFailure::Garbled) {
             return CallOutcome::Failure(AttemptFailure::Garbled);
         }
-        let buffered = match response.read_for_caller(context, caller, &target.id).await {
+        let buffered = match response.read_for_caller(context, caller, target).await {
             Ok(buffered) => buffered,
             Err(failure) => return CallOutcome::Failure(failure),
         };
--- a/crates/hollyhook_gateway/src/forward/response_rest.rs
+++ b/crates/hollyhook_gateway/src/forward/response_rest.rs
@@ -41,6 +41,9 @@
         loop {
             let time_left = self.caller.time_left(self.context.timer.now());
             match self.context.timer.within(time_left, self.response.body.frame()).await {
+                Some(None) if self.is_cut_short().await => {
+                    return Some(Err(truncated("the endpoint's process has ended")));
+                }
                 Some(None) => return None,
                 Some(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
@@ -53,6 +56,14 @@
         }
     }
 
+    /// Whether the body ended with the endpoint's process, which is not asked without a slot that names it.
+    async fn is_cut_short(&self) -> bool {
+        match &self.slot {
+            Some(slot) => !self.response.has_whole_body(&self.context, &self.caller, &slot.target).await,
+            None => false,
+        }
+    }
+
     fn release(self) {
         if let Some(slot) = &self.slot {
             self.response.release(&self.context, slot.id());
--- a/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/stream_attempt.rs
@@ -207,7 +207,7 @@
     match response.verdict(&caller) {
         AnswerVerdict::Pass if response.parts.status.is_success() => Ok(OpenedAttempt::Stream(Box::new(response))),
         AnswerVerdict::Pass => {
-            let response = response.read_for_caller(&context, &caller, &target.id).await?;
+            let response = response.read_for_caller(&context, &caller, &target).await?;
             Ok(OpenedAttempt::Plain(Box::new(response)))
         }
         AnswerVerdict::PassOrRetry => Err(AttemptFailure::Failed),
