--- a/crates/hollyhook_core/tests/gateway/tunnel_frames.rs
+++ b/crates/hollyhook_core/tests/gateway/tunnel_frames.rs
@@ -81,7 +81,7 @@
     ) {
         let bytes = frames(&payloads);
         let mut reader = FrameReader::default();
-        let (mut rest, mut sizes, mut data) = (&bytes[..], sizes.iter().cycle(), Vec::new());
+        let (mut rest, mut sizes, mut data) = (&*bytes, sizes.iter().cycle(), Vec::new());
         while !rest.is_empty() {
             prop_assert_eq!(reader.finish(), Err(FrameError::Truncated));
             let (part, later) = rest.split_at(rest.len().min(*sizes.next().unwrap()));
