--- a/crates/hollyhook_gateway/src/origin/version_tracker.rs
+++ b/crates/hollyhook_gateway/src/origin/version_tracker.rs
@@ -142,12 +142,11 @@
         let has_seen_lifetime = state.has_seen_lifetime(now);
         state.services.retain(|service, _| listed.contains_key(service));
         for (service, listed) in listed {
-            let turn = self.turn(&service);
             let versions = state.services.entry(Name::clone(&service)).or_default();
             if has_seen_lifetime {
                 versions.record.retain_recent(&listed.recent);
             }
-            versions.update_pending(now, turn, has_seen_lifetime, &listed.recent);
+            versions.update_pending(now, || self.turn(&service), has_seen_lifetime, &listed.recent);
             for version in versions.update_admitted(&listed.serving) {
                 self.recorder.count("versions_gated");
                 tracing::info!(%service, %version, "version.gated");
@@ -292,12 +291,20 @@
 
 impl ServiceVersions {
     /// Updates what has to be written; only the first host in turn removes versions.
-    fn update_pending(&mut self, now: TimePoint, turn: RecordTurn, has_seen_lifetime: bool, recent: &BTreeSet<Name>) {
-        let may_remove = has_seen_lifetime && turn.is_first();
-        let outdated = || may_remove.then(|| self.record.outdated_content(recent)).flatten();
-        let content = self.record.missing_content(recent).or_else(outdated);
+    ///
+    /// `turn` ranks all hosts, which is only worth its cost where something has to be written.
+    fn update_pending(
+        &mut self,
+        now: TimePoint,
+        turn: impl Fn() -> RecordTurn,
+        has_seen_lifetime: bool,
+        recent: &BTreeSet<Name>,
+    ) {
+        let outdated = || has_seen_lifetime.then(|| self.record.outdated_content(recent)).flatten();
+        let may_remove = |_content: &BTreeSet<Name>| turn().is_first();
+        let content = self.record.missing_content(recent).or_else(|| outdated().filter(may_remove));
         let at = self.pending.as_ref().map(|(at, _)| *at);
-        self.pending = content.map(|content| (at.unwrap_or_else(|| now + turn.pause(&mut rand::rng())), content));
+        self.pending = content.map(|content| (at.unwrap_or_else(|| now + turn().pause(&mut rand::rng())), content));
     }
 
     /// Updates which versions are admitted; returns those that can serve and are not admitted any more.
