Prompts that engines hold tell a stream's version also where another one has gone

The record kept the versions that had gone possible for a minute of each new host, and held prompts were no proof while one of them had no endpoint.

They are believed again, as before the record.

--- a/crates/hollyhook_core/src/origin/stream_origin.rs
+++ b/crates/hollyhook_core/src/origin/stream_origin.rs
@@ -12,8 +12,7 @@
     /// Only the version that wrote the events that the caller has, which no host knows. The engines that hold the
     /// stream's prompt may tell.
     Unknown,
-    /// As [`Unknown`](Self::Unknown), but the engines can't tell either: a version that may have begun the stream has no
-    /// endpoint left, or it is not known which versions may have.
+    /// As [`Unknown`](Self::Unknown), but it is not even known which versions may have begun the stream.
     Untraceable,
 }
 
@@ -31,8 +30,6 @@
 impl StreamOrigin {
     /// Decides from what this host and others know which versions may continue a stream.
     ///
-    /// `live` are the versions of the service's live endpoints.
-    ///
     /// ```
     /// use std::collections::BTreeSet;
     ///
@@ -42,14 +39,13 @@
     /// let own = OriginAnswer { version: None, versions: set(&["v1"]), is_complete: true };
     /// let other = OriginAnswer { versions: set(&["v1", "v2"]), ..own.clone() };
     /// let holder = OriginAnswer { version: Some("v2".into()), ..other.clone() };
-    /// let live = set(&["v1", "v2"]);
-    /// assert_eq!(StreamOrigin::resolve([&own], &live), StreamOrigin::Open);
-    /// assert_eq!(StreamOrigin::resolve([&own, &other], &live), StreamOrigin::Unknown);
-    /// assert_eq!(StreamOrigin::resolve([&own, &other, &holder], &live), StreamOrigin::Version("v2".into()));
-    /// // Engines of the other version may hold the prompt for an attempt that failed.
-    /// assert_eq!(StreamOrigin::resolve([&own, &other], &set(&["v2"])), StreamOrigin::Untraceable);
+    /// assert_eq!(StreamOrigin::resolve([&own]), StreamOrigin::Open);
+    /// assert_eq!(StreamOrigin::resolve([&own, &other]), StreamOrigin::Unknown);
+    /// assert_eq!(StreamOrigin::resolve([&own, &other, &holder]), StreamOrigin::Version("v2".into()));
+    /// let started = OriginAnswer { is_complete: false, ..own.clone() };
+    /// assert_eq!(StreamOrigin::resolve([&started]), StreamOrigin::Untraceable);
     /// ```
-    pub fn resolve<'a>(answers: impl IntoIterator<Item = &'a OriginAnswer> + Clone, live: &BTreeSet<Name>) -> Self {
+    pub fn resolve<'a>(answers: impl IntoIterator<Item = &'a OriginAnswer> + Clone) -> Self {
         if let Some(version) = answers.clone().into_iter().find_map(|answer| answer.version.clone()) {
             return Self::Version(version);
         }
@@ -57,12 +53,6 @@
             return Self::Untraceable;
         }
         let versions: BTreeSet<&Name> = answers.into_iter().flat_map(|answer| &answer.versions).collect();
-        if versions.len() <= 1 {
-            Self::Open
-        } else if versions.into_iter().all(|version| live.contains(version)) {
-            Self::Unknown
-        } else {
-            Self::Untraceable
-        }
+        if versions.len() <= 1 { Self::Open } else { Self::Unknown }
     }
 }
--- a/crates/hollyhook_gateway/src/origin/origin_lookup.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_lookup.rs
@@ -37,7 +37,7 @@
             answers.push(own_answer());
         }
     }
-    StreamOrigin::resolve(&answers, &context.versions.live(service))
+    StreamOrigin::resolve(&answers)
 }
 
 /// What the hosts that keep copies of an origin know of it, up to the first one that knows the version.
--- a/crates/hollyhook_gateway/src/origin/version_tracker.rs
+++ b/crates/hollyhook_gateway/src/origin/version_tracker.rs
@@ -121,13 +121,6 @@
         is_current && lock(&self.state).has_seen_lifetime(self.timer.now())
     }
 
-    /// The versions of a service's live endpoints.
-    pub(super) fn live(&self, service: &str) -> BTreeSet<Name> {
-        let table = self.endpoints.table();
-        let live = table.iter().filter(|record| record.state == EndpointState::Live && *record.service == *service);
-        live.map(|record| Name::clone(&record.version)).collect()
-    }
-
     /// Updates what new streams may begin at, and what has to be read and written, from the known endpoints.
     pub(crate) fn check(&self) {
         let Some(site) = self.known_site() else {
