A version is judged by what its callers got, not by what can be repeated

Cause: `CallOutcome::failure` is `None` for every answer that is passed on, and `record_version_outcome` takes that as a good answer of the version. An error counted only if another attempt could replace it. A stream that may not be resumed and got an error was no evidence at all (`take_plain`).

Change: `VersionOutcome` in the core says what an attempt shows about a version, by the status that the caller gets, whatever the kind of request. Errors that a retry hides count as before. Status 4xx is compared apart from 5xx, so that callers' own mistakes don't hide failures. Health of endpoints is judged as before. Also: that 15 failures suffice at one endpoint now holds for errors only; slow answers of one endpoint condemned a version where all versions fail often.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -70,7 +70,7 @@
 pub use retry::{ProbeAdmission, ProbeGate, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
 pub use rollout::{
     RolloutOrder, RolloutPlan, RolloutState, RolloutStep, TargetShare, TimeTally, TrialEvidence, VersionFault,
-    VersionFilter, VersionTally, VersionVerdict, evaluate_version,
+    VersionFilter, VersionOutcome, VersionTally, VersionVerdict, evaluate_version,
 };
 pub use route::{
     CapacityShortage, EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable,
--- a/crates/hollyhook_core/src/rollout/mod.rs
+++ b/crates/hollyhook_core/src/rollout/mod.rs
@@ -4,6 +4,7 @@
 mod rollout_plan;
 mod trial_evidence;
 mod version_filter;
+mod version_outcome;
 mod version_tally;
 mod version_verdict;
 
@@ -11,5 +12,6 @@
 pub use rollout_plan::{RolloutPlan, RolloutStep, TargetShare};
 pub use trial_evidence::TrialEvidence;
 pub use version_filter::VersionFilter;
+pub use version_outcome::VersionOutcome;
 pub use version_tally::{TimeTally, VersionTally};
 pub use version_verdict::{VersionFault, VersionVerdict, evaluate_version};
--- a/crates/hollyhook_core/src/rollout/version_tally.rs
+++ b/crates/hollyhook_core/src/rollout/version_tally.rs
@@ -1,6 +1,8 @@
 use std::ops::AddAssign;
 use std::time::Duration;
 
+use super::VersionOutcome;
+
 /// Durations of one kind, summarized by the moments of their logarithms.
 ///
 /// On the logarithmic scale a slowdown by some factor is the same shift for short and for long durations.
@@ -56,6 +58,8 @@
     pub answers: u32,
     /// Answers that failed through the endpoint's own fault.
     pub failures: u32,
+    /// Answers that blame the request.
+    pub client_errors: u32,
     /// Durations from the send to the answer, or to the first event of a stream.
     pub first: TimeTally,
     /// Durations between two events of a stream: the mean of each stream.
@@ -64,9 +68,10 @@
 
 impl VersionTally {
     /// Counts one answer.
-    pub fn record(&mut self, is_failure: bool, first: Option<Duration>, gap: Option<Duration>) {
+    pub fn record(&mut self, outcome: VersionOutcome, first: Option<Duration>, gap: Option<Duration>) {
         self.answers += 1;
-        self.failures += u32::from(is_failure);
+        self.failures += u32::from(outcome == VersionOutcome::Failed);
+        self.client_errors += u32::from(outcome == VersionOutcome::ClientError);
         if let Some(first) = first {
             self.first.record(first);
         }
@@ -80,6 +85,7 @@
     fn add_assign(&mut self, rhs: Self) {
         self.answers += rhs.answers;
         self.failures += rhs.failures;
+        self.client_errors += rhs.client_errors;
         self.first += rhs.first;
         self.gap += rhs.gap;
     }
--- a/crates/hollyhook_core/src/rollout/version_verdict.rs
+++ b/crates/hollyhook_core/src/rollout/version_verdict.rs
@@ -16,12 +16,12 @@
 /// Significance level at which the difference has to remain when any one of the target's endpoints is left out.
 const REST_SIGNIFICANCE: f64 = 0.05;
 
-/// Failures of the target from which a difference counts even if it comes from one endpoint: callers should not see
-/// more.
-const MAX_FAILURES: u64 = 15;
-/// Tolerated ratio of the target's failure rate to that of the other versions, since their endpoints differ.
+/// Errors of one kind of the target from which a difference counts even if it comes from one endpoint: callers should
+/// not see more.
+const MAX_ERRORS: u32 = 15;
+/// Tolerated ratio of the target's error rate to that of the other versions, since their endpoints differ.
 const FAILURE_FACTOR: f64 = 1.25;
-/// Failure rate that is tolerated in addition, also where the other versions never fail.
+/// Error rate that is tolerated in addition, also where the other versions never fail.
 const FAILURE_MARGIN: f64 = 0.01;
 
 /// Durations that either side needs for a comparison.
@@ -35,6 +35,8 @@
 pub enum VersionFault {
     /// A larger share of its answers are failures.
     Failures,
+    /// A larger share of its answers blame the request.
+    ClientErrors,
     /// Its answers, or the first events of its streams, take much longer.
     SlowAnswers,
     /// The events of its streams follow each other much more slowly.
@@ -46,6 +48,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Failures => "failures",
+            Self::ClientErrors => "client_errors",
             Self::SlowAnswers => "slow_answers",
             Self::SlowStreams => "slow_streams",
         }
@@ -95,25 +98,47 @@
 /// Tests whether the target's tally (first) is worse than that of the other versions (second) at a significance level.
 type Comparison = fn(&VersionTally, &VersionTally, f64) -> bool;
 
+impl VersionFault {
+    const ALL: [Self; 4] = [Self::Failures, Self::ClientErrors, Self::SlowAnswers, Self::SlowStreams];
+
+    /// The comparison that shows the fault.
+    fn comparison(self) -> Comparison {
+        match self {
+            Self::Failures => |target, others, level| {
+                occurs_more((target.failures, target.answers), (others.failures, others.answers), level)
+            },
+            Self::ClientErrors => |target, others, level| {
+                occurs_more((target.client_errors, target.answers), (others.client_errors, others.answers), level)
+            },
+            Self::SlowAnswers => |target, others, level| is_slower(&target.first, &others.first, level),
+            Self::SlowStreams => |target, others, level| is_slower(&target.gap, &others.gap, level),
+        }
+    }
+
+    /// The errors of callers that this fault consists of; one endpoint's suffice from [`MAX_ERRORS`] on.
+    fn errors(self, target: &VersionTally) -> u32 {
+        match self {
+            Self::Failures => target.failures,
+            Self::ClientErrors => target.client_errors,
+            Self::SlowAnswers | Self::SlowStreams => 0,
+        }
+    }
+}
+
 fn find_fault(slice: &TrialEvidence) -> Option<VersionFault> {
     let others: VersionTally = slice.others.values().sum();
-    let comparisons: [(VersionFault, Comparison); 3] = [
-        (VersionFault::Failures, fails_more),
-        (VersionFault::SlowAnswers, |target, others, level| is_slower(&target.first, &others.first, level)),
-        (VersionFault::SlowStreams, |target, others, level| is_slower(&target.gap, &others.gap, level)),
-    ];
-    let found = comparisons.into_iter().find(|(_, is_worse)| is_worse_throughout(slice, &others, *is_worse));
-    found.map(|(fault, _)| fault)
+    VersionFault::ALL.into_iter().find(|fault| shows_throughout(slice, &others, *fault))
 }
 
-/// Whether the target is worse, and remains so when any one of its endpoints is left out; see [`MAX_FAILURES`].
-fn is_worse_throughout(slice: &TrialEvidence, others: &VersionTally, is_worse: Comparison) -> bool {
+/// Whether the target has the fault, and has it also when any one of its endpoints is left out; see [`MAX_ERRORS`].
+fn shows_throughout(slice: &TrialEvidence, others: &VersionTally, fault: VersionFault) -> bool {
     let endpoints = slice.target_by_endpoint();
     let target: VersionTally = endpoints.values().sum();
+    let is_worse = fault.comparison();
     if !is_worse(&target, others, SIGNIFICANCE) {
         return false;
     }
-    if endpoints.len() == 1 || u64::from(target.failures) >= MAX_FAILURES {
+    if endpoints.len() == 1 || fault.errors(&target) >= MAX_ERRORS {
         return true;
     }
     endpoints.keys().all(|left_out| {
@@ -122,14 +147,16 @@
     })
 }
 
-fn fails_more(target: &VersionTally, others: &VersionTally, level: f64) -> bool {
-    let Some(fewer) = u64::from(target.failures).checked_sub(1) else {
+/// Tests whether errors make up more of the target's answers (first) than of those of the other versions (second); both
+/// are given as errors and answers.
+fn occurs_more((errors, answers): (u32, u32), (others_errors, others_answers): (u32, u32), level: f64) -> bool {
+    let Some(fewer) = u64::from(errors).checked_sub(1) else {
         return false;
     };
-    // Adds half a failure, since among few answers a failure rate of zero says little.
-    let baseline = (f64::from(others.failures) + 0.5) / (f64::from(others.answers) + 1.0);
+    // Adds half an error, since among few answers an error rate of zero says little.
+    let baseline = (f64::from(others_errors) + 0.5) / (f64::from(others_answers) + 1.0);
     let bound = (baseline * FAILURE_FACTOR + FAILURE_MARGIN).min(1.0);
-    let p_value = Binomial::new(bound, u64::from(target.answers)).map(|binomial| binomial.sf(fewer));
+    let p_value = Binomial::new(bound, u64::from(answers)).map(|binomial| binomial.sf(fewer));
     p_value.is_ok_and(|p_value| p_value < level)
 }
 
--- a/crates/hollyhook_core/tests/gateway/rollouts.rs
+++ b/crates/hollyhook_core/tests/gateway/rollouts.rs
@@ -4,7 +4,7 @@
 
 use hollyhook_core::{
     EndpointId, Name, RolloutPlan, RolloutState, RolloutStep, TargetShare, TimePoint, TrialEvidence, VersionFault,
-    VersionFilter, VersionVerdict, evaluate_version,
+    VersionFilter, VersionOutcome, VersionVerdict, evaluate_version,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -35,6 +35,10 @@
 
 const GOOD: Behavior = Behavior { failures: 0.0, slowness: 1.0, from: 0, is_on_one_route: false, endpoints: 8 };
 
+fn outcome(is_failure: bool) -> VersionOutcome {
+    if is_failure { VersionOutcome::Failed } else { VersionOutcome::Good }
+}
+
 /// A random duration with a log-normal distribution.
 fn duration(rng: &mut Pcg32, factor: f64) -> Duration {
     let normal: f64 = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
@@ -52,7 +56,7 @@
             let route = &routes[rng.random_range(0..3)];
             let is_failure = rng.random_bool(failure_rate);
             let took = duration(&mut rng, 1.0);
-            evidence.others_mut(route).record(is_failure, Some(took), None);
+            evidence.others_mut(route).record(outcome(is_failure), Some(took), None);
         }
         for _ in 0..TARGET_ANSWERS {
             let (number, endpoint) = (rng.random_range(0..3), rng.random_range(0..8));
@@ -63,7 +67,7 @@
             let is_failure = rng.random_bool(failures.min(1.0));
             let took = duration(&mut rng, if is_affected { behavior.slowness } else { 1.0 });
             let endpoint: EndpointId = format!("i-{endpoint}").into();
-            evidence.target_mut(&routes[number], &endpoint).record(is_failure, Some(took), None);
+            evidence.target_mut(&routes[number], &endpoint).record(outcome(is_failure), Some(took), None);
         }
         verdict = evaluate_version(&evidence);
         if matches!(verdict, VersionVerdict::Bad(_)) {
@@ -112,6 +116,33 @@
     assert!(count(1_000, 0.004, behavior, is_bad) > 990);
 }
 
+/// A version that answers valid requests with a client error is as useless to callers as one that fails them.
+#[test]
+fn version_with_client_errors_rejected() {
+    let mut evidence = TrialEvidence::default();
+    for number in 0..40_usize {
+        let (route, endpoint): (Name, EndpointId) = ("book".into(), format!("i-{}", number % 3).into());
+        let outcome = VersionOutcome::of_answer(if number % 4 == 0 { 404 } else { 200 });
+        evidence.target_mut(&route, &endpoint).record(outcome, None, None);
+        evidence.others_mut(&route).record(VersionOutcome::Good, None, None);
+    }
+    assert_eq!(evaluate_version(&evidence), VersionVerdict::Bad(VersionFault::ClientErrors));
+}
+
+/// The times of one slow endpoint condemned the version where all versions fail often.
+#[test]
+fn slow_endpoint_not_taken_for_version_where_all_fail() {
+    let mut evidence = TrialEvidence::default();
+    for number in 0..80_usize {
+        let (route, endpoint): (Name, EndpointId) = ("book".into(), format!("i-{}", number % 2).into());
+        let failing = outcome(number % 3 == 0);
+        let slow = Duration::from_millis(if number % 2 == 0 { 4_000 } else { 100 });
+        evidence.target_mut(&route, &endpoint).record(failing, Some(slow), None);
+        evidence.others_mut(&route).record(failing, Some(Duration::from_millis(100)), None);
+    }
+    assert_eq!(evaluate_version(&evidence), VersionVerdict::Good);
+}
+
 /// A failing version is found bad long before it has given 50 failed answers.
 #[test]
 fn failing_version_rejected_soon() {
@@ -152,8 +183,8 @@
         let (route, endpoint): (Name, EndpointId) = ("draft".into(), format!("i-{}", number % 3).into());
         let took = Some(Duration::from_millis(100));
         for evidence in [&mut whole, &mut parts[number % 2]] {
-            evidence.target_mut(&route, &endpoint).record(false, took, None);
-            evidence.others_mut(&route).record(false, took, None);
+            evidence.target_mut(&route, &endpoint).record(VersionOutcome::Good, took, None);
+            evidence.others_mut(&route).record(VersionOutcome::Good, took, None);
         }
     }
     let [mut first, second] = parts;
--- a/crates/hollyhook_gateway/src/forward/attempt_times.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt_times.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use hollyhook_core::AttemptFailure;
+use hollyhook_core::VersionOutcome;
 
 use crate::front::CallerRequest;
 use crate::gateway::{GatewayContext, VersionAnswer};
@@ -15,28 +15,23 @@
     pub(super) gap: Option<Duration>,
 }
 
-/// Records an attempt as evidence about the software version of its endpoint.
-///
-/// Only responses and time-outs count: connections break and links fail whatever the version is, and a rejection by a
-/// full endpoint says nothing about the version either.
+/// Records an attempt as evidence about the software version of its endpoint; `None` if it is none.
 pub(super) fn record_version_outcome(
     context: &GatewayContext,
     caller: &CallerRequest,
     target: &EndpointTarget,
-    failure: Option<AttemptFailure>,
+    outcome: Option<VersionOutcome>,
     times: AttemptTimes,
 ) {
-    let is_evidence =
-        matches!(failure, None | Some(AttemptFailure::Failed | AttemptFailure::Silent | AttemptFailure::Expired));
-    if !is_evidence {
+    let Some(outcome) = outcome else {
         return;
-    }
+    };
     context.rollouts.record_answer(&VersionAnswer {
         service: &caller.service,
         route: &caller.route.name,
         endpoint: &target.id,
         version: &target.version,
-        is_failure: failure == Some(AttemptFailure::Failed),
+        outcome,
         first: times.first,
         gap: times.gap,
     });
--- a/crates/hollyhook_gateway/src/forward/call_attempt.rs
+++ b/crates/hollyhook_gateway/src/forward/call_attempt.rs
@@ -3,7 +3,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use hollyhook_core::{AnswerVerdict, AttemptFailure, AttemptKey, EndpointId, Name, TimePoint};
+use hollyhook_core::{AnswerVerdict, AttemptFailure, AttemptKey, EndpointId, Name, TimePoint, VersionOutcome};
 use hollyhook_platform::AttemptHeaders;
 
 use super::attempt::{EndpointSlot, send_attempt};
@@ -38,6 +38,16 @@
             Self::Failure(failure) => Some(*failure),
         }
     }
+
+    /// What the outcome shows about the endpoint's software version.
+    pub(super) fn version_outcome(&self) -> Option<VersionOutcome> {
+        match self {
+            Self::Response(response) | Self::Fallback(response) => {
+                Some(VersionOutcome::of_answer(response.parts.status.as_u16()))
+            }
+            Self::Failure(failure) => VersionOutcome::of_failure(*failure),
+        }
+    }
 }
 
 /// One open attempt at a plain call. Dropping it closes its connection and releases its slot.
@@ -92,15 +102,10 @@
     }
 
     /// Records the end of the attempt for its endpoint and for the endpoint's software version.
-    pub(super) fn record_outcome(
-        &self,
-        context: &GatewayContext,
-        caller: &CallerRequest,
-        failure: Option<AttemptFailure>,
-    ) {
-        context.endpoints.record_outcome(self.slot.id(), failure);
+    pub(super) fn record_outcome(&self, context: &GatewayContext, caller: &CallerRequest, outcome: &CallOutcome) {
+        context.endpoints.record_outcome(self.slot.id(), outcome.failure());
         let times = AttemptTimes { first: Some(self.age(context)), gap: None };
-        record_version_outcome(context, caller, &self.slot.target, failure, times);
+        record_version_outcome(context, caller, &self.slot.target, outcome.version_outcome(), times);
     }
 }
 
--- a/crates/hollyhook_gateway/src/forward/call_end.rs
+++ b/crates/hollyhook_gateway/src/forward/call_end.rs
@@ -23,7 +23,7 @@
         outcome: CallOutcome,
     ) -> Result<Option<BufferedResponse>, CallStop> {
         let attempt = self.attempts.remove(index);
-        attempt.record_outcome(self.context, self.caller, outcome.failure());
+        attempt.record_outcome(self.context, self.caller, &outcome);
         match outcome {
             CallOutcome::Response(response) => return Ok(Some(self.win(attempt, response))),
             CallOutcome::Fallback(response) => {
@@ -63,7 +63,7 @@
         request_log::attempt_cancelled(self.context, self.caller, loser.slot.id(), loser.age(self.context));
         self.ledger.record_failure(AttemptFailure::Silent);
         if self.race.is_suspected(loser.key) {
-            loser.record_outcome(self.context, self.caller, Some(AttemptFailure::Silent));
+            loser.record_outcome(self.context, self.caller, &CallOutcome::Failure(AttemptFailure::Silent));
             self.record_unanswered(loser);
         }
     }
--- a/crates/hollyhook_gateway/src/forward/call_run.rs
+++ b/crates/hollyhook_gateway/src/forward/call_run.rs
@@ -158,7 +158,7 @@
         let now = self.context.timer.now();
         if self.caller.time_left(now).is_zero() {
             while let Some(attempt) = self.attempts.pop() {
-                attempt.record_outcome(self.context, self.caller, Some(AttemptFailure::Expired));
+                attempt.record_outcome(self.context, self.caller, &CallOutcome::Failure(AttemptFailure::Expired));
                 self.record_unanswered(&attempt);
                 self.fail(attempt, AttemptFailure::Expired).await?;
             }
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_close.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_close.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use hollyhook_core::{AttemptFailure, AttemptKey, EndpointId, Error, RaceClosure, Result, StopReason};
+use hollyhook_core::{AttemptFailure, AttemptKey, EndpointId, Error, RaceClosure, Result, StopReason, VersionOutcome};
 
 use super::stream_attempt::{AttemptState, StreamAttempt};
 use super::{StreamRun, StreamStep};
@@ -79,10 +79,11 @@
         }
         if self.context.endpoints.is_silent(&attempt.target.id) {
             let times = attempt.times(now);
-            let failure = Some(AttemptFailure::Silent);
-            record_version_outcome(&self.context, &self.caller, &attempt.target, failure, times);
-            self.context.endpoints.record_outcome(&attempt.target.id, failure);
-            self.check_crash_beside(&attempt.target, AttemptFailure::Silent);
+            let failure = AttemptFailure::Silent;
+            let outcome = VersionOutcome::of_failure(failure);
+            record_version_outcome(&self.context, &self.caller, &attempt.target, outcome, times);
+            self.context.endpoints.record_outcome(&attempt.target.id, Some(failure));
+            self.check_crash_beside(&attempt.target, failure);
         }
     }
 
@@ -95,7 +96,8 @@
             self.context.endpoints.record_outcome(live.slot.id(), None);
             live.record_run(&self.context);
             let times = live.times(self.context.timer.now());
-            record_version_outcome(&self.context, &self.caller, &live.slot.target, None, times);
+            let outcome = Some(VersionOutcome::Good);
+            record_version_outcome(&self.context, &self.caller, &live.slot.target, outcome, times);
             let live = *live;
             live.response.release(&self.context, live.slot.id());
         }
@@ -131,7 +133,8 @@
         // Dropping the attempt closes its connection, which stops the generation at its engine.
         let target = attempt.target.clone();
         let now = self.context.timer.now();
-        record_version_outcome(&self.context, &self.caller, &target, Some(failure), attempt.times(now));
+        let outcome = VersionOutcome::of_failure(failure);
+        record_version_outcome(&self.context, &self.caller, &target, outcome, attempt.times(now));
         self.run_time += attempt.event_span(now);
         self.resume_from = attempt.take_backup().or_else(|| self.resume_from.take());
         drop(attempt);
--- a/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
@@ -12,13 +12,14 @@
 use bytes::Bytes;
 use hollyhook_core::{
     AttemptFailure, AttemptLedger, AttemptRace, BodyEnd, EndVerdict, EndpointId, EventSequencer, LivenessVerdict, Name,
-    RaceStep, Result, StreamOrigin, TimePoint,
+    RaceStep, Result, StreamOrigin, TimePoint, VersionOutcome,
 };
 use http::response::Parts;
 use hyper::body::Frame;
 
 use self::stream_attempt::{AttemptSignal, AttemptState, OpenedAttempt, OpeningAttempt, StreamAttempt};
 use super::attempt::OpenResponse;
+use super::attempt_times::record_version_outcome;
 use super::backup_replicator::BackupReplicator;
 use super::body_end::is_engine_alive;
 use super::buffered_response::BufferedResponse;
@@ -418,6 +419,9 @@
             return self.abandon(index, AttemptFailure::Failed).await;
         }
         let mut attempt = self.attempts.swap_remove(index);
+        let outcome = Some(VersionOutcome::of_answer(response.parts.status.as_u16()));
+        let times = attempt.times(self.context.timer.now());
+        record_version_outcome(&self.context, &self.caller, &attempt.target, outcome, times);
         if let AttemptState::Opening(opening) = std::mem::replace(&mut attempt.state, AttemptState::Closed) {
             response.hold_slot(opening.slot);
         }
--- a/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
+++ b/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
@@ -6,7 +6,7 @@
 use futures::channel::oneshot;
 use hollyhook_core::{
     EndpointId, EndpointState, Name, Result, RolloutOrder, RolloutState, TargetShare, TimePoint, TrialEvidence,
-    VersionFilter,
+    VersionFilter, VersionOutcome,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_platform::{StoreObject, TrialReport};
@@ -60,7 +60,7 @@
     pub(crate) route: &'a Name,
     pub(crate) endpoint: &'a EndpointId,
     pub(crate) version: &'a Name,
-    pub(crate) is_failure: bool,
+    pub(crate) outcome: VersionOutcome,
     /// Time from the send to the answer, or to the first event of a stream.
     pub(crate) first: Option<Duration>,
     /// Mean time between two events of a stream.
@@ -229,10 +229,13 @@
         } else {
             rollout.evidence.others_mut(answer.route)
         };
-        tally.record(answer.is_failure, answer.first, answer.gap);
+        tally.record(answer.outcome, answer.first, answer.gap);
         drop(state);
         if is_target {
-            self.recorder.count(if answer.is_failure { "trial_answers_failed" } else { "trial_answers_good" });
+            self.recorder.count(match answer.outcome {
+                VersionOutcome::Failed | VersionOutcome::ClientError => "trial_answers_failed",
+                VersionOutcome::Good | VersionOutcome::Late => "trial_answers_good",
+            });
         }
     }
 
