Lost answers are evidence about a version, compared within zone and second

Cause: broken connections were no evidence at all, since a zone that is cut breaks those of all versions alike.

Change: `LossMatcher` in the core compares, at each host, the attempts that end within one second in one zone at the target and at other versions. A zone in which most other attempts are lost too, or in which there are none, says nothing in that second; losses at an endpoint that is not heard again within six seconds are left out, as its process has ended. Garbled and silent attempts and long answers that break off count in the same way. Trial reports carry the two counts; reports of earlier hosts are read as before.

Tried and not kept: one evaluation 2 s after each window.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -69,8 +69,8 @@
 pub use quota::{QuotaLedger, QuotaLoan, QuotaPart, QuotaRound, QuotaTotals};
 pub use retry::{ProbeAdmission, ProbeGate, ProbeRelease, ResumeGate, ResumeTicket, RetryBudget, RetryWindow};
 pub use rollout::{
-    RolloutOrder, RolloutPlan, RolloutState, RolloutStep, TargetShare, TimeTally, TrialEvidence, VersionFault,
-    VersionFilter, VersionOutcome, VersionTally, VersionVerdict, evaluate_version,
+    AttemptEnd, LossMatcher, RolloutOrder, RolloutPlan, RolloutState, RolloutStep, TargetShare, TimeTally,
+    TrialEvidence, VersionFault, VersionFilter, VersionOutcome, VersionTally, VersionVerdict, evaluate_version,
 };
 pub use route::{
     CapacityShortage, EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable,
--- a/crates/hollyhook_core/src/rollout/mod.rs
+++ b/crates/hollyhook_core/src/rollout/mod.rs
@@ -1,5 +1,6 @@
 //! Roll-outs of another version of a service: the requests that get the version on trial, and the verdict on it.
 
+mod loss_matcher;
 mod rollout_order;
 mod rollout_plan;
 mod trial_evidence;
@@ -8,6 +9,7 @@
 mod version_tally;
 mod version_verdict;
 
+pub use loss_matcher::{AttemptEnd, LossMatcher};
 pub use rollout_order::{RolloutOrder, RolloutState};
 pub use rollout_plan::{RolloutPlan, RolloutStep, TargetShare};
 pub use trial_evidence::TrialEvidence;
--- a/crates/hollyhook_core/src/rollout/version_outcome.rs
+++ b/crates/hollyhook_core/src/rollout/version_outcome.rs
@@ -14,6 +14,8 @@
     ClientError,
     /// No complete answer in time; the path may be the cause.
     Late,
+    /// An answer that broke off or can't be used; the path may be the cause.
+    Broken,
 }
 
 impl VersionOutcome {
@@ -26,18 +28,18 @@
         }
     }
 
-    /// The outcome of a failed attempt; `None` if it says nothing about the version.
-    ///
-    /// A rejection by a full endpoint says nothing, and neither do broken connections, which a whole zone loses at once.
+    /// The outcome of a failed attempt; `None` if the request did not run, which says nothing about the version.
     pub fn of_failure(failure: AttemptFailure) -> Option<Self> {
         match failure {
             AttemptFailure::Failed => Some(Self::Failed),
             AttemptFailure::Silent | AttemptFailure::Expired => Some(Self::Late),
-            AttemptFailure::NotConnected
-            | AttemptFailure::Rejected
-            | AttemptFailure::WrongIncarnation
-            | AttemptFailure::Broken
-            | AttemptFailure::Garbled => None,
+            AttemptFailure::Broken | AttemptFailure::Garbled => Some(Self::Broken),
+            AttemptFailure::NotConnected | AttemptFailure::Rejected | AttemptFailure::WrongIncarnation => None,
         }
     }
+
+    /// Whether the attempt ended without a complete answer.
+    pub fn is_lost(self) -> bool {
+        matches!(self, Self::Late | Self::Broken)
+    }
 }
--- a/crates/hollyhook_core/src/rollout/version_tally.rs
+++ b/crates/hollyhook_core/src/rollout/version_tally.rs
@@ -60,6 +60,10 @@
     pub failures: u32,
     /// Answers that blame the request.
     pub client_errors: u32,
+    /// Attempts that [`LossMatcher`](super::LossMatcher) compared, answered or not.
+    pub compared: u32,
+    /// Compared attempts without a complete answer.
+    pub lost: u32,
     /// Durations from the send to the answer, or to the first event of a stream.
     pub first: TimeTally,
     /// Durations between two events of a stream: the mean of each stream.
@@ -67,8 +71,11 @@
 }
 
 impl VersionTally {
-    /// Counts one answer.
+    /// Counts one attempt. One that broke is no answer, and how long it took says nothing.
     pub fn record(&mut self, outcome: VersionOutcome, first: Option<Duration>, gap: Option<Duration>) {
+        if outcome == VersionOutcome::Broken {
+            return;
+        }
         self.answers += 1;
         self.failures += u32::from(outcome == VersionOutcome::Failed);
         self.client_errors += u32::from(outcome == VersionOutcome::ClientError);
@@ -86,6 +93,8 @@
         self.answers += rhs.answers;
         self.failures += rhs.failures;
         self.client_errors += rhs.client_errors;
+        self.compared += rhs.compared;
+        self.lost += rhs.lost;
         self.first += rhs.first;
         self.gap += rhs.gap;
     }
--- a/crates/hollyhook_core/src/rollout/version_verdict.rs
+++ b/crates/hollyhook_core/src/rollout/version_verdict.rs
@@ -37,6 +37,8 @@
     Failures,
     /// A larger share of its answers blame the request.
     ClientErrors,
+    /// A larger share of its answers break off or never come.
+    LostAnswers,
     /// Its answers, or the first events of its streams, take much longer.
     SlowAnswers,
     /// The events of its streams follow each other much more slowly.
@@ -49,6 +51,7 @@
         match self {
             Self::Failures => "failures",
             Self::ClientErrors => "client_errors",
+            Self::LostAnswers => "lost_answers",
             Self::SlowAnswers => "slow_answers",
             Self::SlowStreams => "slow_streams",
         }
@@ -70,7 +73,7 @@
 ///
 /// Compares all answers together and those of each route, since a version may fail on one route only. If the target has
 /// several endpoints, a fault has to show without any one of them too, since an endpoint may be faulty by itself.
-/// Broken connections are not counted as answers: a whole zone loses them at once.
+/// Lost answers are compared apart, see [`LossMatcher`](super::LossMatcher): a whole zone loses them at once.
 pub fn evaluate_version(evidence: &TrialEvidence) -> VersionVerdict {
     let routes = evidence.routes();
     let slices =
@@ -99,7 +102,8 @@
 type Comparison = fn(&VersionTally, &VersionTally, f64) -> bool;
 
 impl VersionFault {
-    const ALL: [Self; 4] = [Self::Failures, Self::ClientErrors, Self::SlowAnswers, Self::SlowStreams];
+    const ALL: [Self; 5] =
+        [Self::Failures, Self::ClientErrors, Self::LostAnswers, Self::SlowAnswers, Self::SlowStreams];
 
     /// The comparison that shows the fault.
     fn comparison(self) -> Comparison {
@@ -110,6 +114,9 @@
             Self::ClientErrors => |target, others, level| {
                 occurs_more((target.client_errors, target.answers), (others.client_errors, others.answers), level)
             },
+            Self::LostAnswers => |target, others, level| {
+                occurs_more((target.lost, target.compared), (others.lost, others.compared), level)
+            },
             Self::SlowAnswers => |target, others, level| is_slower(&target.first, &others.first, level),
             Self::SlowStreams => |target, others, level| is_slower(&target.gap, &others.gap, level),
         }
@@ -120,7 +127,8 @@
         match self {
             Self::Failures => target.failures,
             Self::ClientErrors => target.client_errors,
-            Self::SlowAnswers | Self::SlowStreams => 0,
+            // Not clearly the endpoint's own doing.
+            Self::LostAnswers | Self::SlowAnswers | Self::SlowStreams => 0,
         }
     }
 }
@@ -132,7 +140,11 @@
 
 /// Whether the target has the fault, and has it also when any one of its endpoints is left out; see [`MAX_ERRORS`].
 fn shows_throughout(slice: &TrialEvidence, others: &VersionTally, fault: VersionFault) -> bool {
-    let endpoints = slice.target_by_endpoint();
+    let mut endpoints = slice.target_by_endpoint();
+    if fault == VersionFault::LostAnswers {
+        // In a zone without other versions nothing is compared.
+        endpoints.retain(|_, tally| tally.compared > 0);
+    }
     let target: VersionTally = endpoints.values().sum();
     let is_worse = fault.comparison();
     if !is_worse(&target, others, SIGNIFICANCE) {
@@ -147,16 +159,16 @@
     })
 }
 
-/// Tests whether errors make up more of the target's answers (first) than of those of the other versions (second); both
-/// are given as errors and answers.
-fn occurs_more((errors, answers): (u32, u32), (others_errors, others_answers): (u32, u32), level: f64) -> bool {
+/// Tests whether errors make up more of the target's attempts (first) than of those of the other versions (second); both
+/// are given as errors and attempts.
+fn occurs_more((errors, attempts): (u32, u32), (others_errors, others_attempts): (u32, u32), level: f64) -> bool {
     let Some(fewer) = u64::from(errors).checked_sub(1) else {
         return false;
     };
-    // Adds half an error, since among few answers an error rate of zero says little.
-    let baseline = (f64::from(others_errors) + 0.5) / (f64::from(others_answers) + 1.0);
+    // Adds half an error, since among few attempts an error rate of zero says little.
+    let baseline = (f64::from(others_errors) + 0.5) / (f64::from(others_attempts) + 1.0);
     let bound = (baseline * FAILURE_FACTOR + FAILURE_MARGIN).min(1.0);
-    let p_value = Binomial::new(bound, u64::from(answers)).map(|binomial| binomial.sf(fewer));
+    let p_value = Binomial::new(bound, u64::from(attempts)).map(|binomial| binomial.sf(fewer));
     p_value.is_ok_and(|p_value| p_value < level)
 }
 
--- a/crates/hollyhook_core/src/route/endpoint_silence.rs
+++ b/crates/hollyhook_core/src/route/endpoint_silence.rs
@@ -90,6 +90,11 @@
         self.get(id).is_some_and(|record| record.silence.is_just_silent(now))
     }
 
+    /// When an endpoint last answered or sent an event; `None` if it never did or is not known.
+    pub fn last_heard(&self, id: &str) -> Option<TimePoint> {
+        self.get(id)?.silence.last_sign()
+    }
+
     /// Whether an endpoint was heard so recently that it is known to be alive.
     pub fn is_alive(&self, now: TimePoint, id: &str) -> bool {
         self.get(id).is_some_and(|record| record.silence.is_alive(now))
--- a/crates/hollyhook_core/src/route/silence_record.rs
+++ b/crates/hollyhook_core/src/route/silence_record.rs
@@ -53,6 +53,11 @@
         self.stalled_since = None;
     }
 
+    /// When the endpoint last answered or sent an event.
+    pub(super) fn last_sign(&self) -> Option<TimePoint> {
+        self.last_sign
+    }
+
     /// Whether the endpoint has been found silent or stalled, and this has not ended.
     pub(super) fn is_silent(&self) -> bool {
         self.silent_since.is_some() || self.stalled_since.is_some()
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod queues;
 mod quotas;
 mod retries;
+mod rollout_losses;
 mod rollouts;
 mod silences;
 mod simulated_engine;
--- a/crates/hollyhook_gateway/src/forward/attempt_times.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt_times.rs
@@ -7,7 +7,7 @@
 use crate::path::EndpointTarget;
 
 /// Durations of one attempt.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub(super) struct AttemptTimes {
     /// Time from sending the request to the response, or to the first event of a stream.
     pub(super) first: Option<Duration>,
@@ -30,6 +30,7 @@
         service: &caller.service,
         route: &caller.route.name,
         endpoint: &target.id,
+        zone: &target.group.zone,
         version: &target.version,
         outcome,
         first: times.first,
--- a/crates/hollyhook_gateway/src/forward/response_rest.rs
+++ b/crates/hollyhook_gateway/src/forward/response_rest.rs
@@ -2,11 +2,12 @@
 
 use bytes::Bytes;
 use futures::stream;
-use hollyhook_core::{Error, ErrorKind, Result};
+use hollyhook_core::{Error, ErrorKind, Result, VersionOutcome};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 
 use super::attempt::{EndpointSlot, OpenResponse};
+use super::attempt_times::{AttemptTimes, record_version_outcome};
 use super::let_connection_flush;
 use crate::front::{CallerRequest, ResponseBody};
 use crate::gateway::GatewayContext;
@@ -42,6 +43,7 @@
             let time_left = self.caller.time_left(self.context.timer.now());
             match self.context.timer.within(time_left, self.response.body.frame()).await {
                 Some(None) if self.is_cut_short().await => {
+                    self.record_broken();
                     return Some(Err(truncated("the endpoint's process has ended")));
                 }
                 Some(None) => return None,
@@ -50,7 +52,10 @@
                         return Some(Ok(data));
                     }
                 }
-                Some(Some(Err(_error))) => return Some(Err(truncated("the endpoint's response broke off"))),
+                Some(Some(Err(_error))) => {
+                    self.record_broken();
+                    return Some(Err(truncated("the endpoint's response broke off")));
+                }
                 None => return Some(Err(truncated("the caller's time is up"))),
             }
         }
@@ -64,6 +69,14 @@
         }
     }
 
+    /// Records that the endpoint, whose response counted as good by its beginning, did not send the end.
+    fn record_broken(&self) {
+        if let Some(slot) = &self.slot {
+            let outcome = Some(VersionOutcome::Broken);
+            record_version_outcome(&self.context, &self.caller, &slot.target, outcome, AttemptTimes::default());
+        }
+    }
+
     fn release(self) {
         if let Some(slot) = &self.slot {
             self.response.release(&self.context, slot.id());
--- a/crates/hollyhook_gateway/src/gateway/known_rollout.rs
+++ b/crates/hollyhook_gateway/src/gateway/known_rollout.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use hollyhook_core::{RolloutOrder, RolloutPlan, RolloutState, TimePoint, TrialEvidence};
+use hollyhook_core::{LossMatcher, RolloutOrder, RolloutPlan, RolloutState, TimePoint, TrialEvidence};
 use hollyhook_platform::{RolloutStatus, StoreObject};
 
 use super::unix_time::unix_millis;
@@ -24,6 +24,8 @@
     pub(super) is_withdrawn: bool,
     /// This host's evidence about the versions of the service.
     pub(super) evidence: TrialEvidence,
+    /// The attempts of the last seconds, by which lost answers become evidence.
+    pub(super) matcher: LossMatcher,
 }
 
 impl KnownRollout {
--- a/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
+++ b/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
@@ -5,8 +5,8 @@
 
 use futures::channel::oneshot;
 use hollyhook_core::{
-    EndpointId, EndpointState, Name, Result, RolloutOrder, RolloutState, TargetShare, TimePoint, TrialEvidence,
-    VersionFilter, VersionOutcome,
+    AttemptEnd, EndpointId, EndpointState, LossMatcher, Name, Result, RolloutOrder, RolloutState, TargetShare,
+    TimePoint, TrialEvidence, VersionFilter, VersionOutcome, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_platform::{StoreObject, TrialReport};
@@ -53,12 +53,13 @@
     confirmed: Option<TimePoint>,
 }
 
-/// One answer of an endpoint, as evidence about its version.
+/// The end of an attempt at an endpoint, as evidence about the endpoint's version.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct VersionAnswer<'a> {
     pub(crate) service: &'a Name,
     pub(crate) route: &'a Name,
     pub(crate) endpoint: &'a EndpointId,
+    pub(crate) zone: &'a ZoneName,
     pub(crate) version: &'a Name,
     pub(crate) outcome: VersionOutcome,
     /// Time from the send to the answer, or to the first event of a stream.
@@ -217,28 +218,39 @@
         matching.map(|record| EndpointId::clone(&record.id)).collect()
     }
 
-    /// Records an answer as evidence, if a roll-out of its service is undecided.
+    /// Records the end of an attempt as evidence, if a roll-out of its service is undecided.
     pub(crate) fn record_answer(&self, answer: &VersionAnswer<'_>) {
         let mut state = lock(&self.state);
         let Some(rollout) = state.rollouts.get_mut(answer.service).filter(|rollout| rollout.is_active()) else {
             return;
         };
         let is_target = rollout.order.target == *answer.version;
-        let tally = if is_target {
-            rollout.evidence.target_mut(answer.route, answer.endpoint)
-        } else {
-            rollout.evidence.others_mut(answer.route)
-        };
-        tally.record(answer.outcome, answer.first, answer.gap);
+        let VersionAnswer { endpoint, zone, route, outcome, .. } = *answer;
+        let end = AttemptEnd { endpoint, zone, route, is_target, is_lost: outcome.is_lost() };
+        rollout.matcher.record(self.timer.now(), &end);
+        let tally =
+            if is_target { rollout.evidence.target_mut(route, endpoint) } else { rollout.evidence.others_mut(route) };
+        tally.record(outcome, answer.first, answer.gap);
         drop(state);
         if is_target {
             self.recorder.count(match answer.outcome {
                 VersionOutcome::Failed | VersionOutcome::ClientError => "trial_answers_failed",
-                VersionOutcome::Good | VersionOutcome::Late => "trial_answers_good",
+                VersionOutcome::Late | VersionOutcome::Broken => "trial_answers_lost",
+                VersionOutcome::Good => "trial_answers_good",
             });
         }
     }
 
+    /// Evaluates the attempts that were lost some seconds ago as evidence.
+    pub(crate) fn evaluate_losses(&self) {
+        let now = self.timer.now();
+        let mut state = lock(&self.state);
+        let table = self.endpoints.table();
+        for rollout in state.rollouts.values_mut().filter(|rollout| rollout.is_active()) {
+            rollout.matcher.evaluate(now, &mut rollout.evidence, |id| table.last_heard(id));
+        }
+    }
+
     /// Updates the unchecked versions from the known endpoints, and wakes the waiting task if there are any.
     ///
     /// If no version of a service has been checked, the version that most endpoints run counts as checked. A service whose
@@ -321,6 +333,7 @@
             ordered_at: first_seen_at(now, &order, status.as_ref()),
             is_withdrawn: false,
             evidence: TrialEvidence::default(),
+            matcher: LossMatcher::default(),
         });
         let before = rollout.state;
         rollout.object = object.clone();
--- a/crates/hollyhook_gateway/src/store/rollout_worker.rs
+++ b/crates/hollyhook_gateway/src/store/rollout_worker.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use async_std::task;
-use hollyhook_core::{RolloutState, RolloutStep, TrialEvidence, VersionVerdict, evaluate_version};
+use hollyhook_core::{RolloutState, RolloutStep, TrialEvidence, VersionTally, VersionVerdict, evaluate_version};
 use hollyhook_platform::{ObjectKind, TrialReport};
 use rand::Rng;
 
@@ -48,6 +48,7 @@
     }
 
     async fn run_round(&mut self) -> Result<(), StoreError> {
+        self.context.rollouts.evaluate_losses();
         self.write_reports().await?;
         if !is_reader(&self.context) {
             return Ok(());
@@ -115,11 +116,12 @@
             outcome => outcome?,
         }
         let (order, others) = (&rollout.order, evidence.others.values());
-        let failures: u32 = evidence.target.values().map(|tally| tally.failures).sum();
+        let (others, on_target): (VersionTally, VersionTally) = (others.sum(), evidence.target.values().sum());
         tracing::info!(service = %order.service, target = %order.target, state = state.as_str(), verdict = ?verdict,
-            answers = evidence.target_answers(), failures,
-            others_answers = others.clone().map(|tally| tally.answers).sum::<u32>(),
-            others_failures = others.map(|tally| tally.failures).sum::<u32>(), "rollout.written");
+            answers = on_target.answers, failures = on_target.failures, client_errors = on_target.client_errors,
+            compared = on_target.compared, lost = on_target.lost, others_answers = others.answers,
+            others_failures = others.failures, others_client_errors = others.client_errors,
+            others_compared = others.compared, others_lost = others.lost, "rollout.written");
         self.context.recorder.count(match state {
             RolloutState::Trial => "rollouts_begun",
             RolloutState::Moving => "rollouts_moving",
