A rolled-back version gets nothing under the next order either

Cause: the tracker keeps one roll-out a service, and the next order replaces the one that excludes the version; hosts that start later know nothing of it.

Change: versions that were rolled back are kept by service until they have no endpoints or are ordered themselves, and are listed in the status of the next order.

Shown: rollouts::rolled_back_version_unused_under_next_order red before (17 requests where 6 may be, one host and one that starts later), green now; rollouts:: 17 of 17.

--- a/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
+++ b/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
@@ -49,6 +49,9 @@
     checked_versions: BTreeSet<(Name, Name)>,
     /// Versions by service that have not been looked up yet; they get no requests.
     unchecked_versions: BTreeMap<Name, BTreeSet<Name>>,
+    /// Versions by service that earlier roll-outs rolled back; they get no requests while they have endpoints, unless they
+    /// are the target of another order.
+    rejected_versions: BTreeMap<Name, BTreeSet<Name>>,
     /// When this host last read the orders from the store.
     confirmed: Option<TimePoint>,
 }
@@ -139,9 +142,10 @@
         let rollout = state.rollouts.get(service);
         let is_confirmed = state.confirmed.is_some_and(|at| now.since(at) <= MAX_CONFIRMATION_AGE);
         let target = rollout.map(|rollout| (Name::clone(&rollout.order.target), rollout.plan().share(now)));
+        let rejected = state.rejected_versions(service);
         drop(state);
         let others = |version: Option<Name>| {
-            let except = version.into_iter().collect();
+            let except = version.into_iter().chain(rejected.iter().cloned()).collect();
             Some(VersionFilter { checked: checked.clone(), except, ..VersionFilter::any() })
         };
         match target {
@@ -171,10 +175,10 @@
         state.exposure?;
         let now = self.timer.now();
         let target = state.rollouts.get(service).map(|rollout| (&rollout.order.target, rollout.plan().share(now)));
-        let except = match target {
-            Some((version, TargetShare::Trial | TargetShare::None)) => BTreeSet::from([Name::clone(version)]),
-            Some((_, TargetShare::All | TargetShare::Unrestricted)) | None => BTreeSet::new(),
-        };
+        let mut except = state.rejected_versions(service);
+        if let Some((version, TargetShare::Trial | TargetShare::None)) = target {
+            except.insert(Name::clone(version));
+        }
         Some(VersionFilter { checked: state.checked_versions(service), except, ..VersionFilter::any() })
     }
 
@@ -198,6 +202,9 @@
             return true;
         };
         let is_target = rollout.order.target == *version;
+        if state.rejected_versions(service).contains(version) {
+            return false;
+        }
         match rollout.plan().share(self.timer.now()) {
             TargetShare::None => !is_target,
             // While requests move to the target, generations at other versions may still end there.
@@ -267,6 +274,7 @@
         }
         state.unchecked_versions.clear();
         for (service, versions) in counts {
+            state.forget_rejected(&service, &versions);
             state.check_service(service, &versions);
         }
         if !state.unchecked_versions.is_empty() {
@@ -321,6 +329,7 @@
         let mut state = lock(&self.state);
         state.blocked.remove(&object.name);
         state.checked_versions.insert((Name::clone(&order.service), Name::clone(&order.target)));
+        state.update_rejected(&order, hollyhook_platform::decode_rejected_versions(object, &order));
         let known = state.rollouts.get(&order.service);
         let known = known.filter(|known| known.order.target == order.target && !known.is_withdrawn).cloned();
         let is_new = known.is_none();
@@ -393,6 +402,11 @@
         lock(&self.state).rollouts.get(service).map(|rollout| rollout.evidence.clone()).unwrap_or_default()
     }
 
+    /// The versions of a service that earlier roll-outs rolled back, as far as they still have endpoints.
+    pub(crate) fn rejected_versions(&self, service: &Name) -> BTreeSet<Name> {
+        lock(&self.state).rejected_versions(service)
+    }
+
     /// Whether a roll-out is active and no task works on the roll-outs yet; if so, the caller has to work on them.
     pub(crate) fn begin_work(&self) -> bool {
         self.is_active() && !self.is_working.swap(true, Ordering::AcqRel)
@@ -412,6 +426,27 @@
         (!versions.is_empty()).then_some(versions)
     }
 
+    fn rejected_versions(&self, service: &Name) -> BTreeSet<Name> {
+        self.rejected_versions.get(service).cloned().unwrap_or_default()
+    }
+
+    /// Adds the versions that `order` finds rolled back: those in the store, and the target of the order that it replaces.
+    fn update_rejected(&mut self, order: &RolloutOrder, stored: BTreeSet<Name>) {
+        let replaced = self.rollouts.get(&order.service);
+        let replaced = replaced.filter(|known| known.state == Some(RolloutState::RolledBack));
+        let replaced = replaced.map(|known| Name::clone(&known.order.target));
+        let versions = self.rejected_versions.entry(Name::clone(&order.service)).or_default();
+        versions.extend(stored.into_iter().chain(replaced));
+        versions.remove(&order.target);
+    }
+
+    /// Forgets the rejected versions of a service that have no endpoints any more.
+    fn forget_rejected(&mut self, service: &Name, versions: &BTreeMap<Name, usize>) {
+        if let Some(rejected) = self.rejected_versions.get_mut(service) {
+            rejected.retain(|version| versions.contains_key(version));
+        }
+    }
+
     /// Finds the unchecked versions of a service, given the number of endpoints of each version.
     fn check_service(&mut self, service: Name, versions: &BTreeMap<Name, usize>) {
         let is_checked =
--- a/crates/hollyhook_gateway/src/store/rollout_worker.rs
+++ b/crates/hollyhook_gateway/src/store/rollout_worker.rs
@@ -110,7 +110,8 @@
         evidence: &TrialEvidence,
     ) -> Result<(), StoreError> {
         let status = rollout.status(self.context.timer.now(), state);
-        match self.client.write_rollout(&rollout.object, &rollout.order, &status).await {
+        let rejected = self.context.rollouts.rejected_versions(&rollout.order.service);
+        match self.client.write_rollout(&rollout.object, &rollout.order, &status, &rejected).await {
             // Another host wrote first; the watch returns what it wrote.
             Err(StoreError::Conflict) => return Ok(()),
             outcome => outcome?,
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -240,8 +240,10 @@
         object: &StoreObject,
         order: &RolloutOrder,
         status: &RolloutStatus,
+        rejected: &BTreeSet<Name>,
     ) -> Result<(), StoreError> {
-        let body = hollyhook_platform::encode_rollout_status(object, order, status).map_err(StoreError::Malformed)?;
+        let body = hollyhook_platform::encode_rollout_status(object, order, status, rejected);
+        let body = body.map_err(StoreError::Malformed)?;
         let path = hollyhook_platform::status_path(ObjectKind::Rollout, &object.name);
         self.call(Method::PUT, &path, Bytes::from(body), Self::SHARED_RECORD_TIMEOUT).await.map(|_answer| ())
     }
