An error without a length is passed on only if its endpoint lives on

Cause: only the ends of successes were checked (`read_for_caller`).

Change: an error that is passed on and states no end goes through the same check as a success; if the endpoint's process has ended, the attempt is broken.

Shown: unframed::unframed_error_of_killed_endpoint_not_whole red before (500 "fai"), green now; unframed:: 16 of 16.

--- a/crates/hollyhook_gateway/src/forward/body_end.rs
+++ b/crates/hollyhook_gateway/src/forward/body_end.rs
@@ -17,27 +17,29 @@
     }
 
     /// Whether the body, which has ended, is whole: its end was stated, or its endpoint outlived it.
-    ///
-    /// A call that may be repeated is sent elsewhere if that is in doubt; one that may not be would lose its answer.
     pub(super) async fn has_whole_body(
         &self,
         context: &GatewayContext,
         caller: &CallerRequest,
         target: &EndpointTarget,
     ) -> bool {
-        if self.has_stated_end() {
-            return true;
-        }
-        let is_whole = match test_process(context, target).await {
-            ProbeOutcome::Answered => true,
-            ProbeOutcome::Broken => false,
-            ProbeOutcome::Silent => !caller.route.is_retryable(),
-        };
-        count(context, is_whole);
-        is_whole
+        self.has_stated_end() || has_survived(context, caller, target).await
     }
 }
 
+/// Whether the endpoint lives that has closed the connection of an answer without a stated end.
+///
+/// A call that may be repeated is sent elsewhere if that is in doubt; one that may not be would lose its answer.
+pub(super) async fn has_survived(context: &GatewayContext, caller: &CallerRequest, target: &EndpointTarget) -> bool {
+    let has_survived = match test_process(context, target).await {
+        ProbeOutcome::Answered => true,
+        ProbeOutcome::Broken => false,
+        ProbeOutcome::Silent => !caller.route.is_retryable(),
+    };
+    count(context, has_survived);
+    has_survived
+}
+
 /// Whether the engine lives that has closed the connection of a stream without a stated end.
 ///
 /// The kernel of a process that was killed closes its connections in the same way, but nobody answers after that.
--- a/crates/hollyhook_gateway/src/forward/buffered_response.rs
+++ b/crates/hollyhook_gateway/src/forward/buffered_response.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Incoming};
 
 use super::attempt::{EndpointSlot, OpenResponse};
+use super::body_end::has_survived;
 use super::response_rest::ResponseRest;
 use crate::front::{CallerRequest, ResponseBody, full_body};
 use crate::gateway::GatewayContext;
@@ -100,8 +101,8 @@
     ///
     /// # Errors
     ///
-    /// `Broken` if the connection fails before that or the endpoint's process has ended, `Expired` if the caller's time is up. For an error whose body does
-    /// not end, the failure that follows from its head, or `Failed`.
+    /// `Broken` if the connection fails before that or the endpoint's process has ended, `Expired` if the caller's time is
+    /// up. For an error whose body does not end, the failure that follows from its head, or `Failed`.
     pub(super) async fn read_for_caller(
         self,
         context: &Arc<GatewayContext>,
@@ -123,7 +124,7 @@
                 (AttemptFailure::Failed, time_left.saturating_sub(ANSWER_MARGIN))
             }
         };
-        let reading = Box::pin(self.read_to_end(context, &target.id, MAX_HELD_BYTES));
+        let reading = Box::pin(self.read_error(context, caller, target));
         match context.timer.within(limit.min(time_left), reading).await {
             Some(Err(AttemptFailure::Failed)) => Err(failure),
             Some(read) => read,
@@ -132,6 +133,22 @@
         }
     }
 
+    /// Reads the body of an error; one that is passed on must be whole.
+    async fn read_error(
+        self,
+        context: &GatewayContext,
+        caller: &CallerRequest,
+        target: &EndpointTarget,
+    ) -> Result<BufferedResponse, AttemptFailure> {
+        let is_passed_on = !matches!(self.verdict(caller), AnswerVerdict::Fail(_));
+        let end_is_stated = self.has_stated_end();
+        let response = self.read_to_end(context, &target.id, MAX_HELD_BYTES).await?;
+        if is_passed_on && !end_is_stated && !has_survived(context, caller, target).await {
+            return Err(AttemptFailure::Broken);
+        }
+        Ok(response)
+    }
+
     async fn read_held(
         mut self,
         context: &Arc<GatewayContext>,
