An endpoint without attempts of a kind doesn't clear the others of a fault

It counted as one that shows no failures, so that what was left without the failing endpoint looked sound.

Change: endpoints without attempts that may show a fault are left aside. Names: what is recorded of an attempt is `AttemptEvidence`.

Shown: core failing_version_rejected_beside_endpoint_without_answers, written with this change; not run on the code before. Core rollout tests: 31 of 31.

--- a/crates/hollyhook_core/src/rollout/loss_matcher.rs
+++ b/crates/hollyhook_core/src/rollout/loss_matcher.rs
@@ -40,8 +40,7 @@
 /// let mut matcher = LossMatcher::default();
 /// let (zone, route) = ("zone-a".into(), "book".into());
 /// for (endpoint, is_target) in [("i-old".into(), false), ("i-new".into(), true)] {
-///     let end =
-///         AttemptEnd { endpoint: &endpoint, zone: &zone, route: &route, is_target, is_lost: is_target };
+///     let end = AttemptEnd { endpoint: &endpoint, zone: &zone, route: &route, is_target, is_lost: is_target };
 ///     matcher.record(TimePoint::from_millis(100), &end);
 /// }
 /// let mut evidence = TrialEvidence::default();
--- a/crates/hollyhook_core/src/rollout/version_verdict.rs
+++ b/crates/hollyhook_core/src/rollout/version_verdict.rs
@@ -122,6 +122,14 @@
         }
     }
 
+    /// The attempts that may show the fault.
+    fn attempts(self, target: &VersionTally) -> u32 {
+        match self {
+            Self::LostAnswers => target.compared,
+            Self::Failures | Self::ClientErrors | Self::SlowAnswers | Self::SlowStreams => target.answers,
+        }
+    }
+
     /// The errors of callers that this fault consists of; one endpoint's suffice from [`MAX_ERRORS`] on.
     fn errors(self, target: &VersionTally) -> u32 {
         match self {
@@ -141,10 +149,8 @@
 /// Whether the target has the fault, and has it also when any one of its endpoints is left out; see [`MAX_ERRORS`].
 fn shows_throughout(slice: &TrialEvidence, others: &VersionTally, fault: VersionFault) -> bool {
     let mut endpoints = slice.target_by_endpoint();
-    if fault == VersionFault::LostAnswers {
-        // In a zone without other versions nothing is compared.
-        endpoints.retain(|_, tally| tally.compared > 0);
-    }
+    // Without attempts an endpoint can't confirm the fault of another one.
+    endpoints.retain(|_, tally| fault.attempts(tally) > 0);
     let target: VersionTally = endpoints.values().sum();
     let is_worse = fault.comparison();
     if !is_worse(&target, others, SIGNIFICANCE) {
--- a/crates/hollyhook_core/tests/gateway/rollouts.rs
+++ b/crates/hollyhook_core/tests/gateway/rollouts.rs
@@ -129,6 +129,19 @@
     assert_eq!(evaluate_version(&evidence), VersionVerdict::Bad(VersionFault::ClientErrors));
 }
 
+/// An endpoint that lost all its answers counted as one that shows no failures, and so cleared the other one.
+#[test]
+fn failing_version_rejected_beside_endpoint_without_answers() {
+    let mut evidence = TrialEvidence::default();
+    let (route, lost): (Name, EndpointId) = ("book".into(), "i-0".into());
+    for number in 0..20 {
+        evidence.target_mut(&route, &lost).record(VersionOutcome::Broken, None, None);
+        evidence.target_mut(&route, &"i-1".into()).record(outcome(number % 2 == 0), None, None);
+        evidence.others_mut(&route).record(VersionOutcome::Good, None, None);
+    }
+    assert_eq!(evaluate_version(&evidence), VersionVerdict::Bad(VersionFault::Failures));
+}
+
 /// The times of one slow endpoint condemned the version where all versions fail often.
 #[test]
 fn slow_endpoint_not_taken_for_version_where_all_fail() {
--- a/crates/hollyhook_gateway/src/forward/attempt_times.rs
+++ b/crates/hollyhook_gateway/src/forward/attempt_times.rs
@@ -3,7 +3,7 @@
 use hollyhook_core::VersionOutcome;
 
 use crate::front::CallerRequest;
-use crate::gateway::{GatewayContext, VersionAnswer};
+use crate::gateway::{AttemptEvidence, GatewayContext};
 use crate::path::EndpointTarget;
 
 /// Durations of one attempt.
@@ -26,7 +26,7 @@
     let Some(outcome) = outcome else {
         return;
     };
-    context.rollouts.record_answer(&VersionAnswer {
+    context.rollouts.record_attempt(&AttemptEvidence {
         service: &caller.service,
         route: &caller.route.name,
         endpoint: &target.id,
--- a/crates/hollyhook_gateway/src/gateway/mod.rs
+++ b/crates/hollyhook_gateway/src/gateway/mod.rs
@@ -18,4 +18,4 @@
 pub(crate) use known_rollout::KnownRollout;
 pub(crate) use quarantine_tracker::SurvivingRun;
 pub(crate) use request_load::{BodyReservation, RequestGuard, StreamWaitGuard};
-pub(crate) use rollout_tracker::VersionAnswer;
+pub(crate) use rollout_tracker::AttemptEvidence;
--- a/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
+++ b/crates/hollyhook_gateway/src/gateway/rollout_tracker.rs
@@ -58,7 +58,7 @@
 
 /// The end of an attempt at an endpoint, as evidence about the endpoint's version.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct VersionAnswer<'a> {
+pub(crate) struct AttemptEvidence<'a> {
     pub(crate) service: &'a Name,
     pub(crate) route: &'a Name,
     pub(crate) endpoint: &'a EndpointId,
@@ -226,21 +226,21 @@
     }
 
     /// Records the end of an attempt as evidence, if a roll-out of its service is undecided.
-    pub(crate) fn record_answer(&self, answer: &VersionAnswer<'_>) {
+    pub(crate) fn record_attempt(&self, evidence: &AttemptEvidence<'_>) {
         let mut state = lock(&self.state);
-        let Some(rollout) = state.rollouts.get_mut(answer.service).filter(|rollout| rollout.is_active()) else {
+        let Some(rollout) = state.rollouts.get_mut(evidence.service).filter(|rollout| rollout.is_active()) else {
             return;
         };
-        let is_target = rollout.order.target == *answer.version;
-        let VersionAnswer { endpoint, zone, route, outcome, .. } = *answer;
+        let is_target = rollout.order.target == *evidence.version;
+        let AttemptEvidence { endpoint, zone, route, outcome, .. } = *evidence;
         let end = AttemptEnd { endpoint, zone, route, is_target, is_lost: outcome.is_lost() };
         rollout.matcher.record(self.timer.now(), &end);
         let tally =
             if is_target { rollout.evidence.target_mut(route, endpoint) } else { rollout.evidence.others_mut(route) };
-        tally.record(outcome, answer.first, answer.gap);
+        tally.record(outcome, evidence.first, evidence.gap);
         drop(state);
         if is_target {
-            self.recorder.count(match answer.outcome {
+            self.recorder.count(match evidence.outcome {
                 VersionOutcome::Failed | VersionOutcome::ClientError => "trial_answers_failed",
                 VersionOutcome::Late | VersionOutcome::Broken => "trial_answers_lost",
                 VersionOutcome::Good => "trial_answers_good",
