Logs tell how the version that began a stream was found

Cause: after a take-up the logs could not tell by which evidence a stream was sent to an engine: this host's memory, another host's, only one possible version, or an engine's list of prompts. Two hypotheses of the incident (an engine of another version listed the prompt; one listed version was taken for the only one) differ in nothing else.

Change: stream.origin has the field `source`; prompt.found names the version of the engine that holds the prompt. No logic is changed.

--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -202,7 +202,7 @@
     fn place_at_holder(&self, holders: &[EngineCandidate]) -> Option<EngineChoice> {
         let placement = place_held_prompt(holders, self.needed_tokens(), &self.context.zone)?;
         let (record, holder) = (&placement.candidate.record, &placement.holder.record);
-        tracing::info!(request = %self.caller.head.attempt_id, endpoint = %holder.id,
+        tracing::info!(request = %self.caller.head.attempt_id, endpoint = %holder.id, version = %holder.version,
             tokens = placement.holder.held_tokens, is_fetched = placement.is_fetched(), "prompt.found");
         let prompt_at = placement.is_fetched().then_some(holder.address);
         let slot = EndpointSlot::reserve(self.context, record, self.slots())?;
--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -11,6 +11,7 @@
 use super::stream_timing::{StreamResume, StreamTiming};
 use crate::front::CallerRequest;
 use crate::gateway::GatewayContext;
+use crate::origin::FoundOrigin;
 
 /// The last endpoint that a call was sent to.
 #[derive(Debug, Default)]
@@ -68,9 +69,9 @@
         priority = caller.priority(), age_ms, "placement.without_headroom");
 }
 
-/// Records which software versions may continue a stream that its caller takes up.
-pub(super) fn origin_found(context: &GatewayContext, caller: &CallerRequest, origin: &StreamOrigin) {
-    let (counter, version) = match origin {
+/// Records which software versions may continue a stream that its caller takes up, and how that was found.
+pub(super) fn origin_found(context: &GatewayContext, caller: &CallerRequest, found: &FoundOrigin) {
+    let (counter, version) = match &found.origin {
         StreamOrigin::Open => ("origins_open", None),
         StreamOrigin::Version(version) => ("origins_found", Some(&**version)),
         StreamOrigin::Unknown => ("origins_unknown", None),
@@ -78,7 +79,7 @@
     };
     context.recorder.count(counter);
     tracing::info!(request = %caller.head.attempt_id, first_attempt = caller.head.first_attempt.as_deref(), version,
-        outcome = counter, "stream.origin");
+        outcome = counter, source = found.source.as_str(), "stream.origin");
 }
 
 /// Logs that an attempt at an endpoint failed.
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
@@ -197,9 +197,9 @@
             return origin.clone();
         }
         let caller = &self.caller;
-        let origin = find_origin(&self.context, &caller.service, caller.head.first_attempt.as_ref()).await;
-        request_log::origin_found(&self.context, caller, &origin);
-        self.origin.insert(origin).clone()
+        let found = find_origin(&self.context, &caller.service, caller.head.first_attempt.as_ref()).await;
+        request_log::origin_found(&self.context, caller, &found);
+        self.origin.insert(found.origin).clone()
     }
 
     pub(super) fn begin_attempt(&mut self, choice: EngineChoice) {
--- a/crates/hollyhook_gateway/src/origin/mod.rs
+++ b/crates/hollyhook_gateway/src/origin/mod.rs
@@ -9,7 +9,7 @@
 mod origin_tracker;
 mod version_tracker;
 
-pub(crate) use origin_lookup::find_origin;
+pub(crate) use origin_lookup::{FoundOrigin, find_origin};
 pub(crate) use origin_server::{answer_origin_request, is_origin_request};
 pub(crate) use origin_sharer::OriginSharer;
 pub(crate) use origin_tracker::OriginTracker;
--- a/crates/hollyhook_gateway/src/origin/origin_lookup.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_lookup.rs
@@ -15,6 +15,47 @@
 /// How often a stream that waits for the record of its service's versions checks whether it has been read.
 const READ_CHECK: Duration = Duration::from_millis(10);
 
+/// Which software versions may continue a stream, and how that was found.
+#[derive(Debug, Clone)]
+pub(crate) struct FoundOrigin {
+    pub(crate) origin: StreamOrigin,
+    pub(crate) source: OriginSource,
+}
+
+/// How the version that began a stream was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OriginSource {
+    /// This host knew it.
+    Own,
+    /// Another host knew it.
+    OtherHost,
+    /// No other version may have begun streams that come back.
+    OnlyVersion,
+    /// Nothing told it.
+    None,
+}
+
+impl OriginSource {
+    /// The name of the source in logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::OtherHost => "other_host",
+            Self::OnlyVersion => "only_version",
+            Self::None => "none",
+        }
+    }
+
+    fn of(origin: &StreamOrigin, own: &OriginAnswer) -> Self {
+        match origin {
+            StreamOrigin::Version(_) if own.version.is_some() => Self::Own,
+            StreamOrigin::Version(_) => Self::OtherHost,
+            StreamOrigin::Open => Self::OnlyVersion,
+            StreamOrigin::Unknown | StreamOrigin::Untraceable => Self::None,
+        }
+    }
+}
+
 /// Finds which software versions may continue a stream that its caller takes up.
 ///
 /// `first_attempt` is the client attempt that brought the stream's first event; `None` if the caller does not name it.
@@ -22,7 +63,7 @@
     context: &GatewayContext,
     service: &Name,
     first_attempt: Option<&Name>,
-) -> StreamOrigin {
+) -> FoundOrigin {
     let own_answer = || context.origins.answer(service, first_attempt.map_or("", |id| id));
     let own = own_answer();
     let is_settled = own.version.is_some() || (own.versions.len() <= 1 && context.versions.has_whole_history());
@@ -37,7 +78,9 @@
             answers.push(own_answer());
         }
     }
-    StreamOrigin::resolve(&answers)
+    let origin = StreamOrigin::resolve(&answers);
+    let source = OriginSource::of(&origin, &answers[0]);
+    FoundOrigin { origin, source }
 }
 
 /// What the hosts that keep copies of an origin know of it, up to the first one that knows the version.
