Hosts keep the versions of their streams in the store, for the loss of all hosts

Cause: nothing that outlived the hosts named a stream's version. The engines' lists of prompts were believed in its place; an engine of another version may list a prompt (a repeated attempt, a session's next request), and most prompts have gone from memory when the caller comes back. One side guessed, the other refused.

The first event of a stream waits until its version follows from all that the store may hold, also from a write without an answer. Held prompts are no evidence any more.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -56,7 +56,10 @@
 };
 pub use lease::{LeaseQuestion, LeaseRound, LeasedLimit};
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
-pub use origin::{OriginAnswer, OriginCopy, OriginLedger, RecordTurn, StreamOrigin, VersionRecord, origin_holders};
+pub use origin::{
+    OriginAnswer, OriginCopy, OriginJournal, OriginLedger, OriginSnapshot, RecordTurn, ServiceSnapshot,
+    ServiceVersions, SnapshotEvidence, SnapshotWriter, StreamKey, StreamOrigin, VersionRecord, origin_holders,
+};
 pub use pace::{EndpointPace, EngineSpeed, MigrationGate, MigrationPlan, PaceChange, ProgressMeter, ServicePace};
 pub use path::{
     ConnectOrder, EndpointGroup, FrameBuffer, FrameError, FrameReader, FrameStep, PathMonitor, TunnelDirectory,
@@ -77,7 +80,7 @@
     EngineCandidate, EngineReport, EngineRun, HeldPromptPart, HolderLimits, HostPosition, LoadReport, MAX_REPORT_AGE,
     MemoryForecast, PlacementRequest, PlacementVerdict, PromptPlacement, PromptRead, ReportCache, RouteQuery,
     choose_backup_engine, choose_engine, excess_wait, excess_wait_by_priority, has_holder, is_certain_choice,
-    is_of_one_version, place_by_priority, place_held_prompt, time_to_first_event,
+    place_by_priority, place_held_prompt, time_to_first_event,
 };
 pub use site::{
     AccountConfig, AccountPriorities, CallerLimits, ConfigAdoption, EngineMemory, RequestKind, RouteConfig,
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -46,7 +46,7 @@
 pub use priority_placement::{
     CapacityShortage, PlacementRequest, PlacementVerdict, excess_wait_by_priority, place_by_priority,
 };
-pub use prompt_placement::{HeldPromptPart, PromptPlacement, has_holder, is_of_one_version, place_held_prompt};
+pub use prompt_placement::{HeldPromptPart, PromptPlacement, has_holder, place_held_prompt};
 pub(crate) use rendezvous::rendezvous_weight;
 pub use report_cache::ReportCache;
 pub use route_query::{HolderLimits, RouteQuery};
--- a/crates/hollyhook_core/src/route/prompt_placement.rs
+++ b/crates/hollyhook_core/src/route/prompt_placement.rs
@@ -42,15 +42,6 @@
     holder_of_most(candidates).is_some()
 }
 
-/// Whether engines hold enough of the prompt to be worth using, all of one software version.
-pub fn is_of_one_version(candidates: &[EngineCandidate]) -> bool {
-    let mut versions = holders(candidates).map(|candidate| &candidate.record.version);
-    let Some(first) = versions.next() else {
-        return false;
-    };
-    versions.all(|version| version == first)
-}
-
 /// Places a generation whose caller has reconnected; `None` if no engine that answered holds enough of its prompt.
 ///
 /// After a loss of hosts, dozens of callers reconnect at almost the same time with prompts that engines have just read.
--- a/crates/hollyhook_gateway/src/forward/engine_choice.rs
+++ b/crates/hollyhook_gateway/src/forward/engine_choice.rs
@@ -7,8 +7,7 @@
 use hollyhook_core::{
     EndpointId, EndpointRecord, EndpointState, EngineCandidate, HolderLimits, Name, PlacementRequest, PlacementVerdict,
     RouteQuery, ServicePriorities, StopReason, VersionFilter, ZoneName, choose_backup_engine, choose_engine,
-    excess_wait, excess_wait_by_priority, has_holder, is_certain_choice, is_of_one_version, place_by_priority,
-    place_held_prompt,
+    excess_wait, excess_wait_by_priority, has_holder, is_certain_choice, place_by_priority, place_held_prompt,
 };
 use hollyhook_platform::BackupSource;
 use rand::Rng;
@@ -151,23 +150,6 @@
         Some(EngineChoice { slot, from: None, backup, prompt_at: None })
     }
 
-    /// Chooses an engine for a stream of which no host knows the version that began it.
-    ///
-    /// The engines that hold the prompt read it for this stream, so that their version tells, if it is only one.
-    ///
-    /// # Errors
-    ///
-    /// `OriginUnknown` if no engine holds the prompt, or engines of several versions do.
-    pub(super) async fn choose_first_holder(&self) -> Result<EngineChoice, RoutingFailure> {
-        let unknown = RoutingFailure { reason: StopReason::OriginUnknown, pause: Duration::ZERO, awaits_room: false };
-        let part = self.returning_prompt_part().ok_or(unknown)?;
-        let holders = self.probe_likely_holders(part, ALL_HOLDER_LIMITS, &[]).await;
-        if !is_of_one_version(&holders) {
-            return Err(unknown);
-        }
-        self.place_at_holder(&holders).ok_or(unknown)
-    }
-
     /// Chooses an engine without probing any.
     ///
     /// When an engine crashes, all its requests are placed again at the same moment. If all were placed by the same
--- a/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/attempt_start.rs
@@ -154,23 +154,16 @@
                 filter.ok_or_else(|| self.stop_error(StopReason::NoEndpoint))?
             }
             StreamOrigin::Open => self.record_filter(context.rollouts.version_filter(service, self.is_first())),
-            StreamOrigin::Unknown => context.rollouts.version_filter(service, false).unwrap_or_default(),
-            StreamOrigin::Untraceable => return Err(self.stop_error(StopReason::OriginUnknown)),
+            StreamOrigin::Unknown | StreamOrigin::Untraceable => {
+                return Err(self.stop_error(StopReason::OriginUnknown));
+            }
         };
         let chooser = EngineChooser { context, caller: &self.caller, tried: &self.tried, versions: &filter };
         let choice = match origin {
-            StreamOrigin::Unknown => chooser.choose_first_holder().await,
             StreamOrigin::Open if filter.only.is_some() => self.choose_any_version(chooser, resume_from).await,
             _ => chooser.choose(resume_from).await,
         };
-        let choice = match choice {
-            Ok(choice) => choice,
-            Err(failure) => return Ok(Err(failure)),
-        };
-        if origin == StreamOrigin::Unknown {
-            self.origin = Some(StreamOrigin::Version(Name::clone(&choice.slot.target.version)));
-        }
-        Ok(Ok(choice))
+        Ok(choice)
     }
 
     /// Chooses an engine of the version that a roll-out moves requests to, or of another one if it has no room.
@@ -188,7 +181,10 @@
 
     /// Restricts a filter to versions whose streams can be told from those of others after the loss of all hosts.
     fn record_filter(&self, filter: Option<VersionFilter>) -> VersionFilter {
-        filter.unwrap_or_default().recorded(self.context.versions.admitted(&self.caller.service))
+        let (versions, service) = (&self.context.versions, &self.caller.service);
+        let mut filter = filter.unwrap_or_default().recorded(versions.admitted(service));
+        filter.except.extend(versions.closed(service));
+        filter
     }
 
     /// Which versions may write the next events.
@@ -221,6 +217,10 @@
             prompt_at,
         };
         request_log::attempt_placed(&self.context, &self.caller, &slot, &headers);
+        if self.caller.engine.is_some() && self.sequencer.last().is_none() {
+            let first_attempt = self.caller.first_attempt();
+            self.context.snapshots.record_attempt(first_attempt, &self.caller.service, &slot.target.version);
+        }
         let is_first = self.is_first();
         self.tried.push(EndpointId::clone(slot.id()));
         let key = self.race.begin_from(basis);
--- a/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
@@ -37,6 +37,8 @@
 const MAX_REJECTED: u32 = 4;
 /// How often a stream whose attempts are suspected, or have sent no event yet, looks at what is known of engines.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which the version of a running stream is recorded again for other hosts, which would forget it.
+const ORIGIN_INTERVAL: Duration = Duration::from_secs(20);
 
 /// A caller's stream over all attempts at its generation.
 pub(super) struct StreamRun {
@@ -59,8 +61,8 @@
     weights: Option<u64>,
     /// The software versions that may write the next events; `None` until they have been looked up.
     origin: Option<StreamOrigin>,
-    /// Whether the version of an event that this host delivered has been recorded for other hosts.
-    has_recorded_origin: bool,
+    /// When the version of the events that this host delivers was last recorded for other hosts.
+    origin_recorded_at: Option<TimePoint>,
     /// An endpoint's response that is not a stream, to be returned to the caller unchanged.
     pub(super) plain_response: Option<BufferedResponse>,
     /// Engines that attempts were sent to.
@@ -102,7 +104,7 @@
             first_head: None,
             weights: None,
             origin: (!is_resumed).then_some(StreamOrigin::Open),
-            has_recorded_origin: false,
+            origin_recorded_at: None,
             plain_response: None,
             tried: Vec::new(),
             run_time: Duration::ZERO,
@@ -311,10 +313,22 @@
         };
         if self.sequencer.delivered() > known_events {
             self.win(index);
+            if known_events == 0 && !self.wait_recorded().await {
+                return self.handle_timeout().await.map(|()| StreamStep::Continue);
+            }
         }
         Ok(StreamStep::Deliver(bytes))
     }
 
+    /// Waits, before the first event of a stream, until its version outlives all hosts; false if the caller's time is up.
+    async fn wait_recorded(&self) -> bool {
+        let (caller, Some(StreamOrigin::Version(version))) = (&self.caller, &self.origin) else {
+            return true;
+        };
+        let time_left = caller.time_left(self.context.timer.now());
+        self.context.snapshots.wait_recorded(caller.first_attempt(), &caller.service, version, time_left).await
+    }
+
     /// Records that an attempt has sent events that the caller does not have yet, and cancels the others.
     fn win(&mut self, index: usize) {
         let key = self.attempts[index].key;
@@ -330,11 +344,12 @@
         if self.first_head.is_none() {
             self.first_head = Some(live.response.parts.clone());
         }
-        if !self.has_recorded_origin {
+        let now = self.context.timer.now();
+        if self.origin_recorded_at.is_none_or(|at| now.since(at) >= ORIGIN_INTERVAL) {
             let version = Name::clone(&live.slot.target.version);
-            self.record_origin(version);
+            self.record_origin(now, version);
         }
-        if let Some(resume) = self.timing.record_event(self.context.timer.now()) {
+        if let Some(resume) = self.timing.record_event(now) {
             request_log::resumed(&self.context, &self.caller, &resume);
         }
     }
@@ -366,8 +381,8 @@
     }
 
     /// Binds the stream to the version of the first event that this host delivers, and records it for other hosts.
-    fn record_origin(&mut self, version: Name) {
-        self.has_recorded_origin = true;
+    fn record_origin(&mut self, now: TimePoint, version: Name) {
+        self.origin_recorded_at = Some(now);
         self.origin = Some(StreamOrigin::Version(Name::clone(&version)));
         let (first_attempt, service) = (self.caller.first_attempt(), &self.caller.service);
         OriginSharer::record(&self.context, Name::clone(first_attempt), Name::clone(service), version);
@@ -431,6 +446,14 @@
     }
 }
 
+impl Drop for StreamRun {
+    fn drop(&mut self) {
+        if self.caller.engine.is_some() {
+            self.context.snapshots.record_ended(self.caller.first_attempt());
+        }
+    }
+}
+
 /// What a step of a stream yields.
 enum StreamStep {
     /// Nothing for the caller.
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -21,7 +21,7 @@
 use crate::demand::DemandTracker;
 use crate::lease::LeaseState;
 use crate::net::UsageMeter;
-use crate::origin::{OriginTracker, VersionTracker};
+use crate::origin::{EvidenceReader, OriginTracker, SnapshotTracker, VersionTracker};
 use crate::path::{EndpointConnector, PathTracker};
 use crate::peer::FeedState;
 use crate::pool::ConnectionPool;
@@ -76,6 +76,10 @@
     pub(crate) rollouts: Arc<RolloutTracker>,
     pub(crate) versions: Arc<VersionTracker>,
     pub(crate) origins: Arc<OriginTracker>,
+    pub(crate) snapshots: Arc<SnapshotTracker>,
+    pub(crate) evidence: Arc<EvidenceReader>,
+    /// Number of writes a second that the store takes from all hosts together.
+    pub(crate) store_writes: f64,
     pub(crate) demand: Arc<DemandTracker>,
     pub(crate) queues: Arc<ServiceQueues>,
     live: Arc<Mutex<LiveSettings>>,
@@ -120,6 +124,8 @@
         registry.register(BorrowState::NAME, BorrowState::default())?;
         registry.register(LeaseState::NAME, LeaseState::default())?;
         registry.register(RolloutTracker::NAME, RolloutTracker::new(registry, settings.bounds.exposure)?)?;
+        registry.register(SnapshotTracker::NAME, SnapshotTracker::new(registry)?)?;
+        registry.register(EvidenceReader::NAME, EvidenceReader::default())?;
         registry.register(VersionTracker::NAME, VersionTracker::new(registry, Self::SITE, &settings.host)?)?;
         registry.register(OriginTracker::NAME, OriginTracker::new(registry)?)?;
         registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
@@ -156,6 +162,9 @@
             rollouts: registry.find(RolloutTracker::NAME)?,
             versions: registry.find(VersionTracker::NAME)?,
             origins: registry.find(OriginTracker::NAME)?,
+            snapshots: registry.find(SnapshotTracker::NAME)?,
+            evidence: registry.find(EvidenceReader::NAME)?,
+            store_writes: settings.store_writes,
             demand: registry.find(DemandTracker::NAME)?,
             queues: registry.find(ServiceQueues::NAME)?,
             retries: registry.find(RetryBudgets::NAME)?,
--- a/crates/hollyhook_gateway/src/gateway/gateway_process.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -11,7 +11,7 @@
 use super::GatewayContext;
 use crate::front::{metrics_response, readiness_response, serve_callers, serve_status};
 use crate::peer::{HostRegistrar, serve_peers};
-use crate::store::{EndpointWatch, RolloutWatch, SiteWatch, VersionRecorder};
+use crate::store::{EndpointWatch, RolloutWatch, SiteWatch, SnapshotRecorder, VersionRecorder};
 
 /// How often idle connections past their keep-alive are closed.
 const CLOSE_INTERVAL: Duration = Duration::from_secs(1);
@@ -51,6 +51,7 @@
         task::spawn(EndpointWatch::new(Arc::clone(&context)).run());
         task::spawn(RolloutWatch::new(Arc::clone(&context)).run());
         task::spawn(VersionRecorder::new(Arc::clone(&context)).run());
+        task::spawn(SnapshotRecorder::new(Arc::clone(&context)).run());
         task::spawn(Arc::clone(&context.connector).run_checks());
         task::spawn(close_expired_connections(Arc::clone(&context)));
         tracing::info!(host = %context.host, zone = %context.zone, listen = %settings.listen, store = %settings.store,
--- a/crates/hollyhook_gateway/src/origin/origin_lookup.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_lookup.rs
@@ -1,10 +1,12 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
-use hollyhook_core::{HostRecord, Name, OriginAnswer, StreamOrigin, TimePoint};
+use hollyhook_core::{HostRecord, Name, OriginAnswer, StreamKey, StreamOrigin, TimePoint};
 use http::StatusCode;
 
+use super::EvidenceReader;
 use super::origin_message::{FIND_PATH, OriginQuestion, OriginReply, post_message};
 use crate::gateway::GatewayContext;
 use crate::net::ExchangeError;
@@ -14,6 +16,8 @@
 const FIND_TIMEOUT: Duration = Duration::from_millis(250);
 /// How often a stream that waits for the record of its service's versions checks whether it has been read.
 const READ_CHECK: Duration = Duration::from_millis(10);
+/// Time limit for reading the origin snapshots of all hosts, in a few pages. The caller has no other way to go on.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Which software versions may continue a stream, and how that was found.
 #[derive(Debug, Clone)]
@@ -31,6 +35,8 @@
     OtherHost,
     /// No other version may have begun streams that come back.
     OnlyVersion,
+    /// The origin snapshots in the store told it.
+    Snapshots,
     /// Nothing told it.
     None,
 }
@@ -42,6 +48,7 @@
             Self::Own => "own",
             Self::OtherHost => "other_host",
             Self::OnlyVersion => "only_version",
+            Self::Snapshots => "snapshots",
             Self::None => "none",
         }
     }
@@ -60,7 +67,7 @@
 ///
 /// `first_attempt` is the client attempt that brought the stream's first event; `None` if the caller does not name it.
 pub(crate) async fn find_origin(
-    context: &GatewayContext,
+    context: &Arc<GatewayContext>,
     service: &Name,
     first_attempt: Option<&Name>,
 ) -> FoundOrigin {
@@ -79,10 +86,30 @@
         }
     }
     let origin = StreamOrigin::resolve(&answers);
+    if let (StreamOrigin::Unknown, Some(first_attempt)) = (&origin, first_attempt) {
+        return find_in_snapshots(context, service, first_attempt, &answers).await;
+    }
     let source = OriginSource::of(&origin, &answers[0]);
     FoundOrigin { origin, source }
 }
 
+/// Finds the version that began a stream in what lost hosts have written; `answers` name the versions that hosts know.
+async fn find_in_snapshots(
+    context: &Arc<GatewayContext>,
+    service: &Name,
+    first_attempt: &Name,
+    answers: &[OriginAnswer],
+) -> FoundOrigin {
+    let Some(evidence) = EvidenceReader::read(context, READ_TIMEOUT).await else {
+        return FoundOrigin { origin: StreamOrigin::Unknown, source: OriginSource::None };
+    };
+    let versions = answers.iter().flat_map(|answer| &answer.versions).cloned().collect();
+    let hosts = context.feed.all_hosts();
+    let origin = evidence.resolve(service, StreamKey::new(first_attempt), hosts.as_ref(), &versions);
+    let source = if origin == StreamOrigin::Unknown { OriginSource::None } else { OriginSource::Snapshots };
+    FoundOrigin { origin, source }
+}
+
 /// What the hosts that keep copies of an origin know of it, up to the first one that knows the version.
 async fn ask_holders(context: &GatewayContext, service: &Name, first_attempt: &Name) -> Vec<OriginAnswer> {
     let holders = context.origins.holders(first_attempt);
--- a/crates/hollyhook_gateway/src/origin/origin_tracker.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_tracker.rs
@@ -4,7 +4,7 @@
 use hollyhook_core::{HostRecord, Name, OriginAnswer, OriginCopy, OriginLedger, Result, origin_holders};
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 
-use super::VersionTracker;
+use super::{SnapshotTracker, VersionTracker};
 use crate::gateway::EndpointDirectory;
 use crate::peer::FeedState;
 use crate::sync::lock;
@@ -16,6 +16,7 @@
     feed: Arc<FeedState>,
     endpoints: Arc<EndpointDirectory>,
     versions: Arc<VersionTracker>,
+    snapshots: Arc<SnapshotTracker>,
     ledger: Mutex<OriginLedger>,
     /// Whether a task of this host sends copies to other hosts.
     is_sharing: AtomicBool,
@@ -36,6 +37,7 @@
             feed: registry.find(FeedState::NAME)?,
             endpoints: registry.find(EndpointDirectory::NAME)?,
             versions: registry.find(VersionTracker::NAME)?,
+            snapshots: registry.find(SnapshotTracker::NAME)?,
             ledger: Mutex::default(),
             is_sharing: AtomicBool::new(false),
         })
@@ -43,11 +45,13 @@
 
     /// Records that a caller got events of a stream from a version of a service.
     pub(super) fn record_own(&self, first_attempt: Name, service: Name, version: Name) {
+        self.snapshots.record_begun(&first_attempt, &service, &version);
         lock(&self.ledger).record_own(self.timer.now(), first_attempt, service, version);
     }
 
     /// Records the origin of a stream of another host.
     pub(super) fn record_copy(&self, first_attempt: Name, version: Name) {
+        self.snapshots.record_copy(&first_attempt, &version);
         lock(&self.ledger).record_copy(self.timer.now(), first_attempt, version);
     }
 
--- a/crates/hollyhook_gateway/src/origin/version_tracker.rs
+++ b/crates/hollyhook_gateway/src/origin/version_tracker.rs
@@ -3,12 +3,14 @@
 
 use futures::channel::oneshot;
 use hollyhook_core::{
-    EndpointState, Name, OriginLedger, RecordTurn, Result, SiteIndex, SiteState, TimePoint, VersionRecord,
+    EndpointState, Name, OriginLedger, RecordTurn, Result, ServiceVersions, SiteIndex, SiteState, TimePoint,
+    VersionRecord,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_platform::{FormatError, StoreObject};
 use hollyhook_telemetry::MetricRecorder;
 
+use super::SnapshotTracker;
 use crate::gateway::EndpointDirectory;
 use crate::peer::FeedState;
 use crate::sync::{WakeList, lock};
@@ -29,6 +31,7 @@
     feed: Arc<FeedState>,
     endpoints: Arc<EndpointDirectory>,
     site: Arc<Mutex<SiteState>>,
+    snapshots: Arc<SnapshotTracker>,
     state: Mutex<TrackerState>,
     /// The task that waits until a record has to be read or written.
     waiters: WakeList,
@@ -36,7 +39,7 @@
 
 #[derive(Debug, Default)]
 struct TrackerState {
-    services: BTreeMap<Name, ServiceVersions>,
+    services: BTreeMap<Name, RecordedVersions>,
     /// Since when the list of endpoints has shown all versions; `None` before the first list and while it is too old.
     current_since: Option<TimePoint>,
     /// The era of the store in which the records were read.
@@ -45,7 +48,7 @@
 
 /// The versions of one service.
 #[derive(Debug, Default)]
-struct ServiceVersions {
+struct RecordedVersions {
     record: VersionRecord,
     /// The versions that new streams may begin at; `None` allows all.
     admitted: Option<BTreeSet<Name>>,
@@ -60,6 +63,8 @@
 struct ListedVersions {
     /// Those of endpoints that are listed, or were lately.
     recent: BTreeSet<Name>,
+    /// Those of endpoints that are not leaving.
+    live: BTreeSet<Name>,
     /// Those of endpoints that can serve.
     serving: BTreeSet<Name>,
 }
@@ -82,6 +87,7 @@
             feed: registry.find(FeedState::NAME)?,
             endpoints: registry.find(EndpointDirectory::NAME)?,
             site: registry.find(site)?,
+            snapshots: registry.find(SnapshotTracker::NAME)?,
             state: Mutex::default(),
             waiters: WakeList::default(),
         })
@@ -92,6 +98,17 @@
         lock(&self.state).services.get(service)?.admitted.clone()
     }
 
+    /// The versions of a service at which no stream may begin before this host's next snapshot.
+    pub(crate) fn closed(&self, service: &str) -> BTreeSet<Name> {
+        self.snapshots.closed(service)
+    }
+
+    /// Whether the records of all services have been read.
+    pub(crate) fn has_read_all(&self) -> bool {
+        let state = lock(&self.state);
+        state.current_since.is_some() && !state.services.values().any(|versions| versions.record.needs_reading())
+    }
+
     /// The versions that may have begun streams of a service that come back.
     pub(super) fn possible(&self, service: &str) -> BTreeSet<Name> {
         let now = self.timer.now();
@@ -134,6 +151,7 @@
         state.observe_era(era);
         let has_seen_lifetime = state.has_seen_lifetime(now);
         state.services.retain(|service, _| listed.contains_key(service));
+        let mut known = BTreeMap::new();
         for (service, listed) in listed {
             let versions = state.services.entry(Name::clone(&service)).or_default();
             if has_seen_lifetime {
@@ -144,7 +162,10 @@
                 self.recorder.count("versions_gated");
                 tracing::info!(%service, %version, "version.gated");
             }
+            let possible = versions.record.possible(&listed.recent);
+            known.insert(service, ServiceVersions { live: listed.live, possible });
         }
+        self.snapshots.set_services(known);
         let has_work = state.has_work();
         drop(state);
         if has_work {
@@ -214,14 +235,17 @@
         let mut listed: BTreeMap<Name, ListedVersions> = services
             .map(|service| {
                 let recent = table.recent_versions(now, service);
-                (Name::clone(service), ListedVersions { recent, serving: BTreeSet::new() })
+                (Name::clone(service), ListedVersions { recent, live: BTreeSet::new(), serving: BTreeSet::new() })
             })
             .collect();
-        let serving = table.iter().filter(|record| record.state == EndpointState::Live && !record.is_ejected(now));
-        for record in serving {
-            if let Some(listed) = listed.get_mut(&record.service)
-                && !listed.serving.contains(&record.version)
-            {
+        for record in table.iter().filter(|record| record.state == EndpointState::Live) {
+            let Some(listed) = listed.get_mut(&record.service) else {
+                continue;
+            };
+            if !listed.live.contains(&record.version) {
+                listed.live.insert(Name::clone(&record.version));
+            }
+            if !record.is_ejected(now) && !listed.serving.contains(&record.version) {
                 listed.serving.insert(Name::clone(&record.version));
             }
         }
@@ -282,7 +306,7 @@
     }
 }
 
-impl ServiceVersions {
+impl RecordedVersions {
     /// Updates what has to be written; only the first host in turn removes versions.
     ///
     /// `turn` ranks all hosts, which is only worth its cost where something has to be written.
--- a/crates/hollyhook_gateway/src/peer/feed_state.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_state.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::IpAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -21,6 +21,8 @@
     waiters: WakeList,
     /// Whether the other hosts are being listed for the first time.
     is_listing: AtomicBool,
+    /// Whether the hosts of all zones have been listed.
+    has_all_zones: AtomicBool,
     eras: Mutex<EraTracker>,
     /// Most objects that are sent in one snapshot.
     snapshot_limit: usize,
@@ -37,6 +39,7 @@
             logs: Mutex::default(),
             waiters: WakeList::default(),
             is_listing: AtomicBool::new(false),
+            has_all_zones: AtomicBool::new(false),
             eras: Mutex::default(),
             snapshot_limit: snapshot_limit(link_mbps),
         }
@@ -67,6 +70,17 @@
         self.is_listing.load(Ordering::Relaxed)
     }
 
+    /// Records that the hosts of all zones have been listed.
+    pub(crate) fn record_all_zones(&self) {
+        self.has_all_zones.store(true, Ordering::Relaxed);
+    }
+
+    /// The names of the hosts of all zones; `None` before those of all zones have been listed.
+    pub(crate) fn all_hosts(&self) -> Option<BTreeSet<Name>> {
+        let hosts = || lock(&self.topology).hosts().map(|record| Name::clone(&record.host)).collect();
+        self.has_all_zones.load(Ordering::Relaxed).then(hosts)
+    }
+
     /// The number of registered hosts; `None` before they have been listed.
     pub(crate) fn host_count(&self) -> Option<usize> {
         Some(lock(&self.topology).host_count()).filter(|count| *count > 0)
--- a/crates/hollyhook_gateway/src/peer/host_registrar.rs
+++ b/crates/hollyhook_gateway/src/peer/host_registrar.rs
@@ -77,6 +77,7 @@
             self.context.timer.wait(LIST_INTERVAL).await;
             if let Some(zone) = self.next_zone() {
                 self.list_other(zone).await;
+                self.check_all_zones();
             }
         }
     }
@@ -93,6 +94,14 @@
         for zone in self.other_zones() {
             self.list_other(zone).await;
         }
+        self.check_all_zones();
+    }
+
+    /// Records whether the hosts of all zones with endpoints have been listed by now.
+    fn check_all_zones(&self) {
+        if self.other_zones().iter().all(|zone| self.zones.contains_key(zone)) {
+            self.context.feed.record_all_zones();
+        }
     }
 
     /// The other zone to list next, in the order of the zones' names.
--- a/crates/hollyhook_gateway/src/store/mod.rs
+++ b/crates/hollyhook_gateway/src/store/mod.rs
@@ -1,5 +1,5 @@
 //! Client of the platform's store: watches the configuration, the endpoints and the roll-out orders, and writes crash
-//! records, trial reports, roll-out states and the records of versions.
+//! records, trial reports, roll-out states, the records of versions and this host's origin snapshot.
 
 use hollyhook_core::FeedPlan;
 
@@ -13,6 +13,7 @@
 mod rollout_watch;
 mod rollout_worker;
 mod site_watch;
+mod snapshot_recorder;
 mod store_client;
 mod version_recorder;
 
@@ -21,6 +22,7 @@
 pub(crate) use quarantine_writer::QuarantineWriter;
 pub(crate) use rollout_watch::RolloutWatch;
 pub(crate) use site_watch::SiteWatch;
+pub(crate) use snapshot_recorder::SnapshotRecorder;
 pub(crate) use store_client::{StoreClient, StoreError};
 pub(crate) use version_recorder::VersionRecorder;
 
--- /dev/null
+++ b/crates/hollyhook_gateway/src/store/snapshot_recorder.rs
@@ -0,0 +1,95 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollyhook_core::TimePoint;
+
+use super::{StoreClient, StoreError};
+use crate::gateway::GatewayContext;
+
+/// Interval at which the recorder checks for work: what a snapshot has inherited ends without a signal.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Delay after a failed call, which doubles with each further one.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(4);
+
+/// Keeps this host's origin snapshot in the store: which version began each of its streams, for the case that all hosts
+/// are lost.
+///
+/// The snapshot is read once, after the records of versions, and written only while streams of a service may have begun
+/// at several versions.
+#[derive(Debug)]
+pub(crate) struct SnapshotRecorder {
+    context: Arc<GatewayContext>,
+    client: StoreClient,
+    /// The revision of the object; `None` if there is none.
+    revision: Option<u64>,
+}
+
+impl SnapshotRecorder {
+    pub(crate) fn new(context: Arc<GatewayContext>) -> Self {
+        let client = StoreClient::new(&context);
+        Self { context, client, revision: None }
+    }
+
+    /// Keeps the snapshot until the process ends.
+    pub(crate) async fn run(mut self) {
+        let mut retry_pause = RETRY_PAUSE;
+        loop {
+            let signal = self.context.snapshots.work_signal();
+            let outcome = self.step().await;
+            let pause = match outcome {
+                Ok(next) => {
+                    retry_pause = RETRY_PAUSE;
+                    next.map_or(CHECK_INTERVAL, |at| at.since(self.context.timer.now()))
+                }
+                Err(error) => {
+                    self.context.recorder.count("snapshots_failed");
+                    tracing::info!(%error, "snapshot.not_recorded");
+                    self.context.timer.wait(retry_pause).await;
+                    retry_pause = (retry_pause * 2).min(MAX_RETRY_PAUSE);
+                    continue;
+                }
+            };
+            let _woken = self.context.timer.within(pause, signal).await;
+        }
+    }
+
+    /// Reads or writes the snapshot if that is due; returns when it is to be written next.
+    async fn step(&mut self) -> Result<Option<TimePoint>, StoreError> {
+        if !self.context.versions.has_read_all() {
+            return Ok(None);
+        }
+        if self.context.snapshots.needs_reading() {
+            self.read().await?;
+        }
+        let next = self.context.snapshots.next_write(self.context.store_writes);
+        if next.is_some_and(|at| at <= self.context.timer.now()) {
+            self.write().await?;
+            return Ok(self.context.snapshots.next_write(self.context.store_writes));
+        }
+        Ok(next)
+    }
+
+    async fn read(&mut self) -> Result<(), StoreError> {
+        let (snapshot, revision) = self.client.read_origins(&self.context.host).await?.unzip();
+        self.revision = revision;
+        self.context.snapshots.apply_reading(snapshot);
+        Ok(())
+    }
+
+    async fn write(&mut self) -> Result<(), StoreError> {
+        let snapshot = self.context.snapshots.begin_write();
+        match self.client.write_origins(&self.context.host, self.revision, &snapshot).await {
+            Ok(revision) => {
+                self.revision = Some(revision);
+                self.context.recorder.count("snapshots_written");
+                self.context.snapshots.confirm_write();
+                Ok(())
+            }
+            Err(error) => {
+                self.context.snapshots.record_unanswered();
+                Err(error)
+            }
+        }
+    }
+}
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollyhook_core::{CrashRecords, EraVerdict, HostRecord, Name, RolloutOrder, StoreRevision};
+use hollyhook_core::{CrashRecords, EraVerdict, HostRecord, Name, OriginSnapshot, RolloutOrder, StoreRevision};
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::{FormatError, ObjectKind, RolloutStatus, StoreChange, StoreObject, StorePage, TrialReport};
 use http::{Method, Response, StatusCode};
@@ -28,6 +28,8 @@
     Throttled,
     /// The object to be created exists already, or the object to be replaced was changed since it was read.
     Conflict,
+    /// There is no such object.
+    Missing,
     /// The response could not be decoded.
     Malformed(FormatError),
 }
@@ -39,6 +41,7 @@
             Self::HistoryGone => f.write_str("can't continue from the requested revision; listing all objects again"),
             Self::Throttled => f.write_str("the store rejected the call because of its rate limit (HTTP status 429)"),
             Self::Conflict => f.write_str("the object exists already, or was changed since it was read"),
+            Self::Missing => f.write_str("there is no such object"),
             Self::Malformed(error) => error.fmt(f),
         }
     }
@@ -268,6 +271,40 @@
         self.call(method, &path, Bytes::from(body), Self::SHARED_RECORD_TIMEOUT).await.map(|_answer| ())
     }
 
+    /// Reads a host's origin snapshot and the revision of its object; `None` if there is none.
+    pub(crate) async fn read_origins(&mut self, host: &Name) -> Result<Option<(OriginSnapshot, u64)>, StoreError> {
+        match self.read_object(ObjectKind::Origin, host).await {
+            Ok(object) => {
+                let snapshot = hollyhook_platform::decode_origins(&object).map_err(StoreError::Malformed)?;
+                Ok(Some((snapshot, object.revision)))
+            }
+            Err(StoreError::Missing) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Writes a host's origin snapshot, and returns the new revision of its object; `replaced` is the revision as it was
+    /// read.
+    ///
+    /// # Errors
+    ///
+    /// `Conflict` if the object was created or changed since it was read; otherwise why the call failed.
+    pub(crate) async fn write_origins(
+        &mut self,
+        host: &Name,
+        replaced: Option<u64>,
+        snapshot: &OriginSnapshot,
+    ) -> Result<u64, StoreError> {
+        let body = hollyhook_platform::encode_origins(host, replaced, snapshot).map_err(StoreError::Malformed)?;
+        let (method, path) = match replaced {
+            None => (Method::POST, hollyhook_platform::create_path(ObjectKind::Origin).to_owned()),
+            Some(_) => (Method::PUT, hollyhook_platform::object_path(ObjectKind::Origin, host)),
+        };
+        let (_era, body) = self.call(method, &path, Bytes::from(body), Self::SHARED_RECORD_TIMEOUT).await?;
+        let object = hollyhook_platform::decode_object(&body).map_err(StoreError::Malformed)?;
+        Ok(object.revision)
+    }
+
     /// Sends one call, and returns the era and the body of a successful response.
     async fn call(
         &mut self,
@@ -284,6 +321,7 @@
             StatusCode::OK | StatusCode::CREATED => Ok((era, response.into_body())),
             StatusCode::GONE => Err(StoreError::HistoryGone),
             StatusCode::CONFLICT => Err(StoreError::Conflict),
+            StatusCode::NOT_FOUND => Err(StoreError::Missing),
             StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
             _ => Err(StoreError::Unavailable("unexpected HTTP status")),
         }
--- a/crates/hollyhook_settings/src/gateway/gateway_settings.rs
+++ b/crates/hollyhook_settings/src/gateway/gateway_settings.rs
@@ -26,6 +26,8 @@
     pub peer_listen: Option<SocketAddr>,
     /// The address of the platform's store.
     pub store: SocketAddr,
+    /// Number of writes a second that the store takes from all hosts together.
+    pub store_writes: f64,
     /// Maximum memory that the process may use, in bytes.
     pub memory_bytes: usize,
     /// Speed of the host's network link in Mbit/s; 0 if not set. Hosts with faster links send more data to other hosts.
@@ -42,6 +44,7 @@
 
 const TITLES: [&str; 6] = ["host", "gateway", "platform", "bounds", "queue", "log"];
 const DEFAULT_MEMORY_MIB: usize = 256;
+const DEFAULT_STORE_WRITES: f64 = 400.0;
 
 impl GatewaySettings {
     /// Returns whether a file configures a gateway, rather than a daemon whose site is in local files.
@@ -94,6 +97,7 @@
     let section = file.section("platform");
     let mut reader = SectionReader::new(&section, errors);
     let store = reader.required("address", value::address);
+    let store_writes = reader.with_default("writes", DEFAULT_STORE_WRITES, value::call_rate);
     reader.finish();
 
     let section = file.section("bounds");
@@ -120,6 +124,7 @@
         metrics_listen,
         peer_listen,
         store: store?,
+        store_writes,
         memory_bytes,
         link_mbps,
         bounds,
--- a/crates/hollyhook_settings/src/value/mod.rs
+++ b/crates/hollyhook_settings/src/value/mod.rs
@@ -3,6 +3,6 @@
 mod value_parsers;
 
 pub(crate) use value_parsers::{
-    ValueError, address, addresses, bytes, choice, count, duration, file_path, fraction, hex_32, hex_digest, link_mbps,
-    name, names, path_prefix, percentage, ratio, tokens,
+    ValueError, address, addresses, bytes, call_rate, choice, count, duration, file_path, fraction, hex_32, hex_digest,
+    link_mbps, name, names, path_prefix, percentage, ratio, tokens,
 };
--- a/crates/hollyhook_settings/src/value/value_parsers.rs
+++ b/crates/hollyhook_settings/src/value/value_parsers.rs
@@ -105,6 +105,17 @@
     }
 }
 
+/// Parses a number of calls a second; platforms write it with or without a fraction.
+pub(crate) fn call_rate(text: &str) -> Parsed<f64> {
+    const MAX: f64 = 1_000_000.0;
+    match text.parse::<f64>() {
+        Ok(number) if (1.0..=MAX).contains(&number) => Ok(number),
+        _ => {
+            invalid(format!("`{text}` is not a rate of calls"), "give calls a second from 1 to 1000000, such as `400`")
+        }
+    }
+}
+
 /// Parses a ratio from 0 to 100, such as `0.8`.
 pub(crate) fn ratio(text: &str) -> Parsed<f64> {
     const MAX: f64 = 100.0;
