--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -78,8 +78,6 @@
     pub(crate) origins: Arc<OriginTracker>,
     pub(crate) snapshots: Arc<SnapshotTracker>,
     pub(crate) evidence: Arc<EvidenceReader>,
-    /// Number of writes a second that the store takes from all hosts together.
-    pub(crate) store_writes: f64,
     pub(crate) demand: Arc<DemandTracker>,
     pub(crate) queues: Arc<ServiceQueues>,
     live: Arc<Mutex<LiveSettings>>,
@@ -164,7 +162,6 @@
             origins: registry.find(OriginTracker::NAME)?,
             snapshots: registry.find(SnapshotTracker::NAME)?,
             evidence: registry.find(EvidenceReader::NAME)?,
-            store_writes: settings.store_writes,
             demand: registry.find(DemandTracker::NAME)?,
             queues: registry.find(ServiceQueues::NAME)?,
             retries: registry.find(RetryBudgets::NAME)?,
@@ -206,6 +203,11 @@
         lock(&self.live).store
     }
 
+    /// Number of writes a second that the store takes from all hosts together.
+    pub(crate) fn store_writes(&self) -> f64 {
+        lock(&self.live).store_writes
+    }
+
     /// Applies the settings that may change while the process runs.
     pub(crate) fn reload(&self, settings: &GatewaySettings) {
         let mut live = lock(&self.live);
@@ -214,6 +216,7 @@
         self.queues.set_settings(settings.queue);
         live.bounds = settings.bounds.clone();
         live.store = settings.store;
+        live.store_writes = settings.store_writes;
     }
 
     /// Whether a request whose caller waits for `timeout` is admitted, also during a graceful shutdown.
--- a/crates/hollyhook_gateway/src/gateway/live_settings.rs
+++ b/crates/hollyhook_gateway/src/gateway/live_settings.rs
@@ -8,6 +8,8 @@
 pub(super) struct LiveSettings {
     pub(super) bounds: GatewayBounds,
     pub(super) store: SocketAddr,
+    /// Number of writes a second that the store takes from all hosts together.
+    pub(super) store_writes: f64,
     /// When the graceful shutdown began; `None` if it has not.
     pub(super) stop_began_at: Option<TimePoint>,
 }
@@ -21,6 +23,11 @@
 
 impl From<&GatewaySettings> for LiveSettings {
     fn from(settings: &GatewaySettings) -> Self {
-        Self { bounds: settings.bounds.clone(), store: settings.store, stop_began_at: None }
+        Self {
+            bounds: settings.bounds.clone(),
+            store: settings.store,
+            store_writes: settings.store_writes,
+            stop_began_at: None,
+        }
     }
 }
--- a/crates/hollyhook_gateway/src/origin/snapshot_tracker.rs
+++ b/crates/hollyhook_gateway/src/origin/snapshot_tracker.rs
@@ -150,10 +150,8 @@
         self.waiters.wake();
     }
 
-    /// When the next snapshot is to be written by a host of a store that takes `writes` a second; `None` if there is
-    /// nothing to write.
-    pub(crate) fn next_write(&self, writes: f64) -> Option<TimePoint> {
-        let interval = SnapshotWriter::interval(self.feed.host_count().unwrap_or(1), writes);
+    /// When the next snapshot is to be written, at this interval; `None` if there is nothing to write.
+    pub(crate) fn next_write(&self, interval: Duration) -> Option<TimePoint> {
         let state = lock(&self.state);
         state.writer.next_write(self.timer.now(), &state.journal, interval)
     }
--- a/crates/hollyhook_gateway/src/store/snapshot_recorder.rs
+++ b/crates/hollyhook_gateway/src/store/snapshot_recorder.rs
@@ -1,16 +1,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyhook_core::TimePoint;
+use hollyhook_core::{SnapshotWriter, TimePoint};
 
 use super::{StoreClient, StoreError};
 use crate::gateway::GatewayContext;
 
 /// Interval at which the recorder checks for work: what a snapshot has inherited ends without a signal.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Delay after a failed call, which doubles with each further one.
+/// Delay after a failed call, which doubles with each further one; never shorter than the interval between snapshots.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
-const MAX_RETRY_PAUSE: Duration = Duration::from_secs(4);
+const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Keeps this host's origin snapshot in the store: which version began each of its streams, for the case that all hosts
 /// are lost.
@@ -45,7 +45,7 @@
                 Err(error) => {
                     self.context.recorder.count("snapshots_failed");
                     tracing::info!(%error, "snapshot.not_recorded");
-                    self.context.timer.wait(retry_pause).await;
+                    self.context.timer.wait(retry_pause.max(self.interval())).await;
                     retry_pause = (retry_pause * 2).min(MAX_RETRY_PAUSE);
                     continue;
                 }
@@ -62,12 +62,17 @@
         if self.context.snapshots.needs_reading() {
             self.read().await?;
         }
-        let next = self.context.snapshots.next_write(self.context.store_writes);
-        if next.is_some_and(|at| at <= self.context.timer.now()) {
-            self.write().await?;
-            return Ok(self.context.snapshots.next_write(self.context.store_writes));
+        let next = self.context.snapshots.next_write(self.interval());
+        if next.is_none_or(|at| at > self.context.timer.now()) {
+            return Ok(next);
         }
-        Ok(next)
+        self.write().await?;
+        Ok(self.context.snapshots.next_write(self.interval()))
+    }
+
+    /// The interval between two snapshots.
+    fn interval(&self) -> Duration {
+        SnapshotWriter::interval(self.context.feed.host_count().unwrap_or(1), self.context.store_writes())
     }
 
     async fn read(&mut self) -> Result<(), StoreError> {
