A take-up is bound to the only version that may have begun its stream

What callers saw: a stream that was taken up while one version was known went on at another one, if that appeared before the attempt failed (ORDER). It needs no loss of hosts beyond the one that carried the stream.

Cause: one possible version was resolved to `Open`, which allows any version, and was kept for all further attempts.

Change: one possible version resolves to that version, none to a refusal; `Open` is left to streams whose caller has no event.

Two expectations of resolve() in the core's tests and the example are stricter: the version in place of `Open`.

--- a/crates/hollyhook_core/src/origin/stream_origin.rs
+++ b/crates/hollyhook_core/src/origin/stream_origin.rs
@@ -5,12 +5,12 @@
 /// Which software versions may continue a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StreamOrigin {
-    /// Any version: the caller has no event yet, or only one version may have begun the stream.
+    /// Any version: the caller has no event yet.
     Open,
     /// Only this version, which wrote the events that the caller has.
     Version(Name),
-    /// Only the version that wrote the events that the caller has, which no host knows. The engines that hold the
-    /// stream's prompt may tell.
+    /// Only the version that wrote the events that the caller has, which no host knows. The origin snapshots in the store
+    /// may tell.
     Unknown,
     /// As [`Unknown`](Self::Unknown), but it is not even known which versions may have begun the stream.
     Untraceable,
@@ -28,7 +28,9 @@
 }
 
 impl StreamOrigin {
-    /// Decides from what this host and others know which versions may continue a stream.
+    /// Decides from what this host and others know which versions may continue a stream that a caller takes up.
+    ///
+    /// If only one version may have begun it, the stream is bound to that one, since others may appear while it runs.
     ///
     /// ```
     /// use std::collections::BTreeSet;
@@ -39,7 +41,7 @@
     /// let own = OriginAnswer { version: None, versions: set(&["v1"]), is_complete: true };
     /// let other = OriginAnswer { versions: set(&["v1", "v2"]), ..own.clone() };
     /// let holder = OriginAnswer { version: Some("v2".into()), ..other.clone() };
-    /// assert_eq!(StreamOrigin::resolve([&own]), StreamOrigin::Open);
+    /// assert_eq!(StreamOrigin::resolve([&own]), StreamOrigin::Version("v1".into()));
     /// assert_eq!(StreamOrigin::resolve([&own, &other]), StreamOrigin::Unknown);
     /// assert_eq!(StreamOrigin::resolve([&own, &other, &holder]), StreamOrigin::Version("v2".into()));
     /// let started = OriginAnswer { is_complete: false, ..own.clone() };
@@ -52,7 +54,11 @@
         if !answers.clone().into_iter().any(|answer| answer.is_complete) {
             return Self::Untraceable;
         }
-        let versions: BTreeSet<&Name> = answers.into_iter().flat_map(|answer| &answer.versions).collect();
-        if versions.len() <= 1 { Self::Open } else { Self::Unknown }
+        let mut versions: BTreeSet<&Name> = answers.into_iter().flat_map(|answer| &answer.versions).collect();
+        match versions.pop_first() {
+            None => Self::Untraceable,
+            Some(only) if versions.is_empty() => Self::Version(Name::clone(only)),
+            Some(_) => Self::Unknown,
+        }
     }
 }
--- a/crates/hollyhook_core/tests/gateway/version_records.rs
+++ b/crates/hollyhook_core/tests/gateway/version_records.rs
@@ -89,7 +89,7 @@
     assert_eq!(record.possible(&recent), recent);
     // A host that starts later reads what was written.
     let own = OriginAnswer { version: None, versions: read(Some(&["v2"])).possible(&recent), is_complete: true };
-    assert_eq!(StreamOrigin::resolve([&own]), StreamOrigin::Open);
+    assert_eq!(StreamOrigin::resolve([&own]), StreamOrigin::Version("v2".into()));
 }
 
 /// Without any endpoint, nothing shows which versions come back.
@@ -103,7 +103,7 @@
 fn origin_not_open_without_history() {
     let (own, other) = (answer(&["v2"], false), answer(&["v2"], true));
     assert_eq!(StreamOrigin::resolve([&own]), StreamOrigin::Untraceable);
-    assert_eq!(StreamOrigin::resolve([&own, &other]), StreamOrigin::Open);
+    assert_eq!(StreamOrigin::resolve([&own, &other]), StreamOrigin::Version("v2".into()));
     let holder = OriginAnswer { version: Some("v2".into()), ..own.clone() };
     assert_eq!(StreamOrigin::resolve([&own, &holder]), StreamOrigin::Version("v2".into()));
 }
--- a/crates/hollyhook_gateway/src/origin/origin_lookup.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_lookup.rs
@@ -53,11 +53,13 @@
         }
     }
 
-    fn of(origin: &StreamOrigin, own: &OriginAnswer) -> Self {
+    /// The source of an origin that follows from the answers of hosts, this one first.
+    fn of(origin: &StreamOrigin, answers: &[OriginAnswer]) -> Self {
+        let is_told = |answer: &OriginAnswer| answer.version.is_some();
         match origin {
-            StreamOrigin::Version(_) if own.version.is_some() => Self::Own,
-            StreamOrigin::Version(_) => Self::OtherHost,
-            StreamOrigin::Open => Self::OnlyVersion,
+            StreamOrigin::Version(_) if answers.first().is_some_and(is_told) => Self::Own,
+            StreamOrigin::Version(_) if answers.iter().any(is_told) => Self::OtherHost,
+            StreamOrigin::Version(_) | StreamOrigin::Open => Self::OnlyVersion,
             StreamOrigin::Unknown | StreamOrigin::Untraceable => Self::None,
         }
     }
@@ -89,7 +91,7 @@
     if let (StreamOrigin::Unknown, Some(first_attempt)) = (&origin, first_attempt) {
         return find_in_snapshots(context, service, first_attempt, &answers).await;
     }
-    let source = OriginSource::of(&origin, &answers[0]);
+    let source = OriginSource::of(&origin, &answers);
     FoundOrigin { origin, source }
 }
 
