--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -57,7 +57,7 @@
 pub use lease::{LeaseQuestion, LeaseRound, LeasedLimit};
 pub use name::{AccountName, EndpointId, ModelBinding, Name, ZoneName};
 pub use origin::{
-    OriginAnswer, OriginCopy, OriginJournal, OriginLedger, OriginSnapshot, RecordTurn, ServiceSnapshot,
+    OriginAnswer, OriginCopy, OriginJournal, OriginLedger, OriginSnapshot, RecordTurn, RecordVerdict, ServiceSnapshot,
     ServiceVersions, SnapshotEvidence, SnapshotWriter, StreamKey, StreamOrigin, VersionRecord, origin_holders,
 };
 pub use pace::{EndpointPace, EngineSpeed, MigrationGate, MigrationPlan, PaceChange, ProgressMeter, ServicePace};
--- a/crates/hollyhook_core/src/origin/inherited_origins.rs
+++ b/crates/hollyhook_core/src/origin/inherited_origins.rs
@@ -30,7 +30,8 @@
             let allows = |version: &&Name| found.is_none_or(|found| found.allows_unlisted(version));
             (Name::clone(service), versions.possible.iter().filter(allows).cloned().collect())
         });
-        let mut inherited = Self { until: now + OriginLedger::LIFETIME, open: open.collect(), streams: BTreeMap::new() };
+        let mut inherited =
+            Self { until: now + OriginLedger::LIFETIME, open: open.collect(), streams: BTreeMap::new() };
         inherited.add_streams(snapshot.into_iter().flat_map(|snapshot| &snapshot.streams));
         inherited
     }
@@ -70,7 +71,9 @@
             if count + streams.len() <= MAX_STREAMS {
                 merge(self.streams.entry(Name::clone(version)).or_default(), streams);
             } else {
-                self.open.values_mut().for_each(|open| drop(open.insert(Name::clone(version))));
+                for open in self.open.values_mut() {
+                    open.insert(Name::clone(version));
+                }
             }
         }
     }
--- a/crates/hollyhook_core/src/origin/mod.rs
+++ b/crates/hollyhook_core/src/origin/mod.rs
@@ -1,5 +1,6 @@
 //! Origins of streams: which software version began a stream, since no other version may continue it.
 
+mod inherited_origins;
 mod origin_holders;
 mod origin_journal;
 mod origin_ledger;
@@ -17,7 +18,7 @@
 pub use origin_snapshot::{OriginSnapshot, ServiceSnapshot};
 pub use record_turn::RecordTurn;
 pub use snapshot_evidence::SnapshotEvidence;
-pub use snapshot_writer::{ServiceVersions, SnapshotWriter};
+pub use snapshot_writer::{RecordVerdict, ServiceVersions, SnapshotWriter};
 pub use stream_key::StreamKey;
 pub use stream_origin::{OriginAnswer, StreamOrigin};
 pub use version_record::VersionRecord;
--- a/crates/hollyhook_core/src/origin/origin_snapshot.rs
+++ b/crates/hollyhook_core/src/origin/origin_snapshot.rs
@@ -9,6 +9,10 @@
 /// a version that [`ServiceSnapshot::allows_unlisted`].
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OriginSnapshot {
+    /// Tells the snapshots of one process of the host from those of others.
+    pub process: u64,
+    /// The era of the store in which it was written. A restored store may hold one that was replaced since.
+    pub era: u64,
     /// The services whose streams may have begun at several versions. At others, any stream may have begun.
     pub services: BTreeMap<Name, ServiceSnapshot>,
     /// The streams that may have begun at each version, sorted.
@@ -46,10 +50,4 @@
         }
         self.services.get(service).is_none_or(|snapshot| snapshot.allows_unlisted(version))
     }
-
-    /// The versions of a service among `versions` at which the host must not begin streams before its next snapshot.
-    pub fn closed<'v>(&self, service: &str, versions: &'v BTreeSet<Name>) -> impl Iterator<Item = &'v Name> {
-        let snapshot = self.services.get(service);
-        versions.iter().filter(move |version| snapshot.is_some_and(|snapshot| !snapshot.allows_unlisted(version)))
-    }
 }
--- a/crates/hollyhook_core/src/origin/snapshot_evidence.rs
+++ b/crates/hollyhook_core/src/origin/snapshot_evidence.rs
@@ -30,6 +30,7 @@
     /// let snapshot = OriginSnapshot {
     ///     services: BTreeMap::from([("model".into(), service)]),
     ///     streams: BTreeMap::from([("v1".into(), vec![StreamKey::new("a")])]),
+    ///     ..OriginSnapshot::default()
     /// };
     /// let evidence = SnapshotEvidence {
     ///     snapshots: BTreeMap::from([("host-a".into(), snapshot)]),
--- a/crates/hollyhook_core/src/origin/snapshot_writer.rs
+++ b/crates/hollyhook_core/src/origin/snapshot_writer.rs
@@ -1,7 +1,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::{OriginJournal, OriginLedger, OriginSnapshot, ServiceSnapshot, StreamKey};
+use super::inherited_origins::InheritedOrigins;
+use super::{OriginJournal, OriginSnapshot, ServiceSnapshot, StreamKey};
 use crate::{Name, TimePoint};
 
 /// The share of the store's writes that the snapshots of all hosts together may take; the rest is for the operator,
@@ -25,6 +26,18 @@
     pub possible: BTreeSet<Name>,
 }
 
+/// Whether the version of a stream would be found if all hosts were lost now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RecordVerdict {
+    /// It follows from all that the store may hold.
+    Recorded,
+    /// It is not known what the store may hold: the object has not been read, or a write of another process may still be
+    /// executed.
+    Unproven,
+    /// Another version would follow from what the store may hold.
+    Contradicted,
+}
+
 /// Decides what the object with a host's origin snapshot has to hold, when it is written, and what follows from what it
 /// may hold.
 ///
@@ -32,12 +45,16 @@
 /// follow from both.
 #[derive(Debug, Default)]
 pub struct SnapshotWriter {
+    /// Tells the snapshots of this process from those of others of the host.
+    process: u64,
+    /// The era of the store.
+    era: u64,
     services: BTreeMap<Name, ServiceVersions>,
     stored: StoredSnapshot,
-    /// What the host's last process may have begun, and until when its streams may come back.
-    inherited: Option<(TimePoint, OriginSnapshot)>,
-    /// The revision of the journal of which the last content was made.
-    journal_revision: u64,
+    /// What the host's earlier processes may have begun.
+    inherited: Option<InheritedOrigins>,
+    /// The revision of the journal of which the last content was made; `None` if that was not written.
+    journal_revision: Option<u64>,
     /// When the last content was made.
     written_at: Option<TimePoint>,
     /// Whether a caller waits for an event until a stream's version is recorded.
@@ -48,20 +65,29 @@
 #[derive(Debug, Default)]
 struct StoredSnapshot {
     is_read: bool,
+    /// Whether this process wrote the object last, so that no write of an earlier process can be executed any more.
+    is_owned: bool,
     /// What it held when it was last read, or written with an answer; `None` if there was no object.
     confirmed: Option<OriginSnapshot>,
-    /// What was sent and not answered.
+    /// What was sent and may be executed.
     pending: Option<OriginSnapshot>,
+    /// Whether `pending` was sent without an answer.
+    is_unanswered: bool,
 }
 
 impl StoredSnapshot {
-    /// Whether a property holds of everything that the store may hold, of which `None` is that there is no object.
-    fn all(&self, holds: impl Fn(Option<&OriginSnapshot>) -> bool) -> bool {
-        holds(self.confirmed.as_ref()) && self.pending.as_ref().is_none_or(|pending| holds(Some(pending)))
+    /// Everything that the store may hold.
+    fn contents(&self) -> impl Iterator<Item = &OriginSnapshot> {
+        self.confirmed.iter().chain(&self.pending)
     }
 }
 
 impl SnapshotWriter {
+    /// A writer of a process that has read nothing; `process` is different for each process of a host.
+    pub fn new(process: u64) -> Self {
+        Self { process, ..Self::default() }
+    }
+
     /// The interval between two snapshots of a host, if `hosts` share a store that takes `writes` a second.
     pub fn interval(hosts: usize, writes: f64) -> Duration {
         Duration::try_from_secs_f64(hosts as f64 / (writes * WRITE_SHARE)).unwrap_or(MIN_INTERVAL).max(MIN_INTERVAL)
@@ -72,59 +98,60 @@
         self.services = services;
     }
 
+    /// Applies the era of the store; one that was restored from a copy has lost what it held.
+    pub fn set_era(&mut self, era: u64) {
+        if era != self.era {
+            self.era = era;
+            self.stored = StoredSnapshot::default();
+        }
+    }
+
     /// Whether the object has to be read: hosts read what their last process wrote, and what the store holds after a
     /// write without an answer.
     pub fn needs_reading(&self) -> bool {
         !self.stored.is_read
     }
 
-    /// Records that it is not known any more what the store holds, for instance since it was restored from a copy.
-    pub fn require_reading(&mut self) {
-        self.stored.is_read = false;
-    }
-
-    /// Applies what the store holds; `None` if there is no object.
+    /// Applies what the store holds; `None` if there is no object of the store's present era.
     pub fn apply_reading(&mut self, now: TimePoint, snapshot: Option<OriginSnapshot>) {
         self.stored.is_read = true;
+        let is_known = self.stored.is_owned || self.stored.pending.is_some();
         if self.stored.pending.is_some() && self.stored.pending == snapshot {
-            self.stored.confirmed = self.stored.pending.take();
-        }
-        if self.written_at.is_none() || self.stored.confirmed != snapshot {
-            self.inherit(now, snapshot.clone());
-            self.stored.confirmed = snapshot;
+            self.confirm_write();
+        } else if !is_known || self.stored.confirmed != snapshot {
+            // Another process wrote it, so that nothing of this one can be executed any more.
+            self.inherit(now, snapshot.as_ref());
+            self.stored = StoredSnapshot { is_read: true, confirmed: snapshot, ..StoredSnapshot::default() };
         }
     }
 
     /// Keeps what another process may have begun, as long as its streams may come back.
-    fn inherit(&mut self, now: TimePoint, snapshot: Option<OriginSnapshot>) {
-        let mut inherited = snapshot.unwrap_or_default();
-        // What that process may have begun without listing it is known only now; versions that appear later are new.
-        for (service, versions) in &self.services {
-            let found = inherited.services.remove(service);
-            let allows = |version: &&Name| found.as_ref().is_none_or(|found| found.allows_unlisted(version));
-            let open = versions.possible.iter().filter(allows).cloned().collect();
-            inherited.services.insert(Name::clone(service), ServiceSnapshot { open, known: BTreeSet::new() });
+    fn inherit(&mut self, now: TimePoint, snapshot: Option<&OriginSnapshot>) {
+        let mut inherited = InheritedOrigins::new(now, snapshot, &self.services);
+        if let Some(earlier) = self.inherited.take() {
+            inherited.add(now, &earlier);
         }
-        if let Some((_, earlier)) = self.inherited.take().filter(|(until, _)| now < *until) {
-            merge(&mut inherited, &earlier);
-        }
-        self.inherited = Some((now + OriginLedger::LIFETIME, inherited));
+        self.inherited = Some(inherited);
     }
 
     /// When the next snapshot is to be written; `None` if the store holds all that a snapshot has to tell.
     ///
-    /// With one version of each service nothing is ever written.
+    /// With one version of each service nothing is written, unless the object forbids that version.
     pub fn next_write(&self, now: TimePoint, journal: &OriginJournal, interval: Duration) -> Option<TimePoint> {
-        if !self.stored.is_read || !self.has_versions() {
+        if !self.stored.is_read {
             return None;
         }
-        let is_resent = self.stored.pending.is_some();
-        let has_other_versions = is_resent || self.has_other_versions(now, journal);
-        if !has_other_versions && self.journal_revision == journal.revision() {
+        let has_versions = self.has_versions();
+        let is_first = has_versions && !self.stored.is_owned;
+        let has_other_versions = is_first || self.stored.pending.is_some() || self.has_other_versions(now, journal);
+        let is_changed = has_other_versions || self.journal_revision != Some(journal.revision());
+        let is_blocked = self.is_urgent || self.services.keys().any(|service| self.closes_all(service));
+        let is_due = is_blocked || (has_versions && is_changed);
+        if !is_due {
             return None;
         }
         let has_choice = self.services.values().any(|versions| versions.live.len() > 1);
-        let pause = match (self.is_urgent, has_other_versions || has_choice) {
+        let pause = match (is_blocked || is_first, has_other_versions || has_choice) {
             (true, _) => URGENT_INTERVAL,
             (false, true) => interval,
             (false, false) => interval * SINGLE_VERSION_FACTOR,
@@ -141,13 +168,15 @@
             return pending.clone();
         }
         self.is_urgent = false;
-        self.journal_revision = journal.revision();
+        self.journal_revision = Some(journal.revision());
         let mut content = OriginSnapshot {
+            process: self.process,
+            era: self.era,
             services: self.content_services(now, journal),
             streams: journal.listed(now, |service| self.has_versions_of(service)),
         };
-        if let Some((_, inherited)) = self.inherited.as_ref().filter(|(until, _)| now < *until) {
-            merge_streams(&mut content.streams, &inherited.streams);
+        if let Some(inherited) = self.inherited.as_ref().filter(|inherited| inherited.is_valid(now)) {
+            inherited.list_in(&mut content.streams);
         }
         self.stored.pending = Some(content.clone());
         content
@@ -155,25 +184,34 @@
 
     /// Records that the store holds the content that was sent last.
     pub fn confirm_write(&mut self) {
-        if let Some(content) = self.stored.pending.take() {
-            self.stored.confirmed = Some(content);
+        let confirmed = self.stored.pending.take();
+        self.stored = StoredSnapshot { is_read: true, is_owned: true, confirmed, ..StoredSnapshot::default() };
+    }
+
+    /// Records that the store rejected the content that was sent last; another one may take its place, unless it was sent
+    /// without an answer before. If there was a conflict, the object has to be read.
+    pub fn reject_write(&mut self, is_conflict: bool) {
+        self.stored.is_read &= !is_conflict;
+        if !self.stored.is_unanswered {
+            self.stored.pending = None;
+            self.journal_revision = None;
         }
     }
 
     /// Records that the store did not answer, so that it may hold the content, or come to hold it later.
     pub fn record_unanswered(&mut self) {
-        self.stored.is_read = false;
+        (self.stored.is_read, self.stored.is_unanswered) = (false, true);
     }
 
-    /// Whether the version of a stream follows from what the store holds, also if this host is lost now, so that the
-    /// caller may get its first event from that version.
-    ///
-    /// While the store has not been read, all versions may.
-    pub fn allows(&self, service: &str, stream: StreamKey, version: &str) -> bool {
-        let allows = |snapshot: Option<&OriginSnapshot>| {
-            snapshot.is_none_or(|snapshot| snapshot.allows(service, stream, version))
-        };
-        !self.has_versions_of(service) || self.stored.all(allows)
+    /// Whether the version of a stream would be found if all hosts were lost now. Before it is, no caller gets events.
+    pub fn verdict(&self, service: &str, stream: StreamKey, version: &str) -> RecordVerdict {
+        if self.stored.contents().any(|snapshot| !snapshot.allows(service, stream, version)) {
+            return RecordVerdict::Contradicted;
+        }
+        if self.has_versions_of(service) && !self.stored.is_owned {
+            return RecordVerdict::Unproven;
+        }
+        RecordVerdict::Recorded
     }
 
     /// Requests that the next snapshot is written at once, since a caller waits.
@@ -181,13 +219,26 @@
         self.is_urgent = true;
     }
 
-    /// The versions of a service at which no stream may begin before the next snapshot.
+    /// The versions of a service at which no stream is to begin before the next snapshot; none if no other version is
+    /// live, since callers then wait for the snapshot.
     pub fn closed(&self, service: &str) -> BTreeSet<Name> {
-        let Some(versions) = self.services.get(service).filter(|versions| versions.possible.len() > 1) else {
+        if self.closes_all(service) {
             return BTreeSet::new();
-        };
-        let contents = self.stored.confirmed.iter().chain(&self.stored.pending);
-        contents.flat_map(|snapshot| snapshot.closed(service, &versions.possible).cloned()).collect()
+        }
+        let versions = self.services.get(service).map(|versions| &versions.possible | &versions.live);
+        versions.into_iter().flatten().filter(|version| self.closes(service, version)).collect()
+    }
+
+    /// Whether the store may hold a snapshot by which no unlisted stream began at a version.
+    fn closes(&self, service: &str, version: &str) -> bool {
+        let mut stored = self.stored.contents().filter_map(|snapshot| snapshot.services.get(service));
+        stored.any(|snapshot| !snapshot.allows_unlisted(version))
+    }
+
+    /// Whether all versions of a service at which streams could begin are closed.
+    fn closes_all(&self, service: &str) -> bool {
+        let live = self.services.get(service).map(|versions| &versions.live);
+        live.is_some_and(|live| !live.is_empty() && live.iter().all(|version| self.closes(service, version)))
     }
 
     fn has_versions(&self) -> bool {
@@ -204,37 +255,17 @@
         stored != Some(&self.content_services(now, journal))
     }
 
-    /// What a snapshot states of each service that has several versions.
+    /// What a snapshot states of each service that has several versions, or of which the stored one closes the only one.
     fn content_services(&self, now: TimePoint, journal: &OriginJournal) -> BTreeMap<Name, ServiceSnapshot> {
-        let inherited = self.inherited.as_ref().filter(|(until, _)| now < *until).map(|(_, snapshot)| snapshot);
-        let several = self.services.iter().filter(|(_, versions)| versions.possible.len() > 1);
-        let content = several.map(|(service, versions)| {
-            let inherited = inherited.map(|snapshot| snapshot.services.get(service));
-            // Of a service that was not known yet when the snapshot was read, any stream may have begun.
-            let inherited = inherited.map(|found| found.map_or(&versions.possible, |found| &found.open));
-            let left_open = inherited.into_iter().flatten().chain(journal.omitted());
-            let left_open = left_open.filter(|version| versions.possible.contains(*version));
+        let inherited = self.inherited.as_ref().filter(|inherited| inherited.is_valid(now));
+        let is_stated = |service: &Name| self.has_versions_of(service) || self.closes_all(service);
+        let stated = self.services.iter().filter(|(service, _)| is_stated(service));
+        let content = stated.map(|(service, versions)| {
+            let left_open = inherited.into_iter().flat_map(|inherited| inherited.open(service, versions));
+            let left_open = left_open.chain(journal.omitted()).filter(|version| versions.possible.contains(*version));
             let open = versions.live.iter().chain(left_open).cloned().collect();
             (Name::clone(service), ServiceSnapshot { open, known: &versions.possible | &versions.live })
         });
         content.collect()
     }
 }
-
-/// Adds to a snapshot what an earlier one says.
-fn merge(snapshot: &mut OriginSnapshot, earlier: &OriginSnapshot) {
-    for (service, versions) in &earlier.services {
-        let merged = snapshot.services.entry(Name::clone(service)).or_default();
-        merged.open.extend(versions.open.iter().cloned());
-    }
-    merge_streams(&mut snapshot.streams, &earlier.streams);
-}
-
-fn merge_streams(streams: &mut BTreeMap<Name, Vec<StreamKey>>, earlier: &BTreeMap<Name, Vec<StreamKey>>) {
-    for (version, earlier) in earlier {
-        let merged = streams.entry(Name::clone(version)).or_default();
-        merged.extend(earlier);
-        merged.sort_unstable();
-        merged.dedup();
-    }
-}
--- a/crates/hollyhook_core/tests/gateway/origin_snapshots.rs
+++ b/crates/hollyhook_core/tests/gateway/origin_snapshots.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    Name, OriginJournal, OriginLedger, OriginSnapshot, ServiceSnapshot, ServiceVersions, SnapshotEvidence,
-    SnapshotWriter, StreamKey, StreamOrigin, TimePoint,
+    Name, OriginJournal, OriginLedger, OriginSnapshot, RecordVerdict, ServiceSnapshot, ServiceVersions,
+    SnapshotEvidence, SnapshotWriter, StreamKey, StreamOrigin, TimePoint,
 };
 
 const SERVICE: &str = "model";
@@ -31,7 +31,7 @@
 
 impl Host {
     fn start() -> Self {
-        let mut writer = SnapshotWriter::default();
+        let mut writer = SnapshotWriter::new(1);
         writer.set_services(services(&["v1"], &["v1"]));
         writer.apply_reading(at(0), None);
         writer.set_services(services(&["v1", "v2"], &["v1", "v2"]));
@@ -53,7 +53,7 @@
     }
 
     fn allows(&self, id: &str, version: &str) -> bool {
-        self.writer.allows(SERVICE, StreamKey::new(id), version)
+        self.writer.verdict(SERVICE, StreamKey::new(id), version) == RecordVerdict::Recorded
     }
 
     fn next_write(&self, millis: u64) -> Option<TimePoint> {
@@ -179,7 +179,7 @@
     host.begin("a", "v1");
     let snapshot = host.write(0);
     let mut next = Host::start();
-    next.writer = SnapshotWriter::default();
+    next.writer = SnapshotWriter::new(2);
     next.writer.set_services(services(&["v2"], &["v1", "v2"]));
     next.writer.apply_reading(at(0), Some(snapshot));
     next.begin("b", "v2");
@@ -192,6 +192,81 @@
     assert_eq!((origin(&later, "a"), origin(&later, "c")), (version("v2"), version("v2")));
 }
 
+/// What a host's last process left in the store.
+fn stored(open: &[&str], known: &[&str]) -> OriginSnapshot {
+    let service = ServiceSnapshot { open: set(open), known: set(known) };
+    OriginSnapshot { services: BTreeMap::from([(SERVICE.into(), service)]), ..OriginSnapshot::default() }
+}
+
+fn verdict(writer: &SnapshotWriter, version: &str) -> RecordVerdict {
+    writer.verdict(SERVICE, StreamKey::new("a"), version)
+}
+
+/// Until the object has been read, it may close any version.
+#[test]
+fn event_waits_while_object_unread() {
+    let mut writer = SnapshotWriter::new(2);
+    writer.set_services(services(&["v1", "v2"], &["v1", "v2"]));
+    assert_eq!(verdict(&writer, "v1"), RecordVerdict::Unproven);
+}
+
+/// A write of the last process may be executed after its successor has read the object, but not after it has written.
+#[test]
+fn event_waits_until_last_process_can_not_write() {
+    let mut host = Host::start();
+    host.writer = SnapshotWriter::new(2);
+    host.writer.set_services(services(&["v1", "v2"], &["v1", "v2"]));
+    host.writer.apply_reading(at(0), Some(stored(&["v1", "v2"], &["v1", "v2"])));
+    assert_eq!(verdict(&host.writer, "v1"), RecordVerdict::Unproven);
+    assert_eq!(host.next_write(0), Some(at(0)));
+    assert_ne!(host.write(0), stored(&["v1", "v2"], &["v1", "v2"]));
+    assert_eq!(verdict(&host.writer, "v1"), RecordVerdict::Recorded);
+}
+
+/// An object that closes the only version is replaced, and events wait for that.
+#[test]
+fn only_version_opened_again() {
+    let mut host = Host::start();
+    host.writer = SnapshotWriter::new(2);
+    host.writer.set_services(services(&["v1"], &["v1"]));
+    host.writer.apply_reading(at(0), Some(stored(&["v2"], &["v1", "v2"])));
+    assert_eq!(verdict(&host.writer, "v1"), RecordVerdict::Contradicted);
+    assert!(host.writer.closed(SERVICE).is_empty());
+    assert!(host.next_write(0).is_some());
+    host.write(0);
+    assert_eq!((verdict(&host.writer, "v1"), host.next_write(0)), (RecordVerdict::Recorded, None));
+}
+
+/// A restored store has lost what it held.
+#[test]
+fn event_waits_after_store_restored() {
+    let mut host = Host::start();
+    host.write(0);
+    assert_eq!(verdict(&host.writer, "v2"), RecordVerdict::Recorded);
+    host.writer.set_era(1);
+    assert!(host.writer.needs_reading());
+    assert_eq!(verdict(&host.writer, "v2"), RecordVerdict::Unproven);
+}
+
+/// A content that the store rejects gives way to the next one; one without an answer may still be executed.
+#[test]
+fn rejected_content_replaced() {
+    let mut host = Host::start();
+    let held = host.write(0);
+    host.attempt("a", "v1");
+    let rejected = host.writer.begin_write(at(300), &mut host.journal);
+    host.writer.reject_write(false);
+    host.attempt("b", "v1");
+    assert!(host.next_write(600).is_some());
+    let unanswered = host.writer.begin_write(at(600), &mut host.journal);
+    assert_ne!(unanswered, rejected);
+    host.writer.record_unanswered();
+    host.writer.apply_reading(at(1_300), Some(held));
+    assert_eq!(host.writer.begin_write(at(1_300), &mut host.journal), unanswered);
+    host.writer.reject_write(false);
+    assert_eq!(host.writer.begin_write(at(1_600), &mut host.journal), unanswered);
+}
+
 /// With one version nothing has to be told apart.
 #[test]
 fn nothing_written_with_one_version() {
@@ -244,7 +319,7 @@
 #[test]
 fn service_without_snapshot_allows_all() {
     let known = ServiceSnapshot { open: set(&[]), known: set(&["v1"]) };
-    let snapshot = OriginSnapshot { services: BTreeMap::from([("other".into(), known)]), streams: BTreeMap::new() };
+    let snapshot = OriginSnapshot { services: BTreeMap::from([("other".into(), known)]), ..OriginSnapshot::default() };
     assert!(snapshot.allows(SERVICE, StreamKey::new("a"), "v1"));
     assert!(!snapshot.allows("other", StreamKey::new("a"), "v1"));
 }
--- a/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/stream_run/mod.rs
@@ -448,9 +448,7 @@
 
 impl Drop for StreamRun {
     fn drop(&mut self) {
-        if self.caller.engine.is_some() {
-            self.context.snapshots.record_ended(self.caller.first_attempt());
-        }
+        self.context.snapshots.record_ended(self.caller.first_attempt());
     }
 }
 
--- a/crates/hollyhook_gateway/src/origin/evidence_reader.rs
+++ b/crates/hollyhook_gateway/src/origin/evidence_reader.rs
@@ -4,11 +4,11 @@
 
 use async_std::task;
 use futures::channel::oneshot;
-use hollyhook_core::{Name, OriginSnapshot, SnapshotEvidence};
+use hollyhook_core::{Name, SnapshotEvidence};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
 use crate::gateway::GatewayContext;
-use crate::store::{StoreClient, StoreError};
+use crate::store::{StoreClient, StoreError, decode_snapshot};
 use crate::sync::lock;
 
 /// Streams that wait for what the store says of the versions that began them, while one task reads it for all.
@@ -83,8 +83,10 @@
 async fn read_evidence(client: &mut StoreClient) -> Result<SnapshotEvidence, StoreError> {
     // The records are read last: a version is recorded before a snapshot or a stream names it.
     let timeout = StoreClient::SHARED_RECORD_TIMEOUT;
-    let (snapshots, _revision) = client.list(ObjectKind::Origin, timeout).await?;
+    let (snapshots, revision) = client.list(ObjectKind::Origin, timeout).await?;
     let (records, _revision) = client.list(ObjectKind::Version, timeout).await?;
+    // A host whose snapshot says nothing may have begun any stream.
+    let decode = |object: &StoreObject| decode_snapshot(object, revision.era).unwrap_or_default();
     let snapshots = snapshots.iter().map(|object| (Name::clone(&object.name), decode(object)));
     let recorded = records.iter().map(|object| {
         let versions = hollyhook_platform::decode_versions(object).map_err(StoreError::Malformed)?;
@@ -95,11 +97,3 @@
         recorded: recorded.collect::<Result<BTreeMap<_, _>, StoreError>>()?,
     })
 }
-
-/// Decodes a host's snapshot; an unreadable one says nothing, so that the host may have begun any stream.
-fn decode(object: &StoreObject) -> OriginSnapshot {
-    hollyhook_platform::decode_origins(object).unwrap_or_else(|error| {
-        tracing::error!(%error, host = %object.name, "snapshot.malformed");
-        OriginSnapshot::default()
-    })
-}
--- a/crates/hollyhook_gateway/src/origin/snapshot_tracker.rs
+++ b/crates/hollyhook_gateway/src/origin/snapshot_tracker.rs
@@ -4,13 +4,18 @@
 
 use futures::channel::oneshot;
 use hollyhook_core::{
-    Name, OriginJournal, OriginSnapshot, Result, ServiceVersions, SnapshotWriter, StreamKey, TimePoint,
+    Name, OriginJournal, OriginSnapshot, RecordVerdict, Result, ServiceVersions, SnapshotWriter, StreamKey, TimePoint,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
+use rand::Rng;
 
 use crate::peer::FeedState;
 use crate::sync::{WakeList, lock};
 
+/// How long a first event waits while it is only not known what the store may hold: the store may be away for long, and
+/// a version that an earlier process closed rarely comes back in that time.
+const UNPROVEN_LIMIT: Duration = Duration::from_secs(1);
+
 /// The streams of this host and what the store holds of the versions that began them.
 #[derive(Debug)]
 pub(crate) struct SnapshotTracker {
@@ -23,12 +28,10 @@
     waiters: WakeList,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct TrackerState {
     journal: OriginJournal,
     writer: SnapshotWriter,
-    /// The era of the store in which the snapshot was read.
-    era: u64,
 }
 
 impl SnapshotTracker {
@@ -44,7 +47,10 @@
         Ok(Self {
             timer: registry.find(TimerService::NAME)?,
             feed: registry.find(FeedState::NAME)?,
-            state: Mutex::default(),
+            state: Mutex::new(TrackerState {
+                journal: OriginJournal::default(),
+                writer: SnapshotWriter::new(rand::rng().random()),
+            }),
             writers: WakeList::default(),
             waiters: WakeList::default(),
         })
@@ -78,9 +84,7 @@
     pub(super) fn set_services(&self, services: BTreeMap<Name, ServiceVersions>) {
         let era = self.feed.era();
         let mut state = lock(&self.state);
-        if era != state.era {
-            state.writer.require_reading();
-        }
+        state.writer.set_era(era);
         state.writer.set_services(services);
         drop(state);
         self.writers.wake();
@@ -91,8 +95,8 @@
         lock(&self.state).writer.closed(service)
     }
 
-    /// Waits until a stream's version follows from what the store holds, also if this host is lost then; for `limit` at
-    /// most.
+    /// Waits until a stream's version would be found if all hosts were lost, for `limit` at most; returns whether the
+    /// caller may get events.
     pub(crate) async fn wait_recorded(
         &self,
         first_attempt: &str,
@@ -101,33 +105,33 @@
         limit: Duration,
     ) -> bool {
         let stream = StreamKey::new(first_attempt);
-        if lock(&self.state).writer.allows(service, stream, version) {
-            return true;
-        }
-        let until = self.timer.now() + limit;
+        let begun = self.timer.now();
         loop {
             let written = self.waiters.wait();
-            if self.request_record(service, stream, version) {
-                return true;
-            }
-            let time_left = until.since(self.timer.now());
+            let verdict = self.request_record(service, stream, version);
+            let limit = match verdict {
+                RecordVerdict::Recorded => return true,
+                RecordVerdict::Unproven => limit.min(UNPROVEN_LIMIT),
+                RecordVerdict::Contradicted => limit,
+            };
+            let time_left = (begun + limit).since(self.timer.now());
             if time_left.is_zero() {
-                return false;
+                return verdict == RecordVerdict::Unproven;
             }
             let _woken = self.timer.within(time_left, written).await;
         }
     }
 
-    /// Whether a stream's version follows from what the store holds; if not, a snapshot is to be written at once.
-    fn request_record(&self, service: &str, stream: StreamKey, version: &str) -> bool {
+    /// Whether a stream's version would be found; if not, a snapshot is to be written at once.
+    fn request_record(&self, service: &str, stream: StreamKey, version: &str) -> RecordVerdict {
         let mut state = lock(&self.state);
-        if state.writer.allows(service, stream, version) {
-            return true;
+        let verdict = state.writer.verdict(service, stream, version);
+        if verdict != RecordVerdict::Recorded {
+            state.writer.request_write();
+            drop(state);
+            self.writers.wake();
         }
-        state.writer.request_write();
-        drop(state);
-        self.writers.wake();
-        false
+        verdict
     }
 
     /// A receiver that completes when a snapshot may have to be read or written.
@@ -142,11 +146,7 @@
 
     /// Applies what the store holds of this host; `None` if there is no object.
     pub(crate) fn apply_reading(&self, snapshot: Option<OriginSnapshot>) {
-        let (now, era) = (self.timer.now(), self.feed.era());
-        let mut state = lock(&self.state);
-        state.era = era;
-        state.writer.apply_reading(now, snapshot);
-        drop(state);
+        lock(&self.state).writer.apply_reading(self.timer.now(), snapshot);
         self.waiters.wake();
     }
 
@@ -169,6 +169,11 @@
         self.waiters.wake();
     }
 
+    /// Records that the store rejected the snapshot, because of a conflict or for another reason.
+    pub(crate) fn reject_write(&self, is_conflict: bool) {
+        lock(&self.state).writer.reject_write(is_conflict);
+    }
+
     /// Records that it is not known whether the snapshot was written.
     pub(crate) fn record_unanswered(&self) {
         lock(&self.state).writer.record_unanswered();
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -232,7 +232,9 @@
     async fn fetch_from_store(&mut self, usual_wait: Duration) -> Result<FeedUpdate<StoreObject>, StoreError> {
         let was_away = self.contact.is_unavailable();
         match self.call_store(self.revision, usual_wait).await {
-            Err(StoreError::Unavailable(_)) if !was_away => self.call_store(None, usual_wait).await,
+            Err(StoreError::Unavailable(_) | StoreError::Rejected | StoreError::Missing) if !was_away => {
+                self.call_store(None, usual_wait).await
+            }
             outcome => outcome,
         }
     }
--- a/crates/hollyhook_gateway/src/store/list_reading.rs
+++ b/crates/hollyhook_gateway/src/store/list_reading.rs
@@ -45,8 +45,9 @@
             let (era, mut page) = match self.client.list_page(self.kind, list.after.as_deref(), timeout).await {
                 Ok(answer) => answer,
                 Err(error) => {
-                    self.partial_list =
-                        Some(list).filter(|_| matches!(error, StoreError::Unavailable(_) | StoreError::Throttled));
+                    self.partial_list = Some(list).filter(|_| {
+                        matches!(error, StoreError::Unavailable(_) | StoreError::Rejected | StoreError::Throttled)
+                    });
                     return Err(error);
                 }
             };
--- a/crates/hollyhook_gateway/src/store/mod.rs
+++ b/crates/hollyhook_gateway/src/store/mod.rs
@@ -22,7 +22,7 @@
 pub(crate) use quarantine_writer::QuarantineWriter;
 pub(crate) use rollout_watch::RolloutWatch;
 pub(crate) use site_watch::SiteWatch;
-pub(crate) use snapshot_recorder::SnapshotRecorder;
+pub(crate) use snapshot_recorder::{SnapshotRecorder, decode_snapshot};
 pub(crate) use store_client::{StoreClient, StoreError};
 pub(crate) use version_recorder::VersionRecorder;
 
--- a/crates/hollyhook_gateway/src/store/snapshot_recorder.rs
+++ b/crates/hollyhook_gateway/src/store/snapshot_recorder.rs
@@ -1,7 +1,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollyhook_core::{SnapshotWriter, TimePoint};
+use hollyhook_core::{OriginSnapshot, SnapshotWriter, TimePoint};
+use hollyhook_platform::StoreObject;
 
 use super::{StoreClient, StoreError};
 use crate::gateway::GatewayContext;
@@ -12,6 +13,14 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 const MAX_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
+/// Decodes a host's origin snapshot; `None` if it is unreadable, or of an earlier era of the store, in which it may have
+/// been replaced since.
+pub(crate) fn decode_snapshot(object: &StoreObject, era: u64) -> Option<OriginSnapshot> {
+    let decoded = hollyhook_platform::decode_origins(object);
+    let decoded = decoded.inspect_err(|error| tracing::error!(%error, host = %object.name, "snapshot.malformed"));
+    decoded.ok().filter(|snapshot| snapshot.era == era)
+}
+
 /// Keeps this host's origin snapshot in the store: which version began each of its streams, for the case that all hosts
 /// are lost.
 ///
@@ -45,7 +54,9 @@
                 Err(error) => {
                     self.context.recorder.count("snapshots_failed");
                     tracing::info!(%error, "snapshot.not_recorded");
-                    self.context.timer.wait(retry_pause.max(self.interval())).await;
+                    let is_write = !self.context.snapshots.needs_reading();
+                    let pause = if is_write { retry_pause.max(self.interval()) } else { retry_pause };
+                    self.context.timer.wait(pause).await;
                     retry_pause = (retry_pause * 2).min(MAX_RETRY_PAUSE);
                     continue;
                 }
@@ -76,9 +87,10 @@
     }
 
     async fn read(&mut self) -> Result<(), StoreError> {
-        let (snapshot, revision) = self.client.read_origins(&self.context.host).await?.unzip();
-        self.revision = revision;
-        self.context.snapshots.apply_reading(snapshot);
+        let object = self.client.read_origins(&self.context.host).await?;
+        self.revision = object.as_ref().map(|object| object.revision);
+        let era = self.context.feed.era();
+        self.context.snapshots.apply_reading(object.and_then(|object| decode_snapshot(&object, era)));
         Ok(())
     }
 
@@ -92,7 +104,11 @@
                 Ok(())
             }
             Err(error) => {
-                self.context.snapshots.record_unanswered();
+                match error {
+                    StoreError::Conflict | StoreError::Missing => self.context.snapshots.reject_write(true),
+                    StoreError::Rejected | StoreError::Throttled => self.context.snapshots.reject_write(false),
+                    _ => self.context.snapshots.record_unanswered(),
+                }
                 Err(error)
             }
         }
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -30,6 +30,8 @@
     Conflict,
     /// There is no such object.
     Missing,
+    /// The store answered with another status that states a failure, so that nothing was done.
+    Rejected,
     /// The response could not be decoded.
     Malformed(FormatError),
 }
@@ -42,6 +44,7 @@
             Self::Throttled => f.write_str("the store rejected the call because of its rate limit (HTTP status 429)"),
             Self::Conflict => f.write_str("the object exists already, or was changed since it was read"),
             Self::Missing => f.write_str("there is no such object"),
+            Self::Rejected => f.write_str("call to the store failed: unexpected HTTP status"),
             Self::Malformed(error) => error.fmt(f),
         }
     }
@@ -271,13 +274,10 @@
         self.call(method, &path, Bytes::from(body), Self::SHARED_RECORD_TIMEOUT).await.map(|_answer| ())
     }
 
-    /// Reads a host's origin snapshot and the revision of its object; `None` if there is none.
-    pub(crate) async fn read_origins(&mut self, host: &Name) -> Result<Option<(OriginSnapshot, u64)>, StoreError> {
+    /// Reads the object with a host's origin snapshot; `None` if there is none.
+    pub(crate) async fn read_origins(&mut self, host: &Name) -> Result<Option<StoreObject>, StoreError> {
         match self.read_object(ObjectKind::Origin, host).await {
-            Ok(object) => {
-                let snapshot = hollyhook_platform::decode_origins(&object).map_err(StoreError::Malformed)?;
-                Ok(Some((snapshot, object.revision)))
-            }
+            Ok(object) => Ok(Some(object)),
             Err(StoreError::Missing) => Ok(None),
             Err(error) => Err(error),
         }
@@ -323,7 +323,7 @@
             StatusCode::CONFLICT => Err(StoreError::Conflict),
             StatusCode::NOT_FOUND => Err(StoreError::Missing),
             StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Throttled),
-            _ => Err(StoreError::Unavailable("unexpected HTTP status")),
+            _ => Err(StoreError::Rejected),
         }
     }
 
