--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -21,7 +21,7 @@
 use crate::demand::DemandTracker;
 use crate::lease::LeaseState;
 use crate::net::UsageMeter;
-use crate::origin::{OriginTracker, VersionTracker};
+use crate::origin::{EvidenceReader, OriginTracker, SnapshotTracker, VersionTracker};
 use crate::path::{EndpointConnector, PathTracker};
 use crate::peer::FeedState;
 use crate::pool::ConnectionPool;
@@ -76,6 +76,8 @@
     pub(crate) rollouts: Arc<RolloutTracker>,
     pub(crate) versions: Arc<VersionTracker>,
     pub(crate) origins: Arc<OriginTracker>,
+    pub(crate) snapshots: Arc<SnapshotTracker>,
+    pub(crate) evidence: Arc<EvidenceReader>,
     pub(crate) demand: Arc<DemandTracker>,
     pub(crate) queues: Arc<ServiceQueues>,
     live: Arc<Mutex<LiveSettings>>,
@@ -120,6 +122,8 @@
         registry.register(BorrowState::NAME, BorrowState::default())?;
         registry.register(LeaseState::NAME, LeaseState::default())?;
         registry.register(RolloutTracker::NAME, RolloutTracker::new(registry, settings.bounds.exposure)?)?;
+        registry.register(SnapshotTracker::NAME, SnapshotTracker::new(registry)?)?;
+        registry.register(EvidenceReader::NAME, EvidenceReader::default())?;
         registry.register(VersionTracker::NAME, VersionTracker::new(registry, Self::SITE, &settings.host)?)?;
         registry.register(OriginTracker::NAME, OriginTracker::new(registry)?)?;
         registry.register(RetryBudgets::NAME, RetryBudgets::new(settings.bounds.retry))?;
@@ -156,6 +160,8 @@
             rollouts: registry.find(RolloutTracker::NAME)?,
             versions: registry.find(VersionTracker::NAME)?,
             origins: registry.find(OriginTracker::NAME)?,
+            snapshots: registry.find(SnapshotTracker::NAME)?,
+            evidence: registry.find(EvidenceReader::NAME)?,
             demand: registry.find(DemandTracker::NAME)?,
             queues: registry.find(ServiceQueues::NAME)?,
             retries: registry.find(RetryBudgets::NAME)?,
@@ -197,6 +203,11 @@
         lock(&self.live).store
     }
 
+    /// Number of writes a second that the store takes from all hosts together.
+    pub(crate) fn store_writes(&self) -> f64 {
+        lock(&self.live).store_writes
+    }
+
     /// Applies the settings that may change while the process runs.
     pub(crate) fn reload(&self, settings: &GatewaySettings) {
         let mut live = lock(&self.live);
@@ -205,6 +216,7 @@
         self.queues.set_settings(settings.queue);
         live.bounds = settings.bounds.clone();
         live.store = settings.store;
+        live.store_writes = settings.store_writes;
     }
 
     /// Whether a request whose caller waits for `timeout` is admitted, also during a graceful shutdown.
