--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod liveness;
 mod membership;
 mod migrations;
+mod origin_exploration;
 mod origin_snapshots;
 mod origins;
 mod paces;
--- a/crates/hollyhook_core/tests/gateway/origin_snapshots.rs
+++ b/crates/hollyhook_core/tests/gateway/origin_snapshots.rs
@@ -267,6 +267,23 @@
     assert_eq!(host.writer.begin_write(at(1_600), &mut host.journal), unanswered);
 }
 
+/// Streams that only a newer snapshot listed stayed unlisted after the store held an older one.
+#[test]
+fn streams_listed_again_after_older_snapshot_read() {
+    let mut host = Host::start();
+    host.writer.set_services(services(&["v2"], &["v1", "v2"]));
+    let lifetime = OriginLedger::LIFETIME.as_millis() as u64;
+    let older = host.write(lifetime);
+    host.attempt("a", "v1");
+    host.write(lifetime);
+    assert!(host.allows("a", "v1"));
+    host.writer.record_unanswered();
+    host.writer.apply_reading(at(lifetime), Some(older));
+    assert!(!host.allows("a", "v1"));
+    assert!(host.next_write(lifetime).is_some());
+    assert_eq!(origin(&host.write(lifetime), "a"), version("v1"));
+}
+
 /// With one version nothing has to be told apart.
 #[test]
 fn nothing_written_with_one_version() {
