--- a/crates/hollyhook_core/src/origin/origin_journal.rs
+++ b/crates/hollyhook_core/src/origin/origin_journal.rs
@@ -3,8 +3,8 @@
 use super::{OriginLedger, StreamKey};
 use crate::{Name, TimePoint};
 
-/// Maximum number of streams that a snapshot lists, in 11 bytes each as text: together a fifth of what a store's object
-/// may usually hold.
+/// Maximum number of streams that a host lists of its own, in 11 bytes each as text: a fifth of what a store's object may
+/// usually hold. What earlier processes listed comes on top.
 const MAX_LISTED: usize = 20_000;
 /// Number of streams that are left out together, since each time all are sorted by when they can't come back any more.
 const OMITTED_AT_ONCE: usize = MAX_LISTED / 10;
--- a/crates/hollyhook_gateway/src/origin/mod.rs
+++ b/crates/hollyhook_gateway/src/origin/mod.rs
@@ -1,6 +1,10 @@
-//! Origins of streams: hosts tell a few others at which software version their streams began, so that a stream whose
-//! caller comes back to another host goes on at that version, and record in the store which versions may have begun
-//! streams that come back.
+//! Origins of streams: the software version that began a stream, which alone may continue it when its caller comes back
+//! to another host.
+//!
+//! Hosts tell a few others at which version their streams began (`OriginTracker`, `OriginSharer`), which is lost with all
+//! of them. The store outlives all hosts: it holds the versions of each service that may have begun streams
+//! (`VersionTracker`), and while these are several, which streams each host began at which of them (`SnapshotTracker`).
+//! A host that is asked for a stream of which no host knows looks there (`EvidenceReader`).
 
 mod evidence_reader;
 mod origin_lookup;
--- a/crates/hollyhook_gateway/src/peer/feed_state.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_state.rs
@@ -70,9 +70,9 @@
         self.is_listing.load(Ordering::Relaxed)
     }
 
-    /// Records that the hosts of all zones have been listed.
-    pub(crate) fn record_all_zones(&self) {
-        self.has_all_zones.store(true, Ordering::Relaxed);
+    /// Records whether the hosts of all zones have been listed.
+    pub(crate) fn record_all_zones(&self, is_listed: bool) {
+        self.has_all_zones.store(is_listed, Ordering::Relaxed);
     }
 
     /// The names of the hosts of all zones; `None` before those of all zones have been listed.
--- a/crates/hollyhook_gateway/src/peer/host_registrar.rs
+++ b/crates/hollyhook_gateway/src/peer/host_registrar.rs
@@ -99,9 +99,9 @@
 
     /// Records whether the hosts of all zones with endpoints have been listed by now.
     fn check_all_zones(&self) {
-        if self.other_zones().iter().all(|zone| self.zones.contains_key(zone)) {
-            self.context.feed.record_all_zones();
-        }
+        let has_endpoints = self.context.endpoints.known_ms().is_some();
+        let is_listed = self.other_zones().iter().all(|zone| self.zones.contains_key(zone));
+        self.context.feed.record_all_zones(has_endpoints && is_listed);
     }
 
     /// The other zone to list next, in the order of the zones' names.
