Forwarding: the circle of four modules around whole responses is gone

What stood in the way: body_end used endpoint_probe, which used endpoint_call, which used buffered_response, which used body_end. A reader of any of them needed all four, though an answer to a request of the gateway's own is never passed on to a caller.

Moved: OpenResponse::read_to_end and read_and_close, with `collect`, went to endpoint_reply.rs and return an EndpointReply (head and whole body). endpoint_call returns that; a BufferedResponse for a caller is made of it with From.

Behaviour is unchanged.

--- a/crates/hollyhook_gateway/src/forward/buffered_response.rs
+++ b/crates/hollyhook_gateway/src/forward/buffered_response.rs
@@ -2,20 +2,20 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use hollyhook_core::{AnswerVerdict, AttemptFailure, EndpointId};
+use hollyhook_core::{AnswerVerdict, AttemptFailure};
 use http::Response;
 use http::header::CONTENT_LENGTH;
 use http::response::Parts;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::BodyExt;
+use hyper::body::Body;
 
 use super::attempt::{EndpointSlot, OpenResponse};
 use super::body_end::has_survived;
+use super::endpoint_reply::EndpointReply;
 use super::response_rest::ResponseRest;
 use crate::front::{CallerRequest, ResponseBody, full_body};
 use crate::gateway::GatewayContext;
 use crate::path::EndpointTarget;
-use crate::pool::keep_alive_time;
 
 /// Maximum size of a response body that is held in memory, so that another attempt can replace it if it breaks off.
 const MAX_HELD_BYTES: usize = 256 << 10;
@@ -64,36 +64,13 @@
     }
 }
 
-impl OpenResponse {
-    /// Reads a body of at most `limit` bytes to its end and returns the connection to the pool.
-    ///
-    /// # Errors
-    ///
-    /// `Broken` if the connection fails before the body is complete, `Failed` if the body is larger.
-    pub(super) async fn read_to_end(
-        self,
-        context: &GatewayContext,
-        id: &EndpointId,
-        limit: usize,
-    ) -> Result<BufferedResponse, AttemptFailure> {
-        let Self { parts, body, connection, .. } = self;
-        let body = collect(body, limit).await?;
-        context.pool.put(id, connection, keep_alive_time(&parts.headers));
-        Ok(BufferedResponse { parts, body, rest: None })
-    }
-
-    /// Reads a body of at most `limit` bytes to its end and closes the connection.
-    ///
-    /// # Errors
-    ///
-    /// As [`read_to_end`](Self::read_to_end).
-    pub(super) async fn read_and_close(self, limit: usize) -> Result<BufferedResponse, AttemptFailure> {
-        let Self { parts, body, connection, .. } = self;
-        let body = collect(body, limit).await?;
-        drop(connection);
-        Ok(BufferedResponse { parts, body, rest: None })
+impl From<EndpointReply> for BufferedResponse {
+    fn from(reply: EndpointReply) -> Self {
+        Self { parts: reply.parts, body: reply.body, rest: None }
     }
+}
 
+impl OpenResponse {
     /// Reads the body up to [`MAX_HELD_BYTES`]; the rest of a longer one is read while it is sent to the caller.
     ///
     /// The body of an error must end within that size and a time limit; otherwise the endpoint may be sending without
@@ -142,11 +119,11 @@
     ) -> Result<BufferedResponse, AttemptFailure> {
         let is_passed_on = !matches!(self.verdict(caller), AnswerVerdict::Fail(_));
         let end_is_stated = self.has_stated_end();
-        let response = self.read_to_end(context, &target.id, MAX_HELD_BYTES).await?;
+        let reply = self.read_to_end(context, &target.id, MAX_HELD_BYTES).await?;
         if is_passed_on && !end_is_stated && !has_survived(context, caller, target).await {
             return Err(AttemptFailure::Broken);
         }
-        Ok(response)
+        Ok(reply.into())
     }
 
     async fn read_held(
@@ -157,7 +134,7 @@
     ) -> Result<BufferedResponse, AttemptFailure> {
         let is_short = self.body.size_hint().upper().is_some_and(|bytes| bytes <= MAX_HELD_BYTES as u64);
         if is_short {
-            return self.read_to_end(context, &target.id, MAX_HELD_BYTES).await;
+            return Ok(self.read_to_end(context, &target.id, MAX_HELD_BYTES).await?.into());
         }
         let mut held = BytesMut::new();
         while let Some(frame) = self.body.frame().await {
@@ -179,10 +156,3 @@
         Ok(BufferedResponse { parts, body: held.freeze(), rest: None })
     }
 }
-
-async fn collect(body: Incoming, limit: usize) -> Result<Bytes, AttemptFailure> {
-    let collected = Limited::new(body, limit).collect().await.map_err(|error| {
-        if error.is::<LengthLimitError>() { AttemptFailure::Failed } else { AttemptFailure::Broken }
-    })?;
-    Ok(collected.to_bytes())
-}
--- a/crates/hollyhook_gateway/src/forward/endpoint_call.rs
+++ b/crates/hollyhook_gateway/src/forward/endpoint_call.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 
 use super::attempt::{send, send_alone};
-use super::buffered_response::BufferedResponse;
+use super::endpoint_reply::EndpointReply;
 use crate::gateway::GatewayContext;
 use crate::path::EndpointTarget;
 
@@ -25,7 +25,7 @@
     target: &EndpointTarget,
     request: Request<Full<Bytes>>,
     limit: Duration,
-) -> Result<BufferedResponse, AttemptFailure> {
+) -> Result<EndpointReply, AttemptFailure> {
     let exchange = async {
         let response = send(context, target, request, None, |_sent_at| {}).await?;
         response.read_to_end(context, &target.id, MAX_REPLY_BYTES).await
@@ -46,7 +46,7 @@
     target: &EndpointTarget,
     order: Request<Full<Bytes>>,
     limit: Duration,
-) -> Result<BufferedResponse, AttemptFailure> {
+) -> Result<EndpointReply, AttemptFailure> {
     let exchange = async { send_alone(context, target, order).await?.read_and_close(MAX_REPLY_BYTES).await };
     context.timer.within(limit, exchange).await.unwrap_or(Err(AttemptFailure::Silent))
 }
@@ -58,7 +58,7 @@
     engine: &EndpointTarget,
     order: Vec<u8>,
     limit: Duration,
-) -> Option<BufferedResponse> {
+) -> Option<EndpointReply> {
     let request = Request::post(hollyhook_platform::backup_path())
         .header(header::HOST, engine.address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
--- a/crates/hollyhook_gateway/src/forward/mod.rs
+++ b/crates/hollyhook_gateway/src/forward/mod.rs
@@ -15,6 +15,7 @@
 mod endpoint_call;
 mod endpoint_check;
 mod endpoint_probe;
+mod endpoint_reply;
 mod engine_choice;
 mod event_stream;
 mod live_attempt;
