Endpoint directory: terms, routing, reports, silences and outcomes have files

No line within a function changed; seven fields are visible to the module.

Behaviour is unchanged, but that the module path (`target`) of moved log lines names the new file.

--- a/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
+++ b/crates/hollyhook_gateway/src/gateway/endpoint_directory.rs
@@ -1,10 +1,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
 
 use hollyhook_core::{
-    AdvertisedTerms, AttemptFailure, EndpointGroup, EndpointId, EndpointRecord, EndpointState, EndpointTable,
-    EngineReport, EngineSpeed, HolderLimits, HostPosition, LoadReport, Name, PaceChange, PromptRead, ReportCache,
-    Result, RouteQuery, SiteIndex, SiteState, StopReason, TimePoint, ZoneName,
+    EndpointId, EndpointRecord, EndpointState, EndpointTable, Name, ReportCache, Result, SiteIndex, SiteState,
+    TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
 use hollyhook_telemetry::MetricRecorder;
@@ -20,30 +18,20 @@
 /// partitioned.
 const ZONE_PREFERENCE: f64 = 0.25;
 
-/// Why no endpoint accepts a request.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct RoutingFailure {
-    pub(crate) reason: StopReason,
-    /// How long this is expected to last; zero if not known.
-    pub(crate) pause: Duration,
-    /// Whether the request waits for room at endpoints that must not have to reject it.
-    pub(crate) awaits_room: bool,
-}
-
 /// The endpoints that this host knows.
 ///
 /// Also closes the pooled connections of endpoints that are gone, and counts the outcomes of attempts.
 #[derive(Debug)]
 pub(crate) struct EndpointDirectory {
-    timer: Arc<TimerService>,
-    pool: Arc<ConnectionPool>,
-    recorder: Arc<MetricRecorder>,
-    feed: Arc<FeedState>,
-    paths: Arc<PathTracker>,
-    demand: Arc<DemandTracker>,
+    pub(super) timer: Arc<TimerService>,
+    pub(super) pool: Arc<ConnectionPool>,
+    pub(super) recorder: Arc<MetricRecorder>,
+    pub(super) feed: Arc<FeedState>,
+    pub(super) paths: Arc<PathTracker>,
+    pub(super) demand: Arc<DemandTracker>,
     site: Arc<Mutex<SiteState>>,
     table: Mutex<EndpointTable>,
-    reports: Mutex<ReportCache>,
+    pub(super) reports: Mutex<ReportCache>,
     /// Time until which the table is known to hold all changes; `None` before the first list.
     confirmed: Mutex<Option<TimePoint>>,
     /// Endpoints that are gone without having announced that they leave, until [`take_lost`](Self::take_lost) returns
@@ -196,46 +184,6 @@
         tracing::info!(endpoint = %id, known_ms = self.known_ms(), "endpoint.leaving");
     }
 
-    /// Applies the terms that an endpoint advertised in an answer.
-    pub(crate) fn apply_terms(&self, id: &EndpointId, terms: AdvertisedTerms) {
-        if terms.is_leaving {
-            self.record_leaving(id);
-        }
-        let now = self.timer.now();
-        let hosts = self.feed.host_count().unwrap_or(HostPosition::UNLISTED_COUNT);
-        if let Some(rate) = terms.rate_limit
-            && self.table().terms_mut().set_rate_limit(now, id, rate, hosts, &mut rand::rng())
-        {
-            tracing::info!(endpoint = %id, rate, hosts, "endpoint.rate_limit");
-        }
-        if let Some(limit) = terms.brittle_limit
-            && self.table().terms_mut().set_brittle(now, id, limit, hosts, &mut rand::rng())
-        {
-            tracing::info!(endpoint = %id, limit, hosts, "endpoint.brittle");
-        }
-        if terms.rate_limit.is_some() || terms.brittle_limit.is_some() {
-            self.table().apply_share(now, id);
-        }
-        if let Some(span) = terms.pause
-            && self.table().terms_mut().extend_pause(now, id, span)
-        {
-            self.recorder.count("endpoint_pauses");
-            tracing::info!(endpoint = %id, pause_ms = span.as_millis() as u64, "endpoint.pause");
-        }
-    }
-
-    /// Ends the terms that the answer of an endpoint to a caller's request, sent at `sent_at`, no longer advertises.
-    ///
-    /// Answers to this host's own probes never advertise them, and must not end any.
-    pub(crate) fn end_terms(&self, id: &EndpointId, terms: AdvertisedTerms, sent_at: TimePoint) {
-        if terms.rate_limit.is_none() && self.table().terms_mut().clear_rate_limit(id, sent_at) {
-            tracing::info!(endpoint = %id, "endpoint.unlimited");
-        }
-        if terms.brittle_limit.is_none() && self.table().terms_mut().clear_brittle(id, sent_at) {
-            tracing::info!(endpoint = %id, "endpoint.robust");
-        }
-    }
-
     /// The store entry in which hosts share crash records, the same at all hosts that know the same live endpoints.
     pub(crate) fn crash_record_entry(&self) -> Option<Name> {
         self.table().crash_record_entry()
@@ -251,46 +199,6 @@
         self.table().iter().any(|record| &*record.service == service && record.state == EndpointState::Live)
     }
 
-    /// Chooses an endpoint without probing any, and counts a request as open there; `None` if no endpoint accepts it.
-    pub(crate) fn open_any(&self, query: &RouteQuery<'_>) -> Option<EndpointRecord> {
-        let now = self.timer.now();
-        let mut table = self.table();
-        let id = table.choose(now, query, &mut rand::rng())?;
-        let record = table.get(&id).cloned()?;
-        table.try_open(now, &id, query.slot_count()).then_some(record)
-    }
-
-    /// Why no endpoint accepts a request.
-    ///
-    /// The reason is `Throttled` if all endpoints for the request are paused or have reached their rate limit.
-    pub(crate) fn routing_failure(&self, query: &RouteQuery<'_>) -> RoutingFailure {
-        let now = self.timer.now();
-        let mut table = self.table();
-        match table.shortest_pause(now, query) {
-            Some(pause) => {
-                self.recorder.count("requests_held_back");
-                let awaits_room = table.record_pressure(now, query.service_name());
-                if pause.is_zero() {
-                    self.recorder.count("requests_held_back_by_share");
-                    table.record_shortage(now, query.service_name(), awaits_room);
-                }
-                let awaits_room = awaits_room || table.awaits_lease(now, query.service_name());
-                RoutingFailure { reason: StopReason::Throttled, pause, awaits_room }
-            }
-            None => RoutingFailure { reason: StopReason::NoEndpoint, pause: Duration::ZERO, awaits_room: false },
-        }
-    }
-
-    /// Up to `limit` endpoints worth probing for their load, in the rendezvous order that all hosts share for `key`.
-    pub(crate) fn shortlist(&self, query: &RouteQuery<'_>, key: u64, limit: usize) -> Vec<EndpointRecord> {
-        self.table().shortlist(self.timer.now(), query, key, limit)
-    }
-
-    /// The endpoints that may hold the prompt with this rendezvous key.
-    pub(crate) fn likely_holders(&self, query: &RouteQuery<'_>, key: u64, limits: HolderLimits) -> Vec<EndpointRecord> {
-        self.table().likely_holders(self.timer.now(), query, key, limits)
-    }
-
     /// Brings a copied record up to date, unless its endpoint is no longer known.
     pub(crate) fn refresh(&self, record: &mut EndpointRecord) {
         if let Some(known) = self.table().as_of(self.timer.now(), &record.id) {
@@ -298,212 +206,8 @@
         }
     }
 
-    /// Counts a request as open at an endpoint if the endpoint accepts one now, and returns whether it does.
-    pub(crate) fn try_open(&self, id: &str, slots: Option<u32>) -> bool {
-        self.table().try_open(self.timer.now(), id, slots)
-    }
-
-    /// Stores the load report of an endpoint.
-    pub(crate) fn record_load(&self, id: &str, load: LoadReport) {
-        let used = f64::from(load.running + load.waiting) / f64::from(load.capacity.max(1));
-        let now = self.timer.now();
-        let mut table = self.table();
-        self.demand.record_load(table.get(id), load);
-        let change = table.record_load(now, id, load);
-        table.update_room(now, id, 1.0 - used);
-        drop(table);
-        self.record_pace_change(id, change);
-    }
-
-    /// Records how long a call took, with the load report of its response.
-    pub(crate) fn record_call_time(&self, id: &str, took: Duration, load: Option<LoadReport>) {
-        let change = self.table().record_call_time(self.timer.now(), id, took, load);
-        self.record_pace_change(id, change);
-    }
-
-    /// Records the mean time between some events of a stream.
-    pub(crate) fn record_event_time(&self, id: &str, gap: Duration) {
-        let change = self.table().record_event_time(self.timer.now(), id, gap);
-        self.record_pace_change(id, change);
-    }
-
-    /// Records when the first event of a generation arrived.
-    pub(crate) fn record_read(&self, id: &str, read: PromptRead) {
-        let change = self.table().record_read(self.timer.now(), id, read);
-        self.record_pace_change(id, change);
-    }
-
-    /// Records the time from the first to the last event of a stream.
-    pub(crate) fn record_run(&self, id: &str, took: Duration) {
-        self.table().record_run(self.timer.now(), id, took);
-    }
-
-    /// Records the time of a round trip to the endpoints of a zone.
-    pub(crate) fn record_network_time(&self, zone: &ZoneName, took: Duration) {
-        self.table().record_network_time(zone, took);
-    }
-
-    /// How fast an engine is expected to serve a generation.
-    pub(crate) fn engine_speed(&self, id: &str) -> EngineSpeed {
-        self.table().engine_speed(self.timer.now(), id)
-    }
-
-    /// The time limit of an attempt at an idempotent call; `None` if the endpoints of its service are not known to
-    /// differ in pace.
-    pub(crate) fn attempt_limit(&self, id: &str, objective: Duration) -> Option<Duration> {
-        self.table().attempt_limit(self.timer.now(), id, objective)
-    }
-
-    fn record_pace_change(&self, id: &str, change: Option<PaceChange>) {
-        let Some(change) = change else {
-            return;
-        };
-        let PaceChange { pace, samples, reported_percent, .. } = change;
-        if change.is_slow {
-            self.recorder.count("endpoints_found_slow");
-            tracing::info!(endpoint = %id, pace, samples, reported_percent, "endpoint.slow");
-        } else {
-            tracing::info!(endpoint = %id, pace, samples, reported_percent, "endpoint.usual_pace");
-        }
-    }
-
-    /// Forgets the failures of a group's endpoints, which the loss of the path to them explains.
-    pub(crate) fn forgive_failures(&self, group: &EndpointGroup) {
-        self.table().forgive_failures(group);
-    }
-
-    /// Stores how much room an engine's report shows.
-    pub(crate) fn record_report(&self, id: &str, report: &EngineReport) {
-        let concurrent = report.running() + report.reading;
-        let free_share = if report.waiting > 0 { 0.0 } else { report.free_memory_share() };
-        let mut table = self.table();
-        table.update_room(self.timer.now(), id, free_share);
-        table.record_concurrent(id, concurrent);
-        drop(table);
-        // An engine that leaves gets no requests.
-        if !report.is_leaving {
-            lock(&self.reports).insert(self.timer.now(), id.into(), report.clone());
-        }
-    }
-
-    /// The report that an engine sent so recently that it need not be probed again.
-    pub(crate) fn recent_report(&self, id: &str) -> Option<EngineReport> {
-        lock(&self.reports).recent(self.timer.now(), id).cloned()
-    }
-
-    /// Records that an endpoint sent nothing in time: it may have paused, or the path to it may be dead.
-    pub(crate) fn record_silence(&self, id: &EndpointId) {
-        self.pool.close_idle(id);
-        let mut table = self.table();
-        let group = table.get(id).map(EndpointGroup::from);
-        if group.is_some_and(|group| self.paths.explains_silence(&group)) {
-            return;
-        }
-        if table.record_silence(self.timer.now(), id) {
-            self.recorder.count("endpoints_found_silent");
-            tracing::info!(endpoint = %id, "endpoint.silent");
-        }
-    }
-
-    /// Records that a run at an endpoint makes no progress although the endpoint answers.
-    pub(crate) fn record_stall(&self, id: &EndpointId) {
-        if self.table().record_stall(self.timer.now(), id) {
-            self.recorder.count("endpoints_found_stalled");
-            tracing::info!(endpoint = %id, "endpoint.stalled");
-        }
-    }
-
-    /// Records that an endpoint answered, which ends its silence.
-    pub(crate) fn record_heard(&self, id: &EndpointId) {
-        let is_over = self.table().record_heard(self.timer.now(), id);
-        self.log_heard_again(id, is_over);
-    }
-
-    /// Records that an endpoint sent an event of a stream, which ends its silence or stall.
-    pub(crate) fn record_event(&self, id: &EndpointId) {
-        let is_over = self.table().record_event(self.timer.now(), id);
-        self.log_heard_again(id, is_over);
-    }
-
-    fn log_heard_again(&self, id: &EndpointId, is_over: bool) {
-        if is_over {
-            self.recorder.count("endpoints_heard_again");
-            tracing::info!(endpoint = %id, "endpoint.heard_again");
-        }
-    }
-
-    /// Whether an endpoint was heard so recently that it is known to be alive.
-    pub(crate) fn is_alive(&self, id: &EndpointId) -> bool {
-        self.table().is_alive(self.timer.now(), id)
-    }
-
-    /// Whether an endpoint was found silent a moment ago and has not been heard since.
-    pub(crate) fn has_just_missed_probe(&self, id: &EndpointId) -> bool {
-        self.table().is_just_silent(self.timer.now(), id)
-    }
-
-    /// Whether an endpoint has been found silent or stalled, and this has not ended.
-    pub(crate) fn is_silent(&self, id: &EndpointId) -> bool {
-        self.table().is_silent(id)
-    }
-
     /// Whether an endpoint is known. Its entry is removed after some seconds if its process has ended.
     pub(crate) fn is_known(&self, id: &EndpointId) -> bool {
         self.table().get(id).is_some()
     }
-
-    /// Whether most endpoints of a service that this host has heard recently are silent now.
-    pub(crate) fn is_silence_widespread(&self, service: &str) -> bool {
-        self.table().is_silence_widespread(self.timer.now(), service)
-    }
-
-    /// Records the outcome of an attempt at an endpoint; `failure` is `None` if the attempt succeeded.
-    pub(crate) fn record_outcome(&self, id: &EndpointId, failure: Option<AttemptFailure>) {
-        self.recorder.count(failure.map_or("attempts_succeeded", attempt_counter));
-        let mut table = self.table();
-        self.demand.record_outcome(table.get(id), failure);
-        match failure {
-            None => {
-                table.record_success(id);
-                table.record_answer(self.timer.now(), id, false);
-            }
-            Some(AttemptFailure::WrongIncarnation) => {
-                table.remove(id);
-                self.pool.close_idle(id);
-            }
-            // Recorded when the endpoint was found silent; it may have been heard again since.
-            Some(AttemptFailure::Silent) => {}
-            Some(failure) if failure.is_loss() => {
-                self.pool.close_idle(id);
-                let group = table.get(id).map(EndpointGroup::from);
-                if group.is_some_and(|group| self.paths.explains_failure(&group)) {
-                    return;
-                }
-                table.record_failure(self.timer.now(), id);
-                tracing::info!(endpoint = %id, failure = failure.as_str(), "endpoint.ejected");
-            }
-            Some(failure @ (AttemptFailure::Rejected | AttemptFailure::Failed | AttemptFailure::Garbled)) => {
-                let now = self.timer.now();
-                if failure == AttemptFailure::Rejected && table.terms_mut().record_rejection(now, id) {
-                    self.recorder.count("rejected_by_brittle");
-                }
-                table.record_answer(self.timer.now(), id, true);
-            }
-            Some(_) => {}
-        }
-    }
-}
-
-/// The name of the metric that counts attempts with this failure.
-fn attempt_counter(failure: AttemptFailure) -> &'static str {
-    match failure {
-        AttemptFailure::NotConnected => "attempts_not_connected",
-        AttemptFailure::Rejected => "attempts_rejected",
-        AttemptFailure::WrongIncarnation => "attempts_wrong_incarnation",
-        AttemptFailure::Broken => "attempts_broken",
-        AttemptFailure::Silent => "attempts_silent",
-        AttemptFailure::Expired => "attempts_expired",
-        AttemptFailure::Garbled => "attempts_garbled",
-        AttemptFailure::Failed => "attempts_failed",
-    }
 }
--- a/crates/hollyhook_gateway/src/gateway/mod.rs
+++ b/crates/hollyhook_gateway/src/gateway/mod.rs
@@ -1,6 +1,11 @@
 //! The state that the parts of a gateway share, and the start and graceful shutdown of the process.
 
 mod endpoint_directory;
+mod endpoint_outcomes;
+mod endpoint_reports;
+mod endpoint_routing;
+mod endpoint_silences;
+mod endpoint_terms;
 mod gateway_context;
 mod gateway_process;
 mod known_rollout;
@@ -12,7 +17,8 @@
 mod rollout_tracker;
 mod unix_time;
 
-pub(crate) use endpoint_directory::{EndpointDirectory, RoutingFailure};
+pub(crate) use endpoint_directory::EndpointDirectory;
+pub(crate) use endpoint_routing::RoutingFailure;
 pub(crate) use gateway_context::GatewayContext;
 pub use gateway_process::Gateway;
 pub(crate) use known_rollout::KnownRollout;
