Servers for other hosts: one function encodes their JSON answers

What stood in the way: the servers of demand, leases, origins and quota each had the same seven lines that encode an answer, log what can't be encoded and answer 500.

Moved: net::json_response, which is handed the event to log. The feed's server keeps its own: its 500 has no text.

Behaviour is unchanged, but that the module path (`target`) of the four log lines is that of json_response.

--- a/crates/hollyhook_gateway/src/demand/demand_server.rs
+++ b/crates/hollyhook_gateway/src/demand/demand_server.rs
@@ -9,7 +9,7 @@
 use super::DemandSender;
 use super::demand_message::{DEMAND_PATH, MAX_BODY_BYTES, read_message};
 use crate::gateway::GatewayContext;
-use crate::net::text_response;
+use crate::net::{json_response, text_response};
 
 /// Whether a request of another host concerns demand.
 pub(crate) fn is_demand_request(request: &Request<Incoming>) -> bool {
@@ -39,13 +39,7 @@
     };
     let reply = context.demand.receive(&record, message);
     DemandSender::spawn_if_needed(context);
-    match serde_json::to_vec(&reply) {
-        Ok(body) => Response::new(Full::from(body)),
-        Err(error) => {
-            tracing::error!(%error, "demand.not_written");
-            text_response(StatusCode::INTERNAL_SERVER_ERROR, "the answer can't be encoded")
-        }
-    }
+    json_response(&reply, "demand.not_written")
 }
 
 fn refuse(context: &GatewayContext, status: StatusCode, reason: &'static str) -> Response<Full<Bytes>> {
--- a/crates/hollyhook_gateway/src/lease/lease_server.rs
+++ b/crates/hollyhook_gateway/src/lease/lease_server.rs
@@ -9,7 +9,7 @@
 use super::LeaseBorrower;
 use super::lease_message::{LEASE_PATH, LeaseMessage, LeaseReply, MAX_BODY_BYTES};
 use crate::gateway::GatewayContext;
-use crate::net::text_response;
+use crate::net::{json_response, text_response};
 
 /// Whether a request of another host asks for leases.
 pub(crate) fn is_lease_request(request: &Request<Incoming>) -> bool {
@@ -42,11 +42,5 @@
     context.recorder.count("lease_questions_answered");
     // This host may have been asked in place of an owner that it then has to find lost.
     LeaseBorrower::spawn_if_needed(context);
-    match serde_json::to_vec(&LeaseReply { leased }) {
-        Ok(body) => Response::new(Full::from(body)),
-        Err(error) => {
-            tracing::error!(%error, "lease.not_written");
-            text_response(StatusCode::INTERNAL_SERVER_ERROR, "the answer can't be encoded")
-        }
-    }
+    json_response(&LeaseReply { leased }, "lease.not_written")
 }
--- a/crates/hollyhook_gateway/src/net/mod.rs
+++ b/crates/hollyhook_gateway/src/net/mod.rs
@@ -3,6 +3,7 @@
 mod dead_peer;
 mod dial;
 mod driver_guard;
+mod json_response;
 mod metered_stream;
 mod persistent_client;
 mod reset_on_close;
@@ -13,6 +14,7 @@
 pub(crate) use dead_peer::detect_dead_peer;
 pub(crate) use dial::dial;
 pub(crate) use driver_guard::DriverGuard;
+pub(crate) use json_response::json_response;
 pub(crate) use metered_stream::metered_stream;
 pub(crate) use persistent_client::{ExchangeError, PersistentClient, build_request, encode_message};
 pub(crate) use reset_on_close::reset_on_close;
--- a/crates/hollyhook_gateway/src/origin/origin_server.rs
+++ b/crates/hollyhook_gateway/src/origin/origin_server.rs
@@ -7,7 +7,7 @@
 
 use super::origin_message::{COPY_PATH, FIND_PATH, OriginCopies, OriginQuestion, OriginReply};
 use crate::gateway::GatewayContext;
-use crate::net::text_response;
+use crate::net::{json_response, text_response};
 
 /// Maximum size of a message: the copies of some ten thousand origins.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -52,11 +52,5 @@
         return text_response(StatusCode::BAD_REQUEST, "the body must name a service and the first client attempt");
     };
     let answer = context.origins.answer(&question.service, &question.first_attempt);
-    match serde_json::to_vec(&OriginReply::from(answer)) {
-        Ok(body) => Response::new(Full::from(body)),
-        Err(error) => {
-            tracing::error!(%error, "origin.not_written");
-            text_response(StatusCode::INTERNAL_SERVER_ERROR, "the answer can't be encoded")
-        }
-    }
+    json_response(&OriginReply::from(answer), "origin.not_written")
 }
--- a/crates/hollyhook_gateway/src/quota/quota_server.rs
+++ b/crates/hollyhook_gateway/src/quota/quota_server.rs
@@ -7,7 +7,7 @@
 
 use super::quota_message::{LOAN_PATH, LoanAnswer, LoanQuestion, MAX_BODY_BYTES};
 use crate::gateway::GatewayContext;
-use crate::net::text_response;
+use crate::net::{json_response, text_response};
 
 /// Whether a request of another host asks for a part of this host's quota.
 pub(crate) fn is_quota_request(request: &Request<Incoming>) -> bool {
@@ -41,11 +41,5 @@
         context.recorder.count("quota_loans_made");
         tracing::debug!(service = %question.service, to = %question.host, size = loan.part.size(), "quota.lent");
     }
-    match serde_json::to_vec(&LoanAnswer { loan }) {
-        Ok(body) => Response::new(Full::from(body)),
-        Err(error) => {
-            tracing::error!(%error, "quota.not_written");
-            text_response(StatusCode::INTERNAL_SERVER_ERROR, "the answer can't be encoded")
-        }
-    }
+    json_response(&LoanAnswer { loan }, "quota.not_written")
 }
