Request log: one function gives a request's age

What stood in the way: nine functions repeated how the age in milliseconds is computed from the timer and the caller's arrival.

Moved: `age_ms` at the bottom of the file. Behaviour is unchanged.

--- a/crates/hollyhook_gateway/src/forward/request_log.rs
+++ b/crates/hollyhook_gateway/src/forward/request_log.rs
@@ -28,7 +28,7 @@
     slot: &EndpointSlot,
     headers: &AttemptHeaders,
 ) {
-    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let age_ms = age_ms(context, caller);
     let backup_at = headers.backup_at.map(|address| address.to_string());
     let prompt_at = headers.prompt_at.map(|address| address.to_string());
     // The own part of the prompt identifies a generation across its caller's attempts, each of which has its own id.
@@ -55,7 +55,7 @@
         CapacityShortage::Reading => "placements_short_of_reading",
         CapacityShortage::Headroom => "placements_short_of_headroom",
     });
-    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let age_ms = age_ms(context, caller);
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %endpoint,
         priority = caller.priority(), shortage = shortage.as_str(), pause_ms = pause.as_millis() as u64, age_ms,
         "placement.awaits_capacity");
@@ -64,7 +64,7 @@
 /// Records that a stream is placed without headroom for higher priorities, since it can't wait longer.
 pub(super) fn placed_without_headroom(context: &GatewayContext, caller: &CallerRequest, endpoint: &EndpointId) {
     context.recorder.count("placements_without_headroom");
-    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let age_ms = age_ms(context, caller);
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %endpoint,
         priority = caller.priority(), age_ms, "placement.without_headroom");
 }
@@ -90,7 +90,7 @@
     lost: LostRun,
     last_event: Option<u64>,
 ) {
-    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let age_ms = age_ms(context, caller);
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %endpoint,
         failure = lost.failure.as_str(), last_event, events_ms = lost.run_time.as_millis() as u64, age_ms,
         "attempt.failed");
@@ -138,7 +138,7 @@
     silent: Duration,
 ) {
     context.recorder.count("attempts_taken_over");
-    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let age_ms = age_ms(context, caller);
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %endpoint,
         successor = successor.map(|id| &**id), silent_ms = silent.as_millis() as u64, age_ms, "attempt.taken_over");
 }
@@ -150,14 +150,14 @@
     silent: Duration,
     change: &'static str,
 ) {
-    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let age_ms = age_ms(context, caller);
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %endpoint,
         silent_ms = silent.as_millis() as u64, age_ms, "{change}");
 }
 
 /// Logs that an endpoint crashed while it ran a request.
 pub(super) fn crashed(context: &GatewayContext, caller: &CallerRequest, endpoint: &EndpointId, run_time: Duration) {
-    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let age_ms = age_ms(context, caller);
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, endpoint = %endpoint,
         digest = %caller.digest(), parts = format!("{:x?}", caller.head.shared_parts),
         events_ms = run_time.as_millis() as u64, age_ms, "request.crashed_endpoint");
@@ -184,7 +184,7 @@
 
 /// Records that a stream was delivered to its end.
 pub(super) fn streamed(context: &GatewayContext, caller: &CallerRequest, timing: &StreamTiming, attempts: u32) {
-    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let age_ms = age_ms(context, caller);
     let account = account_label(caller);
     context.recorder.count("requests_streamed");
     if let Some(first) = timing.first() {
@@ -205,12 +205,17 @@
 /// Records that a request ended with an error: refused, cut off, or with an unknown outcome.
 pub(super) fn ended(context: &GatewayContext, caller: &CallerRequest, error: &Error, attempts: u32) {
     context.recorder.count(ended_counter(error));
-    let age_ms = context.timer.now().since(caller.arrived).as_millis() as u64;
+    let age_ms = age_ms(context, caller);
     tracing::info!(request = %caller.head.attempt_id, route = %caller.route.name, service = %caller.service,
         site_version = caller.site_version, kind = %error.kind(), attempts, age_ms,
         reason = %error.message(), "request.ended");
 }
 
+/// Time since the request arrived at this host, in milliseconds.
+fn age_ms(context: &GatewayContext, caller: &CallerRequest) -> u64 {
+    context.timer.now().since(caller.arrived).as_millis() as u64
+}
+
 /// Account label of a request's metrics; `public` for a request without an account.
 fn account_label(caller: &CallerRequest) -> AccountName {
     let account = caller.account.as_ref().map(|account| AccountName::clone(&account.name));
