Endpoint table: groups, admission and quotas have files of their own

What stood in the way: endpoint_table.rs (562 lines) mixed the records of endpoints with the choice of neighbours in a group, the admission of requests and the shares of limits of all hosts.

No line within a function changed; record_usage and two fields are visible to the module.

Behaviour is unchanged.

--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -1,43 +1,22 @@
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
-
-use rand::Rng;
 
 use super::name_interner::NameInterner;
 use super::registration_index::RegistrationIndex;
 use super::rendezvous::rendezvous_weight;
 use super::ring_index::RingIndex;
-use super::room_report::RoomReport;
 use super::version_index::VersionIndex;
 use super::zone_failures::ZoneFailures;
 use super::{EndpointRecord, EndpointState, HostPosition, LoadReport};
 use crate::lease::{LeaseBook, LeaseLedger, LeaseOwners};
 use crate::pace::{NetworkTime, ServicePace};
-use crate::{
-    EndpointGroup, EndpointId, HostRecord, Name, QuotaLedger, QuotaLoan, QuotaRound, QuotaTotals, TermsTable,
-    TimePoint, ZoneName,
-};
+use crate::{EndpointId, Name, QuotaLedger, TermsTable, TimePoint, ZoneName};
 
 /// Hash key by which hosts choose the entry for crash records.
 const CRASH_RECORD_KEY: &[u8] = b"notes";
 
-/// How long after a request had to wait for room this host uses only its own slots of brittle endpoints.
-const PRESSED_TIME: Duration = Duration::from_secs(1);
-/// How long it then relies on reports of room again, whatever waits: a host may have no slots of its own.
-const RELIEF_TIME: Duration = Duration::from_millis(250);
-
 /// Default cost of an endpoint of another zone, in requests per slot.
 const ZONE_PREFERENCE: f64 = 0.25;
 
-/// How an endpoint admits a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum SendAdmission {
-    Open,
-    /// The endpoint may have no room, and the request uses up a trial.
-    Trial,
-    Refused,
-}
-
 /// The endpoints that this host knows; [`choose`](Self::choose) selects one of them for a request.
 #[derive(Debug)]
 pub struct EndpointTable {
@@ -67,9 +46,9 @@
     pub(super) lease_contact: TimePoint,
     pub(super) contact_asked: TimePoint,
     /// The shares of limits that are in force at endpoints, by service, as multiples of equal ones.
-    applied_factors: BTreeMap<Name, f64>,
+    pub(super) applied_factors: BTreeMap<Name, f64>,
     /// When this host last had a request for which no brittle endpoint of a service had room.
-    pressed: BTreeMap<Name, TimePoint>,
+    pub(super) pressed: BTreeMap<Name, TimePoint>,
 }
 
 impl EndpointTable {
@@ -244,54 +223,6 @@
         entry.cloned()
     }
 
-    /// The number of endpoints in a group.
-    pub fn group_size(&self, group: &EndpointGroup) -> usize {
-        self.rings.group_size(group)
-    }
-
-    /// A live endpoint of a group other than `id`, a different one for each endpoint; `None` if there is none.
-    pub fn next_in_group(&self, group: &EndpointGroup, id: &EndpointId) -> Option<&EndpointRecord> {
-        let mut others = self.rings.after_endpoint(group, id).filter_map(|id| self.get(id));
-        others.find(|record| record.state == EndpointState::Live)
-    }
-
-    /// Up to `limit` live endpoints other than `id` by which a path to its group can be tested: of its group or, if it has
-    /// no other, of its service; first those that have not just failed.
-    pub fn siblings(
-        &self,
-        now: TimePoint,
-        group: &EndpointGroup,
-        id: &EndpointId,
-        limit: usize,
-    ) -> Vec<&EndpointRecord> {
-        let is_usable = |record: &&EndpointRecord| record.state == EndpointState::Live && record.id != *id;
-        let in_group = self.rings.after_endpoint(group, id).filter_map(|id| self.get(id));
-        let mut siblings: Vec<&EndpointRecord> = in_group.filter(is_usable).collect();
-        if siblings.is_empty() {
-            siblings = self.of_service(&group.service).filter(is_usable).collect();
-        }
-        siblings.sort_by_key(|record| record.is_ejected(now));
-        siblings.truncate(limit);
-        siblings
-    }
-
-    /// The `n`th endpoint of a group, counted round and round; `None` if there is none.
-    pub fn nth_in_group(&self, group: &EndpointGroup, n: usize) -> Option<&EndpointRecord> {
-        let size = self.rings.group_size(group);
-        let id = self.rings.of_group(group).nth(n.checked_rem(size)?)?;
-        self.get(id)
-    }
-
-    /// Forgets the failures of a group's endpoints, which end their ejection.
-    pub fn forgive_failures(&mut self, group: &EndpointGroup) {
-        self.zone_failures.remove(&group.zone);
-        for id in self.rings.of_group(group) {
-            if let Some(record) = self.records.get_mut(id) {
-                record.clear_failures();
-            }
-        }
-    }
-
     /// The number of endpoints.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -320,199 +251,6 @@
         self.position = position;
     }
 
-    /// Records that a request has to wait for room at the brittle endpoints of a service; returns whether it has any.
-    ///
-    /// Then most likely other hosts have requests waiting too. If all sent them to the first endpoint that seems to have
-    /// room, it would reject most of them.
-    pub fn record_pressure(&mut self, now: TimePoint, service: &str) -> bool {
-        let is_brittle = self.rings.of_service(service).any(|id| self.terms.is_brittle(id));
-        let is_over = |at: &TimePoint| now.since(*at) >= PRESSED_TIME + RELIEF_TIME;
-        if is_brittle && self.pressed.get(service).is_none_or(is_over) {
-            self.pressed.insert(service.into(), now);
-        }
-        is_brittle
-    }
-
-    /// Stores which share of an endpoint is free, from 0 to 1, as it has just reported.
-    pub fn update_room(&mut self, now: TimePoint, id: &str, free_share: f64) {
-        if let Some(record) = self.records.get_mut(id) {
-            record.room = Some(RoomReport::new(now, free_share));
-        }
-    }
-
-    /// Counts a request as open at an endpoint if the endpoint accepts one now, and returns whether it does.
-    ///
-    /// `slots` is how many requests of this size the endpoint can process at a time, if that is not its reported
-    /// capacity.
-    pub fn try_open(&mut self, now: TimePoint, id: &str, slots: Option<u32>) -> bool {
-        let Some(service) = self.get(id).map(|record| Name::clone(&record.service)) else {
-            return false;
-        };
-        self.apply_quota(now, &service);
-        self.apply_lease_mode(id);
-        match self.admission(now, &self.records[id], slots) {
-            SendAdmission::Refused => return false,
-            SendAdmission::Trial => self.terms.use_trial(now, id),
-            SendAdmission::Open => {}
-        }
-        let is_open = self.terms.try_send(now, id);
-        if is_open {
-            self.record_open(now, id);
-            self.record_usage(now, id, &service);
-        }
-        is_open
-    }
-
-    /// Puts this host's present share of a service's limits in force at its endpoints.
-    pub fn apply_quota(&mut self, now: TimePoint, service: &Name) {
-        if !self.quotas.is_known(service) {
-            return;
-        }
-        let factor = self.quotas.share(now, service, self.position) * self.position.count.max(1) as f64;
-        let applied = self.applied_factors.insert(Name::clone(service), factor).unwrap_or(1.0);
-        if applied.total_cmp(&factor).is_ne() {
-            for id in self.rings.of_service(service) {
-                self.terms.set_factor(now, id, factor);
-            }
-        }
-    }
-
-    /// Puts this host's share in force at an endpoint that has just advertised a limit.
-    pub fn apply_share(&mut self, now: TimePoint, id: &EndpointId) {
-        let factor = self.get(id).and_then(|record| self.applied_factors.get(&record.service));
-        if let Some(factor) = factor.copied() {
-            self.terms.set_factor(now, id, factor);
-        }
-        self.add_lease_owner(id);
-        self.apply_lease_mode(id);
-    }
-
-    /// Counts what a request uses of limits that hold for all hosts together.
-    fn record_usage(&mut self, now: TimePoint, id: &str, service: &Name) {
-        let (has_rate, is_brittle) = (self.terms.rate_limit(id).is_some(), self.terms.is_brittle(id));
-        if has_rate && self.is_rate_leased(id) {
-            self.leases.count_send(now, service);
-        } else if has_rate {
-            self.quotas.count_send(now, service);
-        }
-        if is_brittle && self.are_slots_leased(service) {
-            let open = self.of_service(service).map(|record| record.open).sum();
-            self.leases.record_open(now, service, open);
-        } else if is_brittle {
-            let brittle = self.of_service(service).filter(|record| self.terms.is_brittle(&record.id));
-            let open = brittle.map(|record| record.open).sum();
-            self.quotas.record_open(now, service, open);
-        }
-    }
-
-    /// The limits of a service's endpoints that hold for all hosts together.
-    fn quota_totals(&self, service: &str) -> QuotaTotals {
-        let mut totals = QuotaTotals::default();
-        for record in self.of_service(service) {
-            totals.rate += self.terms.rate_limit(&record.id).unwrap_or_default();
-            if self.terms.is_brittle(&record.id) {
-                totals.slots.push((EndpointId::clone(&record.id), record.load.capacity));
-            }
-        }
-        totals
-    }
-
-    /// Records that a request is held back since this host's share of the limits of a service is used up, and whether it
-    /// waits for a slot.
-    pub fn record_shortage(&mut self, now: TimePoint, service: &str, awaits_slot: bool) {
-        self.apply_lease_modes(service);
-        if self.is_leasing(now, service) {
-            self.leases.record_wait(now, &service.into());
-        } else if awaits_slot {
-            self.quotas.record_wait(now, &service.into());
-        } else {
-            self.quotas.count_refusal(now, &service.into());
-        }
-    }
-
-    /// Whether this host needs a larger share of limits than it has, or has borrowed some.
-    pub fn is_borrowing(&self, now: TimePoint) -> bool {
-        self.quotas.is_borrowing(now)
-    }
-
-    /// The fraction of a service's limits that this host may use.
-    pub fn quota_share(&self, now: TimePoint, service: &str) -> f64 {
-        self.quotas.share(now, service, self.position)
-    }
-
-    /// How many of an endpoint's slots this host may use, where slots are divided among hosts.
-    pub fn held_slots(&self, now: TimePoint, id: &str) -> u32 {
-        self.get(id).map_or(0, |record| self.slots_of(now, record, record.load.capacity))
-    }
-
-    /// Begins a round of questions to other hosts for each service at which this host lacks something.
-    pub fn begin_borrowing(&mut self, now: TimePoint, others: &[HostRecord], rng: &mut impl Rng) -> Vec<QuotaRound> {
-        let services: Vec<Name> = self.quotas.services().cloned().collect();
-        let rounds = services.iter().filter_map(|service| {
-            let totals = self.quota_totals(service);
-            self.quotas.begin_round(now, service, self.position, &totals, others, rng)
-        });
-        rounds.collect()
-    }
-
-    /// Lends a part of this host's quota at a service, at most the fraction `wanted`; `None` if it has none to spare.
-    pub fn lend_quota(&mut self, now: TimePoint, service: &Name, borrower: &Name, wanted: f64) -> Option<QuotaLoan> {
-        let totals = self.quota_totals(service);
-        let loan = self.quotas.lend(now, service, borrower, wanted, self.position, &totals)?;
-        // Before the borrower can use it.
-        self.apply_quota(now, service);
-        Some(loan)
-    }
-
-    /// Records the answers of hosts to a round of questions; those that lent nothing have no loan.
-    pub fn record_loans(
-        &mut self,
-        now: TimePoint,
-        asked_at: TimePoint,
-        service: &Name,
-        answers: &[(Name, Option<QuotaLoan>)],
-    ) {
-        for (lender, loan) in answers {
-            self.quotas.record_answer(asked_at, service, lender, *loan);
-        }
-        let lent = answers.iter().filter(|(_, loan)| loan.is_some()).count();
-        self.quotas.end_round(now, service, answers.len(), lent);
-        self.apply_quota(now, service);
-    }
-
-    /// Whether an endpoint's terms admit a request of this host now.
-    pub(super) fn admits(&self, now: TimePoint, record: &EndpointRecord, slots: Option<u32>) -> bool {
-        self.admission(now, record, slots) != SendAdmission::Refused
-    }
-
-    /// How an endpoint's terms admit a request of this host now.
-    ///
-    /// An endpoint that fails if it has to reject too many requests gets only those for which it has room, and a few
-    /// trials.
-    fn admission(&self, now: TimePoint, record: &EndpointRecord, slots: Option<u32>) -> SendAdmission {
-        if !self.terms.is_open(now, &record.id) {
-            return SendAdmission::Refused;
-        }
-        if !self.terms.is_brittle(&record.id) || self.has_room(now, record, slots) {
-            return SendAdmission::Open;
-        }
-        let may_try = !self.is_slot_leased(record) && self.terms.has_trial(now, &record.id);
-        if may_try { SendAdmission::Trial } else { SendAdmission::Refused }
-    }
-
-    /// Whether an endpoint has room for a request, whatever the other hosts send at the same time.
-    fn has_room(&self, now: TimePoint, record: &EndpointRecord, slots: Option<u32>) -> bool {
-        let capacity = slots.unwrap_or(record.load.capacity).max(1);
-        if self.is_slot_leased(record) {
-            let is_late = self.leases.is_slot_answer_late(now, &record.service, &record.id);
-            let is_leased = record.open < self.leases.slots(now, &record.service, &record.id);
-            return is_leased || (is_late && record.room.is_some_and(|room| room.is_ample(now, capacity)));
-        }
-        let is_pressed = self.pressed.get(&record.service).is_some_and(|at| now.since(*at) < PRESSED_TIME);
-        let is_ample = || record.room.is_some_and(|room| room.is_ample(now, capacity));
-        (!is_pressed && is_ample()) || record.open < self.slots_of(now, record, capacity)
-    }
-
     /// Counts a request as open at an endpoint.
     pub fn record_open(&mut self, now: TimePoint, id: &str) {
         if let Some(record) = self.records.get_mut(id) {
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -1,10 +1,13 @@
 //! Tracks the endpoints that this host knows and chooses among them.
 
 mod backup_placement;
+mod endpoint_admission;
 mod endpoint_choice;
+mod endpoint_groups;
 mod endpoint_leases;
 mod endpoint_membership;
 mod endpoint_pacing;
+mod endpoint_quotas;
 mod endpoint_record;
 mod endpoint_silence;
 mod endpoint_subset;
