Listed versions are found without a walk over all endpoints

What stood in the way: VersionTracker::listed_versions walked all endpoints of all services at each update, to collect versions that mostly are one.

Change: EndpointTable::listed_versions takes the recent versions from the version index and examines the endpoints of the service only until each version with endpoints is known to serve. A service with one version ends at its first endpoint that can serve. A walk over all endpoints of the service is left while a version has none that can serve. The type ListedVersions went to the core with it.

What it gains at 10,000 endpoints was not measured.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -77,10 +77,10 @@
 };
 pub use route::{
     CapacityShortage, EndpointMembership, EndpointRecord, EndpointState, EndpointSubset, EndpointTable,
-    EngineCandidate, EngineReport, EngineRun, HeldPromptPart, HolderLimits, HostPosition, LoadReport, MAX_REPORT_AGE,
-    MemoryForecast, PlacementRequest, PlacementVerdict, PromptPlacement, PromptRead, ReportCache, RouteQuery,
-    choose_backup_engine, choose_engine, excess_wait, excess_wait_by_priority, has_holder, is_certain_choice,
-    place_by_priority, place_held_prompt, time_to_first_event,
+    EngineCandidate, EngineReport, EngineRun, HeldPromptPart, HolderLimits, HostPosition, ListedVersions, LoadReport,
+    MAX_REPORT_AGE, MemoryForecast, PlacementRequest, PlacementVerdict, PromptPlacement, PromptRead, ReportCache,
+    RouteQuery, choose_backup_engine, choose_engine, excess_wait, excess_wait_by_priority, has_holder,
+    is_certain_choice, place_by_priority, place_held_prompt, time_to_first_event,
 };
 pub use site::{
     AccountConfig, AccountPriorities, CallerLimits, ConfigAdoption, EngineMemory, RequestKind, RouteConfig,
--- a/crates/hollyhook_core/src/route/endpoint_table.rs
+++ b/crates/hollyhook_core/src/route/endpoint_table.rs
@@ -26,7 +26,7 @@
     pub(super) records: BTreeMap<EndpointId, Box<EndpointRecord>>,
     registrations: RegistrationIndex,
     pub(super) rings: RingIndex,
-    versions: VersionIndex,
+    pub(super) versions: VersionIndex,
     names: NameInterner,
     pub(super) zone_failures: BTreeMap<ZoneName, ZoneFailures>,
     pub(super) terms: TermsTable,
--- a/crates/hollyhook_core/src/route/mod.rs
+++ b/crates/hollyhook_core/src/route/mod.rs
@@ -19,6 +19,7 @@
 mod engine_wait;
 mod failure_record;
 mod host_position;
+mod listed_versions;
 mod memory_forecast;
 mod name_interner;
 mod priority_placement;
@@ -45,6 +46,7 @@
 pub use engine_wait::{excess_wait, time_to_first_event};
 pub use host_position::HostPosition;
 pub(crate) use host_position::slot_weight;
+pub use listed_versions::ListedVersions;
 pub use memory_forecast::MemoryForecast;
 pub use priority_placement::{
     CapacityShortage, PlacementRequest, PlacementVerdict, excess_wait_by_priority, place_by_priority,
--- a/crates/hollyhook_core/src/route/version_index.rs
+++ b/crates/hollyhook_core/src/route/version_index.rs
@@ -31,6 +31,12 @@
         }
     }
 
+    /// The number of versions that have endpoints.
+    pub(super) fn count(&self, service: &str) -> usize {
+        let versions = self.services.get(service).into_iter().flat_map(BTreeMap::values);
+        versions.filter(|count| count.endpoints > 0).count()
+    }
+
     /// The versions that have endpoints, or had some while streams that are still running may have begun.
     pub(super) fn recent(&mut self, now: TimePoint, service: &str) -> BTreeSet<Name> {
         let Some(versions) = self.services.get_mut(service) else {
--- a/crates/hollyhook_core/tests/gateway/main.rs
+++ b/crates/hollyhook_core/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod demand;
 mod feeding;
 mod large_fleet;
+mod listed_versions;
 mod liveness;
 mod membership;
 mod migrations;
--- a/crates/hollyhook_gateway/src/origin/version_tracker.rs
+++ b/crates/hollyhook_gateway/src/origin/version_tracker.rs
@@ -3,7 +3,7 @@
 
 use futures::channel::oneshot;
 use hollyhook_core::{
-    EndpointState, Name, OriginLedger, RecordTurn, Result, ServiceVersions, SiteIndex, SiteState, TimePoint,
+    ListedVersions, Name, OriginLedger, RecordTurn, Result, ServiceVersions, SiteIndex, SiteState, TimePoint,
     VersionRecord,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
@@ -58,17 +58,6 @@
     pending: Option<(TimePoint, BTreeSet<Name>)>,
 }
 
-/// The versions of a service's endpoints.
-#[derive(Debug)]
-struct ListedVersions {
-    /// Those of endpoints that are listed, or were lately.
-    recent: BTreeSet<Name>,
-    /// Those of endpoints that are not leaving.
-    live: BTreeSet<Name>,
-    /// Those of endpoints that can serve.
-    serving: BTreeSet<Name>,
-}
-
 impl VersionTracker {
     /// The name that the service is registered under.
     pub(crate) const NAME: &'static str = "versions";
@@ -232,24 +221,7 @@
     fn listed_versions(&self, now: TimePoint, site: &SiteIndex) -> BTreeMap<Name, ListedVersions> {
         let mut table = self.endpoints.table();
         let services = site.resumable_services().into_iter();
-        let mut listed: BTreeMap<Name, ListedVersions> = services
-            .map(|service| {
-                let recent = table.recent_versions(now, service);
-                (Name::clone(service), ListedVersions { recent, live: BTreeSet::new(), serving: BTreeSet::new() })
-            })
-            .collect();
-        for record in table.iter().filter(|record| record.state == EndpointState::Live) {
-            let Some(listed) = listed.get_mut(&record.service) else {
-                continue;
-            };
-            if !listed.live.contains(&record.version) {
-                listed.live.insert(Name::clone(&record.version));
-            }
-            if !record.is_ejected(now) && !listed.serving.contains(&record.version) {
-                listed.serving.insert(Name::clone(&record.version));
-            }
-        }
-        listed
+        services.map(|service| (Name::clone(service), table.listed_versions(now, service))).collect()
     }
 
     fn turn(&self, service: &Name) -> RecordTurn {
