--- a/crates/hollyhook_core/src/origin/snapshot_writer.rs
+++ b/crates/hollyhook_core/src/origin/snapshot_writer.rs
@@ -59,6 +59,8 @@
     written_at: Option<TimePoint>,
     /// Whether a caller waits for an event until a stream's version is recorded.
     is_urgent: bool,
+    /// Whether the store did not take the content that was sent last.
+    has_failed: bool,
 }
 
 /// What the store may hold.
@@ -184,6 +186,7 @@
 
     /// Records that the store holds the content that was sent last.
     pub fn confirm_write(&mut self) {
+        self.has_failed = false;
         let confirmed = self.stored.pending.take();
         self.stored = StoredSnapshot { is_read: true, is_owned: true, confirmed, ..StoredSnapshot::default() };
     }
@@ -191,6 +194,7 @@
     /// Records that the store rejected the content that was sent last; another one may take its place, unless it was sent
     /// without an answer before. If there was a conflict, the object has to be read.
     pub fn reject_write(&mut self, is_conflict: bool) {
+        self.has_failed = true;
         self.stored.is_read &= !is_conflict;
         if !self.stored.is_unanswered {
             self.stored.pending = None;
@@ -200,6 +204,7 @@
 
     /// Records that the store did not answer, so that it may hold the content, or come to hold it later.
     pub fn record_unanswered(&mut self) {
+        self.has_failed = true;
         (self.stored.is_read, self.stored.is_unanswered) = (false, true);
     }
 
@@ -219,10 +224,12 @@
         self.is_urgent = true;
     }
 
-    /// The versions of a service at which no stream is to begin before the next snapshot; none if no other version is
-    /// live, since callers then wait for the snapshot.
+    /// The versions of a service at which no stream is to begin before the next snapshot.
+    ///
+    /// None if no other version is live, since callers then wait for the snapshot; but if the store does not take it,
+    /// they are better refused at once.
     pub fn closed(&self, service: &str) -> BTreeSet<Name> {
-        if self.closes_all(service) {
+        if self.closes_all(service) && !self.has_failed {
             return BTreeSet::new();
         }
         let versions = self.services.get(service).map(|versions| &versions.possible | &versions.live);
--- a/crates/hollyhook_core/tests/gateway/origin_snapshots.rs
+++ b/crates/hollyhook_core/tests/gateway/origin_snapshots.rs
@@ -237,6 +237,21 @@
     assert_eq!((verdict(&host.writer, "v1"), host.next_write(0)), (RecordVerdict::Recorded, None));
 }
 
+/// Callers waited to their deadlines for a snapshot that the store did not take.
+#[test]
+fn only_version_stays_closed_while_writes_fail() {
+    let mut host = Host::start();
+    host.writer.set_services(services(&["v2"], &["v1", "v2"]));
+    host.write(OriginLedger::LIFETIME.as_millis() as u64);
+    host.writer.set_services(services(&["v1"], &["v1", "v2"]));
+    assert!(host.writer.closed(SERVICE).is_empty());
+    host.writer.begin_write(at(0), &mut host.journal);
+    host.writer.reject_write(false);
+    assert_eq!(host.writer.closed(SERVICE), set(&["v1"]));
+    host.write(0);
+    assert!(!host.writer.closed(SERVICE).contains("v1"));
+}
+
 /// A restored store has lost what it held.
 #[test]
 fn event_waits_after_store_restored() {
