A host that is not ready says what it waits for

Nothing distinguished why a host stayed away from its callers after a start: the readiness check was an empty 503, and no log line named the reason.

The check's body, the lines host.not_ready and host.ready, and the gauges waits_for_configuration, waits_for_endpoints and waits_for_confirmation name it now. The decision stands in one place of the core, HostReadiness.

--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -83,8 +83,8 @@
     is_certain_choice, place_by_priority, place_held_prompt, time_to_first_event,
 };
 pub use site::{
-    AccountConfig, AccountPriorities, CallerLimits, ConfigAdoption, EngineMemory, RequestKind, RouteConfig,
-    ServiceConfig, ServicePriorities, ServiceShare, SiteConfig, SiteIndex, SiteState,
+    AccountConfig, AccountPriorities, CallerLimits, ConfigAdoption, EngineMemory, HostReadiness, ReadinessWait,
+    RequestKind, RouteConfig, ServiceConfig, ServicePriorities, ServiceShare, SiteConfig, SiteIndex, SiteState,
 };
 pub use stop::{StopPhase, StopPlan};
 pub use stream::{
--- a/crates/hollyhook_core/src/site/mod.rs
+++ b/crates/hollyhook_core/src/site/mod.rs
@@ -1,6 +1,8 @@
-//! The site configuration written by the operator (routes, services, client accounts, limits) and the version in force.
+//! The site configuration written by the operator (routes, services, client accounts, limits) the version in force, and
+//! whether a host is ready for callers.
 
 mod account_config;
+mod host_readiness;
 mod route_config;
 mod service_config;
 mod service_priorities;
@@ -9,6 +11,7 @@
 mod site_state;
 
 pub use account_config::AccountConfig;
+pub use host_readiness::{HostReadiness, ReadinessWait};
 pub use route_config::{RequestKind, RouteConfig, ServiceShare};
 pub use service_config::{EngineMemory, ServiceConfig};
 pub use service_priorities::{AccountPriorities, ServicePriorities};
--- a/crates/hollyhook_gateway/src/front/mod.rs
+++ b/crates/hollyhook_gateway/src/front/mod.rs
@@ -13,4 +13,4 @@
 pub(crate) use caller_request::CallerRequest;
 pub(crate) use front_server::{ACCEPT_PAUSE, serve_callers};
 pub(crate) use response_body::{ResponseBody, error_response, full_body};
-pub(crate) use status_server::{metrics_response, readiness_response, serve_status};
+pub(crate) use status_server::{log_readiness, metrics_response, readiness_response, serve_status};
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use hollyhook_core::{
-    ConfigAdoption, EndpointId, FeedTiming, MigrationGate, Name, RequestKind, Result, SiteConfig, SiteIndex, SiteState,
-    StopPhase, StopPlan, TimePoint, ZoneName,
+    ConfigAdoption, EndpointId, FeedTiming, HostReadiness, MigrationGate, Name, ReadinessWait, RequestKind, Result,
+    SiteConfig, SiteIndex, SiteState, StopPhase, StopPlan, TimePoint, ZoneName,
 };
 use hollyhook_kernel::{ServiceRegistry, SystemClock, TimerService};
 use hollyhook_settings::GatewaySettings;
@@ -228,7 +228,7 @@
 
     /// Waits, shortly after the start of the process, until the configuration and the endpoints have been read.
     pub(crate) async fn wait_for_start(&self) {
-        let has_started = || self.site().is_some() && self.has_endpoints.load(Ordering::Relaxed);
+        let has_started = || self.site().is_some() && self.has_endpoints();
         self.wait_while_starting(START_CHECK, has_started).await;
     }
 
@@ -312,10 +312,19 @@
         lock(&self.site).confirm(at);
     }
 
-    /// Whether the host reports to the load balancer that it is ready for callers.
-    pub(crate) fn is_ready(&self) -> bool {
-        let is_serving = self.phase() == StopPhase::Serving;
-        is_serving && self.has_endpoints.load(Ordering::Relaxed) && self.is_site_current()
+    /// What the host waits for that reports to the load balancer that it is not ready for callers; `None` if it is.
+    pub(crate) fn readiness_wait(&self) -> Option<ReadinessWait> {
+        let readiness = HostReadiness {
+            has_site: self.site().is_some(),
+            has_endpoints: self.has_endpoints(),
+            is_site_current: self.is_site_current(),
+        };
+        readiness.wait(self.phase())
+    }
+
+    /// Whether enough endpoints have been read to serve callers.
+    pub(crate) fn has_endpoints(&self) -> bool {
+        self.has_endpoints.load(Ordering::Relaxed)
     }
 
     /// Records that enough endpoints have been read to serve callers.
--- a/crates/hollyhook_gateway/src/gateway/gateway_process.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_process.rs
@@ -9,7 +9,7 @@
 use hollyhook_wire::listen;
 
 use super::GatewayContext;
-use crate::front::{metrics_response, readiness_response, serve_callers, serve_status};
+use crate::front::{log_readiness, metrics_response, readiness_response, serve_callers, serve_status};
 use crate::peer::{HostRegistrar, serve_peers};
 use crate::store::{EndpointWatch, RolloutWatch, SiteWatch, SnapshotRecorder, VersionRecorder};
 
@@ -54,6 +54,7 @@
         task::spawn(SnapshotRecorder::new(Arc::clone(&context)).run());
         task::spawn(Arc::clone(&context.connector).run_checks());
         task::spawn(close_expired_connections(Arc::clone(&context)));
+        task::spawn(log_readiness(Arc::clone(&context)));
         tracing::info!(host = %context.host, zone = %context.zone, listen = %settings.listen, store = %settings.store,
             "gateway.started");
         Ok(Self { context, address, ready_address, metrics_address })
