A record of versions that another writer replaced is written anew

Callers whose streams had been cut by a loss of all hosts were refused for a minute while a record of versions of their service held {} or a text: reading the list of records failed as a whole, was repeated for ever, and no host wrote the record again.

It goes like any version whose streams can't come back. The records of other services hold.

Ruled out: taking a malformed record for none.

--- a/crates/hollyhook_core/src/origin/version_record.rs
+++ b/crates/hollyhook_core/src/origin/version_record.rs
@@ -39,6 +39,10 @@
 }
 
 impl VersionRecord {
+    /// Stands in a record for versions that it held before another writer replaced it. No endpoint runs it, so that it is
+    /// removed like any version whose streams can't come back.
+    pub const LOST_VERSION: &str = "(lost)";
+
     /// Applies what the store holds; `None` if there is no record.
     pub fn apply_reading(&mut self, versions: Option<BTreeSet<Name>>) {
         self.is_current = true;
@@ -51,6 +55,24 @@
         };
     }
 
+    /// Records that another writer has replaced the record by something else; it has to be written anew.
+    ///
+    /// The versions that it held are lost. [`LOST_VERSION`](Self::LOST_VERSION) stands for them, so that a stream of which
+    /// nothing else tells the version counts as possibly theirs, until none can come back.
+    ///
+    /// ```
+    /// use hollyhook_core::VersionRecord;
+    ///
+    /// let set = |names: &[&str]| names.iter().map(|name| (*name).into()).collect();
+    /// let mut record = VersionRecord::default();
+    /// record.apply_unreadable();
+    /// let content = set(&["v1", VersionRecord::LOST_VERSION]);
+    /// assert_eq!(record.missing_content(&set(&["v1"])), Some(content));
+    /// ```
+    pub fn apply_unreadable(&mut self) {
+        self.apply_reading(Some(BTreeSet::from([Self::LOST_VERSION.into()])));
+    }
+
     /// Records that versions may have begun streams, and have gone, without this host having seen them since the reading.
     pub fn require_reading(&mut self) {
         self.is_current = false;
--- a/crates/hollyhook_gateway/src/origin/evidence_reader.rs
+++ b/crates/hollyhook_gateway/src/origin/evidence_reader.rs
@@ -1,10 +1,10 @@
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_std::task;
 use futures::channel::oneshot;
-use hollyhook_core::{Name, SnapshotEvidence};
+use hollyhook_core::{Name, SnapshotEvidence, VersionRecord};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
 use crate::gateway::GatewayContext;
@@ -88,12 +88,11 @@
     // A host whose snapshot says nothing may have begun any stream.
     let decode = |object: &StoreObject| decode_snapshot(object, revision.era).unwrap_or_default();
     let snapshots = snapshots.iter().map(|object| (Name::clone(&object.name), decode(object)));
+    // The version tracker logs a malformed record and writes it anew; those of other services hold.
+    let lost = || BTreeSet::from([VersionRecord::LOST_VERSION.into()]);
     let recorded = records.iter().map(|object| {
-        let versions = hollyhook_platform::decode_versions(object).map_err(StoreError::Malformed)?;
-        Ok((Name::clone(&object.name), versions))
+        let versions = hollyhook_platform::decode_versions(object).unwrap_or_else(|_malformed| lost());
+        (Name::clone(&object.name), versions)
     });
-    Ok(SnapshotEvidence {
-        snapshots: snapshots.collect(),
-        recorded: recorded.collect::<Result<BTreeMap<_, _>, StoreError>>()?,
-    })
+    Ok(SnapshotEvidence { snapshots: snapshots.collect(), recorded: recorded.collect() })
 }
--- a/crates/hollyhook_gateway/src/origin/version_tracker.rs
+++ b/crates/hollyhook_gateway/src/origin/version_tracker.rs
@@ -7,7 +7,7 @@
     VersionRecord,
 };
 use hollyhook_kernel::{ServiceRegistry, TimerService};
-use hollyhook_platform::{FormatError, StoreObject};
+use hollyhook_platform::StoreObject;
 use hollyhook_telemetry::MetricRecorder;
 
 use super::SnapshotTracker;
@@ -179,24 +179,21 @@
     }
 
     /// Applies the list of all records, read in an era of the store.
-    ///
-    /// # Errors
-    ///
-    /// `Malformed` if a record can't be decoded; the others are applied.
-    pub(crate) fn apply_list(&self, objects: &[StoreObject], era: u64) -> std::result::Result<(), FormatError> {
-        let mut outcome = Ok(());
+    pub(crate) fn apply_list(&self, objects: &[StoreObject], era: u64) {
         let mut state = lock(&self.state);
         state.era = era;
         for (service, versions) in &mut state.services {
             let object = objects.iter().find(|object| object.name == *service);
             match object.map(hollyhook_platform::decode_versions).transpose() {
                 Ok(recorded) => versions.record.apply_reading(recorded),
-                Err(error) => outcome = Err(error),
+                Err(error) => {
+                    tracing::error!(%error, %service, "versions.malformed");
+                    versions.record.apply_unreadable();
+                }
             }
         }
         drop(state);
         self.check();
-        outcome
     }
 
     /// What has to be written now, by service.
--- a/crates/hollyhook_gateway/src/store/version_recorder.rs
+++ b/crates/hollyhook_gateway/src/store/version_recorder.rs
@@ -70,7 +70,7 @@
         }
         let timeout = StoreClient::SHARED_RECORD_TIMEOUT;
         let (objects, revision) = self.client.list(ObjectKind::Version, timeout).await?;
-        self.context.versions.apply_list(&objects, revision.era).map_err(StoreError::Malformed)?;
+        self.context.versions.apply_list(&objects, revision.era);
         for (service, versions) in self.context.versions.due_writes() {
             let replaced = objects.iter().find(|object| object.name == service);
             self.write(&service, replaced, versions).await?;
