Names of other writers' objects no longer end the lists of the store

Callers got almost nothing served after all processes had been restarted while an entry of another writer stood in a list of several pages, under a name with &, +, #, %, a blank or the like.

Cause: the name became part of the next page's query as it was. The call was then no valid request, or read as another one: a watch, whose answer passed for an empty last page, or the page after a shorter name, which may be the first page again, without end.

The configuration is taken from the page that holds it, and a host whose list stays unreadable serves with what it has read after 3 s (endpoints.listed_in_part). One loop reads the pages of all kinds.

--- a/crates/hollyhook_gateway/src/store/endpoint_watch.rs
+++ b/crates/hollyhook_gateway/src/store/endpoint_watch.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use async_std::task;
-use hollyhook_core::{EndpointMembership, EndpointRecord, FeedPlan, FeedUpdate, Name, StoreRevision, TimePoint};
+use hollyhook_core::{
+    EndpointMembership, EndpointRecord, EndpointState, FeedPlan, FeedUpdate, Name, StoreRevision, TimePoint,
+};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
+use super::partial_list::PartialList;
 use super::{FeedReader, QuarantineWriter, StoreError};
 use crate::gateway::GatewayContext;
 use crate::origin::OriginSharer;
@@ -23,6 +26,9 @@
 /// The delay at a follower, which calls another host and costs the store nothing. Engines that crash together return
 /// after about a second under new names; until a follower learns the new names, each engine rejects its requests.
 const FOLLOWER_BATCH_DELAY: Duration = Duration::from_millis(400);
+/// How long after the start of the process a host with some live endpoints waits for a whole list whose pages fail.
+/// Without a bound, one page that can't be read would keep all hosts from serving with what the others hold.
+const WHOLE_LIST_WAIT: Duration = Duration::from_secs(3);
 /// Upper bound of the delay that results from [`BATCH_DELAY_PER_ENDPOINT`], as a fraction of the time within which this
 /// host must stop sending requests to a leaving endpoint.
 const MAX_BATCH_FRACTION: f64 = 0.4;
@@ -46,9 +52,9 @@
 
 impl EndpointWatch {
     pub(crate) fn new(context: Arc<GatewayContext>) -> Self {
-        let (shared, mut applied) = (Arc::clone(&context), 0);
+        let shared = Arc::clone(&context);
         let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Endpoint, WATCH_WAIT)
-            .page_callback(move |objects| applied += apply_pages(&shared, objects.get(applied..).unwrap_or_default()));
+            .page_callback(move |list| apply_pages(&shared, list));
         Self {
             context,
             reader,
@@ -65,12 +71,27 @@
         loop {
             match self.step().await {
                 Ok(true) => self.context.timer.wait(self.batch_delay()).await,
-                Ok(false) | Err(StoreError::HistoryGone) => {}
-                Err(_logged) => self.reader.wait_before_retry().await,
+                Ok(false) => {}
+                Err(error) => {
+                    self.serve_in_part(&error);
+                    self.reader.wait_before_retry(&error).await;
+                }
             }
         }
     }
 
+    /// Marks this host as ready with the endpoints that it has read if the first list has failed for too long.
+    fn serve_in_part(&self, error: &StoreError) {
+        let live = self.context.endpoints.table().iter().filter(|record| record.state == EndpointState::Live).count();
+        let is_late = self.context.timer.now() >= TimePoint::ZERO + WHOLE_LIST_WAIT;
+        if self.context.has_endpoints() || live == 0 || !is_late {
+            return;
+        }
+        self.context.recorder.count("endpoints_listed_in_part");
+        tracing::warn!(%error, live, "endpoints.listed_in_part");
+        self.context.mark_endpoints_listed();
+    }
+
     /// The delay after an update with changes before the next update is requested.
     fn batch_delay(&self) -> Duration {
         match self.reader.plan() {
@@ -227,11 +248,15 @@
 /// Hundreds of hosts that start at once read thousands of entries over the store's one link, which takes seconds;
 /// callers need one endpoint, not all. Malformed entries are logged when the list is complete. Returns the number of
 /// objects processed: zero before the configuration is known, because entries are checked against its services.
-fn apply_pages(context: &GatewayContext, objects: &[StoreObject]) -> usize {
+fn apply_pages(context: &GatewayContext, list: &PartialList) -> usize {
+    // Later lists are applied as a whole, since an entry may be older than what this host knows.
+    if context.endpoints.known_ms().is_some() {
+        return list.objects.len();
+    }
     let Some(site) = context.site() else {
         return 0;
     };
-    let present = objects.iter().filter(|object| !object.is_deleting);
+    let present = list.unprocessed().iter().filter(|object| !object.is_deleting);
     for record in present.filter_map(|object| hollyhook_platform::decode_endpoint(object).ok()) {
         context.endpoints.upsert(record);
     }
@@ -240,7 +265,7 @@
     {
         context.mark_endpoints_listed();
     }
-    objects.len()
+    list.objects.len()
 }
 
 /// Removes the entries that were not registered again by the end of the grace period after an outage of the store.
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -20,6 +20,10 @@
 /// copy that the helpers provide ages by this pause.
 const HELPER_PAUSE: Duration = Duration::from_millis(500);
 
+/// Delay after a list that the store answered but that can't be read to its end. All its pages are read again, and what
+/// stands in the store seldom changes sooner.
+const UNREADABLE_LIST_DELAY: Duration = Duration::from_millis(500);
+
 /// Number of endpoints above which a list counts as long: the store returns a list of this length in a few pages, and
 /// the smallest host sends it in a quarter of a second.
 const LONG_LIST_LEN: usize = 1_000;
@@ -46,6 +50,8 @@
     pub(super) partial_list: Option<PartialList>,
     /// Called after each page of the first list but the last.
     pub(super) page_callback: Option<PageCallback>,
+    /// Whether the last update was requested as a list of all objects.
+    is_listing: bool,
     /// Whether the last update came from a helper, a host that is asked when the store does not answer.
     is_from_helper: bool,
 }
@@ -67,13 +73,14 @@
             lost_at: None,
             partial_list: None,
             page_callback: None,
+            is_listing: true,
             is_from_helper: false,
         }
     }
 
-    /// Sets a callback that receives the objects read so far after each page of the first list, so that a host that
-    /// has just started can serve requests before its list is complete.
-    pub(crate) fn page_callback(mut self, callback: impl FnMut(&[StoreObject]) + Send + Sync + 'static) -> Self {
+    /// Sets a callback that receives a list after each of its pages but the last, and returns how many of its objects it
+    /// has processed, so that a host can serve requests before a list is complete, and if it never is.
+    pub(crate) fn page_callback(mut self, callback: impl Fn(&PartialList) -> usize + Send + Sync + 'static) -> Self {
         self.page_callback = Some(PageCallback(Box::new(callback)));
         self
     }
@@ -92,7 +99,8 @@
         if std::mem::take(&mut self.is_from_helper) {
             self.context.timer.wait(HELPER_PAUSE).await;
         }
-        if self.revision.is_some() {
+        self.is_listing = self.revision.is_none();
+        if !self.is_listing {
             self.context.wait_for_hosts().await;
         }
         let plan = self.plan();
@@ -145,8 +153,16 @@
         self.context.feed.helpers(self.context.timer.now())
     }
 
-    /// Waits for the retry delay after a failed call.
-    pub(crate) async fn wait_before_retry(&self) {
+    /// Waits for the retry delay after a failed call; not where all objects have to be listed after a watch.
+    pub(crate) async fn wait_before_retry(&self, error: &StoreError) {
+        match error {
+            StoreError::HistoryGone if !self.is_listing => return,
+            StoreError::HistoryGone | StoreError::EndlessList | StoreError::Malformed(_) if self.is_listing => {
+                self.context.timer.wait(UNREADABLE_LIST_DELAY).await;
+                return;
+            }
+            _ => {}
+        }
         let now = self.context.timer.now();
         let pause = if self.plan().sources().is_empty() {
             self.contact.retry_delay(now)
--- a/crates/hollyhook_gateway/src/store/list_reading.rs
+++ b/crates/hollyhook_gateway/src/store/list_reading.rs
@@ -12,14 +12,14 @@
 /// history of changes for longer, so that a watch from the first page's revision returns what changed meanwhile.
 const PARTIAL_LIST_LIFETIME: Duration = Duration::from_secs(5);
 
-/// Callback that receives the objects read so far, after each page of a reader's first list but the last.
+/// Callback that receives a list after each of its pages but the last, and returns how many of its objects it has processed.
 pub(super) struct PageCallback(pub(super) Box<PageFn>);
 
-pub(super) type PageFn = dyn FnMut(&[StoreObject]) + Send + Sync;
+pub(super) type PageFn = dyn Fn(&PartialList) -> usize + Send + Sync;
 
 impl fmt::Debug for PageCallback {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("PartTaker")
+        f.write_str("PageCallback")
     }
 }
 
@@ -52,14 +52,11 @@
                 }
             };
             page.objects = page.objects.into_iter().map(|object| strip(self.kind, object)).collect();
-            if !list.add_page(era, page) {
-                // The store was restored from an older copy between two pages, which therefore don't form one list.
-                return Err(StoreError::HistoryGone);
-            }
+            list.add_page(era, page)?;
             if list.after.is_none() {
                 break;
             }
-            self.report_pages(&list).await;
+            self.report_pages(&mut list).await;
             // The source may become known only now, while the store is busy with the lists of all starting hosts.
             if !has_asked_source {
                 self.context.wait_for_list_source().await;
@@ -72,14 +69,13 @@
         Ok(into_snapshot(list))
     }
 
-    /// Passes the objects read so far to the callback, if there is one and this is the reader's first list.
-    async fn report_pages(&mut self, list: &PartialList) {
-        if self.confirmed_until > TimePoint::ZERO || self.page_callback.is_none() {
-            return;
+    /// Passes a list to the callback, if there is one.
+    async fn report_pages(&mut self, list: &mut PartialList) {
+        if self.kind == ObjectKind::Endpoint {
+            self.context.wait_for_site().await;
         }
-        self.context.wait_for_site().await;
-        if let Some(PageCallback(callback)) = self.page_callback.as_mut() {
-            callback(&list.objects);
+        if let Some(PageCallback(callback)) = &self.page_callback {
+            list.processed = callback(list);
         }
     }
 
--- a/crates/hollyhook_gateway/src/store/site_watch.rs
+++ b/crates/hollyhook_gateway/src/store/site_watch.rs
@@ -4,6 +4,7 @@
 use hollyhook_core::{ConfigAdoption, TimePoint};
 use hollyhook_platform::{ObjectKind, StoreObject};
 
+use super::partial_list::PartialList;
 use super::{FeedReader, StoreError};
 use crate::gateway::GatewayContext;
 
@@ -23,7 +24,9 @@
 
 impl SiteWatch {
     pub(crate) fn new(context: Arc<GatewayContext>) -> Self {
-        let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Configuration, WATCH_WAIT);
+        let shared = Arc::clone(&context);
+        let reader = FeedReader::new(Arc::clone(&context), ObjectKind::Configuration, WATCH_WAIT)
+            .page_callback(move |list| apply_pages(&shared, list));
         Self { context, reader }
     }
 
@@ -32,9 +35,7 @@
         loop {
             if let Err(error) = self.step().await {
                 tracing::debug!(%error, "site.read_failed");
-                if !matches!(error, StoreError::HistoryGone) {
-                    self.reader.wait_before_retry().await;
-                }
+                self.reader.wait_before_retry(&error).await;
             }
         }
     }
@@ -46,25 +47,34 @@
             return Ok(());
         }
         for object in update.changes.iter().filter_map(|change| change.object.as_ref()) {
-            self.adopt(object, update.confirmed_until, update.revision.era);
+            adopt(&self.context, object, update.confirmed_until, update.revision.era);
         }
         if !update.is_snapshot {
             self.context.timer.wait(BATCH_DELAY).await;
         }
         Ok(())
     }
+}
+
+/// Applies the configuration of a list as soon as its page has been read, since other objects of the kind don't matter.
+fn apply_pages(context: &GatewayContext, list: &PartialList) -> usize {
+    let era = list.revision.unwrap_or_default().era;
+    for object in list.unprocessed().iter().filter(|object| !object.is_deleting) {
+        adopt(context, object, list.started_at, era);
+    }
+    list.objects.len()
+}
 
-    fn adopt(&self, object: &StoreObject, read_at: TimePoint, era: u64) {
-        match hollyhook_platform::decode_site(object) {
-            Ok(Some(config)) => {
-                let version = config.version;
-                let adoption = self.context.adopt_site(config, read_at, era);
-                if adoption != ConfigAdoption::Same {
-                    tracing::info!(version, revision = object.revision, adoption = ?adoption, "site.read");
-                }
+fn adopt(context: &GatewayContext, object: &StoreObject, read_at: TimePoint, era: u64) {
+    match hollyhook_platform::decode_site(object) {
+        Ok(Some(config)) => {
+            let version = config.version;
+            let adoption = context.adopt_site(config, read_at, era);
+            if adoption != ConfigAdoption::Same {
+                tracing::info!(version, revision = object.revision, adoption = ?adoption, "site.read");
             }
-            Ok(None) => {}
-            Err(error) => tracing::error!(%error, object = %object.name, revision = object.revision, "site.malformed"),
         }
+        Ok(None) => {}
+        Err(error) => tracing::error!(%error, object = %object.name, revision = object.revision, "site.malformed"),
     }
 }
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -10,6 +10,7 @@
 use hollyhook_platform::{FormatError, ObjectKind, RolloutStatus, StoreChange, StoreObject, StorePage, TrialReport};
 use http::{Method, Response, StatusCode};
 
+use super::partial_list::PartialList;
 use crate::gateway::GatewayContext;
 use crate::net::{ExchangeError, PersistentClient, build_request};
 use crate::peer::FeedState;
@@ -34,6 +35,8 @@
     Rejected,
     /// The response could not be decoded.
     Malformed(FormatError),
+    /// A page of a list holds only objects of earlier pages, and more pages are to follow.
+    EndlessList,
 }
 
 impl fmt::Display for StoreError {
@@ -46,6 +49,7 @@
             Self::Missing => f.write_str("there is no such object"),
             Self::Rejected => f.write_str("call to the store failed: unexpected HTTP status"),
             Self::Malformed(error) => error.fmt(f),
+            Self::EndlessList => f.write_str("the store repeats pages of the list instead of continuing it"),
         }
     }
 }
@@ -58,6 +62,7 @@
 
 /// Client of the platform's store; sends one call after another over one persistent connection.
 pub(crate) struct StoreClient {
+    timer: TimerService,
     client: PersistentClient,
     /// Tracks the newest era of the store that this host has seen, in answers of the store or of other hosts.
     feed: Arc<FeedState>,
@@ -73,8 +78,10 @@
 
     pub(crate) fn new(context: &Arc<GatewayContext>) -> Self {
         let address_context = Arc::clone(context);
+        let timer = TimerService::clone(&context.timer);
         Self {
-            client: PersistentClient::new(TimerService::clone(&context.timer)),
+            client: PersistentClient::new(timer.clone()),
+            timer,
             feed: Arc::clone(&context.feed),
             address: Box::new(move || address_context.store_address()),
             listed_address: None,
@@ -139,22 +146,12 @@
         path: impl Fn(Option<&str>) -> String,
         timeout: Duration,
     ) -> Result<(Vec<StoreObject>, StoreRevision), StoreError> {
-        let mut objects = Vec::new();
-        let mut first_revision = None;
-        let mut after = None;
+        let mut list = PartialList::new(self.timer.now());
         loop {
-            let (era, page) = self.read_page(&path(after.as_deref()), timeout).await?;
-            objects.extend(page.objects);
-            // A watch from the first page's revision also returns the changes made while later pages were read.
-            let page_revision = StoreRevision::new(era, page.revision);
-            let revision = *first_revision.get_or_insert(page_revision);
-            if revision.era != era {
-                // The store was restored from an older copy between two pages, which therefore don't form one list.
-                return Err(StoreError::HistoryGone);
-            }
-            match page.next_after {
-                Some(name) => after = Some(name),
-                None => return Ok((objects, revision)),
+            let (era, page) = self.read_page(&path(list.after.as_deref()), timeout).await?;
+            list.add_page(era, page)?;
+            if list.after.is_none() {
+                return Ok((list.objects, list.revision.unwrap_or_default()));
             }
         }
     }
