The time limits of calls to the store follow its answers

Callers got 503 (platform_down) for most of the time, for good, while each answer of the store took 0.8 s or more, after a restart of all hosts or at any other time.

Cause: a call was given up after a fixed time, 0.7 to 1.5 s beyond its wait, and its connection closed just before the answer; the next one had the same limit. The store counted as lost at every call, and the configuration was older than API keys may be accepted for. The class: fixed time limits where the limit should follow the answers seen.

StoreLatency estimates the time of an answer from all answers that a host sees (RFC 6298), and the limits of watches, lists, writes and single reads follow it, up to 3.5 s. Reads of the configuration and of the endpoints whose limit has passed stay open beside the next ones: the same answer is used when it comes, any other shows how long the store takes. While the store is lost the limits of these stay short, so that a silent store's return is found as soon as before. A watch waits the shorter the slower the store is, so that a dead connection is found within the bound on the contact, and a configuration is confirmed in time. The smoothed duration of the token latencies serves both.

In contact.rs two tests pass the contact bound as a new argument; their checks are the same.

--- a/crates/hollyhook_core/src/feed/store_contact.rs
+++ b/crates/hollyhook_core/src/feed/store_contact.rs
@@ -1,8 +1,9 @@
 use std::time::Duration;
 
+use super::StoreLatency;
 use crate::{EndpointMembership, TimePoint};
 
-/// Time that a watch may take beyond the requested wait, at a slow store.
+/// Time that a watch may take beyond the requested wait, at a store that has not answered more slowly so far.
 const WATCH_SLACK: Duration = Duration::from_millis(800);
 /// Time to read all objects again after a call timed out. Larger sites read several pages.
 const READ_MARGIN: Duration = Duration::from_millis(250);
@@ -58,9 +59,15 @@
     failures: usize,
     /// When the last answer arrived, from the store or from a host that reads it for others.
     answered_at: TimePoint,
+    latency: StoreLatency,
 }
 
 impl StoreContact {
+    /// Updates how long the store takes to answer, which all calls of this host observe.
+    pub fn set_latency(&mut self, latency: StoreLatency) {
+        self.latency = latency;
+    }
+
     /// Whether the last call failed.
     pub fn is_unavailable(&self) -> bool {
         self.lost_at.is_some()
@@ -104,7 +111,7 @@
     }
 
     /// How long the next watch waits: `usual`, or less if a dead connection would be detected too late, or while the
-    /// store is unavailable.
+    /// store is unavailable. The wait is shorter the longer the store takes to answer.
     ///
     /// The connection may have died as soon as the last answer arrived, also while changes were batched (up to 0.8 s)
     /// or other hosts were asked (up to 1.7 s).
@@ -112,18 +119,36 @@
         if self.is_unavailable() {
             return PROBE_WAIT;
         }
-        let limit = contact_bound.saturating_sub(WATCH_SLACK + READ_MARGIN).saturating_sub(now.since(self.answered_at));
+        let slack = self.watch_slack(contact_bound);
+        let limit = contact_bound.saturating_sub(slack + READ_MARGIN).saturating_sub(now.since(self.answered_at));
         usual.min(limit).max(PROBE_WAIT)
     }
 
+    /// How long watches may wait if each of them has to confirm what is known within `bound` of the confirmation before.
+    ///
+    /// What a watch confirms is as old as its answer took, and the next one arrives a wait and another answer later.
+    pub fn confirming_wait(&self, bound: Duration) -> Duration {
+        bound.saturating_sub(self.latency.limit(Duration::ZERO) * 2 + READ_MARGIN).max(PROBE_WAIT)
+    }
+
+    /// Time that a watch may take beyond its wait, so that a dead connection is detected within the bound on the contact.
+    fn watch_slack(&self, contact_bound: Duration) -> Duration {
+        let longest = contact_bound.saturating_sub(READ_MARGIN + PROBE_WAIT).max(WATCH_SLACK);
+        self.latency.limit(WATCH_SLACK).min(longest)
+    }
+
     /// Timeout of a watch that waits for `wait`.
-    pub fn watch_timeout(&self, wait: Duration) -> Duration {
-        if self.is_unavailable() { wait + self.call_timeout() } else { wait + WATCH_SLACK }
+    pub fn watch_timeout(&self, wait: Duration, contact_bound: Duration) -> Duration {
+        wait + if self.is_unavailable() { self.call_timeout() } else { self.watch_slack(contact_bound) }
     }
 
     /// Timeout of the next call that is not a watch.
+    ///
+    /// After a failed call it does not follow the store's latency, so that the return of a silent store is detected as
+    /// soon; a call whose timeout has passed may still be answered while the next one is under way.
     pub fn call_timeout(&self) -> Duration {
-        CALL_TIMEOUTS[self.failures % CALL_TIMEOUTS.len()]
+        let timeout = CALL_TIMEOUTS[self.failures % CALL_TIMEOUTS.len()];
+        if self.is_unavailable() { timeout } else { self.latency.limit(timeout) }
     }
 
     /// The delay before the next call, after a failed one.
--- a/crates/hollyhook_core/src/generation/latency_estimator.rs
+++ b/crates/hollyhook_core/src/generation/latency_estimator.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::RelayPolicy;
-use crate::time::span_millis;
+use crate::time::{SmoothedDuration, span_millis};
 
 /// How long a stream may deliver nothing before it is suspected of being broken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -51,36 +51,3 @@
         }
     }
 }
-
-#[derive(Debug, Clone, Default)]
-struct SmoothedDuration {
-    mean_us: f64,
-    deviation_us: f64,
-    has_sample: bool,
-}
-
-impl SmoothedDuration {
-    const MEAN_GAIN: f64 = 0.125;
-    const DEVIATION_GAIN: f64 = 0.25;
-
-    fn observe(&mut self, span: Duration) {
-        let sample = span.as_micros() as f64;
-        if !self.has_sample {
-            self.mean_us = sample;
-            self.deviation_us = sample / 2.0;
-            self.has_sample = true;
-            return;
-        }
-        let distance = (sample - self.mean_us).abs();
-        self.deviation_us += Self::DEVIATION_GAIN * (distance - self.deviation_us);
-        self.mean_us += Self::MEAN_GAIN * (sample - self.mean_us);
-    }
-
-    fn timeout(&self, factor: f64, floor: Duration, ceiling: Duration) -> Duration {
-        if !self.has_sample {
-            return ceiling;
-        }
-        let micros = self.mean_us + factor * self.deviation_us;
-        Duration::from_micros(micros as u64).clamp(floor, ceiling)
-    }
-}
--- a/crates/hollyhook_core/src/lib.rs
+++ b/crates/hollyhook_core/src/lib.rs
@@ -44,7 +44,7 @@
 pub use error::{Answer, Error, ErrorKind, Result, RunState, answer_for};
 pub use feed::{
     EraTracker, EraVerdict, FeedChange, FeedLog, FeedPlan, FeedTiming, FeedTopology, FeedUpdate, HostRecord,
-    SkipReason, StoreContact, StoreRevision, is_helper_stale, snapshot_limit,
+    SkipReason, StoreContact, StoreLatency, StoreRevision, is_helper_stale, snapshot_limit,
 };
 pub use forward::{
     AnswerHead, AnswerVerdict, AttemptBasis, AttemptFailure, AttemptKey, AttemptLedger, AttemptRace, CallerHead,
--- a/crates/hollyhook_core/tests/gateway/contact.rs
+++ b/crates/hollyhook_core/tests/gateway/contact.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollyhook_core::{EndpointMembership, StoreContact, TimePoint};
+use hollyhook_core::{EndpointMembership, StoreContact, StoreLatency, TimePoint};
 
 const CONTACT: Duration = Duration::from_secs(3);
 const USUAL: Duration = Duration::from_secs(3);
@@ -101,7 +101,7 @@
         let contact = StoreContact::default();
         let wait = contact.watch_wait(TimePoint::ZERO, USUAL, millis(bound));
         assert!(wait <= USUAL);
-        let timeout = contact.watch_timeout(wait);
+        let timeout = contact.watch_timeout(wait, millis(bound));
         assert!(timeout + millis(200) <= millis(bound).max(millis(1_050)), "{timeout:?} of {bound}");
     }
 }
@@ -114,7 +114,7 @@
         let mut contact = StoreContact::default();
         contact.note_peer_answer(at(10_000));
         let now = at(10_000 + pause);
-        let timeout = contact.watch_timeout(contact.watch_wait(now, USUAL, CONTACT));
+        let timeout = contact.watch_timeout(contact.watch_wait(now, USUAL, CONTACT), CONTACT);
         assert!(timeout + millis(200) <= millis((3_000 - pause.min(3_000)).max(1_050)), "{timeout:?} after {pause}");
     }
 }
@@ -149,3 +149,48 @@
     assert_eq!(unavailable_since(9_000).retry_delay(at(9_700)), Duration::ZERO);
     assert_eq!(StoreContact::default().retry_delay(at(9_000)), Duration::ZERO, "nothing failed");
 }
+
+/// A contact whose store takes this long to answer.
+fn contact_at_slow_store(latency: Duration) -> StoreContact {
+    let (mut contact, mut estimate) = (StoreContact::default(), StoreLatency::default());
+    for _ in 0..30 {
+        estimate.observe(latency);
+    }
+    contact.set_latency(estimate);
+    contact.note_peer_answer(TimePoint::from_millis(10_000));
+    contact
+}
+
+/// A store whose answers come later than usual is not taken for lost, and a dead connection is still found in time.
+#[test]
+fn watch_timeout_follows_slow_store() {
+    for latency in [4, 500, 900, 1_400, 2_000, 2_600].map(Duration::from_millis) {
+        let contact = contact_at_slow_store(latency);
+        let wait = contact.watch_wait(TimePoint::from_millis(10_000), USUAL, CONTACT);
+        let timeout = contact.watch_timeout(wait, CONTACT);
+        assert!(timeout >= wait + latency, "{latency:?}: {wait:?} and {timeout:?}");
+        assert!(timeout < CONTACT, "{latency:?}: {timeout:?}");
+    }
+}
+
+/// Two answers and the wait between them fit into the time for which a configuration stays confirmed.
+#[test]
+fn confirming_wait_follows_slow_store() {
+    let bound = Duration::from_millis(3_750);
+    for latency in [4, 800, 1_400, 1_700].map(Duration::from_millis) {
+        let wait = contact_at_slow_store(latency).confirming_wait(bound);
+        assert!(latency * 2 + wait <= bound, "{latency:?}: {wait:?}");
+    }
+    assert!(contact_at_slow_store(Duration::from_millis(4)).confirming_wait(bound) > USUAL);
+}
+
+/// While a store is silent, its return is found as soon as if it had always been fast.
+#[test]
+fn call_timeout_of_lost_store_unchanged() {
+    let (mut slow, mut fast) = (contact_at_slow_store(Duration::from_secs(2)), StoreContact::default());
+    for _ in 0..6 {
+        slow.note_failure(TimePoint::from_millis(10_000));
+        fast.note_failure(TimePoint::from_millis(10_000));
+        assert_eq!(slow.call_timeout(), fast.call_timeout());
+    }
+}
--- a/crates/hollyhook_gateway/src/gateway/gateway_context.rs
+++ b/crates/hollyhook_gateway/src/gateway/gateway_context.rs
@@ -298,8 +298,12 @@
     ///
     /// If it was, no accepted key was revoked longer ago than the bound on accepting revoked keys.
     pub(crate) fn is_site_current(&self) -> bool {
-        let bound = lock(&self.live).bounds.revoke.saturating_sub(CONFIRMATION_MARGIN);
-        lock(&self.site).is_current(self.timer.now(), bound)
+        lock(&self.site).is_current(self.timer.now(), self.confirmation_bound())
+    }
+
+    /// How long after its last confirmation the configuration is current enough to accept API keys.
+    pub(crate) fn confirmation_bound(&self) -> Duration {
+        lock(&self.live).bounds.revoke.saturating_sub(CONFIRMATION_MARGIN)
     }
 
     /// Applies a configuration that was the newest in the store at `read_at`, in the given era of the store.
--- a/crates/hollyhook_gateway/src/peer/feed_state.rs
+++ b/crates/hollyhook_gateway/src/peer/feed_state.rs
@@ -2,11 +2,12 @@
 use std::net::IpAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use futures::channel::oneshot;
 use hollyhook_core::{
-    EraTracker, EraVerdict, FeedLog, FeedPlan, FeedTopology, FeedUpdate, HostRecord, Name, SkipReason, StoreRevision,
-    TimePoint, ZoneName, snapshot_limit,
+    EraTracker, EraVerdict, FeedLog, FeedPlan, FeedTopology, FeedUpdate, HostRecord, Name, SkipReason, StoreLatency,
+    StoreRevision, TimePoint, ZoneName, snapshot_limit,
 };
 use hollyhook_platform::{ObjectKind, StoreObject};
 
@@ -24,6 +25,7 @@
     /// Whether the hosts of all zones have been listed.
     has_all_zones: AtomicBool,
     eras: Mutex<EraTracker>,
+    latency: Mutex<StoreLatency>,
     /// Most objects that are sent in one snapshot.
     snapshot_limit: usize,
 }
@@ -41,6 +43,7 @@
             is_listing: AtomicBool::new(false),
             has_all_zones: AtomicBool::new(false),
             eras: Mutex::default(),
+            latency: Mutex::default(),
             snapshot_limit: snapshot_limit(link_mbps),
         }
     }
@@ -55,6 +58,16 @@
         lock(&self.eras).observe(era)
     }
 
+    /// How long the store takes to answer this host.
+    pub(crate) fn latency(&self) -> StoreLatency {
+        *lock(&self.latency)
+    }
+
+    /// Records how long an answer of the store took, beyond the time for which the call asked it to wait.
+    pub(crate) fn observe_latency(&self, latency: Duration) {
+        lock(&self.latency).observe(latency);
+    }
+
     /// Records that the other hosts will be listed soon.
     pub(crate) fn begin_listing(&self) {
         self.is_listing.store(true, Ordering::Relaxed);
--- a/crates/hollyhook_gateway/src/store/feed_reader.rs
+++ b/crates/hollyhook_gateway/src/store/feed_reader.rs
@@ -58,7 +58,7 @@
 
 impl FeedReader {
     pub(crate) fn new(context: Arc<GatewayContext>, kind: ObjectKind, watch_wait: Duration) -> Self {
-        let client = StoreClient::new(&context);
+        let client = StoreClient::new(&context).late_reads();
         let peers = PeerClient::new(context.timer.as_ref().clone());
         Self {
             context,
@@ -185,6 +185,8 @@
         self.era = update.revision.era;
         self.confirmed_until = update.confirmed_until;
         self.context.feed.apply(self.kind, update);
+        // An answer that is still to come may be older than this update.
+        self.client.forget_late_reads();
     }
 
     /// Asks hosts in turn for an update, and returns the first usable one. Hosts that did not provide one are skipped
@@ -262,6 +264,7 @@
         usual_wait: Duration,
     ) -> Result<FeedUpdate<StoreObject>, StoreError> {
         let started_at = self.context.timer.now();
+        self.contact.set_latency(self.context.feed.latency());
         let mut outcome = match revision {
             Some(revision) => self.watch(started_at, revision, usual_wait).await,
             None => self.list(started_at).await,
@@ -317,8 +320,14 @@
         revision: StoreRevision,
         usual_wait: Duration,
     ) -> Result<FeedUpdate<StoreObject>, StoreError> {
+        let usual_wait = match self.kind {
+            ObjectKind::Configuration => {
+                usual_wait.min(self.contact.confirming_wait(self.context.confirmation_bound()))
+            }
+            _ => usual_wait,
+        };
         let wait = self.contact.watch_wait(started_at, usual_wait, self.context.contact_bound());
-        let timeout = self.contact.watch_timeout(wait);
+        let timeout = self.contact.watch_timeout(wait, self.context.contact_bound());
         let (changes, revision) = self.client.watch(self.kind, revision, wait, timeout).await?;
         let is_unchanged = changes.is_empty();
         // A watch that returned no changes waited its full time, and there were none until its end.
--- a/crates/hollyhook_gateway/src/store/list_reading.rs
+++ b/crates/hollyhook_gateway/src/store/list_reading.rs
@@ -42,17 +42,18 @@
             return Ok(update);
         }
         loop {
-            let (era, mut page) = match self.client.list_page(self.kind, list.after.as_deref(), timeout).await {
-                Ok(answer) => answer,
+            let mut read = match self.client.list_page(self.kind, list.after.as_deref(), timeout).await {
+                Ok(read) => read,
                 Err(error) => {
-                    self.partial_list = Some(list).filter(|_| {
-                        matches!(error, StoreError::Unavailable(_) | StoreError::Rejected | StoreError::Throttled)
-                    });
+                    let may_continue =
+                        matches!(error, StoreError::Unavailable(_) | StoreError::Rejected | StoreError::Throttled);
+                    self.partial_list = Some(list).filter(|list| may_continue && list.revision.is_some());
                     return Err(error);
                 }
             };
-            page.objects = page.objects.into_iter().map(|object| strip(self.kind, object)).collect();
-            list.add_page(era, page)?;
+            let objects = std::mem::take(&mut read.page.objects);
+            read.page.objects = objects.into_iter().map(|object| strip(self.kind, object)).collect();
+            list.add_page(read)?;
             if list.after.is_none() {
                 break;
             }
--- a/crates/hollyhook_gateway/src/store/mod.rs
+++ b/crates/hollyhook_gateway/src/store/mod.rs
@@ -7,6 +7,7 @@
 
 mod endpoint_watch;
 mod feed_reader;
+mod late_reads;
 mod list_reading;
 mod partial_list;
 mod quarantine_writer;
--- a/crates/hollyhook_gateway/src/store/partial_list.rs
+++ b/crates/hollyhook_gateway/src/store/partial_list.rs
@@ -1,9 +1,10 @@
 use std::collections::HashSet;
 
 use hollyhook_core::{Name, StoreRevision, TimePoint};
-use hollyhook_platform::{StoreObject, StorePage};
+use hollyhook_platform::StoreObject;
 
 use super::StoreError;
+use super::store_client::ReadPage;
 
 /// The pages read so far of a list of all objects of a kind.
 ///
@@ -12,7 +13,7 @@
 /// calls would continue to fail.
 #[derive(Debug)]
 pub(crate) struct PartialList {
-    /// When the first page was requested; later changes may be missing.
+    /// When the first page was requested, or a later one that was answered late; later changes may be missing.
     pub(super) started_at: TimePoint,
     pub(super) objects: Vec<StoreObject>,
     /// The names of the objects.
@@ -41,7 +42,9 @@
     ///
     /// `HistoryGone` if the page is of another era than the first one: the store was restored from an older copy in
     /// between, and the pages don't form one list. `EndlessList` if more pages follow but this one holds nothing new.
-    pub(super) fn add_page(&mut self, era: u64, page: StorePage) -> Result<(), StoreError> {
+    pub(super) fn add_page(&mut self, read: ReadPage) -> Result<(), StoreError> {
+        let ReadPage { era, page, sent_at } = read;
+        self.started_at = self.started_at.min(sent_at);
         let revision = *self.revision.get_or_insert(StoreRevision::new(era, page.revision));
         if revision.era != era {
             return Err(StoreError::HistoryGone);
--- a/crates/hollyhook_gateway/src/store/store_client.rs
+++ b/crates/hollyhook_gateway/src/store/store_client.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollyhook_core::{CrashRecords, EraVerdict, HostRecord, Name, OriginSnapshot, RolloutOrder, StoreRevision};
+use hollyhook_core::{
+    CrashRecords, EraVerdict, HostRecord, Name, OriginSnapshot, RolloutOrder, StoreLatency, StoreRevision, TimePoint,
+};
 use hollyhook_kernel::TimerService;
 use hollyhook_platform::{FormatError, ObjectKind, RolloutStatus, StoreChange, StoreObject, StorePage, TrialReport};
 use http::{Method, Response, StatusCode};
 
+use super::late_reads::{EndedRead, LateReads, ReadFuture, ReadQuery};
 use super::partial_list::PartialList;
 use crate::gateway::GatewayContext;
 use crate::net::{ExchangeError, PersistentClient, build_request};
@@ -60,6 +63,24 @@
     }
 }
 
+/// A successful answer to a read.
+struct StoreAnswer {
+    /// The era of the store.
+    era: u64,
+    body: Bytes,
+    sent_at: TimePoint,
+}
+
+/// A page of a list, as read from the store.
+#[derive(Debug)]
+pub(super) struct ReadPage {
+    /// The era of the store.
+    pub(super) era: u64,
+    pub(super) page: StorePage,
+    /// When the page was requested; later changes may be missing.
+    pub(super) sent_at: TimePoint,
+}
+
 /// Client of the platform's store; sends one call after another over one persistent connection.
 pub(crate) struct StoreClient {
     timer: TimerService,
@@ -70,6 +91,8 @@
     address: Box<dyn Fn() -> SocketAddr + Send + Sync>,
     /// Address of the store at which the last list began; revisions of a store at another address are not comparable.
     listed_address: Option<SocketAddr>,
+    /// Reads that may still be answered after their time limit; `None` where an answer must not be older than its call.
+    late_reads: Option<LateReads>,
 }
 
 impl StoreClient {
@@ -85,6 +108,21 @@
             feed: Arc::clone(&context.feed),
             address: Box::new(move || address_context.store_address()),
             listed_address: None,
+            late_reads: None,
+        }
+    }
+
+    /// Uses an answer that comes after its read's time limit, as long as the same is still to be read. The time limits of
+    /// reads are then the caller's, and don't follow the store's latency.
+    pub(crate) fn late_reads(mut self) -> Self {
+        self.late_reads = Some(LateReads::default());
+        self
+    }
+
+    /// Gives up reads whose time limit has passed: what they may return is older than what is known by now.
+    pub(crate) fn forget_late_reads(&mut self) {
+        if let Some(late_reads) = &mut self.late_reads {
+            late_reads.clear();
         }
     }
 
@@ -103,18 +141,18 @@
         self.read_pages(|after| hollyhook_platform::list_path(kind, after), timeout).await
     }
 
-    /// Reads the page of objects of a kind that follow the name `after`, and returns it with the store's era.
+    /// Reads the page of objects of a kind that follow the name `after`.
     ///
     /// # Errors
     ///
     /// `HistoryGone` if the store's address changed since the first page; otherwise why the page was not read within
     /// `timeout`.
-    pub(crate) async fn list_page(
+    pub(super) async fn list_page(
         &mut self,
         kind: ObjectKind,
         after: Option<&str>,
         timeout: Duration,
-    ) -> Result<(u64, StorePage), StoreError> {
+    ) -> Result<ReadPage, StoreError> {
         let address = (self.address)();
         if after.is_none() {
             self.listed_address = Some(address);
@@ -125,13 +163,14 @@
         self.read_page(&hollyhook_platform::list_path(kind, after), timeout).await
     }
 
-    async fn read_page(&mut self, path: &str, timeout: Duration) -> Result<(u64, StorePage), StoreError> {
-        let (era, body) = self.call(Method::GET, path, Bytes::new(), timeout).await?;
+    async fn read_page(&mut self, path: &str, timeout: Duration) -> Result<ReadPage, StoreError> {
+        let StoreAnswer { era, body, sent_at } = self.read(path, Duration::ZERO, timeout).await?;
+        self.feed.observe_latency(self.timer.now().since(sent_at));
         let page: StorePage = hollyhook_platform::decode_page(&body).map_err(StoreError::Malformed)?;
         if page.unnamed_count > 0 {
             tracing::error!(count = page.unnamed_count, "store.objects_nameless");
         }
-        Ok((era, page))
+        Ok(ReadPage { era, page, sent_at })
     }
 
     /// Lists the registered hosts of an availability zone; the list may be some seconds old.
@@ -148,8 +187,8 @@
     ) -> Result<(Vec<StoreObject>, StoreRevision), StoreError> {
         let mut list = PartialList::new(self.timer.now());
         loop {
-            let (era, page) = self.read_page(&path(list.after.as_deref()), timeout).await?;
-            list.add_page(era, page)?;
+            let page = self.read_page(&path(list.after.as_deref()), timeout).await?;
+            list.add_page(page)?;
             if list.after.is_none() {
                 return Ok((list.objects, list.revision.unwrap_or_default()));
             }
@@ -178,12 +217,15 @@
             return Err(StoreError::HistoryGone);
         }
         let path = hollyhook_platform::watch_path(kind, revision.number, wait);
-        let (era, body) = self.call(Method::GET, &path, Bytes::new(), timeout).await?;
+        let StoreAnswer { era, body, sent_at } = self.read(&path, wait, timeout).await?;
         if era != revision.era {
             // The store was restored from an older copy: its changes after this revision are not all that changed.
             return Err(StoreError::HistoryGone);
         }
         let (changes, number) = hollyhook_platform::decode_changes(&body).map_err(StoreError::Malformed)?;
+        if changes.is_empty() {
+            self.feed.observe_latency(self.timer.now().since(sent_at + wait));
+        }
         Ok((changes, StoreRevision::new(era, number)))
     }
 
@@ -214,8 +256,8 @@
     /// Reads one object by its name.
     pub(crate) async fn read_object(&mut self, kind: ObjectKind, name: &str) -> Result<StoreObject, StoreError> {
         let path = hollyhook_platform::object_path(kind, name);
-        let (_era, body) = self.call(Method::GET, &path, Bytes::new(), Self::SHARED_RECORD_TIMEOUT).await?;
-        hollyhook_platform::decode_object(&body).map_err(StoreError::Malformed)
+        let answer = self.read(&path, Duration::ZERO, Self::SHARED_RECORD_TIMEOUT).await?;
+        hollyhook_platform::decode_object(&answer.body).map_err(StoreError::Malformed)
     }
 
     /// Writes the crash records of requests into the status of an endpoint's entry.
@@ -302,7 +344,7 @@
         Ok(object.revision)
     }
 
-    /// Sends one call, and returns the era and the body of a successful response.
+    /// Sends one write, and returns the era and the body of a successful response.
     async fn call(
         &mut self,
         method: Method,
@@ -312,10 +354,53 @@
     ) -> Result<(u64, Bytes), StoreError> {
         let address = (self.address)();
         let request = build_request(method, address, path, body)?;
-        let response = self.client.call(address, request, timeout).await?;
-        let era = self.check_era(&response)?;
+        let response = self.client.call(address, request, self.feed.latency().limit(timeout)).await?;
+        let era = self.check_response(&response)?;
+        Ok((era, response.into_body()))
+    }
+
+    /// Reads what a path names; `wait` is the time for which the path asks the store to wait before it answers.
+    ///
+    /// # Errors
+    ///
+    /// Why no successful response was read within `timeout`, which follows the store's latency unless late reads are kept.
+    async fn read(&mut self, path: &str, wait: Duration, timeout: Duration) -> Result<StoreAnswer, StoreError> {
+        let query = ReadQuery { address: (self.address)(), path: path.to_owned(), wait, sent_at: self.timer.now() };
+        let request = build_request(Method::GET, query.address, path, Bytes::new())?;
+        let Some(late_reads) = &mut self.late_reads else {
+            let timeout = wait + self.feed.latency().limit(timeout.saturating_sub(wait));
+            let response = self.client.call(query.address, request, timeout).await?;
+            return self.answer(&query, response);
+        };
+        let client = PersistentClient::new(self.timer.clone());
+        let mut client = std::mem::replace(&mut self.client, client);
+        let own_query = query.clone();
+        let read: ReadFuture = Box::pin(async move {
+            let outcome = client.call(own_query.address, request, wait + StoreLatency::MAX_LIMIT).await;
+            EndedRead { query: own_query, client, outcome }
+        });
+        let (timer, feed) = (&self.timer, &self.feed);
+        // The answer to another read still shows how long the store takes.
+        let observe = |late: &ReadQuery| feed.observe_latency(timer.now().since(late.sent_at + late.wait));
+        let ended = late_reads.answer(timer, &query, read, timeout, observe).await;
+        let ended = ended.ok_or(StoreError::Unavailable("no response within the time limit"))?;
+        let EndedRead { query, client, outcome } = ended;
+        self.client = client;
+        let answer = self.answer(&query, outcome?)?;
+        self.forget_late_reads();
+        Ok(answer)
+    }
+
+    fn answer(&self, query: &ReadQuery, response: Response<Bytes>) -> Result<StoreAnswer, StoreError> {
+        let era = self.check_response(&response)?;
+        Ok(StoreAnswer { era, body: response.into_body(), sent_at: query.sent_at })
+    }
+
+    /// Returns the era that a successful response states.
+    fn check_response(&self, response: &Response<Bytes>) -> Result<u64, StoreError> {
+        let era = self.check_era(response)?;
         match response.status() {
-            StatusCode::OK | StatusCode::CREATED => Ok((era, response.into_body())),
+            StatusCode::OK | StatusCode::CREATED => Ok(era),
             StatusCode::GONE => Err(StoreError::HistoryGone),
             StatusCode::CONFLICT => Err(StoreError::Conflict),
             StatusCode::NOT_FOUND => Err(StoreError::Missing),
