--- a/crates/hollyhook_core/src/origin/inherited_origins.rs
+++ b/crates/hollyhook_core/src/origin/inherited_origins.rs
@@ -1,7 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::snapshot_writer::ServiceVersions;
-use super::{OriginLedger, OriginSnapshot, StreamKey};
+use super::{OriginLedger, OriginSnapshot, ServiceVersions, StreamKey};
 use crate::{Name, TimePoint};
 
 /// Maximum number of streams kept of earlier processes, so that with the host's own they fit into an object.
--- a/crates/hollyhook_core/src/origin/snapshot_writer.rs
+++ b/crates/hollyhook_core/src/origin/snapshot_writer.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::inherited_origins::InheritedOrigins;
-use super::{OriginJournal, OriginSnapshot, ServiceSnapshot, StreamKey};
+use super::{OriginJournal, OriginSnapshot, ServiceSnapshot, ServiceVersions, StreamKey};
 use crate::{Name, TimePoint};
 
 /// The share of the store's writes that the snapshots of all hosts together may take; the rest is for the operator,
@@ -17,15 +17,6 @@
 /// The interval while a caller waits for an event until a snapshot has been written.
 const URGENT_INTERVAL: Duration = Duration::from_millis(25);
 
-/// The versions of a service as one host knows them.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct ServiceVersions {
-    /// The versions of endpoints that are registered and not leaving, so that streams may begin there.
-    pub live: BTreeSet<Name>,
-    /// The versions whose streams may come back.
-    pub possible: BTreeSet<Name>,
-}
-
 /// Whether the version of a stream would be found if all hosts were lost now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RecordVerdict {
--- a/crates/hollyhook_gateway/src/store/mod.rs
+++ b/crates/hollyhook_gateway/src/store/mod.rs
@@ -16,6 +16,7 @@
 mod site_watch;
 mod snapshot_recorder;
 mod store_client;
+mod store_error;
 mod version_recorder;
 
 pub(crate) use endpoint_watch::EndpointWatch;
@@ -24,7 +25,8 @@
 pub(crate) use rollout_watch::RolloutWatch;
 pub(crate) use site_watch::SiteWatch;
 pub(crate) use snapshot_recorder::{SnapshotRecorder, decode_snapshot};
-pub(crate) use store_client::{StoreClient, StoreError};
+pub(crate) use store_client::StoreClient;
+pub(crate) use store_error::StoreError;
 pub(crate) use version_recorder::VersionRecorder;
 
 /// Whether this host reads endpoints and the configuration from the store rather than from another host.
