--- a/crates/hollyhook_core/src/site/mod.rs
+++ b/crates/hollyhook_core/src/site/mod.rs
@@ -1,4 +1,4 @@
-//! The site configuration written by the operator (routes, services, client accounts, limits) the version in force, and
+//! The site configuration written by the operator (routes, services, client accounts, limits), the version in force, and
 //! whether a host is ready for callers.
 
 mod account_config;
