--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -318,3 +318,47 @@
     finally:
         if writer is not None:
             writer.close()
+
+
+def whole_answer(attempt):
+    """The parts of a whole answer to a request of this id, 800 bytes."""
+    return [f"{part:2} of 10 of the answer to {attempt}".ljust(79).encode() + b"\n" for part in range(1, 11)]
+
+
+class Path:
+    """The path to one engine: relays bytes, and nothing while it is cut; what was sent meanwhile arrives when it heals."""
+
+    def __init__(self, engine_port):
+        self.port, self.engine_port = free_port(), engine_port
+        self.open = asyncio.Event()
+        self.open.set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+
+    async def serve(self, reader, writer):
+        await self.open.wait()
+        try:
+            engine_reader, engine_writer = await asyncio.open_connection("127.0.0.1", self.engine_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        try:
+            await asyncio.gather(self.relay(reader, engine_writer), self.relay(engine_reader, writer))
+        except asyncio.CancelledError:
+            pass
+        finally:
+            engine_writer.close()
+            writer.close()
+
+    async def relay(self, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                await self.open.wait()
+                writer.write(data)
+                await writer.drain()
+            await self.open.wait()
+            writer.write_eof()
+        except OSError:
+            await self.open.wait()
+            writer.transport.abort()
